--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks, the policy bench and the capacity measurements. */
+package org.aspenmoor.internal.bench;
--- /dev/null
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's command line. */
+package org.aspenmoor.internal.cli;
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/RequestId.java
@@ -0,0 +1,35 @@
+package org.aspenmoor;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** The 128-bit identity of one caller's request; it stays the same over all its attempts. */
+public record RequestId(long high, long low) {
+    private static final int HEX_DIGITS = 32;
+    private static final int HEX_DIGITS_OF_HALF = 16;
+    private static final int HEX_RADIX = 16;
+
+    /** Draws a new identity from the given random source. */
+    public static RequestId draw(RandomGenerator random) {
+        return new RequestId(random.nextLong(), random.nextLong());
+    }
+
+    /** Reads the 32 hexadecimal digits that {@link #toString} writes; empty where the text is anything else. */
+    public static Optional<RequestId> parse(String text) {
+        if (text.length() != HEX_DIGITS) {
+            return Optional.empty();
+        }
+        try {
+            long high = Long.parseUnsignedLong(text.substring(0, HEX_DIGITS_OF_HALF), HEX_RADIX);
+            long low = Long.parseUnsignedLong(text.substring(HEX_DIGITS_OF_HALF), HEX_RADIX);
+            return Optional.of(new RequestId(high, low));
+        } catch (NumberFormatException notHexadecimal) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return String.format("%016x%016x", high, low);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentReader.java
@@ -0,0 +1,116 @@
+package org.aspenmoor.internal.document;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.json.FieldReader;
+import org.aspenmoor.internal.json.LocatedJsonParser;
+import org.aspenmoor.internal.json.LocatedValue;
+
+/** Reads a team's document from JSON with comments. */
+public final class DocumentReader {
+    private static final double MOST_WEIGHT = 1_000_000;
+    private static final double LEAST_DEADLINE_SECONDS = 0.05;
+    private static final double MOST_DEADLINE_SECONDS = 3600;
+    private static final int MOST_TOKENS = 1_000_000;
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
+
+    private final Findings findings;
+
+    public DocumentReader(Findings findings) {
+        this.findings = findings;
+    }
+
+    /** Reads a document; empty where the text is no object. Mistakes are added to the findings. */
+    public Optional<ServiceDocument> read(String source, String text) {
+        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
+        return root.map(object -> readDocument(new FieldReader(object, findings)));
+    }
+
+    private ServiceDocument readDocument(FieldReader reader) {
+        ServiceDocument document = new ServiceDocument(
+                reader.requiredText("team"),
+                reader.requiredText("service"),
+                (long) reader.decimal("revision", 0, Long.MAX_VALUE, 0),
+                readModels(reader),
+                readKinds(reader),
+                reader.decimal("roleChangePrice", 0, MOST_WEIGHT, 0),
+                reader.texts("callerTokenHashes"),
+                readBackends(reader));
+        reader.refuseUnknownFields();
+        return document;
+    }
+
+    private static List<ModelDeclaration> readModels(FieldReader reader) {
+        List<ModelDeclaration> models = new ArrayList<>();
+        for (FieldReader model : reader.objects("models")) {
+            models.add(new ModelDeclaration(
+                    model.requiredText("name"), model.requiredText("version"), readAdapters(model)));
+            model.refuseUnknownFields();
+        }
+        return models;
+    }
+
+    private static List<AdapterDeclaration> readAdapters(FieldReader model) {
+        List<AdapterDeclaration> adapters = new ArrayList<>();
+        for (FieldReader adapter : model.objects("adapters")) {
+            adapters.add(new AdapterDeclaration(adapter.requiredText("name"), adapter.requiredText("version")));
+            adapter.refuseUnknownFields();
+        }
+        return adapters;
+    }
+
+    private static List<RequestKind> readKinds(FieldReader reader) {
+        List<RequestKind> kinds = new ArrayList<>();
+        for (FieldReader kind : reader.objects("kinds")) {
+            kind.require("weight", "1");
+            kind.require("deadlineSeconds", "2.5");
+            kinds.add(new RequestKind(
+                    kind.requiredText("name"),
+                    readMatch(kind),
+                    kind.decimal("weight", 0, MOST_WEIGHT, 1),
+                    kind.seconds("deadlineSeconds", LEAST_DEADLINE_SECONDS, MOST_DEADLINE_SECONDS, DEFAULT_DEADLINE),
+                    kind.truth("idempotent", true),
+                    kind.integer("longestOutputTokens", 0, MOST_TOKENS, 0)));
+            kind.refuseUnknownFields();
+        }
+        return kinds;
+    }
+
+    private static KindMatch readMatch(FieldReader kind) {
+        Optional<FieldReader> match = kind.object("match");
+        if (match.isEmpty()) {
+            return new KindMatch(
+                    Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+        }
+        FieldReader reader = match.get();
+        int mostPromptTokens = reader.integer("mostPromptTokens", 1, MOST_TOKENS, 0);
+        KindMatch read = new KindMatch(
+                reader.optionalText("model"),
+                reader.optionalText("adapter"),
+                reader.optionalText("method"),
+                reader.optionalText("pathPrefix"),
+                mostPromptTokens == 0 ? Optional.empty() : Optional.of(mostPromptTokens));
+        reader.refuseUnknownFields();
+        return read;
+    }
+
+    private static List<BackendDeclaration> readBackends(FieldReader reader) {
+        List<BackendDeclaration> backends = new ArrayList<>();
+        for (FieldReader engine : reader.objects("engines")) {
+            backends.add(new BackendDeclaration.EngineDeclaration(
+                    engine.requiredText("name"),
+                    engine.requiredText("dataCentre"),
+                    engine.truth("checksFencingNumbers", false)));
+            engine.refuseUnknownFields();
+        }
+        for (FieldReader plain : reader.objects("plainServices")) {
+            backends.add(new BackendDeclaration.PlainServiceDeclaration(
+                    plain.requiredText("name"), plain.requiredText("dataCentre")));
+            plain.refuseUnknownFields();
+        }
+        return backends;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON with comments, read with the place of every field. */
+package org.aspenmoor.internal.json;
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/time/SystemTimeSource.java
@@ -0,0 +1,16 @@
+package org.aspenmoor.internal.time;
+
+import java.time.Instant;
+
+/** The clocks of the machine. */
+public final class SystemTimeSource implements TimeSource {
+    @Override
+    public long monotonicNanoseconds() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public Instant timeOfDay() {
+        return Instant.now();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time as the decisions see it: passed in, never read from the machine. */
+package org.aspenmoor.internal.time;
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's start, settings and lifecycle. */
+package org.aspenmoor.internal.daemon;
--- /dev/null
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Frames between aspenmoor's own processes. */
+package org.aspenmoor.internal.wire;
