Stream assembly, accounts, links and the agent's half of the data path

Cause: the thin path needs one process that owns an engine's connections. An answer is pulled from the backend server only against credit, so a slow reader holds back the engine instead of filling memory.

--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/accounting/package-info.java
@@ -0,0 +1,2 @@
+/** Conservation counters: everything that came in is in exactly one place. */
+package org.aspenmoor.internal.accounting;
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindClassifier.java
@@ -0,0 +1,39 @@
+package org.aspenmoor.internal.document;
+
+import java.util.Optional;
+
+/** Finds the kind of a request from the team's document; callers never name it. */
+public final class KindClassifier {
+    private KindClassifier() {}
+
+    /** Returns the first kind of the document that matches. */
+    public static Optional<RequestKind> classify(ServiceDocument document, RequestTraits traits) {
+        return document.kinds().stream()
+                .filter(kind -> matches(kind.match(), traits))
+                .findFirst();
+    }
+
+    private static boolean matches(KindMatch match, RequestTraits traits) {
+        boolean asksModel = traits.model().isPresent();
+        if (match.model().isPresent() && !match.model().equals(traits.model())) {
+            return false;
+        }
+        if (match.adapter().isPresent() && !match.adapter().equals(traits.adapter())) {
+            return false;
+        }
+        boolean namesCall = match.method().isPresent() || match.pathPrefix().isPresent();
+        if (namesCall && asksModel) {
+            return false;
+        }
+        if (match.method().isPresent() && !match.method().get().equalsIgnoreCase(traits.method())) {
+            return false;
+        }
+        if (match.pathPrefix().isPresent()
+                && !traits.path().startsWith(match.pathPrefix().get())) {
+            return false;
+        }
+        return match.mostPromptTokens()
+                .map(most -> traits.promptTokens() <= most)
+                .orElse(true);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AttemptKey.java
@@ -0,0 +1,21 @@
+package org.aspenmoor.internal.agent;
+
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.wire.AttemptIds;
+import org.aspenmoor.internal.wire.v1.AttemptId;
+
+/**
+ * One attempt of one request.
+ *
+ * @param request the request
+ * @param attempt counted from 1
+ */
+record AttemptKey(RequestId request, int attempt) {
+    static AttemptKey of(AttemptId id) {
+        return new AttemptKey(new RequestId(id.getRequestHigh(), id.getRequestLow()), id.getAttempt());
+    }
+
+    AttemptId toWire() {
+        return AttemptIds.of(request.high(), request.low(), attempt);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/BackendCaller.java
@@ -0,0 +1,9 @@
+package org.aspenmoor.internal.agent;
+
+import org.aspenmoor.internal.wire.v1.Dispatch;
+
+/** Starts calls to the backend server. */
+interface BackendCaller {
+    /** Starts the call that a dispatch asks for. */
+    BackendCall start(AttemptKey key, Dispatch dispatch);
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/EventStreamDecoder.java
@@ -0,0 +1,85 @@
+package org.aspenmoor.internal.agent;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads a generation's server-sent events into pieces of text. */
+final class EventStreamDecoder implements AnswerDecoder {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DATA_PREFIX = "data:";
+    private static final String END_MARK = "[DONE]";
+    private static final int LONGEST_LINE = 1 << 20;
+
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private String finishReason = "";
+    private boolean ended;
+
+    @Override
+    public List<Piece> decode(List<ByteBuffer> buffers) throws AnswerMalformedException {
+        List<Piece> pieces = new ArrayList<>();
+        for (ByteBuffer buffer : buffers) {
+            while (buffer.hasRemaining()) {
+                decodeByte(buffer.get(), pieces);
+            }
+        }
+        return pieces;
+    }
+
+    @Override
+    public CallEnd end() {
+        if (ended) {
+            return new CallEnd.Complete(finishReason);
+        }
+        return new CallEnd.Failed("the engine's stream ended before its end mark");
+    }
+
+    private void decodeByte(byte next, List<Piece> pieces) throws AnswerMalformedException {
+        if (next != '\n') {
+            line.write(next);
+            if (line.size() > LONGEST_LINE) {
+                throw new AnswerMalformedException("The engine sent an event longer than " + LONGEST_LINE + " bytes.");
+            }
+            return;
+        }
+        String text = line.toString(StandardCharsets.UTF_8).strip();
+        line.reset();
+        if (text.startsWith(DATA_PREFIX)) {
+            decodeEvent(text.substring(DATA_PREFIX.length()).strip(), pieces);
+        }
+    }
+
+    private void decodeEvent(String event, List<Piece> pieces) throws AnswerMalformedException {
+        if (event.equals(END_MARK)) {
+            ended = true;
+            return;
+        }
+        try {
+            JsonNode root = MAPPER.readTree(event);
+            if (root.has("error")) {
+                throw new AnswerMalformedException("The engine reported an error: " + root.get("error") + ".");
+            }
+            decodeChoice(root.path("choices").path(0), pieces);
+        } catch (JsonProcessingException malformed) {
+            throw new AnswerMalformedException("The engine sent an event that is no JSON.");
+        }
+    }
+
+    private void decodeChoice(JsonNode choice, List<Piece> pieces) {
+        String text = choice.has("delta")
+                ? choice.path("delta").path("content").asText("")
+                : choice.path("text").asText("");
+        if (!text.isEmpty()) {
+            pieces.add(new Piece(text.getBytes(StandardCharsets.UTF_8), 1));
+        }
+        String reason = choice.path("finish_reason").asText("");
+        if (!reason.isEmpty() && !choice.path("finish_reason").isNull()) {
+            finishReason = reason;
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
@@ -0,0 +1,154 @@
+package org.aspenmoor.internal.agent;
+
+import java.net.ConnectException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Flow;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.wire.v1.Header;
+
+/** One call over HTTP; pulls the answer only as fast as the desk asks for it. */
+final class HttpBackendCall implements BackendCall, Flow.Subscriber<List<ByteBuffer>> {
+    private static final int OK = 200;
+    private static final Set<String> HOP_BY_HOP =
+            Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", ":status");
+
+    private final AttemptKey key;
+    private final Duty<AgentMessage> desk;
+    private final AnswerDecoder decoder;
+    private final boolean generation;
+    private final Object lock = new Object();
+    private Optional<Flow.Subscription> subscription = Optional.empty();
+    private Optional<CompletableFuture<?>> sending = Optional.empty();
+    private boolean cancelled;
+    private boolean ended;
+
+    HttpBackendCall(AttemptKey key, Duty<AgentMessage> desk, AnswerDecoder decoder, boolean generation) {
+        this.key = key;
+        this.desk = desk;
+        this.decoder = decoder;
+        this.generation = generation;
+    }
+
+    void start(HttpClient client, HttpRequest request) {
+        CompletableFuture<HttpResponse<Flow.Publisher<List<ByteBuffer>>>> answer =
+                client.sendAsync(request, BodyHandlers.ofPublisher());
+        synchronized (lock) {
+            sending = Optional.of(answer);
+        }
+        answer.whenComplete((response, failure) -> {
+            if (failure != null) {
+                failedToSend(failure);
+            } else {
+                answered(response);
+            }
+        });
+    }
+
+    @Override
+    public void wantMore() {
+        Optional<Flow.Subscription> current;
+        synchronized (lock) {
+            current = subscription;
+        }
+        current.ifPresent(active -> active.request(1));
+    }
+
+    @Override
+    public void cancel() {
+        Optional<Flow.Subscription> current;
+        Optional<CompletableFuture<?>> request;
+        synchronized (lock) {
+            cancelled = true;
+            current = subscription;
+            request = sending;
+        }
+        current.ifPresent(Flow.Subscription::cancel);
+        request.ifPresent(future -> future.cancel(true));
+    }
+
+    @Override
+    public void onSubscribe(Flow.Subscription newSubscription) {
+        boolean late;
+        synchronized (lock) {
+            subscription = Optional.of(newSubscription);
+            late = cancelled;
+        }
+        if (late) {
+            newSubscription.cancel();
+            return;
+        }
+        newSubscription.request(1);
+    }
+
+    @Override
+    public void onNext(List<ByteBuffer> buffers) {
+        try {
+            desk.put(new AgentMessage.PiecesArrived(key, decoder.decode(buffers)));
+        } catch (AnswerMalformedException malformed) {
+            cancel();
+            end(new CallEnd.Failed(malformed.problem()));
+        }
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+        end(new CallEnd.Failed("the connection to the backend server broke: " + failure.getMessage()));
+    }
+
+    @Override
+    public void onComplete() {
+        end(decoder.end());
+    }
+
+    private void answered(HttpResponse<Flow.Publisher<List<ByteBuffer>>> response) {
+        if (generation && response.statusCode() != OK) {
+            end(new CallEnd.Failed("the engine answered with status " + response.statusCode()));
+            response.body().subscribe(new DiscardingSubscriber());
+            return;
+        }
+        desk.put(new AgentMessage.AnswerStarted(key, response.statusCode(), headersOf(response)));
+        response.body().subscribe(this);
+    }
+
+    private void failedToSend(Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        String detail = cause.getClass().getSimpleName() + " " + cause.getMessage();
+        if (cause instanceof ConnectException) {
+            end(new CallEnd.NeverStarted("the backend server takes no connection: " + detail));
+        } else {
+            end(new CallEnd.Failed("the call to the backend server broke: " + detail));
+        }
+    }
+
+    private void end(CallEnd end) {
+        synchronized (lock) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+        }
+        desk.put(new AgentMessage.AnswerEnded(key, end));
+    }
+
+    private static List<Header> headersOf(HttpResponse<?> response) {
+        List<Header> headers = new ArrayList<>();
+        response.headers().map().forEach((name, values) -> {
+            if (!HOP_BY_HOP.contains(name)) {
+                values.forEach(value -> headers.add(Header.newBuilder()
+                        .setName(name)
+                        .setValue(value)
+                        .build()));
+            }
+        });
+        return headers;
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
@@ -0,0 +1,113 @@
+package org.aspenmoor.internal.agent;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.util.Locale;
+import java.util.Set;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.wire.v1.Dispatch;
+import org.aspenmoor.internal.wire.v1.Generation;
+import org.aspenmoor.internal.wire.v1.Header;
+import org.aspenmoor.internal.wire.v1.PlainCall;
+
+/** Calls the backend server over HTTP: the completions protocol for engines, pass-through for plain services. */
+final class HttpBackendCaller implements BackendCaller {
+    /** Names the request to the backend server, so that its log and ours can be read together. */
+    static final String REQUEST_ID_HEADER = "X-Request-Id";
+
+    /** Names the attempt to the backend server. */
+    static final String ATTEMPT_HEADER = "X-Attempt";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Set<String> NOT_FORWARDED = Set.of(
+            "host", "connection", "content-length", "transfer-encoding", "expect", "upgrade", "authorization",
+            "keep-alive");
+
+    private final HttpClient client;
+    private final URI backend;
+    private final Duty<AgentMessage> desk;
+
+    HttpBackendCaller(HttpClient client, URI backend, Duty<AgentMessage> desk) {
+        this.client = client;
+        this.backend = backend;
+        this.desk = desk;
+    }
+
+    @Override
+    public BackendCall start(AttemptKey key, Dispatch dispatch) {
+        return switch (dispatch.getWorkCase()) {
+            case GENERATION -> startGeneration(key, dispatch.getGeneration(), dispatch.getWeight());
+            case PLAIN_CALL -> startPlainCall(key, dispatch.getPlainCall());
+            case WORK_NOT_SET -> startNothing(key);
+        };
+    }
+
+    private BackendCall startGeneration(AttemptKey key, Generation generation, double weight) {
+        HttpBackendCall call = new HttpBackendCall(key, desk, new EventStreamDecoder(), true);
+        try {
+            String path = generation.getChat() ? "/v1/chat/completions" : "/v1/completions";
+            HttpRequest request = requestTo(key, path)
+                    .header("Content-Type", "application/json")
+                    .POST(BodyPublishers.ofByteArray(engineRequest(generation, weight)))
+                    .build();
+            call.start(client, request);
+        } catch (IOException malformed) {
+            desk.put(new AgentMessage.AnswerEnded(
+                    key, new CallEnd.NeverStarted("the request's JSON is malformed: " + malformed.getMessage())));
+        }
+        return call;
+    }
+
+    private BackendCall startPlainCall(AttemptKey key, PlainCall plain) {
+        HttpBackendCall call = new HttpBackendCall(key, desk, new PlainAnswerDecoder(), false);
+        HttpRequest.Builder request = requestTo(key, plain.getPath());
+        for (Header header : plain.getHeadersList()) {
+            if (!NOT_FORWARDED.contains(header.getName().toLowerCase(Locale.ROOT))) {
+                request.header(header.getName(), header.getValue());
+            }
+        }
+        byte[] body = plain.getBody().toByteArray();
+        request.method(
+                plain.getMethod(), body.length == 0 ? BodyPublishers.noBody() : BodyPublishers.ofByteArray(body));
+        call.start(client, request.build());
+        return call;
+    }
+
+    private BackendCall startNothing(AttemptKey key) {
+        HttpBackendCall call = new HttpBackendCall(key, desk, new PlainAnswerDecoder(), false);
+        desk.put(new AgentMessage.AnswerEnded(key, new CallEnd.NeverStarted("the dispatch holds no work")));
+        return call;
+    }
+
+    private HttpRequest.Builder requestTo(AttemptKey key, String path) {
+        return HttpRequest.newBuilder(backend.resolve(path))
+                .header(REQUEST_ID_HEADER, key.request().toString())
+                .header(ATTEMPT_HEADER, String.valueOf(key.attempt()));
+    }
+
+    private static byte[] engineRequest(Generation generation, double weight) throws IOException {
+        JsonNode parsed = MAPPER.readTree(generation.getRequest().toByteArray());
+        if (!(parsed instanceof ObjectNode request)) {
+            throw new IOException("not an object");
+        }
+        request.put("stream", true);
+        request.put("priority", weight);
+        if (generation.getDeliveredTokens() > 0) {
+            request.putObject("resume")
+                    .put("tokens", generation.getDeliveredTokens())
+                    .put("text", generation.getDeliveredText());
+        }
+        return write(request);
+    }
+
+    private static byte[] write(ObjectNode request) throws JsonProcessingException {
+        return MAPPER.writeValueAsBytes(request);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/PlainAnswerDecoder.java
@@ -0,0 +1,26 @@
+package org.aspenmoor.internal.agent;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Passes a plain service's answer on as it is. */
+final class PlainAnswerDecoder implements AnswerDecoder {
+    @Override
+    public List<Piece> decode(List<ByteBuffer> buffers) {
+        List<Piece> pieces = new ArrayList<>();
+        for (ByteBuffer buffer : buffers) {
+            byte[] data = new byte[buffer.remaining()];
+            buffer.get(data);
+            if (data.length > 0) {
+                pieces.add(new Piece(data, 0));
+            }
+        }
+        return pieces;
+    }
+
+    @Override
+    public CallEnd end() {
+        return new CallEnd.Complete("");
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/RunningAttempt.java
@@ -0,0 +1,112 @@
+package org.aspenmoor.internal.agent;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.stream.AttemptChecksum;
+import org.aspenmoor.internal.wire.v1.Chunk;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Last;
+
+/**
+ * An attempt that runs now.
+ *
+ * <p>Chunks go out only against credit. Without it a caller that reads slowly would make the entry, and then this
+ * process, hold the engine's whole output in memory; it would show as a process that is killed for its size. Here the
+ * pieces held are those of one read from the backend server, and the next read waits.
+ */
+final class RunningAttempt {
+    private final AttemptKey key;
+    private final Link link;
+    private final BackendCall call;
+    private final AttemptChecksum checksum = new AttemptChecksum();
+    private final Deque<Piece> pending = new ArrayDeque<>();
+    private int credit;
+    private Optional<CallEnd> end = Optional.empty();
+
+    RunningAttempt(AttemptKey key, Link link, BackendCall call, int credit) {
+        this.key = key;
+        this.link = link;
+        this.call = call;
+        this.credit = credit;
+    }
+
+    Link link() {
+        return link;
+    }
+
+    BackendCall call() {
+        return call;
+    }
+
+    Optional<CallEnd> end() {
+        return end;
+    }
+
+    /** Takes pieces that the backend server gave. */
+    void arrived(List<Piece> pieces) {
+        pending.addAll(pieces);
+        flush();
+        wantMoreIfEmpty();
+    }
+
+    /** Takes credit that the entry gave. */
+    void credited(int chunks) {
+        credit += chunks;
+        boolean wasHeldBack = !pending.isEmpty();
+        flush();
+        if (wasHeldBack) {
+            wantMoreIfEmpty();
+        }
+    }
+
+    /** Takes the end of the backend server's answer. */
+    void ended(CallEnd callEnd) {
+        end = Optional.of(callEnd);
+    }
+
+    /** Returns the last frame once every piece before it has gone out. */
+    Optional<Frame> lastFrameIfDone() {
+        if (!pending.isEmpty()) {
+            return Optional.empty();
+        }
+        return end.map(this::lastFrame);
+    }
+
+    private void wantMoreIfEmpty() {
+        if (pending.isEmpty() && end.isEmpty()) {
+            call.wantMore();
+        }
+    }
+
+    private void flush() {
+        while (credit > 0 && !pending.isEmpty()) {
+            Piece piece = pending.removeFirst();
+            credit--;
+            link.send(Frame.newBuilder()
+                    .setChunk(Chunk.newBuilder()
+                            .setId(key.toWire())
+                            .setSequence(checksum.add(piece.data()))
+                            .setData(ByteString.copyFrom(piece.data()))
+                            .setTokens(piece.tokens()))
+                    .build());
+        }
+    }
+
+    private Frame lastFrame(CallEnd callEnd) {
+        Last.Builder last = Last.newBuilder()
+                .setId(key.toWire())
+                .setCount(checksum.count())
+                .setChecksum(checksum.value());
+        switch (callEnd) {
+            case CallEnd.Complete complete ->
+                last.setEnd(Last.End.COMPLETE).setFinishReason(complete.finishReason());
+            case CallEnd.Failed failed -> last.setEnd(Last.End.FAILED).setDetail(failed.detail());
+            case CallEnd.NeverStarted never -> last.setEnd(Last.End.FAILED).setDetail(never.detail());
+        }
+        return Frame.newBuilder().setLast(last).build();
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent: the one process that talks to its backend server. */
+package org.aspenmoor.internal.agent;
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/package-info.java
@@ -0,0 +1,2 @@
+/** A thread for each duty, fed by a bounded ring. */
+package org.aspenmoor.internal.duty;
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/link/LinkChannelHandler.java
@@ -0,0 +1,76 @@
+package org.aspenmoor.internal.link;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.Optional;
+import org.aspenmoor.internal.wire.FramePipeline;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Hello;
+import org.jboss.logging.Logger;
+
+/**
+ * The state of one connection: first a greeting from each side, then frames.
+ *
+ * <p>A process of another version may give the same bytes another meaning; it would show as garbled answers. So the
+ * versions are compared before any other frame is read, and the link is closed with a logged cause where they differ.
+ */
+final class LinkChannelHandler extends SimpleChannelInboundHandler<Frame> {
+    private static final Logger LOG = Logger.getLogger("link");
+
+    private final Hello own;
+    private final LinkListener listener;
+    private Optional<Link> link = Optional.empty();
+    private String closeCause = "the other side closed the connection";
+
+    LinkChannelHandler(Hello own, LinkListener listener) {
+        this.own = own;
+        this.listener = listener;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.writeAndFlush(Frame.newBuilder().setHello(own).build());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (link.isPresent()) {
+            listener.received(link.get(), frame);
+            return;
+        }
+        if (!frame.hasHello()) {
+            closeFor(context, "the first frame was no greeting");
+            return;
+        }
+        greeted(context, frame.getHello());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        link.ifPresent(opened -> listener.closed(opened, closeCause));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        closeFor(context, cause.getClass().getSimpleName() + ": " + cause.getMessage());
+    }
+
+    private void greeted(ChannelHandlerContext context, Hello peer) {
+        if (peer.getProtocolVersion() != FramePipeline.PROTOCOL_VERSION) {
+            closeFor(
+                    context,
+                    "protocol version " + peer.getProtocolVersion() + " of " + peer.getProcess() + " is not "
+                            + FramePipeline.PROTOCOL_VERSION);
+            return;
+        }
+        Link opened = new Link(context.channel(), peer);
+        link = Optional.of(opened);
+        listener.opened(opened);
+    }
+
+    private void closeFor(ChannelHandlerContext context, String cause) {
+        closeCause = cause;
+        LOG.warnf("link: closed to %s, %s", context.channel().remoteAddress(), cause);
+        context.close();
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/link/LinkNetwork.java
@@ -0,0 +1,88 @@
+package org.aspenmoor.internal.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.wire.FramePipeline;
+import org.aspenmoor.internal.wire.v1.Hello;
+
+/** Opens and accepts links; one network thread serves all of them. */
+public final class LinkNetwork implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 1000;
+    private static final int QUIET_MILLISECONDS = 50;
+    private static final int CLOSE_MILLISECONDS = 2000;
+
+    private final Hello own;
+    private final LinkListener listener;
+    private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("aspenmoor-network", true));
+
+    public LinkNetwork(Hello own, LinkListener listener) {
+        this.own = own;
+        this.listener = listener;
+    }
+
+    /** Listens for links and returns the port. */
+    public int listen(String address, int port) throws AspenmoorException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer());
+        ChannelFuture bound = bootstrap.bind(address, port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new AspenmoorException(
+                    "The link port cannot be opened: " + bound.cause().getMessage() + ".",
+                    address + ":" + port,
+                    "Choose another \"linkPort\", or 0 for a free one.");
+        }
+        return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    }
+
+    /** Opens a link; the failure action runs if no connection comes about, else the listener hears of it. */
+    public void connect(String address, int port, Runnable whenFailed) {
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                .handler(initializer())
+                .connect(address, port)
+                .addListener(result -> {
+                    if (!result.isSuccess()) {
+                        whenFailed.run();
+                    }
+                });
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(QUIET_MILLISECONDS, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
+    }
+
+    private ChannelInitializer<SocketChannel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                addHandlers(channel);
+            }
+        };
+    }
+
+    private void addHandlers(Channel channel) {
+        FramePipeline.addTo(channel.pipeline());
+        channel.pipeline().addLast(new LinkChannelHandler(own, listener));
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/link/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between the processes of the system. */
+package org.aspenmoor.internal.link;
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
@@ -0,0 +1,189 @@
+package org.aspenmoor.internal.settings;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.json.FieldReader;
+import org.aspenmoor.internal.json.LocatedJsonParser;
+import org.aspenmoor.internal.json.LocatedValue;
+
+/** Reads a process's settings and reports all mistakes with their places at once. */
+public final class SettingsReader {
+    private static final int HIGHEST_PORT = 65535;
+    private static final int KIBIBYTE = 1024;
+    private static final int MEBIBYTE = KIBIBYTE * KIBIBYTE;
+    private static final int DEFAULT_HEADER_BYTES = 16 * KIBIBYTE;
+    private static final int MOST_WAITING = 100_000;
+    private static final int DEFAULT_WAITING = 512;
+    private static final int MOST_CREDIT = 4096;
+    private static final int DEFAULT_CHUNK_CREDIT = 64;
+    private static final int DEFAULT_REQUEST_CREDIT = 64;
+    private static final double MOST_SECONDS = 3600;
+    private static final double LEAST_SECONDS = 0.1;
+    private static final Duration DEFAULT_LEAVING_BOUND = Duration.ofSeconds(3);
+    private static final Duration DEFAULT_STALL_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofMinutes(10);
+    private static final double MOST_STORE_CALLS = 2000;
+    private static final double DEFAULT_STORE_CALLS = 20;
+    private static final int HASH_DIGITS = 64;
+
+    private final Findings findings = new Findings();
+
+    /** Reads settings from a file. */
+    public DaemonSettings read(Path file) throws AspenmoorException {
+        try {
+            return read(file.getFileName().toString(), Files.readString(file));
+        } catch (IOException unreadable) {
+            throw new AspenmoorException(
+                    "The settings cannot be read: " + unreadable.getMessage() + ".",
+                    file.toString(),
+                    "Give the path of a readable file after --settings.",
+                    unreadable);
+        }
+    }
+
+    /** Reads settings from a text. */
+    public DaemonSettings read(String source, String text) throws AspenmoorException {
+        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
+        findings.throwIfAny("The settings");
+        FieldReader reader = new FieldReader(root.orElseThrow(), findings);
+        DaemonSettings settings = readRole(reader);
+        reader.refuseUnknownFields();
+        findings.throwIfAny("The settings");
+        return settings;
+    }
+
+    private DaemonSettings readRole(FieldReader reader) {
+        String role = reader.requiredText("role");
+        return switch (role) {
+            case "agent" -> readAgent(reader);
+            case "entry" -> readEntry(reader);
+            default -> {
+                findings.add(
+                        reader.placeOf("role"), "The role is not known.", "Write \"entry\" or \"agent\".");
+                yield readEntry(reader);
+            }
+        };
+    }
+
+    private EntrySettings readEntry(FieldReader reader) {
+        return new EntrySettings(
+                readProcess(reader),
+                readLimits(reader),
+                reader.seconds("leavingBoundSeconds", LEAST_SECONDS, MOST_SECONDS, DEFAULT_LEAVING_BOUND),
+                reader.seconds("stallTimeoutSeconds", LEAST_SECONDS, MOST_SECONDS, DEFAULT_STALL_TIMEOUT),
+                readOperators(reader));
+    }
+
+    private AgentSettings readAgent(FieldReader reader) {
+        return new AgentSettings(
+                readProcess(reader),
+                readBackend(reader),
+                reader.integer("requestCredit", 1, MOST_CREDIT, DEFAULT_REQUEST_CREDIT),
+                reader.seconds("drainLimitSeconds", 1, MOST_SECONDS, DEFAULT_DRAIN_LIMIT));
+    }
+
+    private ProcessSettings readProcess(FieldReader reader) {
+        int httpPort = reader.integer("httpPort", 0, HIGHEST_PORT, 0);
+        int linkPort = reader.integer("linkPort", 0, HIGHEST_PORT, 0);
+        if (httpPort == linkPort && httpPort != 0) {
+            findings.add(
+                    reader.placeOf("linkPort"), "The port is the same as \"httpPort\".", "Choose another, or 0.");
+        }
+        return new ProcessSettings(
+                reader.requiredText("process"),
+                reader.requiredText("dataCentre"),
+                reader.optionalText("address").orElse("127.0.0.1"),
+                httpPort,
+                linkPort,
+                readUrl(reader, "store"),
+                reader.decimal("storeCallsPerSecond", LEAST_SECONDS, MOST_STORE_CALLS, DEFAULT_STORE_CALLS),
+                readChoice(reader, "logFormat", LogFormat.values(), LogFormat.TEXT));
+    }
+
+    private static CallerLimits readLimits(FieldReader reader) {
+        return new CallerLimits(
+                reader.integer("longestBodyBytes", KIBIBYTE, 2 * MEBIBYTE, MEBIBYTE),
+                reader.integer("longestHeaderBytes", KIBIBYTE, MEBIBYTE, DEFAULT_HEADER_BYTES),
+                reader.integer("longestAnswerBytes", KIBIBYTE, 16 * MEBIBYTE, MEBIBYTE),
+                reader.integer("mostWaitingRequests", 1, MOST_WAITING, DEFAULT_WAITING),
+                reader.integer("chunkCredit", 1, MOST_CREDIT, DEFAULT_CHUNK_CREDIT));
+    }
+
+    private List<OperatorSettings> readOperators(FieldReader reader) {
+        List<OperatorSettings> operators = new ArrayList<>();
+        for (FieldReader operator : reader.objects("operators")) {
+            String hash = operator.requiredText("tokenHash");
+            if (hash.length() != HASH_DIGITS) {
+                findings.add(
+                        operator.placeOf("tokenHash"),
+                        "The hash has " + hash.length() + " digits.",
+                        "Write the SHA-256 of the token as 64 hexadecimal digits.");
+            }
+            operators.add(new OperatorSettings(operator.requiredText("name"), hash, operator.requiredText("scope")));
+            operator.refuseUnknownFields();
+        }
+        return operators;
+    }
+
+    private BackendSettings readBackend(FieldReader reader) {
+        Optional<FieldReader> backend = reader.object("backend");
+        if (backend.isEmpty()) {
+            reader.require("backend", "{\"name\": \"drafting-1\", ...}");
+            return new BackendSettings("", "", "", "", BackendType.ENGINE, URI.create("http://127.0.0.1/"));
+        }
+        FieldReader fields = backend.get();
+        BackendSettings settings = new BackendSettings(
+                fields.requiredText("name"),
+                fields.requiredText("team"),
+                fields.requiredText("service"),
+                fields.requiredText("host"),
+                readChoice(fields, "type", BackendType.values(), BackendType.ENGINE),
+                readUrl(fields, "url"));
+        fields.refuseUnknownFields();
+        return settings;
+    }
+
+    private URI readUrl(FieldReader reader, String name) {
+        String text = reader.requiredText(name);
+        try {
+            URI url = URI.create(text);
+            if (!text.isEmpty() && !"http".equals(url.getScheme())) {
+                findings.add(reader.placeOf(name), "The address is no HTTP URL.", "Start it with http://.");
+            }
+            return url;
+        } catch (IllegalArgumentException malformed) {
+            findings.add(reader.placeOf(name), "The address is malformed.", "Write it as http://IP:PORT.");
+            return URI.create("http://127.0.0.1/");
+        }
+    }
+
+    private <E extends Enum<E>> E readChoice(FieldReader reader, String name, E[] choices, E fallback) {
+        Optional<String> text = reader.optionalText(name);
+        if (text.isEmpty()) {
+            return fallback;
+        }
+        List<String> known = new ArrayList<>();
+        for (E choice : choices) {
+            String spelled = spell(choice);
+            if (spelled.equals(text.get())) {
+                return choice;
+            }
+            known.add(spelled);
+        }
+        findings.add(reader.placeOf(name), "The choice is not known.", "Write one of " + String.join(", ", known) + ".");
+        return fallback;
+    }
+
+    private static String spell(Enum<?> choice) {
+        return choice.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
