Add the store client: classified errors, call budget, watches, settled writes

Cause: entries and agents need the object store behind the ObjectStore interface. Errors are told apart by whether anything can have been written: a connection that was never made and the API's own status object mean nothing was done; a time-out, a lost connection or any other server error leaves a write unknown. Ruled out: the JDK client's request time-out, which ends with the head of an answer and would let a stalled body hold a thread for ever; repeating writes inside the client.

--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/CallCounters.java
@@ -0,0 +1,63 @@
+package org.aspenmoor.internal.platform;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.aspenmoor.internal.store.StoreBudgetException;
+import org.aspenmoor.internal.store.StoreConflictException;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoreOutcomeUnknownException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+
+/** Counts the store calls of the process. */
+final class CallCounters {
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder writes = new LongAdder();
+    private final LongAdder watchesOpened = new LongAdder();
+    private final AtomicInteger watchesWaiting = new AtomicInteger();
+    private final LongAdder conflicts = new LongAdder();
+    private final LongAdder unavailable = new LongAdder();
+    private final LongAdder unknown = new LongAdder();
+    private final LongAdder overBudget = new LongAdder();
+
+    void readSent() {
+        reads.increment();
+    }
+
+    void writeSent() {
+        writes.increment();
+    }
+
+    void watchOpened() {
+        watchesOpened.increment();
+        watchesWaiting.incrementAndGet();
+    }
+
+    void watchEnded() {
+        watchesWaiting.decrementAndGet();
+    }
+
+    void failed(StoreException failure) {
+        switch (failure) {
+            case StoreConflictException conflict -> conflicts.increment();
+            case StoreUnavailableException away -> unavailable.increment();
+            case StoreOutcomeUnknownException lost -> unknown.increment();
+            case StoreBudgetException spent -> overBudget.increment();
+            case StoreMalformedException malformed -> {
+                // Counted nowhere: it is a mistake in the data, which the log shows.
+            }
+        }
+    }
+
+    CallCounts counts() {
+        return new CallCounts(
+                reads.sum(),
+                writes.sum(),
+                watchesOpened.sum(),
+                watchesWaiting.get(),
+                conflicts.sum(),
+                unavailable.sum(),
+                unknown.sum(),
+                overBudget.sum());
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/ConditionalWrite.java
@@ -0,0 +1,10 @@
+package org.aspenmoor.internal.platform;
+
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** A write that takes effect only on one version of an object. */
+@FunctionalInterface
+interface ConditionalWrite {
+    StoredObject send() throws StoreException;
+}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/EventQueue.java
@@ -0,0 +1,38 @@
+package org.aspenmoor.internal.platform;
+
+import java.util.concurrent.BlockingQueue;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreWatchListener;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** Hands a watch's events to the thread of a collection; a full queue holds the watch back. */
+final class EventQueue implements StoreWatchListener {
+    private final BlockingQueue<CollectionEvent> events;
+
+    EventQueue(BlockingQueue<CollectionEvent> events) {
+        this.events = events;
+    }
+
+    @Override
+    public void changed(StoredObject object) {
+        put(new CollectionEvent.Changed(object));
+    }
+
+    @Override
+    public void deleted(StoredObject object) {
+        put(new CollectionEvent.Deleted(object));
+    }
+
+    @Override
+    public void ended(StoreException cause) {
+        put(new CollectionEvent.Ended(cause));
+    }
+
+    private void put(CollectionEvent event) {
+        try {
+            events.put(event);
+        } catch (InterruptedException watchClosed) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HttpStoreWatch.java
@@ -0,0 +1,120 @@
+package org.aspenmoor.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URI;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Flow;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoreWatch;
+import org.aspenmoor.internal.store.StoreWatchListener;
+
+/** One running watch with its own thread. */
+final class HttpStoreWatch implements StoreWatch {
+    private static final String LIST_AGAIN = "List the objects again and watch from the list's version.";
+
+    private final ObjectKind kind;
+    private final URI uri;
+    private final Duration silence;
+    private final StoreWatchListener listener;
+    private final CallCounters counters;
+    private final WatchLines lines = new WatchLines();
+    private final Thread thread;
+    private volatile boolean closed;
+
+    HttpStoreWatch(ObjectKind kind, URI uri, Duration silence, StoreWatchListener listener, CallCounters counters) {
+        this.kind = kind;
+        this.uri = uri;
+        this.silence = silence;
+        this.listener = listener;
+        this.counters = counters;
+        this.thread = Thread.ofPlatform()
+                .daemon()
+                .name("store-watch-" + kind.resource())
+                .unstarted(this::run);
+    }
+
+    void start(Flow.Publisher<List<ByteBuffer>> body) {
+        counters.watchOpened();
+        body.subscribe(HttpResponse.BodySubscribers.fromLineSubscriber(lines));
+        thread.start();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        lines.cancel();
+        thread.interrupt();
+    }
+
+    private void run() {
+        try {
+            StoreException cause = readUntilEnd();
+            if (!closed) {
+                counters.failed(cause);
+                listener.ended(cause);
+            }
+        } finally {
+            lines.cancel();
+            counters.watchEnded();
+        }
+    }
+
+    private StoreException readUntilEnd() {
+        try {
+            while (!closed) {
+                Optional<String> line = lines.next(silence);
+                // A connection that a partition has cut in half stays open and silent for ever. The store sends
+                // bookmarks, so silence means that changes may be missed; listing again finds them.
+                if (line == null) {
+                    return ended("The watch heard nothing for " + silence.toMillis() + " ms.");
+                }
+                if (line.isEmpty()) {
+                    return ended(lines.failure()
+                            .map(failure -> "The watch's connection was lost: " + failure.getMessage())
+                            .orElse("The store ended the watch."));
+                }
+                deliver(line.get());
+                lines.askForNext();
+            }
+            return ended("The watch was closed.");
+        } catch (InterruptedException closing) {
+            Thread.currentThread().interrupt();
+            return ended("The watch was closed.");
+        } catch (StoreException broken) {
+            return broken;
+        }
+    }
+
+    private void deliver(String line) throws StoreException {
+        if (line.isBlank() || closed) {
+            return;
+        }
+        JsonNode event = ObjectCodec.tree(uri.toString(), line);
+        String type = event.path("type").asText();
+        JsonNode object = event.path("object");
+        switch (type) {
+            case "ADDED", "MODIFIED" -> listener.changed(ObjectCodec.read(kind, uri.toString(), object));
+            case "DELETED" -> listener.deleted(ObjectCodec.read(kind, uri.toString(), object));
+            case "BOOKMARK" -> {
+                // It only shows that the stream is alive.
+            }
+            case "ERROR" ->
+                throw ended("The store ended the watch with status "
+                        + object.path("code").asInt() + ".");
+            default ->
+                throw new StoreMalformedException(
+                        "The watch sent an event of unknown type '" + type + "'.", uri.toString(), LIST_AGAIN);
+        }
+    }
+
+    private StoreUnavailableException ended(String problem) {
+        return new StoreUnavailableException(problem, uri.toString(), LIST_AGAIN);
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreAnswer.java
@@ -0,0 +1,12 @@
+package org.aspenmoor.internal.platform;
+
+import java.time.Duration;
+
+/**
+ * An answer of the store.
+ *
+ * @param status the HTTP status
+ * @param body the whole body
+ * @param retryAfter how long the store asks to wait; zero where it says nothing
+ */
+record StoreAnswer(int status, String body, Duration retryAfter) {}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreTransport.java
@@ -0,0 +1,116 @@
+package org.aspenmoor.internal.platform;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.channels.UnresolvedAddressException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Flow;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreOutcomeUnknownException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+
+/**
+ * Sends one call to the store and tells apart calls that never left from calls whose answer was lost.
+ *
+ * <p>The JDK's client repeats only GET by itself, so a write leaves the process once at most.
+ */
+final class StoreTransport {
+    private static final String REPEAT = "Try again later; nothing was written.";
+    private static final String SETTLE = "Read the object before doing anything else; the write may have taken effect.";
+
+    private final HttpClient client;
+    private final StoreSettings settings;
+
+    StoreTransport(StoreSettings settings) {
+        this.settings = settings;
+        this.client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(settings.connectTimeout())
+                .build();
+    }
+
+    StoreAnswer read(URI uri) throws StoreException {
+        HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+        return send(request, false);
+    }
+
+    StoreAnswer write(String method, URI uri, String body) throws StoreException {
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .method(method, HttpRequest.BodyPublishers.ofString(body, StandardCharsets.UTF_8))
+                .header("Content-Type", "application/json")
+                .build();
+        return send(request, true);
+    }
+
+    /** Opens a stream; returns once the head of the answer is there. */
+    HttpResponse<Flow.Publisher<List<ByteBuffer>>> open(URI uri) throws StoreException {
+        HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+        return await(client.sendAsync(request, HttpResponse.BodyHandlers.ofPublisher()), uri, false);
+    }
+
+    private StoreAnswer send(HttpRequest request, boolean writes) throws StoreException {
+        CompletableFuture<HttpResponse<String>> pending =
+                client.sendAsync(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
+        HttpResponse<String> response = await(pending, request.uri(), writes);
+        return new StoreAnswer(response.statusCode(), response.body(), retryAfter(response));
+    }
+
+    // The client's own request timeout ends with the head of the answer; a store that stalls in the middle of a body
+    // would hold the calling thread for ever. Waiting on the future bounds the whole call.
+    private <T> T await(CompletableFuture<T> pending, URI uri, boolean writes) throws StoreException {
+        try {
+            return pending.get(settings.callTimeout().toNanos(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException late) {
+            pending.cancel(true);
+            throw lost("The store did not answer in time.", uri, writes, late);
+        } catch (InterruptedException interrupted) {
+            pending.cancel(true);
+            Thread.currentThread().interrupt();
+            throw lost("The thread was interrupted while it waited for the store.", uri, writes, interrupted);
+        } catch (ExecutionException failed) {
+            Throwable cause = failed.getCause();
+            if (neverSent(cause)) {
+                throw new StoreUnavailableException("The store cannot be reached.", uri.toString(), REPEAT, cause);
+            }
+            throw lost("The connection to the store was lost: " + cause.getMessage(), uri, writes, cause);
+        }
+    }
+
+    private static boolean neverSent(Throwable cause) {
+        for (Throwable link = cause; link != null; link = link.getCause()) {
+            if (link instanceof ConnectException
+                    || link instanceof HttpConnectTimeoutException
+                    || link instanceof UnresolvedAddressException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static StoreException lost(String problem, URI uri, boolean writes, Throwable cause) {
+        if (writes) {
+            return new StoreOutcomeUnknownException(problem, uri.toString(), SETTLE, cause);
+        }
+        return new StoreUnavailableException(problem, uri.toString(), REPEAT, cause);
+    }
+
+    static Duration retryAfter(HttpResponse<?> response) {
+        String text = response.headers().firstValue("Retry-After").orElse("0");
+        try {
+            return Duration.ofMillis(Math.max(0, Math.round(Double.parseDouble(text) * 1000)));
+        } catch (NumberFormatException date) {
+            return Duration.ZERO;
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/WatchLines.java
@@ -0,0 +1,62 @@
+package org.aspenmoor.internal.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Flow;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Hands the lines of a stream to one reading thread.
+ *
+ * <p>One line is asked for at a time, so that a slow listener holds the store's sending back instead of filling memory.
+ */
+final class WatchLines implements Flow.Subscriber<String> {
+    private final BlockingQueue<Optional<String>> ready = new ArrayBlockingQueue<>(2);
+    private final AtomicReference<Flow.Subscription> subscription = new AtomicReference<>();
+    private volatile Throwable failure;
+
+    @Override
+    public void onSubscribe(Flow.Subscription opened) {
+        subscription.set(opened);
+        opened.request(1);
+    }
+
+    @Override
+    public void onNext(String line) {
+        ready.add(Optional.of(line));
+    }
+
+    @Override
+    public void onError(Throwable cause) {
+        failure = cause;
+        ready.add(Optional.empty());
+    }
+
+    @Override
+    public void onComplete() {
+        ready.add(Optional.empty());
+    }
+
+    /** Waits for the next line; null after a silence, empty at the end of the stream. */
+    Optional<String> next(Duration silence) throws InterruptedException {
+        return ready.poll(silence.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    void askForNext() {
+        subscription.get().request(1);
+    }
+
+    void cancel() {
+        Flow.Subscription opened = subscription.get();
+        if (opened != null) {
+            opened.cancel();
+        }
+    }
+
+    Optional<Throwable> failure() {
+        return Optional.ofNullable(failure);
+    }
+}
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/package-info.java
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/package-info.java
@@ -1,2 +1,2 @@
-/** Access to the platform: its object store and its host list. */
+/** The client of the platform's object store: budgeted calls, settled writes, and watches that survive gaps. */
 package org.aspenmoor.internal.platform;
