--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
@@ -0,0 +1,161 @@
+package org.aspenmoor.internal.agent;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.duty.Ticker;
+import org.aspenmoor.internal.engine.EngineControl;
+import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.link.LinkListener;
+import org.aspenmoor.internal.link.LinkNetwork;
+import org.aspenmoor.internal.registration.AgentRegistration;
+import org.aspenmoor.internal.settings.AgentSettings;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.time.TimeSource;
+import org.aspenmoor.internal.wire.FramePipeline;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Hello;
+import org.jboss.logging.Logger;
+
+/** A running agent: its desk, its links, its calls to the backend server, and its registration. */
+public final class AgentProcess implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger("agent");
+    private static final int RING_SIZE = 8192;
+    private static final int CALL_THREADS = 2;
+    private static final Duration TICK = Duration.ofMillis(500);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final AgentSettings settings;
+    private final ObjectStore store;
+    private final RandomGenerator random;
+    private final String incarnation;
+    private final ExecutorService callThreads = Executors.newFixedThreadPool(
+            CALL_THREADS,
+            work -> Thread.ofPlatform().name("aspenmoor-calls").daemon(true).unstarted(work));
+    private final HttpClient client;
+    private final Duty<AgentMessage> desk;
+    private final LinkNetwork network;
+    private final StatusDuty status;
+    private final Ticker ticker = new Ticker();
+    private RegistrationDuty registration;
+    private volatile boolean stopping;
+
+    public AgentProcess(AgentSettings settings, ObjectStore store, TimeSource time, RandomGenerator random) {
+        this.settings = settings;
+        this.store = store;
+        this.random = random;
+        this.incarnation = RequestId.draw(random).toString();
+        this.client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .executor(callThreads)
+                .build();
+        DeferredCaller caller = new DeferredCaller();
+        LoadReports reports = new LoadReports(settings.backend().name(), time);
+        this.desk = new Duty<>("agent-desk", RING_SIZE, new AgentDesk(settings, caller, reports));
+        caller.use(new HttpBackendCaller(client, settings.backend().url(), desk));
+        this.network = new LinkNetwork(hello(), new DeskLinks());
+        EngineControl control = new HttpEngineControl(client, settings.backend().url());
+        this.status = new StatusDuty(control, desk);
+    }
+
+    /** Starts the threads and returns the link port. */
+    public int start() throws AspenmoorException {
+        desk.start();
+        int port =
+                network.listen(settings.process().address(), settings.process().linkPort());
+        status.start();
+        ticker.every(TICK, () -> desk.offer(new AgentMessage.Tick()));
+        registration = new RegistrationDuty(store, registrationAt(port), random);
+        registration.start();
+        LOG.infof(
+                "agent: %s beside %s, link port %d",
+                settings.process().name(), settings.backend().name(), port);
+        return port;
+    }
+
+    /** Says whether the agent takes work. */
+    public boolean isReady() {
+        return !stopping;
+    }
+
+    /** Asks for the state. */
+    public CompletableFuture<ObjectNode> dump() {
+        CompletableFuture<ObjectNode> answer = new CompletableFuture<>();
+        desk.put(new AgentMessage.DumpAsked(answer));
+        return answer.thenApply(node -> {
+            node.put("process", settings.process().name());
+            node.put("role", "agent");
+            node.put("backend", settings.backend().name());
+            desk.state().writeTo(node.putObject("duty"));
+            return node;
+        });
+    }
+
+    /** Begins a graceful shutdown: entries are told, running requests end; complete once none runs. */
+    public CompletableFuture<Void> drain() {
+        stopping = true;
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        desk.put(new AgentMessage.DrainAsked("the agent is stopping", drained));
+        return drained;
+    }
+
+    @Override
+    public void close() {
+        registration.signOff();
+        registration.close();
+        ticker.close();
+        status.close();
+        network.close();
+        desk.close();
+        callThreads.shutdownNow();
+    }
+
+    private Hello hello() {
+        return Hello.newBuilder()
+                .setProtocolVersion(FramePipeline.PROTOCOL_VERSION)
+                .setProcess(settings.process().name())
+                .setIncarnation(incarnation)
+                .setDataCentre(settings.process().dataCentre())
+                .setBackend(settings.backend().name())
+                .setRequestCredit(settings.requestCredit())
+                .build();
+    }
+
+    private AgentRegistration registrationAt(int port) {
+        return new AgentRegistration(
+                settings.backend().name(),
+                settings.backend().team(),
+                settings.backend().service(),
+                settings.backend().host(),
+                settings.process().dataCentre(),
+                settings.process().address(),
+                port,
+                incarnation);
+    }
+
+    /** Puts what happens on links into the desk's ring, slowing the network down where the desk lags. */
+    private final class DeskLinks implements LinkListener {
+        @Override
+        public void opened(Link link) {
+            desk.put(new AgentMessage.LinkOpened(link));
+        }
+
+        @Override
+        public void received(Link link, Frame frame) {
+            desk.put(new AgentMessage.FrameArrived(link, frame));
+        }
+
+        @Override
+        public void closed(Link link, String cause) {
+            desk.put(new AgentMessage.LinkClosed(link));
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeferredCaller.java
@@ -0,0 +1,19 @@
+package org.aspenmoor.internal.agent;
+
+import java.util.Optional;
+import org.aspenmoor.internal.wire.v1.Dispatch;
+
+/** Joins the desk, which starts calls, and the caller, which tells the desk of them: each needs the other first. */
+final class DeferredCaller implements BackendCaller {
+    private Optional<BackendCaller> caller = Optional.empty();
+
+    void use(BackendCaller newCaller) {
+        caller = Optional.of(newCaller);
+    }
+
+    @Override
+    public BackendCall start(AttemptKey key, Dispatch dispatch) {
+        return caller.orElseThrow(() -> new IllegalStateException("the desk runs before its caller is set"))
+                .start(key, dispatch);
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
@@ -27,7 +27,13 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Set<String> NOT_FORWARDED = Set.of(
-            "host", "connection", "content-length", "transfer-encoding", "expect", "upgrade", "authorization",
+            "host",
+            "connection",
+            "content-length",
+            "transfer-encoding",
+            "expect",
+            "upgrade",
+            "authorization",
             "keep-alive");
 
     private final HttpClient client;
@@ -99,6 +105,7 @@
         }
         request.put("stream", true);
         request.put("priority", weight);
+        request.put("max_tokens", generation.getMostTokens());
         if (generation.getDeliveredTokens() > 0) {
             request.putObject("resume")
                     .put("tokens", generation.getDeliveredTokens())
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/StatusDuty.java
@@ -0,0 +1,51 @@
+package org.aspenmoor.internal.agent;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.engine.EngineControl;
+import org.aspenmoor.internal.engine.EngineUnreachableException;
+
+/** Asks the backend server again and again how it is. */
+final class StatusDuty implements AutoCloseable {
+    private static final Duration PERIOD = Duration.ofMillis(250);
+
+    private final EngineControl control;
+    private final Duty<AgentMessage> desk;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final Thread thread;
+
+    StatusDuty(EngineControl control, Duty<AgentMessage> desk) {
+        this.control = control;
+        this.desk = desk;
+        this.thread = Thread.ofPlatform().name("aspenmoor-status").daemon(true).unstarted(this::run);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    @Override
+    public void close() {
+        closed.countDown();
+    }
+
+    private void run() {
+        try {
+            do {
+                ask();
+            } while (!closed.await(PERIOD.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void ask() {
+        try {
+            desk.put(new AgentMessage.StatusRead(control.status()));
+        } catch (EngineUnreachableException unreachable) {
+            desk.put(new AgentMessage.StatusMissing(unreachable.problem()));
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/StoreConnections.java
@@ -0,0 +1,23 @@
+package org.aspenmoor.internal.daemon;
+
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.platform.HttpObjectStore;
+import org.aspenmoor.internal.platform.StoreSettings;
+import org.aspenmoor.internal.settings.ProcessSettings;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** Connects a process to the platform's store. */
+final class StoreConnections {
+    private static final int SECONDS_OF_BURST = 2;
+
+    private StoreConnections() {}
+
+    static StoreSettings settings(ProcessSettings process) {
+        int burst = (int) Math.ceil(process.storeCallsPerSecond() * SECONDS_OF_BURST);
+        return StoreSettings.defaults().withBudget(process.storeCallsPerSecond(), burst);
+    }
+
+    static HttpObjectStore connect(ProcessSettings process, TimeSource time, RandomGenerator random) {
+        return new HttpObjectStore(process.store(), time, random, settings(process));
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/DutyState.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/DutyState.java
@@ -1,5 +1,7 @@
 package org.aspenmoor.internal.duty;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
 /**
  * A duty at one moment.
  *
@@ -9,4 +11,13 @@
  * @param refused messages that found no room
  * @param failed messages whose handling failed
  */
-public record DutyState(String name, int ringSize, long waiting, long refused, long failed) {}
+public record DutyState(String name, int ringSize, long waiting, long refused, long failed) {
+    /** Writes the state into a dump. */
+    public void writeTo(ObjectNode node) {
+        node.put("name", name);
+        node.put("ringSize", ringSize);
+        node.put("waiting", waiting);
+        node.put("refused", refused);
+        node.put("failed", failed);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ActiveRequest.java
@@ -0,0 +1,136 @@
+package org.aspenmoor.internal.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.document.RequestKind;
+import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.stream.AnswerAssembly;
+import org.aspenmoor.internal.wire.v1.Header;
+
+/** A request that the entry holds. */
+final class ActiveRequest {
+    private final IncomingRequest incoming;
+    private final ServiceDocument document;
+    private final RequestKind kind;
+    private final long receivedAt;
+    private final AnswerAssembly assembly = new AnswerAssembly();
+    private final StringBuilder deliveredText = new StringBuilder();
+    private final ByteArrayOutputStream plainBody = new ByteArrayOutputStream();
+    private final Set<String> tried = new HashSet<>();
+    private Optional<AgentPeer> peer = Optional.empty();
+    private int plainStatus;
+    private List<Header> plainHeaders = new ArrayList<>();
+    private long lastProgressAt;
+    private boolean mayHaveRun;
+
+    ActiveRequest(IncomingRequest incoming, ServiceDocument document, RequestKind kind, long receivedAt) {
+        this.incoming = incoming;
+        this.document = document;
+        this.kind = kind;
+        this.receivedAt = receivedAt;
+        this.lastProgressAt = receivedAt;
+    }
+
+    RequestId id() {
+        return incoming.id();
+    }
+
+    IncomingRequest incoming() {
+        return incoming;
+    }
+
+    CallerSink sink() {
+        return incoming.sink();
+    }
+
+    ServiceDocument document() {
+        return document;
+    }
+
+    RequestKind kind() {
+        return kind;
+    }
+
+    long receivedAt() {
+        return receivedAt;
+    }
+
+    long deadlineAt() {
+        return receivedAt + kind.deadline().toNanos();
+    }
+
+    AnswerAssembly assembly() {
+        return assembly;
+    }
+
+    Optional<AgentPeer> peer() {
+        return peer;
+    }
+
+    Set<String> tried() {
+        return tried;
+    }
+
+    /** Says whether the caller already holds a part of the answer, so that a refusal would be a lie. */
+    boolean hasBegun() {
+        return assembly.deliveredTokens() > 0;
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    long lastProgressAt() {
+        return lastProgressAt;
+    }
+
+    void progressed(long now) {
+        lastProgressAt = now;
+    }
+
+    /** Begins an attempt at an agent and returns its number. */
+    int dispatchedTo(AgentPeer newPeer, long now) {
+        peer = Optional.of(newPeer);
+        tried.add(newPeer.backend());
+        lastProgressAt = now;
+        plainBody.reset();
+        plainHeaders = List.of();
+        newPeer.dispatched();
+        return assembly.beginAttempt();
+    }
+
+    /** Ends the current attempt; frames of it that still arrive are dropped once the next begins. */
+    void attemptOver(boolean thisMayHaveRun) {
+        peer.ifPresent(AgentPeer::released);
+        peer = Optional.empty();
+        mayHaveRun |= thisMayHaveRun;
+    }
+
+    void delivered(String text) {
+        deliveredText.append(text);
+    }
+
+    String deliveredText() {
+        return deliveredText.toString();
+    }
+
+    void plainStarted(int status, List<Header> headers) {
+        plainStatus = status;
+        plainHeaders = headers;
+    }
+
+    /** Adds to a plain service's answer and returns its length so far. */
+    int plainData(byte[] data) {
+        plainBody.writeBytes(data);
+        return plainBody.size();
+    }
+
+    PlainAnswer plainAnswer() {
+        return new PlainAnswer(plainStatus, plainHeaders, plainBody.toByteArray());
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
@@ -0,0 +1,243 @@
+package org.aspenmoor.internal.entry;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.aspenmoor.Outcome;
+import org.aspenmoor.RefusalReason;
+import org.aspenmoor.internal.accounting.ChunkAccount;
+import org.aspenmoor.internal.accounting.RequestAccount;
+import org.aspenmoor.internal.duty.DutyHandler;
+import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.settings.EntrySettings;
+import org.aspenmoor.internal.time.TimeSource;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.LoadReport;
+import org.aspenmoor.internal.wire.v1.Probe;
+import org.jboss.logging.Logger;
+
+/** The entry's one place of decision: admits requests, follows their attempts, watches over agents. */
+public final class RequestDesk implements DutyHandler<EntryMessage> {
+    private static final Logger LOG = Logger.getLogger("entry");
+    private static final Duration PROBE_PERIOD = Duration.ofSeconds(1);
+    private static final Duration STOPPING_COME_BACK = Duration.ofSeconds(1);
+
+    private final EntrySettings settings;
+    private final TimeSource time;
+    private final RequestBook book;
+    private final AgentDirectory directory;
+    private final WaitingRoom waitingRoom;
+    private final AttemptDriver driver;
+    private final AnswerReceiver receiver;
+    private final StoreObjects objects;
+    private final StoryBook stories;
+    private final RequestMatcher matcher;
+    private Optional<CompletableFuture<Void>> drained = Optional.empty();
+    private long probedAt;
+    private long probeNumber;
+
+    RequestDesk(
+            EntrySettings settings,
+            TimeSource time,
+            AgentDirectory directory,
+            BackendChooser chooser,
+            DocumentShelf shelf,
+            EntryMetrics metrics) {
+        this.settings = settings;
+        this.time = time;
+        this.directory = directory;
+        this.stories = new StoryBook();
+        this.book = new RequestBook(stories, metrics);
+        this.waitingRoom = new WaitingRoom(settings.limits().waitingRequests());
+        this.driver = new AttemptDriver(book, directory, chooser, waitingRoom, settings.limits(), metrics);
+        this.receiver = new AnswerReceiver(book, driver, settings.limits(), metrics);
+        this.objects = new StoreObjects(shelf, directory);
+        this.matcher = new RequestMatcher(shelf);
+    }
+
+    @Override
+    public void handle(EntryMessage message) {
+        long now = time.monotonicNanoseconds();
+        switch (message) {
+            case EntryMessage.RequestCame came -> requestCame(came.request(), now);
+            case EntryMessage.CallerTook took -> book.find(took.id()).ifPresent(receiver::returnCredit);
+            case EntryMessage.CallerGone gone -> book.find(gone.id()).ifPresent(request -> driver.cancel(request, now));
+            case EntryMessage.LinkOpened opened -> directory.opened(opened.link(), now);
+            case EntryMessage.LinkClosed closed -> linkClosed(closed, now);
+            case EntryMessage.FrameArrived arrived -> received(arrived.link(), arrived.frame(), now);
+            case EntryMessage.ObjectChanged changed -> objects.changed(changed.object(), now);
+            case EntryMessage.ObjectDeleted deleted -> objects.deleted(deleted.object());
+            case EntryMessage.Tick ignored -> tick(now);
+            case EntryMessage.DrainAsked asked -> drained = Optional.of(asked.drained());
+            case EntryMessage.DumpAsked asked -> asked.answer().complete(dump());
+            case EntryMessage.StoryAsked asked -> asked.answer().complete(stories.story(asked.id()));
+        }
+        completeDrainIfIdle();
+    }
+
+    private void requestCame(IncomingRequest incoming, long now) {
+        if (drained.isPresent()) {
+            book.refusedAtOnce(
+                    incoming,
+                    new Outcome.NotRun(RefusalReason.STOPPING, STOPPING_COME_BACK, "This entry is stopping."));
+            return;
+        }
+        switch (matcher.match(incoming)) {
+            case RequestMatch.Missing missing -> book.refusedAtOnce(incoming, missing.refusal());
+            case RequestMatch.Found found -> {
+                ActiveRequest request = new ActiveRequest(incoming, found.document(), found.kind(), now);
+                book.put(request);
+                book.tell(
+                        request,
+                        now,
+                        "came as kind " + found.kind().name() + " of "
+                                + found.document().team() + "/"
+                                + found.document().service() + " revision "
+                                + found.document().revision());
+                driver.admit(request, now);
+            }
+        }
+    }
+
+    private void linkClosed(EntryMessage.LinkClosed closed, long now) {
+        List<ActiveRequest> affected = directory
+                .of(closed.link())
+                .map(peer -> book.all().stream()
+                        .filter(request -> request.peer().equals(Optional.of(peer)))
+                        .toList())
+                .orElse(List.of());
+        Optional<AgentPeer> peer = directory.closed(closed.link());
+        peer.ifPresent(lost -> LOG.infof(
+                "entry: link to agent of %s ended with %d requests, %s",
+                lost.backend(), affected.size(), closed.cause()));
+        affected.forEach(request -> driver.lost(request, "the link to the agent ended, " + closed.cause(), now));
+    }
+
+    private void received(Link link, Frame frame, long now) {
+        Optional<AgentPeer> peer = directory.of(link);
+        if (peer.isEmpty()) {
+            return;
+        }
+        peer.get().heard(now);
+        switch (frame.getBodyCase()) {
+            case STARTED -> receiver.started(frame.getStarted(), now);
+            case CHUNK -> receiver.chunk(frame.getChunk(), now);
+            case LAST -> {
+                receiver.last(frame.getLast(), now);
+                driver.startWaiting(now);
+            }
+            case REFUSED -> receiver.refused(frame.getRefused(), now);
+            case LOAD_REPORT -> reported(peer.get(), frame.getLoadReport(), now);
+            case LEAVING -> {
+                LOG.infof(
+                        "entry: backend %s is leaving, %s",
+                        peer.get().backend(), frame.getLeaving().getReason());
+                peer.get().leaves(frame.getLeaving().getReason());
+            }
+            default -> LOG.debugf("entry: frame %s is not for an entry", frame.getBodyCase());
+        }
+    }
+
+    private void reported(AgentPeer peer, LoadReport report, long now) {
+        boolean tookWork = peer.takesWork();
+        peer.reported(report);
+        if (!tookWork) {
+            driver.startWaiting(now);
+        }
+    }
+
+    private void tick(long now) {
+        directory.connectMissing(now);
+        if (now - probedAt >= PROBE_PERIOD.toNanos()) {
+            probedAt = now;
+            probeAgents(now);
+        }
+        book.all().forEach(request -> watchOver(request, now));
+        driver.startWaiting(now);
+        book.checkAccount();
+    }
+
+    // A paused or cut-off agent keeps its connection open: nothing arrives and nothing fails. Without the probe its
+    // requests would hang until the caller's own time-out. A probe unanswered for the bound ends the link.
+    private void probeAgents(long now) {
+        probeNumber++;
+        Frame probe = Frame.newBuilder()
+                .setProbe(Probe.newBuilder().setNumber(probeNumber))
+                .build();
+        for (AgentPeer peer : directory.all()) {
+            if (peer.link().isEmpty()) {
+                continue;
+            }
+            if (now - peer.lastHeardAt() > settings.leavingBound().toNanos()) {
+                LOG.warnf("entry: agent of %s is silent, closing its link", peer.backend());
+                peer.link().get().close();
+            } else {
+                peer.link().get().send(probe);
+            }
+        }
+    }
+
+    private void watchOver(ActiveRequest request, long now) {
+        receiver.returnCredit(request);
+        boolean stalled = request.peer().isPresent()
+                && !request.sink().isHeldByCaller()
+                && now - request.lastProgressAt() > settings.stallTimeout().toNanos();
+        if (stalled && request.kind().idempotent()) {
+            request.peer().flatMap(AgentPeer::link).ifPresent(link -> link.send(DispatchFrames.cancel(request)));
+            driver.lost(request, "no sign for " + settings.stallTimeout().toMillis() + " ms", now);
+        } else if (stalled && now > request.deadlineAt()) {
+            driver.lost(request, "no answer before its deadline", now);
+        }
+    }
+
+    private void completeDrainIfIdle() {
+        if (book.size() == 0) {
+            drained.ifPresent(future -> future.complete(null));
+        }
+    }
+
+    private ObjectNode dump() {
+        ObjectNode dump = JsonNodeFactory.instance.objectNode();
+        RequestAccount.Totals totals = book.totals();
+        dump.putObject("requests")
+                .put("received", totals.received())
+                .put("answered", totals.answered())
+                .put("notRun", totals.notRun())
+                .put("unknown", totals.unknown())
+                .put("cancelled", totals.cancelled())
+                .put("inFlight", book.size())
+                .put("waiting", waitingRoom.size());
+        ChunkAccount.Totals chunkTotals = receiver.chunks().totals();
+        dump.putObject("chunks")
+                .put("received", chunkTotals.received())
+                .put("delivered", chunkTotals.delivered())
+                .put("discarded", chunkTotals.discarded())
+                .put("broken", chunkTotals.broken());
+        dump.put(
+                "imbalance",
+                book.imbalance().or(() -> receiver.chunks().imbalance()).orElse(""));
+        dump.put("stopping", drained.isPresent());
+        dumpBackends(dump.putArray("backends"));
+        objects.dump(dump.putArray("documents"));
+        return dump;
+    }
+
+    private void dumpBackends(ArrayNode backends) {
+        for (AgentPeer peer : directory.all()) {
+            ObjectNode node = backends.addObject();
+            node.put("backend", peer.backend());
+            node.put("team", peer.registration().team());
+            node.put("service", peer.registration().service());
+            node.put("dataCentre", peer.registration().dataCentre());
+            node.put("linked", peer.link().isPresent());
+            node.put("takesWork", peer.takesWork());
+            node.put("leaving", peer.leaving().orElse(""));
+            node.put("outstanding", peer.outstanding());
+            node.put("role", peer.load().map(LoadReport::getRole).orElse(""));
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestMatcher.java
@@ -0,0 +1,73 @@
+package org.aspenmoor.internal.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.Outcome;
+import org.aspenmoor.RefusalReason;
+import org.aspenmoor.internal.document.KindClassifier;
+import org.aspenmoor.internal.document.RequestKind;
+import org.aspenmoor.internal.document.RequestTraits;
+import org.aspenmoor.internal.document.ServiceDocument;
+
+/** Finds the service and kind of a request among the documents that its token opens, and no others. */
+final class RequestMatcher {
+    private static final Duration NEVER_BY_ITSELF = Duration.ZERO;
+
+    private final DocumentShelf shelf;
+
+    RequestMatcher(DocumentShelf shelf) {
+        this.shelf = shelf;
+    }
+
+    RequestMatch match(IncomingRequest request) {
+        List<ServiceDocument> documents = shelf.forToken(request.token());
+        if (documents.isEmpty()) {
+            return missing(RefusalReason.NOT_AUTHORISED, "The token opens no service; send the team's token.");
+        }
+        return switch (request.work()) {
+            case CallerWork.Generation generation -> matchGeneration(documents, generation.request());
+            case CallerWork.PlainCall call -> matchCall(documents, call);
+        };
+    }
+
+    private static RequestMatch matchGeneration(List<ServiceDocument> documents, CompletionRequest request) {
+        Optional<ServiceDocument> document = documents.stream()
+                .filter(candidate -> candidate.model(request.model()).isPresent())
+                .findFirst();
+        if (document.isEmpty()) {
+            return missing(
+                    RefusalReason.NO_SUCH_SERVICE,
+                    "No service of the team runs the model '" + request.model() + "'; see GET /v1/models.");
+        }
+        RequestTraits traits =
+                new RequestTraits(Optional.of(request.model()), request.adapter(), "POST", "", request.promptTokens());
+        return matchKind(document.get(), traits);
+    }
+
+    private static RequestMatch matchCall(List<ServiceDocument> documents, CallerWork.PlainCall call) {
+        Optional<ServiceDocument> document = documents.stream()
+                .filter(candidate -> candidate.service().equals(call.service()))
+                .findFirst();
+        if (document.isEmpty()) {
+            return missing(
+                    RefusalReason.NO_SUCH_SERVICE, "The team has no service '" + call.service() + "'; mend the path.");
+        }
+        return matchKind(
+                document.get(), new RequestTraits(Optional.empty(), Optional.empty(), call.method(), call.path(), 0));
+    }
+
+    private static RequestMatch matchKind(ServiceDocument document, RequestTraits traits) {
+        Optional<RequestKind> kind = KindClassifier.classify(document, traits);
+        if (kind.isEmpty()) {
+            return missing(
+                    RefusalReason.NO_SUCH_SERVICE,
+                    "The service '" + document.service() + "' takes no request of this kind.");
+        }
+        return new RequestMatch.Found(document, kind.get());
+    }
+
+    private static RequestMatch missing(RefusalReason reason, String detail) {
+        return new RequestMatch.Missing(new Outcome.NotRun(reason, NEVER_BY_ITSELF, detail));
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/WaitingRoom.java
@@ -0,0 +1,61 @@
+package org.aspenmoor.internal.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/** Requests that wait for a backend server: greater weight first, then the nearer deadline. Bounded. */
+final class WaitingRoom {
+    private static final double SMOOTHING = 0.1;
+    private static final Duration LEAST_COME_BACK = Duration.ofMillis(200);
+
+    private final TreeSet<ActiveRequest> waiting = new TreeSet<>(Comparator.comparing(ActiveRequest::hasBegun)
+            .reversed()
+            .thenComparing(request -> request.kind().weight(), Comparator.reverseOrder())
+            .thenComparing(ActiveRequest::deadlineAt)
+            .thenComparing(request -> request.id().toString()));
+    private final int mostWaiting;
+    private double secondsBetweenStarts;
+    private long lastStartAt;
+
+    WaitingRoom(int mostWaiting) {
+        this.mostWaiting = mostWaiting;
+    }
+
+    /** Lets a request in; returns the one that has to go for it, which may be the same. */
+    Optional<ActiveRequest> enter(ActiveRequest request) {
+        waiting.add(request);
+        if (waiting.size() <= mostWaiting || waiting.last().hasBegun()) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(waiting.pollLast());
+    }
+
+    void leave(ActiveRequest request) {
+        waiting.remove(request);
+    }
+
+    List<ActiveRequest> inOrder() {
+        return new ArrayList<>(waiting);
+    }
+
+    int size() {
+        return waiting.size();
+    }
+
+    /** Takes that a waiting request has started, for the estimate of how fast the room empties. */
+    void started(long now) {
+        double seconds = (now - lastStartAt) / (double) Duration.ofSeconds(1).toNanos();
+        secondsBetweenStarts = (1 - SMOOTHING) * secondsBetweenStarts + SMOOTHING * seconds;
+        lastStartAt = now;
+    }
+
+    /** Returns how long the requests now waiting will take to start. */
+    Duration timeToEmpty() {
+        Duration estimate = Duration.ofMillis((long) (waiting.size() * secondsBetweenStarts * 1000));
+        return estimate.compareTo(LEAST_COME_BACK) < 0 ? LEAST_COME_BACK : estimate;
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CallerRoutes.java
@@ -0,0 +1,29 @@
+package org.aspenmoor.internal.http;
+
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.entry.EntryMessage;
+import org.aspenmoor.internal.settings.CallerLimits;
+import org.aspenmoor.internal.time.TimeSource;
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+
+/** The paths that callers use. */
+public final class CallerRoutes implements Action<Chain> {
+    private final RequestGate gate;
+    private final CallerLimits limits;
+    private final TimeSource time;
+
+    public CallerRoutes(Duty<EntryMessage> desk, RandomGenerator random, CallerLimits limits, TimeSource time) {
+        this.gate = new RequestGate(desk, random);
+        this.limits = limits;
+        this.time = time;
+    }
+
+    @Override
+    public void execute(Chain chain) {
+        chain.post("v1/completions", new CompletionsHandler(gate, limits, time, false));
+        chain.post("v1/chat/completions", new CompletionsHandler(gate, limits, time, true));
+        chain.path("services/:service/::.*", new PassThroughHandler(gate, limits));
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CompletionReader.java
@@ -0,0 +1,125 @@
+package org.aspenmoor.internal.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Optional;
+import org.aspenmoor.internal.entry.CompletionRequest;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.finding.Place;
+
+/** Reads a completion request and names every field that is wrong. */
+final class CompletionReader {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int CHARACTERS_OF_TOKEN = 4;
+    private static final String SOURCE = "request body";
+
+    private final Findings findings;
+
+    CompletionReader(Findings findings) {
+        this.findings = findings;
+    }
+
+    Optional<CompletionRequest> read(byte[] body, boolean chat) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(body);
+        } catch (JsonProcessingException malformed) {
+            add("", "The body is not valid JSON: " + malformed.getOriginalMessage() + ".", "Mend the syntax.");
+            return Optional.empty();
+        } catch (IOException unreadable) {
+            add("", "The body cannot be read.", "Send it again.");
+            return Optional.empty();
+        }
+        if (root == null || !root.isObject()) {
+            add("", "The body is not a JSON object.", "Send an object with \"model\" and a prompt.");
+            return Optional.empty();
+        }
+        CompletionRequest request = readFields(root, chat, body);
+        return findings.isEmpty() ? Optional.of(request) : Optional.empty();
+    }
+
+    private CompletionRequest readFields(JsonNode root, boolean chat, byte[] body) {
+        String name = readModel(root.path("model"));
+        int colon = name.indexOf(':');
+        String model = colon < 0 ? name : name.substring(0, colon);
+        Optional<String> adapter = colon < 0 ? Optional.empty() : Optional.of(name.substring(colon + 1));
+        int promptCharacters = chat ? readMessages(root.path("messages")) : readPrompt(root.path("prompt"));
+        refuseSeveralChoices(root.path("n"));
+        return new CompletionRequest(
+                model,
+                adapter,
+                chat,
+                readStream(root.path("stream")),
+                readMaxTokens(root.path("max_tokens")),
+                Math.max(1, promptCharacters / CHARACTERS_OF_TOKEN),
+                body);
+    }
+
+    private String readModel(JsonNode model) {
+        if (!model.isTextual() || model.textValue().isBlank()) {
+            add("model", "The model is missing or no text.", "Name a model, as GET /v1/models lists them.");
+            return "";
+        }
+        return model.textValue();
+    }
+
+    private int readPrompt(JsonNode prompt) {
+        if (!prompt.isTextual()) {
+            add("prompt", "The prompt is missing or no text.", "Send one text; lists of prompts are not taken.");
+            return 0;
+        }
+        return prompt.textValue().length();
+    }
+
+    private int readMessages(JsonNode messages) {
+        if (!messages.isArray() || messages.isEmpty()) {
+            add("messages", "The messages are missing.", "Send an array of {\"role\", \"content\"}.");
+            return 0;
+        }
+        int characters = 0;
+        for (int index = 0; index < messages.size(); index++) {
+            JsonNode message = messages.get(index);
+            if (!message.path("role").isTextual()) {
+                add(
+                        "messages[" + index + "].role",
+                        "The role is missing.",
+                        "Write \"system\", \"user\" or \"assistant\".");
+            }
+            characters += message.path("content").toString().length();
+        }
+        return characters;
+    }
+
+    private boolean readStream(JsonNode stream) {
+        if (stream.isMissingNode() || stream.isNull()) {
+            return false;
+        }
+        if (!stream.isBoolean()) {
+            add("stream", "The value is no truth value.", "Write true or false.");
+        }
+        return stream.asBoolean();
+    }
+
+    private Optional<Integer> readMaxTokens(JsonNode maxTokens) {
+        if (maxTokens.isMissingNode() || maxTokens.isNull()) {
+            return Optional.empty();
+        }
+        if (!maxTokens.isInt() || maxTokens.intValue() < 1) {
+            add("max_tokens", "The value is no whole number above 0.", "Write a number such as 128.");
+            return Optional.empty();
+        }
+        return Optional.of(maxTokens.intValue());
+    }
+
+    private void refuseSeveralChoices(JsonNode count) {
+        if (count.isNumber() && count.intValue() != 1) {
+            add("n", "Only one choice is given for a request.", "Leave \"n\" out or send several requests.");
+        }
+    }
+
+    private void add(String path, String problem, String remedy) {
+        findings.add(new Place(SOURCE, 0, 0, path), problem, remedy);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/HttpServers.java
@@ -0,0 +1,37 @@
+package org.aspenmoor.internal.http;
+
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import org.aspenmoor.AspenmoorException;
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+import ratpack.server.RatpackServer;
+import ratpack.server.ServerConfig;
+
+/** Starts HTTP servers. */
+public final class HttpServers {
+    private HttpServers() {}
+
+    /** Starts a server and returns it; its bind port is the real one also where 0 was asked for. */
+    public static RatpackServer start(String address, int port, int threads, int headerBytes, Action<Chain> routes)
+            throws AspenmoorException {
+        try {
+            InetAddress listenAt = InetAddress.getByName(address);
+            return RatpackServer.start(spec -> spec.serverConfig(ServerConfig.embedded()
+                            .address(listenAt)
+                            .port(port)
+                            .threads(threads)
+                            .maxHeaderSize(headerBytes))
+                    .handlers(routes));
+        } catch (UnknownHostException malformed) {
+            throw new AspenmoorException(
+                    "The address is not an IP number.", address, "Write \"address\" as an IP number.", malformed);
+        } catch (Exception failure) {
+            throw new AspenmoorException(
+                    "The HTTP port cannot be opened: " + failure.getMessage() + ".",
+                    address + ":" + port,
+                    "Choose another \"httpPort\", or 0 for a free one.",
+                    failure);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/log/LogSetup.java
@@ -0,0 +1,34 @@
+package org.aspenmoor.internal.log;
+
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.aspenmoor.internal.settings.LogFormat;
+import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+
+/** Sets the process's log up: one handler, to the console, as text or as JSON lines. */
+public final class LogSetup {
+    private static final String TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p %s%e%n";
+
+    private LogSetup() {}
+
+    /** Uses the given format from now on. */
+    public static void use(LogFormat format) {
+        Logger root = Logger.getLogger("");
+        for (Handler old : root.getHandlers()) {
+            root.removeHandler(old);
+        }
+        root.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter(format)));
+        root.setLevel(Level.INFO);
+        Logger.getLogger("ratpack").setLevel(Level.WARNING);
+    }
+
+    private static Formatter formatter(LogFormat format) {
+        return switch (format) {
+            case TEXT -> new PatternFormatter(TEXT_PATTERN);
+            case JSON -> new JsonLinesFormatter();
+        };
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/log/package-info.java
@@ -0,0 +1,2 @@
+/** How logs are written. */
+package org.aspenmoor.internal.log;
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/registration/package-info.java
@@ -0,0 +1,2 @@
+/** How agents make themselves known in the store. */
+package org.aspenmoor.internal.registration;
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
@@ -185,56 +185,56 @@
       "\022\016\n\006weight\030\010 \001(\001\022\024\n\014chunk_credit\030\t \001(\r\0223" +
       "\n\ngeneration\030\n \001(\0132\035.aspenmoor.wire.v1.G" +
       "enerationH\000\0222\n\nplain_call\030\013 \001(\0132\034.aspenm" +
-      "oor.wire.v1.PlainCallH\000B\006\n\004work\"\273\001\n\nGene" +
+      "oor.wire.v1.PlainCallH\000B\006\n\004work\"\320\001\n\nGene" +
       "ration\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\017" +
       "\n\007adapter\030\003 \001(\t\022\017\n\007request\030\004 \001(\014\022\014\n\004chat" +
       "\030\005 \001(\010\022\030\n\020delivered_tokens\030\006 \001(\r\022\026\n\016deli" +
       "vered_text\030\007 \001(\t\022\024\n\014cache_source\030\010 \001(\t\022\025" +
-      "\n\rprompt_tokens\030\t \001(\r\"c\n\tPlainCall\022\016\n\006me" +
-      "thod\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022*\n\007headers\030\003 \003(" +
-      "\0132\031.aspenmoor.wire.v1.Header\022\014\n\004body\030\004 \001" +
-      "(\014\"o\n\007Started\022(\n\002id\030\001 \001(\0132\034.aspenmoor.wi" +
-      "re.v1.AttemptId\022\016\n\006status\030\002 \001(\r\022*\n\007heade" +
-      "rs\030\003 \003(\0132\031.aspenmoor.wire.v1.Header\"a\n\005C" +
-      "hunk\022(\n\002id\030\001 \001(\0132\034.aspenmoor.wire.v1.Att" +
-      "emptId\022\020\n\010sequence\030\002 \001(\r\022\014\n\004data\030\003 \001(\014\022\016" +
-      "\n\006tokens\030\004 \001(\r\"\347\001\n\004Last\022(\n\002id\030\001 \001(\0132\034.as" +
-      "penmoor.wire.v1.AttemptId\022(\n\003end\030\002 \001(\0162\033" +
-      ".aspenmoor.wire.v1.Last.End\022\r\n\005count\030\003 \001" +
-      "(\r\022\020\n\010checksum\030\004 \001(\007\022\025\n\rfinish_reason\030\005 " +
-      "\001(\t\022\016\n\006detail\030\006 \001(\t\"C\n\003End\022\023\n\017END_UNSPEC" +
-      "IFIED\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\r\n\tCAN" +
-      "CELLED\020\003\"\224\001\n\007Refused\022(\n\002id\030\001 \001(\0132\034.aspen" +
-      "moor.wire.v1.AttemptId\022\016\n\006reason\030\002 \001(\t\022\036" +
-      "\n\026come_back_milliseconds\030\003 \001(\r\022\037\n\027newer_" +
-      "document_revision\030\004 \001(\004\022\016\n\006detail\030\005 \001(\t\"" +
-      "B\n\006Credit\022(\n\002id\030\001 \001(\0132\034.aspenmoor.wire.v" +
-      "1.AttemptId\022\016\n\006chunks\030\002 \001(\r\"2\n\006Cancel\022(\n" +
-      "\002id\030\001 \001(\0132\034.aspenmoor.wire.v1.AttemptId\"" +
-      "\375\001\n\nLoadReport\022\017\n\007backend\030\001 \001(\t\022\020\n\010seque" +
-      "nce\030\002 \001(\004\022\014\n\004role\030\003 \001(\t\022\r\n\005ready\030\004 \001(\010\022\035" +
-      "\n\025queued_prefill_tokens\030\005 \001(\004\022\031\n\021running" +
-      "_sequences\030\006 \001(\r\022\026\n\016most_sequences\030\007 \001(\r" +
-      "\022\031\n\021free_cache_pieces\030\010 \001(\r\022\030\n\020all_cache" +
-      "_pieces\030\t \001(\r\022\016\n\006loaded\030\n \003(\t\022\030\n\020age_mil" +
-      "liseconds\030\013 \001(\r\"*\n\007Leaving\022\017\n\007backend\030\001 " +
-      "\001(\t\022\016\n\006reason\030\002 \001(\t\"\200\001\n\016DocumentDigest\0225" +
-      "\n\005lines\030\001 \003(\0132&.aspenmoor.wire.v1.Docume" +
-      "ntDigest.Line\0327\n\004Line\022\014\n\004team\030\001 \001(\t\022\017\n\007s" +
-      "ervice\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"S\n\016Docume" +
-      "ntUpdate\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022" +
-      "\020\n\010revision\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\">\n\013D" +
-      "ocumentAsk\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
-      "\t\022\020\n\010revision\030\003 \001(\004\"\027\n\005Probe\022\016\n\006number\030\001" +
-      " \001(\006\"\035\n\013ProbeAnswer\022\016\n\006number\030\001 \001(\006\"\362\001\n\r" +
-      "RequestCounts\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002" +
-      " \001(\t\022\023\n\013data_centre\030\003 \001(\t\022\020\n\010sequence\030\004 " +
-      "\001(\004\0224\n\005lines\030\005 \003(\0132%.aspenmoor.wire.v1.R" +
-      "equestCounts.Line\032e\n\004Line\022\014\n\004kind\030\001 \001(\t\022" +
-      "\020\n\010requests\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\004" +
-      "\022\025\n\routput_tokens\030\004 \001(\004\022\017\n\007refused\030\005 \001(\r" +
-      "B\"\n\036org.aspenmoor.internal.wire.v1P\001b\006pr" +
-      "oto3"
+      "\n\rprompt_tokens\030\t \001(\r\022\023\n\013most_tokens\030\n \001" +
+      "(\r\"c\n\tPlainCall\022\016\n\006method\030\001 \001(\t\022\014\n\004path\030" +
+      "\002 \001(\t\022*\n\007headers\030\003 \003(\0132\031.aspenmoor.wire." +
+      "v1.Header\022\014\n\004body\030\004 \001(\014\"o\n\007Started\022(\n\002id" +
+      "\030\001 \001(\0132\034.aspenmoor.wire.v1.AttemptId\022\016\n\006" +
+      "status\030\002 \001(\r\022*\n\007headers\030\003 \003(\0132\031.aspenmoo" +
+      "r.wire.v1.Header\"a\n\005Chunk\022(\n\002id\030\001 \001(\0132\034." +
+      "aspenmoor.wire.v1.AttemptId\022\020\n\010sequence\030" +
+      "\002 \001(\r\022\014\n\004data\030\003 \001(\014\022\016\n\006tokens\030\004 \001(\r\"\347\001\n\004" +
+      "Last\022(\n\002id\030\001 \001(\0132\034.aspenmoor.wire.v1.Att" +
+      "emptId\022(\n\003end\030\002 \001(\0162\033.aspenmoor.wire.v1." +
+      "Last.End\022\r\n\005count\030\003 \001(\r\022\020\n\010checksum\030\004 \001(" +
+      "\007\022\025\n\rfinish_reason\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t" +
+      "\"C\n\003End\022\023\n\017END_UNSPECIFIED\020\000\022\014\n\010COMPLETE" +
+      "\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCELLED\020\003\"\224\001\n\007Refuse" +
+      "d\022(\n\002id\030\001 \001(\0132\034.aspenmoor.wire.v1.Attemp" +
+      "tId\022\016\n\006reason\030\002 \001(\t\022\036\n\026come_back_millise" +
+      "conds\030\003 \001(\r\022\037\n\027newer_document_revision\030\004" +
+      " \001(\004\022\016\n\006detail\030\005 \001(\t\"B\n\006Credit\022(\n\002id\030\001 \001" +
+      "(\0132\034.aspenmoor.wire.v1.AttemptId\022\016\n\006chun" +
+      "ks\030\002 \001(\r\"2\n\006Cancel\022(\n\002id\030\001 \001(\0132\034.aspenmo" +
+      "or.wire.v1.AttemptId\"\375\001\n\nLoadReport\022\017\n\007b" +
+      "ackend\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\004\022\014\n\004role\030\003" +
+      " \001(\t\022\r\n\005ready\030\004 \001(\010\022\035\n\025queued_prefill_to" +
+      "kens\030\005 \001(\004\022\031\n\021running_sequences\030\006 \001(\r\022\026\n" +
+      "\016most_sequences\030\007 \001(\r\022\031\n\021free_cache_piec" +
+      "es\030\010 \001(\r\022\030\n\020all_cache_pieces\030\t \001(\r\022\016\n\006lo" +
+      "aded\030\n \003(\t\022\030\n\020age_milliseconds\030\013 \001(\r\"*\n\007" +
+      "Leaving\022\017\n\007backend\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t" +
+      "\"\200\001\n\016DocumentDigest\0225\n\005lines\030\001 \003(\0132&.asp" +
+      "enmoor.wire.v1.DocumentDigest.Line\0327\n\004Li" +
+      "ne\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010rev" +
+      "ision\030\003 \001(\004\"S\n\016DocumentUpdate\022\014\n\004team\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\022\020" +
+      "\n\010document\030\004 \001(\014\">\n\013DocumentAsk\022\014\n\004team\030" +
+      "\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004" +
+      "\"\027\n\005Probe\022\016\n\006number\030\001 \001(\006\"\035\n\013ProbeAnswer" +
+      "\022\016\n\006number\030\001 \001(\006\"\362\001\n\rRequestCounts\022\014\n\004te" +
+      "am\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\023\n\013data_centre" +
+      "\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\0224\n\005lines\030\005 \003(\0132" +
+      "%.aspenmoor.wire.v1.RequestCounts.Line\032e" +
+      "\n\004Line\022\014\n\004kind\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\025" +
+      "\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_tokens\030\004" +
+      " \001(\004\022\017\n\007refused\030\005 \001(\rB\"\n\036org.aspenmoor.i" +
+      "nternal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -275,7 +275,7 @@
     internal_static_aspenmoor_wire_v1_Generation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_Generation_descriptor,
-        new java.lang.String[] { "Model", "Version", "Adapter", "Request", "Chat", "DeliveredTokens", "DeliveredText", "CacheSource", "PromptTokens", });
+        new java.lang.String[] { "Model", "Version", "Adapter", "Request", "Chat", "DeliveredTokens", "DeliveredText", "CacheSource", "PromptTokens", "MostTokens", });
     internal_static_aspenmoor_wire_v1_PlainCall_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_aspenmoor_wire_v1_PlainCall_fieldAccessorTable = new
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Generation.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Generation.java
@@ -309,6 +309,21 @@
     return promptTokens_;
   }
 
+  public static final int MOST_TOKENS_FIELD_NUMBER = 10;
+  private int mostTokens_ = 0;
+  /**
+   * <pre>
+   * The most tokens the answer may have, counted from its first token over all attempts.
+   * </pre>
+   *
+   * <code>uint32 most_tokens = 10;</code>
+   * @return The mostTokens.
+   */
+  @java.lang.Override
+  public int getMostTokens() {
+    return mostTokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -350,6 +365,9 @@
     if (promptTokens_ != 0) {
       output.writeUInt32(9, promptTokens_);
     }
+    if (mostTokens_ != 0) {
+      output.writeUInt32(10, mostTokens_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -385,6 +403,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(9, promptTokens_);
     }
+    if (mostTokens_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, mostTokens_);
+    }
     return size;
   }
   @java.lang.Override
@@ -427,6 +449,8 @@
         .equals(other.getCacheSource())) return false;
     if (getPromptTokens()
         != other.getPromptTokens()) return false;
+    if (getMostTokens()
+        != other.getMostTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -457,6 +481,8 @@
     hash = (53 * hash) + getCacheSource().hashCode();
     hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getPromptTokens();
+    hash = (37 * hash) + MOST_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getMostTokens();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -597,6 +623,7 @@
       deliveredText_ = "";
       cacheSource_ = "";
       promptTokens_ = 0;
+      mostTokens_ = 0;
       return this;
     }
 
@@ -657,6 +684,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.promptTokens_ = promptTokens_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.mostTokens_ = mostTokens_;
+      }
     }
 
     @java.lang.Override
@@ -708,6 +738,9 @@
       if (other.getPromptTokens() != 0) {
         setPromptTokens(other.getPromptTokens());
       }
+      if (other.getMostTokens() != 0) {
+        setMostTokens(other.getMostTokens());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -777,6 +810,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              mostTokens_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1326,6 +1364,50 @@
       return this;
     }
 
+    private int mostTokens_ ;
+    /**
+     * <pre>
+     * The most tokens the answer may have, counted from its first token over all attempts.
+     * </pre>
+     *
+     * <code>uint32 most_tokens = 10;</code>
+     * @return The mostTokens.
+     */
+    @java.lang.Override
+    public int getMostTokens() {
+      return mostTokens_;
+    }
+    /**
+     * <pre>
+     * The most tokens the answer may have, counted from its first token over all attempts.
+     * </pre>
+     *
+     * <code>uint32 most_tokens = 10;</code>
+     * @param value The mostTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMostTokens(int value) {
+
+      mostTokens_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The most tokens the answer may have, counted from its first token over all attempts.
+     * </pre>
+     *
+     * <code>uint32 most_tokens = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMostTokens() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      mostTokens_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.Generation)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/GenerationOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/GenerationOrBuilder.java
@@ -109,4 +109,14 @@
    * @return The promptTokens.
    */
   int getPromptTokens();
+
+  /**
+   * <pre>
+   * The most tokens the answer may have, counted from its first token over all attempts.
+   * </pre>
+   *
+   * <code>uint32 most_tokens = 10;</code>
+   * @return The mostTokens.
+   */
+  int getMostTokens();
 }
