Add the stand-ins for store, engine and plain service

Cause: tests and the demo need small programs in the platform's and the backend servers' place, with faults on request and ledgers of what really ran.

--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/package-info.java
@@ -0,0 +1,2 @@
+/** The subcommands of {@code aspenmoor-standins}. */
+package org.aspenmoor.internal.standins.command;
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/CompletionWriter.java
@@ -0,0 +1,59 @@
+package org.aspenmoor.internal.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** Makes the answers of the completions protocol. */
+final class CompletionWriter {
+    static final String DONE = "data: [DONE]\n\n";
+
+    private final GenerationCall generation;
+
+    CompletionWriter(GenerationCall generation) {
+        this.generation = generation;
+    }
+
+    /** Makes one event of a stream. */
+    String event(String text, Optional<String> finishReason) {
+        ObjectNode root = head(generation.chat() ? "chat.completion.chunk" : "text_completion");
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        if (generation.chat()) {
+            choice.putObject("delta").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finishReason.orElse(null));
+        return "data: " + root + "\n\n";
+    }
+
+    /** Makes a whole answer. */
+    ObjectNode whole(String text, int tokens) {
+        ObjectNode root = head(generation.chat() ? "chat.completion" : "text_completion");
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        if (generation.chat()) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finishReason());
+        root.putObject("usage")
+                .put("prompt_tokens", generation.promptTokens())
+                .put("completion_tokens", tokens)
+                .put("total_tokens", generation.promptTokens() + tokens);
+        return root;
+    }
+
+    String finishReason() {
+        return generation.cutByMaximum() ? "length" : "stop";
+    }
+
+    private ObjectNode head(String objectType) {
+        ObjectNode root = Json.object();
+        root.put("id", "cmpl-" + generation.requestId());
+        root.put("object", objectType);
+        root.put("created", 0);
+        root.put("model", generation.model());
+        return root;
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/EngineStandin.java
@@ -0,0 +1,186 @@
+package org.aspenmoor.internal.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.aspenmoor.internal.standins.http.Call;
+import org.aspenmoor.internal.standins.http.Handler;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** A model engine that generates {@link DeterministicText}, with orders, cache events and faults. */
+public final class EngineStandin implements Handler {
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int HEXADECIMAL = 16;
+
+    private final EngineSettings settings;
+    private final String incarnation;
+    private final EngineFaults faults = new EngineFaults();
+    private final EngineLedger ledger = new EngineLedger();
+    private final AtomicLong queuedPrefillTokens = new AtomicLong();
+    private final AtomicLong reports = new AtomicLong();
+    private final OrderDesk orders;
+    private final SequenceSlots slots;
+    private final PrefixCache cache;
+    private final Generator generator;
+
+    public EngineStandin(EngineSettings settings, String incarnation) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.orders = new OrderDesk(settings, faults, ledger);
+        this.slots = new SequenceSlots(settings.mostSequences());
+        this.cache = new PrefixCache(settings.cachePieces());
+        this.generator = new Generator(settings, faults, orders, cache, queuedPrefillTokens);
+    }
+
+    @Override
+    public void handle(Call call) throws IOException {
+        try {
+            route(call);
+        } catch (InterruptedException stopping) {
+            Thread.currentThread().interrupt();
+            call.drop();
+        }
+    }
+
+    private void route(Call call) throws IOException, InterruptedException {
+        String path = call.path();
+        if (path.equals("/standin/faults")) {
+            setFaults(call);
+            return;
+        }
+        if (path.equals("/standin/ledger")) {
+            call.respond(OK, ledger.toJson());
+            return;
+        }
+        faults.waitWhileFrozen();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(faults.delayMilliseconds()));
+        switch (path) {
+            case "/v1/completions" -> generate(call, false);
+            case "/v1/chat/completions" -> generate(call, true);
+            case "/control/status" -> answerStatus(call);
+            case "/control/orders" -> takeOrder(call);
+            case "/cache/events" -> answerCacheEvents(call);
+            case "/cache/export" -> exportCache(call);
+            case "/cache/import" -> importCache(call);
+            default -> call.refuse(NOT_FOUND, "The engine has no such path.");
+        }
+    }
+
+    private void setFaults(Call call) throws IOException {
+        Optional<ObjectNode> change = Json.parseObject(call.body());
+        if (change.isEmpty()) {
+            call.refuse(BAD_REQUEST, "Send a JSON object of faults.");
+            return;
+        }
+        faults.apply(change.get());
+        call.respond(OK, Json.object());
+    }
+
+    private void generate(Call call, boolean chat) throws IOException, InterruptedException {
+        Optional<GenerationCall> generation =
+                Json.parseObject(call.body()).flatMap(body -> GenerationCall.read(call, body, chat));
+        if (generation.isEmpty()) {
+            call.refuse(BAD_REQUEST, "Send a JSON object with model and prompt.");
+            return;
+        }
+        slots.enter(generation.get().priority());
+        try {
+            if (orders.isAway()) {
+                call.refuse(SERVICE_UNAVAILABLE, "The engine is changing its role; the request did not run.");
+                return;
+            }
+            run(call, generation.get());
+        } finally {
+            slots.leave();
+        }
+    }
+
+    private void run(Call call, GenerationCall generation) throws IOException, InterruptedException {
+        RunEntry entry = ledger.begin(generation);
+        try {
+            generator.prefill(generation);
+            if (generation.stream()) {
+                generator.stream(call, generation, entry);
+            } else {
+                generator.answerWhole(call, generation, entry);
+            }
+        } finally {
+            if (entry.end() == RunEntry.End.RUNNING) {
+                entry.end(RunEntry.End.CANCELLED);
+            }
+        }
+    }
+
+    private void answerStatus(Call call) throws IOException {
+        ObjectNode root = Json.object();
+        root.put("name", settings.name());
+        root.put("incarnation", incarnation);
+        orders.writeStatus(root, call.query("order"));
+        root.putObject("load")
+                .put("sequence", reports.incrementAndGet())
+                .put("queuedPrefillTokens", queuedPrefillTokens.get())
+                .put("runningSequences", slots.running())
+                .put("mostSequences", slots.most())
+                .put("freeCachePieces", cache.mostPieces() - cache.usedPieces())
+                .put("allCachePieces", cache.mostPieces());
+        call.respond(OK, root);
+    }
+
+    private void takeOrder(Call call) throws IOException {
+        Optional<ObjectNode> order = Json.parseObject(call.body());
+        if (order.isEmpty()) {
+            call.refuse(BAD_REQUEST, "Send the order as a JSON object.");
+            return;
+        }
+        Optional<String> refusal = orders.begin(order.get());
+        if (refusal.isPresent()) {
+            call.refuse(CONFLICT, refusal.get());
+            return;
+        }
+        call.respond(ACCEPTED, Json.object());
+    }
+
+    private void answerCacheEvents(Call call) throws IOException {
+        long after = Long.parseLong(call.query("after").orElse("0"));
+        try (OutputStream output = call.stream("application/x-ndjson")) {
+            for (CacheEvent event : cache.eventsAfter(after)) {
+                output.write((event.toJson() + "\n").getBytes(StandardCharsets.UTF_8));
+            }
+        }
+    }
+
+    private void exportCache(Call call) throws IOException {
+        ObjectNode body = Json.parseObject(call.body()).orElseGet(Json::object);
+        List<Long> pieces = PrefixCache.piecesOf(
+                body.path("model").asText(), body.path("prompt").asText());
+        int covered = cache.coveredTokens(pieces) / PrefixCache.TOKENS_OF_PIECE;
+        ObjectNode root = Json.object();
+        ArrayNode names = root.putArray("pieces");
+        pieces.subList(0, covered).forEach(piece -> names.add(Long.toHexString(piece)));
+        call.respond(OK, root);
+    }
+
+    private void importCache(Call call) throws IOException {
+        ObjectNode body = Json.parseObject(call.body()).orElseGet(Json::object);
+        List<Long> pieces = new ArrayList<>();
+        for (JsonNode piece : body.path("pieces")) {
+            pieces.add(Long.parseUnsignedLong(piece.asText(), HEXADECIMAL));
+        }
+        cache.add(pieces);
+        call.respond(OK, Json.object().put("taken", pieces.size()));
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/OrderDesk.java
@@ -0,0 +1,129 @@
+package org.aspenmoor.internal.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.engine.OrderState;
+
+/** Carries out one order at a time. */
+final class OrderDesk {
+    private static final long LOAD_DIVISOR = 4;
+
+    private final EngineSettings settings;
+    private final EngineFaults faults;
+    private final EngineLedger ledger;
+    private final Set<String> loaded = new TreeSet<>();
+    private EngineRole role;
+    private long highestFencingNumber;
+    private Optional<String> lastOrderId = Optional.empty();
+    private OrderState lastOrderState = OrderState.NEVER_SEEN;
+    private boolean away;
+
+    OrderDesk(EngineSettings settings, EngineFaults faults, EngineLedger ledger) {
+        this.settings = settings;
+        this.faults = faults;
+        this.ledger = ledger;
+        this.role = settings.role();
+        loaded.addAll(settings.loaded());
+    }
+
+    /** Begins an order; returns why it is refused, if it is. */
+    synchronized Optional<String> begin(ObjectNode order) {
+        Optional<String> refusal = refusal(order);
+        ledger.order(new OrderEntry(
+                order.path("orderId").asText(),
+                order.path("fencingNumber").asLong(),
+                order.path("type").asText(),
+                refusal.orElse("begun")));
+        if (refusal.isPresent()) {
+            return refusal;
+        }
+        if (!settings.ignoresFencing()) {
+            highestFencingNumber = order.path("fencingNumber").asLong();
+        }
+        lastOrderId = Optional.of(order.path("orderId").asText());
+        lastOrderState = OrderState.RUNNING;
+        away = order.path("type").asText().equals("changeRole");
+        Thread.ofPlatform().daemon().name("engine-order").start(() -> carryOut(order));
+        return Optional.empty();
+    }
+
+    synchronized boolean isAway() {
+        return away;
+    }
+
+    synchronized EngineRole role() {
+        return role;
+    }
+
+    /** Writes what the engine says about its orders. */
+    synchronized void writeStatus(ObjectNode root, Optional<String> askedOrder) {
+        boolean known = askedOrder.isEmpty() || askedOrder.equals(lastOrderId);
+        root.put("role", role.name());
+        root.put("ready", !away);
+        root.put("lastOrderId", lastOrderId.orElse(null));
+        root.put("lastOrderState", known ? lastOrderState.name() : OrderState.NEVER_SEEN.name());
+        root.put("highestFencingNumber", highestFencingNumber);
+        loaded.forEach(root.putArray("loaded")::add);
+    }
+
+    private Optional<String> refusal(ObjectNode order) {
+        if (order.path("orderId").asText().isEmpty()) {
+            return Optional.of("The order has no orderId.");
+        }
+        if (!settings.ignoresFencing() && order.path("fencingNumber").asLong() < highestFencingNumber) {
+            return Optional.of("The fencing number is older than " + highestFencingNumber + ".");
+        }
+        if (lastOrderState == OrderState.RUNNING) {
+            return Optional.of("The engine is busy with another order.");
+        }
+        boolean knownType = switch (order.path("type").asText()) {
+            case "changeRole", "loadModel", "loadAdapter", "unloadAdapter" -> true;
+            default -> false;
+        };
+        return knownType ? Optional.empty() : Optional.of("The order's type is not known.");
+    }
+
+    private void carryOut(ObjectNode order) {
+        boolean fails = faults.failsThisOrder();
+        long whole = order.path("type").asText().equals("changeRole")
+                ? settings.roleChangeMilliseconds()
+                : settings.roleChangeMilliseconds() / LOAD_DIVISOR;
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(fails ? whole / 2 : whole));
+        finish(order, fails);
+    }
+
+    private synchronized void finish(ObjectNode order, boolean failed) {
+        away = false;
+        if (failed) {
+            lastOrderState = OrderState.FAILED;
+            return;
+        }
+        apply(order);
+        lastOrderState = OrderState.DONE;
+    }
+
+    private void apply(ObjectNode order) {
+        String model = order.path("model").asText();
+        String adapter = model + ":" + order.path("adapter").asText();
+        String version = "@" + order.path("version").asText();
+        switch (order.path("type").asText()) {
+            case "changeRole" ->
+                role = EngineRole.valueOf(order.path("role").asText().toUpperCase(Locale.ROOT));
+            case "loadModel" -> replaceLoaded(model, version);
+            case "loadAdapter" -> replaceLoaded(adapter, version);
+            case "unloadAdapter" -> loaded.removeIf(entry -> entry.startsWith(adapter + "@"));
+            default -> throw new IllegalStateException("An order of unknown type was begun.");
+        }
+    }
+
+    private void replaceLoaded(String name, String version) {
+        loaded.removeIf(entry -> entry.startsWith(name + "@"));
+        loaded.add(name + version);
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/PrefixCache.java
@@ -0,0 +1,92 @@
+package org.aspenmoor.internal.standins.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which pieces of prompts are cached, the least recently used given up first.
+ *
+ * <p>A piece stands for a fixed number of tokens and is named by the hash of the whole prompt up to its end.
+ */
+final class PrefixCache {
+    static final int TOKENS_OF_PIECE = 16;
+
+    private static final int CHARACTERS_OF_PIECE = 64;
+    private static final int MOST_EVENTS = 10_000;
+    /** Every so many events one is lost, as engines publish them with gaps. */
+    private static final int GAP = 97;
+
+    private final int mostPieces;
+    private final Map<Long, Boolean> pieces = new LinkedHashMap<>(16, 0.75f, true);
+    private final Deque<CacheEvent> events = new ArrayDeque<>();
+    private long sequence;
+
+    PrefixCache(int mostPieces) {
+        this.mostPieces = mostPieces;
+    }
+
+    /** Names the pieces of a prompt. */
+    static List<Long> piecesOf(String model, String prompt) {
+        List<Long> names = new ArrayList<>();
+        long hash = model.hashCode();
+        for (int index = 0; index < prompt.length(); index++) {
+            hash = hash * 31 + prompt.charAt(index);
+            if ((index + 1) % CHARACTERS_OF_PIECE == 0) {
+                names.add(hash);
+            }
+        }
+        return names;
+    }
+
+    /** Returns how many tokens at the start of the prompt need no computing. */
+    synchronized int coveredTokens(List<Long> names) {
+        int covered = 0;
+        for (Long name : names) {
+            if (pieces.get(name) == null) {
+                break;
+            }
+            covered += TOKENS_OF_PIECE;
+        }
+        return covered;
+    }
+
+    synchronized void add(List<Long> names) {
+        for (Long name : names) {
+            if (pieces.put(name, Boolean.TRUE) == null) {
+                publish(CacheEvent.Type.STORED, name);
+            }
+        }
+        while (pieces.size() > mostPieces) {
+            Long eldest = pieces.keySet().iterator().next();
+            pieces.remove(eldest);
+            publish(CacheEvent.Type.REMOVED, eldest);
+        }
+    }
+
+    synchronized int usedPieces() {
+        return pieces.size();
+    }
+
+    int mostPieces() {
+        return mostPieces;
+    }
+
+    synchronized List<CacheEvent> eventsAfter(long after) {
+        return events.stream().filter(event -> event.sequence() > after).toList();
+    }
+
+    private void publish(CacheEvent.Type type, long piece) {
+        sequence++;
+        if (sequence % GAP == 0) {
+            return;
+        }
+        events.addLast(new CacheEvent(sequence, type, piece));
+        if (events.size() > MOST_EVENTS) {
+            events.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/RunEntry.java
@@ -0,0 +1,49 @@
+package org.aspenmoor.internal.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** One request that ran. */
+final class RunEntry {
+    private final GenerationCall generation;
+    private volatile int tokensSent;
+    private volatile End end = End.RUNNING;
+
+    /** How a request ended. */
+    enum End {
+        RUNNING,
+        COMPLETED,
+        /** The caller went away. */
+        CANCELLED,
+        /** The engine cut it, by a fault or because it began a role change. */
+        CUT
+    }
+
+    RunEntry(GenerationCall generation) {
+        this.generation = generation;
+    }
+
+    void tokensSent(int count) {
+        tokensSent = count;
+    }
+
+    void end(End how) {
+        end = how;
+    }
+
+    End end() {
+        return end;
+    }
+
+    ObjectNode toJson() {
+        ObjectNode root = Json.object();
+        root.put("requestId", generation.requestId());
+        root.put("attempt", generation.attempt());
+        root.put("model", generation.model());
+        root.put("promptTokens", generation.promptTokens());
+        root.put("resumedFrom", generation.resumeFrom());
+        root.put("tokensSent", tokensSent);
+        root.put("end", end.name());
+        return root;
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/SequenceSlots.java
@@ -0,0 +1,48 @@
+package org.aspenmoor.internal.standins.engine;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Lets a bounded number of sequences run; of those that wait, greater priority goes first, then who came first. */
+final class SequenceSlots {
+    private static final Comparator<Waiting> ORDER =
+            Comparator.comparingDouble(Waiting::priority).reversed().thenComparingLong(Waiting::number);
+
+    private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(ORDER);
+    private final int most;
+    private int running;
+    private long arrivals;
+
+    SequenceSlots(int most) {
+        this.most = most;
+    }
+
+    synchronized void enter(double priority) throws InterruptedException {
+        Waiting self = new Waiting(priority, arrivals++);
+        waiting.add(self);
+        try {
+            while (running >= most || waiting.peek() != self) {
+                wait();
+            }
+        } finally {
+            waiting.remove(self);
+            notifyAll();
+        }
+        running++;
+    }
+
+    synchronized void leave() {
+        running--;
+        notifyAll();
+    }
+
+    synchronized int running() {
+        return running;
+    }
+
+    int most() {
+        return most;
+    }
+
+    private record Waiting(double priority, long number) {}
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ObjectBook.java
@@ -0,0 +1,134 @@
+package org.aspenmoor.internal.standins.store;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * All objects in memory.
+ *
+ * <p>Lists and watches of the host list show a change only after a lag, as the platform's own list does.
+ */
+final class ObjectBook implements AutoCloseable {
+    static final String HOSTS = "hosts";
+
+    private final Map<ObjectName, Revision> objects = new HashMap<>();
+    private final Map<String, ResourceFeed> feeds = new HashMap<>();
+    private final ScheduledExecutorService publisher = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().daemon().name("standin-publisher").factory());
+    private long version;
+    private long hostLagMilliseconds;
+    private Optional<Snapshot> stale = Optional.empty();
+
+    /** Reads one object. */
+    synchronized Optional<Revision> read(ObjectName name) {
+        if (stale.isPresent()) {
+            return Optional.ofNullable(stale.get().objects().get(name));
+        }
+        return Optional.ofNullable(objects.get(name));
+    }
+
+    /** Lists the objects of a resource, of one namespace or of all. */
+    synchronized ObjectListing list(String resource, Optional<String> namespace) {
+        if (stale.isPresent()) {
+            return stale.get().list(resource, namespace);
+        }
+        ResourceFeed feed = feed(resource);
+        return ObjectListing.of(feed.objects(), namespace, feed.version());
+    }
+
+    synchronized WriteResult create(ObjectName name, ObjectNode spec) {
+        if (objects.containsKey(name)) {
+            return new WriteResult.Conflict("AlreadyExists");
+        }
+        return write(ObjectEvent.Type.ADDED, name, spec);
+    }
+
+    synchronized WriteResult update(ObjectName name, Optional<Long> expected, ObjectNode spec) {
+        Revision before = objects.get(name);
+        if (before == null) {
+            return new WriteResult.Missing();
+        }
+        if (expected.isPresent() && expected.get() != before.version()) {
+            return new WriteResult.Conflict("Conflict");
+        }
+        return write(ObjectEvent.Type.MODIFIED, name, spec);
+    }
+
+    synchronized WriteResult delete(ObjectName name, Optional<Long> expected) {
+        Revision before = objects.get(name);
+        if (before == null) {
+            return new WriteResult.Missing();
+        }
+        if (expected.isPresent() && expected.get() != before.version()) {
+            return new WriteResult.Conflict("Conflict");
+        }
+        objects.remove(name);
+        version++;
+        Revision last = new Revision(name, version, before.spec());
+        publish(new ObjectEvent(ObjectEvent.Type.DELETED, last));
+        return new WriteResult.Written(last);
+    }
+
+    synchronized ResourceFeed feed(String resource) {
+        return feeds.computeIfAbsent(resource, unused -> new ResourceFeed());
+    }
+
+    /** Sets after how long lists and watches show a change of the host list. */
+    synchronized void hostLag(long milliseconds) {
+        hostLagMilliseconds = milliseconds;
+    }
+
+    /** Begins or ends answering reads and lists from how things are now. */
+    synchronized void staleReads(boolean answerStale) {
+        if (!answerStale) {
+            stale = Optional.empty();
+            return;
+        }
+        Map<String, ObjectListing> listings = new HashMap<>();
+        feeds.forEach((resource, feed) -> listings.put(resource, new ObjectListing(feed.objects(), feed.version())));
+        stale = Optional.of(new Snapshot(Map.copyOf(objects), listings));
+    }
+
+    /** Ends all waiting watches. */
+    synchronized void endWatches() {
+        feeds.values().forEach(ResourceFeed::endWatches);
+    }
+
+    /** Forgets old events, so that watches from old versions are refused. */
+    synchronized void forgetEvents() {
+        feeds.values().forEach(ResourceFeed::forgetEvents);
+    }
+
+    synchronized List<Revision> all() {
+        return List.copyOf(objects.values());
+    }
+
+    @Override
+    public void close() {
+        publisher.shutdownNow();
+    }
+
+    private WriteResult write(ObjectEvent.Type type, ObjectName name, ObjectNode spec) {
+        version++;
+        Revision revision = new Revision(name, version, spec);
+        objects.put(name, revision);
+        publish(new ObjectEvent(type, revision));
+        return new WriteResult.Written(revision);
+    }
+
+    private void publish(ObjectEvent event) {
+        String resource = event.revision().name().resource();
+        ResourceFeed feed = feed(resource);
+        if (resource.equals(HOSTS) && hostLagMilliseconds > 0) {
+            publisher.schedule(() -> feed.publish(event), hostLagMilliseconds, TimeUnit.MILLISECONDS);
+            return;
+        }
+        feed.publish(event);
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ResourceFeed.java
@@ -0,0 +1,76 @@
+package org.aspenmoor.internal.standins.store;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** What lists and watches of one resource show: its published objects and its recent events. */
+final class ResourceFeed {
+    private static final int MOST_EVENTS = 20_000;
+
+    private final Map<String, Revision> published = new TreeMap<>();
+    private final Deque<ObjectEvent> recent = new ArrayDeque<>();
+    private final Set<Watcher> watchers = ConcurrentHashMap.newKeySet();
+    private long forgottenUpTo;
+    private long version;
+
+    synchronized void publish(ObjectEvent event) {
+        Revision revision = event.revision();
+        String name = revision.name().namespace() + "/" + revision.name().name();
+        if (event.type() == ObjectEvent.Type.DELETED) {
+            published.remove(name);
+        } else {
+            published.put(name, revision);
+        }
+        version = revision.version();
+        recent.addLast(event);
+        if (recent.size() > MOST_EVENTS) {
+            forgottenUpTo = recent.removeFirst().revision().version();
+        }
+        watchers.forEach(watcher -> watcher.offer(event));
+    }
+
+    synchronized List<Revision> objects() {
+        return new ArrayList<>(published.values());
+    }
+
+    synchronized long version() {
+        return version;
+    }
+
+    /** Begins a watch; empty where events after that version are forgotten. */
+    synchronized Optional<Watcher> watch(long fromVersion) {
+        if (fromVersion < forgottenUpTo) {
+            return Optional.empty();
+        }
+        List<ObjectEvent> missed = new ArrayList<>();
+        for (ObjectEvent event : recent) {
+            if (event.revision().version() > fromVersion) {
+                missed.add(event);
+            }
+        }
+        Watcher watcher = new Watcher(missed);
+        watchers.add(watcher);
+        return Optional.of(watcher);
+    }
+
+    void remove(Watcher watcher) {
+        watchers.remove(watcher);
+    }
+
+    void endWatches() {
+        watchers.forEach(Watcher::end);
+    }
+
+    /** Forgets all events, as a store does that compacts its history. */
+    synchronized void forgetEvents() {
+        recent.clear();
+        forgottenUpTo = version;
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/WatchStream.java
@@ -0,0 +1,63 @@
+package org.aspenmoor.internal.standins.store;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.aspenmoor.internal.standins.http.Call;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** Streams the events of a resource to one watching caller, with a bookmark when nothing happens. */
+final class WatchStream {
+    private static final long BOOKMARK_MILLISECONDS = 1000;
+    private static final int GONE = 410;
+
+    private final ObjectBook book;
+    private final StoreLedger ledger;
+
+    WatchStream(ObjectBook book, StoreLedger ledger) {
+        this.book = book;
+        this.ledger = ledger;
+    }
+
+    void serve(Call call, String resource) throws IOException {
+        ResourceFeed feed = book.feed(resource);
+        long fromVersion = Long.parseLong(call.query("resourceVersion").orElse("0"));
+        Optional<Watcher> watcher = feed.watch(fromVersion);
+        try {
+            if (watcher.isEmpty()) {
+                call.refuse(GONE, "Events since that version are forgotten.");
+                return;
+            }
+            stream(call, feed, watcher.get());
+        } catch (InterruptedException stopping) {
+            Thread.currentThread().interrupt();
+        } finally {
+            watcher.ifPresent(feed::remove);
+            ledger.watchEnded();
+        }
+    }
+
+    private static void stream(Call call, ResourceFeed feed, Watcher watcher) throws IOException, InterruptedException {
+        try (OutputStream output = call.stream("application/json;stream=watch")) {
+            output.flush();
+            while (!watcher.hasEnded()) {
+                Optional<ObjectEvent> event = watcher.next(BOOKMARK_MILLISECONDS);
+                writeLine(output, event.map(ObjectEvent::toJson).orElseGet(() -> bookmark(feed)));
+            }
+        }
+    }
+
+    private static void writeLine(OutputStream output, ObjectNode line) throws IOException {
+        output.write((line + "\n").getBytes(StandardCharsets.UTF_8));
+        output.flush();
+    }
+
+    private static ObjectNode bookmark(ResourceFeed feed) {
+        ObjectNode root = Json.object();
+        root.put("type", "BOOKMARK");
+        root.putObject("object").putObject("metadata").put("resourceVersion", String.valueOf(feed.version()));
+        return root;
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/Watcher.java
@@ -0,0 +1,39 @@
+package org.aspenmoor.internal.standins.store;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** One waiting watch; it ends when its reader falls too far behind. */
+final class Watcher {
+    private static final int MOST_WAITING = 4096;
+
+    private final BlockingQueue<ObjectEvent> waiting;
+    private volatile boolean ended;
+
+    Watcher(List<ObjectEvent> missed) {
+        this.waiting = new ArrayBlockingQueue<>(MOST_WAITING + missed.size());
+        waiting.addAll(missed);
+    }
+
+    void offer(ObjectEvent event) {
+        if (!waiting.offer(event)) {
+            ended = true;
+        }
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Waits for an event; empty where none came in time. */
+    Optional<ObjectEvent> next(long milliseconds) throws InterruptedException {
+        return Optional.ofNullable(waiting.poll(milliseconds, TimeUnit.MILLISECONDS));
+    }
+}
