--- /dev/null
+++ b/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/SettledWritesTest.java
@@ -0,0 +1,101 @@
+package org.aspenmoor.internal.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.aspenmoor.internal.platform.FakeStore.WriteFault;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.testng.annotations.Test;
+
+public class SettledWritesTest {
+    private static final String OURS = "{\"owner\": \"us\", \"nonce\": 41}";
+    private static final String THEIRS = "{\"owner\":\"them\",\"nonce\":7}";
+
+    private final FakeStore store = new FakeStore();
+    private final SettledWrites writes = new SettledWrites(store);
+
+    @Test
+    public void should_apply_a_write_whose_answer_comes() throws StoreException {
+        store.remove(TestObjects.PLAN);
+
+        assertTrue(writes.create(TestObjects.PLAN, OURS) instanceof SettledWrite.Applied);
+    }
+
+    @Test
+    public void should_find_its_own_write_after_the_answer_was_lost() throws StoreException {
+        // The store takes over a lease and the answer is lost on the way back. Taken for a failure, the new owner would
+        // wait for its own lease to lapse and nobody would plan meanwhile.
+        store.remove(TestObjects.PLAN);
+        store.nextWrites(WriteFault.APPLIED_ANSWER_LOST);
+        int before = store.writesSent();
+
+        assertTrue(writes.create(TestObjects.PLAN, OURS) instanceof SettledWrite.Applied);
+        assertEquals(store.writesSent() - before, 1);
+    }
+
+    @Test
+    public void should_send_again_on_the_same_condition_where_the_write_never_arrived() throws StoreException {
+        StoredObject read = store.put(TestObjects.PLAN, THEIRS);
+        store.nextWrites(WriteFault.NEVER_ARRIVED);
+
+        SettledWrite settled = writes.update(read, OURS);
+
+        assertTrue(settled instanceof SettledWrite.Applied applied
+                && applied.object().value().equals(OURS));
+    }
+
+    @Test
+    public void should_settle_an_answer_that_is_lost_twice() throws StoreException {
+        StoredObject read = store.put(TestObjects.PLAN, THEIRS);
+        store.nextWrites(WriteFault.NEVER_ARRIVED, WriteFault.APPLIED_ANSWER_LOST);
+
+        assertTrue(writes.update(read, OURS) instanceof SettledWrite.Applied);
+    }
+
+    @Test
+    public void should_have_lost_where_another_writer_came_first() throws StoreException {
+        // Two entries take over the same lease; the answer to the slower one is lost as well. It must not believe that
+        // it holds the lease.
+        StoredObject read = store.put(TestObjects.PLAN, "{}");
+        StoredObject theirs = store.put(TestObjects.PLAN, THEIRS);
+        store.nextWrites(WriteFault.NEVER_ARRIVED);
+
+        SettledWrite settled = writes.update(read, OURS);
+
+        assertTrue(settled instanceof SettledWrite.Lost lost
+                && lost.current().orElseThrow().equals(theirs));
+    }
+
+    @Test
+    public void should_stay_unknown_where_the_object_cannot_be_read() throws StoreException {
+        // The store goes down right after a write. "Not run" would be a guess; the caller is told that nobody knows.
+        StoredObject read = store.put(TestObjects.PLAN, THEIRS);
+        store.nextWrites(WriteFault.APPLIED_ANSWER_LOST);
+        store.failReads(1);
+
+        assertTrue(writes.update(read, OURS) instanceof SettledWrite.StillUnknown);
+    }
+
+    @Test
+    public void should_stay_unknown_where_no_repetition_arrives() throws StoreException {
+        StoredObject read = store.put(TestObjects.PLAN, THEIRS);
+        store.nextWrites(WriteFault.NEVER_ARRIVED, WriteFault.NEVER_ARRIVED, WriteFault.NEVER_ARRIVED);
+
+        assertTrue(writes.update(read, OURS) instanceof SettledWrite.StillUnknown);
+    }
+
+    @Test
+    public void should_recognise_its_write_under_later_changes_by_its_mark() throws StoreException {
+        // A claim is added to a bucket, the answer is lost, and another entry adds its own claim before the first
+        // looks.
+        StoredObject read = store.put(TestObjects.PLAN, "{\"claims\":[]}");
+        store.put(TestObjects.PLAN, "{\"claims\":[\"ours\",\"theirs\"]}");
+        store.nextWrites(WriteFault.NEVER_ARRIVED);
+
+        SettledWrite settled = writes.update(
+                read, "{\"claims\":[\"ours\"]}", object -> object.value().contains("\"ours\""));
+
+        assertTrue(settled instanceof SettledWrite.Applied);
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/TestObjects.java
@@ -0,0 +1,60 @@
+package org.aspenmoor.internal.platform;
+
+import java.time.Duration;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** Objects and settings that several tests use. */
+final class TestObjects {
+    static final ObjectKey PLAN = new ObjectKey(ObjectKind.ROLE_PLAN, "seitkali", "drafting.almaty-1");
+
+    private TestObjects() {}
+
+    static String json(String name, String version, String spec) {
+        return "{\"metadata\":{\"namespace\":\"seitkali\",\"name\":\"" + name + "\",\"resourceVersion\":\"" + version
+                + "\"},\"spec\":" + spec + "}";
+    }
+
+    static String planJson(String version, String spec) {
+        return json(PLAN.name(), version, spec);
+    }
+
+    static String event(String type, String object) {
+        return "{\"type\":\"" + type + "\",\"object\":" + object + "}";
+    }
+
+    static StoredObject plan(String version, String value) {
+        return new StoredObject(PLAN, version, value);
+    }
+
+    /** Settings whose time-outs only end a test that would otherwise hang. */
+    static StoreSettings patient() {
+        Duration long30 = Duration.ofSeconds(30);
+        return new StoreSettings(
+                long30, long30, Duration.ofSeconds(4), Duration.ofMillis(50), Duration.ofSeconds(1), long30, 100, 100);
+    }
+
+    /** Settings for a store that never answers a call: the call's time-out has to run out. */
+    static StoreSettings impatientForAnswers() {
+        return impatient(Duration.ofMillis(200), Duration.ofSeconds(30));
+    }
+
+    /** Settings for a watch that never hears anything: the silence has to run out. */
+    static StoreSettings impatientInSilence() {
+        return impatient(Duration.ofSeconds(30), Duration.ofMillis(200));
+    }
+
+    private static StoreSettings impatient(Duration callTimeout, Duration watchSilence) {
+        StoreSettings patient = patient();
+        return new StoreSettings(
+                patient.connectTimeout(),
+                callTimeout,
+                patient.readDeadline(),
+                patient.firstBackoff(),
+                patient.mostBackoff(),
+                watchSilence,
+                patient.callsPerSecond(),
+                patient.mostCallsAtOnce());
+    }
+}
--- /dev/null
+++ b/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/WatchedCollectionTest.java
@@ -0,0 +1,147 @@
+package org.aspenmoor.internal.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoreWatchListener;
+import org.aspenmoor.internal.store.StoredObject;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class WatchedCollectionTest {
+    private static final ObjectKey OTHER = new ObjectKey(ObjectKind.ROLE_PLAN, "seitkali", "drafting.almaty-2");
+
+    private FakeStore store;
+    private Heard heard;
+    private WatchedCollection collection;
+
+    @BeforeMethod
+    public void start() {
+        store = new FakeStore();
+        heard = new Heard();
+        StoreSettings defaults = StoreSettings.defaults();
+        StoreSettings quick = new StoreSettings(
+                defaults.connectTimeout(),
+                defaults.callTimeout(),
+                defaults.readDeadline(),
+                Duration.ofNanos(1),
+                Duration.ofNanos(1),
+                defaults.watchSilence(),
+                1,
+                1);
+        collection = new WatchedCollection(store, ObjectKind.ROLE_PLAN, heard, new Random(1), quick);
+    }
+
+    @AfterMethod
+    public void stop() {
+        collection.close();
+    }
+
+    @Test
+    public void should_tell_the_list_and_then_the_changes() throws Exception {
+        store.put(TestObjects.PLAN, "{}");
+
+        collection.start();
+        StoreWatchListener watch = store.nextWatch();
+        watch.changed(store.put(OTHER, "{}"));
+
+        assertEquals(heard.next(), "changed drafting.almaty-1 1");
+        assertEquals(heard.next(), "synchronised");
+        assertEquals(heard.next(), "changed drafting.almaty-2 2");
+    }
+
+    @Test
+    public void should_find_after_a_gap_what_was_changed_and_deleted_meanwhile() throws Exception {
+        // The watch breaks; while nobody watches, one plan is replaced and another deleted. Without a comparison the
+        // deleted one would be served for ever.
+        store.put(TestObjects.PLAN, "{}");
+        store.put(OTHER, "{}");
+        collection.start();
+        StoreWatchListener watch = store.nextWatch();
+        heard.skip(3);
+
+        store.put(TestObjects.PLAN, "{\"term\":2}");
+        store.remove(OTHER);
+        watch.ended(new StoreUnavailableException("The connection broke.", "test", "Wait."));
+
+        assertEquals(heard.next(), "interrupted");
+        assertEquals(heard.next(), "deleted drafting.almaty-2 2");
+        assertEquals(heard.next(), "changed drafting.almaty-1 3");
+        assertEquals(heard.next(), "synchronised");
+    }
+
+    @Test
+    public void should_not_tell_the_same_version_twice() throws Exception {
+        StoredObject plan = store.put(TestObjects.PLAN, "{}");
+        collection.start();
+        StoreWatchListener watch = store.nextWatch();
+        heard.skip(2);
+
+        watch.changed(plan);
+        watch.ended(new StoreUnavailableException("The connection broke.", "test", "Wait."));
+
+        assertEquals(heard.next(), "interrupted");
+        assertEquals(heard.next(), "synchronised");
+    }
+
+    @Test
+    public void should_go_on_after_an_outage() throws Exception {
+        // The store is away when the process starts and comes back later.
+        store.failReads(3);
+        store.put(TestObjects.PLAN, "{}");
+
+        collection.start();
+
+        assertEquals(heard.next(), "interrupted");
+        assertEquals(heard.next(), "interrupted");
+        assertEquals(heard.next(), "interrupted");
+        assertEquals(heard.next(), "changed drafting.almaty-1 1");
+        assertEquals(heard.next(), "synchronised");
+    }
+
+    private static final class Heard implements CollectionListener {
+        private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+
+        @Override
+        public void changed(StoredObject object) {
+            lines.add("changed " + object.key().name() + " " + object.version());
+        }
+
+        @Override
+        public void deleted(StoredObject object) {
+            lines.add("deleted " + object.key().name() + " " + object.version());
+        }
+
+        @Override
+        public void synchronised() {
+            lines.add("synchronised");
+        }
+
+        @Override
+        public void interrupted(StoreException cause) {
+            lines.add("interrupted");
+        }
+
+        String next() throws InterruptedException {
+            String line = lines.poll(30, TimeUnit.SECONDS);
+            assertTrue(line != null, "nothing was heard");
+            return line;
+        }
+
+        void skip(int count) throws InterruptedException {
+            for (int line = 0; line < count; line++) {
+                next();
+            }
+        }
+    }
+}
