--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
@@ -9,6 +9,9 @@
 import org.aspenmoor.Aspenmoor;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.standins.command.EngineCommand;
+import org.aspenmoor.internal.standins.command.HostCommand;
+import org.aspenmoor.internal.standins.command.LoadCommand;
+import org.aspenmoor.internal.standins.command.PutDocumentCommand;
 import org.aspenmoor.internal.standins.command.ServiceCommand;
 import org.aspenmoor.internal.standins.command.StoreCommand;
 import org.aspenmoor.internal.standins.command.Subcommand;
@@ -31,7 +34,15 @@
     /** Runs one subcommand and exits with its code. */
     public static void main(String[] arguments) {
         StandinsMain program = new StandinsMain(
-                List.of(new StoreCommand(), new EngineCommand(), new ServiceCommand()), System.out, System.err);
+                List.of(
+                        new StoreCommand(),
+                        new HostCommand(),
+                        new EngineCommand(),
+                        new ServiceCommand(),
+                        new PutDocumentCommand(),
+                        new LoadCommand()),
+                System.out,
+                System.err);
         System.exit(program.run(arguments));
     }
 
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/StoreAccess.java
@@ -0,0 +1,42 @@
+package org.aspenmoor.internal.standins.command;
+
+import java.net.URI;
+import java.util.Optional;
+import java.util.Random;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.platform.HttpObjectStore;
+import org.aspenmoor.internal.platform.SettledWrite;
+import org.aspenmoor.internal.platform.SettledWrites;
+import org.aspenmoor.internal.platform.StoreSettings;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.SystemTimeSource;
+
+/** Reads and writes single objects of a running store. */
+final class StoreAccess {
+    private final HttpObjectStore store;
+    private final SettledWrites writes;
+
+    StoreAccess(URI address) {
+        this.store = new HttpObjectStore(address, new SystemTimeSource(), new Random(), StoreSettings.defaults());
+        this.writes = new SettledWrites(store);
+    }
+
+    Optional<StoredObject> read(ObjectKey key) throws AspenmoorException {
+        return store.read(key);
+    }
+
+    /** Creates the object or replaces what was read. */
+    void write(ObjectKey key, Optional<StoredObject> read, String value) throws AspenmoorException {
+        SettledWrite settled = read.isPresent() ? writes.update(read.get(), value) : writes.create(key, value);
+        switch (settled) {
+            case SettledWrite.Applied applied -> {
+                // Nothing is left to do.
+            }
+            case SettledWrite.Lost lost ->
+                throw new AspenmoorException(
+                        "Somebody else changed the object at the same moment.", key.toString(), "Try again.");
+            case SettledWrite.StillUnknown unknown -> throw unknown.cause();
+        }
+    }
+}
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/RunEntry.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/RunEntry.java
@@ -40,6 +40,7 @@
         root.put("requestId", generation.requestId());
         root.put("attempt", generation.attempt());
         root.put("model", generation.model());
+        root.put("promptHash", Integer.toHexString(generation.prompt().hashCode()));
         root.put("promptTokens", generation.promptTokens());
         root.put("resumedFrom", generation.resumeFrom());
         root.put("tokensSent", tokensSent);
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/SequenceSlots.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/SequenceSlots.java
@@ -21,7 +21,7 @@
         Waiting self = new Waiting(priority, arrivals++);
         waiting.add(self);
         try {
-            while (running >= most || waiting.peek() != self) {
+            while (running >= most || !self.equals(waiting.peek())) {
                 wait();
             }
         } finally {
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/http/Call.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/http/Call.java
@@ -17,6 +17,7 @@
     private static final String JSON_TYPE = "application/json";
 
     private final HttpExchange exchange;
+    private boolean dropped;
 
     Call(HttpExchange exchange) {
         this.exchange = exchange;
@@ -90,8 +91,12 @@
         return exchange.getResponseBody();
     }
 
-    /** Closes the connection without another byte; the caller cannot tell what was done. */
+    /** Has the connection closed without another byte; the caller cannot tell what was done. */
     public void drop() {
-        exchange.close();
+        dropped = true;
+    }
+
+    boolean isDropped() {
+        return dropped;
     }
 }
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/http/StandinServer.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/http/StandinServer.java
@@ -54,16 +54,19 @@
         threads.shutdownNow();
     }
 
-    private void answer(HttpExchange exchange) {
+    private void answer(HttpExchange exchange) throws IOException {
         Call call = new Call(exchange);
-        try (exchange) {
+        try {
             handler.handle(call);
-        } catch (IOException callerWentAway) {
-            LOG.debugf("standin: %s %s ended: %s", call.method(), call.path(), callerWentAway.getMessage());
         } catch (RuntimeException mistake) {
             LOG.errorf(mistake, "standin: %s %s failed.", call.method(), call.path());
             refuseQuietly(call);
         }
+        // Closing the exchange would end a stream in good form. The server breaks the connection of a call that fails.
+        if (call.isDropped()) {
+            throw new IOException("dropped on purpose");
+        }
+        exchange.close();
     }
 
     private static void refuseQuietly(Call call) {
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/KindTotals.java
@@ -0,0 +1,126 @@
+package org.aspenmoor.internal.standins.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.standins.http.Json;
+
+/**
+ * Totals of one kind of request.
+ *
+ * @param kind the kind's name
+ * @param sent requests sent
+ * @param answered answered whole
+ * @param resumed of these, taken up by another engine in the middle
+ * @param refused refused to the end, with the word that they did not run
+ * @param refusals refusals altogether, those that were answered later included
+ * @param unknown nobody knows whether they ran
+ * @param broken cut short, wrong, or somebody else's
+ * @param doubled entries made twice or more
+ * @param refusedButRan refused though a ledger says that they ran
+ * @param latencies how long answers took
+ */
+record KindTotals(
+        String kind,
+        long sent,
+        long answered,
+        long resumed,
+        long refused,
+        long refusals,
+        long unknown,
+        long broken,
+        long doubled,
+        long refusedButRan,
+        Latencies latencies) {
+
+    static KindTotals of(String kind, List<RequestResult> results, Ledgers ledgers) {
+        return new KindTotals(
+                kind,
+                results.size(),
+                count(results, Ending.ANSWERED),
+                results.stream()
+                        .filter(result -> result.ending() == Ending.ANSWERED)
+                        .filter(result -> ledgers.resumedRuns(result.planned()) > 0)
+                        .count(),
+                count(results, Ending.REFUSED),
+                results.stream().mapToLong(RequestResult::refusals).sum(),
+                count(results, Ending.UNKNOWN),
+                count(results, Ending.BROKEN),
+                results.stream()
+                        .filter(result -> result.planned() instanceof PlannedRequest.Creation)
+                        .filter(result -> ledgers.runs(result.planned()) > 1)
+                        .count(),
+                results.stream()
+                        .filter(result -> result.ending() == Ending.REFUSED)
+                        .filter(result -> ledgers.runs(result.planned()) > 0)
+                        .count(),
+                Latencies.of(results));
+    }
+
+    /** Says whether something happened that must never happen. */
+    boolean faulty() {
+        return broken + doubled + refusedButRan > 0;
+    }
+
+    ObjectNode toJson() {
+        ObjectNode root = Json.object();
+        root.put("kind", kind);
+        root.put("sent", sent);
+        root.put("answered", answered);
+        root.put("resumed", resumed);
+        root.put("refused", refused);
+        root.put("refusals", refusals);
+        root.put("unknown", unknown);
+        root.put("broken", broken);
+        root.put("doubled", doubled);
+        root.put("refusedButRan", refusedButRan);
+        root.put("firstToken50", latencies.firstToken50());
+        root.put("firstToken99", latencies.firstToken99());
+        root.put("whole50", latencies.whole50());
+        root.put("whole99", latencies.whole99());
+        return root;
+    }
+
+    private static long count(List<RequestResult> results, Ending ending) {
+        return results.stream().filter(result -> result.ending() == ending).count();
+    }
+
+    /**
+     * Milliseconds that answered requests took: 50 and 99 in 100 took no longer.
+     *
+     * @param firstToken50 until the first token
+     * @param firstToken99 until the first token
+     * @param whole50 until the end
+     * @param whole99 until the end
+     */
+    record Latencies(long firstToken50, long firstToken99, long whole50, long whole99) {
+        private static final double HALF = 0.5;
+        private static final double ALMOST_ALL = 0.99;
+
+        static Latencies of(List<RequestResult> results) {
+            long[] first = results.stream()
+                    .filter(result -> result.ending() == Ending.ANSWERED && result.firstTokenNanoseconds() > 0)
+                    .mapToLong(RequestResult::firstTokenNanoseconds)
+                    .toArray();
+            long[] whole = results.stream()
+                    .filter(result -> result.ending() == Ending.ANSWERED)
+                    .mapToLong(RequestResult::wholeNanoseconds)
+                    .toArray();
+            return new Latencies(
+                    quantile(first, HALF),
+                    quantile(first, ALMOST_ALL),
+                    quantile(whole, HALF),
+                    quantile(whole, ALMOST_ALL));
+        }
+
+        private static long quantile(long[] values, double share) {
+            if (values.length == 0) {
+                return 0;
+            }
+            Arrays.sort(values);
+            int index = (int) Math.ceil(share * values.length) - 1;
+            return TimeUnit.NANOSECONDS.toMillis(values[Math.max(0, index)]);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/Ledgers.java
@@ -0,0 +1,84 @@
+package org.aspenmoor.internal.standins.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.aspenmoor.internal.standins.http.Json;
+import org.jboss.logging.Logger;
+
+/** What really ran, by the stand-ins' own ledgers; a stand-in that has crashed takes its ledger along. */
+final class Ledgers {
+    private static final Logger LOG = Logger.getLogger(Ledgers.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Map<String, Integer> resumedRuns = new HashMap<>();
+    private int unreadable;
+
+    /** Reads all ledgers. */
+    static Ledgers read(HttpClient client, List<URI> standins) throws InterruptedException {
+        Ledgers ledgers = new Ledgers();
+        for (URI standin : standins) {
+            ledgers.readOne(client, standin);
+        }
+        return ledgers;
+    }
+
+    /** Returns how often the request ran. */
+    int runs(PlannedRequest planned) {
+        return runs.getOrDefault(traceOf(planned), 0);
+    }
+
+    /** Returns how often the request was taken up in the middle of its answer. */
+    int resumedRuns(PlannedRequest planned) {
+        return resumedRuns.getOrDefault(traceOf(planned), 0);
+    }
+
+    int unreadable() {
+        return unreadable;
+    }
+
+    private static String traceOf(PlannedRequest planned) {
+        return switch (planned) {
+            case PlannedRequest.Draft draft ->
+                Integer.toHexString(draft.prompt().hashCode());
+            case PlannedRequest.Creation creation ->
+                Integer.toHexString(creation.body().hashCode());
+            case PlannedRequest.StatusRead read -> read.mark();
+        };
+    }
+
+    private void readOne(HttpClient client, URI standin) throws InterruptedException {
+        try {
+            HttpRequest request = HttpRequest.newBuilder(standin.resolve("/standin/ledger"))
+                    .timeout(TIMEOUT)
+                    .build();
+            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            count(Json.parseObject(response.body()).orElseGet(Json::object));
+        } catch (IOException away) {
+            unreadable++;
+            LOG.debugf("load: the ledger of %s cannot be read: %s", standin, away.getMessage());
+        }
+    }
+
+    private void count(ObjectNode ledger) {
+        for (JsonNode run : ledger.path("requests")) {
+            String trace = run.path("promptHash").asText();
+            runs.merge(trace, 1, Integer::sum);
+            if (run.path("resumedFrom").asInt() > 0) {
+                resumedRuns.merge(trace, 1, Integer::sum);
+            }
+        }
+        for (JsonNode execution : ledger.path("executions")) {
+            runs.merge(execution.path("bodyHash").asText(), 1, Integer::sum);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadReport.java
@@ -0,0 +1,94 @@
+package org.aspenmoor.internal.standins.load;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** What a run of the load tool found. */
+public final class LoadReport {
+    private static final int MOST_EXAMPLES = 5;
+    private static final String ROW = "%-16s %6s %8s %7s %7s %8s %7s %6s %7s %8s %14s %14s%n";
+
+    private final String team;
+    private final List<KindTotals> kinds;
+    private final List<RequestResult> examples;
+    private final int ledgersUnreadable;
+
+    LoadReport(String team, List<RequestResult> results, Ledgers ledgers) {
+        this.team = team;
+        Map<String, List<RequestResult>> byKind = new TreeMap<>();
+        for (RequestResult result : results) {
+            byKind.computeIfAbsent(result.planned().kind(), _ -> new ArrayList<>())
+                    .add(result);
+        }
+        this.kinds = byKind.entrySet().stream()
+                .map(entry -> KindTotals.of(entry.getKey(), entry.getValue(), ledgers))
+                .toList();
+        this.examples = results.stream()
+                .filter(result -> result.ending() != Ending.ANSWERED)
+                .limit(MOST_EXAMPLES)
+                .toList();
+        this.ledgersUnreadable = ledgers.unreadable();
+    }
+
+    /** Says whether something happened that must never happen. */
+    public boolean faulty() {
+        return kinds.stream().anyMatch(KindTotals::faulty);
+    }
+
+    /** Prints a table and, for requests that were not answered, a few examples. */
+    public void print(PrintStream output) {
+        output.printf(
+                ROW,
+                team,
+                "sent",
+                "answered",
+                "resumed",
+                "refused",
+                "refusals",
+                "unknown",
+                "broken",
+                "doubled",
+                "ran-still",
+                "first p50/p99",
+                "whole p50/p99");
+        for (KindTotals kind : kinds) {
+            KindTotals.Latencies latencies = kind.latencies();
+            output.printf(
+                    ROW,
+                    kind.kind(),
+                    kind.sent(),
+                    kind.answered(),
+                    kind.resumed(),
+                    kind.refused(),
+                    kind.refusals(),
+                    kind.unknown(),
+                    kind.broken(),
+                    kind.doubled(),
+                    kind.refusedButRan(),
+                    latencies.firstToken50() + "/" + latencies.firstToken99() + " ms",
+                    latencies.whole50() + "/" + latencies.whole99() + " ms");
+        }
+        for (RequestResult example : examples) {
+            output.println("  " + example.planned().mark() + " " + example.ending() + ": " + example.detail());
+        }
+        if (ledgersUnreadable > 0) {
+            output.println("  ledgers that could not be read: " + ledgersUnreadable);
+        }
+    }
+
+    /** Returns the same as JSON. */
+    public ObjectNode toJson() {
+        ObjectNode root = Json.object();
+        root.put("team", team);
+        root.put("ledgersUnreadable", ledgersUnreadable);
+        ArrayNode list = root.putArray("kinds");
+        kinds.forEach(kind -> list.add(kind.toJson()));
+        return root;
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadRun.java
@@ -0,0 +1,55 @@
+package org.aspenmoor.internal.standins.load;
+
+import java.net.http.HttpClient;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sends all requests of a plan on a fixed number of threads. */
+public final class LoadRun {
+    private final LoadSettings settings;
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    public LoadRun(LoadSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Sends everything, reads the ledgers and reports. */
+    public LoadReport run() throws InterruptedException {
+        String team = settings.documents().getFirst().team();
+        LoadPlan plan = new LoadPlan(settings.documents(), new Random(settings.seed()), team + "-" + settings.seed());
+        List<RequestResult> results = sendAll(plan.draw(settings.requests()));
+        return new LoadReport(team, results, Ledgers.read(client, settings.ledgers()));
+    }
+
+    private List<RequestResult> sendAll(List<PlannedRequest> planned) throws InterruptedException {
+        RequestSender sender = new RequestSender(
+                client, settings.entries(), settings.token(), settings.mostTries(), settings.timeout());
+        List<RequestResult> results = Collections.synchronizedList(new ArrayList<>());
+        AtomicInteger next = new AtomicInteger();
+        List<Thread> threads = new ArrayList<>();
+        for (int number = 0; number < settings.concurrency(); number++) {
+            threads.add(Thread.ofVirtual().name("caller-" + number).start(() -> {
+                sendInTurn(planned, next, sender, results);
+            }));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return results;
+    }
+
+    private static void sendInTurn(
+            List<PlannedRequest> planned, AtomicInteger next, RequestSender sender, List<RequestResult> results) {
+        try {
+            for (int index = next.getAndIncrement(); index < planned.size(); index = next.getAndIncrement()) {
+                results.add(sender.send(planned.get(index)));
+            }
+        } catch (InterruptedException stopping) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/PlannedRequest.java
@@ -0,0 +1,58 @@
+package org.aspenmoor.internal.standins.load;
+
+import java.util.Optional;
+
+/** One request that the load tool will send. */
+sealed interface PlannedRequest {
+    /** Returns the kind's name in the team's document. */
+    String kind();
+
+    /** Returns what makes the request recognisable in the ledgers. */
+    String mark();
+
+    /**
+     * A draft.
+     *
+     * @param kind the kind's name
+     * @param mark unique; stands in the prompt
+     * @param model the model's name
+     * @param adapter the adapter's name; empty for none
+     * @param prompt the prompt
+     * @param maximum the most tokens asked for
+     * @param chat whether it is sent as a chat
+     * @param streamed whether the answer is streamed
+     */
+    record Draft(
+            String kind,
+            String mark,
+            String model,
+            String adapter,
+            String prompt,
+            int maximum,
+            boolean chat,
+            boolean streamed)
+            implements PlannedRequest {}
+
+    /**
+     * A call that makes an entry.
+     *
+     * @param kind the kind's name
+     * @param mark unique; stands in the body
+     * @param service the service's name
+     * @param path the path below the service
+     * @param body the body
+     * @param idempotencyKey the key, if it is sent with one
+     */
+    record Creation(String kind, String mark, String service, String path, String body, Optional<String> idempotencyKey)
+            implements PlannedRequest {}
+
+    /**
+     * A call that reads an entry back.
+     *
+     * @param kind the kind's name
+     * @param mark the identity that is read
+     * @param service the service's name
+     * @param path the path below the service
+     */
+    record StatusRead(String kind, String mark, String service, String path) implements PlannedRequest {}
+}
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/RequestResult.java
@@ -0,0 +1,19 @@
+package org.aspenmoor.internal.standins.load;
+
+/**
+ * What became of a request.
+ *
+ * @param planned the request
+ * @param ending how it ended
+ * @param detail one sentence where it was not answered
+ * @param refusals how often it was refused on the way
+ * @param firstTokenNanoseconds until the first token; 0 where there was none
+ * @param wholeNanoseconds until the end of the last try
+ */
+record RequestResult(
+        PlannedRequest planned,
+        Ending ending,
+        String detail,
+        int refusals,
+        long firstTokenNanoseconds,
+        long wholeNanoseconds) {}
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ObjectBook.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ObjectBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -76,7 +77,7 @@
     }
 
     synchronized ResourceFeed feed(String resource) {
-        return feeds.computeIfAbsent(resource, unused -> new ResourceFeed());
+        return feeds.computeIfAbsent(resource, _ -> new ResourceFeed());
     }
 
     /** Sets after how long lists and watches show a change of the host list. */
@@ -126,7 +127,8 @@
         String resource = event.revision().name().resource();
         ResourceFeed feed = feed(resource);
         if (resource.equals(HOSTS) && hostLagMilliseconds > 0) {
-            publisher.schedule(() -> feed.publish(event), hostLagMilliseconds, TimeUnit.MILLISECONDS);
+            Future<?> unused =
+                    publisher.schedule(() -> feed.publish(event), hostLagMilliseconds, TimeUnit.MILLISECONDS);
             return;
         }
         feed.publish(event);
--- /dev/null
+++ b/aspenmoor-standins/src/test/java/org/aspenmoorusage/standins/ExampleDocumentsTest.java
@@ -0,0 +1,73 @@
+package org.aspenmoorusage.standins;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.aspenmoor.internal.document.DocumentReader;
+import org.aspenmoor.internal.document.DocumentWriter;
+import org.aspenmoor.internal.document.RequestKind;
+import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.finding.Findings;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ExampleDocumentsTest {
+    @DataProvider
+    public Object[][] documents() {
+        return new Object[][] {
+            {"seitkali-drafting.json", 8, 4},
+            {"seitkali-studio-desk.json", 4, 4},
+            {"hojas-drafting.json", 8, 3},
+            {"hojas-registry.json", 3, 3},
+        };
+    }
+
+    @Test(dataProvider = "documents")
+    public void should_read_without_findings(String file, int backends, int dataCentres) throws IOException {
+        ServiceDocument document = read(file, Files.readString(examples().resolve(file)));
+
+        assertEquals(document.backends().size(), backends);
+        long distinct = document.backends().stream()
+                .map(backend -> backend.dataCentre())
+                .distinct()
+                .count();
+        assertEquals(distinct, dataCentres);
+        assertFalse(document.kinds().isEmpty());
+    }
+
+    @Test(dataProvider = "documents")
+    public void should_come_back_equal_after_writing(String file, int backends, int dataCentres) throws IOException {
+        ServiceDocument document = read(file, Files.readString(examples().resolve(file)));
+
+        assertEquals(read("written", DocumentWriter.write(document)), document);
+    }
+
+    @Test
+    public void should_not_allow_bookings_invoices_and_filings_to_run_twice() throws IOException {
+        List<String> once = List.of("booking", "invoice", "filing");
+        for (Object[] row : documents()) {
+            String file = (String) row[0];
+            for (RequestKind kind :
+                    read(file, Files.readString(examples().resolve(file))).kinds()) {
+                assertEquals(kind.idempotent(), !once.contains(kind.name()), file + " " + kind.name());
+            }
+        }
+    }
+
+    private static ServiceDocument read(String source, String text) {
+        Findings findings = new Findings();
+        ServiceDocument document =
+                new DocumentReader(findings).read(source, text).orElseThrow();
+        assertEquals(findings.all(), List.of());
+        return document;
+    }
+
+    // Maven runs a module's tests in the module's folder.
+    private static Path examples() {
+        return Path.of("..", "examples");
+    }
+}
