--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
@@ -8,6 +8,7 @@
 import joptsimple.OptionException;
 import org.aspenmoor.Aspenmoor;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.standins.command.AskCommand;
 import org.aspenmoor.internal.standins.command.EngineCommand;
 import org.aspenmoor.internal.standins.command.HostCommand;
 import org.aspenmoor.internal.standins.command.LoadCommand;
@@ -40,6 +41,7 @@
                         new EngineCommand(),
                         new ServiceCommand(),
                         new PutDocumentCommand(),
+                        new AskCommand(),
                         new LoadCommand()),
                 System.out,
                 System.err);
--- /dev/null
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/AskCommand.java
@@ -0,0 +1,112 @@
+package org.aspenmoor.internal.standins.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.aspenmoor.internal.standins.http.Json;
+
+/** Asks one HTTP address, or waits until it answers as wished; scripts need no other HTTP tool. */
+public final class AskCommand implements Subcommand {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final long PAUSE_MILLISECONDS = 20;
+    private static final int OK = 200;
+    private static final int NOT_AS_WISHED = 1;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @Override
+    public String name() {
+        return "ask";
+    }
+
+    @Override
+    public String summary() {
+        return "asks an address, or waits until a number in its JSON answer is reached";
+    }
+
+    @Override
+    public int run(PrintStream output, String... arguments) throws IOException, InterruptedException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<Void> help = parser.accepts("help", "print this").forHelp();
+        OptionSpec<String> url =
+                parser.accepts("url", "what to ask").withRequiredArg().required();
+        OptionSpec<String> post =
+                parser.accepts("post", "body to send; without it, GET").withRequiredArg();
+        OptionSpec<String> pointer = parser.accepts(
+                        "pointer", "JSON pointer of the value to print; arrays by their size")
+                .withRequiredArg()
+                .defaultsTo("");
+        OptionSpec<Long> atLeast = parser.accepts("until-at-least", "ask again until the value is that great")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(Long.MIN_VALUE);
+        OptionSpec<Integer> seconds = parser.accepts("seconds", "how long to ask again")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(0);
+        OptionSet options = parser.parse(arguments);
+        if (options.has(help)) {
+            parser.printHelpOn(output);
+            return 0;
+        }
+        HttpRequest request = request(URI.create(options.valueOf(url)), Optional.ofNullable(options.valueOf(post)));
+        Question question = new Question(request, options.valueOf(pointer), options.valueOf(atLeast));
+        return askUntil(question, options.valueOf(seconds), output);
+    }
+
+    private static HttpRequest request(URI url, Optional<String> body) {
+        HttpRequest.Builder builder = HttpRequest.newBuilder(url).timeout(TIMEOUT);
+        body.ifPresent(text -> builder.POST(HttpRequest.BodyPublishers.ofString(text)));
+        return builder.build();
+    }
+
+    private int askUntil(Question question, int seconds, PrintStream output) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (true) {
+            Reply reply = ask(question);
+            if (reply.asWished()) {
+                output.println(reply.text());
+                return 0;
+            }
+            if (System.nanoTime() - deadline >= 0) {
+                output.println("not as wished: " + reply.text());
+                return NOT_AS_WISHED;
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLISECONDS);
+        }
+    }
+
+    private Reply ask(Question question) throws InterruptedException {
+        try {
+            HttpResponse<String> response = client.send(question.request(), HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() != OK) {
+                return new Reply(false, response.statusCode() + " " + response.body());
+            }
+            if (question.pointer().isEmpty()) {
+                return new Reply(true, response.body());
+            }
+            JsonNode value =
+                    Json.parseObject(response.body()).orElseGet(Json::object).at(question.pointer());
+            long number = value.isArray() ? value.size() : value.asLong();
+            boolean reached = !value.isMissingNode() && number >= question.atLeast();
+            return new Reply(reached, value.isArray() ? String.valueOf(number) : value.asText());
+        } catch (IOException away) {
+            return new Reply(false, away.toString());
+        }
+    }
+
+    private record Question(HttpRequest request, String pointer, long atLeast) {}
+
+    private record Reply(boolean asWished, String text) {}
+}
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ObjectBook.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/ObjectBook.java
@@ -127,8 +127,7 @@
         String resource = event.revision().name().resource();
         ResourceFeed feed = feed(resource);
         if (resource.equals(HOSTS) && hostLagMilliseconds > 0) {
-            Future<?> unused =
-                    publisher.schedule(() -> feed.publish(event), hostLagMilliseconds, TimeUnit.MILLISECONDS);
+            Future<?> _ = publisher.schedule(() -> feed.publish(event), hostLagMilliseconds, TimeUnit.MILLISECONDS);
             return;
         }
         feed.publish(event);
