Load tool: tell cut answers from wrong ones, send keyed calls a second time

An answer that breaks off and one that ends in good form but is short are different faults: the first its caller can see.

--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/LoadCommand.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/LoadCommand.java
@@ -47,6 +47,9 @@
         OptionSpec<Integer> concurrency = number(parser, "concurrency", "how many at once", 16);
         OptionSpec<Integer> tries = number(parser, "tries", "how often a refused request is sent at most", 10);
         OptionSpec<Integer> seed = number(parser, "seed", "fixes what is sent", 1);
+        OptionSpec<Void> cutsAllowed =
+                parser.accepts("cuts-allowed", "do not fail for answers cut short, as when an entry is killed");
+        OptionSpec<Void> repeatKeys = parser.accepts("repeat-keys", "send every call with a key a second time");
         OptionSpec<String> json = parser.accepts("json", "file for the figures").withRequiredArg();
         OptionSet options = parser.parse(arguments);
         if (options.has(help)) {
@@ -62,13 +65,15 @@
                 options.valueOf(concurrency),
                 options.valueOf(tries),
                 TIMEOUT,
+                options.has(repeatKeys),
                 options.valueOf(seed));
         LoadReport report = new LoadRun(settings).run();
         report.print(output);
         if (options.has(json)) {
             Files.writeString(Path.of(options.valueOf(json)), report.toJson().toPrettyString());
         }
-        return report.faulty() ? FAULTY : 0;
+        boolean cut = report.anyCut() && !options.has(cutsAllowed);
+        return report.faulty() || cut ? FAULTY : 0;
     }
 
     private static ArgumentAcceptingOptionSpec<String> addresses(OptionParser parser, String name, String description) {
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/Ending.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/Ending.java
@@ -8,6 +8,8 @@
     REFUSED,
     /** The system says that nobody knows whether it ran, or the connection broke. */
     UNKNOWN,
-    /** An answer came that is cut short, wrong, or somebody else's. */
+    /** An answer began and was cut short in a way that its caller can tell from a whole one. */
+    CUT,
+    /** An answer came in good form that is short, wrong, or somebody else's. */
     BROKEN
 }
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/KindTotals.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/KindTotals.java
@@ -16,7 +16,8 @@
  * @param refused refused to the end, with the word that they did not run
  * @param refusals refusals altogether, those that were answered later included
  * @param unknown nobody knows whether they ran
- * @param broken cut short, wrong, or somebody else's
+ * @param cut cut short, as their callers can tell
+ * @param broken in good form but short, wrong, or somebody else's
  * @param doubled entries made twice or more
  * @param refusedButRan refused though a ledger says that they ran
  * @param latencies how long answers took
@@ -29,6 +30,7 @@
         long refused,
         long refusals,
         long unknown,
+        long cut,
         long broken,
         long doubled,
         long refusedButRan,
@@ -46,6 +48,7 @@
                 count(results, Ending.REFUSED),
                 results.stream().mapToLong(RequestResult::refusals).sum(),
                 count(results, Ending.UNKNOWN),
+                count(results, Ending.CUT),
                 count(results, Ending.BROKEN),
                 results.stream()
                         .filter(result -> result.planned() instanceof PlannedRequest.Creation)
@@ -53,6 +56,7 @@
                         .count(),
                 results.stream()
                         .filter(result -> result.ending() == Ending.REFUSED)
+                        .filter(result -> !(result.planned() instanceof PlannedRequest.Repetition))
                         .filter(result -> ledgers.runs(result.planned()) > 0)
                         .count(),
                 Latencies.of(results));
@@ -72,6 +76,7 @@
         root.put("refused", refused);
         root.put("refusals", refusals);
         root.put("unknown", unknown);
+        root.put("cut", cut);
         root.put("broken", broken);
         root.put("doubled", doubled);
         root.put("refusedButRan", refusedButRan);
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/Ledgers.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/Ledgers.java
@@ -52,6 +52,7 @@
                 Integer.toHexString(draft.prompt().hashCode());
             case PlannedRequest.Creation creation ->
                 Integer.toHexString(creation.body().hashCode());
+            case PlannedRequest.Repetition repetition -> traceOf(repetition.original());
             case PlannedRequest.StatusRead read -> read.mark();
         };
     }
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadReport.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadReport.java
@@ -12,7 +12,7 @@
 /** What a run of the load tool found. */
 public final class LoadReport {
     private static final int MOST_EXAMPLES = 5;
-    private static final String ROW = "%-16s %6s %8s %7s %7s %8s %7s %6s %7s %8s %14s %14s%n";
+    private static final String ROW = "%-16s %6s %8s %7s %7s %8s %7s %5s %6s %7s %9s %14s %14s%n";
 
     private final String team;
     private final List<KindTotals> kinds;
@@ -41,6 +41,11 @@
         return kinds.stream().anyMatch(KindTotals::faulty);
     }
 
+    /** Says whether any answer was cut short. */
+    public boolean anyCut() {
+        return kinds.stream().anyMatch(kind -> kind.cut() > 0);
+    }
+
     /** Prints a table and, for requests that were not answered, a few examples. */
     public void print(PrintStream output) {
         output.printf(
@@ -52,6 +57,7 @@
                 "refused",
                 "refusals",
                 "unknown",
+                "cut",
                 "broken",
                 "doubled",
                 "ran-still",
@@ -68,6 +74,7 @@
                     kind.refused(),
                     kind.refusals(),
                     kind.unknown(),
+                    kind.cut(),
                     kind.broken(),
                     kind.doubled(),
                     kind.refusedButRan(),
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadRun.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadRun.java
@@ -42,14 +42,32 @@
         return results;
     }
 
-    private static void sendInTurn(
+    private void sendInTurn(
             List<PlannedRequest> planned, AtomicInteger next, RequestSender sender, List<RequestResult> results) {
         try {
             for (int index = next.getAndIncrement(); index < planned.size(); index = next.getAndIncrement()) {
-                results.add(sender.send(planned.get(index)));
+                RequestResult first = sender.send(planned.get(index));
+                results.add(first);
+                if (settings.repeatKeys()
+                        && first.planned() instanceof PlannedRequest.Creation creation
+                        && creation.idempotencyKey().isPresent()) {
+                    results.add(sendAgain(first, creation, sender));
+                }
             }
         } catch (InterruptedException stopping) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Sends a keyed call again, as a caller does that did not trust its answer; the recorded answer must come back. */
+    private static RequestResult sendAgain(RequestResult first, PlannedRequest.Creation creation, RequestSender sender)
+            throws InterruptedException {
+        RequestResult again = sender.send(new PlannedRequest.Repetition(creation));
+        boolean bothAnswered = first.ending() == Ending.ANSWERED && again.ending() == Ending.ANSWERED;
+        if (bothAnswered && !first.entryId().equals(again.entryId())) {
+            String detail = "The key's second answer names " + again.entryId() + " instead of " + first.entryId();
+            return again.withEnding(Ending.BROKEN, detail);
+        }
+        return again;
+    }
 }
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadSettings.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/LoadSettings.java
@@ -16,6 +16,7 @@
  * @param concurrency how many at once
  * @param mostTries how often a refused request is sent at most
  * @param timeout how long one try may take
+ * @param repeatKeys whether calls with an idempotency key are sent a second time
  * @param seed fixes what is sent
  */
 public record LoadSettings(
@@ -27,6 +28,7 @@
         int concurrency,
         int mostTries,
         Duration timeout,
+        boolean repeatKeys,
         long seed) {
     public LoadSettings {
         entries = List.copyOf(entries);
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/PlannedRequest.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/PlannedRequest.java
@@ -46,6 +46,23 @@
     record Creation(String kind, String mark, String service, String path, String body, Optional<String> idempotencyKey)
             implements PlannedRequest {}
 
+    /**
+     * A keyed call that is sent a second time; it must not run again.
+     *
+     * @param original the call as it was sent first
+     */
+    record Repetition(Creation original) implements PlannedRequest {
+        @Override
+        public String kind() {
+            return original.kind() + " again";
+        }
+
+        @Override
+        public String mark() {
+            return original.mark();
+        }
+    }
+
     /**
      * A call that reads an entry back.
      *
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/RequestResult.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/RequestResult.java
@@ -6,6 +6,7 @@
  * @param planned the request
  * @param ending how it ended
  * @param detail one sentence where it was not answered
+ * @param entryId the identity of the entry that a creation made; empty for all else
  * @param refusals how often it was refused on the way
  * @param firstTokenNanoseconds until the first token; 0 where there was none
  * @param wholeNanoseconds until the end of the last try
@@ -14,6 +15,12 @@
         PlannedRequest planned,
         Ending ending,
         String detail,
+        String entryId,
         int refusals,
         long firstTokenNanoseconds,
-        long wholeNanoseconds) {}
+        long wholeNanoseconds) {
+    RequestResult withEnding(Ending otherEnding, String otherDetail) {
+        return new RequestResult(
+                planned, otherEnding, otherDetail, entryId, refusals, firstTokenNanoseconds, wholeNanoseconds);
+    }
+}
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/RequestSender.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/load/RequestSender.java
@@ -21,6 +21,7 @@
 
 /** Sends one request, comes back after refusals as it is told to, and checks the answer. */
 final class RequestSender {
+    private static final String NOT_RUN = "not-run";
     private static final int FIRST_ERROR = 300;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final double LEAST_WAIT_SECONDS = 0.05;
@@ -51,7 +52,13 @@
                     || last.comeBackAfter().isEmpty()) {
                 int counted = last.ending() == Ending.REFUSED ? refusals + 1 : refusals;
                 return new RequestResult(
-                        planned, last.ending(), last.detail(), counted, last.firstToken(), last.whole());
+                        planned,
+                        last.ending(),
+                        last.detail(),
+                        last.entryId(),
+                        counted,
+                        last.firstToken(),
+                        last.whole());
             }
             TimeUnit.MILLISECONDS.sleep(last.comeBackAfter().get().toMillis());
         }
@@ -88,12 +95,8 @@
                 builder.uri(entry.resolve(draft.chat() ? "/v1/chat/completions" : "/v1/completions"))
                         .POST(HttpRequest.BodyPublishers.ofString(draftBody(draft)))
                         .build();
-            case PlannedRequest.Creation creation -> {
-                creation.idempotencyKey().ifPresent(key -> builder.header("Idempotency-Key", key));
-                yield builder.uri(entry.resolve("/services/" + creation.service() + creation.path()))
-                        .POST(HttpRequest.BodyPublishers.ofString(creation.body()))
-                        .build();
-            }
+            case PlannedRequest.Creation creation -> creationRequest(builder, entry, creation);
+            case PlannedRequest.Repetition repetition -> creationRequest(builder, entry, repetition.original());
             case PlannedRequest.StatusRead read ->
                 builder.uri(entry.resolve("/services/" + read.service() + read.path()))
                         .GET()
@@ -101,6 +104,14 @@
         };
     }
 
+    private static HttpRequest creationRequest(
+            HttpRequest.Builder builder, URI entry, PlannedRequest.Creation creation) {
+        creation.idempotencyKey().ifPresent(key -> builder.header("Idempotency-Key", key));
+        return builder.uri(entry.resolve("/services/" + creation.service() + creation.path()))
+                .POST(HttpRequest.BodyPublishers.ofString(creation.body()))
+                .build();
+    }
+
     private static String draftBody(PlannedRequest.Draft draft) {
         ObjectNode root = Json.object();
         root.put("model", draft.adapter().isEmpty() ? draft.model() : draft.model() + ":" + draft.adapter());
@@ -120,7 +131,7 @@
         String outcome = Json.parseObject(text)
                 .map(root -> root.path("error").path("outcome").asText())
                 .orElse("");
-        boolean notRun = outcome.isEmpty() ? response.statusCode() < FIRST_SERVER_ERROR : outcome.equals("not_run");
+        boolean notRun = outcome.isEmpty() ? response.statusCode() < FIRST_SERVER_ERROR : outcome.equals(NOT_RUN);
         Optional<Duration> wait = response.headers().firstValue("Retry-After").map(RequestSender::waitOf);
         String detail = "status " + response.statusCode() + ": " + text;
         Ending ending = notRun ? Ending.REFUSED : Ending.UNKNOWN;
@@ -143,46 +154,71 @@
     private static Try check(PlannedRequest planned, InputStream body, long start) throws IOException {
         return switch (planned) {
             case PlannedRequest.Draft draft -> checkDraft(draft, body, start);
-            case PlannedRequest.Creation creation -> {
-                String expected = Integer.toHexString(creation.body().hashCode());
-                yield checkField(body, "bodyHash", expected, start);
-            }
+            case PlannedRequest.Creation creation -> checkCreation(creation, body, start);
+            case PlannedRequest.Repetition repetition -> checkCreation(repetition.original(), body, start);
             case PlannedRequest.StatusRead read -> checkField(body, "id", read.mark(), start);
         };
     }
 
     private static Try checkDraft(PlannedRequest.Draft draft, InputStream body, long start) throws IOException {
         AnswerText answer = new AnswerText();
-        if (draft.streamed()) {
-            answer.readStream(new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8)));
-        } else {
-            answer.readWhole(new String(body.readAllBytes(), StandardCharsets.UTF_8));
-        }
+        Optional<String> cut = readDraft(draft, body, answer);
         long whole = System.nanoTime() - start;
         long first = answer.firstTokenAt() == 0 ? 0 : answer.firstTokenAt() - start;
+        if (cut.isPresent()) {
+            return new Try(Ending.CUT, cut.get(), Optional.empty(), first, whole);
+        }
         int tokens = DeterministicText.tokens(draft.prompt(), draft.maximum());
         String expected = DeterministicText.text(draft.model(), draft.adapter(), draft.prompt(), 0, tokens);
-        if (answer.error().isPresent()) {
-            return new Try(Ending.BROKEN, "Cut: " + answer.error().get(), Optional.empty(), first, whole);
-        }
-        if (!answer.ended() || !answer.text().equals(expected)) {
+        if (!answer.text().equals(expected)) {
             String detail = "The text has " + answer.text().length() + " characters instead of " + expected.length()
-                    + (answer.ended() ? "." : " and no end.");
+                    + ", or others.";
             return new Try(Ending.BROKEN, detail, Optional.empty(), first, whole);
         }
         return new Try(Ending.ANSWERED, "", Optional.empty(), first, whole);
     }
 
+    /** Reads a draft; returns how its caller can tell that it was cut, if it was. */
+    private static Optional<String> readDraft(PlannedRequest.Draft draft, InputStream body, AnswerText answer) {
+        try {
+            if (draft.streamed()) {
+                answer.readStream(new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8)));
+            } else {
+                answer.readWhole(new String(body.readAllBytes(), StandardCharsets.UTF_8));
+            }
+        } catch (IOException lost) {
+            return Optional.of("The connection broke in the middle: " + lost);
+        }
+        if (answer.error().isPresent()) {
+            return answer.error();
+        }
+        return answer.ended() ? Optional.empty() : Optional.of("The stream has no end mark.");
+    }
+
+    private static Try checkCreation(PlannedRequest.Creation creation, InputStream body, long start)
+            throws IOException {
+        return checkField(body, "bodyHash", Integer.toHexString(creation.body().hashCode()), start);
+    }
+
     private static Try checkField(InputStream body, String field, String expected, long start) throws IOException {
         String text = new String(body.readAllBytes(), StandardCharsets.UTF_8);
         long whole = System.nanoTime() - start;
-        String found =
-                Json.parseObject(text).map(root -> root.path(field).asText()).orElse("");
-        if (!found.equals(expected)) {
+        ObjectNode answer = Json.parseObject(text).orElseGet(Json::object);
+        if (!answer.path(field).asText().equals(expected)) {
             return new Try(Ending.BROKEN, "The answer is not ours: " + text, Optional.empty(), 0, whole);
         }
-        return new Try(Ending.ANSWERED, "", Optional.empty(), 0, whole);
+        return new Try(Ending.ANSWERED, "", answer.path("id").asText(), Optional.empty(), 0, whole);
     }
 
-    private record Try(Ending ending, String detail, Optional<Duration> comeBackAfter, long firstToken, long whole) {}
+    private record Try(
+            Ending ending,
+            String detail,
+            String entryId,
+            Optional<Duration> comeBackAfter,
+            long firstToken,
+            long whole) {
+        Try(Ending ending, String detail, Optional<Duration> comeBackAfter, long firstToken, long whole) {
+            this(ending, detail, "", comeBackAfter, firstToken, whole);
+        }
+    }
 }
--- a/aspenmoor-standins/src/test/java/org/aspenmoorusage/standins/LoadToolTest.java
+++ b/aspenmoor-standins/src/test/java/org/aspenmoorusage/standins/LoadToolTest.java
@@ -65,6 +65,18 @@
         assertEquals(sum(report, "broken"), 1);
     }
 
+    @Test
+    public void should_tell_an_answer_whose_connection_breaks_from_a_whole_one() throws Exception {
+        // An entry is killed in the middle of a stream. Its caller sees the connection break and may ask again.
+        StandinCalls.post(server.address().resolve("/standin/faults"), "{\"cutStreamAfterTokens\":3}");
+
+        LoadReport report = load();
+
+        assertTrue(report.anyCut());
+        assertEquals(sum(report, "cut"), 1);
+        assertEquals(sum(report, "broken"), 0);
+    }
+
     @Test
     public void should_find_a_wrong_token() throws Exception {
         StandinCalls.post(server.address().resolve("/standin/faults"), "{\"wrongTokenAt\":2}");
@@ -111,6 +123,7 @@
                         4,
                         1,
                         Duration.ofSeconds(30),
+                        false,
                         7))
                 .run();
     }
