Watched collection: survive a failing listener, spread listings after a broken watch

Cause: an exception of a listener would have ended the following thread in silence, and a store restart would have made all processes list again within 50 ms.

--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/Backoff.java
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/Backoff.java
@@ -24,6 +24,11 @@
         return Duration.ofNanos(drawUpTo(capped));
     }
 
+    /** Draws a pause up to the longest, for something that all processes do at the same moment. */
+    Duration spread() {
+        return Duration.ofNanos(drawUpTo(most.toNanos()));
+    }
+
     private long drawUpTo(long bound) {
         synchronized (random) {
             return random.nextLong(bound + 1);
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HttpStoreWatch.java
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HttpStoreWatch.java
@@ -89,6 +89,11 @@
             return ended("The watch was closed.");
         } catch (StoreException broken) {
             return broken;
+        } catch (RuntimeException mistake) {
+            // A listener that fails must not end this thread in silence: whoever follows the watch would wait for ever
+            // on documents that no longer change.
+            return new StoreMalformedException(
+                    "A change could not be taken in: " + mistake, uri.toString(), LIST_AGAIN, mistake);
         }
     }
 
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/WatchedCollection.java
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/WatchedCollection.java
@@ -66,40 +66,50 @@
     private void run() {
         int failures = 0;
         while (!closed) {
-            BlockingQueue<CollectionEvent> events = new ArrayBlockingQueue<>(MOST_WAITING_EVENTS);
+            Duration pause;
             try {
-                StoreListing listing = store.list(kind);
-                takeOver(listing);
-                listener.synchronised();
-                failures = follow(listing.version(), events) ? 0 : failures + 1;
+                listAndFollow();
+                failures = 0;
+                // A store that restarts ends the watches of all processes at once. Listing again at once, all of them
+                // would use up its rate in the moment in which it comes back.
+                pause = backoff.spread();
             } catch (StoreException failure) {
                 interrupted(failure);
+                pause = backoff.pauseBefore(failures);
+                failures++;
+            } catch (RuntimeException mistake) {
+                LOG.errorf(mistake, "store: a change of %s could not be taken in, listing again", kind.resource());
+                pause = backoff.pauseBefore(failures);
                 failures++;
             } catch (InterruptedException closing) {
                 return;
             }
-            if (!pauseBefore(failures)) {
+            if (!pauseFor(pause)) {
                 return;
             }
         }
     }
 
-    /** Follows one watch to its end; says whether it brought any event. */
-    private boolean follow(String version, BlockingQueue<CollectionEvent> events)
-            throws StoreException, InterruptedException {
-        boolean heard = false;
+    private void listAndFollow() throws StoreException, InterruptedException {
+        StoreListing listing = store.list(kind);
+        takeOver(listing);
+        listener.synchronised();
+        follow(listing.version());
+    }
+
+    /** Follows one watch to its end. */
+    private void follow(String version) throws StoreException, InterruptedException {
+        BlockingQueue<CollectionEvent> events = new ArrayBlockingQueue<>(MOST_WAITING_EVENTS);
         try (StoreWatch watch = store.watch(kind, version, new EventQueue(events))) {
             while (true) {
-                CollectionEvent event = events.take();
-                switch (event) {
+                switch (events.take()) {
                     case CollectionEvent.Changed changed -> change(changed.object());
                     case CollectionEvent.Deleted deleted -> delete(deleted.object());
                     case CollectionEvent.Ended ended -> {
                         interrupted(ended.cause());
-                        return heard;
+                        return;
                     }
                 }
-                heard = true;
             }
         }
     }
@@ -119,17 +129,20 @@
         listed.values().forEach(this::change);
     }
 
+    // What the listener has not taken in is not known yet, so that the next listing tells it again.
     private void change(StoredObject object) {
-        StoredObject before = known.put(object.key(), object);
+        StoredObject before = known.get(object.key());
         if (before != null && before.version().equals(object.version())) {
             return;
         }
         listener.changed(object);
+        known.put(object.key(), object);
     }
 
     private void delete(StoredObject object) {
-        if (known.remove(object.key()) != null) {
+        if (known.containsKey(object.key())) {
             listener.deleted(object);
+            known.remove(object.key());
         }
     }
 
@@ -141,8 +154,7 @@
         listener.interrupted(cause);
     }
 
-    private boolean pauseBefore(int failures) {
-        Duration pause = backoff.pauseBefore(failures);
+    private boolean pauseFor(Duration pause) {
         try {
             TimeUnit.NANOSECONDS.sleep(pause.toNanos());
             return !closed;
--- a/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/WatchedCollectionTest.java
+++ b/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/WatchedCollectionTest.java
@@ -109,11 +109,35 @@
         assertEquals(heard.next(), "synchronised");
     }
 
+    @Test
+    public void should_tell_a_change_again_that_its_listener_failed_to_take_in() throws Exception {
+        // A document meets a bug in the process that reads it. If the thread ended, no document would ever change
+        // again.
+        store.put(TestObjects.PLAN, "{}");
+        heard.failOnce();
+
+        collection.start();
+
+        assertEquals(heard.next(), "failed");
+        assertEquals(heard.next(), "changed drafting.almaty-1 1");
+        assertEquals(heard.next(), "synchronised");
+    }
+
     private static final class Heard implements CollectionListener {
         private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        private volatile boolean failing;
+
+        void failOnce() {
+            failing = true;
+        }
 
         @Override
         public void changed(StoredObject object) {
+            if (failing) {
+                failing = false;
+                lines.add("failed");
+                throw new IllegalStateException("a bug");
+            }
             lines.add("changed " + object.key().name() + " " + object.version());
         }
 
