Role plan lease and recorded engine orders

Cause: a planner paused past its lease, a second agent beside one engine, and a lost answer to a conditional update each lead to conflicting orders unless lease and plan are one object and an order is recorded before it is given.

Ruled out: a separate lease object (a holder can be paused between looking at the lease and writing the plan); comparing expiry dates of two hosts (their clocks differ); the plan's term alone as the engine's fencing number (two agents under one plan, or one agent before and after a lost answer, would use equal numbers); renewing the right to an engine (1,800 renewals a minute for nothing: it is taken with the record of an order and ends when that order is settled).

--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/fake/FakeEngine.java
@@ -0,0 +1,173 @@
+package org.aspenmoor.internal.fake;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.aspenmoor.internal.engine.EngineControl;
+import org.aspenmoor.internal.engine.EngineLoad;
+import org.aspenmoor.internal.engine.EngineOrder;
+import org.aspenmoor.internal.engine.EngineRefusedOrderException;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.engine.EngineStatus;
+import org.aspenmoor.internal.engine.NumberedOrder;
+import org.aspenmoor.internal.engine.OrderState;
+
+/** An engine that takes orders; it checks fencing numbers or ignores them, and crashes on demand. */
+public final class FakeEngine {
+    private static final int CACHE_PIECES = 2000;
+
+    private final String name;
+    private final boolean checksNumbers;
+    private final List<OrderArrival> arrivals = new ArrayList<>();
+    private final List<NumberedOrder> onTheWire = new ArrayList<>();
+    private final List<Consumer<OrderArrival>> listeners = new ArrayList<>();
+    private final Set<String> loaded = new HashSet<>();
+    private int starts = 1;
+    private int runningStreams;
+    private long highestNumber;
+    private EngineRole role = EngineRole.WHOLE;
+    private Optional<NumberedOrder> lastOrder = Optional.empty();
+    private OrderState lastState = OrderState.NEVER_SEEN;
+
+    public FakeEngine(String name, boolean checksNumbers) {
+        this.name = name;
+        this.checksNumbers = checksNumbers;
+    }
+
+    /** Returns an agent's way to the engine. */
+    public EngineControl control(EngineCallFaults faults) {
+        return new FakeEngineControl(this, faults);
+    }
+
+    /** Calls the listener with every order that arrives. */
+    public void onArrival(Consumer<OrderArrival> listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns whether the engine checks fencing numbers. */
+    public boolean checksNumbers() {
+        return checksNumbers;
+    }
+
+    /** Returns its name. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the role it has. */
+    public EngineRole role() {
+        return role;
+    }
+
+    /** Returns every order that arrived, oldest first. */
+    public List<OrderArrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
+    /** Returns the orders that were begun, oldest first. */
+    public List<NumberedOrder> begun() {
+        return arrivals.stream()
+                .filter(OrderArrival::begun)
+                .map(OrderArrival::order)
+                .toList();
+    }
+
+    /** Returns how many streams run. */
+    public int runningStreams() {
+        return runningStreams;
+    }
+
+    /** Sets how many streams run. */
+    public void setRunningStreams(int streams) {
+        runningStreams = streams;
+    }
+
+    /** Says whether an order is being carried out. */
+    public boolean busy() {
+        return lastState == OrderState.RUNNING;
+    }
+
+    /** Finishes the order that is being carried out. */
+    public void finishOrder() {
+        if (!busy()) {
+            return;
+        }
+        switch (lastOrder.orElseThrow().order()) {
+            case EngineOrder.ChangeRole change -> role = change.role();
+            case EngineOrder.LoadModel load -> loaded.add(load.model() + "@" + load.version());
+            case EngineOrder.LoadAdapter load -> loaded.add(load.model() + ":" + load.adapter() + "@" + load.version());
+            case EngineOrder.UnloadAdapter unload ->
+                loaded.removeIf(label -> label.startsWith(unload.model() + ":" + unload.adapter() + "@"));
+        }
+        lastState = OrderState.DONE;
+    }
+
+    /** Gives the order up halfway; the engine stays as it was. */
+    public void failOrder() {
+        if (busy()) {
+            lastState = OrderState.FAILED;
+        }
+    }
+
+    /** Crashes and starts again; it forgets its last order, but not the highest number. */
+    public void crash() {
+        starts++;
+        runningStreams = 0;
+        loaded.clear();
+        lastOrder = Optional.empty();
+        lastState = OrderState.NEVER_SEEN;
+    }
+
+    /** Lets the oldest order that is still on its way arrive. */
+    public boolean deliverLate() {
+        if (onTheWire.isEmpty()) {
+            return false;
+        }
+        receive(onTheWire.removeFirst());
+        return true;
+    }
+
+    void receiveLater(NumberedOrder order) {
+        onTheWire.add(order);
+    }
+
+    EngineStatus status() {
+        EngineLoad load = new EngineLoad(1, 0, runningStreams, CACHE_PIECES, CACHE_PIECES, CACHE_PIECES);
+        return new EngineStatus(
+                name + "#" + starts,
+                role,
+                !busy(),
+                lastOrder.map(NumberedOrder::orderId),
+                lastState,
+                checksNumbers ? highestNumber : 0,
+                loaded,
+                load);
+    }
+
+    void order(NumberedOrder order) throws EngineRefusedOrderException {
+        if (!receive(order)) {
+            throw new EngineRefusedOrderException("The engine refused the order.", name, "Ask for its status.");
+        }
+    }
+
+    private boolean receive(NumberedOrder order) {
+        boolean repeated = lastOrder.map(NumberedOrder::orderId).equals(Optional.of(order.orderId()));
+        if (repeated) {
+            return true;
+        }
+        boolean refused = checksNumbers && (order.fencingNumber() < highestNumber || busy());
+        OrderArrival arrival = new OrderArrival(name, order, !refused, busy(), runningStreams);
+        arrivals.add(arrival);
+        listeners.forEach(listener -> listener.accept(arrival));
+        highestNumber = Math.max(highestNumber, order.fencingNumber());
+        if (refused) {
+            return false;
+        }
+        lastOrder = Optional.of(order);
+        lastState = OrderState.RUNNING;
+        return true;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/fake/FakeStore.java
@@ -0,0 +1,102 @@
+package org.aspenmoor.internal.fake;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreConflictException;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** The contents of an object store in memory; processes reach it through clients with faults of their own. */
+public final class FakeStore {
+    private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
+    private final Map<ObjectKey, StoredObject> earlier = new HashMap<>();
+    private final List<LateWrite> onTheWire = new ArrayList<>();
+    private final List<Consumer<StoreWrite>> listeners = new ArrayList<>();
+    private long version;
+    private long reads;
+    private long writes;
+
+    /** Returns a process's way to the store. */
+    public ObjectStore client(StoreCallFaults faults) {
+        return new FakeStoreClient(this, faults);
+    }
+
+    /** Calls the listener with every write that takes effect. */
+    public void onWrite(Consumer<StoreWrite> listener) {
+        listeners.add(listener);
+    }
+
+    /** Lets the oldest write that is still on its way arrive; its condition is checked then. */
+    public boolean deliverLate() {
+        if (onTheWire.isEmpty()) {
+            return false;
+        }
+        LateWrite late = onTheWire.removeFirst();
+        try {
+            put(late.key(), late.base(), late.value());
+        } catch (StoreConflictException outrun) {
+            // The store has moved on; nobody waits for this answer.
+            return true;
+        }
+        return true;
+    }
+
+    /** Returns an object as it is, without counting a call. */
+    public Optional<StoredObject> peek(ObjectKey key) {
+        return Optional.ofNullable(objects.get(key));
+    }
+
+    /** Returns all objects, without counting a call. */
+    public List<StoredObject> peekAll() {
+        return List.copyOf(objects.values());
+    }
+
+    /** Returns how many reads arrived. */
+    public long reads() {
+        return reads;
+    }
+
+    /** Returns how many writes arrived, taken or refused. */
+    public long writes() {
+        return writes;
+    }
+
+    Optional<StoredObject> get(ObjectKey key) {
+        reads++;
+        return Optional.ofNullable(objects.get(key));
+    }
+
+    Optional<StoredObject> getStale(ObjectKey key) {
+        reads++;
+        return Optional.ofNullable(earlier.getOrDefault(key, objects.get(key)));
+    }
+
+    StoredObject put(ObjectKey key, Optional<StoredObject> base, String value) throws StoreConflictException {
+        writes++;
+        Optional<StoredObject> before = Optional.ofNullable(objects.get(key));
+        Optional<String> expected = base.map(StoredObject::version);
+        if (!before.map(StoredObject::version).equals(expected)) {
+            throw new StoreConflictException(
+                    "The object has another version than the one read.", key.toString(), "Read it and decide again.");
+        }
+        version++;
+        StoredObject after = new StoredObject(key, String.valueOf(version), value);
+        before.ifPresent(old -> earlier.put(key, old));
+        objects.put(key, after);
+        StoreWrite write = new StoreWrite(before, after);
+        listeners.forEach(listener -> listener.accept(write));
+        return after;
+    }
+
+    void putLater(ObjectKey key, Optional<StoredObject> base, String value) {
+        onTheWire.add(new LateWrite(key, base, value));
+    }
+
+    /** A write that is still on its way. */
+    private record LateWrite(ObjectKey key, Optional<StoredObject> base, String value) {}
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/LateOrderTest.java
@@ -0,0 +1,109 @@
+package org.aspenmoor.internal.authority;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.fake.EngineFault;
+import org.aspenmoor.internal.fake.FakeEngine;
+import org.aspenmoor.internal.fake.OrderArrival;
+import org.aspenmoor.internal.store.StoreException;
+import org.testng.annotations.Test;
+
+/** What is left of an agent's order once the agent has lost its right to give it. */
+public class LateOrderTest {
+    // An agent is killed just after its order left. The order is held up for longer than any time-out; meanwhile the
+    // successor has given the order up. An engine that checks numbers must have been given a higher one by then.
+    @Test
+    public void should_have_a_checking_engine_refuse_an_order_that_was_given_up() throws StoreException {
+        OneEngine world = new OneEngine(new FakeEngine("engine-1", true));
+        OrderExecutor successor = abandonTheOrderOfTheFirstAgent(world);
+        world.publish(EngineRole.WHOLE);
+        successor.offer(world.planObject());
+        assertTrue(successor.step() instanceof ExecutorStep.Ordered);
+        world.engine().finishOrder();
+        successor.step();
+
+        world.engine().deliverLate();
+
+        assertFalse(last(world).begun());
+        assertEquals(world.engine().role(), EngineRole.WHOLE);
+    }
+
+    // The same on an engine that ignores numbers. An order that is held up for longer than the longest time on the wire
+    // is the window that remains: the engine takes it. It is not in the middle of another order then, and the next
+    // step sees the wrong role and mends it.
+    @Test
+    public void should_mend_what_an_order_beyond_the_window_did_to_an_engine_that_ignores_numbers()
+            throws StoreException {
+        OneEngine world = new OneEngine(new FakeEngine("engine-1", false));
+        OrderExecutor successor = abandonTheOrderOfTheFirstAgent(world);
+        world.publish(EngineRole.WHOLE);
+        successor.offer(world.planObject());
+        assertEquals(successor.step(), new ExecutorStep.Idle());
+
+        world.engine().deliverLate();
+        assertTrue(last(world).begun());
+        world.engine().finishOrder();
+
+        assertTrue(successor.step() instanceof ExecutorStep.Ordered);
+        world.engine().finishOrder();
+        assertEquals(world.engine().role(), EngineRole.WHOLE);
+    }
+
+    // The agent is paused while its record is written, for so long that a successor may have given the order up. It
+    // runs again and would send an order that nobody expects any more.
+    @Test
+    public void should_not_send_an_order_after_a_pause_that_outlasts_its_right() throws StoreException {
+        OneEngine world = new OneEngine(new FakeEngine("engine-1", false));
+        world.publish(EngineRole.PREFILL);
+        world.faults().afterNextEffect(() -> world.time().advance(SlotTerms.DEFAULT.sendable()));
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Settled);
+
+        assertEquals(world.recordedState(), RecordedOrderState.WITHDRAWN);
+        assertTrue(world.engine().arrivals().isEmpty());
+    }
+
+    // The longest pause that still lets the agent send, and the longest time on the wire after it, end before a
+    // successor gives up the order: the two never meet at the engine.
+    @Test
+    public void should_leave_no_gap_between_the_last_sending_and_the_first_giving_up() throws StoreException {
+        OneEngine world = new OneEngine(new FakeEngine("engine-1", false));
+        OrderExecutor successor = world.newAgent("agent-2");
+        world.publish(EngineRole.PREFILL);
+        world.faults().afterNextEffect(() -> {
+            successor.step();
+            world.time().advance(SlotTerms.DEFAULT.sendable().minusMillis(1));
+        });
+        world.engineFaults().nextOrder(EngineFault.ARRIVES_LATE);
+        world.agent().step();
+        world.time().advance(SlotTerms.DEFAULT.longestOnTheWire());
+
+        assertTrue(successor.step() instanceof ExecutorStep.Settling);
+        world.engine().deliverLate();
+
+        assertTrue(successor.step() instanceof ExecutorStep.Running);
+        assertEquals(world.engine().begun().size(), 1);
+    }
+
+    private static OrderExecutor abandonTheOrderOfTheFirstAgent(OneEngine world) throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.engineFaults().nextOrder(EngineFault.ARRIVES_LATE);
+        world.agent().step();
+        OrderExecutor successor = world.newAgent("agent-2");
+        assertTrue(successor.step() instanceof ExecutorStep.Settling);
+        world.time().advance(SlotTerms.DEFAULT.length().minus(Duration.ofMillis(1)));
+        assertTrue(successor.step() instanceof ExecutorStep.Settling);
+        world.time().advance(Duration.ofMillis(1));
+        assertTrue(successor.step() instanceof ExecutorStep.Settled);
+        assertEquals(world.recordedState(), RecordedOrderState.ABANDONED);
+        return successor;
+    }
+
+    private static OrderArrival last(OneEngine world) {
+        return world.engine().arrivals().getLast();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/OneEngine.java
@@ -0,0 +1,179 @@
+package org.aspenmoor.internal.authority;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.engine.EngineStatus;
+import org.aspenmoor.internal.engine.EngineUnreachableException;
+import org.aspenmoor.internal.fake.EngineCallFaults;
+import org.aspenmoor.internal.fake.FakeEngine;
+import org.aspenmoor.internal.fake.FakeStore;
+import org.aspenmoor.internal.fake.ScriptedEngineFaults;
+import org.aspenmoor.internal.fake.ScriptedStoreFaults;
+import org.aspenmoor.internal.fake.StoreCallFaults;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.ManualTimeSource;
+
+/** One engine, its first agent, and a planner. */
+final class OneEngine {
+    private static final ObjectKey PLAN = new ObjectKey(ObjectKind.ROLE_PLAN, "seitkali", "drafting.almaty-1");
+    private static final ObjectKey RECORD =
+            new ObjectKey(ObjectKind.ENGINE_RECORD, ObjectKey.PLATFORM_NAMESPACE, "engine-1");
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final FakeStore store = new FakeStore();
+    private final ScriptedStoreFaults faults = new ScriptedStoreFaults();
+    private final ScriptedEngineFaults engineFaults = new ScriptedEngineFaults();
+    private final FakeEngine engine;
+    private final CountingDrain drain;
+    private final OrderExecutor agent;
+
+    private final PlanHolder planner;
+    private int agents;
+
+    OneEngine(FakeEngine engine) throws StoreException {
+        this.engine = engine;
+        this.drain = new CountingDrain(engine);
+        this.planner = new PlanHolder(
+                store.client(StoreCallFaults.NONE), PLAN, "entry-1", LeaseTerms.DEFAULT, time, new Random(7));
+        planner.tend();
+        this.agent = agent("agent-1", faults, engineFaults);
+        agent.step();
+    }
+
+    ManualTimeSource time() {
+        return time;
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    ScriptedStoreFaults faults() {
+        return faults;
+    }
+
+    ScriptedEngineFaults engineFaults() {
+        return engineFaults;
+    }
+
+    FakeEngine engine() {
+        return engine;
+    }
+
+    CountingDrain drain() {
+        return drain;
+    }
+
+    OrderExecutor agent() {
+        return agent;
+    }
+
+    /** Publishes a plan and shows it to the first agent. */
+    void publish(EngineRole role) throws StoreException {
+        publishUnseen(role);
+        agent.offer(planObject());
+    }
+
+    void publishUnseen(EngineRole role) throws StoreException {
+        publish(EngineAssignment.ofRole(role));
+    }
+
+    void publishWithLoads(EngineRole role) throws StoreException {
+        publish(new EngineAssignment(
+                role,
+                List.of(
+                        new LoadItem("drafter", Optional.empty(), "3"),
+                        new LoadItem("drafter", Optional.of("theatre"), "1"))));
+        agent.offer(planObject());
+    }
+
+    StoredObject planObject() {
+        return store.peek(PLAN).orElseThrow();
+    }
+
+    OrderExecutor newAgent(String owner) throws StoreException {
+        OrderExecutor executor = newAgentWithoutPlan(owner);
+        if (store.peek(PLAN).isPresent()) {
+            executor.offer(planObject());
+        }
+        return executor;
+    }
+
+    OrderExecutor newAgentWithoutPlan(String owner) {
+        return agent(owner, StoreCallFaults.NONE, EngineCallFaults.NONE);
+    }
+
+    void run(int steps) {
+        for (int step = 0; step < steps; step++) {
+            agent.step();
+        }
+    }
+
+    RecordedOrderState recordedState() throws StoreException {
+        return EngineRecordCodec.read(store.peek(RECORD).orElseThrow())
+                .lastOrder()
+                .orElseThrow()
+                .state();
+    }
+
+    EngineStatus status() {
+        try {
+            return engine.control(EngineCallFaults.NONE).status();
+        } catch (EngineUnreachableException unexpected) {
+            throw new AssertionError(unexpected);
+        }
+    }
+
+    private void publish(EngineAssignment assignment) throws StoreException {
+        planner.tend();
+        planner.publish(Map.of("engine-1", assignment));
+    }
+
+    private OrderExecutor agent(String owner, StoreCallFaults storeFaults, EngineCallFaults callFaults) {
+        agents++;
+        SlotIdentity slot = new SlotIdentity("engine-1", owner, RECORD, PLAN, engine.checksNumbers());
+        return new OrderExecutor(
+                slot,
+                store.client(storeFaults),
+                engine.control(callFaults),
+                drain,
+                SlotTerms.DEFAULT,
+                time,
+                new Random(agents));
+    }
+
+    /** A drain that reports the engine's own streams. */
+    static final class CountingDrain implements StreamDrain {
+        private final FakeEngine engine;
+        private boolean draining;
+
+        CountingDrain(FakeEngine engine) {
+            this.engine = engine;
+        }
+
+        boolean draining() {
+            return draining;
+        }
+
+        @Override
+        public void beginDrain() {
+            draining = true;
+        }
+
+        @Override
+        public void endDrain() {
+            draining = false;
+        }
+
+        @Override
+        public int running() {
+            return engine.runningStreams();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/OrderExecutorTest.java
@@ -0,0 +1,258 @@
+package org.aspenmoor.internal.authority;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.engine.OrderState;
+import org.aspenmoor.internal.fake.EngineFault;
+import org.aspenmoor.internal.fake.FakeEngine;
+import org.aspenmoor.internal.fake.StoreFault;
+import org.aspenmoor.internal.store.StoreException;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class OrderExecutorTest {
+    private OneEngine world;
+
+    @BeforeMethod
+    public void setUp() throws StoreException {
+        world = new OneEngine(new FakeEngine("engine-1", false));
+    }
+
+    @DataProvider
+    public Object[][] bothKindsOfEngine() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    @Test
+    public void should_record_an_order_before_and_after_it() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+        assertEquals(world.recordedState(), RecordedOrderState.STARTED);
+        assertTrue(world.agent().step() instanceof ExecutorStep.Running);
+        world.engine().finishOrder();
+        world.agent().step();
+
+        assertEquals(world.recordedState(), RecordedOrderState.FINISHED);
+        assertEquals(world.agent().step(), new ExecutorStep.Idle());
+        assertEquals(world.engine().role(), EngineRole.PREFILL);
+        assertTrue(world.agent().mayServe());
+    }
+
+    // A role change is due while drafts are being written. Given at once, the order would cut them short.
+    @Test
+    public void should_wait_until_the_streams_have_ended() throws StoreException {
+        world.engine().setRunningStreams(2);
+        world.publish(EngineRole.PREFILL);
+
+        assertEquals(world.agent().step(), new ExecutorStep.Draining(2));
+        assertFalse(world.agent().mayServe());
+        assertTrue(world.drain().draining());
+        world.engine().setRunningStreams(0);
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+        world.engine().finishOrder();
+        world.run(2);
+
+        assertFalse(world.drain().draining());
+    }
+
+    @Test
+    public void should_take_work_again_when_the_plan_changes_back_during_the_drain() throws StoreException {
+        world.engine().setRunningStreams(1);
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+
+        world.publish(EngineRole.WHOLE);
+
+        assertEquals(world.agent().step(), new ExecutorStep.Idle());
+        assertFalse(world.drain().draining());
+        assertTrue(world.engine().arrivals().isEmpty());
+    }
+
+    // The agent is killed after it gave an order, and the plan changes before its successor runs. The engine is still
+    // moving; a second order now would reach it in the middle of the first.
+    @Test(dataProvider = "bothKindsOfEngine")
+    public void should_settle_its_predecessors_order_before_any_other(boolean checks) throws StoreException {
+        world = new OneEngine(new FakeEngine("engine-1", checks));
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+        world.publish(EngineRole.DECODE);
+        OrderExecutor successor = world.newAgent("agent-2");
+
+        assertTrue(successor.step() instanceof ExecutorStep.Running);
+        assertFalse(successor.mayServe());
+        world.engine().finishOrder();
+        assertTrue(successor.step() instanceof ExecutorStep.Settled);
+        assertTrue(successor.step() instanceof ExecutorStep.Ordered);
+
+        assertEquals(world.engine().begun().size(), 2);
+        assertTrue(world.engine().arrivals().stream().noneMatch(arrival -> arrival.whileBusy()));
+    }
+
+    // Two agents stand beside one engine for a while, because the host came back before the old process was gone. Both
+    // see the same plan and both would order the change.
+    @Test(dataProvider = "bothKindsOfEngine")
+    public void should_let_only_one_of_two_agents_order(boolean checks) throws StoreException {
+        world = new OneEngine(new FakeEngine("engine-1", checks));
+        world.publish(EngineRole.PREFILL);
+        OrderExecutor rival = world.newAgent("agent-2");
+        world.faults().beforeNextEffect(rival::step);
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.StoreTrouble);
+
+        assertEquals(world.engine().begun().size(), 1);
+    }
+
+    // The store takes the record of an order and loses the answer. Whoever takes that for a failure records and gives
+    // the order again.
+    @Test
+    public void should_order_once_when_the_answer_to_the_record_is_lost() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.faults().nextWrite(StoreFault.ANSWER_LOST);
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+        world.run(3);
+
+        assertEquals(world.engine().begun().size(), 1);
+    }
+
+    // The record's write is held up and lands after the agent gave up on it. The order was never sent, and the agent
+    // knows that; it must neither wait for it nor count it as given.
+    @Test
+    public void should_withdraw_an_order_whose_record_landed_late() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.faults().nextWrite(StoreFault.LANDS_LATE);
+        assertTrue(world.agent().step() instanceof ExecutorStep.StoreTrouble);
+        world.store().deliverLate();
+
+        world.agent().step();
+        assertEquals(world.recordedState(), RecordedOrderState.WITHDRAWN);
+        assertTrue(world.engine().arrivals().isEmpty());
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+    }
+
+    // The engine crashes halfway through a change and comes back without knowing of it. The record says started until
+    // nothing can be on its way any more; then the change is ordered again.
+    @Test(dataProvider = "bothKindsOfEngine")
+    public void should_order_again_after_the_engine_crashed_halfway(boolean checks) throws StoreException {
+        world = new OneEngine(new FakeEngine("engine-1", checks));
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+        world.engine().crash();
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Settling);
+        world.time().advance(SlotTerms.DEFAULT.longestOnTheWire());
+        assertTrue(world.agent().step() instanceof ExecutorStep.Settled);
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+        world.engine().finishOrder();
+
+        assertEquals(world.engine().role(), EngineRole.PREFILL);
+    }
+
+    @Test
+    public void should_pause_before_it_repeats_an_order_that_failed() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+        world.engine().failOrder();
+
+        world.agent().step();
+        assertEquals(world.recordedState(), RecordedOrderState.FAILED);
+        assertTrue(world.agent().step() instanceof ExecutorStep.Waiting);
+        world.time().advance(SlotTerms.DEFAULT.pauseAfterFailure());
+        assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+    }
+
+    // An order's call times out; the order itself is still on its way. Within its longest time on the wire no other
+    // order may be given, because an engine that ignores numbers would carry out both.
+    @Test
+    public void should_give_no_other_order_while_one_may_still_arrive() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.engineFaults().nextOrder(EngineFault.ARRIVES_LATE);
+        assertTrue(world.agent().step() instanceof ExecutorStep.EngineSilent);
+        world.publish(EngineRole.DECODE);
+        world.time().advance(SlotTerms.DEFAULT.longestOnTheWire().minusMillis(1));
+        assertTrue(world.agent().step() instanceof ExecutorStep.Settling);
+
+        world.engine().deliverLate();
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Running);
+        assertEquals(world.engine().begun().size(), 1);
+    }
+
+    // A watch is behind: the agent still sees the plan of a holder that was replaced. It reads the plan again before it
+    // orders, so the replaced plan moves nothing.
+    @Test
+    public void should_not_obey_a_plan_that_has_been_replaced() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.publishUnseen(EngineRole.WHOLE);
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.Waiting);
+        assertEquals(world.agent().step(), new ExecutorStep.Idle());
+        assertTrue(world.engine().arrivals().isEmpty());
+    }
+
+    // A restarted agent is shown an old plan by a replica that lags. The engine's record names a later one.
+    @Test
+    public void should_not_obey_a_plan_older_than_the_last_order() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        var oldPlan = world.planObject();
+        world.publish(EngineRole.DECODE);
+        world.agent().step();
+        world.engine().finishOrder();
+        world.agent().step();
+        OrderExecutor restarted = world.newAgentWithoutPlan("agent-2");
+        restarted.offer(oldPlan);
+
+        assertTrue(restarted.step() instanceof ExecutorStep.PlanBehind);
+        assertEquals(world.engine().role(), EngineRole.DECODE);
+    }
+
+    // The store is out. Nothing is ordered without a record, and what serves goes on serving.
+    @Test
+    public void should_order_nothing_while_the_store_is_out() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        for (int call = 0; call < 6; call++) {
+            world.faults().nextRead(StoreFault.UNAVAILABLE);
+            assertTrue(world.agent().step() instanceof ExecutorStep.StoreTrouble);
+        }
+        assertTrue(world.engine().arrivals().isEmpty());
+    }
+
+    @Test
+    public void should_load_what_the_plan_names_one_after_the_other() throws StoreException {
+        world.publishWithLoads(EngineRole.WHOLE);
+        for (int order = 0; order < 2; order++) {
+            assertTrue(world.agent().step() instanceof ExecutorStep.Ordered);
+            world.engine().finishOrder();
+            world.agent().step();
+        }
+
+        assertEquals(world.agent().step(), new ExecutorStep.Idle());
+        assertEquals(world.status().loaded().size(), 2);
+        assertEquals(world.status().lastOrderState(), OrderState.DONE);
+    }
+
+    @Test
+    public void should_give_each_order_a_higher_number_that_starts_with_the_term() throws StoreException {
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+        world.engine().finishOrder();
+        world.publish(EngineRole.DECODE);
+        world.run(2);
+
+        long firstNumber = world.engine().begun().get(0).fencingNumber();
+        assertEquals(firstNumber >> 24, 1);
+        assertEquals(world.engine().begun().get(1).fencingNumber(), firstNumber + 1);
+    }
+
+    @Test
+    public void should_keep_the_window_within_the_terms() {
+        assertEquals(SlotTerms.DEFAULT.longestOnTheWire(), Duration.ofSeconds(15));
+        assertEquals(SlotTerms.DEFAULT.sendable(), Duration.ofSeconds(30));
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/PlanHolderTest.java
@@ -0,0 +1,253 @@
+package org.aspenmoor.internal.authority;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.fake.FakeStore;
+import org.aspenmoor.internal.fake.ScriptedStoreFaults;
+import org.aspenmoor.internal.fake.StoreFault;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoreOutcomeUnknownException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class PlanHolderTest {
+    private static final ObjectKey KEY = new ObjectKey(ObjectKind.ROLE_PLAN, "seitkali", "drafting.almaty-1");
+    private static final Map<String, EngineAssignment> FIRST_PLAN =
+            Map.of("engine-1", EngineAssignment.ofRole(EngineRole.PREFILL));
+    private static final Map<String, EngineAssignment> SECOND_PLAN =
+            Map.of("engine-1", EngineAssignment.ofRole(EngineRole.DECODE));
+
+    private ManualTimeSource time;
+    private FakeStore store;
+    private ScriptedStoreFaults faultsOfFirst;
+    private PlanHolder first;
+    private PlanHolder second;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new ManualTimeSource();
+        store = new FakeStore();
+        faultsOfFirst = new ScriptedStoreFaults();
+        first = holder("entry-1", faultsOfFirst, 1);
+        second = holder("entry-2", new ScriptedStoreFaults(), 2);
+    }
+
+    @Test
+    public void should_take_a_lease_that_nobody_holds_and_publish() throws StoreException {
+        assertEquals(first.tend(), new HolderStep.Acquired(1));
+
+        first.publish(FIRST_PLAN);
+
+        assertEquals(stored().version(), new PlanVersion(1, 1));
+        assertEquals(stored().engines(), FIRST_PLAN);
+    }
+
+    @Test
+    public void should_keep_others_away_while_the_holder_renews() throws StoreException {
+        first.tend();
+        for (int second = 0; second < 60; second++) {
+            time.advance(Duration.ofSeconds(1));
+            first.tend();
+            assertTrue(this.second.tend() instanceof HolderStep.Observing);
+        }
+        assertTrue(first.mayDecide());
+        assertEquals(stored().version(), new PlanVersion(1, 0));
+    }
+
+    // The holder is killed. Its plan stays in force, and after a full lease without a change another entry plans on
+    // under the next term; nobody has to do anything.
+    @Test
+    public void should_take_over_with_the_next_term_after_a_whole_lease_without_change() throws StoreException {
+        first.tend();
+        first.publish(FIRST_PLAN);
+        second.tend();
+        time.advance(LeaseTerms.DEFAULT.length().minusMillis(1));
+        assertTrue(second.tend() instanceof HolderStep.Observing);
+        time.advance(Duration.ofMillis(1));
+
+        assertEquals(second.tend(), new HolderStep.Acquired(2));
+
+        assertEquals(stored().version(), new PlanVersion(2, 1));
+        assertEquals(stored().engines(), FIRST_PLAN);
+    }
+
+    // The holder's host is paused past its lease. When it runs again it still has a plan in hand; published, it would
+    // move engines that its successor has just moved.
+    @Test
+    public void should_not_publish_after_a_pause_past_the_lease() throws StoreException {
+        first.tend();
+        long writes = store.writes();
+        time.advance(LeaseTerms.DEFAULT.usable());
+
+        assertEquals(first.publish(FIRST_PLAN), new PublishResult.NotHolder());
+        assertFalse(first.mayDecide());
+        assertEquals(store.writes(), writes);
+    }
+
+    // The pause comes in the moment between the look at the lease and the write, and a successor takes over meanwhile.
+    // The write leaves only then; taken, it would silently replace the successor's plan.
+    @Test
+    public void should_refuse_a_plan_that_was_on_its_way_when_a_successor_took_over() throws StoreException {
+        first.tend();
+        second.tend();
+        faultsOfFirst.beforeNextEffect(() -> {
+            time.advance(LeaseTerms.DEFAULT.length());
+            tendQuietly(second);
+            publishQuietly(second, SECOND_PLAN);
+        });
+
+        assertEquals(first.publish(FIRST_PLAN), new PublishResult.Superseded());
+
+        assertEquals(stored().version(), new PlanVersion(2, 1));
+        assertEquals(stored().engines(), SECOND_PLAN);
+    }
+
+    // The same pause, but nobody has taken over when the write lands. The plan is the holder's last act under its own
+    // term: it counts, and a would-be successor has to wait a whole lease again because the version moved.
+    @Test
+    public void should_count_a_plan_that_lands_after_the_lapse_and_before_any_takeover() throws StoreException {
+        first.tend();
+        second.tend();
+        faultsOfFirst.beforeNextEffect(
+                () -> time.advance(LeaseTerms.DEFAULT.length().minusMillis(1)));
+
+        first.publish(FIRST_PLAN);
+        time.advance(Duration.ofMillis(1));
+
+        assertTrue(second.tend() instanceof HolderStep.Observing);
+        assertEquals(stored().version(), new PlanVersion(1, 1));
+        assertFalse(first.mayDecide());
+    }
+
+    // The holder is paused after its plan took effect and before it hears so. Meanwhile a successor takes over and
+    // publishes. The former holder must not go on as if it still planned.
+    @Test
+    public void should_stop_deciding_when_paused_after_the_write() throws StoreException {
+        first.tend();
+        faultsOfFirst.afterNextEffect(() -> {
+            tendQuietly(second);
+            time.advance(LeaseTerms.DEFAULT.length());
+            tendQuietly(second);
+        });
+
+        first.publish(FIRST_PLAN);
+
+        assertFalse(first.mayDecide());
+        assertEquals(first.tend(), new HolderStep.Lost(1));
+        assertEquals(stored().version(), new PlanVersion(2, 1));
+    }
+
+    // The store takes a plan and its answer is lost. Taken for a failure, the holder would meet its own plan as a
+    // conflict and give up a lease that it holds; the service would be without a planner for a lease.
+    @Test
+    public void should_settle_a_lost_answer_by_reading() throws StoreException {
+        first.tend();
+        faultsOfFirst.nextWrite(StoreFault.ANSWER_LOST);
+
+        assertTrue(first.publish(FIRST_PLAN) instanceof PublishResult.Published);
+        assertTrue(first.mayDecide());
+        assertTrue(first.publish(SECOND_PLAN) instanceof PublishResult.Published);
+        assertEquals(stored().version(), new PlanVersion(1, 2));
+    }
+
+    // The answer to a takeover is lost, and so is the read that would settle it. The entry owns the lease without
+    // knowing since when, so it may decide only after it has renewed.
+    @Test
+    public void should_renew_before_deciding_when_it_finds_its_own_record() throws StoreException {
+        faultsOfFirst.nextWrite(StoreFault.ANSWER_LOST);
+        faultsOfFirst.nextRead(StoreFault.NONE);
+        faultsOfFirst.nextRead(StoreFault.UNAVAILABLE);
+        expectThrows(StoreUnavailableException.class, first::tend);
+        assertFalse(first.mayDecide());
+
+        assertEquals(first.tend(), new HolderStep.Renewed(1));
+        assertTrue(first.mayDecide());
+    }
+
+    // A plan's write is held up in the network and its sender gives up on it. It lands later, after the sender has
+    // published another plan; the older one must not come back.
+    @Test
+    public void should_never_let_a_held_up_plan_replace_a_later_one() throws StoreException {
+        first.tend();
+        faultsOfFirst.nextWrite(StoreFault.LANDS_LATE);
+        expectThrows(StoreOutcomeUnknownException.class, () -> first.publish(FIRST_PLAN));
+        first.tend();
+        first.publish(SECOND_PLAN);
+
+        assertTrue(store.deliverLate());
+
+        assertEquals(stored().engines(), SECOND_PLAN);
+    }
+
+    // The store is out for longer than the lease. Nobody can take over, and nothing waits: the plan stays in force, the
+    // holder publishes nothing, and the same holder goes on under the same term when the store is back.
+    @Test
+    public void should_go_on_under_the_same_term_after_an_outage() throws StoreException {
+        first.tend();
+        first.publish(FIRST_PLAN);
+        time.advance(Duration.ofMinutes(30));
+        faultsOfFirst.nextWrite(StoreFault.UNAVAILABLE);
+        expectThrows(StoreUnavailableException.class, first::tend);
+        assertFalse(first.mayDecide());
+
+        assertEquals(first.tend(), new HolderStep.Renewed(1));
+        assertTrue(first.mayDecide());
+    }
+
+    @Test
+    public void should_let_a_successor_in_at_once_after_a_planned_stop() throws StoreException {
+        first.tend();
+        first.resign();
+
+        assertFalse(first.mayDecide());
+        assertEquals(second.tend(), new HolderStep.Acquired(2));
+    }
+
+    // Somebody wrote nonsense into the object by hand. The error names the object and the field.
+    @Test
+    public void should_name_the_place_in_a_malformed_record() throws StoreException {
+        store.client(new ScriptedStoreFaults()).create(KEY, "{\"owner\": \"entry-9\", \"engines\": {}, \"nonce\": 4}");
+
+        StoreMalformedException malformed = expectThrows(StoreMalformedException.class, first::tend);
+
+        assertEquals(malformed.place(), "roleplans/seitkali/drafting.almaty-1#nonce");
+    }
+
+    private PlanHolder holder(String owner, ScriptedStoreFaults faults, long seed) {
+        return new PlanHolder(store.client(faults), KEY, owner, LeaseTerms.DEFAULT, time, new Random(seed));
+    }
+
+    private PlanRecord stored() throws StoreException {
+        StoredObject object = store.peek(KEY).orElseThrow();
+        return PlanCodec.read(object);
+    }
+
+    private static void tendQuietly(PlanHolder holder) {
+        try {
+            holder.tend();
+        } catch (StoreException unexpected) {
+            throw new AssertionError(unexpected);
+        }
+    }
+
+    private static void publishQuietly(PlanHolder holder, Map<String, EngineAssignment> plan) {
+        try {
+            holder.publish(plan);
+        } catch (StoreException unexpected) {
+            throw new AssertionError(unexpected);
+        }
+    }
+}
