At-most-once claims, group-committed per bucket

Cause: a booking that is dispatched first and recorded after runs twice when its entry dies in between. The claim is in the store before the dispatch; a claim without an outcome stays unknown and is never granted again.

Ruled out: one object per key (a write per claim, no sharing); a new object per time window (two entries whose clocks differ would claim one key in two windows and both run it).

--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimDesk.java
@@ -0,0 +1,199 @@
+package org.aspenmoor.internal.claim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreConflictException;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreOutcomeUnknownException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.TimeSource;
+
+/**
+ * Claims calls that may run once, many with one write.
+ *
+ * <p>A booking that is dispatched first and recorded after runs twice when its entry dies in between and the caller asks
+ * another entry. So the claim is in the store before the dispatch; a claim without a recorded outcome means that the
+ * call may have run, and is never granted again. A claim of its own whose answer was lost is recognised by its nonce.
+ *
+ * <p>Used by one thread only.
+ */
+public final class ClaimDesk {
+    private static final int MOST_ATTEMPTS = 6;
+    private static final int MOST_CLAIMS_OF_BATCH = 500;
+
+    private final ObjectStore store;
+    private final ClaimSettings settings;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final BucketCache cache = new BucketCache();
+    private final Map<ObjectKey, BucketWork> waiting = new LinkedHashMap<>();
+    private int waitingClaims;
+    private int waitingOutcomes;
+    private long droppedOutcomes;
+
+    public ClaimDesk(ObjectStore store, ClaimSettings settings, TimeSource time, RandomGenerator random) {
+        this.store = store;
+        this.settings = settings;
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Queues a claim for the next batch; false where too many wait already, and the call is refused as not run. */
+    public boolean submit(ClaimRequest request) {
+        if (waitingClaims >= settings.mostWaiting()) {
+            return false;
+        }
+        String nonce = String.format("%016x%016x", random.nextLong(), random.nextLong());
+        workOf(request.key()).claims().add(new PendingClaim(request, nonce));
+        waitingClaims++;
+        return true;
+    }
+
+    /** Reports what a granted call was answered. */
+    public void answered(ClaimTicket ticket, RecordedAnswer answer) {
+        queueOutcome(new PendingOutcome(ticket, Optional.of(answer)));
+    }
+
+    /** Reports that a granted call certainly never started; its key becomes free. */
+    public void neverStarted(ClaimTicket ticket) {
+        queueOutcome(new PendingOutcome(ticket, Optional.empty()));
+    }
+
+    /** Says whether a commit would have something to do now. */
+    public boolean hasDueWork() {
+        return nextDue().isPresent();
+    }
+
+    /** Returns how many outcomes were given up because too many waited; their calls stay unknown. */
+    public long droppedOutcomes() {
+        return droppedOutcomes;
+    }
+
+    /** Writes what waits for one object, and returns the verdicts on its claims. */
+    public List<ClaimVerdict> commitBatch() {
+        Optional<ObjectKey> due = nextDue();
+        if (due.isEmpty()) {
+            return List.of();
+        }
+        BucketWork work = takeWork(due.get());
+        boolean mayHaveLanded = false;
+        for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+            try {
+                return commit(due.get(), work);
+            } catch (StoreConflictException outrun) {
+                cache.forget(due.get());
+            } catch (StoreOutcomeUnknownException lost) {
+                mayHaveLanded = true;
+                cache.forget(due.get());
+            } catch (StoreException trouble) {
+                cache.forget(due.get());
+                return giveUp(work, mayHaveLanded, trouble.problem());
+            }
+        }
+        return giveUp(work, mayHaveLanded, "Too many others write the same claims.");
+    }
+
+    private List<ClaimVerdict> commit(ObjectKey key, BucketWork work) throws StoreException {
+        Optional<BucketCache.Known> cached = cache.find(key);
+        BucketCache.Known known = cached.isPresent() ? cached.get() : read(key);
+        BucketDraft draft = draft(known, work);
+        if (draft.metEarlierClaim() && cached.isPresent()) {
+            // The outcome of an earlier claim may have been recorded elsewhere since.
+            known = read(key);
+            draft = draft(known, work);
+        }
+        if (draft.changed()) {
+            String value = ClaimCodec.write(draft.bucket());
+            Optional<StoredObject> base = known.stored();
+            StoredObject written = base.isEmpty() ? store.create(key, value) : store.update(base.get(), value);
+            cache.put(key, written, draft.bucket());
+        }
+        return draft.verdicts();
+    }
+
+    private BucketDraft draft(BucketCache.Known known, BucketWork work) {
+        BucketDraft draft = new BucketDraft(known.bucket(), settings, time.timeOfDay());
+        draft.apply(work);
+        return draft;
+    }
+
+    private BucketCache.Known read(ObjectKey key) throws StoreException {
+        Optional<StoredObject> stored = store.read(key);
+        if (stored.isEmpty()) {
+            return new BucketCache.Known(stored, new ClaimBucket(List.of()));
+        }
+        return new BucketCache.Known(stored, ClaimCodec.read(stored.get()));
+    }
+
+    private List<ClaimVerdict> giveUp(BucketWork work, boolean mayHaveLanded, String detail) {
+        work.outcomes().forEach(this::queueOutcome);
+        List<ClaimVerdict> verdicts = new ArrayList<>();
+        for (PendingClaim claim : work.claims()) {
+            if (mayHaveLanded) {
+                // Nothing was dispatched under it, so the key must not stay taken.
+                neverStarted(claim.ticket());
+            }
+            verdicts.add(new ClaimVerdict.NotClaimed(claim.request(), comeBackAfter(), detail));
+        }
+        return verdicts;
+    }
+
+    private Duration comeBackAfter() {
+        long shortest = settings.comeBackAfter().toMillis();
+        return Duration.ofMillis(shortest + random.nextLong(shortest + 1));
+    }
+
+    private void queueOutcome(PendingOutcome outcome) {
+        if (waitingOutcomes >= settings.mostWaiting()) {
+            droppedOutcomes++;
+            return;
+        }
+        workOf(outcome.ticket().key()).outcomes().add(outcome);
+        waitingOutcomes++;
+    }
+
+    private BucketWork workOf(ClaimKey key) {
+        int bucket = Math.floorMod(key.hash().hashCode(), settings.bucketsPerTeam());
+        ObjectKey object = new ObjectKey(ObjectKind.CLAIM_BUCKET, key.team(), "bucket-" + bucket);
+        return waiting.computeIfAbsent(object, unused -> new BucketWork(time.monotonicNanoseconds()));
+    }
+
+    private Optional<ObjectKey> nextDue() {
+        return waiting.entrySet().stream()
+                .filter(entry -> isDue(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    private boolean isDue(BucketWork work) {
+        if (!work.claims().isEmpty()) {
+            return true;
+        }
+        long age = time.monotonicNanoseconds() - work.sinceNanoseconds();
+        return age >= settings.outcomeDelay().toNanos();
+    }
+
+    private BucketWork takeWork(ObjectKey key) {
+        BucketWork work = waiting.remove(key);
+        BucketWork batch = new BucketWork(work.sinceNanoseconds());
+        int taken = Math.min(work.claims().size(), MOST_CLAIMS_OF_BATCH);
+        batch.claims().addAll(work.claims().subList(0, taken));
+        batch.outcomes().addAll(work.outcomes());
+        waitingClaims -= taken;
+        waitingOutcomes -= work.outcomes().size();
+        if (taken < work.claims().size()) {
+            BucketWork rest = new BucketWork(work.sinceNanoseconds());
+            rest.claims().addAll(work.claims().subList(taken, work.claims().size()));
+            waiting.put(key, rest);
+        }
+        return batch;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimKey.java
@@ -0,0 +1,31 @@
+package org.aspenmoor.internal.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * What a caller names a call that may run once.
+ *
+ * @param team the team that owns the service
+ * @param service the plain service
+ * @param key the caller's idempotency key
+ */
+public record ClaimKey(String team, String service, String key) {
+    private static final int HASH_BYTES = 16;
+
+    /** Returns the name under which the store keeps the claim: 32 hexadecimal digits. */
+    public String hash() {
+        byte[] digest = sha256().digest((service + "\0" + key).getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(digest, 0, HASH_BYTES);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException everyPlatformHasIt) {
+            throw new IllegalStateException(everyPlatformHasIt);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once calls: idempotency keys are claimed in the store before dispatch, and their outcomes recorded. */
+package org.aspenmoor.internal.claim;
