Take an engine over by a write, and retire for good when replaced

Cause: a new agent that only read the engine's record could be shown an old replica's without the order that is on its way, let streams in and see them cut; and a paused agent that woke up wrote the record again and took the engine back from its successor. Also: the answer to a probe proves life at the time of the probe, not of its arrival; on a slow link the bound for leaving did not hold.

Ruled out: rereading before each order only (the old replica again).

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/EngineRecord.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/EngineRecord.java
@@ -5,7 +5,7 @@
 /**
  * What the store keeps of one engine: who may give it orders, and the last one.
  *
- * @param owner the agent's incarnation that wrote last
+ * @param owner the agent's incarnation that may give orders
  * @param slotTerm counts the changes of owner
  * @param nonce drawn anew for each write, so that its writer recognises it
  * @param planVersion the plan that the last order came from
@@ -26,15 +26,18 @@
         return lastOrder.map(RecordedOrder::fencingNumber).orElse(0L);
     }
 
-    /** Returns the record as an owner writes its next order into it. */
-    EngineRecord started(String writer, String newNonce, PlanVersion plan, RecordedOrder order) {
-        long term = owner.equals(writer) ? slotTerm : slotTerm + 1;
-        return new EngineRecord(writer, term, newNonce, plan, Optional.of(order));
+    /** Returns the record as another agent takes the engine over; the last order stays as it is. */
+    EngineRecord takenOver(String newOwner, String newNonce) {
+        return new EngineRecord(newOwner, slotTerm + 1, newNonce, planVersion, lastOrder);
+    }
+
+    /** Returns the record as its owner writes its next order into it. */
+    EngineRecord started(String newNonce, PlanVersion plan, RecordedOrder order) {
+        return new EngineRecord(owner, slotTerm, newNonce, plan, Optional.of(order));
     }
 
     /** Returns the record with its last order settled. */
-    EngineRecord settled(String writer, String newNonce, RecordedOrderState state) {
-        long term = owner.equals(writer) ? slotTerm : slotTerm + 1;
-        return new EngineRecord(writer, term, newNonce, planVersion, lastOrder.map(order -> order.in(state)));
+    EngineRecord settled(String newNonce, RecordedOrderState state) {
+        return new EngineRecord(owner, slotTerm, newNonce, planVersion, lastOrder.map(order -> order.in(state)));
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/ExecutorStep.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/ExecutorStep.java
@@ -10,6 +10,16 @@
     /** The engine is as the plan wants it, or no plan names it. */
     record Idle() implements ExecutorStep {}
 
+    /**
+     * The engine was taken over from an earlier agent.
+     *
+     * @param slotTerm counts the agents of this engine
+     */
+    record TookOver(long slotTerm) implements ExecutorStep {}
+
+    /** Another agent has taken the engine over; this one gives no order ever again, and its process should stop. */
+    record Replaced() implements ExecutorStep {}
+
     /**
      * An order is due and waits for streams.
      *
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
@@ -24,9 +24,13 @@
  * role that nobody planned. An unsettled order is settled first, by asking the engine.
  *
  * <p>An order that the engine has not seen may still be on its way. It is given up only once its longest time on the
- * wire has passed: counted from its sending for an own order, and from the first sight of the record for another
+ * wire has passed: counted from its sending for an own order, and from the first sight of the order for another
  * agent's. That agent sends nothing once so much of its right has passed that the order might arrive later.
  *
+ * <p>An agent takes the engine over once, by a write, when it starts. It does not merely read: an old replica of the
+ * store might not show an order that is on its way. An agent that finds itself replaced never gives an order again;
+ * otherwise a paused agent would wake up and take the engine back from its successor.
+ *
  * <p>Used by one thread only; each step makes at most one change.
  */
 public final class OrderExecutor {
@@ -43,8 +47,12 @@
     private Optional<String> sentOrderId = Optional.empty();
     private long sentAtNanoseconds;
     private Optional<String> unsentOrderId = Optional.empty();
+    private Optional<String> firstSeenOrderId = Optional.empty();
+    private long firstSeenNanoseconds;
     private Optional<Long> failedAtNanoseconds = Optional.empty();
     private boolean draining;
+    private Optional<Long> ownSlotTerm = Optional.empty();
+    private boolean replaced;
 
     public OrderExecutor(
             SlotIdentity slot,
@@ -97,7 +105,14 @@
     }
 
     private ExecutorStep advance() throws StoreException, EngineUnreachableException {
+        if (replaced) {
+            return new ExecutorStep.Replaced();
+        }
         KnownRecord current = currentRecord();
+        if (!current.record().owner().equals(slot.owner())) {
+            return ownSlotTerm.isPresent() ? judgeOtherOwner(current) : takeOver(current);
+        }
+        ownSlotTerm = Optional.of(current.record().slotTerm());
         if (current.record().unsettled().isPresent()) {
             return settle(current, current.record().unsettled().get());
         }
@@ -116,6 +131,26 @@
         return prepare(current, next.get(), status);
     }
 
+    private ExecutorStep takeOver(KnownRecord current) throws StoreException {
+        if (current.record().unsettled().isPresent()) {
+            stopNewWork();
+        }
+        KnownRecord taken = write(current, current.record().takenOver(slot.owner(), writer.drawNonce()));
+        ownSlotTerm = Optional.of(taken.record().slotTerm());
+        return new ExecutorStep.TookOver(taken.record().slotTerm());
+    }
+
+    private ExecutorStep judgeOtherOwner(KnownRecord current) {
+        if (current.record().slotTerm() < ownSlotTerm.orElseThrow()) {
+            // An old replica answered: this is the record from before the takeover.
+            known = known.map(KnownRecord::uncertain);
+            return new ExecutorStep.Waiting("the store answered with an old record");
+        }
+        replaced = true;
+        stopNewWork();
+        return new ExecutorStep.Replaced();
+    }
+
     private Optional<EngineAssignment> wantedAssignment() {
         return plans.inForce().flatMap(plan -> plan.assignment(slot.engine()));
     }
@@ -204,8 +239,7 @@
         // Until it is sent, this order counts as never sent, also if its record lands after a lost answer.
         unsentOrderId = Optional.of(id);
         long recordSentAt = time.monotonicNanoseconds();
-        KnownRecord started =
-                write(current, current.record().started(slot.owner(), writer.drawNonce(), plans.version(), recorded));
+        KnownRecord started = write(current, current.record().started(writer.drawNonce(), plans.version(), recorded));
         if (since(recordSentAt).compareTo(terms.sendable()) >= 0) {
             // Paused while the record was written. Another agent may believe that this order can no longer arrive.
             return settleAs(started, recorded, RecordedOrderState.WITHDRAWN);
@@ -236,7 +270,7 @@
         // An order that arrives late would cut whatever streams had been let in meanwhile.
         stopNewWork();
         // The time is taken before the engine is asked, so that its answer is about a later moment.
-        Duration remaining = longestStillOnTheWire(current, order);
+        Duration remaining = longestStillOnTheWire(order);
         EngineStatus status = engine.status();
         if (!status.lastOrderId().equals(Optional.of(order.id()))) {
             return remaining.isPositive()
@@ -250,16 +284,16 @@
         };
     }
 
-    private Duration longestStillOnTheWire(KnownRecord current, RecordedOrder order) {
+    private Duration longestStillOnTheWire(RecordedOrder order) {
         if (sentOrderId.equals(Optional.of(order.id()))) {
             return terms.longestOnTheWire().minus(since(sentAtNanoseconds));
         }
-        return terms.length().minus(since(current.firstSeenNanoseconds()));
+        return terms.length().minus(since(firstSeenNanoseconds));
     }
 
     private ExecutorStep settleAs(KnownRecord current, RecordedOrder order, RecordedOrderState state)
             throws StoreException {
-        write(current, current.record().settled(slot.owner(), writer.drawNonce(), state));
+        write(current, current.record().settled(writer.drawNonce(), state));
         failedAtNanoseconds =
                 state == RecordedOrderState.FAILED ? Optional.of(time.monotonicNanoseconds()) : Optional.empty();
         return new ExecutorStep.Settled(order.id(), state);
@@ -269,9 +303,7 @@
         try {
             StoredObject stored =
                     writer.write(slot.recordKey(), current.stored(), next.nonce(), EngineRecordCodec.write(next));
-            KnownRecord written = new KnownRecord(Optional.of(stored), next, time.monotonicNanoseconds(), false);
-            known = Optional.of(written);
-            return written;
+            return remember(new KnownRecord(Optional.of(stored), next, false));
         } catch (StoreConflictException overtaken) {
             known = Optional.empty();
             throw overtaken;
@@ -287,28 +319,30 @@
             return known.get();
         }
         Optional<StoredObject> stored = store.read(slot.recordKey());
-        long seenAt = time.monotonicNanoseconds();
         if (stored.isEmpty()) {
-            known = Optional.of(new KnownRecord(Optional.empty(), EngineRecord.NONE, seenAt, false));
-            return known.get();
+            return remember(new KnownRecord(Optional.empty(), EngineRecord.NONE, false));
+        }
+        return remember(new KnownRecord(stored, EngineRecordCodec.read(stored.get()), false));
+    }
+
+    private KnownRecord remember(KnownRecord seen) {
+        known = Optional.of(seen);
+        Optional<String> unsettled = seen.record().unsettled().map(RecordedOrder::id);
+        if (unsettled.isPresent() && !unsettled.equals(firstSeenOrderId)) {
+            firstSeenOrderId = unsettled;
+            firstSeenNanoseconds = time.monotonicNanoseconds();
         }
-        boolean unchanged = known.flatMap(KnownRecord::stored)
-                .map(before -> before.version().equals(stored.get().version()))
-                .orElse(false);
-        long firstSeen = unchanged ? known.get().firstSeenNanoseconds() : seenAt;
-        known = Optional.of(new KnownRecord(stored, EngineRecordCodec.read(stored.get()), firstSeen, false));
-        return known.get();
+        return seen;
     }
 
     private Duration since(long nanoseconds) {
         return Duration.ofNanos(time.monotonicNanoseconds() - nanoseconds);
     }
 
-    /** The record and since when it was seen in this version. */
-    private record KnownRecord(
-            Optional<StoredObject> stored, EngineRecord record, long firstSeenNanoseconds, boolean inDoubt) {
+    /** The record as it was read or written last; in doubt after trouble with the store. */
+    private record KnownRecord(Optional<StoredObject> stored, EngineRecord record, boolean inDoubt) {
         KnownRecord uncertain() {
-            return new KnownRecord(stored, record, firstSeenNanoseconds, true);
+            return new KnownRecord(stored, record, true);
         }
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/SlotTerms.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/SlotTerms.java
@@ -5,8 +5,9 @@
 /**
  * How the exclusive right to give one engine orders is held.
  *
- * <p>The right is taken with the write that records an order and ends when that order is settled; it is never renewed,
- * and an engine without an order costs the store nothing.
+ * <p>An agent takes an engine over with one write when it starts. The right to send an order is taken with the write
+ * that records the order and ends when that order is settled; it is never renewed, and an engine without an order costs
+ * the store nothing.
  *
  * @param length how long another agent waits after it first saw an unsettled order
  * @param orderTimeout after which a connection that carries an order is closed
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/membership/Member.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/membership/Member.java
@@ -12,26 +12,25 @@
     private Optional<String> incarnation = Optional.empty();
     private long connection = -1;
     private boolean linkUp;
-    private long lastHeardNanoseconds;
+    private long aliveAtNanoseconds;
     private Optional<Standing.Witness> listWitness = Optional.empty();
     private Optional<String> withdrawnIncarnation = Optional.empty();
     private boolean everListed;
 
     /** Takes a hello; one of an earlier connection is ignored. */
-    boolean hello(String newIncarnation, long newConnection, long now) {
+    void hello(String newIncarnation, long newConnection, long provenAt) {
         if (newConnection < connection) {
-            return false;
+            return;
         }
         connection = newConnection;
         incarnation = Optional.of(newIncarnation);
         linkUp = true;
-        lastHeardNanoseconds = now;
-        return true;
+        aliveAtNanoseconds = provenAt;
     }
 
-    void heard(long onConnection, long now) {
+    void alive(long onConnection, long provenAt) {
         if (onConnection == connection && linkUp) {
-            lastHeardNanoseconds = now;
+            aliveAtNanoseconds = Math.max(aliveAtNanoseconds, provenAt);
         }
     }
 
@@ -81,7 +80,7 @@
         if (leftIncarnations.contains(incarnation.get())) {
             return new Standing.Leaving(Standing.Witness.AGENT);
         }
-        if (!linkUp || now - lastHeardNanoseconds >= silenceAllowedNanoseconds) {
+        if (!linkUp || now - aliveAtNanoseconds >= silenceAllowedNanoseconds) {
             return new Standing.Silent();
         }
         if (listWitness.isPresent() && !startedAfterWithdrawal()) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/membership/MembershipView.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/membership/MembershipView.java
@@ -40,14 +40,20 @@
      * Takes an agent's hello.
      *
      * @param connection counts this process's connections, so that a hello read late from an earlier one is seen
+     * @param connectingSinceNanoseconds when this process began to connect; the hello was sent after it
      */
-    public void hello(String backend, String incarnation, long connection) {
-        member(backend).hello(incarnation, connection, time.monotonicNanoseconds());
+    public void hello(String backend, String incarnation, long connection, long connectingSinceNanoseconds) {
+        member(backend).hello(incarnation, connection, connectingSinceNanoseconds);
     }
 
-    /** Takes any sign of life from a connection. */
-    public void heard(String backend, long connection) {
-        find(backend).ifPresent(member -> member.heard(connection, time.monotonicNanoseconds()));
+    /**
+     * Takes the answer to a probe.
+     *
+     * <p>It proves that the agent was alive, and had not yet said that it leaves, when the probe was sent, and not when
+     * the answer arrived: on a slow link, answers go on arriving long after the agent began to leave.
+     */
+    public void probeAnswered(String backend, long connection, long probeSentNanoseconds) {
+        find(backend).ifPresent(member -> member.alive(connection, probeSentNanoseconds));
     }
 
     /** Takes the end of a connection. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/LateOrderTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/LateOrderTest.java
@@ -72,8 +72,8 @@
     @Test
     public void should_leave_no_gap_between_the_last_sending_and_the_first_giving_up() throws StoreException {
         OneEngine world = new OneEngine(new FakeEngine("engine-1", false));
-        OrderExecutor successor = world.newAgent("agent-2");
         world.publish(EngineRole.PREFILL);
+        OrderExecutor successor = world.newAgentWithoutPlan("agent-2");
         world.faults().afterNextEffect(() -> {
             successor.step();
             world.time().advance(SlotTerms.DEFAULT.sendable().minusMillis(1));
