Soak: the real classes against small fakes under drawn faults

Cause: single tests bring about the faults one thinks of; two at once, or one in the middle of a call, need drawing. bin/soak runs plan holders, order executors, claim desks, membership views and answer assembly of both houses on a manual clock in one process; 35 kinds of fault are drawn from a seed; promises are checked after every step; a failure prints seed, step and the fewest faults found that still break the promise.

--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/EntryBookings.java
@@ -0,0 +1,108 @@
+package org.aspenmoor.internal.bench.soak;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimRequest;
+import org.aspenmoor.internal.claim.ClaimTicket;
+import org.aspenmoor.internal.claim.ClaimVerdict;
+import org.aspenmoor.internal.claim.RecordedAnswer;
+
+/** The calls of one entry that may run once: claimed, dispatched, recorded, in steps between which it may be killed. */
+final class EntryBookings {
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(15);
+
+    private final SoakWorld world;
+    private final EntryProcess entry;
+    private final ClaimDesk desk;
+    private final Deque<ClaimVerdict.Granted> granted = new ArrayDeque<>();
+    private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
+
+    EntryBookings(SoakWorld world, EntryProcess entry, ClaimDesk desk) {
+        this.world = world;
+        this.entry = entry;
+        this.desk = desk;
+    }
+
+    /** Takes a call from a caller. */
+    void request(ClaimRequest request) {
+        if (!desk.submit(request)) {
+            world.ledger().toldNotRun(request);
+        }
+    }
+
+    /** Claims what waits for one object. */
+    void commit() {
+        if (!desk.hasDueWork()) {
+            return;
+        }
+        for (ClaimVerdict verdict : desk.commitBatch()) {
+            switch (verdict) {
+                case ClaimVerdict.Granted grant -> granted.add(grant);
+                case ClaimVerdict.AlreadyAnswered repeat ->
+                    world.ledger()
+                            .toldRecorded(repeat.request(), repeat.answer().bodyDigest());
+                case ClaimVerdict.StillUnknown unknown -> world.ledger().toldStillUnknown();
+                case ClaimVerdict.KeyReused reused -> world.ledger().toldNotRun(reused.request());
+                case ClaimVerdict.NotClaimed refused -> world.ledger().toldNotRun(refused.request());
+            }
+        }
+    }
+
+    /** Dispatches one granted call. */
+    void dispatch() {
+        if (granted.isEmpty()) {
+            return;
+        }
+        ClaimVerdict.Granted grant = granted.remove();
+        Optional<SoakService> service = entry.members().anyServing();
+        if (service.isEmpty()) {
+            desk.neverStarted(grant.ticket());
+            world.ledger().toldNotRun(grant.request());
+            return;
+        }
+        BookingCall call = new BookingCall(grant.request(), world.now());
+        waiting.put(grant.request().id(), new Waiting(grant.ticket(), world.now()));
+        if (!world.takeCallLoss()) {
+            ServiceAgent agent = service.get().current();
+            world.schedule(world.latency(), agent, () -> agent.called(call, entry));
+        }
+    }
+
+    /** Gives up on calls that were not answered in time. */
+    void giveUpLate() {
+        for (RequestId id : List.copyOf(waiting.keySet())) {
+            if (world.now() - waiting.get(id).sinceNanoseconds() >= LONGEST_WAIT.toNanos()) {
+                waiting.remove(id);
+                world.ledger().toldLost();
+            }
+        }
+    }
+
+    void answered(BookingCall call, String answerDigest) {
+        Waiting found = waiting.remove(call.claim().id());
+        if (found == null) {
+            return;
+        }
+        world.ledger().toldAnswered(call.claim(), answerDigest);
+        desk.answered(found.ticket(), new RecordedAnswer(201, "text/plain", Optional.empty(), answerDigest));
+    }
+
+    void refused(BookingCall call) {
+        Waiting found = waiting.remove(call.claim().id());
+        if (found == null) {
+            return;
+        }
+        world.ledger().toldNotRun(call.claim());
+        desk.neverStarted(found.ticket());
+    }
+
+    /** A dispatched call. */
+    private record Waiting(ClaimTicket ticket, long sinceNanoseconds) {}
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/fake/FakeEngine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/fake/FakeEngine.java
@@ -130,6 +130,18 @@
         return true;
     }
 
+    /** Returns the orders that are still on their way, oldest first. */
+    public List<NumberedOrder> onTheWire() {
+        return List.copyOf(onTheWire);
+    }
+
+    /** Lets one order that is still on its way arrive. */
+    public void deliverLate(NumberedOrder order) {
+        if (onTheWire.remove(order)) {
+            receive(order);
+        }
+    }
+
     void receiveLater(NumberedOrder order) {
         onTheWire.add(order);
     }
