First shapes of routing, admission and role planning

The daemon is written at the same time against these classes, so their shapes come first: Router, AdmissionQueue, LengthEstimator, RolePlanner, each confined to one thread, with time and randomness passed in.

--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/LengthEstimate.java
@@ -0,0 +1,10 @@
+package org.aspenmoor.internal.admission;
+
+/**
+ * The lengths expected of a request.
+ *
+ * @param promptTokens the prompt
+ * @param outputTokens the answer: the mean of what was seen
+ * @param highOutputTokens an answer length that nine in ten stay below
+ */
+public record LengthEstimate(double promptTokens, double outputTokens, double highOutputTokens) {}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/TeamShare.java
@@ -0,0 +1,87 @@
+package org.aspenmoor.internal.admission;
+
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** One team's waiting work, the heaviest and then the most urgent first, and how much service the team has had. */
+final class TeamShare {
+    private static final Comparator<WaitingWork> ORDER = Comparator.comparingDouble(WaitingWork::weight)
+            .reversed()
+            .thenComparingLong(WaitingWork::deadlineNanoseconds)
+            .thenComparing(work -> work.id().high())
+            .thenComparing(work -> work.id().low());
+
+    private final TreeSet<WaitingWork> waiting = new TreeSet<>(ORDER);
+    private final Map<String, Integer> counts = new TreeMap<>();
+    private double virtualTime;
+    private double waitingEngineSeconds;
+
+    void add(WaitingWork work) {
+        if (waiting.add(work)) {
+            waitingEngineSeconds += work.engineSeconds();
+            counts.merge(work.kind(), 1, Integer::sum);
+        }
+    }
+
+    boolean remove(WaitingWork work) {
+        if (!waiting.remove(work)) {
+            return false;
+        }
+        waitingEngineSeconds = waiting.isEmpty() ? 0 : waitingEngineSeconds - work.engineSeconds();
+        counts.computeIfPresent(work.kind(), (kind, count) -> count > 1 ? count - 1 : null);
+        return true;
+    }
+
+    Optional<WaitingWork> first() {
+        return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.first());
+    }
+
+    Optional<WaitingWork> last() {
+        return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.last());
+    }
+
+    double engineSecondsBefore(WaitingWork work) {
+        double before = 0;
+        for (WaitingWork earlier : waiting.headSet(work)) {
+            before += earlier.engineSeconds();
+        }
+        return before;
+    }
+
+    Optional<WaitingWork> find(Predicate<WaitingWork> wanted) {
+        Iterator<WaitingWork> all = waiting.descendingIterator();
+        while (all.hasNext()) {
+            WaitingWork work = all.next();
+            if (wanted.test(work)) {
+                return Optional.of(work);
+            }
+        }
+        return Optional.empty();
+    }
+
+    NavigableSet<WaitingWork> waiting() {
+        return waiting;
+    }
+
+    double waitingEngineSeconds() {
+        return waitingEngineSeconds;
+    }
+
+    double virtualTime() {
+        return virtualTime;
+    }
+
+    void advanceTo(double least) {
+        virtualTime = Math.max(virtualTime, least);
+    }
+
+    void served(double engineSeconds) {
+        virtualTime += engineSeconds;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/KindWeight.java
@@ -0,0 +1,9 @@
+package org.aspenmoor.internal.planning;
+
+/**
+ * How much a kind counts.
+ *
+ * @param kind the kind
+ * @param weight how much one completed request counts
+ */
+public record KindWeight(String kind, double weight) {}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/RolePlanner.java
@@ -0,0 +1,148 @@
+package org.aspenmoor.internal.planning;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.aspenmoor.internal.engine.EngineRole;
+
+/**
+ * Plans the roles of one service's engines in one data centre. Confined to one thread.
+ *
+ * <p>A change is made only where the weighted goodput it gains over the horizon exceeds what the seconds away lose and
+ * the team's price for changes. Where counts are missing, late or absurd, the planner stands still: a change made on wrong
+ * counts costs seconds of an engine twice, there and back.
+ */
+public final class RolePlanner {
+    private static final double NANOSECONDS = 1e9;
+    private static final long FORGET_SOURCE_AFTER_NANOSECONDS = 30_000_000_000L;
+
+    private final PlannerSettings settings;
+    private final GoodputModel model;
+    private final DemandForecast forecast;
+
+    public RolePlanner(PlannerSettings settings) {
+        this.settings = settings;
+        this.model = new GoodputModel(settings);
+        this.forecast = new DemandForecast(model);
+    }
+
+    /** Takes the counts of one entry; answers whether they were used. */
+    public boolean observe(WorkCounts counts) {
+        return forecast.observe(counts);
+    }
+
+    /** Plans the roles from what was observed so far. */
+    public RolePlan plan(PlanningInput input, long nowNanoseconds) {
+        long completeUntil = forecast.completeUntil(nowNanoseconds, FORGET_SOURCE_AFTER_NANOSECONDS);
+        if (completeUntil == Long.MIN_VALUE) {
+            return standStill(input, "No counts have come in.");
+        }
+        double age = (nowNanoseconds - completeUntil) / NANOSECONDS;
+        if (age > settings.staleSeconds()) {
+            return standStill(input, String.format(Locale.ROOT, "The counts are %.1f s old.", age));
+        }
+        MixHistory history = forecast.update(input.kinds(), completeUntil);
+        if (history.present().demands().isEmpty()) {
+            return standStill(input, "No work has arrived.");
+        }
+        RoleSplit movable = split(input, false);
+        RoleSplit current = split(input, true);
+        if (movable.total() == 0) {
+            return standStill(input, "No engine is available.");
+        }
+        return search(input, history, movable, current);
+    }
+
+    private RolePlan search(PlanningInput input, MixHistory history, RoleSplit movable, RoleSplit current) {
+        SplitValue value = new SplitValue(model, settings, input.costs(), current, history);
+        int away = current.total() - movable.total();
+        int mostAway = (int) Math.ceil(settings.mostAwayShare() * current.total()) - away;
+        SplitSearch search = new SplitSearch(
+                split -> split.servesBothStages()
+                        && split.isPaired()
+                        && current.changesTo(split) <= mostAway
+                        && leavesNoRoleEmpty(movable, current, split),
+                value::of);
+        RoleSplit best = search.best(current);
+        double gain = value.of(best) - value.of(current);
+        if (best.equals(current) || gain <= 0) {
+            return standStill(input, "No change pays for itself; " + current + ".");
+        }
+        String reason = String.format(
+                Locale.ROOT,
+                "From %s to %s: gains %.1f weighted requests within %.0f s after all costs; the mix has lasted %.0f s"
+                        + " and is expected to last %.0f s on.",
+                current,
+                best,
+                gain,
+                settings.horizonSeconds(),
+                history.present().seconds(),
+                history.remainingSeconds());
+        return changeTo(input, current, best, reason);
+    }
+
+    /** While engines change, those that stay and work must still serve both stages. */
+    private static boolean leavesNoRoleEmpty(RoleSplit movable, RoleSplit current, RoleSplit split) {
+        RoleSplit staying = movable;
+        for (EngineRole role : EngineRole.values()) {
+            int leaving = Math.max(0, current.count(role) - split.count(role));
+            if (leaving > movable.count(role)) {
+                return false;
+            }
+            staying = staying.plus(role, -leaving);
+        }
+        return staying.servesBothStages() || !movable.servesBothStages();
+    }
+
+    private static RolePlan changeTo(PlanningInput input, RoleSplit current, RoleSplit best, String reason) {
+        Map<String, EngineRole> roles = rolesNow(input);
+        List<RoleChange> changes = new ArrayList<>();
+        Map<EngineRole, Integer> wanted = new EnumMap<>(EngineRole.class);
+        for (EngineRole role : EngineRole.values()) {
+            wanted.put(role, best.count(role) - current.count(role));
+        }
+        List<PlannedEngine> easiestFirst = input.engines().stream()
+                .filter(PlannedEngine::isAvailable)
+                .sorted(Comparator.comparingInt(PlannedEngine::runningSequences).thenComparing(PlannedEngine::name))
+                .toList();
+        for (PlannedEngine engine : easiestFirst) {
+            if (wanted.get(engine.role()) >= 0) {
+                continue;
+            }
+            EngineRole to = wanted.entrySet().stream()
+                    .filter(entry -> entry.getValue() > 0)
+                    .map(Map.Entry::getKey)
+                    .findFirst()
+                    .orElseThrow();
+            wanted.merge(engine.role(), 1, Integer::sum);
+            wanted.merge(to, -1, Integer::sum);
+            roles.put(engine.name(), to);
+            changes.add(new RoleChange(engine.name(), engine.role(), to));
+        }
+        return new RolePlan(roles, changes, reason);
+    }
+
+    private static RolePlan standStill(PlanningInput input, String reason) {
+        return new RolePlan(rolesNow(input), List.of(), reason);
+    }
+
+    private static Map<String, EngineRole> rolesNow(PlanningInput input) {
+        Map<String, EngineRole> roles = new HashMap<>();
+        input.engines().forEach(engine -> roles.put(engine.name(), engine.role()));
+        return roles;
+    }
+
+    private static RoleSplit split(PlanningInput input, boolean withChanging) {
+        RoleSplit split = new RoleSplit(0, 0, 0);
+        for (PlannedEngine engine : input.engines()) {
+            if (engine.isAvailable() || (withChanging && engine.counts())) {
+                split = split.plus(engine.role(), 1);
+            }
+        }
+        return split;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/SplitSearch.java
@@ -0,0 +1,72 @@
+package org.aspenmoor.internal.planning;
+
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.aspenmoor.internal.engine.EngineRole;
+
+/**
+ * Finds the best split: all of them for a small fleet, else by moving ever smaller groups of engines between roles for
+ * as long as that helps.
+ */
+final class SplitSearch {
+    private static final int MOST_ENGINES_EXHAUSTIVELY = 16;
+    private static final EngineRole[] ROLES = EngineRole.values();
+
+    private final Predicate<RoleSplit> allowed;
+    private final ToDoubleFunction<RoleSplit> value;
+
+    SplitSearch(Predicate<RoleSplit> allowed, ToDoubleFunction<RoleSplit> value) {
+        this.allowed = allowed;
+        this.value = value;
+    }
+
+    RoleSplit best(RoleSplit current) {
+        return current.total() <= MOST_ENGINES_EXHAUSTIVELY ? bestOfAll(current) : bestByMoves(current);
+    }
+
+    private RoleSplit bestOfAll(RoleSplit current) {
+        RoleSplit best = current;
+        double bestValue = value.applyAsDouble(current);
+        int total = current.total();
+        for (int prefill = 0; prefill <= total; prefill++) {
+            for (int decode = 0; decode <= total - prefill; decode++) {
+                RoleSplit split = new RoleSplit(prefill, decode, total - prefill - decode);
+                if (!allowed.test(split)) {
+                    continue;
+                }
+                double splitValue = value.applyAsDouble(split);
+                if (splitValue > bestValue) {
+                    best = split;
+                    bestValue = splitValue;
+                }
+            }
+        }
+        return best;
+    }
+
+    private RoleSplit bestByMoves(RoleSplit current) {
+        RoleSplit best = current;
+        double bestValue = value.applyAsDouble(current);
+        for (int step = Integer.highestOneBit(current.total()); step >= 1; step /= 2) {
+            boolean improved = true;
+            while (improved) {
+                improved = false;
+                for (EngineRole from : ROLES) {
+                    for (EngineRole to : ROLES) {
+                        RoleSplit split = best.plus(from, -step).plus(to, step);
+                        if (from == to || split.count(from) < 0 || !allowed.test(split)) {
+                            continue;
+                        }
+                        double splitValue = value.applyAsDouble(split);
+                        if (splitValue > bestValue) {
+                            best = split;
+                            bestValue = splitValue;
+                            improved = true;
+                        }
+                    }
+                }
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/StageEstimate.java
@@ -0,0 +1,17 @@
+package org.aspenmoor.internal.routing;
+
+/**
+ * What one engine is expected to make of a request, or of one stage of it.
+ *
+ * @param engine the engine
+ * @param waitSeconds waiting before it is worked on
+ * @param promptSeconds until the prompt is computed, waiting included
+ * @param answerSeconds from then until the last token
+ * @param cachedTokens prompt tokens that need no computing
+ */
+record StageEstimate(
+        EngineView engine, double waitSeconds, double promptSeconds, double answerSeconds, int cachedTokens) {
+    double finishSeconds() {
+        return promptSeconds + answerSeconds;
+    }
+}
