--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentAcceptance.java
@@ -0,0 +1,226 @@
+package org.aspenmoor.internal.document;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.finding.FindingsException;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreBudgetException;
+import org.aspenmoor.internal.store.StoreConflictException;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreOutcomeUnknownException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.TimeSource;
+
+/**
+ * Accepts changes of documents: checked, conditional on the revision that the operator read, and recorded.
+ *
+ * <p>A change is accepted by one conditional update of the document's object, which carries who, when, the difference
+ * and a nonce with it. The history object of a revision is a copy, written after it: right away where the process lives
+ * and the store answers, else by the next accepted change, which does not replace a revision before it stands in the
+ * history. A kill at any moment thus leaves either nothing or an accepted change with its record, and the history has
+ * no gap below the document in force. The other order, history first, was ruled out: a kill between the two writes
+ * would leave a record of a change that never came into force, and the next operator would have to carry it out or
+ * overwrite it while its writer may only be paused.
+ */
+public final class DocumentAcceptance {
+    private static final int MOST_TRIES = 4;
+
+    private final ObjectStore store;
+    private final DocumentHistory history;
+    private final DocumentChecker checker;
+    private final TimeSource timeSource;
+    private final RandomGenerator random;
+
+    public DocumentAcceptance(ObjectStore store, FleetView fleet, TimeSource timeSource, RandomGenerator random) {
+        this.store = store;
+        this.history = new DocumentHistory(store);
+        this.checker = new DocumentChecker(fleet);
+        this.timeSource = timeSource;
+        this.random = random;
+    }
+
+    /** Reads the document as the store holds it; empty where the service has none. */
+    public Optional<StoredDocument> read(ServiceName name) throws StoreException {
+        Optional<StoredObject> object = store.read(StoredDocuments.documentKey(name));
+        return object.isEmpty() ? Optional.empty() : Optional.of(StoredDocuments.read(object.get()));
+    }
+
+    /** Returns the latest revisions, newest first. */
+    public List<StoredDocument> history(ServiceName name, int limit) throws AspenmoorException {
+        StoredDocument current = read(name).orElseThrow(() -> noDocument(name));
+        return history.latest(current, limit);
+    }
+
+    /** Returns one revision. */
+    public StoredDocument revision(ServiceName name, long revision) throws AspenmoorException {
+        Optional<StoredDocument> current = read(name);
+        if (current.filter(stored -> stored.document().revision() == revision).isPresent()) {
+            return current.get();
+        }
+        return history.read(name, revision)
+                .orElseThrow(() -> new DocumentNotFoundException(
+                        "The history holds no revision " + revision + ".",
+                        name.toString(),
+                        "Choose one of the revisions that the history lists; the last " + DocumentHistory.REVISIONS_KEPT
+                                + " are kept."));
+    }
+
+    /** Checks a text against its own rules and the fleet, without writing anything. */
+    public CheckedDocument check(String source, String text) {
+        return checker.check(source, text);
+    }
+
+    /**
+     * Says what a change would do, without writing anything.
+     *
+     * @throws FindingsException where the text has mistakes; all of them
+     */
+    public ProposedDocument propose(DocumentProposal proposal) throws FindingsException, StoreException {
+        ServiceDocument document = checked(proposal);
+        Optional<StoredDocument> current = read(proposal.name());
+        return new ProposedDocument(document, revisionOf(current), difference(current, document));
+    }
+
+    /**
+     * Accepts a change if the document still has the revision that the operator read.
+     *
+     * @throws FindingsException where the text has mistakes; all of them
+     * @throws DocumentConflictException where somebody else was first; says what changed
+     * @throws DocumentOutcomeUnknownException where the store stopped answering after the change was sent
+     */
+    public AcceptedDocument accept(DocumentProposal proposal) throws AspenmoorException {
+        ServiceDocument document = checked(proposal);
+        return accept(proposal.name(), document, proposal.readRevision(), proposal.operator());
+    }
+
+    /** Accepts the content of an earlier revision as a new one; revisions never go back. */
+    public AcceptedDocument revert(ServiceName name, long toRevision, long readRevision, String operator)
+            throws AspenmoorException {
+        ServiceDocument earlier = revision(name, toRevision).document();
+        String text = DocumentWriter.write(earlier.withRevision(0));
+        return accept(new DocumentProposal(name, text, readRevision, operator));
+    }
+
+    private ServiceDocument checked(DocumentProposal proposal) throws FindingsException {
+        String subject = "The document of " + proposal.name();
+        CheckedDocument checked = checker.check(proposal.name().toString(), proposal.text());
+        return new ProposalCheck(proposal).check(checked).orThrow(subject);
+    }
+
+    private AcceptedDocument accept(ServiceName name, ServiceDocument document, long readRevision, String operator)
+            throws AspenmoorException {
+        Optional<StoredDocument> current = read(name);
+        if (revisionOf(current) != readRevision) {
+            throw conflict(name, readRevision);
+        }
+        DocumentDifference difference = difference(current, document);
+        if (current.isPresent() && difference.isEmpty()) {
+            return new AcceptedDocument(current.get(), difference, true);
+        }
+        if (current.isPresent()) {
+            history.record(current.get());
+        }
+        ServiceDocument next = document.withRevision(readRevision + 1);
+        String nonce = RequestId.draw(random).toString();
+        Acceptance acceptance = new Acceptance(operator, timeSource.timeOfDay(), nonce, difference.sentences());
+        StoredDocument written = write(current, next, acceptance);
+        return new AcceptedDocument(written, difference, recordQuietly(written));
+    }
+
+    private StoredDocument write(Optional<StoredDocument> current, ServiceDocument next, Acceptance acceptance)
+            throws AspenmoorException {
+        ServiceName name = ServiceName.of(next);
+        String value = StoredDocuments.write(next, acceptance);
+        Optional<AspenmoorException> lost = Optional.empty();
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            try {
+                StoredObject object = writeOnce(current, name, value);
+                return new StoredDocument(object, next, Optional.of(acceptance));
+            } catch (StoreConflictException conflict) {
+                // The conflict may be with our own write whose answer was lost; the nonce tells.
+                return settle(name, next.revision(), acceptance.nonce(), lost);
+            } catch (StoreOutcomeUnknownException unknown) {
+                // The write may still be under way, so reading now would settle nothing. The same write again is safe:
+                // it has the same condition, so only one of the two takes effect.
+                lost = Optional.of(unknown);
+            } catch (StoreUnavailableException | StoreBudgetException notWritten) {
+                if (lost.isEmpty()) {
+                    throw notWritten;
+                }
+            }
+        }
+        throw new DocumentOutcomeUnknownException(name, next.revision(), lost.orElse(null));
+    }
+
+    private StoredObject writeOnce(Optional<StoredDocument> current, ServiceName name, String value)
+            throws StoreException {
+        if (current.isPresent()) {
+            return store.update(current.get().object(), value);
+        }
+        ObjectKey key = StoredDocuments.documentKey(name);
+        return store.create(key, value);
+    }
+
+    /** Finds out whether the write with this nonce took effect, after a conflict has shown that some write did. */
+    private StoredDocument settle(ServiceName name, long revision, String nonce, Optional<AspenmoorException> lost)
+            throws AspenmoorException {
+        try {
+            Optional<StoredDocument> current = read(name);
+            if (current.filter(stored -> stored.isFrom(nonce)).isPresent()) {
+                return current.get();
+            }
+            if (revisionOf(current) > revision) {
+                // Whoever replaced the revision recorded it first.
+                Optional<StoredDocument> recorded = history.read(name, revision);
+                if (recorded.filter(stored -> stored.isFrom(nonce)).isPresent()) {
+                    return recorded.get();
+                }
+            }
+        } catch (StoreException unreadable) {
+            if (lost.isPresent()) {
+                throw new DocumentOutcomeUnknownException(name, revision, unreadable);
+            }
+            throw unreadable;
+        }
+        throw conflict(name, revision - 1);
+    }
+
+    private DocumentConflictException conflict(ServiceName name, long readRevision) throws StoreException {
+        Optional<StoredDocument> current = read(name);
+        Optional<StoredDocument> base = readRevision == 0 ? Optional.empty() : history.read(name, readRevision);
+        List<String> changes = List.of();
+        if (current.isPresent() && (base.isPresent() || readRevision == 0)) {
+            changes = difference(base, current.get().document()).sentences();
+        }
+        return new DocumentConflictException(name, readRevision, revisionOf(current), changes);
+    }
+
+    private boolean recordQuietly(StoredDocument written) {
+        try {
+            history.record(written);
+            history.dropBefore(written);
+            return true;
+        } catch (StoreException recordedByNextChange) {
+            return false;
+        }
+    }
+
+    private static DocumentNotFoundException noDocument(ServiceName name) {
+        return new DocumentNotFoundException(
+                "The service has no document.", name.toString(), "Check the names, or accept a first document.");
+    }
+
+    private static long revisionOf(Optional<StoredDocument> stored) {
+        return stored.map(document -> document.document().revision()).orElse(0L);
+    }
+
+    private static DocumentDifference difference(Optional<StoredDocument> before, ServiceDocument after) {
+        return before.map(stored -> DocumentDifference.between(stored.document(), after))
+                .orElseGet(() -> DocumentDifference.ofNew(after));
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentChecker.java
@@ -0,0 +1,45 @@
+package org.aspenmoor.internal.document;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.finding.Finding;
+import org.aspenmoor.internal.finding.Findings;
+
+/** Reads a document from text and applies every rule, so that all mistakes are reported together. */
+public final class DocumentChecker {
+    private static final Comparator<Finding> BY_PLACE = Comparator.comparingInt(
+                    (Finding finding) -> finding.place().line())
+            .thenComparingInt(finding -> finding.place().column());
+
+    private final List<DocumentCheck> checks;
+
+    public DocumentChecker(FleetView fleet) {
+        this.checks = List.of(
+                new NameCheck(),
+                new DuplicateCheck(),
+                new CallerTokenCheck(),
+                new KindCheck(),
+                new UnreachableKindCheck(),
+                new BackendCheck(),
+                new FleetCheck(fleet));
+    }
+
+    /**
+     * Checks a text.
+     *
+     * @return the findings in the order of the text, and the document if the text could be read at all
+     */
+    public CheckedDocument check(String source, String text) {
+        Findings findings = new Findings();
+        Optional<LocatedDocument> located = new DocumentReader(findings).readLocated(source, text);
+        if (located.isPresent()) {
+            for (DocumentCheck check : checks) {
+                check.check(located.get(), findings);
+            }
+        }
+        List<Finding> sorted =
+                findings.all().stream().sorted(BY_PLACE).distinct().toList();
+        return new CheckedDocument(located, sorted);
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentReader.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentReader.java
@@ -11,6 +11,10 @@
 
 /** Reads a team's document from JSON with comments. */
 public final class DocumentReader {
+    static final String ACCEPTANCE_FIELD = "acceptance";
+
+    // Whole numbers beyond this are not exact in every JSON reader.
+    private static final double MOST_REVISION = (1L << 53) - 1;
     private static final double MOST_WEIGHT = 1_000_000;
     private static final double LEAST_DEADLINE_SECONDS = 0.05;
     private static final double MOST_DEADLINE_SECONDS = 3600;
@@ -25,20 +29,28 @@
 
     /** Reads a document; empty where the text is no object. Mistakes are added to the findings. */
     public Optional<ServiceDocument> read(String source, String text) {
+        return readLocated(source, text).map(LocatedDocument::document);
+    }
+
+    /** Reads a document and keeps the place of each field, for checks that come after reading. */
+    public Optional<LocatedDocument> readLocated(String source, String text) {
         Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
-        return root.map(object -> readDocument(new FieldReader(object, findings)));
+        return root.map(
+                object -> new LocatedDocument(readDocument(new FieldReader(object, findings)), new PlaceIndex(object)));
     }
 
     private ServiceDocument readDocument(FieldReader reader) {
         ServiceDocument document = new ServiceDocument(
                 reader.requiredText("team"),
                 reader.requiredText("service"),
-                (long) reader.decimal("revision", 0, Long.MAX_VALUE, 0),
+                (long) reader.decimal("revision", 0, MOST_REVISION, 0),
                 readModels(reader),
                 readKinds(reader),
                 reader.decimal("roleChangePrice", 0, MOST_WEIGHT, 0),
                 reader.texts("callerTokenHashes"),
                 readBackends(reader));
+        // Stored documents carry how they were accepted; StoredDocuments reads it.
+        reader.object(ACCEPTANCE_FIELD);
         reader.refuseUnknownFields();
         return document;
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentWriter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentWriter.java
@@ -12,6 +12,10 @@
 
     /** Writes the document with all defaults spelled out. */
     public static String write(ServiceDocument document) {
+        return writeTree(document).toPrettyString();
+    }
+
+    static ObjectNode writeTree(ServiceDocument document) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("team", document.team());
         root.put("service", document.service());
@@ -26,7 +30,7 @@
         ArrayNode engines = root.putArray("engines");
         ArrayNode plainServices = root.putArray("plainServices");
         document.backends().forEach(backend -> writeBackend(engines, plainServices, backend));
-        return root.toPrettyString();
+        return root;
     }
 
     private static void writeModel(ObjectNode node, ModelDeclaration model) {
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/FleetCheck.java
@@ -0,0 +1,96 @@
+package org.aspenmoor.internal.document;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.finding.Findings;
+
+/** What the document asks of the fleet exists there and is not somebody else's. */
+final class FleetCheck implements DocumentCheck {
+    private final FleetView fleet;
+
+    FleetCheck(FleetView fleet) {
+        this.fleet = fleet;
+    }
+
+    @Override
+    public void check(LocatedDocument located, Findings findings) {
+        for (DeclaredBackend backend : DeclaredBackend.all(located.document())) {
+            checkBackend(backend, located, findings);
+        }
+        List<ModelDeclaration> models = located.document().models();
+        for (int index = 0; index < models.size(); index++) {
+            checkModel("models[" + index + "]", models.get(index), located, findings);
+        }
+        List<RequestKind> kinds = located.document().kinds();
+        for (int index = 0; index < kinds.size(); index++) {
+            checkDeadline("kinds[" + index + "]", kinds.get(index), located, findings);
+        }
+    }
+
+    private void checkBackend(DeclaredBackend backend, LocatedDocument located, Findings findings) {
+        String name = backend.declaration().name();
+        String dataCentre = backend.declaration().dataCentre();
+        Optional<String> actual = fleet.dataCentreOf(name);
+        if (fleet.hasDataCentre(dataCentre).filter(known -> !known).isPresent()) {
+            findings.add(
+                    located.places().placeOf(backend.path() + ".dataCentre"),
+                    "The platform has no data centre \"" + dataCentre + "\".",
+                    "Write the name that the hosts' settings use.");
+        } else if (actual.filter(place -> !place.equals(dataCentre)).isPresent()) {
+            findings.add(
+                    located.places().placeOf(backend.path() + ".dataCentre"),
+                    "The backend server \"" + name + "\" stands in \"" + actual.get() + "\".",
+                    "Write \"" + actual.get() + "\".");
+        }
+        ServiceName self = ServiceName.of(located.document());
+        Optional<ServiceName> owner = fleet.ownerOf(name).filter(other -> !other.equals(self));
+        if (owner.isPresent()) {
+            findings.add(
+                    located.places().placeOf(backend.path() + ".name"),
+                    "The backend server \"" + name + "\" is declared by " + shown(owner.get(), self) + ".",
+                    "Ask that team to withdraw it first, or remove it here.");
+        }
+    }
+
+    /** Names another service only to its own team: one team must not see another's. */
+    private static String shown(ServiceName owner, ServiceName self) {
+        return owner.team().equals(self.team()) ? owner.toString() : "another team";
+    }
+
+    private void checkModel(String path, ModelDeclaration model, LocatedDocument located, Findings findings) {
+        if (fleet.hasModelVersion(model.name(), model.version())
+                .filter(known -> !known)
+                .isPresent()) {
+            findings.add(
+                    located.places().placeOf(path + ".version"),
+                    "The weight store has no version \"" + model.version() + "\" of \"" + model.name() + "\".",
+                    "Put it there first, or write a version that is there.");
+        }
+        List<Optional<Boolean>> answers = located.document().backends().stream()
+                .filter(BackendDeclaration.EngineDeclaration.class::isInstance)
+                .map(engine -> fleet.canHold(engine.name(), model.name()))
+                .toList();
+        boolean noneCanHold = answers.stream().allMatch(answer -> answer.isPresent() && !answer.get());
+        if (!answers.isEmpty() && noneCanHold) {
+            findings.add(
+                    located.places().placeOf(path + ".name"),
+                    "No engine of the service can hold the model \"" + model.name() + "\".",
+                    "Declare an engine with more memory, or remove the model.");
+        }
+    }
+
+    private void checkDeadline(String path, RequestKind kind, LocatedDocument located, Findings findings) {
+        Optional<Duration> tokenTime = kind.match().model().flatMap(fleet::shortestTokenTime);
+        if (tokenTime.isEmpty()) {
+            return;
+        }
+        Duration needed = tokenTime.get().multipliedBy(kind.longestOutputTokens());
+        if (needed.compareTo(kind.deadline()) > 0) {
+            findings.add(
+                    located.places().placeOf(path + ".deadlineSeconds"),
+                    "The longest answer takes " + Sentences.seconds(needed) + " on the fleet's fastest engine.",
+                    "Write a later deadline or a smaller longestOutputTokens.");
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindFlavour.java
@@ -0,0 +1,33 @@
+package org.aspenmoor.internal.document;
+
+/** Which sort of request a kind takes. */
+public enum KindFlavour {
+    /** A completion by a model engine. */
+    GENERATION,
+    /** A call passed through to a plain service. */
+    PLAIN_CALL;
+
+    /** Returns the sort of request that a kind's match and limits speak of. */
+    public static KindFlavour of(RequestKind kind) {
+        if (asksForPlainCall(kind)) {
+            return PLAIN_CALL;
+        }
+        return asksForGeneration(kind) || kind.longestOutputTokens() > 0 ? GENERATION : PLAIN_CALL;
+    }
+
+    /** Says whether a kind's match has parts of both sorts, so that no request can be of it. */
+    static boolean isMixed(RequestKind kind) {
+        return asksForPlainCall(kind) && asksForGeneration(kind);
+    }
+
+    private static boolean asksForPlainCall(RequestKind kind) {
+        return kind.match().method().isPresent() || kind.match().pathPrefix().isPresent();
+    }
+
+    private static boolean asksForGeneration(RequestKind kind) {
+        KindMatch match = kind.match();
+        return match.model().isPresent()
+                || match.adapter().isPresent()
+                || match.mostPromptTokens().isPresent();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/NameCheck.java
@@ -0,0 +1,71 @@
+package org.aspenmoor.internal.document;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.aspenmoor.internal.finding.Findings;
+
+/** Names become parts of object names, paths, metric labels and {@code MODEL:ADAPTER@VERSION}, so their letters are few. */
+final class NameCheck implements DocumentCheck {
+    private static final Pattern PLAIN_NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+    private static final Pattern MODEL_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+
+    @Override
+    public void check(LocatedDocument located, Findings findings) {
+        ServiceDocument document = located.document();
+        Names names = new Names(located.places(), findings);
+        names.plain("team", document.team());
+        names.plain("service", document.service());
+        checkModels(document.models(), names);
+        for (int index = 0; index < document.kinds().size(); index++) {
+            names.plain("kinds[" + index + "].name", document.kinds().get(index).name());
+        }
+        for (DeclaredBackend backend : DeclaredBackend.all(document)) {
+            names.plain(backend.path() + ".name", backend.declaration().name());
+            names.plain(backend.path() + ".dataCentre", backend.declaration().dataCentre());
+        }
+        if (located.places().isWritten(DocumentReader.ACCEPTANCE_FIELD)) {
+            findings.add(
+                    located.places().placeOf(DocumentReader.ACCEPTANCE_FIELD),
+                    "The record of an acceptance is written by the system.",
+                    "Remove the field.");
+        }
+    }
+
+    private static void checkModels(List<ModelDeclaration> models, Names names) {
+        for (int index = 0; index < models.size(); index++) {
+            ModelDeclaration model = models.get(index);
+            String path = "models[" + index + "]";
+            names.model(path + ".name", model.name());
+            names.model(path + ".version", model.version());
+            for (int adapter = 0; adapter < model.adapters().size(); adapter++) {
+                String adapterPath = path + ".adapters[" + adapter + "]";
+                names.model(adapterPath + ".name", model.adapters().get(adapter).name());
+                names.model(
+                        adapterPath + ".version", model.adapters().get(adapter).version());
+            }
+        }
+    }
+
+    /**
+     * Checks single names.
+     *
+     * @param places where they stand
+     * @param findings where mistakes go
+     */
+    private record Names(PlaceIndex places, Findings findings) {
+        void plain(String path, String name) {
+            match(PLAIN_NAME, path, name, "Use 1 to 63 small letters, digits and inner hyphens.");
+        }
+
+        void model(String path, String name) {
+            match(MODEL_NAME, path, name, "Use 1 to 100 letters, digits, '.', '_' and '-', starting with no sign.");
+        }
+
+        private void match(Pattern pattern, String path, String name, String remedy) {
+            // The reader has already reported a missing name.
+            if (!name.isEmpty() && !pattern.matcher(name).matches()) {
+                findings.add(places.placeOf(path), "The name \"" + name + "\" cannot be used.", remedy);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/StoredDocuments.java
@@ -0,0 +1,79 @@
+package org.aspenmoor.internal.document;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.json.FieldReader;
+import org.aspenmoor.internal.json.LocatedJsonParser;
+import org.aspenmoor.internal.json.LocatedValue;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** Names, writes and reads documents in the store: the document's fields, and beside them how it was accepted. */
+public final class StoredDocuments {
+    private static final String BY = "by";
+    private static final String AT = "at";
+    private static final String NONCE = "nonce";
+    private static final String CHANGES = "changes";
+
+    private StoredDocuments() {}
+
+    /** Returns the name of the object that holds the document in force. */
+    public static ObjectKey documentKey(ServiceName name) {
+        return new ObjectKey(ObjectKind.DOCUMENT, name.team(), name.service());
+    }
+
+    /** Returns the name of the object that holds a revision in the history. */
+    public static ObjectKey revisionKey(ServiceName name, long revision) {
+        return new ObjectKey(ObjectKind.DOCUMENT_REVISION, name.team(), name.service() + "." + revision);
+    }
+
+    /** Writes the object's value. */
+    public static String write(ServiceDocument document, Acceptance acceptance) {
+        ObjectNode root = DocumentWriter.writeTree(document);
+        ObjectNode node = root.putObject(DocumentReader.ACCEPTANCE_FIELD);
+        node.put(BY, acceptance.by());
+        node.put(AT, acceptance.at().toString());
+        node.put(NONCE, acceptance.nonce());
+        acceptance.changes().forEach(node.putArray(CHANGES)::add);
+        return root.toString();
+    }
+
+    /**
+     * Reads an object's value.
+     *
+     * @throws StoreMalformedException where the object holds no document
+     */
+    public static StoredDocument read(StoredObject object) throws StoreMalformedException {
+        Findings findings = new Findings();
+        String source = object.key().toString();
+        Optional<ServiceDocument> document = new DocumentReader(findings).read(source, object.value());
+        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(object.value());
+        if (!findings.isEmpty() || document.isEmpty() || root.isEmpty()) {
+            throw new StoreMalformedException(
+                    "The store holds no usable document: " + findings.all() + ".",
+                    source,
+                    "Write the object again from the last good revision in the history.");
+        }
+        Optional<Acceptance> acceptance = new FieldReader(root.get(), findings)
+                .object(DocumentReader.ACCEPTANCE_FIELD)
+                .flatMap(StoredDocuments::readAcceptance);
+        return new StoredDocument(object, document.get(), acceptance);
+    }
+
+    private static Optional<Acceptance> readAcceptance(FieldReader reader) {
+        try {
+            return Optional.of(new Acceptance(
+                    reader.optionalText(BY).orElse(""),
+                    Instant.parse(reader.optionalText(AT).orElse("")),
+                    reader.optionalText(NONCE).orElse(""),
+                    reader.texts(CHANGES)));
+        } catch (DateTimeParseException notWrittenBySystem) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/UnknownFleetView.java
@@ -0,0 +1,37 @@
+package org.aspenmoor.internal.document;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** Knows nothing of the fleet; for checks of a file without a connection. */
+public final class UnknownFleetView implements FleetView {
+    @Override
+    public Optional<Boolean> hasDataCentre(String name) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> dataCentreOf(String backend) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<ServiceName> ownerOf(String backend) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Boolean> hasModelVersion(String model, String version) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Boolean> canHold(String engine, String model) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> shortestTokenTime(String model) {
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentAcceptanceTest.java
@@ -0,0 +1,214 @@
+package org.aspenmoor.internal.document;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.Random;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.document.ScriptedObjectStore.Fault;
+import org.aspenmoor.internal.finding.FindingsException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class DocumentAcceptanceTest {
+    private static final ServiceName NAME = new ServiceName("studio", "drafting");
+    private static final String SECOND = DocumentTexts.DRAFTING.replace("\"version\": \"3\"", "\"version\": \"4\"");
+    private static final String THIRD = DocumentTexts.DRAFTING.replace("\"weight\": 5", "\"weight\": 9");
+
+    private ScriptedObjectStore store;
+    private DocumentAcceptance acceptance;
+
+    @BeforeMethod
+    public void open_an_empty_store() {
+        store = new ScriptedObjectStore();
+        acceptance = new DocumentAcceptance(store, new UnknownFleetView(), new ManualTimeSource(), new Random(3));
+    }
+
+    @Test
+    public void should_count_revisions_up_and_record_who_when_and_what() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        AcceptedDocument second = accept(SECOND, 1, "bolat");
+
+        assertEquals(second.stored().document().revision(), 2L);
+        assertTrue(second.historyRecorded());
+        List<StoredDocument> history = acceptance.history(NAME, 10);
+        assertEquals(history.size(), 2);
+        Acceptance recorded = acceptance.revision(NAME, 2).acceptance().orElseThrow();
+        assertEquals(recorded.by(), "bolat");
+        assertEquals(recorded.at(), new ManualTimeSource().timeOfDay());
+        assertEquals(recorded.changes(), List.of("Model scene-drafter goes from version 3 to 4."));
+    }
+
+    @Test
+    public void should_count_no_revision_for_the_same_declaration() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+
+        AcceptedDocument again = accept("// only a comment\n" + DocumentTexts.DRAFTING, 1, "bolat");
+
+        assertTrue(again.difference().isEmpty());
+        assertEquals(again.stored().document().revision(), 1L);
+    }
+
+    @Test
+    public void should_report_all_mistakes_and_write_nothing() {
+        String text = DocumentTexts.DRAFTING
+                .replace("\"service\"", "\"revision\": 7, \"service\"")
+                .replace("\"weight\": 5", "\"weight\": 0");
+
+        FindingsException refused = expectThrows(FindingsException.class, () -> accept(text, 0, "aigul"));
+
+        assertEquals(refused.findings().size(), 2);
+        assertTrue(store.memory().read(StoredDocuments.documentKey(NAME)).isEmpty());
+    }
+
+    @Test
+    public void should_tell_the_loser_of_a_race_what_changed() throws AspenmoorException {
+        // Two operators read revision 1 and accept at one moment; the second one's write meets the first one's between
+        // its reading and its writing. Without the condition the first change would be lost without a word.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.beforeWrite(2, () -> acceptUnchecked(SECOND, 1, "bolat"));
+
+        DocumentConflictException lost = expectThrows(DocumentConflictException.class, () -> accept(THIRD, 1, "aigul"));
+
+        assertEquals(lost.currentRevision(), 2L);
+        assertEquals(lost.changesMeanwhile(), List.of("Model scene-drafter goes from version 3 to 4."));
+        assertEquals(
+                acceptance.read(NAME).orElseThrow().acceptance().orElseThrow().by(), "bolat");
+    }
+
+    @DataProvider
+    public Object[][] lost_writes() {
+        return new Object[][] {
+            {List.of(Fault.NONE, Fault.ANSWER_LOST)},
+            {List.of(Fault.NONE, Fault.REQUEST_LOST)},
+            {List.of(Fault.NONE, Fault.ANSWER_LOST, Fault.UNAVAILABLE, Fault.REQUEST_LOST)},
+            {List.of(Fault.ANSWER_LOST, Fault.NONE, Fault.ANSWER_LOST)},
+            {List.of(Fault.NONE, Fault.REQUEST_LOST, Fault.ANSWER_LOST)},
+        };
+    }
+
+    @Test(dataProvider = "lost_writes")
+    public void should_settle_a_lost_answer(List<Fault> faults) throws AspenmoorException {
+        // The answer to the conditional update is lost, once before and once after it took effect. Taken as a failure,
+        // the operator would be told of a conflict with a change that is her own.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.failNextWrites(faults);
+
+        AcceptedDocument accepted = accept(SECOND, 1, "aigul");
+
+        assertEquals(accepted.stored().document().revision(), 2L);
+        assertEquals(acceptance.read(NAME).orElseThrow().document().revision(), 2L);
+    }
+
+    @Test
+    public void should_recognise_its_own_change_under_a_later_one() throws AspenmoorException {
+        // The answer is lost after the write took effect, and another operator accepts the next revision before the
+        // retry. The document no longer carries the nonce; the history does.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.failNextWrites(List.of(Fault.NONE, Fault.ANSWER_LOST));
+        store.beforeWrite(3, () -> acceptUnchecked(THIRD, 2, "bolat"));
+
+        AcceptedDocument accepted = accept(SECOND, 1, "aigul");
+
+        assertEquals(accepted.stored().document().revision(), 2L);
+        assertEquals(acceptance.read(NAME).orElseThrow().document().revision(), 3L);
+    }
+
+    @Test
+    public void should_say_that_nothing_is_known_when_the_store_stays_silent() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.failNextWrites(
+                List.of(Fault.NONE, Fault.ANSWER_LOST, Fault.UNAVAILABLE, Fault.UNAVAILABLE, Fault.UNAVAILABLE));
+
+        assertThrows(DocumentOutcomeUnknownException.class, () -> accept(SECOND, 1, "aigul"));
+    }
+
+    @Test
+    public void should_say_that_nothing_was_written_when_the_store_is_down() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.failNextWrites(List.of(Fault.NONE, Fault.UNAVAILABLE));
+
+        assertThrows(StoreUnavailableException.class, () -> accept(SECOND, 1, "aigul"));
+        assertEquals(acceptance.read(NAME).orElseThrow().document().revision(), 1L);
+    }
+
+    @DataProvider
+    public Object[][] kills() {
+        return new Object[][] {
+            {List.of(Fault.KILLED_BEFORE), 1L},
+            {List.of(Fault.KILLED_AFTER), 1L},
+            {List.of(Fault.NONE, Fault.KILLED_BEFORE), 1L},
+            {List.of(Fault.NONE, Fault.KILLED_AFTER), 2L},
+            {List.of(Fault.NONE, Fault.NONE, Fault.KILLED_BEFORE), 2L},
+            {List.of(Fault.NONE, Fault.NONE, Fault.KILLED_AFTER), 2L},
+        };
+    }
+
+    @Test(dataProvider = "kills")
+    public void should_leave_no_gap_in_the_history_when_killed(List<Fault> faults, long revisionLeft)
+            throws AspenmoorException {
+        // The entry is killed before or after any of the three writes of an acceptance. A user would notice a change in
+        // force that nobody is on record for, or a record of a change that never came.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        store.failNextWrites(faults);
+        assertThrows(ScriptedObjectStore.KilledException.class, () -> accept(SECOND, 1, "aigul"));
+
+        long current = acceptance.read(NAME).orElseThrow().document().revision();
+        assertEquals(current, revisionLeft);
+        assertEquals(acceptance.history(NAME, 10).size(), (int) current);
+
+        accept(THIRD, current, "bolat");
+
+        for (long revision = 1; revision <= current + 1; revision++) {
+            assertTrue(
+                    store.memory()
+                            .read(StoredDocuments.revisionKey(NAME, revision))
+                            .isPresent(),
+                    "revision " + revision);
+        }
+        assertFalse(store.memory()
+                .read(StoredDocuments.revisionKey(NAME, current + 2))
+                .isPresent());
+    }
+
+    @Test
+    public void should_revert_as_a_new_revision() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        accept(SECOND, 1, "aigul");
+
+        AcceptedDocument reverted = acceptance.revert(NAME, 1, 2, "bolat");
+
+        assertEquals(reverted.stored().document().revision(), 3L);
+        assertEquals(reverted.difference().sentences(), List.of("Model scene-drafter goes from version 4 to 3."));
+    }
+
+    @Test
+    public void should_keep_a_bounded_history() throws AspenmoorException {
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        for (long revision = 1; revision <= DocumentHistory.REVISIONS_KEPT; revision++) {
+            accept(revision % 2 == 0 ? SECOND : THIRD, revision, "aigul");
+        }
+
+        assertThrows(DocumentNotFoundException.class, () -> acceptance.revision(NAME, 1));
+        assertEquals(acceptance.history(NAME, 1000).size(), DocumentHistory.REVISIONS_KEPT);
+    }
+
+    private AcceptedDocument accept(String text, long readRevision, String operator) throws AspenmoorException {
+        return acceptance.accept(new DocumentProposal(NAME, text, readRevision, operator));
+    }
+
+    private void acceptUnchecked(String text, long readRevision, String operator) {
+        try {
+            accept(text, readRevision, operator);
+        } catch (AspenmoorException unexpected) {
+            throw new AssertionError(unexpected);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentCheckerTest.java
@@ -0,0 +1,146 @@
+package org.aspenmoor.internal.document;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.finding.Finding;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class DocumentCheckerTest {
+    @Test
+    public void should_find_nothing_in_a_right_document() {
+        assertEquals(check(DocumentTexts.DRAFTING), List.of());
+    }
+
+    @DataProvider
+    public Object[][] mistakes() {
+        return new Object[][] {
+            {"\"team\": \"studio\"", "\"team\": \"Studio!\"", "2:11 (team)", "cannot be used"},
+            {"\"service\": \"drafting\"", "\"service\": \"a.b\"", "3:14 (service)", "cannot be used"},
+            {DocumentTexts.HASH, "secret-token", "4:25 (callerTokenHashes[0])", "not a SHA-256 hash"},
+            {"\"theatre\", \"version\": \"1\"", "\"thea:tre\", \"version\": \"1\"", "7:69", "cannot be used"},
+            {"{\"model\": \"scene-drafter\"}", "{\"model\": \"scene\"}", "12:42 (kinds[1].match.model)", "not declared"
+            },
+            {
+                "{\"model\": \"scene-drafter\"}",
+                "{\"model\": \"scene-drafter\", \"adapter\": \"film\"}",
+                "12:70 (kinds[1].match.adapter)",
+                "no adapter \"film\""
+            },
+            {"{\"model\": \"scene-drafter\"}", "{\"adapter\": \"theatre\"}", "12:44", "An adapter belongs to a model"},
+            {", \"mostPromptTokens\": 400", "", "12:5 (kinds[1])", "never matches"},
+            {"{\"method\": \"GET\"}", "{\"method\": \"GET\", \"model\": \"m\"}", "16:34", "so it never holds"},
+            {"{\"method\": \"GET\"}", "{\"method\": \"FETCH\"}", "16:45", "no HTTP method"},
+            {"\"/bookings\"", "\"bookings\"", "14:67", "does not start with '/'"},
+            {", \"idempotent\": false", "", "14:5 (kinds[2].idempotent)", "does not say whether"},
+            {"800}", "800, \"idempotent\": false}", "13:84", "cannot be non-idempotent"},
+            {", \"longestOutputTokens\": 800", "", "12:5 (kinds[1].longestOutputTokens)", "no tokens is useless"},
+            {"\"deadlineSeconds\": 20", "\"deadlineSeconds\": 0.5", "13:38", "800 tokens"},
+            {"\"weight\": 5", "\"weight\": 0", "11:16 (kinds[0].weight)", "weight 0"},
+            {"\"name\": \"scene\"", "\"name\": \"cue\"", "12:14 (kinds[1].name)", "stands already in line 10"},
+            {"\"drafter-2\"", "\"drafter-1\"", "20:14 (engines[1].name)", "stands already in line 19"},
+            {"\"desk-1\"", "\"drafter-1\"", "22:30 (plainServices[0].name)", "stands already in line 19"},
+            {"{\"name\": \"desk-1\", \"dataCentre\": \"almaty-1\"}", "", "14:34", "no plain service is declared"},
+            {"\"service\"", "\"acceptance\": {}, \"service\"", "3:17 (acceptance)", "written by the system"},
+            {"\"weight\": 5", "\"weight\": \"5\"", "11:16", "wrong type"},
+        };
+    }
+
+    @Test(dataProvider = "mistakes")
+    public void should_name_the_place_of_a_mistake(String right, String wrong, String place, String problem) {
+        List<Finding> findings = check(DocumentTexts.DRAFTING.replace(right, wrong));
+
+        assertTrue(
+                findings.stream()
+                        .map(Finding::toString)
+                        .anyMatch(finding -> finding.startsWith("d.json:" + place) && finding.contains(problem)),
+                findings.toString());
+    }
+
+    @Test
+    public void should_say_that_models_lack_engines() {
+        String text = "{\"team\": \"a\", \"service\": \"b\", \"models\": [{\"name\": \"m\", \"version\": \"1\"}]}";
+
+        List<String> problems = check(text).stream().map(Finding::problem).toList();
+
+        assertEquals(
+                problems,
+                List.of(
+                        "Nobody may call the service.",
+                        "The service takes no request.",
+                        "The service has models and no engine."));
+    }
+
+    @Test
+    public void should_keep_places_right_after_an_item_of_the_wrong_type() {
+        String text = DocumentTexts.DRAFTING
+                .replace("\"engines\": [", "\"engines\": [7,")
+                .replace("\"almaty-2\"", "\"Almaty 2\"");
+
+        List<String> places =
+                check(text).stream().map(finding -> finding.place().toString()).toList();
+
+        assertEquals(places, List.of("d.json:18:15 (engines[0])", "d.json:20:41 (engines[2].dataCentre)"));
+    }
+
+    @Test
+    public void should_check_against_the_fleet() {
+        FleetView fleet = new SmallFleet();
+
+        List<Finding> findings = new DocumentChecker(fleet)
+                .check("d.json", DocumentTexts.DRAFTING)
+                .findings();
+
+        assertEquals(
+                findings.stream().map(Finding::problem).toList(),
+                List.of(
+                        "No engine of the service can hold the model \"scene-drafter\".",
+                        "The weight store has no version \"3\" of \"scene-drafter\".",
+                        "The longest answer takes 3 s on the fleet's fastest engine.",
+                        "The longest answer takes 40 s on the fleet's fastest engine.",
+                        "The backend server \"drafter-1\" is declared by another team.",
+                        "The platform has no data centre \"almaty-2\".",
+                        "The backend server \"desk-1\" stands in \"almaty-3\"."));
+    }
+
+    private static List<Finding> check(String text) {
+        return new DocumentChecker(new UnknownFleetView()).check("d.json", text).findings();
+    }
+
+    /** A fleet in which little fits. */
+    private static final class SmallFleet implements FleetView {
+        @Override
+        public Optional<Boolean> hasDataCentre(String name) {
+            return Optional.of(name.equals("almaty-1"));
+        }
+
+        @Override
+        public Optional<String> dataCentreOf(String backend) {
+            return backend.equals("desk-1") ? Optional.of("almaty-3") : Optional.empty();
+        }
+
+        @Override
+        public Optional<ServiceName> ownerOf(String backend) {
+            return backend.equals("drafter-1") ? Optional.of(new ServiceName("other", "s")) : Optional.empty();
+        }
+
+        @Override
+        public Optional<Boolean> hasModelVersion(String model, String version) {
+            return Optional.of(false);
+        }
+
+        @Override
+        public Optional<Boolean> canHold(String engine, String model) {
+            return Optional.of(false);
+        }
+
+        @Override
+        public Optional<Duration> shortestTokenTime(String model) {
+            return Optional.of(Duration.ofMillis(50));
+        }
+    }
+}
