Administration API: documents, status, duties, dumps, with operators' tokens and a served description

AdministrationApi is a Ratpack chain for every entry to mount below admin/v1. Each operation is a function from a typed request to a typed answer that runs on a thread which may block; the chain is built from the same list that a test compares with openapi.json. 31 calls are made over HTTP and each answer is compared with its schema.

A change is conditional on the revision in If-Match; the loser of a race gets 412 with what changed meanwhile.

Ruled out: listing documents from the store. One call would carry every document of 3,500 organisations; the list is what this entry serves by.

A kind without match and tokens in a service that has only models is now taken for a generation, so that its one mistake is named instead of two others.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/BackendCheck.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/BackendCheck.java
@@ -28,7 +28,7 @@
         for (int index = 0; index < document.kinds().size(); index++) {
             RequestKind kind = document.kinds().get(index);
             String path = "kinds[" + index + "].match";
-            switch (KindFlavour.of(kind)) {
+            switch (KindFlavour.of(kind, document)) {
                 case GENERATION -> {
                     if (!hasModels) {
                         findings.add(
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindCheck.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindCheck.java
@@ -48,7 +48,7 @@
                         "Keep either model, adapter and mostPromptTokens, or method and pathPrefix.");
                 return;
             }
-            switch (KindFlavour.of(kind)) {
+            switch (KindFlavour.of(kind, located.document())) {
                 case GENERATION -> checkGeneration();
                 case PLAIN_CALL -> checkPlainCall();
             }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindFlavour.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/KindFlavour.java
@@ -7,12 +7,17 @@
     /** A call passed through to a plain service. */
     PLAIN_CALL;
 
-    /** Returns the sort of request that a kind's match and limits speak of. */
-    public static KindFlavour of(RequestKind kind) {
+    /** Returns the sort of request that a kind speaks of; where the kind says nothing, the service's backends decide. */
+    public static KindFlavour of(RequestKind kind, ServiceDocument document) {
         if (asksForPlainCall(kind)) {
             return PLAIN_CALL;
         }
-        return asksForGeneration(kind) || kind.longestOutputTokens() > 0 ? GENERATION : PLAIN_CALL;
+        if (asksForGeneration(kind) || kind.longestOutputTokens() > 0) {
+            return GENERATION;
+        }
+        boolean onlyModels = !document.models().isEmpty()
+                && document.backends().stream().noneMatch(BackendDeclaration.PlainServiceDeclaration.class::isInstance);
+        return onlyModels ? GENERATION : PLAIN_CALL;
     }
 
     /** Says whether a kind's match has parts of both sorts, so that no request can be of it. */
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/AdministrationApi.java
@@ -0,0 +1,146 @@
+package org.aspenmoor.internal.administration;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.document.DocumentAcceptance;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.jboss.logging.Logger;
+import ratpack.exec.Blocking;
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/** The administration API as a chain of handlers; every entry mounts it below {@code /admin/v1}. */
+public final class AdministrationApi implements Action<Chain> {
+    /** The path that the chain belongs under, without slashes around it. */
+    public static final String ROOT = "admin/v1";
+
+    private static final Logger LOG = Logger.getLogger("administration");
+    private static final String JSON = "application/json";
+    // A stored document carries its acceptance too and must stay within a value of the store, a megabyte.
+    private static final int MOST_BODY_BYTES = 700 * 1024;
+
+    private final OperatorTokens tokens;
+    private final List<Endpoint> endpoints;
+    private final String description;
+
+    public AdministrationApi(
+            OperatorTokens tokens,
+            DocumentAcceptance acceptance,
+            DocumentRegistry registry,
+            ProcessStatusSource source) {
+        this.tokens = tokens;
+        List<Endpoint> all = new ArrayList<>(new DocumentEndpoints(acceptance, registry).all());
+        all.addAll(new StatusEndpoints(source, registry).all());
+        this.endpoints = List.copyOf(all);
+        this.description = readDescription();
+    }
+
+    /** Returns every operation, for the check against the published description. */
+    List<Endpoint> endpoints() {
+        return endpoints;
+    }
+
+    @Override
+    public void execute(Chain chain) throws Exception {
+        chain.get("openapi.json", context -> context.getResponse().send(JSON, description));
+        Map<String, List<Endpoint>> byPath = new LinkedHashMap<>();
+        endpoints.forEach(endpoint -> byPath.computeIfAbsent(endpoint.path(), path -> new ArrayList<>())
+                .add(endpoint));
+        for (Map.Entry<String, List<Endpoint>> path : byPath.entrySet()) {
+            chain.path(path.getKey(), context -> handle(context, path.getValue()));
+        }
+        chain.all(context -> send(
+                context,
+                ErrorAnswers.of(RequestRefusedException.unknown(
+                        "The administration API has no such path.",
+                        context.getRequest().getPath(),
+                        "Look it up in /admin/v1/openapi.json."))));
+    }
+
+    private void handle(Context context, List<Endpoint> sharingPath) {
+        Optional<String> authorization =
+                Optional.ofNullable(context.getRequest().getHeaders().get("Authorization"));
+        Optional<Operator> operator = tokens.find(authorization);
+        if (operator.isEmpty()) {
+            send(context, ErrorAnswers.of(RequestRefusedException.unauthorised()));
+            return;
+        }
+        String method = context.getRequest().getMethod().getName();
+        Optional<Endpoint> endpoint = sharingPath.stream()
+                .filter(candidate -> candidate.method().equals(method))
+                .findFirst();
+        if (endpoint.isEmpty()) {
+            send(context, ErrorAnswers.of(RequestRefusedException.methodNotAllowed(method)));
+            return;
+        }
+        answer(context, operator.get(), endpoint.get());
+    }
+
+    private static void answer(Context context, Operator operator, Endpoint endpoint) {
+        context.getRequest()
+                .getBody(
+                        MOST_BODY_BYTES,
+                        () -> send(context, ErrorAnswers.of(RequestRefusedException.tooLarge(MOST_BODY_BYTES))))
+                .map(body -> request(context, operator, body.getText(StandardCharsets.UTF_8)))
+                .flatMap(request -> Blocking.get(() -> call(endpoint, request)))
+                .onError(fault -> {
+                    LOG.errorf(fault, "administration: %s %s failed", endpoint.method(), endpoint.path());
+                    send(context, ErrorAnswers.of(internal(fault)));
+                })
+                .then(answer -> send(context, answer));
+    }
+
+    private static ApiAnswer call(Endpoint endpoint, ApiRequest request) {
+        try {
+            return endpoint.handler().handle(request);
+        } catch (AspenmoorException error) {
+            LOG.infof(
+                    "administration: %s %s by %s refused, %s",
+                    endpoint.method(), endpoint.path(), request.operator().name(), error.problem());
+            return ErrorAnswers.of(error);
+        }
+    }
+
+    private static ApiRequest request(Context context, Operator operator, String body) {
+        Map<String, String> query = new HashMap<>();
+        context.getRequest().getQueryParams().forEach(query::put);
+        return new ApiRequest(
+                operator,
+                Map.copyOf(context.getAllPathTokens()),
+                query,
+                Optional.ofNullable(context.getRequest().getHeaders().get("If-Match")),
+                body);
+    }
+
+    private static AspenmoorException internal(Throwable fault) {
+        return new AspenmoorException(
+                "The entry met an error of its own: " + fault.getClass().getSimpleName() + ".",
+                "administration API",
+                "Look into this entry's log, and read the document again before repeating a change.",
+                fault);
+    }
+
+    private static void send(Context context, ApiAnswer answer) {
+        context.getResponse().status(answer.status());
+        answer.headers()
+                .forEach((name, value) -> context.getResponse().getHeaders().set(name, value));
+        context.getResponse().send(JSON, answer.body().toString());
+    }
+
+    private static String readDescription() {
+        try (InputStream stream = AdministrationApi.class.getResourceAsStream("openapi.json")) {
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException unreadable) {
+            throw new IllegalStateException("the build holds openapi.json", unreadable);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/ApiRequest.java
@@ -0,0 +1,77 @@
+package org.aspenmoor.internal.administration;
+
+import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.internal.document.ServiceName;
+
+/**
+ * One call of the administration API.
+ *
+ * @param operator who calls
+ * @param pathTokens the named parts of the path
+ * @param query the query's parameters
+ * @param ifMatch the {@code If-Match} header
+ * @param body the body's text
+ */
+record ApiRequest(
+        Operator operator,
+        Map<String, String> pathTokens,
+        Map<String, String> query,
+        Optional<String> ifMatch,
+        String body) {
+    private static final String WILDCARD_QUOTES = "^\"|\"$";
+
+    /** Returns a named part of the path. */
+    String pathToken(String name) {
+        return pathTokens.get(name);
+    }
+
+    /** Returns the service that the path names, if the operator's scope covers it. */
+    ServiceName service() throws RequestRefusedException {
+        ServiceName name = new ServiceName(pathToken("team"), pathToken("service"));
+        if (!operator.scope().covers(name)) {
+            throw RequestRefusedException.outOfScope(name.toString());
+        }
+        return name;
+    }
+
+    /** Returns the revision in the path. */
+    long revision() throws RequestRefusedException {
+        return number("revision", pathToken("revision"));
+    }
+
+    /** Returns the revision that the operator read. */
+    long readRevision() throws RequestRefusedException {
+        if (ifMatch.isEmpty()) {
+            throw RequestRefusedException.readRevisionMissing();
+        }
+        return number("If-Match", ifMatch.get().replaceAll(WILDCARD_QUOTES, ""));
+    }
+
+    /** Returns a number of the query within bounds. */
+    int queryNumber(String name, int fallback, int most) throws RequestRefusedException {
+        String text = query.get(name);
+        if (text == null) {
+            return fallback;
+        }
+        return (int) Math.clamp(number(name, text), 1, most);
+    }
+
+    /** Says whether a filter of the query lets a value pass. */
+    boolean passes(String name, String value) {
+        String wanted = query.get(name);
+        return wanted == null || wanted.equals(value);
+    }
+
+    private static long number(String name, String text) throws RequestRefusedException {
+        try {
+            long number = Long.parseLong(text);
+            if (number >= 0) {
+                return number;
+            }
+        } catch (NumberFormatException reportedBelow) {
+            // The same refusal as for a negative number follows.
+        }
+        throw RequestRefusedException.malformed(name, "\"" + text + "\" is no whole number from 0 on.");
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/DocumentEndpoints.java
@@ -0,0 +1,132 @@
+package org.aspenmoor.internal.administration;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.document.AcceptedDocument;
+import org.aspenmoor.internal.document.CheckedDocument;
+import org.aspenmoor.internal.document.DocumentAcceptance;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentProposal;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ProposedDocument;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.document.StoredDocument;
+
+/** Reading and changing documents. */
+final class DocumentEndpoints {
+    private static final String ONE = "documents/:team/:service";
+    private static final int DEFAULT_REVISIONS = 20;
+    private static final int MOST_REVISIONS = 50;
+
+    private final DocumentAcceptance acceptance;
+    private final DocumentRegistry registry;
+
+    DocumentEndpoints(DocumentAcceptance acceptance, DocumentRegistry registry) {
+        this.acceptance = acceptance;
+        this.registry = registry;
+    }
+
+    List<Endpoint> all() {
+        return List.of(
+                new Endpoint("GET", "documents", this::list),
+                new Endpoint("GET", ONE, this::read),
+                new Endpoint("PUT", ONE, this::accept),
+                new Endpoint("POST", ONE + "/check", this::check),
+                new Endpoint("POST", ONE + "/propose", this::propose),
+                new Endpoint("GET", ONE + "/history", this::history),
+                new Endpoint("GET", ONE + "/history/:revision", this::revision),
+                new Endpoint("POST", ONE + "/revert/:revision", this::revert));
+    }
+
+    /** Lists what this process serves by; the store would send thousands of whole documents for the same answer. */
+    private ApiAnswer list(ApiRequest request) {
+        ArrayNode documents = JsonNodeFactory.instance.arrayNode();
+        for (DocumentInForce inForce : registry.all()) {
+            if (request.operator().scope().covers(inForce.document().team())) {
+                documents.add(DocumentAnswers.heading(inForce.document())
+                        .put("since", inForce.since().toString()));
+            }
+        }
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.set("documents", documents);
+        return ApiAnswer.ok(body);
+    }
+
+    private ApiAnswer read(ApiRequest request) throws AspenmoorException {
+        ServiceName name = request.service();
+        StoredDocument stored = acceptance
+                .read(name)
+                .orElseThrow(() -> RequestRefusedException.unknown(
+                        "The service has no document.",
+                        name.toString(),
+                        "Check the names, or accept a first document with If-Match: 0."));
+        return ApiAnswer.ofRevision(stored.document().revision(), DocumentAnswers.whole(stored));
+    }
+
+    private ApiAnswer check(ApiRequest request) throws AspenmoorException {
+        CheckedDocument checked = acceptance.check(request.service().toString(), request.body());
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("mistakes", checked.findings().size());
+        body.set("findings", ErrorAnswers.findings(checked.findings()));
+        return ApiAnswer.ok(body);
+    }
+
+    private ApiAnswer propose(ApiRequest request) throws AspenmoorException {
+        ServiceName name = request.service();
+        long current = acceptance
+                .read(name)
+                .map(stored -> stored.document().revision())
+                .orElse(0L);
+        long readRevision = request.ifMatch().isPresent() ? request.readRevision() : current;
+        ProposedDocument proposed = acceptance.propose(proposal(request, readRevision));
+        ObjectNode body = DocumentAnswers.heading(proposed.document().withRevision(proposed.currentRevision()));
+        body.set("changes", DocumentAnswers.changes(proposed.difference()));
+        return ApiAnswer.ofRevision(proposed.currentRevision(), body);
+    }
+
+    private ApiAnswer accept(ApiRequest request) throws AspenmoorException {
+        return accepted(acceptance.accept(proposal(request, request.readRevision())));
+    }
+
+    private ApiAnswer revert(ApiRequest request) throws AspenmoorException {
+        return accepted(acceptance.revert(
+                request.service(),
+                request.revision(),
+                request.readRevision(),
+                request.operator().name()));
+    }
+
+    private ApiAnswer history(ApiRequest request) throws AspenmoorException {
+        int limit = request.queryNumber("limit", DEFAULT_REVISIONS, MOST_REVISIONS);
+        ArrayNode revisions = JsonNodeFactory.instance.arrayNode();
+        for (StoredDocument stored : acceptance.history(request.service(), limit)) {
+            revisions.add(DocumentAnswers.revision(stored));
+        }
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.set("revisions", revisions);
+        return ApiAnswer.ok(body);
+    }
+
+    private ApiAnswer revision(ApiRequest request) throws AspenmoorException {
+        StoredDocument stored = acceptance.revision(request.service(), request.revision());
+        return ApiAnswer.ofRevision(stored.document().revision(), DocumentAnswers.whole(stored));
+    }
+
+    private static DocumentProposal proposal(ApiRequest request, long readRevision) throws RequestRefusedException {
+        return new DocumentProposal(
+                request.service(),
+                request.body(),
+                readRevision,
+                request.operator().name());
+    }
+
+    private static ApiAnswer accepted(AcceptedDocument accepted) {
+        ObjectNode body = DocumentAnswers.heading(accepted.stored().document());
+        body.put("historyRecorded", accepted.historyRecorded());
+        body.set("changes", DocumentAnswers.changes(accepted.difference()));
+        return ApiAnswer.ofRevision(accepted.stored().document().revision(), body);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/RegistryFleetView.java
@@ -0,0 +1,58 @@
+package org.aspenmoor.internal.administration;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.FleetView;
+import org.aspenmoor.internal.document.ServiceName;
+
+/** The fleet as an entry knows it from documents in force and from the agents that it hears of. */
+public final class RegistryFleetView implements FleetView {
+    private final DocumentRegistry registry;
+    private final ProcessStatusSource source;
+
+    public RegistryFleetView(DocumentRegistry registry, ProcessStatusSource source) {
+        this.registry = registry;
+        this.source = source;
+    }
+
+    /** A data centre may be new and have no process yet, so nothing is known of one that this entry never heard of. */
+    @Override
+    public Optional<Boolean> hasDataCentre(String name) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> dataCentreOf(String backend) {
+        return source.backends().stream()
+                .filter(status -> status.name().equals(backend))
+                .map(BackendStatus::dataCentre)
+                .findFirst();
+    }
+
+    @Override
+    public Optional<ServiceName> ownerOf(String backend) {
+        return registry.all().stream()
+                .map(DocumentInForce::document)
+                .filter(document -> document.backend(backend).isPresent())
+                .map(ServiceName::of)
+                .findFirst();
+    }
+
+    /** Entries do not ask the weight store; its rate belongs to the engines. */
+    @Override
+    public Optional<Boolean> hasModelVersion(String model, String version) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Boolean> canHold(String engine, String model) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> shortestTokenTime(String model) {
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/RequestRefusedException.java
@@ -0,0 +1,75 @@
+package org.aspenmoor.internal.administration;
+
+import org.aspenmoor.AspenmoorException;
+
+/** A call of the administration API that is refused before anything is done. */
+public final class RequestRefusedException extends AspenmoorException {
+    private static final long serialVersionUID = 1L;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORISED = 401;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int TOO_LARGE = 413;
+    private static final int PRECONDITION_REQUIRED = 428;
+
+    private final int status;
+
+    private RequestRefusedException(int status, String problem, String place, String remedy) {
+        super(problem, place, remedy);
+        this.status = status;
+    }
+
+    static RequestRefusedException unauthorised() {
+        return new RequestRefusedException(
+                UNAUTHORISED,
+                "The operator's token is missing or unknown.",
+                "Authorization",
+                "Send the header Authorization: Bearer TOKEN with an operator's token.");
+    }
+
+    static RequestRefusedException outOfScope(String place) {
+        return new RequestRefusedException(
+                FORBIDDEN,
+                "The operator's token does not cover this.",
+                place,
+                "Use a token of the team that owns it, or one of the platform.");
+    }
+
+    static RequestRefusedException malformed(String place, String problem) {
+        return new RequestRefusedException(BAD_REQUEST, problem, place, "Mend the value and call again.");
+    }
+
+    static RequestRefusedException unknown(String problem, String place, String remedy) {
+        return new RequestRefusedException(NOT_FOUND, problem, place, remedy);
+    }
+
+    static RequestRefusedException methodNotAllowed(String method) {
+        return new RequestRefusedException(
+                METHOD_NOT_ALLOWED,
+                "The path takes no " + method + ".",
+                method,
+                "Look the path up in /admin/v1/openapi.json.");
+    }
+
+    static RequestRefusedException readRevisionMissing() {
+        return new RequestRefusedException(
+                PRECONDITION_REQUIRED,
+                "The change does not say which revision was read.",
+                "If-Match",
+                "Send the header If-Match with the revision that you read and changed, or 0 for a first document.");
+    }
+
+    static RequestRefusedException tooLarge(int mostBytes) {
+        return new RequestRefusedException(
+                TOO_LARGE,
+                "The body is longer than " + mostBytes + " bytes.",
+                "body",
+                "Shorten the document, or split the service.");
+    }
+
+    /** Returns the HTTP status of the refusal. */
+    int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusEndpoints.java
@@ -0,0 +1,122 @@
+package org.aspenmoor.internal.administration;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceName;
+
+/** Looking at what runs. A team's operator sees that team only. */
+final class StatusEndpoints {
+    private final ProcessStatusSource source;
+    private final DocumentRegistry registry;
+
+    StatusEndpoints(ProcessStatusSource source, DocumentRegistry registry) {
+        this.source = source;
+        this.registry = registry;
+    }
+
+    List<Endpoint> all() {
+        return List.of(
+                new Endpoint("GET", "status", this::status),
+                new Endpoint("GET", "engines", this::engines),
+                new Endpoint("GET", "duties", this::duties),
+                new Endpoint("GET", "in-force", this::inForce),
+                new Endpoint("GET", "dump/:process", this::dump),
+                new Endpoint("GET", "explain/:request", this::explain));
+    }
+
+    private ApiAnswer status(ApiRequest request) {
+        ObjectNode body = StatusAnswers.object().put("process", source.process());
+        ArrayNode services = body.putArray("services");
+        for (ServiceStatus service : source.services()) {
+            if (isShown(request, service.name())) {
+                services.add(StatusAnswers.service(service, registry.revision(service.name())));
+            }
+        }
+        body.set("engines", backends(request));
+        return ApiAnswer.ok(body);
+    }
+
+    private ApiAnswer engines(ApiRequest request) {
+        ObjectNode body = StatusAnswers.object();
+        body.set("engines", backends(request));
+        return ApiAnswer.ok(body);
+    }
+
+    private ArrayNode backends(ApiRequest request) {
+        ArrayNode backends = StatusAnswers.object().arrayNode();
+        for (BackendStatus backend : source.backends()) {
+            if (isShown(request, backend.service())
+                    && request.passes("dataCentre", backend.dataCentre())
+                    && request.passes("engine", backend.name())) {
+                backends.add(StatusAnswers.backend(backend));
+            }
+        }
+        return backends;
+    }
+
+    private ApiAnswer duties(ApiRequest request) throws AspenmoorException {
+        ObjectNode body = StatusAnswers.object();
+        ArrayNode duties = body.putArray("duties");
+        for (DutyStatus duty : source.duties()) {
+            boolean covered =
+                    duty.team().map(request.operator().scope()::covers).orElse(true);
+            if (covered && request.passes("dataCentre", duty.dataCentre())) {
+                duties.add(StatusAnswers.duty(duty));
+            }
+        }
+        return ApiAnswer.ok(body);
+    }
+
+    private ApiAnswer inForce(ApiRequest request) {
+        ObjectNode body = StatusAnswers.object();
+        ArrayNode processes = body.putArray("inForce");
+        for (ProcessRevision revision : source.revisions()) {
+            if (isShown(request, revision.service()) && request.passes("dataCentre", revision.dataCentre())) {
+                processes.add(StatusAnswers.revision(revision));
+            }
+        }
+        return ApiAnswer.ok(body);
+    }
+
+    /** A dump shows every team's work in the process, so it takes a token of the platform. */
+    private ApiAnswer dump(ApiRequest request) throws AspenmoorException {
+        String process = request.pathToken("process");
+        if (request.operator().scope() instanceof OperatorScope.OneTeam) {
+            throw RequestRefusedException.outOfScope("dump of " + process);
+        }
+        return ApiAnswer.ok(source.dump(process)
+                .orElseThrow(() -> RequestRefusedException.unknown(
+                        "This entry knows no process \"" + process + "\".",
+                        process,
+                        "Ask for one that in-force names, or ask an entry in its data centre.")));
+    }
+
+    private ApiAnswer explain(ApiRequest request) throws AspenmoorException {
+        String text = request.pathToken("request");
+        RequestId id = RequestId.parse(text)
+                .orElseThrow(() -> RequestRefusedException.malformed(
+                        "request", "\"" + text + "\" is no request identity of 32 hexadecimal digits."));
+        Optional<RequestExplanation> explanation =
+                source.explain(id).filter(found -> request.operator().scope().covers(found.service()));
+        ObjectNode body = StatusAnswers.object().put("request", id.toString());
+        explanation
+                .orElseThrow(() -> RequestRefusedException.unknown(
+                        "This entry does not remember the request.",
+                        id.toString(),
+                        "Ask the entry that answered it; each remembers its latest requests only."))
+                .sentences()
+                .forEach(body.putArray("sentences")::add);
+        return ApiAnswer.ok(body);
+    }
+
+    private static boolean isShown(ApiRequest request, ServiceName name) {
+        return request.operator().scope().covers(name)
+                && request.passes("team", name.team())
+                && request.passes("service", name.service());
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
@@ -53,7 +53,8 @@
             case AgentMessage.PiecesArrived arrived -> piecesArrived(arrived);
             case AgentMessage.AnswerEnded ended -> answerEnded(ended.key(), ended.end());
             case AgentMessage.StatusRead read -> loadReports.read(read.status()).ifPresent(this::sendToAll);
-            case AgentMessage.StatusMissing missing -> loadReports.missing(missing.cause()).ifPresent(this::sendToAll);
+            case AgentMessage.StatusMissing missing ->
+                loadReports.missing(missing.cause()).ifPresent(this::sendToAll);
             case AgentMessage.Tick ignored -> checkAccount();
             case AgentMessage.DrainAsked asked -> drain(asked);
             case AgentMessage.DumpAsked asked -> asked.answer().complete(dump());
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
@@ -143,10 +143,8 @@
         List<Header> headers = new ArrayList<>();
         response.headers().map().forEach((name, values) -> {
             if (!HOP_BY_HOP.contains(name)) {
-                values.forEach(value -> headers.add(Header.newBuilder()
-                        .setName(name)
-                        .setValue(value)
-                        .build()));
+                values.forEach(value -> headers.add(
+                        Header.newBuilder().setName(name).setValue(value).build()));
             }
         });
         return headers;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
@@ -27,7 +27,13 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Set<String> NOT_FORWARDED = Set.of(
-            "host", "connection", "content-length", "transfer-encoding", "expect", "upgrade", "authorization",
+            "host",
+            "connection",
+            "content-length",
+            "transfer-encoding",
+            "expect",
+            "upgrade",
+            "authorization",
             "keep-alive");
 
     private final HttpClient client;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/LoadReports.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/LoadReports.java
@@ -89,8 +89,7 @@
     private static boolean loadMoved(EngineLoad before, EngineLoad now) {
         long tokens = Math.abs(now.queuedPrefillTokens() - before.queuedPrefillTokens());
         double sequences = Math.abs(now.runningSequences() - before.runningSequences());
-        return tokens >= WORTHWHILE_TOKENS
-                || sequences >= Math.max(1, WORTHWHILE_SHARE * before.mostSequences());
+        return tokens >= WORTHWHILE_TOKENS || sequences >= Math.max(1, WORTHWHILE_SHARE * before.mostSequences());
     }
 
     private Frame frameOf(EngineStatus status, boolean ready) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/RunningAttempt.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/RunningAttempt.java
@@ -97,13 +97,10 @@
     }
 
     private Frame lastFrame(CallEnd callEnd) {
-        Last.Builder last = Last.newBuilder()
-                .setId(key.toWire())
-                .setCount(checksum.count())
-                .setChecksum(checksum.value());
+        Last.Builder last =
+                Last.newBuilder().setId(key.toWire()).setCount(checksum.count()).setChecksum(checksum.value());
         switch (callEnd) {
-            case CallEnd.Complete complete ->
-                last.setEnd(Last.End.COMPLETE).setFinishReason(complete.finishReason());
+            case CallEnd.Complete complete -> last.setEnd(Last.End.COMPLETE).setFinishReason(complete.finishReason());
             case CallEnd.Failed failed -> last.setEnd(Last.End.FAILED).setDetail(failed.detail());
             case CallEnd.NeverStarted never -> last.setEnd(Last.End.FAILED).setDetail(never.detail());
         }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/AgentSettings.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/AgentSettings.java
@@ -10,6 +10,5 @@
  * @param requestCredit most requests it runs at once for one entry
  * @param drainLimit how long a graceful shutdown waits for running requests
  */
-public record AgentSettings(
-        ProcessSettings process, BackendSettings backend, int requestCredit, Duration drainLimit)
+public record AgentSettings(ProcessSettings process, BackendSettings backend, int requestCredit, Duration drainLimit)
         implements DaemonSettings {}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
@@ -67,8 +67,7 @@
             case "agent" -> readAgent(reader);
             case "entry" -> readEntry(reader);
             default -> {
-                findings.add(
-                        reader.placeOf("role"), "The role is not known.", "Write \"entry\" or \"agent\".");
+                findings.add(reader.placeOf("role"), "The role is not known.", "Write \"entry\" or \"agent\".");
                 yield readEntry(reader);
             }
         };
@@ -95,8 +94,7 @@
         int httpPort = reader.integer("httpPort", 0, HIGHEST_PORT, 0);
         int linkPort = reader.integer("linkPort", 0, HIGHEST_PORT, 0);
         if (httpPort == linkPort && httpPort != 0) {
-            findings.add(
-                    reader.placeOf("linkPort"), "The port is the same as \"httpPort\".", "Choose another, or 0.");
+            findings.add(reader.placeOf("linkPort"), "The port is the same as \"httpPort\".", "Choose another, or 0.");
         }
         return new ProcessSettings(
                 reader.requiredText("process"),
@@ -179,7 +177,8 @@
             }
             known.add(spelled);
         }
-        findings.add(reader.placeOf(name), "The choice is not known.", "Write one of " + String.join(", ", known) + ".");
+        findings.add(
+                reader.placeOf(name), "The choice is not known.", "Write one of " + String.join(", ", known) + ".");
         return fallback;
     }
 
