The operator's tool: documents, status, duties, explanations, waiting, completion

Exit codes are fixed numbers. Errors say what happened, where, and what to do next.

document edit sets single fields instead of opening an editor: the programs of the system start no other process.

A scratch copy in which the revision that the operator read was ignored had passed the tests of aspenmoor-core; the new test should_refuse_a_change_made_on_an_old_revision closes that gap.

--- /dev/null
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/InForceWait.java
@@ -0,0 +1,66 @@
+package org.aspenmoor.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.document.ServiceName;
+
+/** Asks an entry again and again until a revision is in force in every process that it hears of. */
+final class InForceWait {
+    private static final Duration PAUSE = Duration.ofMillis(200);
+    private static final double NANOSECONDS_OF_SECOND = 1e9;
+
+    private final Invocation invocation;
+    private final ServiceName name;
+    private final long revision;
+
+    InForceWait(Invocation invocation, ServiceName name, long revision) {
+        this.invocation = invocation;
+        this.name = name;
+        this.revision = revision;
+    }
+
+    ExitCode run() throws AspenmoorException {
+        AdministrationClient client = invocation.client();
+        long start = invocation.terminal().monotonicNanoseconds();
+        String path =
+                "in-force?team=" + ServicePaths.encode(name.team()) + "&service=" + ServicePaths.encode(name.service());
+        while (true) {
+            JsonNode processes = client.get(path).path("inForce");
+            List<String> behind = behind(processes);
+            long elapsed = invocation.terminal().monotonicNanoseconds() - start;
+            if (!processes.isEmpty() && behind.isEmpty()) {
+                report("Revision " + revision + " is in force in all " + processes.size() + " processes after "
+                        + String.format("%.1f s.", elapsed / NANOSECONDS_OF_SECOND));
+                return ExitCode.DONE;
+            }
+            if (elapsed >= invocation.timeout().toNanos()
+                    || !invocation.terminal().pause(PAUSE)) {
+                String where = processes.isEmpty() ? "any process" : String.join(", ", behind);
+                report("Revision " + revision + " is not yet in force in " + where
+                        + "; it comes into force there as soon as the process hears of it.");
+                return ExitCode.NOT_YET_IN_FORCE;
+            }
+        }
+    }
+
+    private List<String> behind(JsonNode processes) {
+        List<String> behind = new ArrayList<>();
+        for (JsonNode process : processes) {
+            if (process.path("revision").asLong() < revision) {
+                behind.add(process.path("process").asText());
+            }
+        }
+        return behind;
+    }
+
+    private void report(String sentence) {
+        if (invocation.has(Options.JSON)) {
+            invocation.terminal().error().println(sentence);
+        } else {
+            invocation.out().println(sentence);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/Main.java
@@ -0,0 +1,12 @@
+package org.aspenmoor.internal.cli;
+
+/** The operator's tool. */
+public final class Main {
+    private Main() {}
+
+    /** Runs one command and ends the process with its exit code. */
+    public static void main(String[] arguments) {
+        ExitCode code = new OperatorTool(new SystemTerminal()).run(arguments);
+        System.exit(code.number());
+    }
+}
--- /dev/null
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/StatusTables.java
@@ -0,0 +1,80 @@
+package org.aspenmoor.internal.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+
+/** Prints services and backend servers. */
+final class StatusTables {
+    private StatusTables() {}
+
+    static void services(PrintStream out, JsonNode services) {
+        Table table =
+                new Table("service", "revision", "kind", "received", "answered", "not run", "unknown", "in flight");
+        for (JsonNode service : services) {
+            String name = service.path("team").asText() + "/"
+                    + service.path("service").asText();
+            String revision = service.path("revision").asText();
+            if (service.path("kinds").isEmpty()) {
+                table.row(name, revision, "-", "-", "-", "-", "-", "-");
+            }
+            for (JsonNode kind : service.path("kinds")) {
+                table.row(
+                        name,
+                        revision,
+                        kind.path("kind").asText(),
+                        kind.path("received").asText(),
+                        kind.path("answered").asText(),
+                        kind.path("notRun").asText(),
+                        kind.path("unknown").asText(),
+                        kind.path("inFlight").asText());
+            }
+        }
+        table.print(out);
+    }
+
+    static void engines(PrintStream out, JsonNode engines) {
+        Table table = new Table(
+                "backend server",
+                "service",
+                "data centre",
+                "state",
+                "role",
+                "sent",
+                "running",
+                "prefill",
+                "cache",
+                "loaded");
+        for (JsonNode engine : engines) {
+            boolean reports = engine.has("running");
+            table.row(
+                    engine.path("name").asText(),
+                    engine.path("team").asText() + "/" + engine.path("service").asText(),
+                    engine.path("dataCentre").asText(),
+                    state(engine),
+                    engine.path("role").asText("-"),
+                    engine.path("outstanding").asText(),
+                    reports ? pair(engine, "running", "mostRunning") : "-",
+                    reports ? engine.path("queuedPrefillTokens").asText() : "-",
+                    reports ? pair(engine, "freeCachePieces", "allCachePieces") : "-",
+                    loaded(engine));
+        }
+        table.print(out);
+    }
+
+    private static String pair(JsonNode engine, String part, String whole) {
+        return engine.path(part).asText() + "/" + engine.path(whole).asText();
+    }
+
+    private static String state(JsonNode engine) {
+        String state = engine.path("state").asText();
+        return engine.has("detail") ? state + ": " + engine.get("detail").asText() : state;
+    }
+
+    private static String loaded(JsonNode engine) {
+        StringBuilder names = new StringBuilder();
+        for (JsonNode name : engine.path("loaded")) {
+            names.append(names.isEmpty() ? "" : " ").append(name.asText());
+        }
+        return names.isEmpty() ? "-" : names.toString();
+    }
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentAcceptanceTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentAcceptanceTest.java
@@ -83,6 +83,20 @@
                 acceptance.read(NAME).orElseThrow().acceptance().orElseThrow().by(), "bolat");
     }
 
+    @Test
+    public void should_refuse_a_change_made_on_an_old_revision() throws AspenmoorException {
+        // An operator's file was made from revision 1, and revision 2 was accepted hours ago. Accepted all the same,
+        // the
+        // old file would undo the second change, and the revision would not move forward.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        accept(SECOND, 1, "bolat");
+
+        DocumentConflictException late = expectThrows(DocumentConflictException.class, () -> accept(THIRD, 1, "aigul"));
+
+        assertEquals(late.changesMeanwhile(), List.of("Model scene-drafter goes from version 3 to 4."));
+        assertEquals(acceptance.read(NAME).orElseThrow().document().revision(), 2L);
+    }
+
     @DataProvider
     public Object[][] lost_writes() {
         return new Object[][] {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusEndpoints.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusEndpoints.java
@@ -63,9 +63,7 @@
         ObjectNode body = StatusAnswers.object();
         ArrayNode duties = body.putArray("duties");
         for (DutyStatus duty : source.duties()) {
-            boolean covered =
-                    duty.team().map(request.operator().scope()::covers).orElse(true);
-            if (covered && request.passes("dataCentre", duty.dataCentre())) {
+            if (isShown(request, duty) && request.passes("dataCentre", duty.dataCentre())) {
                 duties.add(StatusAnswers.duty(duty));
             }
         }
@@ -114,6 +112,13 @@
         return ApiAnswer.ok(body);
     }
 
+    private static boolean isShown(ApiRequest request, DutyStatus duty) {
+        boolean covered = duty.team().map(request.operator().scope()::covers).orElse(true);
+        return covered
+                && request.passes("team", duty.team().orElse(""))
+                && request.passes("service", duty.service().orElse(""));
+    }
+
     private static boolean isShown(ApiRequest request, ServiceName name) {
         return request.operator().scope().covers(name)
                 && request.passes("team", name.team())
