--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/FleetCheck.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/FleetCheck.java
@@ -18,6 +18,7 @@
         for (DeclaredBackend backend : DeclaredBackend.all(located.document())) {
             checkBackend(backend, located, findings);
         }
+        checkTokens(located, findings);
         List<ModelDeclaration> models = located.document().models();
         for (int index = 0; index < models.size(); index++) {
             checkModel("models[" + index + "]", models.get(index), located, findings);
@@ -58,7 +59,29 @@
         return owner.team().equals(self.team()) ? owner.toString() : "another team";
     }
 
+    private void checkTokens(LocatedDocument located, Findings findings) {
+        List<String> hashes = located.document().callerTokenHashes();
+        for (int index = 0; index < hashes.size(); index++) {
+            boolean isOthers = fleet.isTokenOfOtherTeam(located.document().team(), hashes.get(index))
+                    .orElse(false);
+            if (isOthers) {
+                findings.add(
+                        located.places().placeOf("callerTokenHashes[" + index + "]"),
+                        "The token is in use by another team, so its requests could reach either.",
+                        "Draw a new token for the callers of this service.");
+            }
+        }
+    }
+
     private void checkModel(String path, ModelDeclaration model, LocatedDocument located, Findings findings) {
+        Optional<ServiceName> other = fleet.otherServiceOfModel(ServiceName.of(located.document()), model.name());
+        if (other.isPresent()) {
+            findings.add(
+                    located.places().placeOf(path + ".name"),
+                    "The model \"" + model.name() + "\" is declared by " + other.get()
+                            + " too, so a request could reach either.",
+                    "Name it otherwise in one of the two documents.");
+        }
         if (fleet.hasModelVersion(model.name(), model.version())
                 .filter(known -> !known)
                 .isPresent()) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/FleetView.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/FleetView.java
@@ -14,6 +14,12 @@
     /** Returns the service whose document in force declares a backend server. */
     Optional<ServiceName> ownerOf(String backend);
 
+    /** Returns another service of the team whose document in force declares a model of this name. */
+    Optional<ServiceName> otherServiceOfModel(ServiceName self, String model);
+
+    /** Says whether a document in force of another team lists a caller token's hash. */
+    Optional<Boolean> isTokenOfOtherTeam(String team, String tokenHash);
+
     /** Says whether the weight store has a version of a model. */
     Optional<Boolean> hasModelVersion(String model, String version);
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/UnknownFleetView.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/UnknownFleetView.java
@@ -20,6 +20,16 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<ServiceName> otherServiceOfModel(ServiceName self, String model) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Boolean> isTokenOfOtherTeam(String team, String tokenHash) {
+        return Optional.empty();
+    }
+
     @Override
     public Optional<Boolean> hasModelVersion(String model, String version) {
         return Optional.empty();
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentCheckerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentCheckerTest.java
@@ -98,6 +98,8 @@
         assertEquals(
                 findings.stream().map(Finding::problem).toList(),
                 List.of(
+                        "The token is in use by another team, so its requests could reach either.",
+                        "The model \"scene-drafter\" is declared by studio/other too, so a request could reach either.",
                         "No engine of the service can hold the model \"scene-drafter\".",
                         "The weight store has no version \"3\" of \"scene-drafter\".",
                         "The longest answer takes 3 s on the fleet's fastest engine.",
@@ -128,6 +130,16 @@
             return backend.equals("drafter-1") ? Optional.of(new ServiceName("other", "s")) : Optional.empty();
         }
 
+        @Override
+        public Optional<ServiceName> otherServiceOfModel(ServiceName self, String model) {
+            return Optional.of(new ServiceName("studio", "other"));
+        }
+
+        @Override
+        public Optional<Boolean> isTokenOfOtherTeam(String team, String tokenHash) {
+            return Optional.of(true);
+        }
+
         @Override
         public Optional<Boolean> hasModelVersion(String model, String version) {
             return Optional.of(false);
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/UnreachableKindCheckTest.java
@@ -0,0 +1,110 @@
+package org.aspenmoor.internal.document;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.aspenmoor.internal.finding.Finding;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.finding.Place;
+import org.aspenmoor.internal.json.LocatedValue;
+import org.testng.annotations.Test;
+
+public class UnreachableKindCheckTest {
+    private static final List<String> MODELS = List.of("m", "n");
+    private static final List<String> METHODS = List.of("GET", "POST");
+    private static final List<String> PATHS = List.of("/a", "/a/b", "/c");
+    private static final List<Integer> LENGTHS = List.of(10, 100);
+    private static final int DOCUMENTS = 3000;
+
+    private final Random random = new Random(17);
+
+    @Test
+    public void should_name_no_kind_that_some_request_reaches() {
+        int named = 0;
+        for (int round = 0; round < DOCUMENTS; round++) {
+            ServiceDocument document = document();
+            for (Finding finding : check(document)) {
+                int index = Integer.parseInt(finding.place().path().replaceAll("\\D", ""));
+                named++;
+                RequestKind kind = document.kinds().get(index);
+                assertTrue(
+                        requests().stream()
+                                .noneMatch(request -> KindClassifier.classify(document, request)
+                                        .equals(Optional.of(kind))),
+                        finding + " in " + document.kinds());
+            }
+        }
+        assertTrue(named > DOCUMENTS / 10, "too few cases: " + named);
+    }
+
+    @Test
+    public void should_name_a_kind_behind_one_that_takes_everything() {
+        RequestKind everything = kind("k0", nothing());
+        RequestKind bookings = kind(
+                "k1",
+                new KindMatch(
+                        Optional.empty(), Optional.empty(), Optional.of("POST"), Optional.empty(), Optional.empty()));
+        ServiceDocument document = document(List.of(everything, bookings));
+
+        assertEquals(check(document).size(), 1);
+    }
+
+    private static List<Finding> check(ServiceDocument document) {
+        Findings findings = new Findings();
+        Place place = new Place("d", 1, 1, "");
+        PlaceIndex places = new PlaceIndex(new LocatedValue.ObjectValue(place, Map.of()));
+        new UnreachableKindCheck().check(new LocatedDocument(document, places), findings);
+        return findings.all();
+    }
+
+    private ServiceDocument document() {
+        List<RequestKind> kinds = new ArrayList<>();
+        for (int index = 0; index < 3; index++) {
+            boolean plain = random.nextBoolean();
+            KindMatch match = plain
+                    ? new KindMatch(Optional.empty(), Optional.empty(), any(METHODS), any(PATHS), any(LENGTHS))
+                    : new KindMatch(any(MODELS), any(List.of("x")), Optional.empty(), Optional.empty(), any(LENGTHS));
+            kinds.add(kind("k" + index, match));
+        }
+        return document(kinds);
+    }
+
+    private <T> Optional<T> any(List<T> values) {
+        int index = random.nextInt(values.size() + 1);
+        return index == values.size() ? Optional.empty() : Optional.of(values.get(index));
+    }
+
+    private static List<RequestTraits> requests() {
+        List<RequestTraits> requests = new ArrayList<>();
+        for (String model : MODELS) {
+            for (int tokens : List.of(1, 10, 50, 100, 500)) {
+                requests.add(new RequestTraits(Optional.of(model), Optional.empty(), "POST", "", tokens));
+                requests.add(new RequestTraits(Optional.of(model), Optional.of("x"), "POST", "", tokens));
+            }
+        }
+        for (String method : METHODS) {
+            for (String path : List.of("/", "/a", "/a/b", "/a/b/c", "/c", "/d")) {
+                requests.add(new RequestTraits(Optional.empty(), Optional.empty(), method, path, 0));
+            }
+        }
+        return requests;
+    }
+
+    private static KindMatch nothing() {
+        return new KindMatch(Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+    }
+
+    private static RequestKind kind(String name, KindMatch match) {
+        return new RequestKind(name, match, 1, Duration.ofSeconds(1), true, 0);
+    }
+
+    private static ServiceDocument document(List<RequestKind> kinds) {
+        return new ServiceDocument("t", "s", 1, List.of(), kinds, 0, List.of(), List.of());
+    }
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/rollout/SimulatedEngine.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/rollout/SimulatedEngine.java
@@ -53,6 +53,15 @@
         streams = 0;
     }
 
+    /** Is cut off, or comes back as it was: whether the rollout had drained it is not remembered. */
+    void vanishOrReturn() {
+        if (availability == EngineAvailability.GONE) {
+            availability = EngineAvailability.SERVING;
+        } else if (availability == EngineAvailability.SERVING) {
+            vanish();
+        }
+    }
+
     void carryOut(RolloutDecision decision, int steps) {
         switch (decision) {
             case RolloutDecision.Drain drain -> availability = EngineAvailability.DRAINING;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/RegistryFleetView.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/RegistryFleetView.java
@@ -40,6 +40,25 @@
                 .findFirst();
     }
 
+    @Override
+    public Optional<ServiceName> otherServiceOfModel(ServiceName self, String model) {
+        return registry.all().stream()
+                .map(DocumentInForce::document)
+                .filter(document -> document.team().equals(self.team()))
+                .filter(document -> !document.service().equals(self.service()))
+                .filter(document -> document.model(model).isPresent())
+                .map(ServiceName::of)
+                .findFirst();
+    }
+
+    @Override
+    public Optional<Boolean> isTokenOfOtherTeam(String team, String tokenHash) {
+        return Optional.of(registry.all().stream()
+                .map(DocumentInForce::document)
+                .filter(document -> !document.team().equals(team))
+                .anyMatch(document -> document.callerTokenHashes().contains(tokenHash)));
+    }
+
     /** Entries do not ask the weight store; its rate belongs to the engines. */
     @Override
     public Optional<Boolean> hasModelVersion(String model, String version) {
