--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/rollout/RolloutPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/rollout/RolloutPolicyTest.java
@@ -40,7 +40,7 @@
         rollout.unsteady = true;
         rollout.run(document("4", "1"), 5 + seed % 20);
         rollout.run(document("3", "1"), 5);
-        rollout.unsteady = false;
+        rollout.calmDown();
         rollout.runUntilDone(document("4", "2"));
 
         assertTrue(rollout.mostLoadsInTenSeconds <= SAVED_LOADS + 10 * LOADS_PER_SECOND);
@@ -174,6 +174,14 @@
             throw new AssertionError("not done after " + MOST_STEPS + " steps: " + snapshots());
         }
 
+        /** No engine vanishes any more, and those that had vanished are back; a lone engine is rightly held for ever. */
+        void calmDown() {
+            unsteady = false;
+            engines.stream()
+                    .filter(engine -> engine.availability() == EngineAvailability.GONE)
+                    .forEach(SimulatedEngine::vanishOrReturn);
+        }
+
         private boolean isDone(ServiceDocument document) {
             WantedLoads wanted = new WantedLoads(document);
             return engines.stream()
