--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
@@ -105,6 +105,7 @@
         }
         request.put("stream", true);
         request.put("priority", weight);
+        request.put("max_tokens", generation.getMostTokens());
         if (generation.getDeliveredTokens() > 0) {
             request.putObject("resume")
                     .put("tokens", generation.getDeliveredTokens())
