--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/AskWindow.java
@@ -0,0 +1,72 @@
+package org.aspenmoor.internal.dissemination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The documents that are known to exist in a newer revision elsewhere: a few are asked for at once, some more wait.
+ *
+ * <p>What does not fit is dropped; the next comparison names it again.
+ */
+final class AskWindow {
+    private final ExchangeSettings settings;
+    private final Map<DocumentKey, String> waiting = new LinkedHashMap<>();
+    private final Map<DocumentKey, Long> outstanding = new HashMap<>();
+
+    AskWindow(ExchangeSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Notes that a peer has a newer revision of a document. */
+    void want(DocumentKey key, String peer) {
+        if (outstanding.containsKey(key) || waiting.size() >= settings.mostWanted()) {
+            return;
+        }
+        waiting.putIfAbsent(key, peer);
+    }
+
+    /** Takes as many asks as may be sent now. */
+    List<Wanted> take(long now) {
+        List<Wanted> taken = new ArrayList<>();
+        Iterator<Map.Entry<DocumentKey, String>> iterator = waiting.entrySet().iterator();
+        while (iterator.hasNext() && outstanding.size() < settings.mostOutstandingAsks()) {
+            Map.Entry<DocumentKey, String> next = iterator.next();
+            iterator.remove();
+            outstanding.put(next.getKey(), now);
+            taken.add(new Wanted(next.getKey(), next.getValue()));
+        }
+        return taken;
+    }
+
+    /** Notes that a document arrived; says whether it had been asked for. */
+    boolean answered(DocumentKey key) {
+        waiting.remove(key);
+        return outstanding.remove(key) != null;
+    }
+
+    /** Gives up asks that were not answered in time. */
+    void expire(long now) {
+        long timeout = settings.answerTimeout().toNanos();
+        outstanding.values().removeIf(askedAt -> now - askedAt >= timeout);
+    }
+
+    boolean isIdle() {
+        return waiting.isEmpty() && outstanding.isEmpty();
+    }
+
+    int size() {
+        return waiting.size() + outstanding.size();
+    }
+
+    /**
+     * A document to ask for.
+     *
+     * @param key which document
+     * @param peer who has it
+     */
+    record Wanted(DocumentKey key, String peer) {}
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/CurrencyDecision.java
@@ -0,0 +1,28 @@
+package org.aspenmoor.internal.dissemination;
+
+import java.time.Duration;
+import org.aspenmoor.RefusalReason;
+
+/** What to do with a request, given how sure the process is of its document. */
+public sealed interface CurrencyDecision {
+    /** The document is current within the bound: serve. */
+    record Serve() implements CurrencyDecision {}
+
+    /**
+     * Serve by the newest known document, and say in metrics and dumps that it may be old.
+     *
+     * @param unconfirmedFor for how long nothing has confirmed it
+     */
+    record ServeUncertain(Duration unconfirmedFor) implements CurrencyDecision {}
+
+    /** Read the document from the store first; where the store does not answer, refuse as not run. */
+    record ReadFirst() implements CurrencyDecision {}
+
+    /**
+     * Refuse as not run.
+     *
+     * @param reason what to tell the caller
+     * @param comeBackAfter how long the caller should wait
+     */
+    record Refuse(RefusalReason reason, Duration comeBackAfter) implements CurrencyDecision {}
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/CurrencyRule.java
@@ -0,0 +1,59 @@
+package org.aspenmoor.internal.dissemination;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.aspenmoor.RefusalReason;
+
+/**
+ * What a process does that cannot tell whether its document is current.
+ *
+ * <p>Work that may run twice goes on by the newest known document: refusing it would turn each store outage and each
+ * partition between regions into an outage of every team, to guard against a change that most likely was not made. A
+ * non-idempotent request needs the store for its claim in any case, so reading the document there first costs it one read
+ * and loses nothing that would have been served.
+ */
+public final class CurrencyRule {
+    private static final Duration NEVER = Duration.ofSeconds(Long.MAX_VALUE);
+
+    private final Duration longestUnconfirmed;
+    private final Duration comeBackAfter;
+
+    public CurrencyRule(Duration longestUnconfirmed, Duration comeBackAfter) {
+        this.longestUnconfirmed = longestUnconfirmed;
+        this.comeBackAfter = comeBackAfter;
+    }
+
+    /**
+     * Decides for one request.
+     *
+     * @param confirmedAge how long ago the process was known to hold every accepted document; empty for never
+     * @param documentKnown whether it holds any revision of the service's document
+     * @param idempotent whether the request may run more than once
+     * @param teamForbidsUncertain whether the team would rather be refused than served by an old document
+     */
+    public CurrencyDecision decide(
+            Optional<Duration> confirmedAge, boolean documentKnown, boolean idempotent, boolean teamForbidsUncertain) {
+        boolean current = isCurrent(confirmedAge);
+        if (!documentKnown) {
+            RefusalReason reason = current ? RefusalReason.NO_SUCH_SERVICE : RefusalReason.DOCUMENT_UNCERTAIN;
+            return new CurrencyDecision.Refuse(reason, comeBackAfter);
+        }
+        if (current) {
+            return new CurrencyDecision.Serve();
+        }
+        if (teamForbidsUncertain) {
+            return new CurrencyDecision.Refuse(RefusalReason.DOCUMENT_UNCERTAIN, comeBackAfter);
+        }
+        if (!idempotent) {
+            return new CurrencyDecision.ReadFirst();
+        }
+        return new CurrencyDecision.ServeUncertain(confirmedAge.orElse(NEVER));
+    }
+
+    /** Says whether a table confirmed this long ago counts as current. */
+    public boolean isCurrent(Optional<Duration> confirmedAge) {
+        return confirmedAge
+                .filter(age -> age.compareTo(longestUnconfirmed) <= 0)
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/RelayChoice.java
@@ -0,0 +1,30 @@
+package org.aspenmoor.internal.dissemination;
+
+import java.util.Collection;
+import java.util.List;
+
+/** Chooses the entries of a data centre that keep a watch on the store; no message is needed to agree on them. */
+public final class RelayChoice {
+    private static final String SUBJECT = "document relay ";
+
+    private final int relaysPerDataCentre;
+
+    public RelayChoice(int relaysPerDataCentre) {
+        this.relaysPerDataCentre = relaysPerDataCentre;
+    }
+
+    /** Returns the relays of a data centre, the first choice first. */
+    public List<String> relays(String dataCentre, Collection<EntryMember> entries) {
+        List<String> ranked = rank(dataCentre, entries);
+        return ranked.subList(0, Math.min(relaysPerDataCentre, ranked.size()));
+    }
+
+    /** Returns all entries of a data centre in the order in which they would become relays. */
+    List<String> rank(String dataCentre, Collection<EntryMember> entries) {
+        List<String> local = entries.stream()
+                .filter(entry -> entry.dataCentre().equals(dataCentre))
+                .map(EntryMember::process)
+                .toList();
+        return Rendezvous.rank(SUBJECT + dataCentre, local);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/SubsetChoice.java
@@ -0,0 +1,58 @@
+package org.aspenmoor.internal.dissemination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Chooses which agents each entry of a data centre links to, alike in every process.
+ *
+ * <p>It is asked once for each group of interchangeable engines, such as those that run one model: an entry needs
+ * candidates in every group, not many links in all.
+ */
+public final class SubsetChoice {
+    private final int leastEntriesPerAgent;
+    private final int leastAgentsPerEntry;
+
+    public SubsetChoice(int leastEntriesPerAgent, int leastAgentsPerEntry) {
+        this.leastEntriesPerAgent = leastEntriesPerAgent;
+        this.leastAgentsPerEntry = leastAgentsPerEntry;
+    }
+
+    /** Chooses for one group of agents. */
+    public SubsetAssignment choose(List<String> entries, List<String> agents) {
+        BoundedAssignment assignment = new BoundedAssignment(entries, agents, entriesPerAgent(entries, agents));
+        Map<String, List<String>> agentsByEntry = new HashMap<>();
+        Map<String, List<String>> entriesByAgent = new LinkedHashMap<>();
+        agents.forEach(agent -> entriesByAgent.put(agent, new ArrayList<>(assignment.holdersOf(agent))));
+        for (String entry : entries) {
+            List<String> chosen = new ArrayList<>(assignment.subjectsOf(entry));
+            addMissing(entry, chosen, agents, entriesByAgent);
+            agentsByEntry.put(entry, chosen);
+        }
+        return new SubsetAssignment(agentsByEntry, entriesByAgent);
+    }
+
+    private int entriesPerAgent(List<String> entries, List<String> agents) {
+        if (agents.isEmpty()) {
+            return 0;
+        }
+        int forCandidates = Math.ceilDiv(entries.size() * leastAgentsPerEntry, agents.size());
+        return Math.min(entries.size(), Math.max(leastEntriesPerAgent, forCandidates));
+    }
+
+    private void addMissing(
+            String entry, List<String> chosen, List<String> agents, Map<String, List<String>> entriesByAgent) {
+        if (chosen.size() >= leastAgentsPerEntry) {
+            return;
+        }
+        for (String agent : Rendezvous.rank(entry, agents)) {
+            if (chosen.size() < leastAgentsPerEntry && !chosen.contains(agent)) {
+                chosen.add(agent);
+                entriesByAgent.get(agent).add(entry);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFrames.java
@@ -0,0 +1,130 @@
+package org.aspenmoor.internal.daemon.dissemination;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.dissemination.DisseminationMessage;
+import org.aspenmoor.internal.dissemination.DocumentKey;
+import org.aspenmoor.internal.dissemination.KnownDocument;
+import org.aspenmoor.internal.dissemination.RevisionLine;
+import org.aspenmoor.internal.wire.v1.DocumentAsk;
+import org.aspenmoor.internal.wire.v1.DocumentDigest;
+import org.aspenmoor.internal.wire.v1.DocumentUpdate;
+import org.aspenmoor.internal.wire.v1.Frame;
+
+/** Translates between the messages of the document exchange and the frames of a link. */
+public final class DisseminationFrames {
+    private DisseminationFrames() {}
+
+    /** Returns the frame that carries a message. */
+    public static Frame toFrame(DisseminationMessage message) {
+        Frame.Builder frame = Frame.newBuilder();
+        return switch (message) {
+            case DisseminationMessage.Update update ->
+                frame.setDocumentUpdate(update(update.document())).build();
+            case DisseminationMessage.Ask ask ->
+                frame.setDocumentAsk(DocumentAsk.newBuilder()
+                                .setTeam(ask.key().team())
+                                .setService(ask.key().service())
+                                .setRevision(ask.revision()))
+                        .build();
+            case DisseminationMessage.Compare compare ->
+                frame.setDocumentDigest(step(DocumentDigest.Step.COMPARE)
+                                .setNumber(compare.number())
+                                .setRootHash(compare.rootHash()))
+                        .build();
+            case DisseminationMessage.Equal equal ->
+                frame.setDocumentDigest(equal(equal)).build();
+            case DisseminationMessage.Differs differs ->
+                frame.setDocumentDigest(step(DocumentDigest.Step.DIFFERS)
+                                .setNumber(differs.number())
+                                .addAllBucketHashes(differs.bucketHashes()))
+                        .build();
+            case DisseminationMessage.BucketLines bucketLines ->
+                frame.setDocumentDigest(step(DocumentDigest.Step.BUCKET_LINES)
+                                .addAllBuckets(bucketLines.buckets())
+                                .addAllLines(lines(bucketLines.lines())))
+                        .build();
+            case DisseminationMessage.NewerLines newerLines ->
+                frame.setDocumentDigest(step(DocumentDigest.Step.NEWER_LINES).addAllLines(lines(newerLines.lines())))
+                        .build();
+        };
+    }
+
+    /** Returns the message a frame carries; empty for a frame that has nothing to do with documents. */
+    public static Optional<DisseminationMessage> fromFrame(Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case DOCUMENT_UPDATE -> Optional.of(new DisseminationMessage.Update(document(frame.getDocumentUpdate())));
+            case DOCUMENT_ASK -> {
+                DocumentAsk ask = frame.getDocumentAsk();
+                yield Optional.of(new DisseminationMessage.Ask(
+                        new DocumentKey(ask.getTeam(), ask.getService()), ask.getRevision()));
+            }
+            case DOCUMENT_DIGEST -> digest(frame.getDocumentDigest());
+            default -> Optional.empty();
+        };
+    }
+
+    private static Optional<DisseminationMessage> digest(DocumentDigest digest) {
+        return switch (digest.getStep()) {
+            case COMPARE -> Optional.of(new DisseminationMessage.Compare(digest.getNumber(), digest.getRootHash()));
+            case EQUAL -> Optional.of(new DisseminationMessage.Equal(digest.getNumber(), confirmedAge(digest)));
+            case DIFFERS ->
+                Optional.of(new DisseminationMessage.Differs(digest.getNumber(), digest.getBucketHashesList()));
+            case BUCKET_LINES ->
+                Optional.of(new DisseminationMessage.BucketLines(digest.getBucketsList(), revisionLines(digest)));
+            case NEWER_LINES -> Optional.of(new DisseminationMessage.NewerLines(revisionLines(digest)));
+            case STEP_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
+        };
+    }
+
+    private static DocumentDigest.Builder step(DocumentDigest.Step step) {
+        return DocumentDigest.newBuilder().setStep(step);
+    }
+
+    private static DocumentDigest.Builder equal(DisseminationMessage.Equal equal) {
+        DocumentDigest.Builder digest = step(DocumentDigest.Step.EQUAL).setNumber(equal.number());
+        // Rounded up, so that a table never looks fresher on the other side than it is.
+        equal.confirmedAge().ifPresent(age -> digest.setConfirmedAgeMilliseconds(age.toMillis() + 1));
+        return digest;
+    }
+
+    private static Optional<Duration> confirmedAge(DocumentDigest digest) {
+        return digest.hasConfirmedAgeMilliseconds()
+                ? Optional.of(Duration.ofMillis(digest.getConfirmedAgeMilliseconds()))
+                : Optional.empty();
+    }
+
+    private static DocumentUpdate update(KnownDocument document) {
+        return DocumentUpdate.newBuilder()
+                .setTeam(document.key().team())
+                .setService(document.key().service())
+                .setRevision(document.revision())
+                .setDocument(ByteString.copyFromUtf8(document.content()))
+                .build();
+    }
+
+    private static KnownDocument document(DocumentUpdate update) {
+        DocumentKey key = new DocumentKey(update.getTeam(), update.getService());
+        return new KnownDocument(key, update.getRevision(), update.getDocument().toStringUtf8());
+    }
+
+    private static List<DocumentDigest.Line> lines(List<RevisionLine> lines) {
+        return lines.stream()
+                .map(line -> DocumentDigest.Line.newBuilder()
+                        .setTeam(line.key().team())
+                        .setService(line.key().service())
+                        .setRevision(line.revision())
+                        .setContentHash(line.contentHash())
+                        .build())
+                .toList();
+    }
+
+    private static List<RevisionLine> revisionLines(DocumentDigest digest) {
+        return digest.getLinesList().stream()
+                .map(line -> new RevisionLine(
+                        new DocumentKey(line.getTeam(), line.getService()), line.getRevision(), line.getContentHash()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFramesTest.java
@@ -0,0 +1,60 @@
+package org.aspenmoor.internal.daemon.dissemination;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.dissemination.DisseminationMessage;
+import org.aspenmoor.internal.dissemination.DocumentKey;
+import org.aspenmoor.internal.dissemination.KnownDocument;
+import org.aspenmoor.internal.dissemination.RevisionLine;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Probe;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class DisseminationFramesTest {
+    private static final DocumentKey KEY = new DocumentKey("hojas-andinas", "registry");
+    private static final RevisionLine LINE = new RevisionLine(KEY, 12, -5);
+
+    @DataProvider
+    public Object[][] messages() {
+        return new Object[][] {
+            {new DisseminationMessage.Update(new KnownDocument(KEY, 12, "{\"team\": \"ñ\"}"))},
+            {new DisseminationMessage.Ask(KEY, 11)},
+            {new DisseminationMessage.Compare(-3, 4)},
+            {new DisseminationMessage.Equal(-3, Optional.empty())},
+            {new DisseminationMessage.Differs(-3, List.of(1L, -2L))},
+            {new DisseminationMessage.BucketLines(List.of(0, 63), List.of(LINE))},
+            {new DisseminationMessage.NewerLines(List.of(LINE))},
+        };
+    }
+
+    @Test(dataProvider = "messages")
+    public void should_read_back_what_was_written(DisseminationMessage message) throws InvalidProtocolBufferException {
+        Frame frame = Frame.parseFrom(DisseminationFrames.toFrame(message).toByteArray());
+
+        assertEquals(DisseminationFrames.fromFrame(frame), Optional.of(message));
+    }
+
+    @Test
+    public void should_never_make_a_table_look_fresher_on_the_other_side() {
+        Duration age = Duration.ofNanos(1_999_999);
+
+        DisseminationMessage read = DisseminationFrames.fromFrame(
+                        DisseminationFrames.toFrame(new DisseminationMessage.Equal(1, Optional.of(age))))
+                .orElseThrow();
+
+        assertEquals(read, new DisseminationMessage.Equal(1, Optional.of(Duration.ofMillis(2))));
+    }
+
+    @Test
+    public void should_leave_other_frames_alone() {
+        Frame probe = Frame.newBuilder().setProbe(Probe.getDefaultInstance()).build();
+
+        assertTrue(DisseminationFrames.fromFrame(probe).isEmpty());
+    }
+}
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
@@ -218,23 +218,31 @@
       "\022\031\n\021free_cache_pieces\030\010 \001(\r\022\030\n\020all_cache" +
       "_pieces\030\t \001(\r\022\016\n\006loaded\030\n \003(\t\022\030\n\020age_mil" +
       "liseconds\030\013 \001(\r\"*\n\007Leaving\022\017\n\007backend\030\001 " +
-      "\001(\t\022\016\n\006reason\030\002 \001(\t\"\200\001\n\016DocumentDigest\0225" +
+      "\001(\t\022\016\n\006reason\030\002 \001(\t\"\305\003\n\016DocumentDigest\0225" +
       "\n\005lines\030\001 \003(\0132&.aspenmoor.wire.v1.Docume" +
-      "ntDigest.Line\0327\n\004Line\022\014\n\004team\030\001 \001(\t\022\017\n\007s" +
-      "ervice\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"S\n\016Docume" +
-      "ntUpdate\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022" +
-      "\020\n\010revision\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\">\n\013D" +
-      "ocumentAsk\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
-      "\t\022\020\n\010revision\030\003 \001(\004\"\027\n\005Probe\022\016\n\006number\030\001" +
-      " \001(\006\"\035\n\013ProbeAnswer\022\016\n\006number\030\001 \001(\006\"\362\001\n\r" +
-      "RequestCounts\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002" +
-      " \001(\t\022\023\n\013data_centre\030\003 \001(\t\022\020\n\010sequence\030\004 " +
-      "\001(\004\0224\n\005lines\030\005 \003(\0132%.aspenmoor.wire.v1.R" +
-      "equestCounts.Line\032e\n\004Line\022\014\n\004kind\030\001 \001(\t\022" +
-      "\020\n\010requests\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\004" +
-      "\022\025\n\routput_tokens\030\004 \001(\004\022\017\n\007refused\030\005 \001(\r" +
-      "B\"\n\036org.aspenmoor.internal.wire.v1P\001b\006pr" +
-      "oto3"
+      "ntDigest.Line\0224\n\004step\030\002 \001(\0162&.aspenmoor." +
+      "wire.v1.DocumentDigest.Step\022\016\n\006number\030\003 " +
+      "\001(\006\022\021\n\troot_hash\030\004 \001(\006\022\'\n\032confirmed_age_" +
+      "milliseconds\030\005 \001(\004H\000\210\001\001\022\025\n\rbucket_hashes" +
+      "\030\006 \003(\006\022\017\n\007buckets\030\007 \003(\r\032M\n\004Line\022\014\n\004team\030" +
+      "\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004" +
+      "\022\024\n\014content_hash\030\004 \001(\006\"d\n\004Step\022\024\n\020STEP_U" +
+      "NSPECIFIED\020\000\022\013\n\007COMPARE\020\001\022\t\n\005EQUAL\020\002\022\013\n\007" +
+      "DIFFERS\020\003\022\020\n\014BUCKET_LINES\020\004\022\017\n\013NEWER_LIN" +
+      "ES\020\005B\035\n\033_confirmed_age_milliseconds\"S\n\016D" +
+      "ocumentUpdate\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002" +
+      " \001(\t\022\020\n\010revision\030\003 \001(\004\022\020\n\010document\030\004 \001(\014" +
+      "\">\n\013DocumentAsk\022\014\n\004team\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"\027\n\005Probe\022\016\n\006num" +
+      "ber\030\001 \001(\006\"\035\n\013ProbeAnswer\022\016\n\006number\030\001 \001(\006" +
+      "\"\362\001\n\rRequestCounts\022\014\n\004team\030\001 \001(\t\022\017\n\007serv" +
+      "ice\030\002 \001(\t\022\023\n\013data_centre\030\003 \001(\t\022\020\n\010sequen" +
+      "ce\030\004 \001(\004\0224\n\005lines\030\005 \003(\0132%.aspenmoor.wire" +
+      ".v1.RequestCounts.Line\032e\n\004Line\022\014\n\004kind\030\001" +
+      " \001(\t\022\020\n\010requests\030\002 \001(\r\022\025\n\rprompt_tokens\030" +
+      "\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\017\n\007refused\030" +
+      "\005 \001(\rB\"\n\036org.aspenmoor.internal.wire.v1P" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -335,13 +343,13 @@
     internal_static_aspenmoor_wire_v1_DocumentDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_DocumentDigest_descriptor,
-        new java.lang.String[] { "Lines", });
+        new java.lang.String[] { "Lines", "Step", "Number", "RootHash", "ConfirmedAgeMilliseconds", "BucketHashes", "Buckets", });
     internal_static_aspenmoor_wire_v1_DocumentDigest_Line_descriptor =
       internal_static_aspenmoor_wire_v1_DocumentDigest_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_DocumentDigest_Line_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_DocumentDigest_Line_descriptor,
-        new java.lang.String[] { "Team", "Service", "Revision", });
+        new java.lang.String[] { "Team", "Service", "Revision", "ContentHash", });
     internal_static_aspenmoor_wire_v1_DocumentUpdate_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_aspenmoor_wire_v1_DocumentUpdate_fieldAccessorTable = new
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentDigest.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentDigest.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Entry to entry: the documents I know, by revision.
+ * Entry to entry and agent to entry: one step of comparing which documents both know.
  * </pre>
  *
  * Protobuf type {@code aspenmoor.wire.v1.DocumentDigest}
@@ -33,6 +33,9 @@
   }
   private DocumentDigest() {
     lines_ = java.util.Collections.emptyList();
+    step_ = 0;
+    bucketHashes_ = emptyLongList();
+    buckets_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -53,6 +56,199 @@
             org.aspenmoor.internal.wire.v1.DocumentDigest.class, org.aspenmoor.internal.wire.v1.DocumentDigest.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code aspenmoor.wire.v1.DocumentDigest.Step}
+   */
+  public enum Step
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>STEP_UNSPECIFIED = 0;</code>
+     */
+    STEP_UNSPECIFIED(0),
+    /**
+     * <pre>
+     * Are our tables equal? Carries number and root_hash.
+     * </pre>
+     *
+     * <code>COMPARE = 1;</code>
+     */
+    COMPARE(1),
+    /**
+     * <pre>
+     * They are. Carries number and confirmed_age_milliseconds.
+     * </pre>
+     *
+     * <code>EQUAL = 2;</code>
+     */
+    EQUAL(2),
+    /**
+     * <pre>
+     * They are not. Carries number and bucket_hashes.
+     * </pre>
+     *
+     * <code>DIFFERS = 3;</code>
+     */
+    DIFFERS(3),
+    /**
+     * <pre>
+     * All my lines of some buckets. Carries buckets and lines.
+     * </pre>
+     *
+     * <code>BUCKET_LINES = 4;</code>
+     */
+    BUCKET_LINES(4),
+    /**
+     * <pre>
+     * What I have newer than your lines. Carries lines.
+     * </pre>
+     *
+     * <code>NEWER_LINES = 5;</code>
+     */
+    NEWER_LINES(5),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Step");
+    }
+    /**
+     * <code>STEP_UNSPECIFIED = 0;</code>
+     */
+    public static final int STEP_UNSPECIFIED_VALUE = 0;
+    /**
+     * <pre>
+     * Are our tables equal? Carries number and root_hash.
+     * </pre>
+     *
+     * <code>COMPARE = 1;</code>
+     */
+    public static final int COMPARE_VALUE = 1;
+    /**
+     * <pre>
+     * They are. Carries number and confirmed_age_milliseconds.
+     * </pre>
+     *
+     * <code>EQUAL = 2;</code>
+     */
+    public static final int EQUAL_VALUE = 2;
+    /**
+     * <pre>
+     * They are not. Carries number and bucket_hashes.
+     * </pre>
+     *
+     * <code>DIFFERS = 3;</code>
+     */
+    public static final int DIFFERS_VALUE = 3;
+    /**
+     * <pre>
+     * All my lines of some buckets. Carries buckets and lines.
+     * </pre>
+     *
+     * <code>BUCKET_LINES = 4;</code>
+     */
+    public static final int BUCKET_LINES_VALUE = 4;
+    /**
+     * <pre>
+     * What I have newer than your lines. Carries lines.
+     * </pre>
+     *
+     * <code>NEWER_LINES = 5;</code>
+     */
+    public static final int NEWER_LINES_VALUE = 5;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Step valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Step forNumber(int value) {
+      switch (value) {
+        case 0: return STEP_UNSPECIFIED;
+        case 1: return COMPARE;
+        case 2: return EQUAL;
+        case 3: return DIFFERS;
+        case 4: return BUCKET_LINES;
+        case 5: return NEWER_LINES;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Step>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Step> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Step>() {
+            public Step findValueByNumber(int number) {
+              return Step.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.DocumentDigest.getDescriptor().getEnumType(0);
+    }
+
+    private static final Step[] VALUES = values();
+
+    public static Step valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Step(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:aspenmoor.wire.v1.DocumentDigest.Step)
+  }
+
   public interface LineOrBuilder extends
       // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.DocumentDigest.Line)
       com.google.protobuf.MessageOrBuilder {
@@ -86,6 +282,12 @@
      * @return The revision.
      */
     long getRevision();
+
+    /**
+     * <code>fixed64 content_hash = 4;</code>
+     * @return The contentHash.
+     */
+    long getContentHash();
   }
   /**
    * Protobuf type {@code aspenmoor.wire.v1.DocumentDigest.Line}
@@ -220,6 +422,17 @@
       return revision_;
     }
 
+    public static final int CONTENT_HASH_FIELD_NUMBER = 4;
+    private long contentHash_ = 0L;
+    /**
+     * <code>fixed64 content_hash = 4;</code>
+     * @return The contentHash.
+     */
+    @java.lang.Override
+    public long getContentHash() {
+      return contentHash_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -243,6 +456,9 @@
       if (revision_ != 0L) {
         output.writeUInt64(3, revision_);
       }
+      if (contentHash_ != 0L) {
+        output.writeFixed64(4, contentHash_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -257,6 +473,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, revision_);
       }
+      if (contentHash_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(4, contentHash_);
+      }
       return size;
     }
     @java.lang.Override
@@ -287,6 +507,8 @@
           .equals(other.getService())) return false;
       if (getRevision()
           != other.getRevision()) return false;
+      if (getContentHash()
+          != other.getContentHash()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -305,6 +527,9 @@
       hash = (37 * hash) + REVISION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRevision());
+      hash = (37 * hash) + CONTENT_HASH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getContentHash());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -439,6 +664,7 @@
         team_ = "";
         service_ = "";
         revision_ = 0L;
+        contentHash_ = 0L;
         return this;
       }
 
@@ -481,6 +707,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.revision_ = revision_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.contentHash_ = contentHash_;
+        }
       }
 
       @java.lang.Override
@@ -508,6 +737,9 @@
         if (other.getRevision() != 0L) {
           setRevision(other.getRevision());
         }
+        if (other.getContentHash() != 0L) {
+          setContentHash(other.getContentHash());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -547,6 +779,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 33: {
+                contentHash_ = input.readFixed64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -740,6 +977,38 @@
         return this;
       }
 
+      private long contentHash_ ;
+      /**
+       * <code>fixed64 content_hash = 4;</code>
+       * @return The contentHash.
+       */
+      @java.lang.Override
+      public long getContentHash() {
+        return contentHash_;
+      }
+      /**
+       * <code>fixed64 content_hash = 4;</code>
+       * @param value The contentHash to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentHash(long value) {
+
+        contentHash_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 content_hash = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentHash() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        contentHash_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.DocumentDigest.Line)
     }
 
@@ -791,6 +1060,7 @@
 
   }
 
+  private int bitField0_;
   public static final int LINES_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.aspenmoor.internal.wire.v1.DocumentDigest.Line> lines_;
@@ -832,6 +1102,133 @@
     return lines_.get(index);
   }
 
+  public static final int STEP_FIELD_NUMBER = 2;
+  private int step_ = 0;
+  /**
+   * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+   * @return The enum numeric value on the wire for step.
+   */
+  @java.lang.Override public int getStepValue() {
+    return step_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+   * @return The step.
+   */
+  @java.lang.Override public org.aspenmoor.internal.wire.v1.DocumentDigest.Step getStep() {
+    org.aspenmoor.internal.wire.v1.DocumentDigest.Step result = org.aspenmoor.internal.wire.v1.DocumentDigest.Step.forNumber(step_);
+    return result == null ? org.aspenmoor.internal.wire.v1.DocumentDigest.Step.UNRECOGNIZED : result;
+  }
+
+  public static final int NUMBER_FIELD_NUMBER = 3;
+  private long number_ = 0L;
+  /**
+   * <code>fixed64 number = 3;</code>
+   * @return The number.
+   */
+  @java.lang.Override
+  public long getNumber() {
+    return number_;
+  }
+
+  public static final int ROOT_HASH_FIELD_NUMBER = 4;
+  private long rootHash_ = 0L;
+  /**
+   * <code>fixed64 root_hash = 4;</code>
+   * @return The rootHash.
+   */
+  @java.lang.Override
+  public long getRootHash() {
+    return rootHash_;
+  }
+
+  public static final int CONFIRMED_AGE_MILLISECONDS_FIELD_NUMBER = 5;
+  private long confirmedAgeMilliseconds_ = 0L;
+  /**
+   * <pre>
+   * How long ago the sender was known to hold every accepted document; missing for never.
+   * </pre>
+   *
+   * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+   * @return Whether the confirmedAgeMilliseconds field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfirmedAgeMilliseconds() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * How long ago the sender was known to hold every accepted document; missing for never.
+   * </pre>
+   *
+   * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+   * @return The confirmedAgeMilliseconds.
+   */
+  @java.lang.Override
+  public long getConfirmedAgeMilliseconds() {
+    return confirmedAgeMilliseconds_;
+  }
+
+  public static final int BUCKET_HASHES_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList bucketHashes_ =
+      emptyLongList();
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @return A list containing the bucketHashes.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getBucketHashesList() {
+    return bucketHashes_;
+  }
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @return The count of bucketHashes.
+   */
+  public int getBucketHashesCount() {
+    return bucketHashes_.size();
+  }
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @param index The index of the element to return.
+   * @return The bucketHashes at the given index.
+   */
+  public long getBucketHashes(int index) {
+    return bucketHashes_.getLong(index);
+  }
+  private int bucketHashesMemoizedSerializedSize = -1;
+
+  public static final int BUCKETS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList buckets_ =
+      emptyIntList();
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @return A list containing the buckets.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getBucketsList() {
+    return buckets_;
+  }
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @return The count of buckets.
+   */
+  public int getBucketsCount() {
+    return buckets_.size();
+  }
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @param index The index of the element to return.
+   * @return The buckets at the given index.
+   */
+  public int getBuckets(int index) {
+    return buckets_.getInt(index);
+  }
+  private int bucketsMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -846,9 +1243,36 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < lines_.size(); i++) {
       output.writeMessage(1, lines_.get(i));
     }
+    if (step_ != org.aspenmoor.internal.wire.v1.DocumentDigest.Step.STEP_UNSPECIFIED.getNumber()) {
+      output.writeEnum(2, step_);
+    }
+    if (number_ != 0L) {
+      output.writeFixed64(3, number_);
+    }
+    if (rootHash_ != 0L) {
+      output.writeFixed64(4, rootHash_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(5, confirmedAgeMilliseconds_);
+    }
+    if (getBucketHashesList().size() > 0) {
+      output.writeUInt32NoTag(50);
+      output.writeUInt32NoTag(bucketHashesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < bucketHashes_.size(); i++) {
+      output.writeFixed64NoTag(bucketHashes_.getLong(i));
+    }
+    if (getBucketsList().size() > 0) {
+      output.writeUInt32NoTag(58);
+      output.writeUInt32NoTag(bucketsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < buckets_.size(); i++) {
+      output.writeUInt32NoTag(buckets_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -862,6 +1286,47 @@
           }
           size += 1 * count;
         }
+    if (step_ != org.aspenmoor.internal.wire.v1.DocumentDigest.Step.STEP_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(2, step_);
+    }
+    if (number_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(3, number_);
+    }
+    if (rootHash_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(4, rootHash_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, confirmedAgeMilliseconds_);
+    }
+    {
+      int dataSize = 0;
+      dataSize = 8 * getBucketHashesList().size();
+      size += dataSize;
+      if (!getBucketHashesList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      bucketHashesMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < buckets_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(buckets_.getInt(i));
+      }
+      size += dataSize;
+      if (!getBucketsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      bucketsMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -888,6 +1353,20 @@
 
     if (!getLinesList()
         .equals(other.getLinesList())) return false;
+    if (step_ != other.step_) return false;
+    if (getNumber()
+        != other.getNumber()) return false;
+    if (getRootHash()
+        != other.getRootHash()) return false;
+    if (hasConfirmedAgeMilliseconds() != other.hasConfirmedAgeMilliseconds()) return false;
+    if (hasConfirmedAgeMilliseconds()) {
+      if (getConfirmedAgeMilliseconds()
+          != other.getConfirmedAgeMilliseconds()) return false;
+    }
+    if (!getBucketHashesList()
+        .equals(other.getBucketHashesList())) return false;
+    if (!getBucketsList()
+        .equals(other.getBucketsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -903,6 +1382,27 @@
       hash = (37 * hash) + LINES_FIELD_NUMBER;
       hash = (53 * hash) + getLinesList().hashCode();
     }
+    hash = (37 * hash) + STEP_FIELD_NUMBER;
+    hash = (53 * hash) + step_;
+    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
+    hash = (37 * hash) + ROOT_HASH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRootHash());
+    if (hasConfirmedAgeMilliseconds()) {
+      hash = (37 * hash) + CONFIRMED_AGE_MILLISECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getConfirmedAgeMilliseconds());
+    }
+    if (getBucketHashesCount() > 0) {
+      hash = (37 * hash) + BUCKET_HASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getBucketHashesList().hashCode();
+    }
+    if (getBucketsCount() > 0) {
+      hash = (37 * hash) + BUCKETS_FIELD_NUMBER;
+      hash = (53 * hash) + getBucketsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1002,7 +1502,7 @@
   }
   /**
    * <pre>
-   * Entry to entry: the documents I know, by revision.
+   * Entry to entry and agent to entry: one step of comparing which documents both know.
    * </pre>
    *
    * Protobuf type {@code aspenmoor.wire.v1.DocumentDigest}
@@ -1045,6 +1545,12 @@
         linesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      step_ = 0;
+      number_ = 0L;
+      rootHash_ = 0L;
+      confirmedAgeMilliseconds_ = 0L;
+      bucketHashes_ = emptyLongList();
+      buckets_ = emptyIntList();
       return this;
     }
 
@@ -1091,6 +1597,29 @@
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.DocumentDigest result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.step_ = step_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.number_ = number_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.rootHash_ = rootHash_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.confirmedAgeMilliseconds_ = confirmedAgeMilliseconds_;
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        bucketHashes_.makeImmutable();
+        result.bucketHashes_ = bucketHashes_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        buckets_.makeImmutable();
+        result.buckets_ = buckets_;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -1131,6 +1660,40 @@
           }
         }
       }
+      if (other.step_ != 0) {
+        setStepValue(other.getStepValue());
+      }
+      if (other.getNumber() != 0L) {
+        setNumber(other.getNumber());
+      }
+      if (other.getRootHash() != 0L) {
+        setRootHash(other.getRootHash());
+      }
+      if (other.hasConfirmedAgeMilliseconds()) {
+        setConfirmedAgeMilliseconds(other.getConfirmedAgeMilliseconds());
+      }
+      if (!other.bucketHashes_.isEmpty()) {
+        if (bucketHashes_.isEmpty()) {
+          bucketHashes_ = other.bucketHashes_;
+          bucketHashes_.makeImmutable();
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureBucketHashesIsMutable();
+          bucketHashes_.addAll(other.bucketHashes_);
+        }
+        onChanged();
+      }
+      if (!other.buckets_.isEmpty()) {
+        if (buckets_.isEmpty()) {
+          buckets_ = other.buckets_;
+          buckets_.makeImmutable();
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureBucketsIsMutable();
+          buckets_.addAll(other.buckets_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1168,6 +1731,59 @@
               }
               break;
             } // case 10
+            case 16: {
+              step_ = input.readEnum();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 25: {
+              number_ = input.readFixed64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 25
+            case 33: {
+              rootHash_ = input.readFixed64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 33
+            case 40: {
+              confirmedAgeMilliseconds_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 49: {
+              long v = input.readFixed64();
+              ensureBucketHashesIsMutable();
+              bucketHashes_.addLong(v);
+              break;
+            } // case 49
+            case 50: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureBucketHashesIsMutable(alloc / 8);
+              while (input.getBytesUntilLimit() > 0) {
+                bucketHashes_.addLong(input.readFixed64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 50
+            case 56: {
+              int v = input.readUInt32();
+              ensureBucketsIsMutable();
+              buckets_.addInt(v);
+              break;
+            } // case 56
+            case 58: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureBucketsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                buckets_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1419,6 +2035,352 @@
       return linesBuilder_;
     }
 
+    private int step_ = 0;
+    /**
+     * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+     * @return The enum numeric value on the wire for step.
+     */
+    @java.lang.Override public int getStepValue() {
+      return step_;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+     * @param value The enum numeric value on the wire for step to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStepValue(int value) {
+      step_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+     * @return The step.
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.DocumentDigest.Step getStep() {
+      org.aspenmoor.internal.wire.v1.DocumentDigest.Step result = org.aspenmoor.internal.wire.v1.DocumentDigest.Step.forNumber(step_);
+      return result == null ? org.aspenmoor.internal.wire.v1.DocumentDigest.Step.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+     * @param value The step to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setStep(org.aspenmoor.internal.wire.v1.DocumentDigest.Step value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000002;
+      step_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStep() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      step_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long number_ ;
+    /**
+     * <code>fixed64 number = 3;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+    /**
+     * <code>fixed64 number = 3;</code>
+     * @param value The number to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNumber(long value) {
+
+      number_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>fixed64 number = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNumber() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      number_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long rootHash_ ;
+    /**
+     * <code>fixed64 root_hash = 4;</code>
+     * @return The rootHash.
+     */
+    @java.lang.Override
+    public long getRootHash() {
+      return rootHash_;
+    }
+    /**
+     * <code>fixed64 root_hash = 4;</code>
+     * @param value The rootHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRootHash(long value) {
+
+      rootHash_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>fixed64 root_hash = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRootHash() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      rootHash_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long confirmedAgeMilliseconds_ ;
+    /**
+     * <pre>
+     * How long ago the sender was known to hold every accepted document; missing for never.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+     * @return Whether the confirmedAgeMilliseconds field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfirmedAgeMilliseconds() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * How long ago the sender was known to hold every accepted document; missing for never.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+     * @return The confirmedAgeMilliseconds.
+     */
+    @java.lang.Override
+    public long getConfirmedAgeMilliseconds() {
+      return confirmedAgeMilliseconds_;
+    }
+    /**
+     * <pre>
+     * How long ago the sender was known to hold every accepted document; missing for never.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+     * @param value The confirmedAgeMilliseconds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmedAgeMilliseconds(long value) {
+
+      confirmedAgeMilliseconds_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago the sender was known to hold every accepted document; missing for never.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmedAgeMilliseconds() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      confirmedAgeMilliseconds_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList bucketHashes_ = emptyLongList();
+    private void ensureBucketHashesIsMutable() {
+      if (!bucketHashes_.isModifiable()) {
+        bucketHashes_ = makeMutableCopy(bucketHashes_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    private void ensureBucketHashesIsMutable(int capacity) {
+      if (!bucketHashes_.isModifiable()) {
+        bucketHashes_ = makeMutableCopy(bucketHashes_, capacity);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @return A list containing the bucketHashes.
+     */
+    public java.util.List<java.lang.Long>
+        getBucketHashesList() {
+      bucketHashes_.makeImmutable();
+      return bucketHashes_;
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @return The count of bucketHashes.
+     */
+    public int getBucketHashesCount() {
+      return bucketHashes_.size();
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @param index The index of the element to return.
+     * @return The bucketHashes at the given index.
+     */
+    public long getBucketHashes(int index) {
+      return bucketHashes_.getLong(index);
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The bucketHashes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBucketHashes(
+        int index, long value) {
+
+      ensureBucketHashesIsMutable();
+      bucketHashes_.setLong(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @param value The bucketHashes to add.
+     * @return This builder for chaining.
+     */
+    public Builder addBucketHashes(long value) {
+
+      ensureBucketHashesIsMutable();
+      bucketHashes_.addLong(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @param values The bucketHashes to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllBucketHashes(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureBucketHashesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, bucketHashes_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated fixed64 bucket_hashes = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBucketHashes() {
+      bucketHashes_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList buckets_ = emptyIntList();
+    private void ensureBucketsIsMutable() {
+      if (!buckets_.isModifiable()) {
+        buckets_ = makeMutableCopy(buckets_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @return A list containing the buckets.
+     */
+    public java.util.List<java.lang.Integer>
+        getBucketsList() {
+      buckets_.makeImmutable();
+      return buckets_;
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @return The count of buckets.
+     */
+    public int getBucketsCount() {
+      return buckets_.size();
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @param index The index of the element to return.
+     * @return The buckets at the given index.
+     */
+    public int getBuckets(int index) {
+      return buckets_.getInt(index);
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The buckets to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBuckets(
+        int index, int value) {
+
+      ensureBucketsIsMutable();
+      buckets_.setInt(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @param value The buckets to add.
+     * @return This builder for chaining.
+     */
+    public Builder addBuckets(int value) {
+
+      ensureBucketsIsMutable();
+      buckets_.addInt(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @param values The buckets to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllBuckets(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureBucketsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, buckets_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 buckets = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBuckets() {
+      buckets_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.DocumentDigest)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentDigestOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentDigestOrBuilder.java
@@ -33,4 +33,80 @@
    */
   org.aspenmoor.internal.wire.v1.DocumentDigest.LineOrBuilder getLinesOrBuilder(
       int index);
+
+  /**
+   * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+   * @return The enum numeric value on the wire for step.
+   */
+  int getStepValue();
+  /**
+   * <code>.aspenmoor.wire.v1.DocumentDigest.Step step = 2;</code>
+   * @return The step.
+   */
+  org.aspenmoor.internal.wire.v1.DocumentDigest.Step getStep();
+
+  /**
+   * <code>fixed64 number = 3;</code>
+   * @return The number.
+   */
+  long getNumber();
+
+  /**
+   * <code>fixed64 root_hash = 4;</code>
+   * @return The rootHash.
+   */
+  long getRootHash();
+
+  /**
+   * <pre>
+   * How long ago the sender was known to hold every accepted document; missing for never.
+   * </pre>
+   *
+   * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+   * @return Whether the confirmedAgeMilliseconds field is set.
+   */
+  boolean hasConfirmedAgeMilliseconds();
+  /**
+   * <pre>
+   * How long ago the sender was known to hold every accepted document; missing for never.
+   * </pre>
+   *
+   * <code>optional uint64 confirmed_age_milliseconds = 5;</code>
+   * @return The confirmedAgeMilliseconds.
+   */
+  long getConfirmedAgeMilliseconds();
+
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @return A list containing the bucketHashes.
+   */
+  java.util.List<java.lang.Long> getBucketHashesList();
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @return The count of bucketHashes.
+   */
+  int getBucketHashesCount();
+  /**
+   * <code>repeated fixed64 bucket_hashes = 6;</code>
+   * @param index The index of the element to return.
+   * @return The bucketHashes at the given index.
+   */
+  long getBucketHashes(int index);
+
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @return A list containing the buckets.
+   */
+  java.util.List<java.lang.Integer> getBucketsList();
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @return The count of buckets.
+   */
+  int getBucketsCount();
+  /**
+   * <code>repeated uint32 buckets = 7;</code>
+   * @param index The index of the element to return.
+   * @return The buckets at the given index.
+   */
+  int getBuckets(int index);
 }
