--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SizePoint.java
@@ -0,0 +1,9 @@
+package org.aspenmoor.internal.bench.capacity;
+
+/**
+ * One measurement.
+ *
+ * @param size how many of the things there were
+ * @param value what was measured
+ */
+record SizePoint(double size, double value) {}
