Push changes learned by asking, and deflate documents on the way

A relay that compares with another in the 200 ms between the watches' events learns the change by asking, did not push what it asked for, and its own watch event then was no news: its subtree waited for comparisons. Now only documents of which nothing was known before are kept back.

A length that does not fit drops the frame.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DisseminationTrial.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DisseminationTrial.java
@@ -35,7 +35,6 @@
     private static final double TICK_SECONDS = 0.25;
     private static final double BOOKMARK_SECONDS = 5;
     private static final double MOST_WATCH_DELAY = 0.2;
-    private static final double LONGEST_RECOVERY = 120;
     private static final double NANOSECONDS = 1e9;
 
     private final FleetPlan plan;
@@ -52,7 +51,9 @@
     private final List<Double> secondsInForce = new ArrayList<>();
     private long order;
     private long messages;
-    private double healedAt = -1;
+    private double recoveredAt = -1;
+    private final Map<Integer, KnownDocument> newest = new HashMap<>();
+    private final Map<KnownDocument, Integer> updateSizes = new HashMap<>();
 
     DisseminationTrial(FleetPlan plan, int documents, TrialFaults faults, long seed) {
         this.plan = plan;
@@ -64,8 +65,9 @@
 
     /** Runs for so many seconds with changes at random moments, then until all processes are equal. */
     TrialResult run(double seconds, int changes) {
+        double faultEnd = Math.max(faults.apartUntil(), faults.dataCentreReturns());
         for (int change = 0; change < changes; change++) {
-            schedule(random.nextDouble() * seconds, this::acceptChange);
+            schedule(random.nextDouble() * (faultEnd > 0 ? faultEnd : seconds), this::acceptChange);
         }
         if (faults.apartUntil() > 0) {
             schedule(faults.apartUntil(), () -> plan.neighbours().keySet().forEach(this::relist));
@@ -73,17 +75,22 @@
         if (faults.dataCentreReturns() >= 0) {
             schedule(faults.dataCentreReturns(), this::restartDataCentre);
         }
+        if (faultEnd > 0) {
+            schedule(faultEnd, this::checkRecovery);
+        }
         while (now() < seconds && !events.isEmpty()) {
             step();
         }
-        double mostInOneSecond = mostInOneSecond();
-        double end = now();
-        double faultEnd = Math.max(faults.apartUntil(), faults.dataCentreReturns());
-        while (!allEqual() && now() < end + LONGEST_RECOVERY) {
-            step();
+        double recovery = faultEnd < 0 ? 0 : recoveredAt - faultEnd;
+        return result(now(), recovery, mostInOneSecond());
+    }
+
+    private void checkRecovery() {
+        if (allEqual()) {
+            recoveredAt = now();
+            return;
         }
-        double recovery = faultEnd < 0 ? 0 : Math.max(0, healedAt - faultEnd);
-        return result(end, recovery, mostInOneSecond);
+        schedule(now() + TICK_SECONDS, this::checkRecovery);
     }
 
     private void start(String process, Neighbours neighbours, boolean filled) {
@@ -169,7 +176,7 @@
     }
 
     private void send(String from, Outgoing outgoing) {
-        int bytes = DisseminationFrames.toFrame(outgoing.message()).getSerializedSize() + BYTES_AROUND_A_FRAME;
+        int bytes = frameSize(outgoing.message()) + BYTES_AROUND_A_FRAME;
         counters.get(from).count(now(), bytes);
         if (isCut(from, outgoing.peer()) || random.nextDouble() < faults.messageLoss()) {
             return;
@@ -178,6 +185,18 @@
         schedule(arrival, () -> receive(from, outgoing.peer(), outgoing.message(), bytes));
     }
 
+    private int frameSize(DisseminationMessage message) {
+        return switch (message) {
+            case DisseminationMessage.Update update ->
+                updateSizes.computeIfAbsent(update.document(), document -> serializedSize(message));
+            default -> serializedSize(message);
+        };
+    }
+
+    private static int serializedSize(DisseminationMessage message) {
+        return DisseminationFrames.toFrame(message).getSerializedSize();
+    }
+
     private void receive(String from, String to, DisseminationMessage message, int bytes) {
         messages++;
         counters.get(to).count(now(), bytes);
@@ -192,12 +211,16 @@
         int left = missing.merge(number, -1, Integer::sum);
         if (left == 0) {
             secondsInForce.add(now() - acceptedAt.get(number));
-            healedAt = now();
         }
     }
 
     private KnownDocument newest(int number) {
-        return Samples.knownDocument(number, accepted.getOrDefault(number, 1L));
+        long revision = accepted.getOrDefault(number, 1L);
+        return newest.compute(
+                number,
+                (key, known) -> known != null && known.revision() == revision
+                        ? known
+                        : Samples.knownDocument(number, revision));
     }
 
     private boolean allEqual() {
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeMeter.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeMeter.java
@@ -1,9 +1,9 @@
 package org.aspenmoor.internal.bench.capacity;
 
-import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryMXBean;
 import java.lang.management.ThreadMXBean;
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntFunction;
@@ -12,6 +12,7 @@
 final class SlopeMeter {
     private static final int REPETITIONS = 5;
     private static final int COLLECTIONS = 3;
+    private static final int MOST_COLLECTIONS = 50;
     private static final int WARM_UP_ROUNDS = 3;
     private static final double NANOSECONDS_OF_MICROSECOND = 1000;
 
@@ -20,7 +21,7 @@
     private final List<Slope> slopes = new ArrayList<>();
     private Object held = this;
 
-    /** Measures what stays on the heap (and in direct buffers) for structures of each size. */
+    /** Measures what stays on the heap for structures of each size. */
     void memory(SlopeName cost, List<Integer> sizes, IntFunction<Object> build) {
         List<SizePoint> points = new ArrayList<>();
         held = build.apply(sizes.getFirst());
@@ -55,20 +56,25 @@
     }
 
     private double bytesHeldBy(IntFunction<Object> build, int size) {
-        held = null;
+        letGo();
         long before = used();
         held = build.apply(size);
         return used() - before;
     }
 
+    /** Waits until the structure before is really gone; a dead slot of a stack frame may keep it for a while. */
+    private void letGo() {
+        WeakReference<Object> last = new WeakReference<>(held);
+        held = null;
+        for (int collection = 0; collection < MOST_COLLECTIONS && last.get() != null; collection++) {
+            System.gc();
+        }
+    }
+
     private long used() {
         for (int collection = 0; collection < COLLECTIONS; collection++) {
             System.gc();
         }
-        long direct = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
-                .filter(pool -> pool.getName().equals("direct"))
-                .mapToLong(BufferPoolMXBean::getMemoryUsed)
-                .sum();
-        return memory.getHeapMemoryUsage().getUsed() + direct;
+        return memory.getHeapMemoryUsage().getUsed();
     }
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
@@ -8,7 +8,7 @@
     HEAP_PER_ENGINE_VIEW("heap of an engine in the router, reported"),
     HEAP_PER_INDEXED_PIECE("heap of a cache piece in the prefix index"),
     HEAP_PER_STREAM("heap of an answer being put together at an entry, with its request out"),
-    HEAP_PER_LINK("heap and direct memory of both ends of an open link"),
+    HEAP_PER_LINK("heap of both ends of an open link"),
     ENCODE_CHUNK("processor time to encode a chunk frame"),
     DECODE_CHUNK("processor time to decode a chunk frame"),
     ASSEMBLE_CHUNK("processor time to check a chunk and count it"),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/DocumentExchange.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/DocumentExchange.java
@@ -138,11 +138,12 @@
 
     private List<Outgoing> receivedUpdate(String peer, KnownDocument document) {
         boolean asked = asks.answered(document.key());
+        boolean refill = asked && table.find(document.key()).isEmpty();
         List<Outgoing> outgoing = new ArrayList<>();
         if (take(document)) {
             storeAgreement.learnedFromPeer(document.key());
             progressSinceComparison = true;
-            if (!asked) {
+            if (!refill) {
                 outgoing.addAll(pushExcept(document, Optional.of(peer)));
             }
         } else if (isBehindTable(document)) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/dissemination/DocumentExchangeTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/dissemination/DocumentExchangeTest.java
@@ -120,6 +120,55 @@
         assertTrue(fleet.messagesDelivered() - before < 3 * documents.size(), "messages of one refill");
     }
 
+    // A relay is replaced and lists thousands of documents. If it pushed each of them down the tree, entries that have
+    // them
+    // all would spend minutes of their traffic on the restart of one process.
+    @Test
+    public void should_not_push_a_first_listing_to_those_who_have_it() {
+        ExchangeFleet fleet = new ExchangeFleet(ALMATY, 8);
+        List<KnownDocument> documents = documents(100);
+        fleet.relays(ALMATY).forEach(relay -> fleet.listing(relay, documents));
+        fleet.run(BOUND);
+        String relay = fleet.relays(ALMATY).getFirst();
+        fleet.restart(relay);
+        int before = fleet.messagesDelivered();
+
+        fleet.listing(relay, documents);
+
+        assertEquals(fleet.messagesDelivered(), before);
+    }
+
+    // A relay hears of a change from another relay a moment before its own watch shows it. If it then passed nothing
+    // on,
+    // the entries below it would wait seconds for their next comparison.
+    @Test
+    public void should_push_a_change_that_it_learned_by_asking() {
+        ExchangeFleet fleet = new ExchangeFleet(ALMATY, 8);
+        List<String> relays = fleet.relays(ALMATY);
+        relays.forEach(relay -> fleet.watchEvent(relay, drafting(1)));
+        DocumentExchange late = fleet.at(relays.getFirst());
+        late.hinted(relays.getLast(), DRAFTING, 2);
+
+        fleet.receive(relays.getFirst(), relays.getLast(), new DisseminationMessage.Update(drafting(2)));
+        fleet.watchEvent(relays.getLast(), drafting(2));
+
+        assertTrue(fleet.everyoneHas(DRAFTING, 2));
+    }
+
+    // Half of the neighbours have just been killed and the view does not show it yet. Waiting a whole period for each
+    // of
+    // them would keep an old document in force beyond the bound.
+    @Test
+    public void should_ask_the_next_neighbour_soon_when_one_is_silent() {
+        ExchangeFleet fleet = new ExchangeFleet(ALMATY, 1);
+        DocumentExchange exchange = fleet.at(fleet.leaf(ALMATY));
+        exchange.neighboursChanged(new Neighbours(false, List.of(), List.of("one", "two", "three")));
+
+        List<String> asked = fleet.peersAsked(fleet.leaf(ALMATY), Duration.ofSeconds(3));
+
+        assertEquals(asked.stream().distinct().count(), 3);
+    }
+
     // A relay is killed in the moment a change is accepted, before it has passed it on. The entries below it would
     // never
     // hear of the change from it.
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/dissemination/ExchangeFleet.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/dissemination/ExchangeFleet.java
@@ -106,6 +106,16 @@
         }
     }
 
+    /** Returns whom a process compares with while nobody answers it. */
+    List<String> peersAsked(String process, Duration span) {
+        List<String> peers = new ArrayList<>();
+        for (long ticks = span.dividedBy(TICK); ticks > 0; ticks--) {
+            at(process).tick().forEach(message -> peers.add(message.peer()));
+            time.advance(TICK);
+        }
+        return peers;
+    }
+
     long revisionAt(String process, DocumentKey key) {
         return at(process).find(key).map(KnownDocument::revision).orElse(0L);
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFrames.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFrames.java
@@ -1,6 +1,6 @@
 package org.aspenmoor.internal.daemon.dissemination;
 
-import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -52,10 +52,11 @@
         };
     }
 
-    /** Returns the message a frame carries; empty for a frame that has nothing to do with documents. */
+    /** Returns the message a frame carries; empty for a frame without one, or whose document cannot be read. */
     public static Optional<DisseminationMessage> fromFrame(Frame frame) {
         return switch (frame.getBodyCase()) {
-            case DOCUMENT_UPDATE -> Optional.of(new DisseminationMessage.Update(document(frame.getDocumentUpdate())));
+            case DOCUMENT_UPDATE ->
+                document(frame.getDocumentUpdate()).map(document -> new DisseminationMessage.Update(document));
             case DOCUMENT_ASK -> {
                 DocumentAsk ask = frame.getDocumentAsk();
                 yield Optional.of(new DisseminationMessage.Ask(
@@ -97,17 +98,21 @@
     }
 
     private static DocumentUpdate update(KnownDocument document) {
+        Deflated content = Deflated.of(document.content().getBytes(StandardCharsets.UTF_8));
         return DocumentUpdate.newBuilder()
                 .setTeam(document.key().team())
                 .setService(document.key().service())
                 .setRevision(document.revision())
-                .setDocument(ByteString.copyFromUtf8(document.content()))
+                .setDocument(content.bytes())
+                .setInflatedLength(content.inflatedLength())
                 .build();
     }
 
-    private static KnownDocument document(DocumentUpdate update) {
+    private static Optional<KnownDocument> document(DocumentUpdate update) {
         DocumentKey key = new DocumentKey(update.getTeam(), update.getService());
-        return new KnownDocument(key, update.getRevision(), update.getDocument().toStringUtf8());
+        return new Deflated(update.getDocument(), update.getInflatedLength())
+                .inflate()
+                .map(plain -> new KnownDocument(key, update.getRevision(), new String(plain, StandardCharsets.UTF_8)));
     }
 
     private static List<DocumentDigest.Line> lines(List<RevisionLine> lines) {
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFramesTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/daemon/dissemination/DisseminationFramesTest.java
@@ -24,6 +24,8 @@
     public Object[][] messages() {
         return new Object[][] {
             {new DisseminationMessage.Update(new KnownDocument(KEY, 12, "{\"team\": \"ñ\"}"))},
+            {new DisseminationMessage.Update(new KnownDocument(KEY, 13, "{\"engines\": [] }".repeat(200)))},
+            {new DisseminationMessage.Update(new KnownDocument(KEY, 14, ""))},
             {new DisseminationMessage.Ask(KEY, 11)},
             {new DisseminationMessage.Compare(-3, 4)},
             {new DisseminationMessage.Equal(-3, Optional.empty())},
@@ -51,6 +53,30 @@
         assertEquals(read, new DisseminationMessage.Equal(1, Optional.of(Duration.ofMillis(2))));
     }
 
+    @Test
+    public void should_shorten_a_document_on_the_way() {
+        String content = "{\"name\": \"drafting-1\", \"dataCentre\": \"lima-1\"}".repeat(50);
+
+        Frame frame = DisseminationFrames.toFrame(new DisseminationMessage.Update(new KnownDocument(KEY, 12, content)));
+
+        assertTrue(frame.getSerializedSize() < content.length() / 4);
+    }
+
+    // A link delivers an update whose length was garbled. Inflating by its word would take any amount of memory; taking
+    // what
+    // comes out would put half a document in force.
+    @Test
+    public void should_drop_an_update_whose_length_does_not_fit() {
+        String content = "{\"engines\": [] }".repeat(200);
+        Frame frame = DisseminationFrames.toFrame(new DisseminationMessage.Update(new KnownDocument(KEY, 12, content)));
+
+        for (int length : new int[] {content.length() + 1, Integer.MAX_VALUE, -1}) {
+            Frame.Builder garbled = frame.toBuilder();
+            garbled.getDocumentUpdateBuilder().setInflatedLength(length);
+            assertTrue(DisseminationFrames.fromFrame(garbled.build()).isEmpty());
+        }
+    }
+
     @Test
     public void should_leave_other_frames_alone() {
         Frame probe = Frame.newBuilder().setProbe(Probe.getDefaultInstance()).build();
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Aspenmoor.java
@@ -229,20 +229,20 @@
       "\022\024\n\014content_hash\030\004 \001(\006\"d\n\004Step\022\024\n\020STEP_U" +
       "NSPECIFIED\020\000\022\013\n\007COMPARE\020\001\022\t\n\005EQUAL\020\002\022\013\n\007" +
       "DIFFERS\020\003\022\020\n\014BUCKET_LINES\020\004\022\017\n\013NEWER_LIN" +
-      "ES\020\005B\035\n\033_confirmed_age_milliseconds\"S\n\016D" +
+      "ES\020\005B\035\n\033_confirmed_age_milliseconds\"l\n\016D" +
       "ocumentUpdate\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002" +
       " \001(\t\022\020\n\010revision\030\003 \001(\004\022\020\n\010document\030\004 \001(\014" +
-      "\">\n\013DocumentAsk\022\014\n\004team\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"\027\n\005Probe\022\016\n\006num" +
-      "ber\030\001 \001(\006\"\035\n\013ProbeAnswer\022\016\n\006number\030\001 \001(\006" +
-      "\"\362\001\n\rRequestCounts\022\014\n\004team\030\001 \001(\t\022\017\n\007serv" +
-      "ice\030\002 \001(\t\022\023\n\013data_centre\030\003 \001(\t\022\020\n\010sequen" +
-      "ce\030\004 \001(\004\0224\n\005lines\030\005 \003(\0132%.aspenmoor.wire" +
-      ".v1.RequestCounts.Line\032e\n\004Line\022\014\n\004kind\030\001" +
-      " \001(\t\022\020\n\010requests\030\002 \001(\r\022\025\n\rprompt_tokens\030" +
-      "\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\017\n\007refused\030" +
-      "\005 \001(\rB\"\n\036org.aspenmoor.internal.wire.v1P" +
-      "\001b\006proto3"
+      "\022\027\n\017inflated_length\030\005 \001(\r\">\n\013DocumentAsk" +
+      "\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010revis" +
+      "ion\030\003 \001(\004\"\027\n\005Probe\022\016\n\006number\030\001 \001(\006\"\035\n\013Pr" +
+      "obeAnswer\022\016\n\006number\030\001 \001(\006\"\362\001\n\rRequestCou" +
+      "nts\022\014\n\004team\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\023\n\013da" +
+      "ta_centre\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\0224\n\005lin" +
+      "es\030\005 \003(\0132%.aspenmoor.wire.v1.RequestCoun" +
+      "ts.Line\032e\n\004Line\022\014\n\004kind\030\001 \001(\t\022\020\n\010request" +
+      "s\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput" +
+      "_tokens\030\004 \001(\004\022\017\n\007refused\030\005 \001(\rB\"\n\036org.as" +
+      "penmoor.internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -355,7 +355,7 @@
     internal_static_aspenmoor_wire_v1_DocumentUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_DocumentUpdate_descriptor,
-        new java.lang.String[] { "Team", "Service", "Revision", "Document", });
+        new java.lang.String[] { "Team", "Service", "Revision", "Document", "InflatedLength", });
     internal_static_aspenmoor_wire_v1_DocumentAsk_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_aspenmoor_wire_v1_DocumentAsk_fieldAccessorTable = new
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentUpdate.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentUpdate.java
@@ -155,6 +155,21 @@
     return document_;
   }
 
+  public static final int INFLATED_LENGTH_FIELD_NUMBER = 5;
+  private int inflatedLength_ = 0;
+  /**
+   * <pre>
+   * How long the document is once inflated; 0 where it is sent as it is.
+   * </pre>
+   *
+   * <code>uint32 inflated_length = 5;</code>
+   * @return The inflatedLength.
+   */
+  @java.lang.Override
+  public int getInflatedLength() {
+    return inflatedLength_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -181,6 +196,9 @@
     if (!document_.isEmpty()) {
       output.writeBytes(4, document_);
     }
+    if (inflatedLength_ != 0) {
+      output.writeUInt32(5, inflatedLength_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -199,6 +217,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, document_);
     }
+    if (inflatedLength_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, inflatedLength_);
+    }
     return size;
   }
   @java.lang.Override
@@ -231,6 +253,8 @@
         != other.getRevision()) return false;
     if (!getDocument()
         .equals(other.getDocument())) return false;
+    if (getInflatedLength()
+        != other.getInflatedLength()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -251,6 +275,8 @@
         getRevision());
     hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
     hash = (53 * hash) + getDocument().hashCode();
+    hash = (37 * hash) + INFLATED_LENGTH_FIELD_NUMBER;
+    hash = (53 * hash) + getInflatedLength();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -390,6 +416,7 @@
       service_ = "";
       revision_ = 0L;
       document_ = com.google.protobuf.ByteString.EMPTY;
+      inflatedLength_ = 0;
       return this;
     }
 
@@ -435,6 +462,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.document_ = document_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.inflatedLength_ = inflatedLength_;
+      }
     }
 
     @java.lang.Override
@@ -465,6 +495,9 @@
       if (!other.getDocument().isEmpty()) {
         setDocument(other.getDocument());
       }
+      if (other.getInflatedLength() != 0) {
+        setInflatedLength(other.getInflatedLength());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -509,6 +542,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              inflatedLength_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -734,6 +772,50 @@
       return this;
     }
 
+    private int inflatedLength_ ;
+    /**
+     * <pre>
+     * How long the document is once inflated; 0 where it is sent as it is.
+     * </pre>
+     *
+     * <code>uint32 inflated_length = 5;</code>
+     * @return The inflatedLength.
+     */
+    @java.lang.Override
+    public int getInflatedLength() {
+      return inflatedLength_;
+    }
+    /**
+     * <pre>
+     * How long the document is once inflated; 0 where it is sent as it is.
+     * </pre>
+     *
+     * <code>uint32 inflated_length = 5;</code>
+     * @param value The inflatedLength to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInflatedLength(int value) {
+
+      inflatedLength_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the document is once inflated; 0 where it is sent as it is.
+     * </pre>
+     *
+     * <code>uint32 inflated_length = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInflatedLength() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      inflatedLength_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.DocumentUpdate)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentUpdateOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/DocumentUpdateOrBuilder.java
@@ -45,4 +45,14 @@
    * @return The document.
    */
   com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <pre>
+   * How long the document is once inflated; 0 where it is sent as it is.
+   * </pre>
+   *
+   * <code>uint32 inflated_length = 5;</code>
+   * @return The inflatedLength.
+   */
+  int getInflatedLength();
 }
