--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/StandinsMain.java
@@ -8,6 +8,7 @@
 import joptsimple.OptionException;
 import org.aspenmoor.Aspenmoor;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.standins.command.AccountsCommand;
 import org.aspenmoor.internal.standins.command.AskCommand;
 import org.aspenmoor.internal.standins.command.EngineCommand;
 import org.aspenmoor.internal.standins.command.HostCommand;
@@ -42,6 +43,7 @@
                         new ServiceCommand(),
                         new PutDocumentCommand(),
                         new AskCommand(),
+                        new AccountsCommand(),
                         new LoadCommand()),
                 System.out,
                 System.err);
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/AskCommand.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/AskCommand.java
@@ -47,6 +47,9 @@
                         "pointer", "JSON pointer of the value to print; arrays by their size")
                 .withRequiredArg()
                 .defaultsTo("");
+        OptionSpec<String> where = parser.accepts("where", "of an array, count the objects in which this field is true")
+                .withRequiredArg()
+                .defaultsTo("");
         OptionSpec<Long> atLeast = parser.accepts("until-at-least", "ask again until the value is that great")
                 .withRequiredArg()
                 .ofType(Long.class)
@@ -61,7 +64,8 @@
             return 0;
         }
         HttpRequest request = request(URI.create(options.valueOf(url)), Optional.ofNullable(options.valueOf(post)));
-        Question question = new Question(request, options.valueOf(pointer), options.valueOf(atLeast));
+        Question question =
+                new Question(request, options.valueOf(pointer), options.valueOf(where), options.valueOf(atLeast));
         return askUntil(question, options.valueOf(seconds), output);
     }
 
@@ -98,7 +102,7 @@
             }
             JsonNode value =
                     Json.parseObject(response.body()).orElseGet(Json::object).at(question.pointer());
-            long number = value.isArray() ? value.size() : value.asLong();
+            long number = value.isArray() ? count(value, question.where()) : value.asLong();
             boolean reached = !value.isMissingNode() && number >= question.atLeast();
             return new Reply(reached, value.isArray() ? String.valueOf(number) : value.asText());
         } catch (IOException away) {
@@ -106,7 +110,18 @@
         }
     }
 
-    private record Question(HttpRequest request, String pointer, long atLeast) {}
+    private static long count(JsonNode array, String where) {
+        if (where.isEmpty()) {
+            return array.size();
+        }
+        long counted = 0;
+        for (JsonNode item : array) {
+            counted += item.path(where).asBoolean() ? 1 : 0;
+        }
+        return counted;
+    }
+
+    private record Question(HttpRequest request, String pointer, String where, long atLeast) {}
 
     private record Reply(boolean asWished, String text) {}
 }
