--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/EngineJob.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/EngineJob.java
@@ -12,24 +12,27 @@
     private final int outputTokens;
     private final PrefixChain prefix;
     private final Optional<FakeEngine> answerEngine;
+    private final double latestStartSeconds;
     private boolean started;
     private double prefillLeft;
     private int generated;
 
-    /** Makes a job; with an answer engine it is computed here and generated there. */
+    /** Makes a job; with an answer engine it is computed here and generated there. Late, it is not started at all. */
     public EngineJob(
             RequestId id,
             double weight,
             int promptTokens,
             int outputTokens,
             PrefixChain prefix,
-            Optional<FakeEngine> answerEngine) {
+            Optional<FakeEngine> answerEngine,
+            double latestStartSeconds) {
         this.id = id;
         this.weight = weight;
         this.promptTokens = promptTokens;
         this.outputTokens = outputTokens;
         this.prefix = prefix;
         this.answerEngine = answerEngine;
+        this.latestStartSeconds = latestStartSeconds;
         this.prefillLeft = promptTokens;
     }
 
@@ -47,6 +50,10 @@
         return weight;
     }
 
+    boolean isTooLate(double nowSeconds) {
+        return !started && nowSeconds > latestStartSeconds;
+    }
+
     PrefixChain prefix() {
         return prefix;
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/FakeEngine.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/FakeEngine.java
@@ -215,6 +215,7 @@
             return;
         }
         startAnswers();
+        giveBackLate();
         double chunk = 0;
         List<PromptChunk> chunks = new ArrayList<>();
         double most = running.isEmpty()
@@ -238,6 +239,15 @@
         loop.after(iterationSeconds(chunk), () -> endIteration(startedIn, chunks));
     }
 
+    /** The agent beside the engine looks at the deadline a last time before a request starts. */
+    private void giveBackLate() {
+        List<QueuedJob> late = prompts.stream()
+                .filter(prompt -> prompt.job().isTooLate(loop.nowSeconds()))
+                .toList();
+        prompts.removeAll(late);
+        late.forEach(prompt -> listener.notStarted(prompt.job(), this));
+    }
+
     private double iterationSeconds(double chunk) {
         double prefill = parameters.speed().prefillSeconds(chunk);
         if (running.isEmpty()) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
@@ -116,7 +116,7 @@
 
     /** Returns the measured service rate, in engine-seconds a second. */
     public double rate() {
-        return serviceRate.engineSecondsPerSecond(LEAST_RATE);
+        return serviceRate.engineSecondsPerSecond(0.5 * settings.initialEngines());
     }
 
     private void giveUpLate(TeamShare team, long now, List<Displaced> displaced) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/ContinuationValue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/ContinuationValue.java
@@ -1,6 +1,5 @@
 package org.aspenmoor.internal.planning;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -17,19 +16,16 @@
     private final GoodputModel model;
     private final MoveCost moveCost;
     private final List<Segment> past;
-    private final List<RoleSplit> targets = new ArrayList<>();
     private final double seconds;
     private final double followingPerSecond;
     private double pastSeconds;
 
-    ContinuationValue(
-            GoodputModel model, MoveCost moveCost, List<Segment> past, SplitSearch.Factory search, double seconds) {
+    ContinuationValue(GoodputModel model, MoveCost moveCost, List<Segment> past, double seconds) {
         this.model = model;
         this.moveCost = moveCost;
         this.past = past;
         this.seconds = seconds;
         for (Segment segment : past) {
-            targets.add(search.best(split -> model.perSecond(split, segment.demands())));
             pastSeconds += segment.seconds();
         }
         this.followingPerSecond = past.isEmpty() ? 0 : following() / pastSeconds;
@@ -45,7 +41,7 @@
             Segment segment = past.get(number);
             double share = segment.seconds() / pastSeconds;
             keeping += share * model.perSecond(split, segment.demands());
-            firstMove += moveLoss(split, targets.get(number), segment) / past.size();
+            firstMove += moveLoss(split, segment.ideal(), segment) / past.size();
         }
         return Math.max(keeping * seconds, followingPerSecond * seconds - firstMove);
     }
@@ -54,9 +50,10 @@
         double sum = 0;
         for (int number = 0; number < past.size(); number++) {
             Segment segment = past.get(number);
-            RoleSplit before = targets.get(number == 0 ? past.size() - 1 : number - 1);
-            double best = model.perSecond(targets.get(number), segment.demands()) * segment.seconds();
-            sum += best - moveLoss(before, targets.get(number), segment);
+            RoleSplit before =
+                    past.get(number == 0 ? past.size() - 1 : number - 1).ideal();
+            double best = model.perSecond(segment.ideal(), segment.demands()) * segment.seconds();
+            sum += best - moveLoss(before, segment.ideal(), segment);
         }
         return sum;
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/DemandForecast.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/DemandForecast.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /** Turns the counts into the present demand, its age and its history. */
 final class DemandForecast {
+    private static final long BUCKET_NANOSECONDS = 1_000_000_000L;
+
     private final GoodputModel model;
     private final CountWindow window = new CountWindow();
     private final MixHistory history = new MixHistory();
@@ -22,26 +25,51 @@
         return window.completeUntil(now, forgetAfterNanoseconds);
     }
 
-    /** Brings the history up to date and returns it; the present demand is empty where nothing was counted. */
-    MixHistory update(List<KindWeight> kinds, long completeUntilNanoseconds) {
-        if (window.isEmpty()) {
-            return history;
+    /**
+     * Returns what to expect; empty where no work was counted.
+     *
+     * <p>Mixes that usually end before a change pays are taken together: their mean is what the engines see, since
+     * queues level them out.
+     */
+    Optional<Outlook> outlook(
+            List<KindWeight> kinds,
+            long completeUntilNanoseconds,
+            double shortestPayingSeconds,
+            SplitSearch.Factory search) {
+        List<CountBucket> buckets = completeBuckets(completeUntilNanoseconds);
+        if (buckets.isEmpty()) {
+            return Optional.empty();
         }
-        long lastComplete = Math.floorDiv(completeUntilNanoseconds, 1_000_000_000L) - 1;
+        int length = ChangePointDetector.presentLength(
+                buckets.stream().map(bucket -> requests(bucket, kinds)).toList());
+        Segment present = segment(buckets.subList(0, length), kinds, search);
+        if (present.demands().isEmpty()) {
+            return Optional.empty();
+        }
+        history.observe(present);
+        if (history.isShorterThan(shortestPayingSeconds)) {
+            Segment mean = segment(buckets, kinds, search);
+            return Optional.of(new Outlook(mean, mean.seconds(), 0, List.of()));
+        }
+        return Optional.of(
+                new Outlook(history.present(), history.remainingSeconds(), history.seenSeconds(), history.past()));
+    }
+
+    private List<CountBucket> completeBuckets(long completeUntilNanoseconds) {
+        long lastComplete = Math.floorDiv(completeUntilNanoseconds, BUCKET_NANOSECONDS) - 1;
         List<CountBucket> buckets = new ArrayList<>();
         for (CountBucket bucket : window.newestFirst()) {
             if (bucket.number() <= lastComplete) {
                 buckets.add(bucket);
             }
         }
-        if (buckets.isEmpty()) {
-            return history;
-        }
-        int length = ChangePointDetector.presentLength(
-                buckets.stream().map(bucket -> requests(bucket, kinds)).toList());
-        long first = buckets.get(length - 1).number();
-        history.observe(new Segment(first, length, demands(buckets.subList(0, length), kinds)));
-        return history;
+        return buckets;
+    }
+
+    private Segment segment(List<CountBucket> buckets, List<KindWeight> kinds, SplitSearch.Factory search) {
+        List<KindDemand> demands = demands(buckets, kinds);
+        RoleSplit ideal = search.best(split -> model.perSecond(split, demands));
+        return new Segment(buckets.getLast().number(), buckets.size(), buckets.size(), demands, ideal);
     }
 
     private static double[] requests(CountBucket bucket, List<KindWeight> kinds) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/RolePlanner.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/RolePlanner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.aspenmoor.internal.engine.EngineRole;
 
 /**
@@ -15,7 +16,10 @@
  */
 public final class RolePlanner {
     private static final double NANOSECONDS = 1e9;
-    private static final double MOST_ANSWERS_FOR_A_PLACE = 1.2;
+    private static final double SHORTEST_PAYING_TIMES_AWAY = 3;
+    private static final double LEAST_GAIN_SHARE = 0.03;
+    private static final double LEAST_GAIN_SHARE_OF_PRICE = 0.5;
+    private static final double MOST_ANSWERS_FOR_A_PLACE = 1.6;
     private static final long FORGET_SOURCE_AFTER_NANOSECONDS = 30_000_000_000L;
 
     private final PlannerSettings settings;
@@ -43,56 +47,60 @@
         if (age > settings.staleSeconds()) {
             return standStill(input, String.format(Locale.ROOT, "The counts are %.1f s old.", age));
         }
-        MixHistory history = forecast.update(input.kinds(), completeUntil);
-        if (history.present().demands().isEmpty()) {
-            return standStill(input, "No work has arrived.");
-        }
         RoleSplit movable = split(input, false);
         RoleSplit current = split(input, true);
         if (movable.total() == 0) {
             return standStill(input, "No engine is available.");
         }
-        return search(input, history, movable, current);
+        SplitSearch.Factory ideal = splitValue ->
+                new SplitSearch(split -> split.servesBothStages() && split.isPaired(), splitValue).best(current);
+        double shortestPaying = SHORTEST_PAYING_TIMES_AWAY
+                * (input.costs().secondsAway() + input.costs().drainSeconds());
+        return forecast.outlook(input.kinds(), completeUntil, shortestPaying, ideal)
+                .map(outlook -> search(input, outlook, movable, current))
+                .orElseGet(() -> standStill(input, "No work has arrived."));
     }
 
-    private RolePlan search(PlanningInput input, MixHistory history, RoleSplit movable, RoleSplit current) {
+    private RolePlan search(PlanningInput input, Outlook outlook, RoleSplit movable, RoleSplit current) {
         MoveCost moveCost = new MoveCost(model, input.costs());
-        double remaining = Math.min(settings.horizonSeconds(), history.remainingSeconds());
-        SplitSearch.Factory ideal = splitValue ->
-                new SplitSearch(split -> split.servesBothStages() && split.isPaired(), splitValue).best(current);
-        ContinuationValue continuation =
-                new ContinuationValue(model, moveCost, history.past(), ideal, settings.horizonSeconds() - remaining);
-        SplitValue value = new SplitValue(moveCost, current, history.present(), remaining, continuation);
-        int running = input.engines().stream()
-                .mapToInt(PlannedEngine::runningSequences)
-                .sum();
-        int away = current.total() - movable.total();
-        int mostAway = (int) Math.ceil(settings.mostAwayShare() * current.total()) - away;
-        SplitSearch search = new SplitSearch(
-                split -> split.servesBothStages()
-                        && split.isPaired()
-                        && current.changesTo(split) <= mostAway
-                        && leavesNoRoleEmpty(movable, current, split)
-                        && holdsRunningAnswers(running, current, split),
-                value::of);
+        double remaining = Math.min(settings.horizonSeconds(), outlook.remainingSeconds());
+        double after = Math.min(settings.horizonSeconds() - remaining, outlook.afterSeconds());
+        ContinuationValue continuation = new ContinuationValue(model, moveCost, outlook.past(), after);
+        SplitValue value = new SplitValue(moveCost, current, outlook.present(), remaining, continuation);
+        SplitSearch search = new SplitSearch(allowed(input, movable, current), value::of);
         RoleSplit best = search.best(current);
         double gain = value.of(best) - value.of(current);
-        if (best.equals(current) || gain <= 0) {
+        double least =
+                LEAST_GAIN_SHARE * model.perSecond(current, outlook.present().demands()) * remaining
+                        + LEAST_GAIN_SHARE_OF_PRICE * moveCost.price(current, best);
+        if (best.equals(current) || gain <= least) {
             return standStill(input, "No change pays for itself; " + current + ".");
         }
         String reason = String.format(
                 Locale.ROOT,
-                "From %s to %s: gains %.1f weighted requests within %.0f s after all costs; the mix has lasted %.0f s"
+                "From %s to %s: gains %.1f weighted requests after all costs; the mix has lasted %.0f s"
                         + " and is expected to last %.0f s on.",
                 current,
                 best,
                 gain,
-                settings.horizonSeconds(),
-                history.present().seconds(),
-                history.remainingSeconds());
+                outlook.present().seconds(),
+                remaining);
         return changeTo(input, current, best, reason);
     }
 
+    private Predicate<RoleSplit> allowed(PlanningInput input, RoleSplit movable, RoleSplit current) {
+        int running = input.engines().stream()
+                .mapToInt(PlannedEngine::runningSequences)
+                .sum();
+        int away = current.total() - movable.total();
+        int mostAway = (int) Math.ceil(settings.mostAwayShare() * current.total()) - away;
+        return split -> split.servesBothStages()
+                && split.isPaired()
+                && current.changesTo(split) <= mostAway
+                && leavesNoRoleEmpty(movable, current, split)
+                && holdsRunningAnswers(running, current, split);
+    }
+
     /** While engines change, those that stay and work must still serve both stages. */
     private static boolean leavesNoRoleEmpty(RoleSplit movable, RoleSplit current, RoleSplit split) {
         RoleSplit staying = movable;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/Segment.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/Segment.java
@@ -7,10 +7,23 @@
  *
  * @param firstBucket the first second of it
  * @param seconds how long it is
- * @param demands its mean demand, by falling weight
+ * @param countedSeconds over how many of these seconds the demand was counted
+ * @param demands its demand, by falling weight
+ * @param ideal the split that suits it best, costs aside
  */
-record Segment(long firstBucket, double seconds, List<KindDemand> demands) {
+record Segment(long firstBucket, double seconds, double countedSeconds, List<KindDemand> demands, RoleSplit ideal) {
     Segment {
         demands = List.copyOf(demands);
     }
+
+    /** Returns the share of prefill in the work. */
+    double prefillShare() {
+        double prefill = 0;
+        double work = 0;
+        for (KindDemand demand : demands) {
+            prefill += demand.requestsPerSecond() * demand.prefillSeconds();
+            work += demand.requestsPerSecond() * (demand.prefillSeconds() + demand.decodeSeconds());
+        }
+        return work > 0 ? prefill / work : 0;
+    }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/SplitValue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/SplitValue.java
@@ -46,7 +46,7 @@
     private static List<KindDemand> shifted(Segment segment, double deviations) {
         return segment.demands().stream()
                 .map(demand -> {
-                    double counted = Math.max(1, demand.requestsPerSecond() * segment.seconds());
+                    double counted = Math.max(1, demand.requestsPerSecond() * segment.countedSeconds());
                     return demand.scaled(Math.max(0, 1 + deviations / Math.sqrt(counted)));
                 })
                 .toList();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/Router.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/Router.java
@@ -25,6 +25,7 @@
     private final RouterSettings settings;
     private final RandomGenerator random;
     private final PrefixIndex prefixes;
+    private final HeaviestWeight heaviest = new HeaviestWeight();
     private final StageEstimator estimator;
     private final Map<String, EngineView> engines = new LinkedHashMap<>();
     private final Map<PoolKey, EnginePool> pools = new HashMap<>();
@@ -34,7 +35,7 @@
         this.settings = settings;
         this.random = random;
         this.prefixes = new PrefixIndex(settings.mostIndexedPieces());
-        this.estimator = new StageEstimator(settings, prefixes);
+        this.estimator = new StageEstimator(settings, prefixes, heaviest);
     }
 
     /** Learns of an engine; it is chosen once it has reported that it is ready. */
@@ -86,6 +87,7 @@
      * whole requests may also take one stage of a pair.
      */
     public Optional<RoutingDecision> choose(RoutingRequest request, CandidateFilter filter, long nowNanoseconds) {
+        heaviest.seen(request.weight(), nowNanoseconds);
         Set<EngineView> wholeEngines = candidates(request, EngineRole.WHOLE, filter);
         Set<EngineView> prefillEngines = candidates(request, EngineRole.PREFILL, filter);
         Set<EngineView> decodeEngines = candidates(request, EngineRole.DECODE, filter);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/StageEstimator.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/StageEstimator.java
@@ -5,15 +5,18 @@
 /** Estimates how long an engine will take over a request, from what the router believes about it. */
 final class StageEstimator {
     private static final double HARM_SHARE = 0.05;
+    private static final double RESERVED_SHARE = 0.1;
 
     private final RouterSettings settings;
     private final EngineSpeed speed;
     private final PrefixIndex prefixes;
+    private final HeaviestWeight heaviest;
 
-    StageEstimator(RouterSettings settings, PrefixIndex prefixes) {
+    StageEstimator(RouterSettings settings, PrefixIndex prefixes, HeaviestWeight heaviest) {
         this.settings = settings;
         this.speed = settings.speed();
         this.prefixes = prefixes;
+        this.heaviest = heaviest;
     }
 
     /** Both stages on one engine. */
@@ -73,10 +76,16 @@
         return steps + Math.min(chunksWaiting, request.expectedOutputTokens()) * chunkSeconds;
     }
 
-    /** The wait for a place in the batch: places free up evenly while the batch generates. */
+    /**
+     * The wait for a place in the batch: places free up evenly while the batch generates.
+     *
+     * <p>The last places of a batch are left to the heaviest work: an engine whose batch is full of long light answers
+     * would keep a heavy request waiting for seconds, though it goes first.
+     */
     private double slotSeconds(EngineView engine, RoutingRequest request, long now) {
         int most = Math.max(1, engine.load().mostSequences());
-        double tooMany = engine.sequences(now) + 1 - most;
+        double open = request.weight() < heaviest.weight() ? most * (1 - RESERVED_SHARE) : most;
+        double tooMany = engine.sequences(now) + 1 - Math.max(1, open);
         if (tooMany <= 0) {
             return 0;
         }
