Entry: claims, membership, retry budget, circuit breakers, router and admission in the data path

Cause: the thin path chose by its own sends alone, ran keyed calls without a claim and knew a leaving backend server only by its own rules.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/Duty.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/Duty.java
@@ -30,8 +30,7 @@
         this.handler = handler;
         this.disruptor = new Disruptor<>(
                 DutySlot::new, ringSize, this::newThread, ProducerType.MULTI, new BlockingWaitStrategy());
-        EventHandler<DutySlot<M>> consumer =
-                (slot, sequence, endOfBatch) -> slot.take().ifPresent(this::handleSafely);
+        EventHandler<DutySlot<M>> consumer = this::consume;
         disruptor.handleEventsWith(consumer);
         this.ring = disruptor.getRingBuffer();
     }
@@ -67,6 +66,22 @@
         disruptor.shutdown();
     }
 
+    private void consume(DutySlot<M> slot, long sequence, boolean endOfBatch) {
+        slot.take().ifPresent(this::handleSafely);
+        if (endOfBatch) {
+            endBatchSafely();
+        }
+    }
+
+    private void endBatchSafely() {
+        try {
+            handler.batchEnded();
+        } catch (RuntimeException failure) {
+            failed.increment();
+            LOG.errorf(failure, "duty: %s failed at the end of a batch", name);
+        }
+    }
+
     private Thread newThread(Runnable work) {
         return Thread.ofPlatform().name("aspenmoor-" + name).daemon(true).unstarted(work);
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/DutyHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/duty/DutyHandler.java
@@ -8,4 +8,7 @@
 public interface DutyHandler<M> {
     /** Handles the next message. */
     void handle(M message);
+
+    /** Called when the ring is empty for now, so that what was handled can be finished together. */
+    default void batchEnded() {}
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ActiveRequest.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ActiveRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.claim.ClaimTicket;
 import org.aspenmoor.internal.document.RequestKind;
 import org.aspenmoor.internal.document.ServiceDocument;
 import org.aspenmoor.internal.stream.AnswerAssembly;
@@ -27,6 +28,7 @@
     private List<Header> plainHeaders = new ArrayList<>();
     private long lastProgressAt;
     private boolean mayHaveRun;
+    private Optional<ClaimTicket> ticket = Optional.empty();
 
     ActiveRequest(IncomingRequest incoming, ServiceDocument document, RequestKind kind, long receivedAt) {
         this.incoming = incoming;
@@ -56,6 +58,26 @@
         return kind;
     }
 
+    boolean isGeneration() {
+        return incoming.work() instanceof CallerWork.Generation;
+    }
+
+    int promptTokens() {
+        return switch (incoming.work()) {
+            case CallerWork.Generation generation -> generation.request().promptTokens();
+            case CallerWork.PlainCall ignored -> 0;
+        };
+    }
+
+    /** Returns the claim under which it may run once, if it needed one. */
+    Optional<ClaimTicket> ticket() {
+        return ticket;
+    }
+
+    void claimed(ClaimTicket newTicket) {
+        ticket = Optional.of(newTicket);
+    }
+
     long receivedAt() {
         return receivedAt;
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AgentPeer.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AgentPeer.java
@@ -3,21 +3,23 @@
 import java.util.Optional;
 import org.aspenmoor.internal.link.Link;
 import org.aspenmoor.internal.registration.AgentRegistration;
+import org.aspenmoor.internal.retry.CircuitBreaker;
 import org.aspenmoor.internal.wire.v1.LoadReport;
 
 /** A backend server as this entry sees it through its agent. */
 final class AgentPeer {
+    private final CircuitBreaker breaker;
     private AgentRegistration registration;
     private Optional<Link> link = Optional.empty();
     private Optional<LoadReport> load = Optional.empty();
-    private Optional<String> leaving = Optional.empty();
     private int outstanding;
     private int requestCredit;
     private long connectTriedAt;
-    private long lastHeardAt;
+    private long connection;
 
-    AgentPeer(AgentRegistration registration) {
+    AgentPeer(AgentRegistration registration, CircuitBreaker breaker) {
         this.registration = registration;
+        this.breaker = breaker;
     }
 
     String backend() {
@@ -36,27 +38,31 @@
         return link;
     }
 
-    void opened(Link newLink, long now) {
+    /** Takes a new link, numbered among this process's connections. */
+    void opened(Link newLink, long connectionNumber) {
         link = Optional.of(newLink);
+        connection = connectionNumber;
         requestCredit = newLink.peer().getRequestCredit();
-        leaving = Optional.empty();
         load = Optional.empty();
         outstanding = 0;
-        lastHeardAt = now;
     }
 
-    void closed() {
-        link = Optional.empty();
-        load = Optional.empty();
-        outstanding = 0;
+    long connection() {
+        return connection;
     }
 
-    void heard(long now) {
-        lastHeardAt = now;
+    long connectTriedAt() {
+        return connectTriedAt;
     }
 
-    long lastHeardAt() {
-        return lastHeardAt;
+    CircuitBreaker breaker() {
+        return breaker;
+    }
+
+    void closed() {
+        link = Optional.empty();
+        load = Optional.empty();
+        outstanding = 0;
     }
 
     void reported(LoadReport report) {
@@ -72,24 +78,9 @@
         return load;
     }
 
-    void leaves(String reason) {
-        leaving = Optional.of(reason);
-    }
-
-    void returns() {
-        leaving = Optional.empty();
-    }
-
-    Optional<String> leaving() {
-        return leaving;
-    }
-
-    /** Says whether new work may go there. */
-    boolean takesWork() {
-        return link.isPresent()
-                && leaving.isEmpty()
-                && load.isPresent()
-                && load.get().getReady();
+    /** Says whether its agent is connected and reports it ready; whether it may be given work is the directory's word. */
+    boolean isReady() {
+        return link.isPresent() && load.isPresent() && load.get().getReady();
     }
 
     boolean hasCredit() {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AnswerReceiver.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AnswerReceiver.java
@@ -19,9 +19,11 @@
     private final AttemptDriver driver;
     private final CallerLimits limits;
     private final EntryMetrics metrics;
+    private final Claims claims;
     private final ChunkAccount chunks = new ChunkAccount();
 
-    AnswerReceiver(RequestBook book, AttemptDriver driver, CallerLimits limits, EntryMetrics metrics) {
+    AnswerReceiver(RequestBook book, AttemptDriver driver, CallerLimits limits, EntryMetrics metrics, Claims claims) {
+        this.claims = claims;
         this.book = book;
         this.driver = driver;
         this.limits = limits;
@@ -113,7 +115,7 @@
         int length = request.plainData(data);
         if (length > limits.answerBytes()) {
             cancelAtAgent(request);
-            request.attemptOver(true);
+            driver.endAttempt(request, true, now);
             book.unknown(request, "The service's answer is longer than " + limits.answerBytes() + " bytes.", now);
             return;
         }
@@ -121,7 +123,8 @@
     }
 
     private void whole(ActiveRequest request, Last last, long now) {
-        request.attemptOver(true);
+        driver.answered(request);
+        driver.endAttempt(request, true, now);
         switch (request.incoming().work()) {
             case CallerWork.Generation generation -> {
                 book.answered(request, STATUS_OK, now);
@@ -133,6 +136,7 @@
             }
             case CallerWork.PlainCall ignored -> {
                 PlainAnswer answer = request.plainAnswer();
+                request.ticket().ifPresent(ticket -> claims.answered(ticket, answer));
                 book.answered(request, answer.status(), now);
                 request.sink().plainAnswer(answer);
             }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CompletionRequest.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CompletionRequest.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.entry;
 
 import java.util.Optional;
+import org.aspenmoor.internal.routing.PrefixChain;
 
 /**
  * A completion as a caller asked for it.
@@ -11,6 +12,7 @@
  * @param stream whether the caller wants the answer piece by piece
  * @param maxTokens the most tokens the caller wants, if it said so
  * @param promptTokens estimated length of the prompt
+ * @param prefix the start of the prompt that other prompts may share
  * @param json the request as the caller wrote it
  */
 public record CompletionRequest(
@@ -20,4 +22,5 @@
         boolean stream,
         Optional<Integer> maxTokens,
         int promptTokens,
+        PrefixChain prefix,
         byte[] json) {}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
@@ -4,31 +4,40 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.OfferResult;
 import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.document.ServiceName;
+import org.jboss.logging.Logger;
 
 /** The documents in force in this entry, found by the caller's token. */
 final class DocumentShelf {
-    private final Map<DocumentName, ServiceDocument> documents = new HashMap<>();
-    private final Map<String, List<DocumentName>> byTokenHash = new HashMap<>();
+    private static final Logger LOG = Logger.getLogger("entry");
 
-    /**
-     * Puts a document in force unless a newer one is; returns whether it was.
-     *
-     * <p>A watch that was interrupted, or an old replica of the store, may give a document again that was replaced
-     * since. Taking it would undo an accepted change, which a team would notice as old behaviour coming back.
-     */
+    private final DocumentRegistry registry;
+    private final Map<String, List<ServiceName>> byTokenHash = new HashMap<>();
+
+    DocumentShelf(DocumentRegistry registry) {
+        this.registry = registry;
+    }
+
+    /** Puts a document in force unless a newer one is; returns whether it was. */
     boolean put(ServiceDocument document) {
-        DocumentName name = new DocumentName(document.team(), document.service());
-        ServiceDocument known = documents.get(name);
-        if (known != null && known.revision() >= document.revision()) {
+        OfferResult result = registry.offer(document);
+        if (result == OfferResult.CONTRADICTS) {
+            LOG.errorf(
+                    "entry: two documents claim to be %s/%s revision %d, the first stays in force",
+                    document.team(), document.service(), document.revision());
+        }
+        if (result != OfferResult.APPLIED) {
             return false;
         }
-        documents.put(name, document);
         rebuildTokens();
         return true;
     }
@@ -36,21 +45,22 @@
     /** Returns the documents whose service the holder of a token may call. */
     List<ServiceDocument> forToken(String token) {
         return byTokenHash.getOrDefault(hashOf(token), List.of()).stream()
-                .map(documents::get)
+                .map(registry::find)
+                .flatMap(Optional::stream)
                 .toList();
     }
 
-    Collection<ServiceDocument> all() {
-        return documents.values();
+    List<ServiceDocument> all() {
+        return registry.all().stream().map(DocumentInForce::document).toList();
     }
 
     private void rebuildTokens() {
         byTokenHash.clear();
-        documents.forEach((name, document) -> {
+        for (ServiceDocument document : all()) {
             for (String hash : document.callerTokenHashes()) {
-                byTokenHash.computeIfAbsent(hash, ignored -> new ArrayList<>()).add(name);
+                byTokenHash.computeIfAbsent(hash, ignored -> new ArrayList<>()).add(ServiceName.of(document));
             }
-        });
+        }
     }
 
     private static String hashOf(String token) {
@@ -61,6 +71,4 @@
             throw new IllegalStateException("every Java platform has SHA-256", missing);
         }
     }
-
-    private record DocumentName(String team, String service) {}
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.claim.ClaimVerdict;
 import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.wire.v1.Frame;
 
@@ -34,6 +36,12 @@
     /** An object in the store was deleted. */
     record ObjectDeleted(StoredObject object) implements EntryMessage {}
 
+    /** The store's collection of a kind has been told whole. */
+    record CollectionKnown(ObjectKind kind) implements EntryMessage {}
+
+    /** The store has judged a claim. */
+    record ClaimJudged(ClaimVerdict verdict) implements EntryMessage {}
+
     /** Time has passed. */
     record Tick() implements EntryMessage {}
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -10,13 +10,23 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimSettings;
+import org.aspenmoor.internal.claim.ClaimVerdict;
+import org.aspenmoor.internal.claims.ClaimHandler;
+import org.aspenmoor.internal.claims.ClaimMessage;
+import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.duty.Ticker;
 import org.aspenmoor.internal.link.Link;
 import org.aspenmoor.internal.link.LinkListener;
 import org.aspenmoor.internal.link.LinkNetwork;
+import org.aspenmoor.internal.membership.MembershipView;
 import org.aspenmoor.internal.platform.CollectionListener;
 import org.aspenmoor.internal.platform.WatchedCollection;
+import org.aspenmoor.internal.retry.BreakerSettings;
+import org.aspenmoor.internal.retry.CircuitBreaker;
+import org.aspenmoor.internal.routing.RouterSettings;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.settings.ProcessSettings;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -33,12 +43,15 @@
 public final class EntryProcess implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int RING_SIZE = 8192;
-    private static final Duration TICK = Duration.ofMillis(100);
+    private static final int CLAIM_RING_SIZE = 4096;
+    private static final Duration TICK = Duration.ofMillis(50);
     private static final List<ObjectKind> FOLLOWED =
             List.of(ObjectKind.DOCUMENT, ObjectKind.AGENT_REGISTRATION, ObjectKind.HOST);
 
     private final EntrySettings settings;
     private final Duty<EntryMessage> desk;
+    private final Duty<ClaimMessage> claimDuty;
+    private final DocumentRegistry registry;
     private final LinkNetwork network;
     private final Ticker ticker = new Ticker();
     private final List<WatchedCollection> followed = new ArrayList<>();
@@ -54,24 +67,31 @@
             EntryMetrics metrics) {
         this.settings = settings;
         this.network = new LinkNetwork(hello(settings.process(), random), new DeskLinks());
+        this.registry = new DocumentRegistry(time);
+        ClaimSettings claimSettings = ClaimSettings.DEFAULT;
+        ClaimDesk claimDesk = new ClaimDesk(store, claimSettings, time, random);
+        this.claimDuty = new Duty<>(
+                "entry-claims", CLAIM_RING_SIZE, new ClaimHandler(claimDesk, claimSettings, this::claimJudged));
+        Lanes lanes =
+                new Lanes(registry, routerSettings(settings), settings.limits().waitingRequests(), random);
+        MembershipView membership = new MembershipView(MembershipBounds.of(settings.leavingBound()), time);
+        AgentDirectory directory = new AgentDirectory(
+                network, membership, () -> new CircuitBreaker(BreakerSettings.DEFAULT, time, random), lanes);
         RequestDesk handler = new RequestDesk(
-                settings,
-                time,
-                new AgentDirectory(network),
-                new LeastSentChooser(random),
-                new DocumentShelf(),
-                metrics);
+                settings, time, directory, lanes, new Claims(claimDuty), new DocumentShelf(registry), metrics);
         this.desk = new Duty<>("entry-desk", RING_SIZE, handler);
-        FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new DeskObjects())));
+        FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new DeskObjects(kind))));
     }
 
     /** Starts the threads and returns the link port. */
     public int start() throws AspenmoorException {
         desk.start();
+        claimDuty.start();
         int port =
                 network.listen(settings.process().address(), settings.process().linkPort());
         followed.forEach(WatchedCollection::start);
         ticker.every(TICK, () -> desk.offer(new EntryMessage.Tick()));
+        ticker.every(TICK, () -> claimDuty.offer(new ClaimMessage.Tick()));
         LOG.infof(
                 "entry: %s in %s, link port %d",
                 settings.process().name(), settings.process().dataCentre(), port);
@@ -112,7 +132,34 @@
         stopping = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
         desk.put(new EntryMessage.DrainAsked(drained));
-        return drained;
+        return drained.thenCompose(ignored -> flushClaims());
+    }
+
+    /** Returns the documents in force. */
+    public DocumentRegistry registry() {
+        return registry;
+    }
+
+    private CompletableFuture<Void> flushClaims() {
+        CompletableFuture<Void> flushed = new CompletableFuture<>();
+        claimDuty.put(new ClaimMessage.FlushAsked(flushed));
+        return flushed;
+    }
+
+    private void claimJudged(ClaimVerdict verdict) {
+        desk.put(new EntryMessage.ClaimJudged(verdict));
+    }
+
+    private static RouterSettings routerSettings(EntrySettings settings) {
+        RouterSettings usual = RouterSettings.usual(settings.process().dataCentre());
+        return new RouterSettings(
+                settings.engineSpeed(),
+                usual.dataCentre(),
+                usual.remoteSeconds(),
+                usual.sampledCandidates(),
+                usual.adapterLoadSeconds(),
+                usual.mostIndexedPieces(),
+                usual.pieceTokens());
     }
 
     @Override
@@ -120,6 +167,7 @@
         ticker.close();
         followed.forEach(WatchedCollection::close);
         network.close();
+        claimDuty.close();
         desk.close();
     }
 
@@ -152,8 +200,13 @@
 
     /** Puts what changes in the store into the desk's ring. */
     private final class DeskObjects implements CollectionListener {
+        private final ObjectKind kind;
         private boolean synchronisedOnce;
 
+        private DeskObjects(ObjectKind kind) {
+            this.kind = kind;
+        }
+
         @Override
         public void changed(StoredObject object) {
             desk.put(new EntryMessage.ObjectChanged(object));
@@ -166,6 +219,7 @@
 
         @Override
         public void synchronised() {
+            desk.put(new EntryMessage.CollectionKnown(kind));
             if (!synchronisedOnce) {
                 synchronisedOnce = true;
                 synchronisedKinds.incrementAndGet();
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/Lanes.java
@@ -0,0 +1,68 @@
+package org.aspenmoor.internal.entry;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.admission.AdmissionQueue;
+import org.aspenmoor.internal.admission.AdmissionSettings;
+import org.aspenmoor.internal.document.BackendDeclaration;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.routing.Router;
+import org.aspenmoor.internal.routing.RouterSettings;
+
+/** The lane of each service, made when its first request or report comes. */
+final class Lanes implements PeerListener {
+    private final DocumentRegistry registry;
+    private final RouterSettings routerSettings;
+    private final EngineSpeed speed;
+    private final int mostWaiting;
+    private final RandomGenerator random;
+    private final Map<ServiceName, ServiceLane> lanes = new HashMap<>();
+
+    Lanes(DocumentRegistry registry, RouterSettings routerSettings, int mostWaiting, RandomGenerator random) {
+        this.registry = registry;
+        this.routerSettings = routerSettings;
+        this.speed = routerSettings.speed();
+        this.mostWaiting = mostWaiting;
+        this.random = random;
+    }
+
+    ServiceLane of(ServiceDocument document) {
+        return lanes.computeIfAbsent(ServiceName.of(document), name -> newLane(document));
+    }
+
+    Collection<ServiceLane> all() {
+        return lanes.values();
+    }
+
+    @Override
+    public void reported(AgentPeer peer, long now) {
+        documentOf(peer).ifPresent(document -> of(document).router().reported(peer, document, now));
+    }
+
+    @Override
+    public void gone(AgentPeer peer) {
+        documentOf(peer).ifPresent(document -> of(document).router().gone(peer));
+    }
+
+    private Optional<ServiceDocument> documentOf(AgentPeer peer) {
+        return registry.find(
+                new ServiceName(peer.registration().team(), peer.registration().service()));
+    }
+
+    private ServiceLane newLane(ServiceDocument document) {
+        long engines = document.backends().stream()
+                .filter(backend -> backend instanceof BackendDeclaration.EngineDeclaration)
+                .count();
+        AdmissionSettings usual = AdmissionSettings.usual(Math.max(1, engines));
+        AdmissionSettings settings =
+                new AdmissionSettings(mostWaiting, usual.initialEngines(), usual.rateMemorySeconds());
+        EngineRouter router = new EngineRouter(new Router(routerSettings, random), routerSettings.dataCentre());
+        return new ServiceLane(new AdmissionQueue(settings), router, speed);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/PromptPrefix.java
@@ -0,0 +1,48 @@
+package org.aspenmoor.internal.entry;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import org.aspenmoor.internal.routing.PrefixChain;
+
+/** Names the start of a prompt by its cache pieces, so that prompts that start alike can meet at one engine. */
+public final class PromptPrefix {
+    private static final int PIECE_TOKENS = 2000;
+    private static final int CHARACTERS_OF_TOKEN = 4;
+    private static final int PIECE_CHARACTERS = PIECE_TOKENS * CHARACTERS_OF_TOKEN;
+
+    private PromptPrefix() {}
+
+    /** Returns the chain of the whole pieces of a prompt. */
+    public static PrefixChain of(String prompt) {
+        int pieces = prompt.length() / PIECE_CHARACTERS;
+        if (pieces == 0) {
+            return PrefixChain.none();
+        }
+        long[] hashes = new long[pieces];
+        MessageDigest digest = sha256();
+        for (int piece = 0; piece < pieces; piece++) {
+            int start = piece * PIECE_CHARACTERS;
+            digest.update(prompt.substring(start, start + PIECE_CHARACTERS).getBytes(StandardCharsets.UTF_8));
+            hashes[piece] = ByteBuffer.wrap(copyOf(digest).digest()).getLong();
+        }
+        return PrefixChain.of(pieces * PIECE_TOKENS, hashes);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java platform has SHA-256", missing);
+        }
+    }
+
+    private static MessageDigest copyOf(MessageDigest digest) {
+        try {
+            return (MessageDigest) digest.clone();
+        } catch (CloneNotSupportedException missing) {
+            throw new IllegalStateException("the platform's SHA-256 can be copied", missing);
+        }
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
@@ -11,19 +11,20 @@
 import org.aspenmoor.RefusalReason;
 import org.aspenmoor.internal.accounting.ChunkAccount;
 import org.aspenmoor.internal.accounting.RequestAccount;
+import org.aspenmoor.internal.claim.ClaimVerdict;
 import org.aspenmoor.internal.duty.DutyHandler;
 import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.membership.Standing;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.wire.v1.Frame;
 import org.aspenmoor.internal.wire.v1.LoadReport;
-import org.aspenmoor.internal.wire.v1.Probe;
 import org.jboss.logging.Logger;
 
 /** The entry's one place of decision: admits requests, follows their attempts, watches over agents. */
 public final class RequestDesk implements DutyHandler<EntryMessage> {
     private static final Logger LOG = Logger.getLogger("entry");
-    private static final Duration PROBE_PERIOD = Duration.ofSeconds(1);
+    private static final int PROBES_WITHIN_SILENCE = 4;
     private static final Duration STOPPING_COME_BACK = Duration.ofSeconds(1);
 
     private final EntrySettings settings;
@@ -36,25 +37,32 @@
     private final StoreObjects objects;
     private final StoryBook stories;
     private final RequestMatcher matcher;
+    private final Claims claims;
+    private final Lanes lanes;
+    private final long probePeriodNanoseconds;
     private Optional<CompletableFuture<Void>> drained = Optional.empty();
     private long probedAt;
-    private long probeNumber;
 
     RequestDesk(
             EntrySettings settings,
             TimeSource time,
             AgentDirectory directory,
-            BackendChooser chooser,
+            Lanes lanes,
+            Claims claims,
             DocumentShelf shelf,
             EntryMetrics metrics) {
+        this.claims = claims;
+        this.lanes = lanes;
+        this.probePeriodNanoseconds =
+                MembershipBounds.silence(settings.leavingBound()).toNanos() / PROBES_WITHIN_SILENCE;
         this.settings = settings;
         this.time = time;
         this.directory = directory;
         this.stories = new StoryBook();
         this.book = new RequestBook(stories, metrics);
         this.waitingRoom = new WaitingRoom(settings.limits().waitingRequests());
-        this.driver = new AttemptDriver(book, directory, chooser, waitingRoom, settings.limits(), metrics);
-        this.receiver = new AnswerReceiver(book, driver, settings.limits(), metrics);
+        this.driver = new AttemptDriver(book, directory, lanes, waitingRoom, settings.limits(), metrics, claims);
+        this.receiver = new AnswerReceiver(book, driver, settings.limits(), metrics, claims);
         this.objects = new StoreObjects(shelf, directory);
         this.matcher = new RequestMatcher(shelf);
     }
@@ -66,11 +74,13 @@
             case EntryMessage.RequestCame came -> requestCame(came.request(), now);
             case EntryMessage.CallerTook took -> book.find(took.id()).ifPresent(receiver::returnCredit);
             case EntryMessage.CallerGone gone -> book.find(gone.id()).ifPresent(request -> driver.cancel(request, now));
-            case EntryMessage.LinkOpened opened -> directory.opened(opened.link(), now);
+            case EntryMessage.LinkOpened opened -> directory.opened(opened.link());
             case EntryMessage.LinkClosed closed -> linkClosed(closed, now);
             case EntryMessage.FrameArrived arrived -> received(arrived.link(), arrived.frame(), now);
             case EntryMessage.ObjectChanged changed -> objects.changed(changed.object(), now);
             case EntryMessage.ObjectDeleted deleted -> objects.deleted(deleted.object());
+            case EntryMessage.CollectionKnown known -> objects.known(known.kind());
+            case EntryMessage.ClaimJudged judged -> claimJudged(judged.verdict(), now);
             case EntryMessage.Tick ignored -> tick(now);
             case EntryMessage.DrainAsked asked -> drained = Optional.of(asked.drained());
             case EntryMessage.DumpAsked asked -> asked.answer().complete(dump());
@@ -98,8 +108,59 @@
                                 + found.document().team() + "/"
                                 + found.document().service() + " revision "
                                 + found.document().revision());
+                claimOrAdmit(request, now);
+            }
+        }
+    }
+
+    private void claimOrAdmit(ActiveRequest request, long now) {
+        if (!Claims.needsClaim(request)) {
+            driver.admit(request, now);
+            return;
+        }
+        book.tell(request, now, "waits for the store to grant its key");
+        claims.ask(request).ifPresent(refusal -> book.refused(request, refusal, now));
+    }
+
+    private void claimJudged(ClaimVerdict verdict, long now) {
+        Optional<ActiveRequest> found = book.find(verdict.request().id());
+        if (found.isEmpty()) {
+            releaseUnwanted(verdict);
+            return;
+        }
+        ActiveRequest request = found.get();
+        switch (verdict) {
+            case ClaimVerdict.Granted granted -> {
+                request.claimed(granted.ticket());
                 driver.admit(request, now);
             }
+            case ClaimVerdict.AlreadyAnswered already -> {
+                book.tell(request, now, "its key was answered before, the recorded answer is given again");
+                book.answered(request, already.answer().status(), now);
+                request.sink().plainAnswer(Claims.replay(already.answer()));
+            }
+            case ClaimVerdict.StillUnknown ignored ->
+                book.unknown(request, "The key was used before and what came of it is not known.", now);
+            case ClaimVerdict.KeyReused ignored ->
+                book.refused(
+                        request,
+                        new Outcome.NotRun(
+                                RefusalReason.KEY_REUSED,
+                                Duration.ZERO,
+                                "The idempotency key was used before with another request; draw a new key."),
+                        now);
+            case ClaimVerdict.NotClaimed not ->
+                book.refused(
+                        request,
+                        new Outcome.NotRun(RefusalReason.STORE_UNAVAILABLE, not.comeBackAfter(), not.detail()),
+                        now);
+        }
+    }
+
+    // The caller went away while the claim was made: nothing ran, so its key is freed for a repeat.
+    private void releaseUnwanted(ClaimVerdict verdict) {
+        if (verdict instanceof ClaimVerdict.Granted granted) {
+            claims.neverStarted(granted.ticket());
         }
     }
 
@@ -122,7 +183,6 @@
         if (peer.isEmpty()) {
             return;
         }
-        peer.get().heard(now);
         switch (frame.getBodyCase()) {
             case STARTED -> receiver.started(frame.getStarted(), now);
             case CHUNK -> receiver.chunk(frame.getChunk(), now);
@@ -132,51 +192,38 @@
             }
             case REFUSED -> receiver.refused(frame.getRefused(), now);
             case LOAD_REPORT -> reported(peer.get(), frame.getLoadReport(), now);
-            case LEAVING -> {
-                LOG.infof(
-                        "entry: backend %s is leaving, %s",
-                        peer.get().backend(), frame.getLeaving().getReason());
-                peer.get().leaves(frame.getLeaving().getReason());
-            }
+            case LEAVING -> directory.leaving(peer.get(), frame.getLeaving().getReason());
+            case PROBE_ANSWER ->
+                directory.probeAnswered(peer.get(), frame.getProbeAnswer().getNumber());
             default -> LOG.debugf("entry: frame %s is not for an entry", frame.getBodyCase());
         }
     }
 
     private void reported(AgentPeer peer, LoadReport report, long now) {
-        boolean tookWork = peer.takesWork();
         peer.reported(report);
-        if (!tookWork) {
-            driver.startWaiting(now);
-        }
+        lanes.reported(peer, now);
+        driver.startWaiting(now);
     }
 
     private void tick(long now) {
         directory.connectMissing(now);
-        if (now - probedAt >= PROBE_PERIOD.toNanos()) {
+        if (now - probedAt >= probePeriodNanoseconds) {
             probedAt = now;
-            probeAgents(now);
+            directory.probe(now);
+            closeSilentLinks();
         }
         book.all().forEach(request -> watchOver(request, now));
         driver.startWaiting(now);
         book.checkAccount();
     }
 
-    // A paused or cut-off agent keeps its connection open: nothing arrives and nothing fails. Without the probe its
-    // requests would hang until the caller's own time-out. A probe unanswered for the bound ends the link.
-    private void probeAgents(long now) {
-        probeNumber++;
-        Frame probe = Frame.newBuilder()
-                .setProbe(Probe.newBuilder().setNumber(probeNumber))
-                .build();
+    // A paused or cut-off agent keeps its connection open: nothing arrives and nothing fails. Without the probes its
+    // requests would hang until the caller's own time-out. An agent that answers none within the bound loses its link.
+    private void closeSilentLinks() {
         for (AgentPeer peer : directory.all()) {
-            if (peer.link().isEmpty()) {
-                continue;
-            }
-            if (now - peer.lastHeardAt() > settings.leavingBound().toNanos()) {
+            if (peer.link().isPresent() && directory.standing(peer) instanceof Standing.Silent) {
                 LOG.warnf("entry: agent of %s is silent, closing its link", peer.backend());
                 peer.link().get().close();
-            } else {
-                peer.link().get().send(probe);
             }
         }
     }
@@ -234,8 +281,8 @@
             node.put("service", peer.registration().service());
             node.put("dataCentre", peer.registration().dataCentre());
             node.put("linked", peer.link().isPresent());
-            node.put("takesWork", peer.takesWork());
-            node.put("leaving", peer.leaving().orElse(""));
+            node.put("takesWork", directory.takesWork(peer));
+            node.put("standing", directory.standing(peer).toString());
             node.put("outstanding", peer.outstanding());
             node.put("role", peer.load().map(LoadReport::getRole).orElse(""));
         }
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceLane.java
@@ -0,0 +1,139 @@
+package org.aspenmoor.internal.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.aspenmoor.Outcome;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.admission.AdmissionDecision;
+import org.aspenmoor.internal.admission.AdmissionQueue;
+import org.aspenmoor.internal.admission.DispatchPolicy;
+import org.aspenmoor.internal.admission.DispatchVerdict;
+import org.aspenmoor.internal.admission.Displaced;
+import org.aspenmoor.internal.admission.LengthEstimate;
+import org.aspenmoor.internal.admission.LengthEstimator;
+import org.aspenmoor.internal.admission.WaitingWork;
+import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.routing.RoutingDecision;
+
+/** Generations of one service that wait for their first attempt, in the order that admission gives them. */
+final class ServiceLane {
+    private static final int USUAL_BATCH = 16;
+
+    private final AdmissionQueue queue;
+    private final DispatchPolicy policy = DispatchPolicy.usual();
+    private final LengthEstimator lengths = new LengthEstimator();
+    private final EngineRouter router;
+    private final EngineSpeed speed;
+    private final Map<RequestId, ActiveRequest> waiting = new HashMap<>();
+    private final Map<RequestId, WaitingWork> works = new HashMap<>();
+
+    ServiceLane(AdmissionQueue queue, EngineRouter router, EngineSpeed speed) {
+        this.queue = queue;
+        this.router = router;
+        this.speed = speed;
+    }
+
+    EngineRouter router() {
+        return router;
+    }
+
+    int size() {
+        return queue.size();
+    }
+
+    /** Takes a request in; returns those that have to be refused, this one or others, with the answer for each. */
+    List<Refusal> offer(ActiveRequest request, long now) {
+        List<Refusal> refusals = new ArrayList<>();
+        WaitingWork work = workOf(request);
+        waiting.put(request.id(), request);
+        works.put(request.id(), work);
+        if (queue.offer(work, now) instanceof AdmissionDecision.Refused refused) {
+            forget(request.id());
+            refusals.add(new Refusal(request, outcome(refused)));
+        }
+        for (Displaced displaced : queue.displaced(now)) {
+            ActiveRequest loser = waiting.get(displaced.work().id());
+            if (loser != null) {
+                forget(loser.id());
+                refusals.add(new Refusal(loser, outcome(displaced.refusal())));
+            }
+        }
+        return refusals;
+    }
+
+    /** Decides on the request that is next; the caller repeats it while it gives a step that is not to wait. */
+    LaneStep next(Predicate<String> open, long now) {
+        Optional<WaitingWork> next = queue.next();
+        if (next.isEmpty()) {
+            return new LaneStep.Rest();
+        }
+        WaitingWork work = next.get();
+        ActiveRequest request = waiting.get(work.id());
+        Optional<RoutingDecision> decision = router.decide(request, estimate(request), open, now);
+        return switch (policy.judge(work, decision, now)) {
+            case DispatchVerdict.Send send -> new LaneStep.Send(request, send.decision());
+            case DispatchVerdict.Wait ignored -> new LaneStep.Rest();
+            case DispatchVerdict.GiveUp giveUp -> {
+                queue.giveUp(work, now);
+                forget(work.id());
+                yield new LaneStep.Refuse(new Refusal(request, outcome(giveUp.refusal())));
+            }
+        };
+    }
+
+    /** Takes a request out because it is being sent as decided. */
+    void sent(ActiveRequest request, RoutingDecision decision, long now) {
+        queue.take(works.get(request.id()), now);
+        forget(request.id());
+        router.sent(request, estimate(request), decision, now);
+    }
+
+    /** Takes a request out because its caller has gone. */
+    void cancel(ActiveRequest request) {
+        if (waiting.containsKey(request.id())) {
+            queue.cancel(request.id());
+            forget(request.id());
+        }
+    }
+
+    /** Learns the length of a whole answer. */
+    void answered(ActiveRequest request, int promptTokens, int outputTokens) {
+        lengths.seen(request.kind().name(), promptTokens, 0, outputTokens);
+    }
+
+    /** Decides where a request goes on that has had an attempt before; it does not wait behind others. */
+    Optional<RoutingDecision> decideAgain(ActiveRequest request, Predicate<String> open, long now) {
+        return router.decide(request, estimate(request), open, now);
+    }
+
+    LengthEstimate estimate(ActiveRequest request) {
+        return lengths.estimate(request.kind().name(), request.kind().longestOutputTokens());
+    }
+
+    private void forget(RequestId id) {
+        waiting.remove(id);
+        works.remove(id);
+    }
+
+    private WaitingWork workOf(ActiveRequest request) {
+        LengthEstimate estimate = estimate(request);
+        double prefill = speed.prefillSeconds(request.promptTokens() * (1 - estimate.cachedShare()));
+        double decode = estimate.outputTokens() * speed.stepSeconds(USUAL_BATCH);
+        return new WaitingWork(
+                request.id(),
+                request.document().team(),
+                request.kind().name(),
+                request.kind().weight(),
+                request.deadlineAt(),
+                prefill + decode / USUAL_BATCH,
+                prefill + decode);
+    }
+
+    private static Outcome.NotRun outcome(AdmissionDecision.Refused refused) {
+        return new Outcome.NotRun(refused.reason(), refused.comeBackAfter(), refused.detail());
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/StoreObjects.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/StoreObjects.java
@@ -4,11 +4,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import java.util.Optional;
-import org.aspenmoor.internal.document.DocumentReader;
 import org.aspenmoor.internal.document.ServiceDocument;
-import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.document.StoredDocuments;
 import org.aspenmoor.internal.registration.AgentRegistration;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreMalformedException;
 import org.aspenmoor.internal.store.StoredObject;
 import org.jboss.logging.Logger;
 
@@ -39,12 +39,17 @@
     void deleted(StoredObject object) {
         switch (object.key().kind()) {
             case AGENT_REGISTRATION -> directory.unregistered(object.key().name());
-            // A host that is gone from the list takes nothing; one that was never listed says nothing.
-            case HOST -> directory.hostChanged(object.key().name(), true);
+            case HOST -> directory.hostGone(object.key().name());
             default -> LOG.infof("entry: object %s was deleted, what it said stays in force", object.key());
         }
     }
 
+    void known(ObjectKind kind) {
+        if (kind == ObjectKind.HOST) {
+            directory.hostListKnown();
+        }
+    }
+
     void dump(ArrayNode documents) {
         for (ServiceDocument document : shelf.all()) {
             documents
@@ -56,14 +61,16 @@
     }
 
     private void documentChanged(StoredObject object) {
-        Findings findings = new Findings();
-        Optional<ServiceDocument> document =
-                new DocumentReader(findings).read(object.key().toString(), object.value());
-        // What was accepted was checked then; a document of a newer build may still hold fields unknown here.
-        findings.all().forEach(finding -> LOG.warnf("entry: document finding, %s", finding));
-        document.filter(shelf::put)
-                .ifPresent(put -> LOG.infof(
-                        "entry: document %s/%s revision %d in force", put.team(), put.service(), put.revision()));
+        try {
+            ServiceDocument document = StoredDocuments.read(object).document();
+            if (shelf.put(document)) {
+                LOG.infof(
+                        "entry: document %s/%s revision %d in force",
+                        document.team(), document.service(), document.revision());
+            }
+        } catch (StoreMalformedException malformed) {
+            LOG.errorf("entry: document %s is malformed, the one before stays: %s", object.key(), malformed.problem());
+        }
     }
 
     private void hostChanged(StoredObject object) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CompletionReader.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CompletionReader.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.aspenmoor.internal.entry.CompletionRequest;
+import org.aspenmoor.internal.entry.PromptPrefix;
 import org.aspenmoor.internal.finding.Findings;
 import org.aspenmoor.internal.finding.Place;
 
@@ -45,7 +46,7 @@
         int colon = name.indexOf(':');
         String model = colon < 0 ? name : name.substring(0, colon);
         Optional<String> adapter = colon < 0 ? Optional.empty() : Optional.of(name.substring(colon + 1));
-        int promptCharacters = chat ? readMessages(root.path("messages")) : readPrompt(root.path("prompt"));
+        String prompt = chat ? readMessages(root.path("messages")) : readPrompt(root.path("prompt"));
         refuseSeveralChoices(root.path("n"));
         return new CompletionRequest(
                 model,
@@ -53,7 +54,8 @@
                 chat,
                 readStream(root.path("stream")),
                 readMaxTokens(root.path("max_tokens")),
-                Math.max(1, promptCharacters / CHARACTERS_OF_TOKEN),
+                Math.max(1, prompt.length() / CHARACTERS_OF_TOKEN),
+                PromptPrefix.of(prompt),
                 body);
     }
 
@@ -65,20 +67,20 @@
         return model.textValue();
     }
 
-    private int readPrompt(JsonNode prompt) {
+    private String readPrompt(JsonNode prompt) {
         if (!prompt.isTextual()) {
             add("prompt", "The prompt is missing or no text.", "Send one text; lists of prompts are not taken.");
-            return 0;
+            return "";
         }
-        return prompt.textValue().length();
+        return prompt.textValue();
     }
 
-    private int readMessages(JsonNode messages) {
+    private String readMessages(JsonNode messages) {
         if (!messages.isArray() || messages.isEmpty()) {
             add("messages", "The messages are missing.", "Send an array of {\"role\", \"content\"}.");
-            return 0;
+            return "";
         }
-        int characters = 0;
+        StringBuilder prompt = new StringBuilder();
         for (int index = 0; index < messages.size(); index++) {
             JsonNode message = messages.get(index);
             if (!message.path("role").isTextual()) {
@@ -87,9 +89,9 @@
                         "The role is missing.",
                         "Write \"system\", \"user\" or \"assistant\".");
             }
-            characters += message.path("content").toString().length();
+            prompt.append(message.path("content"));
         }
-        return characters;
+        return prompt.toString();
     }
 
     private boolean readStream(JsonNode stream) {
