Status of an entry from its dump, metrics and documents; waiting on several entries

EntryStatusSource gives the administration API what an entry's desk already dumps and its metrics already count, so nothing is counted twice. Counts by kind are the four ways a request can end. A story without a service is shown to the platform's operators only.

--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/InForceWait.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/InForceWait.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.document.ServiceName;
 
-/** Asks an entry again and again until a revision is in force in every process that it hears of. */
+/** Asks the entries that are named again and again until a revision is in force in every process they hear of. */
 final class InForceWait {
     private static final Duration PAUSE = Duration.ofMillis(200);
     private static final double NANOSECONDS_OF_SECOND = 1e9;
@@ -23,12 +25,15 @@
     }
 
     ExitCode run() throws AspenmoorException {
-        AdministrationClient client = invocation.client();
+        List<AdministrationClient> clients = invocation.clients();
         long start = invocation.terminal().monotonicNanoseconds();
         String path =
                 "in-force?team=" + ServicePaths.encode(name.team()) + "&service=" + ServicePaths.encode(name.service());
         while (true) {
-            JsonNode processes = client.get(path).path("inForce");
+            Map<String, Long> processes = new TreeMap<>();
+            for (AdministrationClient client : clients) {
+                collect(client.get(path).path("inForce"), processes);
+            }
             List<String> behind = behind(processes);
             long elapsed = invocation.terminal().monotonicNanoseconds() - start;
             if (!processes.isEmpty() && behind.isEmpty()) {
@@ -46,13 +51,21 @@
         }
     }
 
-    private List<String> behind(JsonNode processes) {
+    /** Two entries may hear of one process at different moments; the higher revision is the later news. */
+    private static void collect(JsonNode inForce, Map<String, Long> processes) {
+        for (JsonNode process : inForce) {
+            processes.merge(
+                    process.path("process").asText(), process.path("revision").asLong(), Math::max);
+        }
+    }
+
+    private List<String> behind(Map<String, Long> processes) {
         List<String> behind = new ArrayList<>();
-        for (JsonNode process : processes) {
-            if (process.path("revision").asLong() < revision) {
-                behind.add(process.path("process").asText());
+        processes.forEach((process, inForce) -> {
+            if (inForce < revision) {
+                behind.add(process);
             }
-        }
+        });
         return behind;
     }
 
--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/Invocation.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/Invocation.java
@@ -124,9 +124,14 @@
         return entry().isPresent();
     }
 
-    /** Returns a client of the entry that the command line or the environment names. */
+    /** Returns a client of the first entry that the command line or the environment names. */
     AdministrationClient client() throws AspenmoorException {
-        String entry = entry().orElseThrow(() -> new UsageException(
+        return clients().getFirst();
+    }
+
+    /** Returns a client of each entry that is named. */
+    List<AdministrationClient> clients() throws AspenmoorException {
+        String entries = entry().orElseThrow(() -> new UsageException(
                 "No entry is named.", command, "Add --entry URL, or set ASPENMOOR_ENTRY; any entry will do."));
         Optional<String> token = token();
         if (token.isEmpty()) {
@@ -135,11 +140,23 @@
                     command,
                     "Add --token-file FILE, or set ASPENMOOR_TOKEN or ASPENMOOR_TOKEN_FILE.");
         }
+        List<AdministrationClient> clients = new ArrayList<>();
+        for (String entry : entries.split(",")) {
+            clients.add(new AdministrationClient(address(entry.strip()), token.get()));
+        }
+        return clients;
+    }
+
+    private URI address(String entry) throws UsageException {
         try {
-            return new AdministrationClient(new URI(entry), token.get());
-        } catch (URISyntaxException malformed) {
-            throw new UsageException("\"" + entry + "\" is no address.", command, "Write it as http://IP:PORT.");
+            URI address = new URI(entry);
+            if ("http".equals(address.getScheme()) || "https".equals(address.getScheme())) {
+                return address;
+            }
+        } catch (URISyntaxException reportedBelow) {
+            // The same refusal as for another scheme follows.
         }
+        throw new UsageException("\"" + entry + "\" is no address.", command, "Write it as http://IP:PORT.");
     }
 
     private Optional<String> entry() {
--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/Options.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/Options.java
@@ -31,7 +31,9 @@
 
     static OptionParser common() {
         OptionParser parser = new OptionParser();
-        parser.accepts(ENTRY, "address of an entry, such as http://10.0.0.1:8080; or ASPENMOOR_ENTRY")
+        parser.accepts(
+                        ENTRY,
+                        "address of an entry, such as http://10.0.0.1:8080; or ASPENMOOR_ENTRY; several, by a comma, are all waited for")
                 .withRequiredArg();
         parser.accepts(TOKEN, "operator's token; or ASPENMOOR_TOKEN").withRequiredArg();
         parser.accepts(TOKEN_FILE, "file that holds the token; or ASPENMOOR_TOKEN_FILE")
--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/StatusTables.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/StatusTables.java
@@ -8,25 +8,23 @@
     private StatusTables() {}
 
     static void services(PrintStream out, JsonNode services) {
-        Table table =
-                new Table("service", "revision", "kind", "received", "answered", "not run", "unknown", "in flight");
+        Table table = new Table("service", "revision", "kind", "answered", "not run", "unknown", "cancelled");
         for (JsonNode service : services) {
             String name = service.path("team").asText() + "/"
                     + service.path("service").asText();
             String revision = service.path("revision").asText();
             if (service.path("kinds").isEmpty()) {
-                table.row(name, revision, "-", "-", "-", "-", "-", "-");
+                table.row(name, revision, "-", "-", "-", "-", "-");
             }
             for (JsonNode kind : service.path("kinds")) {
                 table.row(
                         name,
                         revision,
                         kind.path("kind").asText(),
-                        kind.path("received").asText(),
                         kind.path("answered").asText(),
                         kind.path("notRun").asText(),
                         kind.path("unknown").asText(),
-                        kind.path("inFlight").asText());
+                        kind.path("cancelled").asText());
             }
         }
         table.print(out);
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryStatusSource.java
@@ -0,0 +1,152 @@
+package org.aspenmoor.internal.administration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.jboss.logging.Logger;
+
+/** Status of an entry, from the dump of its desk, its metrics and its documents. */
+public final class EntryStatusSource implements ProcessStatusSource {
+    private static final Logger LOG = Logger.getLogger("administration");
+    private static final Duration DESK_TIMEOUT = Duration.ofSeconds(5);
+
+    private final String process;
+    private final String dataCentre;
+    private final DocumentRegistry registry;
+    private final KindCounts counts;
+    private final Supplier<CompletableFuture<ObjectNode>> desk;
+    private final Function<RequestId, CompletableFuture<Optional<List<String>>>> stories;
+    private final Supplier<List<DutyStatus>> duties;
+
+    public EntryStatusSource(
+            String process,
+            String dataCentre,
+            DocumentRegistry registry,
+            KindCounts counts,
+            Supplier<CompletableFuture<ObjectNode>> desk,
+            Function<RequestId, CompletableFuture<Optional<List<String>>>> stories,
+            Supplier<List<DutyStatus>> duties) {
+        this.process = process;
+        this.dataCentre = dataCentre;
+        this.registry = registry;
+        this.counts = counts;
+        this.desk = desk;
+        this.stories = stories;
+        this.duties = duties;
+    }
+
+    @Override
+    public String process() {
+        return process;
+    }
+
+    @Override
+    public List<ServiceStatus> services() {
+        return registry.all().stream()
+                .map(inForce -> ServiceName.of(inForce.document()))
+                .map(name -> new ServiceStatus(name, counts.of(name)))
+                .toList();
+    }
+
+    @Override
+    public List<BackendStatus> backends() {
+        List<BackendStatus> backends = new ArrayList<>();
+        for (JsonNode node : dumpOfDesk().path("backends")) {
+            backends.add(new BackendStatus(
+                    node.path("backend").asText(),
+                    new ServiceName(
+                            node.path("team").asText(), node.path("service").asText()),
+                    node.path("dataCentre").asText(),
+                    state(node),
+                    Optional.of(node.path("leaving").asText()).filter(reason -> !reason.isEmpty()),
+                    role(node.path("role").asText()),
+                    Optional.empty(),
+                    List.of(),
+                    node.path("outstanding").asInt()));
+        }
+        return backends;
+    }
+
+    @Override
+    public List<DutyStatus> duties() {
+        return duties.get();
+    }
+
+    /** Speaks of this entry only; an operator who asks several entries sees them all. */
+    @Override
+    public List<ProcessRevision> revisions() {
+        return registry.all().stream().map(this::revision).toList();
+    }
+
+    @Override
+    public Optional<JsonNode> dump(String wanted) {
+        return wanted.equals(process) ? Optional.of(dumpOfDesk()) : Optional.empty();
+    }
+
+    @Override
+    public Optional<RequestExplanation> explain(RequestId id) {
+        return await(stories.apply(id), Optional.empty())
+                .map(sentences -> new RequestExplanation(Optional.empty(), sentences));
+    }
+
+    private ProcessRevision revision(DocumentInForce inForce) {
+        return new ProcessRevision(
+                process,
+                dataCentre,
+                ServiceName.of(inForce.document()),
+                inForce.document().revision(),
+                Optional.of(inForce.since()));
+    }
+
+    private static BackendState state(JsonNode node) {
+        if (!node.path("linked").asBoolean()) {
+            return BackendState.UNREACHABLE;
+        }
+        if (!node.path("leaving").asText().isEmpty()) {
+            return BackendState.LEAVING;
+        }
+        return node.path("takesWork").asBoolean() ? BackendState.READY : BackendState.AWAY;
+    }
+
+    private static Optional<EngineRole> role(String text) {
+        for (EngineRole role : EngineRole.values()) {
+            if (role.name().equals(text.toUpperCase(Locale.ROOT))) {
+                return Optional.of(role);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private ObjectNode dumpOfDesk() {
+        return await(desk.get(), JsonNodeFactory.instance.objectNode());
+    }
+
+    /** A desk that is stuck must not hold the threads that answer operators; its part of the status is left out. */
+    private static <T> T await(CompletableFuture<T> answer, T fallback) {
+        try {
+            return answer.get(DESK_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return fallback;
+        } catch (ExecutionException | TimeoutException silent) {
+            LOG.warnf("administration: the desk gave no answer, %s", silent);
+            return fallback;
+        }
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusAnswers.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusAnswers.java
@@ -20,11 +20,10 @@
             node.withArray("kinds")
                     .addObject()
                     .put("kind", kind.kind())
-                    .put("received", kind.received())
                     .put("answered", kind.answered())
                     .put("notRun", kind.notRun())
                     .put("unknown", kind.unknown())
-                    .put("inFlight", kind.inFlight());
+                    .put("cancelled", kind.cancelled());
         }
         return node;
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusEndpoints.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/StatusEndpoints.java
@@ -100,7 +100,7 @@
                 .orElseThrow(() -> RequestRefusedException.malformed(
                         "request", "\"" + text + "\" is no request identity of 32 hexadecimal digits."));
         Optional<RequestExplanation> explanation =
-                source.explain(id).filter(found -> request.operator().scope().covers(found.service()));
+                source.explain(id).filter(found -> isShown(request.operator().scope(), found));
         ObjectNode body = StatusAnswers.object().put("request", id.toString());
         explanation
                 .orElseThrow(() -> RequestRefusedException.unknown(
@@ -112,6 +112,14 @@
         return ApiAnswer.ok(body);
     }
 
+    private static boolean isShown(OperatorScope scope, RequestExplanation explanation) {
+        return switch (scope) {
+            case OperatorScope.WholePlatform whole -> true;
+            case OperatorScope.OneTeam one ->
+                explanation.service().filter(one::covers).isPresent();
+        };
+    }
+
     private static boolean isShown(ApiRequest request, DutyStatus duty) {
         boolean covered = duty.team().map(request.operator().scope()::covers).orElse(true);
         return covered
--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/EntryStatusSourceTest.java
@@ -0,0 +1,95 @@
+package org.aspenmoor.internal.administration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.document.StoredDocuments;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.Test;
+
+public class EntryStatusSourceTest {
+    private static final ServiceName SERVICE = new ServiceName("studio", "drafting");
+
+    private final DocumentRegistry registry = new DocumentRegistry(new ManualTimeSource());
+    private final PrometheusRegistry metrics = new PrometheusRegistry();
+    private final ObjectNode dump = JsonNodeFactory.instance.objectNode();
+    private final EntryStatusSource source = new EntryStatusSource(
+            "entry-1",
+            "almaty-1",
+            registry,
+            new KindCounts(metrics),
+            () -> CompletableFuture.completedFuture(dump),
+            id -> CompletableFuture.completedFuture(Optional.of(List.of("+0 ms: came"))),
+            List::of);
+
+    @Test
+    public void should_count_requests_by_kind_from_the_metrics() {
+        Counter requests = Counter.builder()
+                .name("aspenmoor_requests_total")
+                .labelNames("team", "service", "kind", "outcome")
+                .register(metrics);
+        requests.labelValues("studio", "drafting", "cue", "answered").inc(5);
+        requests.labelValues("studio", "drafting", "cue", "not-run").inc(2);
+        requests.labelValues("other", "drafting", "cue", "answered").inc(9);
+        new DocumentFeed(registry)
+                .changed(document("{\"team\": \"studio\", \"service\": \"drafting\", \"revision\": 3}"));
+
+        assertEquals(
+                source.services(), List.of(new ServiceStatus(SERVICE, List.of(new KindStatus("cue", 5, 2, 0, 0)))));
+        assertEquals(source.revisions().getFirst().revision(), 3L);
+    }
+
+    @Test
+    public void should_tell_the_states_of_backend_servers_apart() {
+        addBackend("a", true, true, "", "DECODE");
+        addBackend("b", true, false, "", "");
+        addBackend("c", true, false, "its host is leaving", "");
+        addBackend("d", false, false, "", "");
+
+        List<BackendStatus> backends = source.backends();
+
+        assertEquals(
+                backends.stream().map(BackendStatus::state).toList(),
+                List.of(BackendState.READY, BackendState.AWAY, BackendState.LEAVING, BackendState.UNREACHABLE));
+        assertEquals(backends.getFirst().role(), Optional.of(EngineRole.DECODE));
+        assertEquals(backends.get(2).detail(), Optional.of("its host is leaving"));
+    }
+
+    @Test
+    public void should_show_a_story_without_a_service_to_the_platform_only() {
+        RequestExplanation explanation = source.explain(new RequestId(1, 1)).orElseThrow();
+
+        assertEquals(explanation.sentences(), List.of("+0 ms: came"));
+        assertTrue(explanation.service().isEmpty());
+    }
+
+    private static StoredObject document(String value) {
+        return new StoredObject(StoredDocuments.documentKey(SERVICE), "1", value);
+    }
+
+    private void addBackend(String name, boolean linked, boolean takesWork, String leaving, String role) {
+        dump.withArray("backends")
+                .addObject()
+                .put("backend", name)
+                .put("team", "studio")
+                .put("service", "drafting")
+                .put("dataCentre", "almaty-1")
+                .put("linked", linked)
+                .put("takesWork", takesWork)
+                .put("leaving", leaving)
+                .put("outstanding", 1)
+                .put("role", role);
+    }
+}
