--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryAdministration.java
@@ -0,0 +1,67 @@
+package org.aspenmoor.internal.administration;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.document.DocumentAcceptance;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.entry.EntryProcess;
+import org.aspenmoor.internal.entry.RequestStory;
+import org.aspenmoor.internal.platform.CollectionListener;
+import org.aspenmoor.internal.settings.EntrySettings;
+import org.aspenmoor.internal.settings.OperatorSettings;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** Puts the administration API of an entry together. */
+public final class EntryAdministration {
+    private final EntrySettings settings;
+    private final ObjectStore store;
+    private final TimeSource timeSource;
+    private final RandomGenerator random;
+    private final PrometheusRegistry metrics;
+    private final DocumentRegistry documents;
+
+    public EntryAdministration(
+            EntrySettings settings,
+            ObjectStore store,
+            TimeSource timeSource,
+            RandomGenerator random,
+            PrometheusRegistry metrics) {
+        this.settings = settings;
+        this.store = store;
+        this.timeSource = timeSource;
+        this.random = random;
+        this.metrics = metrics;
+        this.documents = new DocumentRegistry(timeSource);
+    }
+
+    /** Hears with the entry what a watch brings, so that the store is watched once only. */
+    public CollectionListener hearing(CollectionListener entry) {
+        return new FeedingListener(new DocumentFeed(documents), entry);
+    }
+
+    /** Returns the API before a running entry. */
+    public AdministrationApi api(EntryProcess entry) {
+        EntryStatusSource source = new EntryStatusSource(
+                settings.process().name(),
+                settings.process().dataCentre(),
+                documents,
+                new KindCounts(metrics),
+                entry::dump,
+                id -> entry.story(id).thenApply(story -> story.map(RequestStory::sentences)),
+                List::of);
+        DocumentAcceptance acceptance =
+                new DocumentAcceptance(store, new RegistryFleetView(documents, source), timeSource, random);
+        return new AdministrationApi(operators(), acceptance, documents, source);
+    }
+
+    private OperatorTokens operators() {
+        return new OperatorTokens(
+                settings.operators().stream().map(EntryAdministration::operator).toList());
+    }
+
+    private static Operator operator(OperatorSettings operator) {
+        return new Operator(operator.name(), operator.tokenHash(), OperatorScope.of(operator.scope()));
+    }
+}
