--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DisseminationTrial.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DisseminationTrial.java
@@ -94,11 +94,8 @@
     }
 
     private void start(String process, Neighbours neighbours, boolean filled) {
-        DocumentExchange exchange = new DocumentExchange(
-                ExchangeSettings.defaults(),
-                time,
-                new Random(random.nextLong()),
-                this::inForce);
+        DocumentExchange exchange =
+                new DocumentExchange(ExchangeSettings.defaults(), time, new Random(random.nextLong()), this::inForce);
         exchange.neighboursChanged(neighbours);
         exchanges.put(process, exchange);
         counters.computeIfAbsent(process, name -> new ByteCounter());
