--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
@@ -44,9 +44,11 @@
         new LinkSlopes(meter).measure();
         ProcessorSlopes processor = new ProcessorSlopes(meter);
         processor.measure();
+        RoutingSlopes routing = new RoutingSlopes(meter);
+        routing.measure();
         new DisseminationSlopes(meter).measure();
-        System.out.println(
-                "capacity: measured " + meter.slopes().size() + " slopes, check sum " + processor.consumed() + ".");
+        System.out.println("capacity: measured " + meter.slopes().size() + " slopes, check sum "
+                + (processor.consumed() + routing.consumed()) + ".");
         return meter.slopes();
     }
 
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/ControlBudgets.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/ControlBudgets.java
@@ -6,6 +6,7 @@
     private static final double REPORT_SECONDS = 30;
 
     private static final double COUNT_SECONDS = 10;
+    private static final int INDEXED_PIECES = 65_536;
     private static final int PLAN_POOLS = Aim.MODELS;
 
     private final Measurements measured;
@@ -83,6 +84,16 @@
                 measured.slope(SlopeName.HEAP_PER_LINK).times((agents + documentLinks) / 2),
                 "`LinkNetwork`, `SubsetChoice`, `DisseminationTree`",
                 Standing.MEASURED));
+        table.add(BudgetLine.ofMemory(
+                "views of " + Figure.number(agents) + " engines",
+                measured.slope(SlopeName.HEAP_PER_ENGINE_VIEW).times(agents),
+                "`Router`",
+                Standing.MEASURED));
+        table.add(BudgetLine.ofMemory(
+                "prefix index of 65,536 pieces",
+                measured.slope(SlopeName.HEAP_PER_INDEXED_PIECE).times(INDEXED_PIECES),
+                "`PrefixIndex`",
+                Standing.MEASURED));
     }
 
     private BudgetLine documentsHeld() {
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DataPathBudgets.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/DataPathBudgets.java
@@ -3,6 +3,8 @@
 /** What answering callers costs; it is no part of the control budget. */
 final class DataPathBudgets {
     private static final int CREDIT_CHUNKS = 32;
+    private static final double TEAMS_WAITING = (double) Aim.TEAMS / Aim.MODELS;
+    private static final double ADMISSIONS = 1000;
     private static final int HEADERS = DisseminationTrial.BYTES_AROUND_A_FRAME;
 
     private final Measurements measured;
@@ -17,6 +19,20 @@
         table.add(chunks(Aim.TOKENS_PER_ENTRY, chunk));
         table.add(dispatches(Aim.REQUESTS_PER_ENTRY, measured.slope(SlopeName.ENCODE_DISPATCH)));
         table.add(others(Aim.REQUESTS_PER_ENTRY, Aim.TOKENS_PER_ENTRY));
+        table.add(BudgetLine.ofWork(
+                "routing, and admission with 140 teams waiting in the pool's queue",
+                measured.slope(SlopeName.ROUTE)
+                        .plus(measured.slope(SlopeName.ADMIT_PER_TEAM).times(TEAMS_WAITING / ADMISSIONS))
+                        .times(Aim.REQUESTS_PER_ENTRY),
+                Figure.NONE,
+                Figure.NONE,
+                "`Router`, `AdmissionQueue`",
+                Standing.MEASURED));
+        table.add(BudgetLine.ofMemory(
+                Figure.number(Aim.STREAMS_PER_ENTRY) + " answers in flight, without their HTTP connections",
+                measured.slope(SlopeName.HEAP_PER_STREAM).times(Aim.STREAMS_PER_ENTRY),
+                "`AnswerAssembly`, `Router`",
+                Standing.MEASURED));
         return table;
     }
 
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
@@ -18,7 +18,7 @@
     DECODE_LOAD_REPORT("processor time to decode a load report"),
     TAKE_LOAD_REPORT("processor time to take a load report into the router"),
     ROUTE("processor time to route a request, note it sent and ended, 8 engines of its model"),
-    ADMIT("processor time to queue and take a request"),
+    ADMIT_PER_TEAM("processor time to queue and take 1,000 requests, per team waiting in the pool's queue"),
     PARSE_DOCUMENT("processor time to parse a document"),
     APPLY_DOCUMENT("processor time to take an update and decode its frame"),
     COMPARE_EQUAL("processor time of both sides to compare equal tables, frames included"),
