Administration API before the running entry; too long bodies get their answer

Ruled out: a slow test machine (the bytes were refused, not late). The API now reads the entry's own registry instead of a second one fed beside it.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/AdministrationApi.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/AdministrationApi.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.document.DocumentAcceptance;
 import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.http.LimitedBody;
 import org.jboss.logging.Logger;
 import ratpack.exec.Blocking;
 import ratpack.func.Action;
@@ -86,8 +87,8 @@
     }
 
     private static void answer(Context context, Operator operator, Endpoint endpoint) {
-        context.getRequest()
-                .getBody(
+        LimitedBody.read(
+                        context,
                         MOST_BODY_BYTES,
                         () -> send(context, ErrorAnswers.of(RequestRefusedException.tooLarge(MOST_BODY_BYTES))))
                 .map(body -> request(context, operator, body.getText(StandardCharsets.UTF_8)))
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryAdministration.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryAdministration.java
@@ -1,13 +1,11 @@
 package org.aspenmoor.internal.administration;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.List;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.document.DocumentAcceptance;
 import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.entry.EntryProcess;
 import org.aspenmoor.internal.entry.RequestStory;
-import org.aspenmoor.internal.platform.CollectionListener;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.settings.OperatorSettings;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -20,7 +18,6 @@
     private final TimeSource timeSource;
     private final RandomGenerator random;
     private final PrometheusRegistry metrics;
-    private final DocumentRegistry documents;
 
     public EntryAdministration(
             EntrySettings settings,
@@ -33,16 +30,11 @@
         this.timeSource = timeSource;
         this.random = random;
         this.metrics = metrics;
-        this.documents = new DocumentRegistry(timeSource);
-    }
-
-    /** Hears with the entry what a watch brings, so that the store is watched once only. */
-    public CollectionListener hearing(CollectionListener entry) {
-        return new FeedingListener(new DocumentFeed(documents), entry);
     }
 
     /** Returns the API before a running entry. */
     public AdministrationApi api(EntryProcess entry) {
+        DocumentRegistry documents = entry.registry();
         EntryStatusSource source = new EntryStatusSource(
                 settings.process().name(),
                 settings.process().dataCentre(),
@@ -50,7 +42,7 @@
                 new KindCounts(metrics),
                 entry::dump,
                 id -> entry.story(id).thenApply(story -> story.map(RequestStory::sentences)),
-                List::of);
+                entry::duties);
         DocumentAcceptance acceptance =
                 new DocumentAcceptance(store, new RegistryFleetView(documents, source), timeSource, random);
         return new AdministrationApi(operators(), acceptance, documents, source);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/EntryDaemon.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/EntryDaemon.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.administration.AdministrationApi;
+import org.aspenmoor.internal.administration.EntryAdministration;
 import org.aspenmoor.internal.entry.EntryMetrics;
 import org.aspenmoor.internal.entry.EntryProcess;
 import org.aspenmoor.internal.http.CallerRoutes;
@@ -16,6 +18,7 @@
 import org.aspenmoor.internal.platform.WatchedCollection;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.settings.ProcessSettings;
+import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.time.SystemTimeSource;
 import org.aspenmoor.internal.time.TimeSource;
 import ratpack.func.Action;
@@ -53,14 +56,16 @@
                 process.httpPort(),
                 HTTP_THREADS,
                 settings.limits().headerBytes(),
-                routes(entry));
+                routes(entry, store));
         out.println("listening " + process.name() + " http://" + process.address() + ":" + server.getBindPort()
                 + " link " + linkPort);
         GracefulStop.onSignal(entry::drain, DRAIN_LIMIT, entry::close);
     }
 
-    private Action<Chain> routes(EntryProcess entry) {
+    private Action<Chain> routes(EntryProcess entry, ObjectStore store) {
+        AdministrationApi administration = new EntryAdministration(settings, store, time, random, registry).api(entry);
         return chain -> {
+            chain.prefix(AdministrationApi.ROOT, administration);
             new CallerRoutes(entry.desk(), random, settings.limits(), time).execute(chain);
             new ProcessRoutes(registry, entry::dump, entry::isReady).execute(chain);
         };
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.administration.DutyStatus;
 import org.aspenmoor.internal.claim.ClaimDesk;
 import org.aspenmoor.internal.claim.ClaimSettings;
 import org.aspenmoor.internal.claim.ClaimVerdict;
@@ -120,6 +121,11 @@
         });
     }
 
+    /** Returns who holds which duty, as far as this entry knows. */
+    public List<DutyStatus> duties() {
+        return List.of();
+    }
+
     /** Asks what became of a request. */
     public CompletableFuture<Optional<RequestStory>> story(RequestId id) {
         CompletableFuture<Optional<RequestStory>> answer = new CompletableFuture<>();
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
@@ -273,6 +273,15 @@
         return dump;
     }
 
+    private static String leavingText(Standing standing) {
+        return switch (standing) {
+            case Standing.Leaving leaving -> "said by " + leaving.said();
+            case Standing.Silent ignored -> "its agent is silent";
+            case Standing.Unmet ignored -> "";
+            case Standing.Serving ignored -> "";
+        };
+    }
+
     private void dumpBackends(ArrayNode backends) {
         for (AgentPeer peer : directory.all()) {
             ObjectNode node = backends.addObject();
@@ -282,7 +291,7 @@
             node.put("dataCentre", peer.registration().dataCentre());
             node.put("linked", peer.link().isPresent());
             node.put("takesWork", directory.takesWork(peer));
-            node.put("standing", directory.standing(peer).toString());
+            node.put("leaving", leavingText(directory.standing(peer)));
             node.put("outstanding", peer.outstanding());
             node.put("role", peer.load().map(LoadReport::getRole).orElse(""));
         }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/BodyReading.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/BodyReading.java
@@ -15,8 +15,7 @@
     private BodyReading() {}
 
     static void read(Context context, RequestId id, CallerLimits limits, Action<byte[]> then) {
-        context.getRequest()
-                .getBody(limits.bodyBytes(), () -> refuse(context, id, limits))
+        LimitedBody.read(context, limits.bodyBytes(), () -> refuse(context, id, limits))
                 .then(body -> then.execute(body.getBytes()));
     }
 
