Planner stands still on mixes that swing faster than a change pays

Cause: on the fast oscillation a first change was made from one past mix, and later ones from a mean over an uneven piece of a cycle; whole engines were valued too high, so that changes to and fro were planned on drift. Changes: two past mixes are needed before they count; a mean mix needs 30 s and a tenth of the goodput as gain; other changes a twentieth; horizon 60 s; mixing is charged twice its slowdown.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/run/BenchEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/run/BenchEntry.java
@@ -30,6 +30,7 @@
 final class BenchEntry {
     static final String MODEL = "draft@1";
     private static final double RETRY_SECONDS = 0.02;
+    private static final long ASK_AGAIN_NANOSECONDS = 10_000_000;
     private static final double CREDIT_SHARE = 1.1;
 
     private final String name;
@@ -50,6 +51,8 @@
     private long countsFrom;
     private long countsSequence;
     private boolean retryPlanned;
+    private RequestId blocked;
+    private long askAgainAt;
 
     BenchEntry(
             String name,
@@ -139,6 +142,10 @@
                 return;
             }
             WaitingWork work = next.get();
+            if (work.id().equals(blocked) && loop.now() < askAgainAt) {
+                planRetry();
+                return;
+            }
             BenchRequest request = waiting.get(work.id());
             RoutingRequest routed = routed(request, work);
             Optional<RoutingDecision> decision = routing.choose(routed, this::hasCredit, loop.now());
@@ -149,6 +156,8 @@
                     refuse(work.id());
                 }
                 case DispatchVerdict.Wait wait -> {
+                    blocked = work.id();
+                    askAgainAt = loop.now() + ASK_AGAIN_NANOSECONDS;
                     planRetry();
                     return;
                 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
@@ -121,9 +121,10 @@
 
     private void giveUpLate(TeamShare team, long now, List<Displaced> displaced) {
         double before = 0;
+        double teamRate = teamRate(team);
         List<WaitingWork> late = new ArrayList<>();
         for (WaitingWork work : team.waiting()) {
-            double wait = before / teamRate(team);
+            double wait = before / teamRate;
             double slack = slackSeconds(work, now);
             if (wait > slack) {
                 late.add(work);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/ContinuationValue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/ContinuationValue.java
@@ -12,6 +12,7 @@
  */
 final class ContinuationValue {
     private static final double NOTICE_SECONDS = 2;
+    private static final int LEAST_SEEN = 2;
 
     private final GoodputModel model;
     private final MoveCost moveCost;
@@ -32,7 +33,7 @@
     }
 
     double of(RoleSplit split) {
-        if (past.isEmpty()) {
+        if (past.size() < LEAST_SEEN) {
             return 0;
         }
         double keeping = 0;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/DemandForecast.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/DemandForecast.java
@@ -9,6 +9,10 @@
 final class DemandForecast {
     private static final long BUCKET_NANOSECONDS = 1_000_000_000L;
 
+    private static final double SETTLED_SECONDS = 30;
+    private static final double LEAST_GAIN = 0.05;
+    private static final double LEAST_GAIN_OVER_A_MEAN = 0.1;
+
     private final GoodputModel model;
     private final CountWindow window = new CountWindow();
     private final MixHistory history = new MixHistory();
@@ -29,7 +33,7 @@
      * Returns what to expect; empty where no work was counted.
      *
      * <p>Mixes that usually end before a change pays are taken together: their mean is what the engines see, since
-     * queues level them out.
+     * queues level them out. A mean over little time is lopsided, so that nothing is expected of it.
      */
     Optional<Outlook> outlook(
             List<KindWeight> kinds,
@@ -49,10 +53,11 @@
         history.observe(present);
         if (history.isShorterThan(shortestPayingSeconds)) {
             Segment mean = segment(buckets, kinds, search);
-            return Optional.of(new Outlook(mean, mean.seconds(), 0, List.of()));
+            double remaining = mean.seconds() < SETTLED_SECONDS ? 0 : mean.seconds();
+            return Optional.of(new Outlook(mean, remaining, 0, LEAST_GAIN_OVER_A_MEAN, List.of()));
         }
-        return Optional.of(
-                new Outlook(history.present(), history.remainingSeconds(), history.seenSeconds(), history.past()));
+        return Optional.of(new Outlook(
+                history.present(), history.remainingSeconds(), history.seenSeconds(), LEAST_GAIN, history.past()));
     }
 
     private List<CountBucket> completeBuckets(long completeUntilNanoseconds) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/GoodputModel.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/GoodputModel.java
@@ -13,6 +13,9 @@
 public final class GoodputModel {
     private static final double USABLE_DEADLINE_SHARE = 0.7;
 
+    // An engine that does both also runs its decode steps over smaller batches, which costs about as much again.
+    private static final double MIXING_LOSSES = 2;
+
     private final PlannerSettings settings;
 
     public GoodputModel(PlannerSettings settings) {
@@ -76,12 +79,16 @@
         if (demand.prefillSeconds() <= 0) {
             return Double.POSITIVE_INFINITY;
         }
-        return (prefill + wholePrompts / (1 + settings.speed().mixingSlowdown())) / demand.prefillSeconds();
+        return (prefill + wholePrompts / mixedWorkFactor()) / demand.prefillSeconds();
+    }
+
+    private double mixedWorkFactor() {
+        return 1 + MIXING_LOSSES * settings.speed().mixingSlowdown();
     }
 
     private double wholeWork(double prefillOver, double decodeOver) {
         double work = Math.max(0, prefillOver) + Math.max(0, decodeOver);
-        return work * (1 + settings.speed().mixingSlowdown());
+        return work * mixedWorkFactor();
     }
 
     private double served(KindDemand demand, double prefill, double decode, double whole) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/PlannerSettings.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/PlannerSettings.java
@@ -21,7 +21,7 @@
         double staleSeconds) {
     private static final int USUAL_BATCH = 32;
     private static final double USUAL_UTILISATION = 0.85;
-    private static final double USUAL_HORIZON_SECONDS = 120;
+    private static final double USUAL_HORIZON_SECONDS = 60;
     private static final double USUAL_MOST_AWAY_SHARE = 0.75;
     private static final double USUAL_STALE_SECONDS = 5;
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/RolePlanner.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/RolePlanner.java
@@ -17,7 +17,6 @@
 public final class RolePlanner {
     private static final double NANOSECONDS = 1e9;
     private static final double SHORTEST_PAYING_TIMES_AWAY = 3;
-    private static final double LEAST_GAIN_SHARE = 0.03;
     private static final double LEAST_GAIN_SHARE_OF_PRICE = 0.5;
     private static final double MOST_ANSWERS_FOR_A_PLACE = 1.6;
     private static final long FORGET_SOURCE_AFTER_NANOSECONDS = 30_000_000_000L;
@@ -70,9 +69,10 @@
         SplitSearch search = new SplitSearch(allowed(input, movable, current), value::of);
         RoleSplit best = search.best(current);
         double gain = value.of(best) - value.of(current);
-        double least =
-                LEAST_GAIN_SHARE * model.perSecond(current, outlook.present().demands()) * remaining
-                        + LEAST_GAIN_SHARE_OF_PRICE * moveCost.price(current, best);
+        double least = outlook.leastGainShare()
+                        * model.perSecond(current, outlook.present().demands())
+                        * remaining
+                + LEAST_GAIN_SHARE_OF_PRICE * moveCost.price(current, best);
         if (best.equals(current) || gain <= least) {
             return standStill(input, "No change pays for itself; " + current + ".");
         }
