Soak: check plans that agents obey and engines that check numbers more strictly

An agent's plan may not go back, and an engine that checks numbers may not cut a stream for an order beyond the window. An agent that takes over after a given-up order now serves nothing until that number was given.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/AgentProcess.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/AgentProcess.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.aspenmoor.internal.authority.OrderExecutor;
+import org.aspenmoor.internal.authority.PlanRecord;
+import org.aspenmoor.internal.authority.PlanVersion;
 import org.aspenmoor.internal.authority.SlotIdentity;
 import org.aspenmoor.internal.authority.SlotTerms;
 import org.aspenmoor.internal.authority.StreamDrain;
@@ -21,6 +23,7 @@
     private final ObjectStore store;
     private final OrderExecutor executor;
     private final List<StreamAttempt> streams = new ArrayList<>();
+    private PlanVersion lastObeyed = PlanVersion.NONE;
 
     AgentProcess(SoakWorld world, SoakEngine site, String incarnation) {
         super(incarnation);
@@ -106,6 +109,7 @@
             var plan = store.read(site.house().planKey());
             if (plan.isPresent()) {
                 executor.offer(plan.get());
+                checkPlan();
             }
         } catch (StoreException trouble) {
             // The last plan stays in force.
@@ -113,6 +117,14 @@
         }
     }
 
+    private void checkPlan() {
+        PlanVersion obeyed = executor.plan().map(PlanRecord::version).orElse(PlanVersion.NONE);
+        if (lastObeyed.isAfter(obeyed)) {
+            world.violations().report(incarnation() + " went back from plan " + lastObeyed + " to " + obeyed);
+        }
+        lastObeyed = obeyed;
+    }
+
     /** The streams of this agent. */
     private final class Drain implements StreamDrain {
         @Override
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/OrderWatch.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/OrderWatch.java
@@ -73,6 +73,7 @@
         highestBegun.merge(arrival.engine(), number, Math::max);
         if (conflicts && beyond) {
             begunBeyondWindow++;
+            checkBeyondWindow(arrival);
             return;
         }
         if (conflicts) {
@@ -83,6 +84,18 @@
         }
     }
 
+    /** An engine that checks numbers serves nothing until it was given a higher number than that of a lost order. */
+    private void checkBeyondWindow(OrderArrival arrival) {
+        boolean checks = world.engines().stream()
+                .anyMatch(site -> site.engine().name().equals(arrival.engine())
+                        && site.engine().checksNumbers());
+        if (checks && (arrival.streamsCut() > 0 || arrival.whileBusy())) {
+            world.violations()
+                    .report(arrival.engine() + " checks numbers and began an order beyond the window, streams cut: "
+                            + arrival.streamsCut());
+        }
+    }
+
     private boolean recordNames(OrderArrival arrival) {
         Optional<EngineRecord> record = record(arrival.engine());
         Optional<String> unsettled = record.flatMap(EngineRecord::unsettled).map(RecordedOrder::id);
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/ScheduleShortener.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/ScheduleShortener.java
@@ -7,20 +7,20 @@
 
 /** Looks for the fewest faults that still break a promise, by leaving out ever smaller parts of a schedule. */
 final class ScheduleShortener {
-    private static final int MOST_RUNS = 400;
-
     private final SoakRun run;
+    private final int mostRuns;
     private int runs;
 
-    ScheduleShortener(SoakRun run) {
+    ScheduleShortener(SoakRun run, int mostRuns) {
         this.run = run;
+        this.mostRuns = mostRuns;
     }
 
     /** Returns the failed run again with the fewest faults found. */
     SoakResult shorten(SoakResult failed) {
         SoakResult shortest = failed;
         int part = Math.max(1, failed.drawn().size() / 2);
-        while (runs < MOST_RUNS) {
+        while (runs < mostRuns) {
             SoakResult shorter = leaveOutParts(shortest, part);
             boolean improved = shorter.drawn().size() < shortest.drawn().size();
             shortest = shorter;
@@ -35,7 +35,7 @@
     private SoakResult leaveOutParts(SoakResult failed, int part) {
         SoakResult shortest = failed;
         int from = 0;
-        while (from < shortest.drawn().size() && runs < MOST_RUNS) {
+        while (from < shortest.drawn().size() && runs < mostRuns) {
             List<DrawnFault> fewer = new ArrayList<>(shortest.drawn());
             fewer.subList(from, Math.min(from + part, fewer.size())).clear();
             Set<Integer> kept = new TreeSet<>();
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/Soak.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/Soak.java
@@ -37,6 +37,11 @@
             .withRequiredArg()
             .ofType(Integer.class)
             .withValuesSeparatedBy(',');
+    private final OptionSpec<Integer> shorten = parser.accepts(
+                    "shorten", "how many runs may look for a shorter schedule")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(400);
     private final OptionSpec<Void> help =
             parser.accepts("help", "prints this page").forHelp();
 
@@ -76,7 +81,7 @@
             report.add(result);
             if (result.violation().isPresent()) {
                 report.print();
-                printFailure(run, result);
+                printFailure(run, result, options.valueOf(shorten));
                 return EXIT_VIOLATION;
             }
         }
@@ -93,11 +98,11 @@
         return indexes::contains;
     }
 
-    private void printFailure(SoakRun run, SoakResult failed) {
+    private void printFailure(SoakRun run, SoakResult failed, int mostRuns) {
         out.printf(
                 "%nseed %d broke a promise at step %d:%n  %s%n",
                 failed.seed(), failed.steps(), failed.violation().orElseThrow());
-        SoakResult shortest = new ScheduleShortener(run).shorten(failed);
+        SoakResult shortest = new ScheduleShortener(run, mostRuns).shorten(failed);
         out.printf(
                 "shortest known schedule: %d faults, broken at step %d:%n  %s%n",
                 shortest.drawn().size(), shortest.steps(), shortest.violation().orElseThrow());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
@@ -118,7 +118,7 @@
         }
         Optional<EngineAssignment> wanted = wantedAssignment();
         if (wanted.isEmpty()) {
-            return idle();
+            return mustFence(current.record()) ? new ExecutorStep.Waiting("a first plan") : idle();
         }
         if (current.record().planVersion().isAfter(plans.version())) {
             return new ExecutorStep.PlanBehind(plans.version());
@@ -132,7 +132,8 @@
     }
 
     private ExecutorStep takeOver(KnownRecord current) throws StoreException {
-        if (current.record().unsettled().isPresent()) {
+        if (current.record().unsettled().isPresent() || mustFence(current.record())) {
+            // The order may still arrive, and would cut whatever streams had been let in meanwhile.
             stopNewWork();
         }
         KnownRecord taken = write(current, current.record().takenOver(slot.owner(), writer.drawNonce()));
@@ -267,8 +268,6 @@
         if (unsentOrderId.equals(Optional.of(order.id()))) {
             return settleAs(current, order, RecordedOrderState.WITHDRAWN);
         }
-        // An order that arrives late would cut whatever streams had been let in meanwhile.
-        stopNewWork();
         // The time is taken before the engine is asked, so that its answer is about a later moment.
         Duration remaining = longestStillOnTheWire(order);
         EngineStatus status = engine.status();
