--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/DemandForecast.java
@@ -0,0 +1,99 @@
+package org.aspenmoor.internal.planning;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Turns the counts into the present demand, its age and its history. */
+final class DemandForecast {
+    private static final long BUCKET_NANOSECONDS = 1_000_000_000L;
+
+    private final GoodputModel model;
+    private final CountWindow window = new CountWindow();
+    private final MixHistory history = new MixHistory();
+
+    DemandForecast(GoodputModel model) {
+        this.model = model;
+    }
+
+    boolean observe(WorkCounts counts) {
+        return window.add(counts);
+    }
+
+    long completeUntil(long now, long forgetAfterNanoseconds) {
+        return window.completeUntil(now, forgetAfterNanoseconds);
+    }
+
+    /**
+     * Returns what to expect; empty where no work was counted.
+     *
+     * <p>Mixes that usually end before a change pays are taken together: their mean is what the engines see, since
+     * queues level them out.
+     */
+    Optional<Outlook> outlook(
+            List<KindWeight> kinds,
+            long completeUntilNanoseconds,
+            double shortestPayingSeconds,
+            SplitSearch.Factory search) {
+        List<CountBucket> buckets = completeBuckets(completeUntilNanoseconds);
+        if (buckets.isEmpty()) {
+            return Optional.empty();
+        }
+        int length = ChangePointDetector.presentLength(
+                buckets.stream().map(bucket -> requests(bucket, kinds)).toList());
+        Segment present = segment(buckets.subList(0, length), kinds, search);
+        if (present.demands().isEmpty()) {
+            return Optional.empty();
+        }
+        history.observe(present);
+        if (history.isShorterThan(shortestPayingSeconds)) {
+            Segment mean = segment(buckets, kinds, search);
+            return Optional.of(new Outlook(mean, mean.seconds(), 0, List.of()));
+        }
+        return Optional.of(
+                new Outlook(history.present(), history.remainingSeconds(), history.seenSeconds(), history.past()));
+    }
+
+    private List<CountBucket> completeBuckets(long completeUntilNanoseconds) {
+        long lastComplete = Math.floorDiv(completeUntilNanoseconds, BUCKET_NANOSECONDS) - 1;
+        List<CountBucket> buckets = new ArrayList<>();
+        for (CountBucket bucket : window.newestFirst()) {
+            if (bucket.number() <= lastComplete) {
+                buckets.add(bucket);
+            }
+        }
+        return buckets;
+    }
+
+    private Segment segment(List<CountBucket> buckets, List<KindWeight> kinds, SplitSearch.Factory search) {
+        List<KindDemand> demands = demands(buckets, kinds);
+        RoleSplit ideal = search.best(split -> model.perSecond(split, demands));
+        return new Segment(buckets.getLast().number(), buckets.size(), buckets.size(), demands, ideal);
+    }
+
+    private static double[] requests(CountBucket bucket, List<KindWeight> kinds) {
+        return kinds.stream()
+                .mapToDouble(kind -> bucket.of(kind.kind()).requests())
+                .toArray();
+    }
+
+    private List<KindDemand> demands(List<CountBucket> buckets, List<KindWeight> kinds) {
+        List<KindDemand> demands = new ArrayList<>();
+        for (KindWeight kind : kinds) {
+            KindTotals totals = KindTotals.NONE;
+            for (CountBucket bucket : buckets) {
+                totals = totals.plus(bucket.of(kind.kind()));
+            }
+            if (totals.requests() > 0) {
+                demands.add(model.demand(
+                        kind,
+                        totals.requests() / buckets.size(),
+                        totals.promptTokens() / totals.requests(),
+                        totals.outputTokens() / totals.requests()));
+            }
+        }
+        demands.sort(Comparator.comparingDouble(KindDemand::weight).reversed());
+        return demands;
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AgentPeer.java
@@ -0,0 +1,110 @@
+package org.aspenmoor.internal.entry;
+
+import java.util.Optional;
+import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.registration.AgentRegistration;
+import org.aspenmoor.internal.retry.CircuitBreaker;
+import org.aspenmoor.internal.wire.v1.LoadReport;
+
+/** A backend server as this entry sees it through its agent. */
+final class AgentPeer {
+    private final CircuitBreaker breaker;
+    private AgentRegistration registration;
+    private Optional<Link> link = Optional.empty();
+    private Optional<LoadReport> load = Optional.empty();
+    private int outstanding;
+    private int requestCredit;
+    private long connectTriedAt;
+    private long connection;
+
+    AgentPeer(AgentRegistration registration, CircuitBreaker breaker) {
+        this.registration = registration;
+        this.breaker = breaker;
+    }
+
+    String backend() {
+        return registration.backend();
+    }
+
+    AgentRegistration registration() {
+        return registration;
+    }
+
+    void registered(AgentRegistration newRegistration) {
+        registration = newRegistration;
+    }
+
+    Optional<Link> link() {
+        return link;
+    }
+
+    /** Takes a new link, numbered among this process's connections. */
+    void opened(Link newLink, long connectionNumber) {
+        link = Optional.of(newLink);
+        connection = connectionNumber;
+        requestCredit = newLink.peer().getRequestCredit();
+        load = Optional.empty();
+        outstanding = 0;
+    }
+
+    long connection() {
+        return connection;
+    }
+
+    long connectTriedAt() {
+        return connectTriedAt;
+    }
+
+    CircuitBreaker breaker() {
+        return breaker;
+    }
+
+    void closed() {
+        link = Optional.empty();
+        load = Optional.empty();
+        outstanding = 0;
+    }
+
+    void reported(LoadReport report) {
+        boolean older = load.isPresent()
+                && report.getReady() == load.get().getReady()
+                && report.getSequence() < load.get().getSequence();
+        if (!older) {
+            load = Optional.of(report);
+        }
+    }
+
+    Optional<LoadReport> load() {
+        return load;
+    }
+
+    /** Says whether its agent is connected and reports it ready; whether it may be given work is the directory's word. */
+    boolean isReady() {
+        return link.isPresent() && load.isPresent() && load.get().getReady();
+    }
+
+    boolean hasCredit() {
+        return outstanding < requestCredit;
+    }
+
+    int outstanding() {
+        return outstanding;
+    }
+
+    void dispatched() {
+        outstanding++;
+    }
+
+    void released() {
+        outstanding = Math.max(0, outstanding - 1);
+    }
+
+    /** Says whether a connection should be tried now, and remembers that it was. */
+    boolean shouldConnect(long now, long pauseNanoseconds) {
+        if (link.isPresent() || now - connectTriedAt < pauseNanoseconds) {
+            return false;
+        }
+        connectTriedAt = now;
+        return true;
+    }
+}
