--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/pathcost/PathCostMain.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/pathcost/PathCostMain.java
@@ -42,8 +42,10 @@
         both(options, warmUp, warmUp, WARM_UP_REQUESTS, options.concurrency());
         Way direct = new Way("engine directly");
         Way through = new Way("through entry and agent");
-        report("both ways at " + options.concurrency() + " at once each", 0, () -> both(
-                options, direct, through, options.requests(), options.concurrency()));
+        report(
+                "both ways at " + options.concurrency() + " at once each",
+                0,
+                () -> both(options, direct, through, options.requests(), options.concurrency()));
         printLatencies(direct, through);
         long failures = direct.failures() + through.failures();
         for (int streams : STREAMS) {
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/pathcost/ProcessProbe.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/pathcost/ProcessProbe.java
@@ -48,11 +48,12 @@
     private double statusMegabytes(String field) throws IOException {
         List<String> lines = Files.readAllLines(folder.resolve("status"));
         return lines.stream()
-                .filter(line -> line.startsWith(field))
-                .mapToDouble(line -> Double.parseDouble(
-                        line.substring(field.length()).replace("kB", "").trim()))
-                .findFirst()
-                .orElse(0)
-                * BYTES_OF_KIBIBYTE / BYTES_OF_MEGABYTE;
+                        .filter(line -> line.startsWith(field))
+                        .mapToDouble(line -> Double.parseDouble(
+                                line.substring(field.length()).replace("kB", "").trim()))
+                        .findFirst()
+                        .orElse(0)
+                * BYTES_OF_KIBIBYTE
+                / BYTES_OF_MEGABYTE;
     }
 }
