Role plans and orders run in the daemon: planner duty on entries, order thread on agents

Cause: nothing in the running system held a plan or gave an order; the classes were only driven by the soak. Entries take, hold and publish the plan of each service in their data centre; an agent reads its plan, records each order before giving it, and lets no work in until it has read its engine's record. The desk acknowledges a drain before the order thread trusts its count; without that a dispatch already in the ring would be cut. Left: role changes to prefill and decode need the two-stage data path; plans assign whole engines and versions only.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
 import org.aspenmoor.RefusalReason;
 import org.aspenmoor.internal.duty.DutyHandler;
 import org.aspenmoor.internal.link.Link;
@@ -34,10 +35,13 @@
     private final AgentAccount account = new AgentAccount();
     private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
+    private final IntConsumer runningChanged;
+    private boolean servingAllowed = true;
     private Optional<String> leavingReason = Optional.empty();
     private Optional<CompletableFuture<Void>> drained = Optional.empty();
 
-    AgentDesk(AgentSettings settings, BackendCaller caller, LoadReports loadReports) {
+    AgentDesk(AgentSettings settings, BackendCaller caller, LoadReports loadReports, IntConsumer runningChanged) {
+        this.runningChanged = runningChanged;
         this.settings = settings;
         this.caller = caller;
         this.loadReports = loadReports;
@@ -55,10 +59,20 @@
             case AgentMessage.StatusRead read -> loadReports.read(read.status()).ifPresent(this::sendToAll);
             case AgentMessage.StatusMissing missing ->
                 loadReports.missing(missing.cause()).ifPresent(this::sendToAll);
+            case AgentMessage.ServingAllowed serving -> servingAllowed(serving);
             case AgentMessage.Tick ignored -> checkAccount();
             case AgentMessage.DrainAsked asked -> drain(asked);
             case AgentMessage.DumpAsked asked -> asked.answer().complete(dump());
         }
+        runningChanged.accept(running.size());
+    }
+
+    private void servingAllowed(AgentMessage.ServingAllowed serving) {
+        servingAllowed = serving.allowed();
+        loadReports.allowed(servingAllowed).ifPresent(this::sendToAll);
+        // The count must be right before the order thread trusts it.
+        runningChanged.accept(running.size());
+        serving.heard().run();
     }
 
     private void opened(Link link) {
@@ -110,6 +124,9 @@
         if (leavingReason.isPresent()) {
             return Optional.of(refusal(RefusalReason.STOPPING, SOON_MILLISECONDS, leavingReason.get()));
         }
+        if (!servingAllowed) {
+            return Optional.of(refusal(RefusalReason.NO_BACKEND, SOON_MILLISECONDS, "the engine is to be changed"));
+        }
         if (dispatch.getDeadlineMilliseconds() == 0) {
             return Optional.of(refusal(RefusalReason.CANNOT_FINISH_IN_TIME, 0, "the deadline has passed"));
         }
@@ -252,6 +269,7 @@
                 .put("cancelled", totals.cancelled())
                 .put("running", running.size());
         dump.put("imbalance", account.imbalance(running.size()).orElse(""));
+        dump.put("servingAllowed", servingAllowed);
         dump.put("leaving", leavingReason.orElse(""));
         var linkNames = dump.putArray("links");
         links.forEach(link -> linkNames.add(link.toString()));
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
@@ -34,6 +34,9 @@
     /** The backend server did not say how it is. */
     record StatusMissing(String cause) implements AgentMessage {}
 
+    /** The order thread lets new work in or not; the desk says once it has heard. */
+    record ServingAllowed(boolean allowed, Runnable heard) implements AgentMessage {}
+
     /** Time has passed. */
     record Tick() implements AgentMessage {}
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.http.HttpClient;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -17,6 +18,7 @@
 import org.aspenmoor.internal.link.LinkNetwork;
 import org.aspenmoor.internal.registration.AgentRegistration;
 import org.aspenmoor.internal.settings.AgentSettings;
+import org.aspenmoor.internal.settings.BackendType;
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.wire.FramePipeline;
@@ -43,6 +45,8 @@
     private final Duty<AgentMessage> desk;
     private final LinkNetwork network;
     private final StatusDuty status;
+    private final DeskDrain drain;
+    private final Optional<OrderDuty> orders;
     private final Ticker ticker = new Ticker();
     private RegistrationDuty registration;
     private volatile boolean stopping;
@@ -59,11 +63,15 @@
                 .build();
         DeferredCaller caller = new DeferredCaller();
         LoadReports reports = new LoadReports(settings.backend().name(), time);
-        this.desk = new Duty<>("agent-desk", RING_SIZE, new AgentDesk(settings, caller, reports));
+        this.desk = new Duty<>("agent-desk", RING_SIZE, new AgentDesk(settings, caller, reports, this::runningChanged));
+        this.drain = new DeskDrain(desk);
         caller.use(new HttpBackendCaller(client, settings.backend().url(), desk));
         this.network = new LinkNetwork(hello(), new DeskLinks());
         EngineControl control = new HttpEngineControl(client, settings.backend().url());
         this.status = new StatusDuty(control, desk);
+        this.orders = settings.backend().type() == BackendType.ENGINE
+                ? Optional.of(new OrderDuty(settings, incarnation, store, control, drain, time, random))
+                : Optional.empty();
     }
 
     /** Starts the threads and returns the link port. */
@@ -72,6 +80,7 @@
         int port =
                 network.listen(settings.process().address(), settings.process().linkPort());
         status.start();
+        orders.ifPresent(OrderDuty::start);
         ticker.every(TICK, () -> desk.offer(new AgentMessage.Tick()));
         registration = new RegistrationDuty(store, registrationAt(port), random);
         registration.start();
@@ -94,6 +103,7 @@
             node.put("process", settings.process().name());
             node.put("role", "agent");
             node.put("backend", settings.backend().name());
+            orders.ifPresent(duty -> duty.dump(node.putObject("orders")));
             desk.state().writeTo(node.putObject("duty"));
             return node;
         });
@@ -113,11 +123,16 @@
         registration.close();
         ticker.close();
         status.close();
+        orders.ifPresent(OrderDuty::close);
         network.close();
         desk.close();
         callThreads.shutdownNow();
     }
 
+    private void runningChanged(int count) {
+        drain.runningChanged(count);
+    }
+
     private Hello hello() {
         return Hello.newBuilder()
                 .setProtocolVersion(FramePipeline.PROTOCOL_VERSION)
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/LoadReports.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/LoadReports.java
@@ -27,6 +27,7 @@
     private Optional<EngineStatus> sent = Optional.empty();
     private boolean sentReady;
     private long sentAt;
+    private boolean allowed = true;
     private Optional<Frame> latest = Optional.empty();
 
     LoadReports(String backend, TimeSource time) {
@@ -39,7 +40,13 @@
         if (!isWorthSending(status)) {
             return Optional.empty();
         }
-        return remember(status, status.ready());
+        return remember(status, status.ready() && allowed);
+    }
+
+    /** Takes whether the agent lets new work in; while it does not, the backend server is reported as not ready. */
+    Optional<Frame> allowed(boolean nowAllowed) {
+        allowed = nowAllowed;
+        return sent.flatMap(status -> remember(status, status.ready() && allowed));
     }
 
     /** Takes that the backend server does not answer: it is reported as not ready, once. */
@@ -73,7 +80,7 @@
     }
 
     private boolean isWorthSending(EngineStatus status) {
-        if (sent.isEmpty() || sentReady != status.ready()) {
+        if (sent.isEmpty() || sentReady != (status.ready() && allowed)) {
             return true;
         }
         EngineStatus before = sent.get();
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/OrderDuty.java
@@ -0,0 +1,190 @@
+package org.aspenmoor.internal.agent;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.authority.ExecutorStep;
+import org.aspenmoor.internal.authority.OrderExecutor;
+import org.aspenmoor.internal.authority.SlotIdentity;
+import org.aspenmoor.internal.authority.SlotTerms;
+import org.aspenmoor.internal.authority.StreamDrain;
+import org.aspenmoor.internal.document.BackendDeclaration;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.document.StoredDocuments;
+import org.aspenmoor.internal.engine.EngineControl;
+import org.aspenmoor.internal.settings.AgentSettings;
+import org.aspenmoor.internal.settings.BackendSettings;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.TimeSource;
+import org.jboss.logging.Logger;
+
+/** The one thread that gives orders to this agent's engine, following the role plan. */
+final class OrderDuty implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger("orders");
+    private static final Duration STEP = Duration.ofMillis(250);
+    private static final Duration PLAN_PERIOD = Duration.ofSeconds(5);
+
+    private final AgentSettings settings;
+    private final String incarnation;
+    private final ObjectStore store;
+    private final EngineControl control;
+    private final StreamDrain drain;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final Thread thread;
+    private volatile String lastStep = "not begun";
+    private Optional<Long> planReadAt = Optional.empty();
+
+    OrderDuty(
+            AgentSettings settings,
+            String incarnation,
+            ObjectStore store,
+            EngineControl control,
+            StreamDrain drain,
+            TimeSource time,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.store = store;
+        this.control = control;
+        this.drain = drain;
+        this.time = time;
+        this.random = random;
+        this.thread = Thread.ofPlatform().name("aspenmoor-orders").daemon(true).unstarted(this::run);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    void dump(ObjectNode node) {
+        node.put("lastStep", lastStep);
+    }
+
+    @Override
+    public void close() {
+        closed.countDown();
+    }
+
+    // An agent that has just started does not know whether its predecessor's order is on its way, so it lets no work in
+    // until it has read the engine's record.
+    private void run() {
+        drain.beginDrain();
+        try {
+            Optional<OrderExecutor> executor = Optional.empty();
+            while (!closed.await(STEP.toMillis(), TimeUnit.MILLISECONDS)) {
+                if (executor.isEmpty()) {
+                    executor = tryBegin();
+                }
+                executor.ifPresent(this::advance);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Optional<OrderExecutor> tryBegin() {
+        try {
+            SlotIdentity slot = slot(engineChecksNumbers());
+            return Optional.of(new OrderExecutor(slot, store, control, drain, SlotTerms.DEFAULT, time, random));
+        } catch (StoreException unavailable) {
+            remember("waits for the store: " + unavailable.problem());
+            return Optional.empty();
+        }
+    }
+
+    private void advance(OrderExecutor executor) {
+        readPlanIfDue(executor);
+        ExecutorStep step = executor.step();
+        remember(describe(step));
+        if (executor.mayServe()) {
+            drain.endDrain();
+        } else if (step instanceof ExecutorStep.Replaced) {
+            drain.beginDrain();
+        }
+    }
+
+    private void readPlanIfDue(OrderExecutor executor) {
+        long now = time.monotonicNanoseconds();
+        boolean due =
+                planReadAt.map(readAt -> now - readAt >= PLAN_PERIOD.toNanos()).orElse(true);
+        if (!due) {
+            return;
+        }
+        planReadAt = Optional.of(now);
+        try {
+            Optional<StoredObject> plan = store.read(planKey());
+            if (plan.isPresent()) {
+                executor.offer(plan.get());
+            }
+        } catch (StoreException unavailable) {
+            LOG.debugf("orders: the plan in force stays, %s", unavailable.problem());
+        }
+    }
+
+    // Not knowing is treated as an engine that ignores the numbers: that way only waits longer.
+    private boolean engineChecksNumbers() throws StoreException {
+        BackendSettings backend = settings.backend();
+        Optional<StoredObject> document =
+                store.read(StoredDocuments.documentKey(new ServiceName(backend.team(), backend.service())));
+        if (document.isEmpty()) {
+            return false;
+        }
+        return StoredDocuments.read(document.get())
+                .document()
+                .backend(backend.name())
+                .filter(declared -> declared instanceof BackendDeclaration.EngineDeclaration engine
+                        && engine.checksFencingNumbers())
+                .isPresent();
+    }
+
+    private SlotIdentity slot(boolean checksNumbers) {
+        BackendSettings backend = settings.backend();
+        ObjectKey record = new ObjectKey(ObjectKind.ENGINE_RECORD, backend.team(), backend.name());
+        return new SlotIdentity(backend.name(), incarnation, record, planKey(), checksNumbers);
+    }
+
+    private ObjectKey planKey() {
+        BackendSettings backend = settings.backend();
+        return new ObjectKey(
+                ObjectKind.ROLE_PLAN,
+                backend.team(),
+                backend.service() + "." + settings.process().dataCentre());
+    }
+
+    private void remember(String step) {
+        if (!step.equals(lastStep)) {
+            lastStep = step;
+            LOG.infof("orders: %s", step);
+        }
+    }
+
+    private static String describe(ExecutorStep step) {
+        return switch (step) {
+            case ExecutorStep.Idle ignored -> "nothing to do";
+            case ExecutorStep.TookOver took -> "took the engine over, slot term " + took.slotTerm();
+            case ExecutorStep.Replaced ignored -> "replaced by another agent, gives no orders any more";
+            case ExecutorStep.Draining draining -> "drains for an order";
+            case ExecutorStep.Waiting waiting -> "waits for " + waiting.reason();
+            case ExecutorStep.Ordered ordered ->
+                "ordered " + ordered.order().order() + " as " + ordered.order().orderId() + " under fencing number "
+                        + ordered.order().fencingNumber();
+            case ExecutorStep.Running running -> "order " + running.orderId() + " runs";
+            case ExecutorStep.Settling settling -> "settles order " + settling.orderId();
+            case ExecutorStep.Settled settled -> "order " + settled.orderId() + " ended, " + settled.state();
+            case ExecutorStep.PlanBehind behind -> "waits for a plan newer than the record";
+            case ExecutorStep.StoreTrouble trouble ->
+                "waits for the store: " + trouble.cause().problem();
+            case ExecutorStep.EngineSilent silent ->
+                "waits for the engine: " + silent.cause().problem();
+        };
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
@@ -1,11 +1,13 @@
 package org.aspenmoor.internal.entry;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.aspenmoor.RequestId;
 import org.aspenmoor.internal.claim.ClaimVerdict;
 import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.planner.EngineSnapshot;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.wire.v1.Frame;
@@ -48,6 +50,9 @@
     /** The process is to stop once no request is held any more. */
     record DrainAsked(CompletableFuture<Void> drained) implements EntryMessage {}
 
+    /** The planner wants to know how the engines stand. */
+    record EnginesAsked(CompletableFuture<List<EngineSnapshot>> answer) implements EntryMessage {}
+
     /** Somebody wants to see the state. */
     record DumpAsked(CompletableFuture<ObjectNode> answer) implements EntryMessage {}
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
@@ -23,10 +24,14 @@
 import org.aspenmoor.internal.link.LinkListener;
 import org.aspenmoor.internal.link.LinkNetwork;
 import org.aspenmoor.internal.membership.MembershipView;
+import org.aspenmoor.internal.planner.EngineSnapshot;
+import org.aspenmoor.internal.planner.PlanDraft;
+import org.aspenmoor.internal.planner.PlannerDuty;
 import org.aspenmoor.internal.platform.CollectionListener;
 import org.aspenmoor.internal.platform.WatchedCollection;
 import org.aspenmoor.internal.retry.BreakerSettings;
 import org.aspenmoor.internal.retry.CircuitBreaker;
+import org.aspenmoor.internal.rollout.LoadBudget;
 import org.aspenmoor.internal.routing.RouterSettings;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.settings.ProcessSettings;
@@ -45,6 +50,9 @@
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int RING_SIZE = 8192;
     private static final int CLAIM_RING_SIZE = 4096;
+    private static final long PLANNER_PATIENCE_SECONDS = 2;
+    private static final double LOADS_PER_SECOND = 1;
+    private static final double MOST_LOADS_SAVED = 10;
     private static final Duration TICK = Duration.ofMillis(50);
     private static final List<ObjectKind> FOLLOWED =
             List.of(ObjectKind.DOCUMENT, ObjectKind.AGENT_REGISTRATION, ObjectKind.HOST);
@@ -53,6 +61,7 @@
     private final Duty<EntryMessage> desk;
     private final Duty<ClaimMessage> claimDuty;
     private final DocumentRegistry registry;
+    private final PlannerDuty planner;
     private final LinkNetwork network;
     private final Ticker ticker = new Ticker();
     private final List<WatchedCollection> followed = new ArrayList<>();
@@ -81,6 +90,16 @@
         RequestDesk handler = new RequestDesk(
                 settings, time, directory, lanes, new Claims(claimDuty), new DocumentShelf(registry), metrics);
         this.desk = new Duty<>("entry-desk", RING_SIZE, handler);
+        LoadBudget loadBudget = new LoadBudget(time, LOADS_PER_SECOND, MOST_LOADS_SAVED);
+        this.planner = new PlannerDuty(
+                settings.process().name() + "/" + RequestId.draw(random),
+                settings.process().dataCentre(),
+                store,
+                registry,
+                this::engines,
+                new PlanDraft(loadBudget),
+                time,
+                random);
         FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new DeskObjects(kind))));
     }
 
@@ -91,6 +110,7 @@
         int port =
                 network.listen(settings.process().address(), settings.process().linkPort());
         followed.forEach(WatchedCollection::start);
+        planner.start();
         ticker.every(TICK, () -> desk.offer(new EntryMessage.Tick()));
         ticker.every(TICK, () -> claimDuty.offer(new ClaimMessage.Tick()));
         LOG.infof(
@@ -123,7 +143,14 @@
 
     /** Returns who holds which duty, as far as this entry knows. */
     public List<DutyStatus> duties() {
-        return List.of();
+        return planner.duties();
+    }
+
+    private List<EngineSnapshot> engines() {
+        CompletableFuture<List<EngineSnapshot>> answer = new CompletableFuture<>();
+        desk.put(new EntryMessage.EnginesAsked(answer));
+        return answer.completeOnTimeout(List.of(), PLANNER_PATIENCE_SECONDS, TimeUnit.SECONDS)
+                .join();
     }
 
     /** Asks what became of a request. */
@@ -170,6 +197,7 @@
 
     @Override
     public void close() {
+        planner.close();
         ticker.close();
         followed.forEach(WatchedCollection::close);
         network.close();
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
@@ -6,15 +6,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.aspenmoor.Outcome;
 import org.aspenmoor.RefusalReason;
 import org.aspenmoor.internal.accounting.ChunkAccount;
 import org.aspenmoor.internal.accounting.RequestAccount;
 import org.aspenmoor.internal.claim.ClaimVerdict;
+import org.aspenmoor.internal.document.ServiceName;
 import org.aspenmoor.internal.duty.DutyHandler;
+import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.link.Link;
 import org.aspenmoor.internal.membership.Standing;
+import org.aspenmoor.internal.planner.EngineSnapshot;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.wire.v1.Frame;
@@ -83,6 +87,7 @@
             case EntryMessage.ClaimJudged judged -> claimJudged(judged.verdict(), now);
             case EntryMessage.Tick ignored -> tick(now);
             case EntryMessage.DrainAsked asked -> drained = Optional.of(asked.drained());
+            case EntryMessage.EnginesAsked asked -> asked.answer().complete(engines());
             case EntryMessage.DumpAsked asked -> asked.answer().complete(dump());
             case EntryMessage.StoryAsked asked -> asked.answer().complete(stories.story(asked.id()));
         }
@@ -247,6 +252,22 @@
         }
     }
 
+    private List<EngineSnapshot> engines() {
+        return directory.all().stream()
+                .filter(peer -> peer.load().isPresent())
+                .map(peer -> new EngineSnapshot(
+                        peer.backend(),
+                        new ServiceName(
+                                peer.registration().team(), peer.registration().service()),
+                        peer.registration().dataCentre(),
+                        peer.link().isPresent(),
+                        directory.takesWork(peer),
+                        EngineRole.valueOf(peer.load().get().getRole()),
+                        Set.copyOf(peer.load().get().getLoadedList()),
+                        peer.load().get().getRunningSequences()))
+                .toList();
+    }
+
     private ObjectNode dump() {
         ObjectNode dump = JsonNodeFactory.instance.objectNode();
         RequestAccount.Totals totals = book.totals();
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/planner/PlannerDuty.java
@@ -0,0 +1,227 @@
+package org.aspenmoor.internal.planner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.administration.DutyStatus;
+import org.aspenmoor.internal.authority.EngineAssignment;
+import org.aspenmoor.internal.authority.HolderStep;
+import org.aspenmoor.internal.authority.LeaseTerms;
+import org.aspenmoor.internal.authority.PlanHolder;
+import org.aspenmoor.internal.authority.PlanRecord;
+import org.aspenmoor.internal.authority.PublishResult;
+import org.aspenmoor.internal.document.BackendDeclaration;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.time.TimeSource;
+import org.jboss.logging.Logger;
+
+/**
+ * The thread that takes, holds and publishes role plans.
+ *
+ * <p>Any entry of a data centre may hold the plan of a service there. Each looks at a plan that it does not hold only
+ * every few seconds, so that watching for a lapsed lease costs the store little.
+ */
+public final class PlannerDuty implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger("planner");
+    private static final Duration STEP = Duration.ofSeconds(1);
+    private static final Duration LOOK_PERIOD = Duration.ofSeconds(3);
+    private static final String DUTY = "planner";
+
+    private final String owner;
+    private final String dataCentre;
+    private final ObjectStore store;
+    private final DocumentRegistry registry;
+    private final Supplier<List<EngineSnapshot>> engines;
+    private final PlanDraft draft;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final Map<ServiceName, PlanHolder> holders = new HashMap<>();
+    private final Map<ServiceName, Long> lookedAt = new HashMap<>();
+    private final Map<ServiceName, DutyStatus> duties = new ConcurrentHashMap<>();
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final Thread thread;
+
+    public PlannerDuty(
+            String owner,
+            String dataCentre,
+            ObjectStore store,
+            DocumentRegistry registry,
+            Supplier<List<EngineSnapshot>> engines,
+            PlanDraft draft,
+            TimeSource time,
+            RandomGenerator random) {
+        this.owner = owner;
+        this.dataCentre = dataCentre;
+        this.store = store;
+        this.registry = registry;
+        this.engines = engines;
+        this.draft = draft;
+        this.time = time;
+        this.random = random;
+        this.thread = Thread.ofPlatform().name("aspenmoor-planner").daemon(true).unstarted(this::run);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Returns who holds which plan, as far as this entry has seen. */
+    public List<DutyStatus> duties() {
+        return new ArrayList<>(duties.values());
+    }
+
+    /** Stops the thread and gives up every lease, so that a successor need not wait for it to lapse. */
+    @Override
+    public void close() {
+        closed.countDown();
+        try {
+            thread.join(Duration.ofSeconds(5));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        try {
+            while (!closed.await(STEP.toMillis(), TimeUnit.MILLISECONDS)) {
+                tendAll();
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        holders.values().forEach(PlannerDuty::resign);
+    }
+
+    private void tendAll() {
+        List<EngineSnapshot> seen = List.of();
+        boolean asked = false;
+        for (DocumentInForce inForce : registry.all()) {
+            ServiceDocument document = inForce.document();
+            if (!hasEnginesHere(document)) {
+                continue;
+            }
+            if (!asked) {
+                seen = engines.get();
+                asked = true;
+            }
+            tendSafely(document, seen);
+        }
+    }
+
+    // A store in trouble takes nothing away: the last plan stays in force, and this holder stops by its own clock.
+    private void tendSafely(ServiceDocument document, List<EngineSnapshot> seen) {
+        try {
+            tend(document, seen);
+        } catch (StoreException trouble) {
+            LOG.debugf("planner: %s/%s: %s", document.team(), document.service(), trouble.problem());
+        }
+    }
+
+    private void tend(ServiceDocument document, List<EngineSnapshot> seen) throws StoreException {
+        ServiceName name = ServiceName.of(document);
+        PlanHolder holder = holders.computeIfAbsent(name, this::newHolder);
+        if (holder.current().isEmpty() && !isTimeToLook(name)) {
+            return;
+        }
+        HolderStep step = holder.tend();
+        note(name, step);
+        if (holder.mayDecide()) {
+            publishIfChanged(document, holder, seen);
+        }
+    }
+
+    private void publishIfChanged(ServiceDocument document, PlanHolder holder, List<EngineSnapshot> seen)
+            throws StoreException {
+        ServiceName name = ServiceName.of(document);
+        List<EngineSnapshot> ours = seen.stream()
+                .filter(engine ->
+                        engine.service().equals(name) && engine.dataCentre().equals(dataCentre))
+                .toList();
+        Map<String, EngineAssignment> before =
+                holder.current().map(PlanRecord::engines).orElse(Map.of());
+        Map<String, EngineAssignment> next = draft.draft(document, ours, before);
+        if (next.equals(before)) {
+            return;
+        }
+        if (holder.publish(next) instanceof PublishResult.Published published) {
+            LOG.infof(
+                    "planner: published %s in %s, term %d revision %d",
+                    name,
+                    dataCentre,
+                    published.plan().version().term(),
+                    published.plan().version().revision());
+        }
+    }
+
+    private boolean isTimeToLook(ServiceName name) {
+        long now = time.monotonicNanoseconds();
+        Long last = lookedAt.get(name);
+        if (last != null && now - last < LOOK_PERIOD.toNanos()) {
+            return false;
+        }
+        lookedAt.put(name, now);
+        return true;
+    }
+
+    private void note(ServiceName name, HolderStep step) {
+        switch (step) {
+            case HolderStep.Held held -> noteHolder(name, owner, held.term(), "held here");
+            case HolderStep.Renewed renewed -> noteHolder(name, owner, renewed.term(), "held here");
+            case HolderStep.Acquired acquired -> {
+                LOG.infof("planner: took the plan of %s in %s, term %d", name, dataCentre, acquired.term());
+                noteHolder(name, owner, acquired.term(), "held here");
+            }
+            case HolderStep.Observing observing ->
+                noteHolder(name, observing.owner(), 0, "seen from here, lapses unless renewed");
+            case HolderStep.Lost lost -> LOG.infof("planner: lost the plan of %s, term %d", name, lost.formerTerm());
+        }
+    }
+
+    private void noteHolder(ServiceName name, String holder, long term, String detail) {
+        duties.put(
+                name,
+                new DutyStatus(
+                        DUTY,
+                        Optional.of(name.team()),
+                        Optional.of(name.service()),
+                        dataCentre,
+                        Optional.of(holder),
+                        term,
+                        detail));
+    }
+
+    private PlanHolder newHolder(ServiceName name) {
+        ObjectKey key = new ObjectKey(ObjectKind.ROLE_PLAN, name.team(), name.service() + "." + dataCentre);
+        return new PlanHolder(store, key, owner, LeaseTerms.DEFAULT, time, random);
+    }
+
+    private boolean hasEnginesHere(ServiceDocument document) {
+        return document.backends().stream()
+                .anyMatch(backend -> backend instanceof BackendDeclaration.EngineDeclaration engine
+                        && engine.dataCentre().equals(dataCentre));
+    }
+
+    private static void resign(PlanHolder holder) {
+        try {
+            holder.resign();
+        } catch (StoreException unavailable) {
+            LOG.debugf("planner: a lease was not given up, it lapses: %s", unavailable.problem());
+        }
+    }
+}
