--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/PolicyRunner.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/PolicyRunner.java
@@ -27,7 +27,7 @@
 
 /** Runs one trace on one fleet under any of the policies. */
 public final class PolicyRunner {
-    private static final int[] SMOOTHING_STEPS = {1, 4};
+    private static final int SMOOTHING_STEPS = 4;
     private static final double[] CLAIRVOYANT_UTILISATIONS = {0.85, 0.95};
 
     private final Fleet fleet;
@@ -103,11 +103,9 @@
     private RunResult clairvoyant() {
         List<RunResult> runs = new ArrayList<>(fixedRuns());
         for (double utilisation : CLAIRVOYANT_UTILISATIONS) {
-            for (int smoothing : SMOOTHING_STEPS) {
-                PlanningStrategy planning =
-                        new ClairvoyantStrategy(fleet, trace, plannerSettings(utilisation), smoothing, start);
-                runs.add(run(planning, this::router));
-            }
+            PlanningStrategy planning =
+                    new ClairvoyantStrategy(fleet, trace, plannerSettings(utilisation), SMOOTHING_STEPS, start);
+            runs.add(run(planning, this::router));
         }
         return runs.stream()
                 .max(Comparator.comparingDouble(run -> run.worth(fleet.roleChangePrice())))
--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** What one decision costs, measured with JMH. */
+package org.aspenmoor.internal.bench.policy.jmh;
--- /dev/null
+++ b/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/policy/TraceReaderTest.java
@@ -0,0 +1,59 @@
+package org.aspenmoor.internal.bench.policy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.bench.policy.fleet.BuiltInFleets;
+import org.aspenmoor.internal.bench.policy.run.RunResult;
+import org.aspenmoor.internal.bench.policy.trace.Trace;
+import org.aspenmoor.internal.bench.policy.trace.TraceReader;
+import org.aspenmoor.internal.finding.FindingsException;
+import org.testng.annotations.Test;
+
+public class TraceReaderTest {
+    @Test
+    public void should_run_a_trace_that_a_user_wrote() throws IOException, AspenmoorException {
+        Path file = file("""
+                {"arrivalSeconds":0.1,"kind":"cue","promptTokens":900,"outputTokens":80,"prefix":"scene-7","prefixTokens":600}
+                {"atSeconds":0.5,"withdrawEngine":0}
+
+                {"arrivalSeconds":1.5,"kind":"note","promptTokens":300,"outputTokens":200}
+                """);
+        Trace trace = new TraceReader(BuiltInFleets.seitkali()).read(file);
+        RunResult result = new PolicyRunner(BuiltInFleets.seitkali(), trace, 1).run(PolicyName.ASPENMOOR);
+
+        assertEquals(trace.incidents().size(), 1);
+        assertEquals(result.completed(), 2);
+    }
+
+    @Test
+    public void should_report_every_mistake_with_its_line() throws IOException {
+        Path file = file("""
+                {"arrivalSeconds":0.1,"kind":"unknown","promptTokens":900,"outputTokens":80}
+                {"arrivalSeconds":0.2,"kind":"cue","outputTokens":80}
+                """);
+        FindingsException mistakes = org.testng.Assert.expectThrows(
+                FindingsException.class, () -> new TraceReader(BuiltInFleets.seitkali()).read(file));
+
+        assertEquals(mistakes.findings().size(), 2);
+        assertTrue(mistakes.findings().getLast().place().toString().contains("line 2"));
+    }
+
+    @Test
+    public void should_say_which_file_is_missing() {
+        assertThrows(
+                AspenmoorException.class,
+                () -> new TraceReader(BuiltInFleets.seitkali()).read(Path.of("no-such-trace.jsonl")));
+    }
+
+    private static Path file(String text) throws IOException {
+        Path file = Files.createTempFile("trace", ".jsonl");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, text);
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/GoodputModel.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/GoodputModel.java
@@ -100,7 +100,7 @@
         double decodeLimit = demand.decodeSeconds() > 0 ? decode / demand.decodeSeconds() : wanted;
         double low = Math.min(prefillLimit, decodeLimit);
         double high = Math.max(prefillLimit, decodeLimit);
-        double slowing = 1 + settings.speed().mixingSlowdown();
+        double slowing = mixedWorkFactor();
         double needAtHigh = need(demand, high, prefill, decode);
         if (needAtHigh >= whole) {
             double slope = (prefillLimit < decodeLimit ? demand.prefillSeconds() : demand.decodeSeconds()) * slowing;
