--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
@@ -0,0 +1,74 @@
+package org.aspenmoor.internal.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.OfferResult;
+import org.aspenmoor.internal.document.ServiceDocument;
+import org.aspenmoor.internal.document.ServiceName;
+import org.jboss.logging.Logger;
+
+/** The documents in force in this entry, found by the caller's token. */
+final class DocumentShelf {
+    private static final Logger LOG = Logger.getLogger("entry");
+
+    private final DocumentRegistry registry;
+    private final Map<String, List<ServiceName>> byTokenHash = new HashMap<>();
+
+    DocumentShelf(DocumentRegistry registry) {
+        this.registry = registry;
+    }
+
+    /** Puts a document in force unless a newer one is; returns whether it was. */
+    boolean put(ServiceDocument document) {
+        OfferResult result = registry.offer(document);
+        if (result == OfferResult.CONTRADICTS) {
+            LOG.errorf(
+                    "entry: two documents claim to be %s/%s revision %d, the first stays in force",
+                    document.team(), document.service(), document.revision());
+        }
+        if (result != OfferResult.APPLIED) {
+            return false;
+        }
+        rebuildTokens();
+        return true;
+    }
+
+    /** Returns the documents whose service the holder of a token may call. */
+    List<ServiceDocument> forToken(String token) {
+        return byTokenHash.getOrDefault(hashOf(token), List.of()).stream()
+                .map(registry::find)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    List<ServiceDocument> all() {
+        return registry.all().stream().map(DocumentInForce::document).toList();
+    }
+
+    private void rebuildTokens() {
+        byTokenHash.clear();
+        for (ServiceDocument document : all()) {
+            for (String hash : document.callerTokenHashes()) {
+                byTokenHash.computeIfAbsent(hash, ignored -> new ArrayList<>()).add(ServiceName.of(document));
+            }
+        }
+    }
+
+    private static String hashOf(String token) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(token.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java platform has SHA-256", missing);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -0,0 +1,240 @@
+package org.aspenmoor.internal.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.administration.DutyStatus;
+import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimSettings;
+import org.aspenmoor.internal.claim.ClaimVerdict;
+import org.aspenmoor.internal.claims.ClaimHandler;
+import org.aspenmoor.internal.claims.ClaimMessage;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.duty.Ticker;
+import org.aspenmoor.internal.link.Link;
+import org.aspenmoor.internal.link.LinkListener;
+import org.aspenmoor.internal.link.LinkNetwork;
+import org.aspenmoor.internal.membership.MembershipView;
+import org.aspenmoor.internal.platform.CollectionListener;
+import org.aspenmoor.internal.platform.WatchedCollection;
+import org.aspenmoor.internal.retry.BreakerSettings;
+import org.aspenmoor.internal.retry.CircuitBreaker;
+import org.aspenmoor.internal.routing.RouterSettings;
+import org.aspenmoor.internal.settings.EntrySettings;
+import org.aspenmoor.internal.settings.ProcessSettings;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.TimeSource;
+import org.aspenmoor.internal.wire.FramePipeline;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Hello;
+import org.jboss.logging.Logger;
+
+/** A running entry: its desk, its links, and what it follows in the store. */
+public final class EntryProcess implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger("entry");
+    private static final int RING_SIZE = 8192;
+    private static final int CLAIM_RING_SIZE = 4096;
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final List<ObjectKind> FOLLOWED =
+            List.of(ObjectKind.DOCUMENT, ObjectKind.AGENT_REGISTRATION, ObjectKind.HOST);
+
+    private final EntrySettings settings;
+    private final Duty<EntryMessage> desk;
+    private final Duty<ClaimMessage> claimDuty;
+    private final DocumentRegistry registry;
+    private final LinkNetwork network;
+    private final Ticker ticker = new Ticker();
+    private final List<WatchedCollection> followed = new ArrayList<>();
+    private final AtomicInteger synchronisedKinds = new AtomicInteger();
+    private volatile boolean stopping;
+
+    public EntryProcess(
+            EntrySettings settings,
+            ObjectStore store,
+            CollectionFactory collections,
+            TimeSource time,
+            RandomGenerator random,
+            EntryMetrics metrics) {
+        this.settings = settings;
+        this.network = new LinkNetwork(hello(settings.process(), random), new DeskLinks());
+        this.registry = new DocumentRegistry(time);
+        ClaimSettings claimSettings = ClaimSettings.DEFAULT;
+        ClaimDesk claimDesk = new ClaimDesk(store, claimSettings, time, random);
+        this.claimDuty = new Duty<>(
+                "entry-claims", CLAIM_RING_SIZE, new ClaimHandler(claimDesk, claimSettings, this::claimJudged));
+        Lanes lanes =
+                new Lanes(registry, routerSettings(settings), settings.limits().waitingRequests(), random);
+        MembershipView membership = new MembershipView(MembershipBounds.of(settings.leavingBound()), time);
+        AgentDirectory directory = new AgentDirectory(
+                network, membership, () -> new CircuitBreaker(BreakerSettings.DEFAULT, time, random), lanes);
+        RequestDesk handler = new RequestDesk(
+                settings, time, directory, lanes, new Claims(claimDuty), new DocumentShelf(registry), metrics);
+        this.desk = new Duty<>("entry-desk", RING_SIZE, handler);
+        FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new DeskObjects(kind))));
+    }
+
+    /** Starts the threads and returns the link port. */
+    public int start() throws AspenmoorException {
+        desk.start();
+        claimDuty.start();
+        int port =
+                network.listen(settings.process().address(), settings.process().linkPort());
+        followed.forEach(WatchedCollection::start);
+        ticker.every(TICK, () -> desk.offer(new EntryMessage.Tick()));
+        ticker.every(TICK, () -> claimDuty.offer(new ClaimMessage.Tick()));
+        LOG.infof(
+                "entry: %s in %s, link port %d",
+                settings.process().name(), settings.process().dataCentre(), port);
+        return port;
+    }
+
+    /** Returns the duty that callers' requests go to. */
+    public Duty<EntryMessage> desk() {
+        return desk;
+    }
+
+    /** Says whether the entry knows its documents and takes requests. */
+    public boolean isReady() {
+        return !stopping && synchronisedKinds.get() >= FOLLOWED.size();
+    }
+
+    /** Asks for the state. */
+    public CompletableFuture<ObjectNode> dump() {
+        CompletableFuture<ObjectNode> answer = new CompletableFuture<>();
+        desk.put(new EntryMessage.DumpAsked(answer));
+        return answer.thenApply(node -> {
+            node.put("process", settings.process().name());
+            node.put("role", "entry");
+            desk.state().writeTo(node.putObject("duty"));
+            return node;
+        });
+    }
+
+    /** Returns who holds which duty, as far as this entry knows. */
+    public List<DutyStatus> duties() {
+        return List.of();
+    }
+
+    /** Asks what became of a request. */
+    public CompletableFuture<Optional<RequestStory>> story(RequestId id) {
+        CompletableFuture<Optional<RequestStory>> answer = new CompletableFuture<>();
+        desk.put(new EntryMessage.StoryAsked(id, answer));
+        return answer;
+    }
+
+    /** Begins a graceful shutdown; complete once no request is held any more. */
+    public CompletableFuture<Void> drain() {
+        stopping = true;
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        desk.put(new EntryMessage.DrainAsked(drained));
+        return drained.thenCompose(ignored -> flushClaims());
+    }
+
+    /** Returns the documents in force. */
+    public DocumentRegistry registry() {
+        return registry;
+    }
+
+    private CompletableFuture<Void> flushClaims() {
+        CompletableFuture<Void> flushed = new CompletableFuture<>();
+        claimDuty.put(new ClaimMessage.FlushAsked(flushed));
+        return flushed;
+    }
+
+    private void claimJudged(ClaimVerdict verdict) {
+        desk.put(new EntryMessage.ClaimJudged(verdict));
+    }
+
+    private static RouterSettings routerSettings(EntrySettings settings) {
+        RouterSettings usual = RouterSettings.usual(settings.process().dataCentre());
+        return new RouterSettings(
+                settings.engineSpeed(),
+                usual.dataCentre(),
+                usual.remoteSeconds(),
+                usual.sampledCandidates(),
+                usual.adapterLoadSeconds(),
+                usual.mostIndexedPieces(),
+                usual.pieceTokens());
+    }
+
+    @Override
+    public void close() {
+        ticker.close();
+        followed.forEach(WatchedCollection::close);
+        network.close();
+        claimDuty.close();
+        desk.close();
+    }
+
+    private static Hello hello(ProcessSettings process, RandomGenerator random) {
+        return Hello.newBuilder()
+                .setProtocolVersion(FramePipeline.PROTOCOL_VERSION)
+                .setProcess(process.name())
+                .setIncarnation(RequestId.draw(random).toString())
+                .setDataCentre(process.dataCentre())
+                .build();
+    }
+
+    /** Puts what happens on links into the desk's ring, slowing the network down where the desk lags. */
+    private final class DeskLinks implements LinkListener {
+        @Override
+        public void opened(Link link) {
+            desk.put(new EntryMessage.LinkOpened(link));
+        }
+
+        @Override
+        public void received(Link link, Frame frame) {
+            desk.put(new EntryMessage.FrameArrived(link, frame));
+        }
+
+        @Override
+        public void closed(Link link, String cause) {
+            desk.put(new EntryMessage.LinkClosed(link, cause));
+        }
+    }
+
+    /** Puts what changes in the store into the desk's ring. */
+    private final class DeskObjects implements CollectionListener {
+        private final ObjectKind kind;
+        private boolean synchronisedOnce;
+
+        private DeskObjects(ObjectKind kind) {
+            this.kind = kind;
+        }
+
+        @Override
+        public void changed(StoredObject object) {
+            desk.put(new EntryMessage.ObjectChanged(object));
+        }
+
+        @Override
+        public void deleted(StoredObject object) {
+            desk.put(new EntryMessage.ObjectDeleted(object));
+        }
+
+        @Override
+        public void synchronised() {
+            desk.put(new EntryMessage.CollectionKnown(kind));
+            if (!synchronisedOnce) {
+                synchronisedOnce = true;
+                synchronisedKinds.incrementAndGet();
+            }
+        }
+
+        @Override
+        public void interrupted(StoreException cause) {
+            LOG.warnf("entry: a watch was interrupted, serving goes on with what is known: %s", cause.problem());
+        }
+    }
+}
