A proposal on an old revision is refused before its difference is shown

Two operators at one moment, tried with real processes: the second one's accept showed the difference against revision 2 though the change was made on revision 1, so the first one's change looked like one to be undone. The proposal is now refused with what changed meanwhile.

--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/DocumentHistoryCommand.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/DocumentHistoryCommand.java
@@ -49,11 +49,16 @@
             revision.path("changes").forEach(change -> changes.add(change.asText()));
             table.row(
                     revision.path("revision").asLong(),
-                    revision.path("acceptedAt").asText("(unknown)"),
+                    toSeconds(revision.path("acceptedAt").asText("(unknown)")),
                     revision.path("acceptedBy").asText("(unknown)"),
                     String.join(" ", changes));
         }
         table.print(invocation.out());
         return ExitCode.DONE;
     }
+
+    /** Leaves out the fractions of a second. */
+    private static String toSeconds(String time) {
+        return time.replaceAll("\\.\\d+Z$", "Z");
+    }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentAcceptance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentAcceptance.java
@@ -79,10 +79,15 @@
      * Says what a change would do, without writing anything.
      *
      * @throws FindingsException where the text has mistakes; all of them
+     * @throws DocumentConflictException where the document no longer has the revision that the operator read
      */
-    public ProposedDocument propose(DocumentProposal proposal) throws FindingsException, StoreException {
+    public ProposedDocument propose(DocumentProposal proposal) throws AspenmoorException {
         ServiceDocument document = checked(proposal);
         Optional<StoredDocument> current = read(proposal.name());
+        // Against a later revision the difference would show another operator's change as one to be undone.
+        if (revisionOf(current) != proposal.readRevision()) {
+            throw conflict(proposal.name(), proposal.readRevision());
+        }
         return new ProposedDocument(document, revisionOf(current), difference(current, document));
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/DocumentEndpoints.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/DocumentEndpoints.java
@@ -62,7 +62,7 @@
                 .orElseThrow(() -> RequestRefusedException.unknown(
                         "The service has no document.",
                         name.toString(),
-                        "Check the names, or accept a first document with If-Match: 0."));
+                        "Check the names, or accept a first document."));
         return ApiAnswer.ofRevision(stored.document().revision(), DocumentAnswers.whole(stored));
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/OperatorTokens.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/OperatorTokens.java
@@ -1,8 +1,9 @@
 package org.aspenmoor.internal.administration;
 
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.HexFormat;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Finds the operator who holds a token. */
@@ -20,16 +21,19 @@
         if (authorization.isEmpty() || !authorization.get().startsWith(SCHEME)) {
             return Optional.empty();
         }
-        byte[] hash =
-                TokenHash.bytes(authorization.get().substring(SCHEME.length()).strip());
+        byte[] hash = bytes(
+                TokenHash.of(authorization.get().substring(SCHEME.length()).strip()));
         Optional<Operator> found = Optional.empty();
         // Every hash is compared in constant time, so that the time taken tells nothing about them.
         for (Operator operator : operators) {
-            byte[] expected = HexFormat.of().parseHex(operator.tokenHash());
-            if (MessageDigest.isEqual(hash, expected)) {
+            if (MessageDigest.isEqual(hash, bytes(operator.tokenHash().toLowerCase(Locale.ROOT)))) {
                 found = Optional.of(operator);
             }
         }
         return found;
     }
+
+    private static byte[] bytes(String hash) {
+        return hash.getBytes(StandardCharsets.US_ASCII);
+    }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/TokenHash.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/TokenHash.java
@@ -11,12 +11,9 @@
 
     /** Returns the SHA-256 hash of a token in hexadecimal. */
     public static String of(String token) {
-        return HexFormat.of().formatHex(bytes(token));
-    }
-
-    static byte[] bytes(String token) {
         try {
-            return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(token.getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException missing) {
             throw new IllegalStateException("every Java platform has SHA-256", missing);
         }
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/AdministrationApiTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/AdministrationApiTest.java
@@ -78,6 +78,7 @@
             {"POST", ONE + "/check", STUDIO, "", BROKEN, 200},
             {"POST", ONE + "/propose", STUDIO, "", SECOND, 200},
             {"POST", ONE + "/propose", STUDIO, "", BROKEN, 422},
+            {"POST", ONE + "/propose", STUDIO, "0", SECOND, 412},
             {"GET", ONE + "/history?limit=3", STUDIO, "", "", 200},
             {"GET", ONE + "/history?limit=many", STUDIO, "", "", 400},
             {"GET", ONE + "/history/1", STUDIO, "", "", 200},
