--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
@@ -11,6 +11,9 @@
     private static final int TRIAL_SECONDS = 1800;
     private static final int TRIAL_CHANGES = 65;
     private static final int TRIAL_DOCUMENTS = 350;
+    private static final int REFILL_TRIAL_SECONDS = 600;
+    private static final int REFILL_AT_SECONDS = 120;
+    private static final int REFILL_CHANGES = 22;
     private static final long SEED = 3;
 
     private CapacityMain() {}
@@ -26,6 +29,7 @@
         page.put("slopes", CapacityPage.slopeRows(slopes));
         page.put("sizes", CapacityPage.sizeRows(MessageSizes.all()));
         page.put("trials", CapacityPage.trialRows(measured.trials()));
+        page.put("growth", CapacityPage.trialRows(runSizes()));
         page.put("entry", control.entry().rows(true));
         page.put("planner", control.planner().rows(true));
         page.put("relay", control.relay().rows(true));
@@ -57,14 +61,35 @@
         trials.put("nothing fails", trial(TrialFaults.none()));
         trials.put("1% of messages and 5% of watch events lost", trial(new TrialFaults(0.01, 0.05, -1, -1, -1)));
         trials.put("one region apart for 5 minutes", trial(new TrialFaults(0, 0, 300, 600, -1)));
-        trials.put("a data centre comes back empty", trial(new TrialFaults(0, 0, -1, -1, 600)));
+        FleetPlan plan = new FleetPlan(Aim.ENTRIES, Aim.ENGINES);
+        TrialFaults returning = new TrialFaults(0, 0, -1, -1, REFILL_AT_SECONDS);
+        trials.put(
+                "a data centre comes back empty, 3,500 documents",
+                trial(plan, Aim.TEAMS, returning, REFILL_TRIAL_SECONDS, REFILL_CHANGES));
+        return trials;
+    }
+
+    /** Runs the healthy trial at several sizes of fleet, to show that no process pays for the size. */
+    private static Map<String, TrialResult> runSizes() {
+        Map<String, TrialResult> trials = new LinkedHashMap<>();
+        for (int divisor : new int[] {8, 4, 2, 1}) {
+            int entries = Aim.ENTRIES / divisor;
+            int agents = Aim.ENGINES / divisor;
+            FleetPlan plan = new FleetPlan(entries, agents);
+            trials.put(
+                    entries + " entries, " + agents + " agents",
+                    trial(plan, TRIAL_DOCUMENTS, TrialFaults.none(), REFILL_TRIAL_SECONDS, REFILL_CHANGES));
+        }
         return trials;
     }
 
     private static TrialResult trial(TrialFaults faults) {
         FleetPlan plan = new FleetPlan(Aim.ENTRIES, Aim.ENGINES);
-        TrialResult result =
-                new DisseminationTrial(plan, TRIAL_DOCUMENTS, faults, SEED).run(TRIAL_SECONDS, TRIAL_CHANGES);
+        return trial(plan, TRIAL_DOCUMENTS, faults, TRIAL_SECONDS, TRIAL_CHANGES);
+    }
+
+    private static TrialResult trial(FleetPlan plan, int documents, TrialFaults faults, int seconds, int changes) {
+        TrialResult result = new DisseminationTrial(plan, documents, faults, SEED).run(seconds, changes);
         System.out.println("capacity: trial " + result);
         return result;
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/LinearFit.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/LinearFit.java
@@ -10,13 +10,13 @@
  * @param slopeUncertainty half the width of the slope's 95% confidence interval
  * @param determination the share of the variation that the line explains
  */
-record LinearFit(double intercept, double slope, double slopeUncertainty, double determination) {
+public record LinearFit(double intercept, double slope, double slopeUncertainty, double determination) {
     private static final double[] STUDENT_95 = {12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228};
     private static final double STUDENT_95_ABOVE = 2.2;
     private static final int PARAMETERS = 2;
 
     /** Fits a line; at least three measurements at two sizes are needed. */
-    static LinearFit of(List<SizePoint> points) {
+    public static LinearFit of(List<SizePoint> points) {
         if (points.size() <= PARAMETERS) {
             throw new IllegalArgumentException("a line with an uncertainty needs three measurements or more");
         }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/MessageSizes.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/MessageSizes.java
@@ -32,7 +32,7 @@
         sizes.put("Probe", probe());
         for (int engines : new int[] {1, 4, 8, 16, 64}) {
             sizes.put(
-                    "DocumentUpdate, " + engines + " engines",
+                    "DocumentUpdate, engines declared: " + engines,
                     Samples.documentUpdate(engines).getSerializedSize());
         }
         sizes.put("DocumentAsk", size(new DisseminationMessage.Ask(key(0), 17)));
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/RoleFigures.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/RoleFigures.java
@@ -17,5 +17,11 @@
     /** How many kinds of object an entry watches by itself today: documents, registrations, hosts. */
     static final int WATCHES_PER_ENTRY = 3;
 
+    /** Resident memory of an entry that holds no documents and has answered nothing yet, from bin/path-cost. */
+    static final double ENTRY_RESIDENT_BYTES = 144.4e6;
+
+    /** The same of an agent. */
+    static final double AGENT_RESIDENT_BYTES = 125.7e6;
+
     private RoleFigures() {}
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SizePoint.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SizePoint.java
@@ -6,4 +6,4 @@
  * @param size how many of the things there were
  * @param value what was measured
  */
-record SizePoint(double size, double value) {}
+public record SizePoint(double size, double value) {}
