--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentDeskTest.java
@@ -0,0 +1,209 @@
+package org.aspenmoor.internal.agent;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.aspenmoor.internal.link.EmbeddedLink;
+import org.aspenmoor.internal.settings.AgentSettings;
+import org.aspenmoor.internal.settings.BackendSettings;
+import org.aspenmoor.internal.settings.BackendType;
+import org.aspenmoor.internal.settings.LogFormat;
+import org.aspenmoor.internal.settings.ProcessSettings;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.aspenmoor.internal.wire.AttemptIds;
+import org.aspenmoor.internal.wire.v1.Credit;
+import org.aspenmoor.internal.wire.v1.Dispatch;
+import org.aspenmoor.internal.wire.v1.Frame;
+import org.aspenmoor.internal.wire.v1.Last;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class AgentDeskTest {
+    private static final AttemptKey FIRST = new AttemptKey(new org.aspenmoor.RequestId(1, 2), 1);
+
+    private final List<AttemptKey> started = new ArrayList<>();
+    private final AtomicInteger wanted = new AtomicInteger();
+    private final AtomicInteger cancelled = new AtomicInteger();
+    private final AtomicInteger running = new AtomicInteger();
+    private AgentDesk desk;
+    private EmbeddedLink entry;
+
+    @BeforeMethod
+    public void begin() {
+        started.clear();
+        wanted.set(0);
+        cancelled.set(0);
+        running.set(0);
+        desk = new AgentDesk(
+                settings(), this::startCall, new LoadReports("drafter-1", new ManualTimeSource()), running::set);
+        entry = EmbeddedLink.agentOf("");
+        desk.handle(new AgentMessage.LinkOpened(entry.link()));
+    }
+
+    // A caller reads slowly. Without credit the agent would go on reading from the engine, and the whole answer would
+    // pile up in the memory of the entry.
+    @Test
+    public void should_send_no_more_chunks_than_the_credit_allows() {
+        dispatch(FIRST, 2);
+
+        pieces(FIRST, "a", "b", "c");
+
+        assertEquals(chunksOf(entry.sent()), List.of("a", "b"));
+        assertEquals(wanted.get(), 0);
+        desk.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 2)));
+        assertEquals(chunksOf(entry.sent()), List.of("c"));
+        assertEquals(wanted.get(), 1);
+    }
+
+    @Test
+    public void should_close_an_answer_with_its_count_only_after_its_last_chunk() {
+        dispatch(FIRST, 1);
+        pieces(FIRST, "a", "b");
+        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
+        assertTrue(entry.sent().stream().noneMatch(Frame::hasLast));
+
+        desk.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 1)));
+
+        Last last = entry.sent().getLast().getLast();
+        assertEquals(last.getEnd(), Last.End.COMPLETE);
+        assertEquals(last.getCount(), 2);
+    }
+
+    // The engine has crashed and takes no connection. Nothing ran, and the agent says so, so that even a request that
+    // must not run twice can go elsewhere.
+    @Test
+    public void should_state_that_a_request_never_started_when_no_connection_came_about() {
+        dispatch(FIRST, 4);
+
+        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.NeverStarted("connection refused")));
+
+        assertTrue(entry.sent().getLast().hasRefused());
+    }
+
+    // A frame is delivered twice. Without the check the booking would be made twice under one name.
+    @Test
+    public void should_refuse_a_dispatch_that_runs_already() {
+        dispatch(FIRST, 4);
+        dispatch(FIRST, 4);
+
+        assertEquals(started, List.of(FIRST));
+        assertTrue(entry.sent().getLast().hasRefused());
+    }
+
+    // The caller's deadline has passed on the way; an engine that worked on it would take room from live requests.
+    @Test
+    public void should_refuse_expired_work() {
+        desk.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(FIRST, 4, 0)));
+
+        assertTrue(started.isEmpty());
+        assertTrue(entry.sent().getLast().hasRefused());
+    }
+
+    // The entry was killed. Nobody takes its answers any more, and engines would go on generating for nobody.
+    @Test
+    public void should_cancel_calls_when_the_entry_is_gone() {
+        dispatch(FIRST, 4);
+
+        desk.handle(new AgentMessage.LinkClosed(entry.link()));
+
+        assertEquals(cancelled.get(), 1);
+        assertEquals(running.get(), 0);
+    }
+
+    // The host is to be stopped. Cutting the stream would leave the caller with half a draft.
+    @Test
+    public void should_finish_running_requests_and_refuse_new_ones_when_draining() {
+        dispatch(FIRST, 4);
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        desk.handle(new AgentMessage.DrainAsked("stopping", drained));
+        assertFalse(drained.isDone());
+
+        dispatch(new AttemptKey(new org.aspenmoor.RequestId(3, 4), 1), 4);
+        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
+
+        assertEquals(started, List.of(FIRST));
+        assertTrue(drained.isDone());
+    }
+
+    // An order is about to be given while a dispatch is still before the drain in the desk's ring. If the count were
+    // trusted before the desk has heard, the stream that is let in next would be cut by the order.
+    @Test
+    public void should_let_no_work_in_while_the_order_thread_forbids_it() {
+        List<String> heard = new ArrayList<>();
+        dispatch(FIRST, 4);
+        desk.handle(new AgentMessage.ServingAllowed(false, () -> heard.add("running " + running.get())));
+
+        dispatch(new AttemptKey(new org.aspenmoor.RequestId(3, 4), 1), 4);
+
+        assertEquals(heard, List.of("running 1"));
+        assertEquals(started, List.of(FIRST));
+    }
+
+    private BackendCall startCall(AttemptKey key, Dispatch dispatch) {
+        started.add(key);
+        return new BackendCall() {
+            @Override
+            public void wantMore() {
+                wanted.incrementAndGet();
+            }
+
+            @Override
+            public void cancel() {
+                cancelled.incrementAndGet();
+            }
+        };
+    }
+
+    private void dispatch(AttemptKey key, int chunkCredit) {
+        desk.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(key, chunkCredit, 5000)));
+    }
+
+    private static Frame dispatchFrame(AttemptKey key, int chunkCredit, int deadlineMilliseconds) {
+        return Frame.newBuilder()
+                .setDispatch(Dispatch.newBuilder()
+                        .setId(key.toWire())
+                        .setChunkCredit(chunkCredit)
+                        .setDeadlineMilliseconds(deadlineMilliseconds))
+                .build();
+    }
+
+    private static Frame credit(AttemptKey key, int chunks) {
+        return Frame.newBuilder()
+                .setCredit(Credit.newBuilder()
+                        .setId(AttemptIds.of(key.request().high(), key.request().low(), key.attempt()))
+                        .setChunks(chunks))
+                .build();
+    }
+
+    private void pieces(AttemptKey key, String... texts) {
+        List<Piece> pieces = new ArrayList<>();
+        for (String text : texts) {
+            pieces.add(new Piece(text.getBytes(StandardCharsets.UTF_8), 1));
+        }
+        desk.handle(new AgentMessage.PiecesArrived(key, pieces));
+    }
+
+    private static List<String> chunksOf(List<Frame> frames) {
+        return frames.stream()
+                .filter(Frame::hasChunk)
+                .map(frame -> frame.getChunk().getData().toStringUtf8())
+                .toList();
+    }
+
+    private static AgentSettings settings() {
+        URI anywhere = URI.create("http://127.0.0.1:1/");
+        return new AgentSettings(
+                new ProcessSettings("agent-1", "almaty-1", "127.0.0.1", 0, 0, anywhere, 20, LogFormat.TEXT),
+                new BackendSettings("drafter-1", "studio", "drafting", "host-1", BackendType.ENGINE, anywhere),
+                8,
+                Duration.ofSeconds(30));
+    }
+}
