--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
@@ -1,14 +1,11 @@
 package org.aspenmoor.internal.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.administration.TokenHash;
 import org.aspenmoor.internal.document.DocumentInForce;
 import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.document.OfferResult;
@@ -44,7 +41,7 @@
 
     /** Returns the documents whose service the holder of a token may call. */
     List<ServiceDocument> forToken(String token) {
-        return byTokenHash.getOrDefault(hashOf(token), List.of()).stream()
+        return byTokenHash.getOrDefault(TokenHash.of(token), List.of()).stream()
                 .map(registry::find)
                 .flatMap(Optional::stream)
                 .toList();
@@ -62,13 +59,4 @@
             }
         }
     }
-
-    private static String hashOf(String token) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(token.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException missing) {
-            throw new IllegalStateException("every Java platform has SHA-256", missing);
-        }
-    }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CallerRoutes.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CallerRoutes.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.http;
 
 import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.entry.EntryMessage;
 import org.aspenmoor.internal.settings.CallerLimits;
@@ -11,10 +12,17 @@
 /** The paths that callers use. */
 public final class CallerRoutes implements Action<Chain> {
     private final RequestGate gate;
+    private final DocumentRegistry registry;
     private final CallerLimits limits;
     private final TimeSource time;
 
-    public CallerRoutes(Duty<EntryMessage> desk, RandomGenerator random, CallerLimits limits, TimeSource time) {
+    public CallerRoutes(
+            Duty<EntryMessage> desk,
+            DocumentRegistry registry,
+            RandomGenerator random,
+            CallerLimits limits,
+            TimeSource time) {
+        this.registry = registry;
         this.gate = new RequestGate(desk, random);
         this.limits = limits;
         this.time = time;
@@ -22,6 +30,7 @@
 
     @Override
     public void execute(Chain chain) {
+        chain.get("v1/models", new ModelsHandler(registry, gate));
         chain.post("v1/completions", new CompletionsHandler(gate, limits, time, false));
         chain.post("v1/chat/completions", new CompletionsHandler(gate, limits, time, true));
         chain.path("services/:service/::.*", new PassThroughHandler(gate, limits));
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/ModelsHandler.java
@@ -0,0 +1,64 @@
+package org.aspenmoor.internal.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import org.aspenmoor.Outcome;
+import org.aspenmoor.RefusalReason;
+import org.aspenmoor.internal.administration.TokenHash;
+import org.aspenmoor.internal.document.AdapterDeclaration;
+import org.aspenmoor.internal.document.DocumentInForce;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ModelDeclaration;
+import org.aspenmoor.internal.document.ServiceDocument;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+
+/** Lists the models that the holder of a token may ask for. */
+final class ModelsHandler implements Handler {
+    private final DocumentRegistry registry;
+    private final RequestGate gate;
+
+    ModelsHandler(DocumentRegistry registry, RequestGate gate) {
+        this.registry = registry;
+        this.gate = gate;
+    }
+
+    @Override
+    public void handle(Context context) {
+        String hash = TokenHash.of(RequestGate.tokenOf(context));
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("object", "list");
+        ArrayNode data = body.putArray("data");
+        boolean known = false;
+        for (DocumentInForce inForce : registry.all()) {
+            ServiceDocument document = inForce.document();
+            if (document.callerTokenHashes().contains(hash)) {
+                known = true;
+                document.models().forEach(model -> list(data, document, model));
+            }
+        }
+        if (known) {
+            AnswerWriter.writeJson(context, gate.drawId(), body.toString());
+            return;
+        }
+        AnswerWriter.writeRefusal(
+                context,
+                gate.drawId(),
+                new Outcome.NotRun(
+                        RefusalReason.NOT_AUTHORISED,
+                        Duration.ZERO,
+                        "The token opens no service; send the team's token."));
+    }
+
+    private static void list(ArrayNode data, ServiceDocument document, ModelDeclaration model) {
+        data.addObject().put("id", model.name()).put("object", "model").put("owned_by", document.team());
+        for (AdapterDeclaration adapter : model.adapters()) {
+            data.addObject()
+                    .put("id", model.name() + ":" + adapter.name())
+                    .put("object", "model")
+                    .put("owned_by", document.team());
+        }
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/RequestGate.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/RequestGate.java
@@ -54,7 +54,8 @@
         desk.offer(new EntryMessage.CallerTook(id));
     }
 
-    private static String tokenOf(Context context) {
+    /** Returns the caller's token; empty where it sent none. */
+    static String tokenOf(Context context) {
         String header = context.getRequest().getHeaders().get("Authorization");
         if (header == null || !header.startsWith(BEARER)) {
             return "";
