A rollout loses no capacity halfway: new requests may start under either version

Cause: the router asked only for engines with the declared version, so between accepting a document and the first engine's load no engine was open. A stream that has begun stays with its version.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ActiveRequest.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ActiveRequest.java
@@ -28,6 +28,7 @@
     private List<Header> plainHeaders = new ArrayList<>();
     private long lastProgressAt;
     private boolean mayHaveRun;
+    private String versionLabel = "";
     private Optional<ClaimTicket> ticket = Optional.empty();
 
     ActiveRequest(IncomingRequest incoming, ServiceDocument document, RequestKind kind, long receivedAt) {
@@ -78,6 +79,15 @@
         ticket = Optional.of(newTicket);
     }
 
+    /** Returns the model version, as engines name it, under which its latest attempt was sent. */
+    String versionLabel() {
+        return versionLabel;
+    }
+
+    void runsUnder(String label) {
+        versionLabel = label;
+    }
+
     long receivedAt() {
         return receivedAt;
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EngineRouter.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EngineRouter.java
@@ -1,8 +1,12 @@
 package org.aspenmoor.internal.entry;
 
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -24,6 +28,7 @@
 final class EngineRouter {
     private final Router router;
     private final String dataCentre;
+    private final Map<String, Set<String>> loadedByBackend = new HashMap<>();
 
     EngineRouter(Router router, String dataCentre) {
         this.router = router;
@@ -35,36 +40,73 @@
             return;
         }
         LoadReport report = peer.load().get();
+        Set<String> loaded = loadedOf(report, document);
+        loadedByBackend.put(peer.backend(), loaded);
         router.added(peer.backend(), peer.registration().dataCentre());
         router.reported(
                 peer.backend(),
                 loadOf(report),
                 EngineRole.valueOf(report.getRole()),
                 report.getReady(),
-                loadedOf(report, document),
+                loaded,
                 Duration.ofMillis(report.getAgeMilliseconds()),
                 now);
     }
 
     void gone(AgentPeer peer) {
+        loadedByBackend.remove(peer.backend());
         router.removed(peer.backend());
     }
 
     Optional<RoutingDecision> decide(ActiveRequest request, LengthEstimate estimate, Predicate<String> open, long now) {
-        return routingRequest(request, estimate)
-                .flatMap(routed -> router.choose(routed, open::test, now))
-                .filter(decision -> decision.prefillBackend().isEmpty());
+        return labelsFor(request).stream()
+                .map(label -> routingRequest(request, label, estimate))
+                .flatMap(Optional::stream)
+                .map(routed -> router.choose(routed, open::test, now))
+                .flatMap(Optional::stream)
+                .filter(decision -> decision.prefillBackend().isEmpty())
+                .min(Comparator.comparingDouble(RoutingDecision::finishSeconds));
     }
 
     void sent(ActiveRequest request, LengthEstimate estimate, RoutingDecision decision, long now) {
-        routingRequest(request, estimate).ifPresent(routed -> router.sent(routed, decision, now));
+        String label = labelsFor(request).stream()
+                .filter(candidate -> loadedByBackend
+                        .getOrDefault(decision.backend(), Set.of())
+                        .contains(candidate))
+                .findFirst()
+                .orElse("");
+        request.runsUnder(label);
+        routingRequest(request, label, estimate).ifPresent(routed -> router.sent(routed, decision, now));
     }
 
     void ended(ActiveRequest request, long now) {
         router.ended(request.id(), now);
     }
 
-    private Optional<RoutingRequest> routingRequest(ActiveRequest request, LengthEstimate estimate) {
+    /**
+     * Returns the versions of its model under which a request may run, the declared one first.
+     *
+     * <p>While a version is rolled out, some engines hold the old one and some the new. A new request may start under
+     * either; a stream that has begun stays with its version, or the text would go on in another's words.
+     */
+    private Set<String> labelsFor(ActiveRequest request) {
+        if (request.hasBegun()) {
+            return Set.of(request.versionLabel());
+        }
+        Set<String> labels = new LinkedHashSet<>();
+        if (request.incoming().work() instanceof CallerWork.Generation generation) {
+            String model = generation.request().model();
+            request.document().model(model).map(EngineRouter::label).ifPresent(labels::add);
+            loadedByBackend.values().stream()
+                    .flatMap(Set::stream)
+                    .filter(loaded -> loaded.startsWith(model + "@"))
+                    .sorted()
+                    .forEach(labels::add);
+        }
+        return labels;
+    }
+
+    private Optional<RoutingRequest> routingRequest(ActiveRequest request, String label, LengthEstimate estimate) {
         if (!(request.incoming().work() instanceof CallerWork.Generation generation)) {
             return Optional.empty();
         }
@@ -72,7 +114,7 @@
         Optional<ModelDeclaration> model = request.document().model(completion.model());
         return model.map(declared -> new RoutingRequest(
                 request.id(),
-                label(declared),
+                label,
                 completion.adapter().flatMap(adapter -> adapterLabel(declared, adapter)),
                 completion.promptTokens(),
                 completion.prefix(),
