--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/ApiRequest.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/ApiRequest.java
@@ -19,7 +19,7 @@
         Map<String, String> query,
         Optional<String> ifMatch,
         String body) {
-    private static final String WILDCARD_QUOTES = "^\"|\"$";
+    private static final String QUOTES_AROUND = "^\"|\"$";
 
     /** Returns a named part of the path. */
     String pathToken(String name) {
@@ -45,7 +45,7 @@
         if (ifMatch.isEmpty()) {
             throw RequestRefusedException.readRevisionMissing();
         }
-        return number("If-Match", ifMatch.get().replaceAll(WILDCARD_QUOTES, ""));
+        return number("If-Match", ifMatch.get().replaceAll(QUOTES_AROUND, ""));
     }
 
     /** Returns a number of the query within bounds. */
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryStatusSource.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryStatusSource.java
@@ -18,6 +18,7 @@
 import org.aspenmoor.internal.document.DocumentInForce;
 import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.document.ServiceName;
+import org.aspenmoor.internal.engine.EngineLoad;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.jboss.logging.Logger;
 
@@ -76,8 +77,8 @@
                     state(node),
                     Optional.of(node.path("leaving").asText()).filter(reason -> !reason.isEmpty()),
                     role(node.path("role").asText()),
-                    Optional.empty(),
-                    List.of(),
+                    load(node),
+                    loaded(node),
                     node.path("outstanding").asInt()));
         }
         return backends;
@@ -124,6 +125,26 @@
         return node.path("takesWork").asBoolean() ? BackendState.READY : BackendState.AWAY;
     }
 
+    /** Empty for a plain service, and until an engine has reported. */
+    private static Optional<EngineLoad> load(JsonNode node) {
+        if (!node.has("running")) {
+            return Optional.empty();
+        }
+        return Optional.of(new EngineLoad(
+                node.path("sequence").asLong(),
+                node.path("queuedPrefillTokens").asLong(),
+                node.path("running").asInt(),
+                node.path("mostRunning").asInt(),
+                node.path("freeCachePieces").asInt(),
+                node.path("allCachePieces").asInt()));
+    }
+
+    private static List<String> loaded(JsonNode node) {
+        List<String> loaded = new ArrayList<>();
+        node.path("loaded").forEach(item -> loaded.add(item.asText()));
+        return loaded;
+    }
+
     private static Optional<EngineRole> role(String text) {
         for (EngineRole role : EngineRole.values()) {
             if (role.name().equals(text.toUpperCase(Locale.ROOT))) {
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/EntryStatusSourceTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/EntryStatusSourceTest.java
@@ -12,11 +12,12 @@
 import java.util.concurrent.CompletableFuture;
 import org.aspenmoor.RequestId;
 import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.document.ServiceDocument;
 import org.aspenmoor.internal.document.ServiceName;
-import org.aspenmoor.internal.document.StoredDocuments;
+import org.aspenmoor.internal.engine.EngineLoad;
 import org.aspenmoor.internal.engine.EngineRole;
-import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class EntryStatusSourceTest {
@@ -34,6 +35,11 @@
             id -> CompletableFuture.completedFuture(Optional.of(List.of("+0 ms: came"))),
             List::of);
 
+    @BeforeMethod
+    public void forget_backend_servers() {
+        dump.removeAll();
+    }
+
     @Test
     public void should_count_requests_by_kind_from_the_metrics() {
         Counter requests = Counter.builder()
@@ -43,8 +49,8 @@
         requests.labelValues("studio", "drafting", "cue", "answered").inc(5);
         requests.labelValues("studio", "drafting", "cue", "not-run").inc(2);
         requests.labelValues("other", "drafting", "cue", "answered").inc(9);
-        new DocumentFeed(registry)
-                .changed(document("{\"team\": \"studio\", \"service\": \"drafting\", \"revision\": 3}"));
+        registry.offer(
+                new ServiceDocument("studio", "drafting", 3, List.of(), List.of(), 0, List.of(), List.of()));
 
         assertEquals(
                 source.services(), List.of(new ServiceStatus(SERVICE, List.of(new KindStatus("cue", 5, 2, 0, 0)))));
@@ -67,6 +73,20 @@
         assertEquals(backends.get(2).detail(), Optional.of("its host is leaving"));
     }
 
+    @Test
+    public void should_show_the_load_that_an_engine_reported() {
+        addBackend("a", true, true, "", "WHOLE");
+        ObjectNode reported = (ObjectNode) dump.at("/backends/0");
+        reported.put("running", 3).put("mostRunning", 8).put("queuedPrefillTokens", 4000);
+        reported.put("freeCachePieces", 100).put("allCachePieces", 2000);
+        reported.putArray("loaded").add("m@1");
+
+        BackendStatus backend = source.backends().getFirst();
+
+        assertEquals(backend.load(), Optional.of(new EngineLoad(0, 4000, 3, 8, 100, 2000)));
+        assertEquals(backend.loaded(), List.of("m@1"));
+    }
+
     @Test
     public void should_show_a_story_without_a_service_to_the_platform_only() {
         RequestExplanation explanation = source.explain(new RequestId(1, 1)).orElseThrow();
@@ -75,10 +95,6 @@
         assertTrue(explanation.service().isEmpty());
     }
 
-    private static StoredObject document(String value) {
-        return new StoredObject(StoredDocuments.documentKey(SERVICE), "1", value);
-    }
-
     private void addBackend(String name, boolean linked, boolean takesWork, String leaving, String role) {
         dump.withArray("backends")
                 .addObject()
