A lagging replica's read no longer denies an accepted change

The answer to the update is lost after it took effect, the retry conflicts, and the read that should settle it comes from a replica that lags: the operator was told that nothing was written. The conflict proves that the document moved on, so a read that does not show it settles nothing; the answer is now that nobody knows.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentAcceptance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/document/DocumentAcceptance.java
@@ -186,6 +186,11 @@
                     return recorded.get();
                 }
             }
+            // The conflict proved that the document has moved on; a read that does not show it comes from a replica
+            // that lags, and says nothing of whether the lost write was the one that moved it.
+            if (lost.isPresent() && revisionOf(current) < revision) {
+                throw new DocumentOutcomeUnknownException(name, revision, lost.get());
+            }
         } catch (StoreException unreadable) {
             if (lost.isPresent()) {
                 throw new DocumentOutcomeUnknownException(name, revision, unreadable);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentAcceptanceTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/DocumentAcceptanceTest.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.document.ScriptedObjectStore.Fault;
 import org.aspenmoor.internal.finding.FindingsException;
 import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.time.ManualTimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -140,6 +141,19 @@
         assertEquals(acceptance.read(NAME).orElseThrow().document().revision(), 3L);
     }
 
+    @Test
+    public void should_not_deny_a_change_on_the_word_of_a_stale_replica() throws AspenmoorException {
+        // The answer is lost after the write took effect, the retry conflicts, and the read that should settle it comes
+        // from a replica that lags. The operator would be told that nothing was written, and see her change in force.
+        accept(DocumentTexts.DRAFTING, 0, "aigul");
+        StoredObject earlier =
+                store.memory().read(StoredDocuments.documentKey(NAME)).orElseThrow();
+        store.failNextWrites(List.of(Fault.NONE, Fault.ANSWER_LOST));
+        store.beforeWrite(3, () -> store.answerReadsWith(earlier));
+
+        assertThrows(DocumentOutcomeUnknownException.class, () -> accept(SECOND, 1, "aigul"));
+    }
+
     @Test
     public void should_say_that_nothing_is_known_when_the_store_stays_silent() throws AspenmoorException {
         accept(DocumentTexts.DRAFTING, 0, "aigul");
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/ScriptedObjectStore.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/document/ScriptedObjectStore.java
@@ -44,6 +44,7 @@
     private final Deque<Fault> faults = new ArrayDeque<>();
     private Runnable interruption = () -> {};
     private int writesUntilInterruption;
+    private Optional<StoredObject> stale = Optional.empty();
 
     InMemoryObjectStore memory() {
         return memory;
@@ -59,8 +60,16 @@
         interruption = happens;
     }
 
+    /** Answers reads of an object with an earlier version, as a replica that lags does. */
+    void answerReadsWith(StoredObject earlier) {
+        stale = Optional.of(earlier);
+    }
+
     @Override
     public Optional<StoredObject> read(ObjectKey key) {
+        if (stale.filter(earlier -> earlier.key().equals(key)).isPresent()) {
+            return stale;
+        }
         return memory.read(key);
     }
 
