--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/BoundedAssignment.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/dissemination/BoundedAssignment.java
@@ -12,8 +12,8 @@
 /**
  * Gives each of many subjects some holders by rendezvous hashing, none of which gets much more than its share.
  *
- * <p>Plain rendezvous hashing would give some holder twice the mean at these sizes, and that holder's traffic would
- * break the budget; the cap turns the surplus to each subject's next choice.
+ * <p>Plain rendezvous hashing gives some holder far more than its share at these sizes, and that holder's traffic would
+ * break the budget first; the cap turns the surplus to each subject's next choice.
  */
 final class BoundedAssignment {
     private static final double SLACK = 1.25;
