--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/EngineListener.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/engine/EngineListener.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.bench.policy.engine;
 
+import java.util.Optional;
 import org.aspenmoor.internal.routing.CacheEvent;
 
 /** What a fake engine tells the run. */
@@ -23,5 +24,5 @@
     void cacheChanged(FakeEngine engine, CacheEvent event);
 
     /** Finds an engine that can take over answers of one that changes its role. */
-    java.util.Optional<FakeEngine> takeOver(FakeEngine leaving);
+    Optional<FakeEngine> takeOver(FakeEngine leaving);
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/strategy/BaselineRouting.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/strategy/BaselineRouting.java
@@ -11,6 +11,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.CacheEvent;
 import org.aspenmoor.internal.routing.CandidateFilter;
+import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.routing.RoutingDecision;
 import org.aspenmoor.internal.routing.RoutingRequest;
 
@@ -22,12 +23,12 @@
  */
 public final class BaselineRouting implements RoutingStrategy {
     private final boolean leastLoad;
-    private final org.aspenmoor.internal.routing.EngineSpeed speed;
+    private final EngineSpeed speed;
     private final Map<String, Reported> engines = new LinkedHashMap<>();
     private int turn;
 
     /** Makes least-reported-load routing, or round robin. */
-    public BaselineRouting(boolean leastLoad, org.aspenmoor.internal.routing.EngineSpeed speed) {
+    public BaselineRouting(boolean leastLoad, EngineSpeed speed) {
         this.leastLoad = leastLoad;
         this.speed = speed;
     }
--- a/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/policy/TraceReaderTest.java
+++ b/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/policy/TraceReaderTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -37,8 +38,8 @@
                 {"arrivalSeconds":0.1,"kind":"unknown","promptTokens":900,"outputTokens":80}
                 {"arrivalSeconds":0.2,"kind":"cue","outputTokens":80}
                 """);
-        FindingsException mistakes = org.testng.Assert.expectThrows(
-                FindingsException.class, () -> new TraceReader(BuiltInFleets.seitkali()).read(file));
+        FindingsException mistakes =
+                expectThrows(FindingsException.class, () -> new TraceReader(BuiltInFleets.seitkali()).read(file));
 
         assertEquals(mistakes.findings().size(), 2);
         assertTrue(mistakes.findings().getLast().place().toString().contains("line 2"));
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/CountWindow.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/planning/CountWindow.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** The counts of the last minutes in buckets of one second, summed over all entries. */
 final class CountWindow {
@@ -25,7 +26,7 @@
         sequences.put(counts.source(), counts.sequence());
         reportedUntil.merge(counts.source(), counts.toNanoseconds(), Math::max);
         long middle = counts.fromNanoseconds() + (counts.toNanoseconds() - counts.fromNanoseconds()) / 2;
-        bucketAt(Math.floorDiv(middle, BUCKET_NANOSECONDS)).ifPresentOrElse(bucket -> bucket.add(counts), () -> {});
+        bucketAt(Math.floorDiv(middle, BUCKET_NANOSECONDS)).ifPresent(bucket -> bucket.add(counts));
         return true;
     }
 
@@ -44,7 +45,7 @@
         return buckets::descendingIterator;
     }
 
-    private java.util.Optional<CountBucket> bucketAt(long number) {
+    private Optional<CountBucket> bucketAt(long number) {
         if (buckets.isEmpty() || number > buckets.getLast().number()) {
             long next = buckets.isEmpty() ? number : Math.max(buckets.getLast().number() + 1, number - MOST_BUCKETS);
             for (long fill = next; fill <= number; fill++) {
@@ -53,7 +54,7 @@
             while (buckets.size() > MOST_BUCKETS) {
                 buckets.removeFirst();
             }
-            return java.util.Optional.of(buckets.getLast());
+            return Optional.of(buckets.getLast());
         }
         return buckets.stream().filter(bucket -> bucket.number() == number).findFirst();
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/Router.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/Router.java
@@ -1,9 +1,10 @@
 package org.aspenmoor.internal.routing;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +32,11 @@
     private final Map<PoolKey, EnginePool> pools = new HashMap<>();
     private final Map<RequestId, SentRequest> sent = new HashMap<>();
 
+    // Candidates of the decision being made; kept, since a list for each decision was most of what one allocated.
+    private final List<EngineView> wholeEngines = new ArrayList<>();
+    private final List<EngineView> prefillEngines = new ArrayList<>();
+    private final List<EngineView> decodeEngines = new ArrayList<>();
+
     public Router(RouterSettings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
@@ -88,9 +94,9 @@
      */
     public Optional<RoutingDecision> choose(RoutingRequest request, CandidateFilter filter, long nowNanoseconds) {
         heaviest.seen(request.weight(), nowNanoseconds);
-        Set<EngineView> wholeEngines = candidates(request, EngineRole.WHOLE, filter);
-        Set<EngineView> prefillEngines = candidates(request, EngineRole.PREFILL, filter);
-        Set<EngineView> decodeEngines = candidates(request, EngineRole.DECODE, filter);
+        findCandidates(request, EngineRole.WHOLE, filter, wholeEngines);
+        findCandidates(request, EngineRole.PREFILL, filter, prefillEngines);
+        findCandidates(request, EngineRole.DECODE, filter, decodeEngines);
         StageEstimate whole = null;
         StageEstimate prefill = null;
         StageEstimate decode = null;
@@ -150,8 +156,9 @@
         return sent.size();
     }
 
-    private Set<EngineView> candidates(RoutingRequest request, EngineRole role, CandidateFilter filter) {
-        Set<EngineView> candidates = new LinkedHashSet<>();
+    private void findCandidates(
+            RoutingRequest request, EngineRole role, CandidateFilter filter, List<EngineView> candidates) {
+        candidates.clear();
         if (role != EngineRole.DECODE) {
             for (String holder : prefixes.holders(request.prefix())) {
                 EngineView engine = engines.get(holder);
@@ -162,10 +169,9 @@
         }
         request.adapter().ifPresent(adapter -> draw(new PoolKey(adapter, role), filter, candidates));
         draw(new PoolKey(request.model(), role), filter, candidates);
-        return candidates;
     }
 
-    private void draw(PoolKey key, CandidateFilter filter, Set<EngineView> candidates) {
+    private void draw(PoolKey key, CandidateFilter filter, List<EngineView> candidates) {
         EnginePool pool = pools.get(key);
         if (pool == null) {
             return;
@@ -174,7 +180,8 @@
         int taken = 0;
         for (int draws = 0; draws < wanted * DRAWS_PER_CANDIDATE && taken < wanted; draws++) {
             EngineView engine = pool.at(random.nextInt(pool.size()));
-            if (filter.accepts(engine.name()) && candidates.add(engine)) {
+            if (!candidates.contains(engine) && filter.accepts(engine.name())) {
+                candidates.add(engine);
                 taken++;
             }
         }
@@ -184,7 +191,7 @@
     }
 
     /** Where every draw was refused, looks for the one engine that is not, from a random place on. */
-    private void scan(EnginePool pool, CandidateFilter filter, Set<EngineView> candidates) {
+    private void scan(EnginePool pool, CandidateFilter filter, List<EngineView> candidates) {
         if (pool.size() == 0) {
             return;
         }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/admission/AdmissionQueueTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/admission/AdmissionQueueTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.aspenmoor.RefusalReason;
@@ -147,7 +148,7 @@
     }
 
     private List<WaitingWork> drain() {
-        List<WaitingWork> order = new java.util.ArrayList<>();
+        List<WaitingWork> order = new ArrayList<>();
         while (queue.next().isPresent()) {
             WaitingWork work = queue.next().get();
             queue.take(work, 0);
