--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/AdmissionQueue.java
@@ -21,6 +21,7 @@
 public final class AdmissionQueue {
     private static final double NANOSECONDS = 1e9;
     private static final double LEAST_RATE = 0.01;
+    private static final double LEAST_SHARE_OF_ASSUMED_RATE = 0.5;
     private static final Duration SHORTEST_COME_BACK = Duration.ofMillis(50);
 
     private final AdmissionSettings settings;
@@ -114,9 +115,13 @@
         return size;
     }
 
-    /** Returns the measured service rate, in engine-seconds a second. */
+    /**
+     * Returns the measured service rate, in engine-seconds a second, but not less than half of the assumed one: during a
+     * role change the measured rate falls for seconds, and work would be refused that the engines serve a moment later.
+     */
     public double rate() {
-        return serviceRate.engineSecondsPerSecond(0.5 * settings.initialEngines());
+        double least = Math.max(LEAST_RATE, LEAST_SHARE_OF_ASSUMED_RATE * settings.initialEngines());
+        return serviceRate.engineSecondsPerSecond(least);
     }
 
     private void giveUpLate(TeamShare team, long now, List<Displaced> displaced) {
