Router looks at a prefix's first piece once for all candidates

Cause: each of some twenty candidates of a decision looked up every piece, though most hold none. JMH, gc profiler, 200 engines: 2,511 bytes -> 2,378 a decision; 13.1 us (+-8.6) -> 6.7 us (+-8.4), on a machine two to three times overcommitted, so the times show little more than the order.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/PrefixIndex.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/routing/PrefixIndex.java
@@ -18,6 +18,9 @@
     private final Map<String, SequenceState> states = new HashMap<>();
     private final LinkedHashMap<Long, PieceHolders> pieces = new LinkedHashMap<>(16, 0.75F, true);
 
+    private PrefixChain lastPrefix;
+    private PieceHolders lastFirstHolders;
+
     PrefixIndex(int mostPieces) {
         this.mostPieces = mostPieces;
     }
@@ -62,6 +65,9 @@
 
     /** Returns how many tokens of the prefix the engine is believed to hold; aged belief counts for half. */
     int cachedTokens(String backend, PrefixChain prefix, int pieceTokens) {
+        if (!mayHoldFirstPiece(backend, prefix)) {
+            return 0;
+        }
         SequenceState state = states.get(backend);
         if (state == null) {
             return 0;
@@ -81,11 +87,24 @@
         return aged ? tokens / 2 : tokens;
     }
 
+    /** Most candidates hold nothing of a prefix; one look at its first piece, kept between candidates, tells. */
+    private boolean mayHoldFirstPiece(String backend, PrefixChain prefix) {
+        if (prefix.length() == 0) {
+            return false;
+        }
+        if (prefix != lastPrefix) {
+            lastPrefix = prefix;
+            lastFirstHolders = pieces.get(prefix.hash(0));
+        }
+        return lastFirstHolders != null && lastFirstHolders.generationOf(backend) >= 0;
+    }
+
     int size() {
         return pieces.size();
     }
 
     private void hold(long hash, String backend, long generation) {
+        lastPrefix = null;
         pieces.computeIfAbsent(hash, unknown -> new PieceHolders()).put(backend, generation);
         if (pieces.size() > mostPieces) {
             pieces.pollFirstEntry();
@@ -93,6 +112,7 @@
     }
 
     private void drop(long hash, String backend) {
+        lastPrefix = null;
         PieceHolders holders = pieces.get(hash);
         if (holders == null) {
             return;
