One engine at a time in a rollout; repeats find their outcome; stalls within the deadline

The claim duty looks a few more times within a second. - with a silent store each claim waited its whole time-out; a breaker refuses at once. - a stall time-out of 5 s outlived deadlines of 4 s (3 unknown); it is now at most a third of the deadline.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -81,7 +81,14 @@
         ClaimSettings claimSettings = ClaimSettings.DEFAULT;
         ClaimDesk claimDesk = new ClaimDesk(store, claimSettings, time, random);
         this.claimDuty = new Duty<>(
-                "entry-claims", CLAIM_RING_SIZE, new ClaimHandler(claimDesk, claimSettings, this::claimJudged));
+                "entry-claims",
+                CLAIM_RING_SIZE,
+                new ClaimHandler(
+                        claimDesk,
+                        claimSettings,
+                        new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random),
+                        time,
+                        this::claimJudged));
         Lanes lanes =
                 new Lanes(registry, routerSettings(settings), settings.limits().waitingRequests(), random);
         MembershipView membership = new MembershipView(MembershipBounds.of(settings.leavingBound()), time);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.aspenmoor.Outcome;
 import org.aspenmoor.RefusalReason;
 import org.aspenmoor.internal.accounting.ChunkAccount;
@@ -29,6 +30,8 @@
 public final class RequestDesk implements DutyHandler<EntryMessage> {
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int PROBES_WITHIN_SILENCE = 4;
+    private static final int STALLS_WITHIN_DEADLINE = 3;
+    private static final Duration LEAST_STALL = Duration.ofMillis(500);
     private static final Duration STOPPING_COME_BACK = Duration.ofSeconds(1);
 
     private final EntrySettings settings;
@@ -237,15 +240,24 @@
         receiver.returnCredit(request);
         boolean stalled = request.peer().isPresent()
                 && !request.sink().isHeldByCaller()
-                && now - request.lastProgressAt() > settings.stallTimeout().toNanos();
+                && now - request.lastProgressAt() > stallNanoseconds(request);
         if (stalled && request.kind().idempotent()) {
             request.peer().flatMap(AgentPeer::link).ifPresent(link -> link.send(DispatchFrames.cancel(request)));
-            driver.lost(request, "no sign for " + settings.stallTimeout().toMillis() + " ms", now);
+            driver.lost(
+                    request, "no sign for " + TimeUnit.NANOSECONDS.toMillis(stallNanoseconds(request)) + " ms", now);
         } else if (stalled && now > request.deadlineAt()) {
             driver.lost(request, "no answer before its deadline", now);
         }
     }
 
+    // A time-out longer than the deadline allows would give a stalled request up when nobody wants it any more.
+    private long stallNanoseconds(ActiveRequest request) {
+        Duration share = request.kind().deadline().dividedBy(STALLS_WITHIN_DEADLINE);
+        Duration least = share.compareTo(LEAST_STALL) < 0 ? LEAST_STALL : share;
+        Duration stall = settings.stallTimeout().compareTo(least) < 0 ? settings.stallTimeout() : least;
+        return stall.toNanos();
+    }
+
     private void completeDrainIfIdle() {
         if (book.size() == 0) {
             drained.ifPresent(future -> future.complete(null));
@@ -294,6 +306,17 @@
         return dump;
     }
 
+    private static void dumpLoad(ObjectNode node, LoadReport load) {
+        node.put("sequence", load.getSequence());
+        node.put("running", load.getRunningSequences());
+        node.put("mostRunning", load.getMostSequences());
+        node.put("queuedPrefillTokens", load.getQueuedPrefillTokens());
+        node.put("freeCachePieces", load.getFreeCachePieces());
+        node.put("allCachePieces", load.getAllCachePieces());
+        ArrayNode loaded = node.putArray("loaded");
+        load.getLoadedList().forEach(loaded::add);
+    }
+
     private static String leavingText(Standing standing) {
         return switch (standing) {
             case Standing.Leaving leaving -> "said by " + leaving.said();
@@ -315,6 +338,7 @@
             node.put("leaving", leavingText(directory.standing(peer)));
             node.put("outstanding", peer.outstanding());
             node.put("role", peer.load().map(LoadReport::getRole).orElse(""));
+            peer.load().ifPresent(load -> dumpLoad(node, load));
         }
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/planner/PlanDraft.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/planner/PlanDraft.java
@@ -38,7 +38,7 @@
             ServiceDocument document, List<EngineSnapshot> engines, Map<String, EngineAssignment> before) {
         RolloutPolicy rollout = new RolloutPolicy(RolloutLimits.forEngines(Math.max(1, engines.size())), budget);
         Set<String> held = new HashSet<>();
-        for (RolloutDecision decision : rollout.decide(document, rolloutEngines(engines))) {
+        for (RolloutDecision decision : rollout.decide(document, rolloutEngines(engines, before))) {
             if (decision instanceof RolloutDecision.Hold hold) {
                 held.add(hold.engine());
             }
@@ -57,17 +57,30 @@
         return draft;
     }
 
-    private static List<RolloutEngine> rolloutEngines(List<EngineSnapshot> engines) {
+    private static List<RolloutEngine> rolloutEngines(
+            List<EngineSnapshot> engines, Map<String, EngineAssignment> before) {
         return engines.stream()
                 .map(engine -> new RolloutEngine(
-                        engine.name(), availability(engine), engine.loaded(), engine.running(), Optional.empty()))
+                        engine.name(),
+                        availability(engine, before),
+                        engine.loaded(),
+                        engine.running(),
+                        Optional.empty()))
                 .toList();
     }
 
-    private static EngineAvailability availability(EngineSnapshot engine) {
+    // An engine that was assigned a load which it does not hold yet is taken already, though it still serves: its agent
+    // reads plans every few seconds. Without this a second engine would be taken meanwhile, and both be away at once.
+    private static EngineAvailability availability(EngineSnapshot engine, Map<String, EngineAssignment> before) {
         if (!engine.linked()) {
             return EngineAvailability.GONE;
         }
+        EngineAssignment assigned = before.get(engine.name());
+        boolean taken = assigned != null
+                && assigned.loads().stream().anyMatch(load -> !engine.loaded().contains(load.label()));
+        if (taken) {
+            return EngineAvailability.DRAINING;
+        }
         return engine.ready() ? EngineAvailability.SERVING : EngineAvailability.LOADING;
     }
 
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/EntryStatusSourceTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/administration/EntryStatusSourceTest.java
@@ -49,8 +49,7 @@
         requests.labelValues("studio", "drafting", "cue", "answered").inc(5);
         requests.labelValues("studio", "drafting", "cue", "not-run").inc(2);
         requests.labelValues("other", "drafting", "cue", "answered").inc(9);
-        registry.offer(
-                new ServiceDocument("studio", "drafting", 3, List.of(), List.of(), 0, List.of(), List.of()));
+        registry.offer(new ServiceDocument("studio", "drafting", 3, List.of(), List.of(), 0, List.of(), List.of()));
 
         assertEquals(
                 source.services(), List.of(new ServiceStatus(SERVICE, List.of(new KindStatus("cue", 5, 2, 0, 0)))));
--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
@@ -0,0 +1,159 @@
+package org.aspenmoor.internal.claims;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimKey;
+import org.aspenmoor.internal.claim.ClaimRequest;
+import org.aspenmoor.internal.claim.ClaimSettings;
+import org.aspenmoor.internal.claim.ClaimVerdict;
+import org.aspenmoor.internal.claim.RecordedAnswer;
+import org.aspenmoor.internal.retry.CircuitBreaker;
+import org.aspenmoor.internal.store.InMemoryObjectStore;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreListing;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.store.StoreWatch;
+import org.aspenmoor.internal.store.StoreWatchListener;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ClaimHandlerTest {
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final List<ClaimVerdict> first = new ArrayList<>();
+    private final List<ClaimVerdict> second = new ArrayList<>();
+    private ObjectStore store;
+
+    @BeforeMethod
+    public void begin() {
+        first.clear();
+        second.clear();
+        store = new InMemoryObjectStore();
+    }
+
+    // The caller got its answer, and its client repeats the booking at another entry a moment later. The outcome is on
+    // its way to the store; the caller should be told what came of it and not that nobody knows.
+    @Test
+    public void should_find_an_outcome_that_is_recorded_a_moment_after_the_answer() {
+        ClaimHandler one = handler(store, first);
+        ClaimHandler other = handler(store, second);
+        ask(one, 1);
+        ClaimVerdict.Granted granted = (ClaimVerdict.Granted) first.getFirst();
+
+        ask(other, 2);
+        assertTrue(second.isEmpty());
+        one.handle(new ClaimMessage.Answered(
+                granted.ticket(), new RecordedAnswer(201, "text/plain", Optional.empty(), "digest")));
+        pass(one);
+        pass(other);
+
+        assertTrue(second.getFirst() instanceof ClaimVerdict.AlreadyAnswered);
+    }
+
+    // The entry that ran the booking was killed before it could record anything. The repeat must not wait for ever.
+    @Test
+    public void should_say_that_nobody_knows_after_a_few_looks() {
+        ask(handler(store, first), 1);
+        ClaimHandler other = handler(store, second);
+
+        ask(other, 2);
+        for (int look = 0; look < 3; look++) {
+            pass(other);
+        }
+
+        assertTrue(second.getFirst() instanceof ClaimVerdict.StillUnknown);
+    }
+
+    // The store keeps silent, so every batch costs a whole time-out. Calls that come later are refused without it.
+    @Test
+    public void should_refuse_at_once_after_the_store_failed_twice() {
+        CountingBrokenStore broken = new CountingBrokenStore();
+        ClaimHandler handler = handler(broken, first);
+
+        for (int request = 1; request <= 5; request++) {
+            ask(handler, request);
+        }
+
+        assertEquals(first.size(), 5);
+        assertTrue(first.stream().allMatch(verdict -> verdict instanceof ClaimVerdict.NotClaimed));
+        assertEquals(broken.calls, 2);
+    }
+
+    private void pass(ClaimHandler handler) {
+        time.advance(Duration.ofMillis(250));
+        handler.handle(new ClaimMessage.Tick());
+        handler.batchEnded();
+    }
+
+    private static void ask(ClaimHandler handler, long request) {
+        ClaimKey key = new ClaimKey("studio", "desk", "key-1");
+        handler.handle(new ClaimMessage.Asked(new ClaimRequest(new RequestId(0, request), key, "digest")));
+        handler.batchEnded();
+    }
+
+    private ClaimHandler handler(ObjectStore claimsIn, List<ClaimVerdict> verdicts) {
+        ClaimSettings settings = ClaimSettings.DEFAULT;
+        Random random = new Random(verdicts == first ? 1 : 2);
+        ClaimDesk desk = new ClaimDesk(claimsIn, settings, time, random);
+        CircuitBreaker breaker = new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random);
+        return new ClaimHandler(desk, settings, breaker, time, verdicts::add);
+    }
+
+    /** A store that does not answer. */
+    private static final class CountingBrokenStore implements ObjectStore {
+        private int calls;
+
+        @Override
+        public Optional<StoredObject> read(org.aspenmoor.internal.store.ObjectKey key)
+                throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public StoreListing list(ObjectKind kind) throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public List<StoredObject> list(ObjectKind kind, String namespace) throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public StoredObject create(org.aspenmoor.internal.store.ObjectKey key, String value)
+                throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public StoredObject update(StoredObject read, String value) throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public void delete(StoredObject read) throws StoreUnavailableException {
+            throw silent();
+        }
+
+        @Override
+        public StoreWatch watch(ObjectKind kind, String fromVersion, StoreWatchListener listener)
+                throws StoreUnavailableException {
+            throw silent();
+        }
+
+        private StoreUnavailableException silent() {
+            calls++;
+            return new StoreUnavailableException("The store does not answer.", "store", "Try again later.");
+        }
+    }
+}
