Claims share commits once there are many

Commits beyond a burst are now spaced to three quarters of the process's share, reckoned at two calls each, and claims that wait share them.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
@@ -43,6 +43,7 @@
     private final CircuitBreaker storeBreaker;
     private final TimeSource time;
     private final Consumer<ClaimVerdict> verdicts;
+    private final CommitPace pace;
     private final Map<RequestId, Integer> looks = new HashMap<>();
     private final List<LookAgain> lookAgain = new ArrayList<>();
 
@@ -51,11 +52,13 @@
             ClaimSettings settings,
             CircuitBreaker storeBreaker,
             TimeSource time,
+            double commitsPerSecond,
             Consumer<ClaimVerdict> verdicts) {
         this.desk = desk;
         this.settings = settings;
         this.storeBreaker = storeBreaker;
         this.time = time;
+        this.pace = new CommitPace(time, commitsPerSecond, Math.max(1, commitsPerSecond));
         this.verdicts = verdicts;
     }
 
@@ -72,7 +75,7 @@
 
     @Override
     public void batchEnded() {
-        while (desk.hasDueWork()) {
+        while (desk.hasDueWork() && pace.take()) {
             desk.commitBatch().forEach(this::judged);
         }
     }
@@ -130,7 +133,9 @@
         lookAgain.forEach(look -> verdicts.accept(new ClaimVerdict.StillUnknown(look.request())));
         lookAgain.clear();
         for (int step = 0; step < FLUSH_STEPS; step++) {
-            batchEnded();
+            while (desk.hasDueWork()) {
+                desk.commitBatch().forEach(this::judged);
+            }
             LockSupport.parkNanos(FLUSH_STEP.toNanos());
         }
         flushed.complete(null);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -50,6 +50,8 @@
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int RING_SIZE = 8192;
     private static final int CLAIM_RING_SIZE = 4096;
+    private static final double CLAIM_SHARE = 0.75;
+    private static final double CALLS_OF_COMMIT = 2;
     private static final long PLANNER_PATIENCE_SECONDS = 2;
     private static final double LOADS_PER_SECOND = 1;
     private static final double MOST_LOADS_SAVED = 10;
@@ -88,6 +90,7 @@
                         claimSettings,
                         new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random),
                         time,
+                        settings.process().storeCallsPerSecond() * CLAIM_SHARE / CALLS_OF_COMMIT,
                         this::claimJudged));
         Lanes lanes =
                 new Lanes(registry, routerSettings(settings), settings.limits().waitingRequests(), random);
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
@@ -89,6 +89,27 @@
         assertEquals(broken.calls, 2);
     }
 
+    // Many narrators' booths are booked at once. Without the pace every claim would be a write of its own, and the
+    // entry's share of store calls would be gone before an operator's change gets through.
+    @Test
+    public void should_let_claims_share_a_commit_when_they_come_faster_than_the_pace() {
+        ClaimHandler handler = handler(store, first, 1);
+        for (int request = 1; request <= 20; request++) {
+            ClaimKey key = new ClaimKey("studio", "desk", "key-" + request);
+            handler.handle(new ClaimMessage.Asked(new ClaimRequest(new RequestId(0, request), key, "digest")));
+            handler.batchEnded();
+        }
+        int atOnce = first.size();
+
+        for (int second = 0; second < ClaimSettings.DEFAULT.bucketsPerTeam(); second++) {
+            time.advance(Duration.ofSeconds(1));
+            handler.batchEnded();
+        }
+
+        assertEquals(atOnce, 1);
+        assertEquals(first.size(), 20);
+    }
+
     private void pass(ClaimHandler handler) {
         time.advance(Duration.ofMillis(250));
         handler.handle(new ClaimMessage.Tick());
@@ -102,11 +123,15 @@
     }
 
     private ClaimHandler handler(ObjectStore claimsIn, List<ClaimVerdict> verdicts) {
+        return handler(claimsIn, verdicts, 100);
+    }
+
+    private ClaimHandler handler(ObjectStore claimsIn, List<ClaimVerdict> verdicts, double commitsPerSecond) {
         ClaimSettings settings = ClaimSettings.DEFAULT;
         Random random = new Random(verdicts == first ? 1 : 2);
         ClaimDesk desk = new ClaimDesk(claimsIn, settings, time, random);
         CircuitBreaker breaker = new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random);
-        return new ClaimHandler(desk, settings, breaker, time, verdicts::add);
+        return new ClaimHandler(desk, settings, breaker, time, commitsPerSecond, verdicts::add);
     }
 
     /** A store that does not answer. */
