An engine that drains for a change serves again when the store goes out

Cause: found by rereading. An order needs a record in the store; an agent that had begun to drain for it kept its engine idle for as long as the store was out. Now it takes work again unless an order may be on its way.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/authority/OrderExecutor.java
@@ -111,6 +111,7 @@
             return advance();
         } catch (StoreException trouble) {
             known = known.map(KnownRecord::uncertain);
+            serveThroughOutage();
             return new ExecutorStep.StoreTrouble(trouble);
         } catch (EngineUnreachableException silent) {
             return new ExecutorStep.EngineSilent(silent);
@@ -209,6 +210,22 @@
         return new ExecutorStep.Idle();
     }
 
+    /**
+     * Takes work again where no order can be on its way.
+     *
+     * <p>A change that is due needs the store. An agent that went on draining for it would leave its engine idle for as
+     * long as the store is out.
+     */
+    private void serveThroughOutage() {
+        if (replaced || ownSlotTerm.isEmpty() || known.isEmpty()) {
+            return;
+        }
+        EngineRecord record = known.get().record();
+        if (record.unsettled().isEmpty() && !mayNeedFence(record) && !isOld(record)) {
+            idle();
+        }
+    }
+
     private void stopNewWork() {
         if (!draining) {
             draining = true;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/OrderExecutorTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/authority/OrderExecutorTest.java
@@ -324,6 +324,23 @@
         assertFalse(world.engine().arrivals().getLast().begun());
     }
 
+    // The store goes out while an engine drains for a change. The change cannot be recorded, and an engine that stayed
+    // drained would be idle for as long as the outage lasts.
+    @Test
+    public void should_take_work_again_when_the_store_goes_out_during_a_drain() throws StoreException {
+        world.engine().setRunningStreams(1);
+        world.publish(EngineRole.PREFILL);
+        world.agent().step();
+        assertFalse(world.agent().mayServe());
+        world.engine().setRunningStreams(0);
+        world.faults().nextRead(StoreFault.UNAVAILABLE);
+
+        assertTrue(world.agent().step() instanceof ExecutorStep.StoreTrouble);
+
+        assertTrue(world.agent().mayServe());
+        assertFalse(world.drain().draining());
+    }
+
     // The store is out. Nothing is ordered without a record, and what serves goes on serving.
     @Test
     public void should_order_nothing_while_the_store_is_out() throws StoreException {
