A paused agent lets nothing in until its right to the engine is proved

The desk notices a pause before any work; a permission of the order thread that was given without knowing of it does not count.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
@@ -36,11 +36,18 @@
     private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
     private final IntConsumer runningChanged;
+    private final PauseGate pauseGate;
     private boolean servingAllowed = true;
     private Optional<String> leavingReason = Optional.empty();
     private Optional<CompletableFuture<Void>> drained = Optional.empty();
 
-    AgentDesk(AgentSettings settings, BackendCaller caller, LoadReports loadReports, IntConsumer runningChanged) {
+    AgentDesk(
+            AgentSettings settings,
+            BackendCaller caller,
+            LoadReports loadReports,
+            IntConsumer runningChanged,
+            PauseGate pauseGate) {
+        this.pauseGate = pauseGate;
         this.runningChanged = runningChanged;
         this.settings = settings;
         this.caller = caller;
@@ -49,6 +56,10 @@
 
     @Override
     public void handle(AgentMessage message) {
+        if (pauseGate.stoodStill()) {
+            LOG.warn("agent: the process has stood still, no new work until its right to the engine is proved");
+            allowServing(false);
+        }
         switch (message) {
             case AgentMessage.LinkOpened opened -> opened(opened.link());
             case AgentMessage.LinkClosed closed -> closed(closed.link());
@@ -68,13 +79,18 @@
     }
 
     private void servingAllowed(AgentMessage.ServingAllowed serving) {
-        servingAllowed = serving.allowed();
-        loadReports.allowed(servingAllowed).ifPresent(this::sendToAll);
+        boolean allowed = serving.allowed() && pauseGate.admits(serving.pausesKnown());
+        allowServing(allowed);
         // The count must be right before the order thread trusts it.
         runningChanged.accept(running.size());
         serving.heard().run();
     }
 
+    private void allowServing(boolean allowed) {
+        servingAllowed = allowed;
+        loadReports.allowed(allowed).ifPresent(this::sendToAll);
+    }
+
     private void opened(Link link) {
         links.add(link);
         loadReports.latest().ifPresent(link::send);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
@@ -35,7 +35,7 @@
     record StatusMissing(String cause) implements AgentMessage {}
 
     /** The order thread lets new work in or not; the desk says once it has heard. */
-    record ServingAllowed(boolean allowed, Runnable heard) implements AgentMessage {}
+    record ServingAllowed(boolean allowed, long pausesKnown, Runnable heard) implements AgentMessage {}
 
     /** Time has passed. */
     record Tick() implements AgentMessage {}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
@@ -10,6 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.RequestId;
+import org.aspenmoor.internal.authority.PauseWatch;
+import org.aspenmoor.internal.authority.SlotTerms;
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.duty.Ticker;
 import org.aspenmoor.internal.engine.EngineControl;
@@ -63,13 +65,16 @@
                 .build();
         DeferredCaller caller = new DeferredCaller();
         LoadReports reports = new LoadReports(settings.backend().name(), time);
-        this.desk = new Duty<>("agent-desk", RING_SIZE, new AgentDesk(settings, caller, reports, this::runningChanged));
-        this.drain = new DeskDrain(desk);
+        this.drain = new DeskDrain(this::tellDesk, new PauseWatch(time, SlotTerms.DEFAULT.noticedPause()));
+        boolean takesOrders = settings.backend().type() == BackendType.ENGINE;
+        AgentDesk handler =
+                new AgentDesk(settings, caller, reports, drain::runningChanged, takesOrders ? drain : PauseGate.NONE);
+        this.desk = new Duty<>("agent-desk", RING_SIZE, handler);
         caller.use(new HttpBackendCaller(client, settings.backend().url(), desk));
         this.network = new LinkNetwork(hello(), new DeskLinks());
         EngineControl control = new HttpEngineControl(client, settings.backend().url());
         this.status = new StatusDuty(control, desk);
-        this.orders = settings.backend().type() == BackendType.ENGINE
+        this.orders = takesOrders
                 ? Optional.of(new OrderDuty(settings, incarnation, store, control, drain, time, random))
                 : Optional.empty();
     }
@@ -129,8 +134,8 @@
         callThreads.shutdownNow();
     }
 
-    private void runningChanged(int count) {
-        drain.runningChanged(count);
+    private void tellDesk(AgentMessage message) {
+        desk.put(message);
     }
 
     private Hello hello() {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeskDrain.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeskDrain.java
@@ -2,30 +2,48 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.aspenmoor.internal.authority.PauseWatch;
 import org.aspenmoor.internal.authority.StreamDrain;
-import org.aspenmoor.internal.duty.Duty;
 
 /**
- * Tells the desk to take no new work, and tells the order thread how much still runs.
+ * What the desk's thread and the order thread have to know of each other.
  *
  * <p>The desk may have a dispatch before it in its ring when a drain begins. If the order thread looked at the count
  * before the desk has seen the drain, it would find nothing running, give its order, and the stream let in a moment later
  * would be cut. So until the desk has acknowledged the drain, at least one stream counts as running.
+ *
+ * <p>A process that was paused may have been replaced meanwhile, and its ring may hold dispatches from before. The desk
+ * notices the pause before any work and lets nothing in until the order thread has proved that the engine is still its
+ * own. A permission that the order thread gave without knowing of the pause does not count.
  */
-final class DeskDrain implements StreamDrain {
+final class DeskDrain implements StreamDrain, PauseGate {
     private final AtomicInteger running = new AtomicInteger();
     private final AtomicBoolean asked = new AtomicBoolean();
     private final AtomicBoolean acknowledged = new AtomicBoolean();
-    private final Duty<AgentMessage> desk;
+    private final AtomicLong pauses = new AtomicLong();
+    private final Consumer<AgentMessage> desk;
+    private final PauseWatch watch;
+    private long pausesKnownToOrders;
 
-    DeskDrain(Duty<AgentMessage> desk) {
+    DeskDrain(Consumer<AgentMessage> desk, PauseWatch watch) {
         this.desk = desk;
+        this.watch = watch;
+    }
+
+    /** Called by the order thread before each step; says whether the process has stood still since the last one. */
+    boolean learnsOfPause() {
+        long now = pauses.get();
+        boolean news = now != pausesKnownToOrders;
+        pausesKnownToOrders = now;
+        return news;
     }
 
     @Override
     public void beginDrain() {
         if (asked.compareAndSet(false, true)) {
-            desk.put(new AgentMessage.ServingAllowed(false, () -> acknowledged.set(true)));
+            desk.accept(new AgentMessage.ServingAllowed(false, pausesKnownToOrders, () -> acknowledged.set(true)));
         }
     }
 
@@ -33,7 +51,7 @@
     public void endDrain() {
         if (asked.compareAndSet(true, false)) {
             acknowledged.set(false);
-            desk.put(new AgentMessage.ServingAllowed(true, () -> {}));
+            desk.accept(new AgentMessage.ServingAllowed(true, pausesKnownToOrders, () -> {}));
         }
     }
 
@@ -42,8 +60,32 @@
         return acknowledged.get() ? running.get() : Math.max(1, running.get());
     }
 
+    @Override
+    public boolean stoodStill() {
+        if (!watch.tick()) {
+            return false;
+        }
+        pauses.incrementAndGet();
+        closeOnOwnAccount();
+        return true;
+    }
+
+    @Override
+    public boolean admits(long pausesKnown) {
+        if (pausesKnown == pauses.get()) {
+            return true;
+        }
+        closeOnOwnAccount();
+        return false;
+    }
+
     /** Takes the desk's count. */
     void runningChanged(int count) {
         running.set(count);
     }
+
+    private void closeOnOwnAccount() {
+        asked.set(true);
+        acknowledged.set(true);
+    }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/OrderDuty.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/OrderDuty.java
@@ -10,7 +10,6 @@
 import org.aspenmoor.internal.authority.OrderExecutor;
 import org.aspenmoor.internal.authority.SlotIdentity;
 import org.aspenmoor.internal.authority.SlotTerms;
-import org.aspenmoor.internal.authority.StreamDrain;
 import org.aspenmoor.internal.document.BackendDeclaration;
 import org.aspenmoor.internal.document.ServiceName;
 import org.aspenmoor.internal.document.StoredDocuments;
@@ -35,7 +34,7 @@
     private final String incarnation;
     private final ObjectStore store;
     private final EngineControl control;
-    private final StreamDrain drain;
+    private final DeskDrain drain;
     private final TimeSource time;
     private final RandomGenerator random;
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -48,7 +47,7 @@
             String incarnation,
             ObjectStore store,
             EngineControl control,
-            StreamDrain drain,
+            DeskDrain drain,
             TimeSource time,
             RandomGenerator random) {
         this.settings = settings;
@@ -102,6 +101,9 @@
     }
 
     private void advance(OrderExecutor executor) {
+        if (drain.learnsOfPause()) {
+            executor.wokeFromPause();
+        }
         readPlanIfDue(executor);
         ExecutorStep step = executor.step();
         remember(describe(step));
--- /dev/null
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/PauseGate.java
@@ -0,0 +1,23 @@
+package org.aspenmoor.internal.agent;
+
+/** Keeps new work out after the whole process has stood still, until the order thread has proved its right again. */
+interface PauseGate {
+    /** A gate for backend servers that take no orders: a pause changes nothing for them. */
+    PauseGate NONE = new PauseGate() {
+        @Override
+        public boolean stoodStill() {
+            return false;
+        }
+
+        @Override
+        public boolean admits(long pausesKnown) {
+            return true;
+        }
+    };
+
+    /** Says whether the process has stood still since the last call; the desk asks before any work. */
+    boolean stoodStill();
+
+    /** Says whether a permission given by the order thread still counts: no pause has come after it. */
+    boolean admits(long pausesKnown);
+}
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentDeskTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentDeskTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.aspenmoor.internal.authority.PauseWatch;
 import org.aspenmoor.internal.link.EmbeddedLink;
 import org.aspenmoor.internal.settings.AgentSettings;
 import org.aspenmoor.internal.settings.BackendSettings;
@@ -30,6 +31,9 @@
     private static final AttemptKey FIRST = new AttemptKey(new org.aspenmoor.RequestId(1, 2), 1);
 
     private final List<AttemptKey> started = new ArrayList<>();
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final List<AgentMessage> fromOrders = new ArrayList<>();
+    private DeskDrain drain;
     private final AtomicInteger wanted = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
     private final AtomicInteger running = new AtomicInteger();
@@ -42,8 +46,9 @@
         wanted.set(0);
         cancelled.set(0);
         running.set(0);
-        desk = new AgentDesk(
-                settings(), this::startCall, new LoadReports("drafter-1", new ManualTimeSource()), running::set);
+        fromOrders.clear();
+        drain = new DeskDrain(fromOrders::add, new PauseWatch(time, Duration.ofSeconds(5)));
+        desk = new AgentDesk(settings(), this::startCall, new LoadReports("drafter-1", time), running::set, drain);
         entry = EmbeddedLink.agentOf("");
         desk.handle(new AgentMessage.LinkOpened(entry.link()));
     }
@@ -139,7 +144,7 @@
     public void should_let_no_work_in_while_the_order_thread_forbids_it() {
         List<String> heard = new ArrayList<>();
         dispatch(FIRST, 4);
-        desk.handle(new AgentMessage.ServingAllowed(false, () -> heard.add("running " + running.get())));
+        desk.handle(new AgentMessage.ServingAllowed(false, 0, () -> heard.add("running " + running.get())));
 
         dispatch(new AttemptKey(new org.aspenmoor.RequestId(3, 4), 1), 4);
 
@@ -147,6 +152,37 @@
         assertEquals(started, List.of(FIRST));
     }
 
+    // The host stops the whole process for a while, and another agent takes the engine over. Dispatches from before the
+    // pause wait in the ring; let in, they would be cut in the middle of the successor's change.
+    @Test
+    public void should_let_nothing_in_after_a_pause_until_the_right_to_the_engine_is_proved() {
+        time.advance(Duration.ofSeconds(6));
+        dispatch(FIRST, 4);
+        assertTrue(started.isEmpty());
+        assertTrue(drain.learnsOfPause());
+
+        drain.endDrain();
+        fromOrders.forEach(desk::handle);
+        dispatch(FIRST, 4);
+
+        assertEquals(started, List.of(FIRST));
+    }
+
+    // The order thread was about to let work in when the process was paused, and does so after waking, not yet knowing.
+    @Test
+    public void should_not_count_a_permission_that_was_given_without_knowing_of_the_pause() {
+        drain.beginDrain();
+        fromOrders.forEach(desk::handle);
+        fromOrders.clear();
+        drain.endDrain();
+
+        time.advance(Duration.ofSeconds(6));
+        fromOrders.forEach(desk::handle);
+        dispatch(FIRST, 4);
+
+        assertTrue(started.isEmpty());
+    }
+
     private BackendCall startCall(AttemptKey key, Dispatch dispatch) {
         started.add(key);
         return new BackendCall() {
