--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerProtocolTest.java
@@ -0,0 +1,176 @@
+package org.aspenmoorusage.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.aspenmoor.Outcome;
+import org.aspenmoor.RefusalReason;
+import org.aspenmoor.internal.entry.CallerSink;
+import org.aspenmoor.internal.entry.CallerWork;
+import org.aspenmoor.internal.entry.EntryMessage;
+import org.aspenmoor.internal.entry.IncomingRequest;
+import org.aspenmoor.internal.entry.PlainAnswer;
+import org.aspenmoor.internal.wire.v1.Header;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class CallerProtocolTest {
+    private static final String STREAMED = "{\"model\": \"drafter\", \"prompt\": \"Rain.\", \"stream\": true}";
+
+    private CallerServer server;
+
+    @BeforeMethod
+    public void begin() throws Exception {
+        server = new CallerServer();
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        server.close();
+    }
+
+    @Test
+    public void should_stream_pieces_as_events_and_end_with_the_mark() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = send("/v1/completions", STREAMED);
+        CallerSink sink = request().sink();
+        sink.piece("rain ");
+        sink.piece("falls");
+        sink.generationDone("stop", 3, 2);
+
+        HttpResponse<String> received = answer.get();
+
+        assertEquals(received.headers().firstValue("Content-Type").orElseThrow(), "text/event-stream;charset=UTF-8");
+        assertTrue(received.body().contains("\"text\":\"rain \""));
+        assertTrue(received.body().contains("\"finish_reason\":\"stop\""));
+        assertTrue(received.body().endsWith("data: [DONE]\n\n"));
+    }
+
+    // Every engine that could go on with the stream is gone. The caller has read half a draft and must be able to tell.
+    @Test
+    public void should_let_the_caller_tell_a_cut_stream_from_a_whole_one() throws Exception {
+        HttpRequest call = server.to("/v1/completions")
+                .POST(BodyPublishers.ofString(STREAMED))
+                .build();
+        CompletableFuture<HttpResponse<InputStream>> answer =
+                server.client().sendAsync(call, BodyHandlers.ofInputStream());
+        CallerSink sink = request().sink();
+        sink.piece("rain ");
+        sink.unknown(new Outcome.Unknown("All attempts failed."));
+
+        StringBuilder seen = new StringBuilder();
+        boolean broken = readAll(answer.get().body(), seen);
+
+        assertTrue(broken);
+        assertFalse(seen.toString().contains("[DONE]"));
+    }
+
+    @Test
+    public void should_refuse_with_a_typed_error_and_when_to_come_back() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = send("/v1/completions", STREAMED);
+        request()
+                .sink()
+                .refused(new Outcome.NotRun(RefusalReason.OVERLOADED, Duration.ofMillis(1200), "The queue is full."));
+
+        HttpResponse<String> refused = answer.get();
+
+        assertEquals(refused.statusCode(), 429);
+        assertEquals(refused.headers().firstValue("Retry-After").orElseThrow(), "2");
+        assertEquals(refused.headers().firstValue("Aspenmoor-Outcome").orElseThrow(), "not-run");
+        assertTrue(refused.body().contains("\"come_back_after_milliseconds\":1200"));
+    }
+
+    @Test
+    public void should_name_every_malformed_field_and_trouble_nobody() throws Exception {
+        HttpResponse<String> refused =
+                server.post("/v1/completions", "{\"prompt\": 3, \"max_tokens\": 0, \"stream\": \"yes\"}");
+
+        assertEquals(refused.statusCode(), 400);
+        for (String field : List.of("model", "prompt", "max_tokens", "stream")) {
+            assertTrue(refused.body().contains("\"param\":\"" + field + "\""), field);
+        }
+        assertTrue(server.deskHeardNothing());
+    }
+
+    @Test
+    public void should_answer_a_body_that_is_too_long_with_its_limit() throws Exception {
+        HttpResponse<String> refused = server.post("/v1/completions", "x".repeat(CallerServer.BODY_BYTES + 1));
+
+        assertEquals(refused.statusCode(), 413);
+        assertTrue(refused.body().contains(CallerServer.BODY_BYTES + " bytes"));
+        assertTrue(server.deskHeardNothing());
+    }
+
+    @Test
+    public void should_pass_a_call_through_with_its_key_and_keep_status_and_body() throws Exception {
+        HttpRequest call = server.to("/services/studio-desk/bookings?booth=3")
+                .header("Idempotency-Key", "key-1")
+                .header("X-Narrator", "Aigerim")
+                .POST(BodyPublishers.ofString("tuesday"))
+                .build();
+        CompletableFuture<HttpResponse<String>> answer = server.client().sendAsync(call, BodyHandlers.ofString());
+        IncomingRequest request = request();
+        request.sink().plainAnswer(new PlainAnswer(201, List.of(header("X-Booth", "3")), bytes("booked")));
+
+        CallerWork.PlainCall passed = (CallerWork.PlainCall) request.work();
+        assertEquals(passed.service(), "studio-desk");
+        assertEquals(passed.path(), "/bookings?booth=3");
+        assertEquals(request.idempotencyKey().orElseThrow(), "key-1");
+        assertTrue(passed.headers().stream().noneMatch(sent -> sent.getName().equalsIgnoreCase("Authorization")));
+        assertEquals(answer.get().statusCode(), 201);
+        assertEquals(answer.get().body(), "booked");
+        assertEquals(answer.get().headers().firstValue("X-Booth").orElseThrow(), "3");
+    }
+
+    // The caller closes its connection while it waits. Without the word the engine would go on generating for nobody.
+    @Test
+    public void should_tell_the_desk_when_a_caller_goes_away() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = send("/v1/completions", STREAMED);
+        IncomingRequest request = request();
+
+        answer.cancel(true);
+
+        assertEquals(server.next(EntryMessage.CallerGone.class).id(), request.id());
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(String path, String body) {
+        HttpRequest call = server.to(path).POST(BodyPublishers.ofString(body)).build();
+        return server.client().sendAsync(call, BodyHandlers.ofString());
+    }
+
+    private IncomingRequest request() throws InterruptedException {
+        return server.next(EntryMessage.RequestCame.class).request();
+    }
+
+    private static boolean readAll(InputStream body, StringBuilder seen) {
+        try (body) {
+            int next = body.read();
+            while (next >= 0) {
+                seen.append((char) next);
+                next = body.read();
+            }
+            return false;
+        } catch (IOException broken) {
+            return true;
+        }
+    }
+
+    private static Header header(String name, String value) {
+        return Header.newBuilder().setName(name).setValue(value).build();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerServer.java
@@ -0,0 +1,84 @@
+package org.aspenmoorusage.caller;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.document.DocumentRegistry;
+import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.entry.EntryMessage;
+import org.aspenmoor.internal.http.CallerRoutes;
+import org.aspenmoor.internal.http.HttpServers;
+import org.aspenmoor.internal.settings.CallerLimits;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import ratpack.server.RatpackServer;
+
+/** The callers' side of an entry on a free port; what reaches its desk waits for the test. */
+final class CallerServer implements AutoCloseable {
+    static final int BODY_BYTES = 2048;
+
+    private static final int RING_SIZE = 64;
+    private static final long PATIENCE_SECONDS = 20;
+
+    private final BlockingQueue<EntryMessage> messages = new LinkedBlockingQueue<>();
+    private final Duty<EntryMessage> desk = new Duty<>("test-desk", RING_SIZE, messages::add);
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final RatpackServer server;
+
+    CallerServer() throws AspenmoorException {
+        ManualTimeSource time = new ManualTimeSource();
+        CallerLimits limits = new CallerLimits(BODY_BYTES, 4096, 4096, 16, 8);
+        desk.start();
+        server = HttpServers.start(
+                "127.0.0.1",
+                0,
+                1,
+                limits.headerBytes(),
+                new CallerRoutes(desk, new DocumentRegistry(time), new Random(1), limits, time));
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    HttpRequest.Builder to(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.getBindPort() + path))
+                .header("Authorization", "Bearer studio-token");
+    }
+
+    HttpResponse<String> post(String path, String body) throws IOException, InterruptedException {
+        return client.send(to(path).POST(BodyPublishers.ofString(body)).build(), BodyHandlers.ofString());
+    }
+
+    /** Returns the next message of a type that reaches the desk. */
+    <M extends EntryMessage> M next(Class<M> type) throws InterruptedException {
+        while (true) {
+            EntryMessage message = messages.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            if (message == null) {
+                throw new AssertionError("no " + type.getSimpleName() + " reached the desk");
+            }
+            if (type.isInstance(message)) {
+                return type.cast(message);
+            }
+        }
+    }
+
+    boolean deskHeardNothing() {
+        return messages.isEmpty();
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+        client.close();
+        desk.close();
+    }
+}
