--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/strategy/BaselineRouting.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/strategy/BaselineRouting.java
@@ -102,14 +102,14 @@
 
     private double loadSeconds(Reported engine) {
         EngineLoad load = engine.load();
-        return speed.prefillSeconds(load.queuedPrefillTokens())
+        return speed.prefillSeconds((double) load.queuedPrefillTokens())
                 + (double) load.runningSequences() / Math.max(1, load.mostSequences());
     }
 
     private RoutingDecision decision(RoutingRequest request, String answer, Optional<String> prompt) {
         EngineLoad promptLoad = engines.get(prompt.orElse(answer)).load();
         EngineLoad answerLoad = engines.get(answer).load();
-        double wait = speed.prefillSeconds(promptLoad.queuedPrefillTokens());
+        double wait = speed.prefillSeconds((double) promptLoad.queuedPrefillTokens());
         double firstToken = wait + speed.prefillSeconds(request.promptTokens());
         double finish =
                 firstToken + request.expectedOutputTokens() * speed.stepSeconds(answerLoad.runningSequences() + 1);
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/trace/TraceGenerator.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/policy/trace/TraceGenerator.java
@@ -76,7 +76,7 @@
         Mix one = promptsAreHeaviest ? new Mix(0.3, 0.6, 0.1) : new Mix(0.6, 0.3, 0.1);
         Mix other = promptsAreHeaviest ? new Mix(0.3, 0.1, 0.6) : new Mix(0.1, 0.3, 0.6);
         MixSchedule swings = swings(60, 90);
-        return now -> swings.at(now) == Mix.PROMPTS ? one : other;
+        return now -> swings.at(now).equals(Mix.PROMPTS) ? one : other;
     }
 
     private Trace withdrawn(BuiltInTrace trace) {
--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/CompletionCommand.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/CompletionCommand.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import joptsimple.OptionParser;
 import org.aspenmoor.AspenmoorException;
@@ -51,7 +52,7 @@
 
     private String script() {
         StringBuilder cases = new StringBuilder();
-        Map<String, TreeSet<String>> nextWords = new LinkedHashMap<>();
+        Map<String, Set<String>> nextWords = new LinkedHashMap<>();
         nextWords.put("", new TreeSet<>(List.of(name(), "--help", "--version")));
         nextWords.put(name(), new TreeSet<>(words()));
         for (Command command : commands) {
@@ -81,14 +82,14 @@
                 """.formatted(cases);
     }
 
-    private static void addWords(Command command, Map<String, TreeSet<String>> nextWords) {
+    private static void addWords(Command command, Map<String, Set<String>> nextWords) {
         String[] words = command.name().split(" ");
         String before = "";
         for (String word : words) {
             nextWords.computeIfAbsent(before, ignored -> new TreeSet<>()).add(word);
             before = before.isEmpty() ? word : before + " " + word;
         }
-        TreeSet<String> last = nextWords.computeIfAbsent(before, ignored -> new TreeSet<>());
+        Set<String> last = nextWords.computeIfAbsent(before, ignored -> new TreeSet<>());
         last.addAll(command.words());
         OptionParser parser = Options.common();
         command.declare(parser);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/TeamShare.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/admission/TeamShare.java
@@ -14,8 +14,8 @@
     private static final Comparator<WaitingWork> ORDER = Comparator.comparingDouble(WaitingWork::weight)
             .reversed()
             .thenComparingLong(WaitingWork::deadlineNanoseconds)
-            .thenComparing(work -> work.id().high())
-            .thenComparing(work -> work.id().low());
+            .thenComparingLong(work -> work.id().high())
+            .thenComparingLong(work -> work.id().low());
 
     private final TreeSet<WaitingWork> waiting = new TreeSet<>(ORDER);
     private final Map<String, Integer> counts = new TreeMap<>();
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AttemptDriver.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AttemptDriver.java
@@ -260,8 +260,8 @@
                 .toList();
         Comparator<AgentPeer> leastBusy = Comparator.<AgentPeer, Boolean>comparing(
                         peer -> request.tried().contains(peer.backend()))
-                .thenComparing(AgentPeer::outstanding)
-                .thenComparing(peer -> (peer.backend() + request.id()).hashCode());
+                .thenComparingInt(AgentPeer::outstanding)
+                .thenComparingInt(peer -> (peer.backend() + request.id()).hashCode());
         return open.stream().min(leastBusy);
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/Lanes.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/Lanes.java
@@ -59,7 +59,7 @@
         long engines = document.backends().stream()
                 .filter(backend -> backend instanceof BackendDeclaration.EngineDeclaration)
                 .count();
-        AdmissionSettings usual = AdmissionSettings.usual(Math.max(1, engines));
+        AdmissionSettings usual = AdmissionSettings.usual((double) Math.max(1, engines));
         AdmissionSettings settings =
                 new AdmissionSettings(mostWaiting, usual.initialEngines(), usual.rateMemorySeconds());
         EngineRouter router = new EngineRouter(new Router(routerSettings, random), routerSettings.dataCentre());
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/WaitingRoom.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/WaitingRoom.java
@@ -15,7 +15,7 @@
     private final TreeSet<ActiveRequest> waiting = new TreeSet<>(Comparator.comparing(ActiveRequest::hasBegun)
             .reversed()
             .thenComparing(request -> request.kind().weight(), Comparator.reverseOrder())
-            .thenComparing(ActiveRequest::deadlineAt)
+            .thenComparingLong(ActiveRequest::deadlineAt)
             .thenComparing(request -> request.id().toString()));
     private final int mostWaiting;
     private double secondsBetweenStarts;
