--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/DeskFixture.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/DeskFixture.java
@@ -103,7 +103,7 @@
     }
 
     /** Connects a backend server and reports it ready. */
-    EmbeddedLink connect(String backend, String service) {
+    EmbeddedLink connect(String backend, String service, String... loaded) {
         AgentRegistration registration = new AgentRegistration(
                 backend, "studio", service, "host-" + backend, "almaty-1", "127.0.0.1", 1, "incarnation-" + backend);
         changed(ObjectKind.AGENT_REGISTRATION, backend, registration.write());
@@ -120,7 +120,8 @@
                                 .setReady(true)
                                 .setMostSequences(16)
                                 .setFreeCachePieces(100)
-                                .setAllCachePieces(100))
+                                .setAllCachePieces(100)
+                                .addAllLoaded(List.of(loaded)))
                         .build());
         return link;
     }
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/RequestDeskTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/RequestDeskTest.java
@@ -72,6 +72,23 @@
         assertEquals(caller.end(), Optional.of("whole"));
     }
 
+    // An engine dies in the middle of a rollout. Continued under the new version, the draft would go on in the words of
+    // another model from one sentence to the next.
+    @Test
+    public void should_continue_a_stream_only_under_the_version_it_began_with() {
+        EmbeddedLink first = fixture.connect("drafter-1", "drafting", "drafter@1");
+        fixture.generate(DeskFixture.TOKEN);
+        AttemptId lost = fixture.dispatchTo(first).orElseThrow().getId();
+        fixture.chunk(first, lost, "rain ");
+        EmbeddedLink newVersion = fixture.connect("drafter-2", "drafting", "drafter@2");
+        fixture.cut(first);
+        assertTrue(fixture.dispatchTo(newVersion).isEmpty());
+
+        EmbeddedLink oldVersion = fixture.connect("drafter-3", "drafting", "drafter@1");
+
+        assertTrue(fixture.dispatchTo(oldVersion).isPresent());
+    }
+
     // A chunk is lost or damaged between two processes. The last frame's checksum shows it before the caller is told
     // that
     // the answer is whole.
