--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/EntryBookings.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/EntryBookings.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.RequestId;
-import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimCommitter;
 import org.aspenmoor.internal.claim.ClaimRequest;
 import org.aspenmoor.internal.claim.ClaimTicket;
 import org.aspenmoor.internal.claim.ClaimVerdict;
@@ -20,29 +20,29 @@
 
     private final SoakWorld world;
     private final EntryProcess entry;
-    private final ClaimDesk desk;
+    private final ClaimCommitter committer;
     private final Deque<ClaimVerdict.Granted> granted = new ArrayDeque<>();
     private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
 
-    EntryBookings(SoakWorld world, EntryProcess entry, ClaimDesk desk) {
+    EntryBookings(SoakWorld world, EntryProcess entry, ClaimCommitter committer) {
         this.world = world;
         this.entry = entry;
-        this.desk = desk;
+        this.committer = committer;
     }
 
     /** Takes a call from a caller. */
     void request(ClaimRequest request) {
-        if (!desk.submit(request)) {
+        if (!committer.submit(request)) {
             world.ledger().toldNotRun(request);
         }
     }
 
     /** Claims what waits for one object. */
     void commit() {
-        if (!desk.hasDueWork()) {
+        if (!committer.hasDueWork()) {
             return;
         }
-        for (ClaimVerdict verdict : desk.commitBatch()) {
+        for (ClaimVerdict verdict : committer.commitBatch()) {
             switch (verdict) {
                 case ClaimVerdict.Granted grant -> granted.add(grant);
                 case ClaimVerdict.AlreadyAnswered repeat ->
@@ -63,7 +63,7 @@
         ClaimVerdict.Granted grant = granted.remove();
         Optional<SoakService> service = entry.members().anyServing();
         if (service.isEmpty()) {
-            desk.neverStarted(grant.ticket());
+            committer.neverStarted(grant.ticket());
             world.ledger().toldNotRun(grant.request());
             return;
         }
@@ -91,7 +91,7 @@
             return;
         }
         world.ledger().toldAnswered(call.claim(), answerDigest);
-        desk.answered(found.ticket(), new RecordedAnswer(201, "text/plain", Optional.empty(), answerDigest));
+        committer.answered(found.ticket(), new RecordedAnswer(201, "text/plain", Optional.empty(), answerDigest));
     }
 
     void refused(BookingCall call) {
@@ -100,7 +100,7 @@
             return;
         }
         world.ledger().toldNotRun(call.claim());
-        desk.neverStarted(found.ticket());
+        committer.neverStarted(found.ticket());
     }
 
     /** A dispatched call. */
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/EntryProcess.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/soak/EntryProcess.java
@@ -8,7 +8,7 @@
 import org.aspenmoor.internal.authority.EngineAssignment;
 import org.aspenmoor.internal.authority.LeaseTerms;
 import org.aspenmoor.internal.authority.PlanHolder;
-import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimCommitter;
 import org.aspenmoor.internal.claim.ClaimSettings;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.store.StoreException;
@@ -36,8 +36,8 @@
         var store = world.store().client(faults);
         this.planner = new PlanHolder(
                 store, house.planKey(), incarnation, LeaseTerms.DEFAULT, world.time(), world.newRandom());
-        ClaimDesk desk = new ClaimDesk(store, CLAIMS, world.time(), world.newRandom());
-        this.bookings = new EntryBookings(world, this, desk);
+        ClaimCommitter committer = new ClaimCommitter(store, CLAIMS, world.time(), world.newRandom());
+        this.bookings = new EntryBookings(world, this, committer);
         this.streams = new EntryStreams(world, this);
         this.members = new EntryMembers(world, this);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimBucket.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimBucket.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** The claims of one object, while a desk works on them. */
+/** The claims of one object, while a committer works on them. */
 final class ClaimBucket {
     private final Map<String, ClaimEntry> entries = new LinkedHashMap<>();
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimDesk.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimCommitter.java
@@ -25,7 +25,7 @@
  *
  * <p>Used by one thread only.
  */
-public final class ClaimDesk {
+public final class ClaimCommitter {
     private static final int MOST_ATTEMPTS = 6;
     private static final int MOST_CLAIMS_OF_BATCH = 500;
 
@@ -39,7 +39,7 @@
     private int waitingOutcomes;
     private long droppedOutcomes;
 
-    public ClaimDesk(ObjectStore store, ClaimSettings settings, TimeSource time, RandomGenerator random) {
+    public ClaimCommitter(ObjectStore store, ClaimSettings settings, TimeSource time, RandomGenerator random) {
         this.store = store;
         this.settings = settings;
         this.time = time;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/claim/ClaimCostTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/claim/ClaimCostTest.java
@@ -29,17 +29,18 @@
     public void should_share_writes_as_load_grows(int callsOfRound, int expectedWrites) {
         ManualTimeSource time = new ManualTimeSource();
         FakeStore store = new FakeStore();
-        ClaimDesk desk = new ClaimDesk(store.client(StoreCallFaults.NONE), ClaimSettings.DEFAULT, time, new Random(11));
+        ClaimCommitter committer =
+                new ClaimCommitter(store.client(StoreCallFaults.NONE), ClaimSettings.DEFAULT, time, new Random(11));
         List<ClaimTicket> running = new ArrayList<>();
         for (int round = 0; round < ROUNDS; round++) {
             for (int call = 0; call < callsOfRound; call++) {
                 ClaimKey key = new ClaimKey("seitkali", "studio-desk", round + "-" + call);
-                desk.submit(new ClaimRequest(new RequestId(round, call), key, "body"));
+                committer.submit(new ClaimRequest(new RequestId(round, call), key, "body"));
             }
-            running.forEach(ticket -> desk.answered(ticket, BOOKED));
+            running.forEach(ticket -> committer.answered(ticket, BOOKED));
             running.clear();
-            while (desk.hasDueWork()) {
-                for (ClaimVerdict verdict : desk.commitBatch()) {
+            while (committer.hasDueWork()) {
+                for (ClaimVerdict verdict : committer.commitBatch()) {
                     running.add(((ClaimVerdict.Granted) verdict).ticket());
                 }
             }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryAdministration.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryAdministration.java
@@ -5,7 +5,7 @@
 import org.aspenmoor.internal.document.DocumentAcceptance;
 import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.entry.EntryProcess;
-import org.aspenmoor.internal.entry.RequestStory;
+import org.aspenmoor.internal.entry.RequestTrace;
 import org.aspenmoor.internal.settings.EntrySettings;
 import org.aspenmoor.internal.settings.OperatorSettings;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -41,7 +41,7 @@
                 documents,
                 new KindCounts(metrics),
                 entry::dump,
-                id -> entry.story(id).thenApply(story -> story.map(RequestStory::sentences)),
+                id -> entry.trace(id).thenApply(trace -> trace.map(RequestTrace::sentences)),
                 entry::duties);
         DocumentAcceptance acceptance =
                 new DocumentAcceptance(store, new RegistryFleetView(documents, source), timeSource, random);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryStatusSource.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/administration/EntryStatusSource.java
@@ -22,17 +22,17 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.jboss.logging.Logger;
 
-/** Status of an entry, from the dump of its desk, its metrics and its documents. */
+/** Status of an entry, from the dump of its eventLoop, its metrics and its documents. */
 public final class EntryStatusSource implements ProcessStatusSource {
     private static final Logger LOG = Logger.getLogger("administration");
-    private static final Duration DESK_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration EVENT_LOOP_TIMEOUT = Duration.ofSeconds(5);
 
     private final String process;
     private final String dataCentre;
     private final DocumentRegistry registry;
     private final KindCounts counts;
-    private final Supplier<CompletableFuture<ObjectNode>> desk;
-    private final Function<RequestId, CompletableFuture<Optional<List<String>>>> stories;
+    private final Supplier<CompletableFuture<ObjectNode>> eventLoop;
+    private final Function<RequestId, CompletableFuture<Optional<List<String>>>> traces;
     private final Supplier<List<DutyStatus>> duties;
 
     public EntryStatusSource(
@@ -40,15 +40,15 @@
             String dataCentre,
             DocumentRegistry registry,
             KindCounts counts,
-            Supplier<CompletableFuture<ObjectNode>> desk,
-            Function<RequestId, CompletableFuture<Optional<List<String>>>> stories,
+            Supplier<CompletableFuture<ObjectNode>> eventLoop,
+            Function<RequestId, CompletableFuture<Optional<List<String>>>> traces,
             Supplier<List<DutyStatus>> duties) {
         this.process = process;
         this.dataCentre = dataCentre;
         this.registry = registry;
         this.counts = counts;
-        this.desk = desk;
-        this.stories = stories;
+        this.eventLoop = eventLoop;
+        this.traces = traces;
         this.duties = duties;
     }
 
@@ -68,7 +68,7 @@
     @Override
     public List<BackendStatus> backends() {
         List<BackendStatus> backends = new ArrayList<>();
-        for (JsonNode node : dumpOfDesk().path("backends")) {
+        for (JsonNode node : dumpOfEventLoop().path("backends")) {
             backends.add(new BackendStatus(
                     node.path("backend").asText(),
                     new ServiceName(
@@ -97,12 +97,12 @@
 
     @Override
     public Optional<JsonNode> dump(String wanted) {
-        return wanted.equals(process) ? Optional.of(dumpOfDesk()) : Optional.empty();
+        return wanted.equals(process) ? Optional.of(dumpOfEventLoop()) : Optional.empty();
     }
 
     @Override
     public Optional<RequestExplanation> explain(RequestId id) {
-        return await(stories.apply(id), Optional.empty())
+        return await(traces.apply(id), Optional.empty())
                 .map(sentences -> new RequestExplanation(Optional.empty(), sentences));
     }
 
@@ -154,19 +154,19 @@
         return Optional.empty();
     }
 
-    private ObjectNode dumpOfDesk() {
-        return await(desk.get(), JsonNodeFactory.instance.objectNode());
+    private ObjectNode dumpOfEventLoop() {
+        return await(eventLoop.get(), JsonNodeFactory.instance.objectNode());
     }
 
-    /** A desk that is stuck must not hold the threads that answer operators; its part of the status is left out. */
+    /** A eventLoop that is stuck must not hold the threads that answer operators; its part of the status is left out. */
     private static <T> T await(CompletableFuture<T> answer, T fallback) {
         try {
-            return answer.get(DESK_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            return answer.get(EVENT_LOOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             return fallback;
         } catch (ExecutionException | TimeoutException silent) {
-            LOG.warnf("administration: the desk gave no answer, %s", silent);
+            LOG.warnf("administration: the event loop gave no answer, %s", silent);
             return fallback;
         }
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentEventLoop.java
@@ -24,7 +24,7 @@
 import org.jboss.logging.Logger;
 
 /** The agent's one place of decision: takes dispatches, runs them at the backend server, sends the answers back. */
-final class AgentDesk implements DutyHandler<AgentMessage> {
+final class AgentEventLoop implements DutyHandler<AgentMessage> {
     private static final Logger LOG = Logger.getLogger("agent");
     private static final int SOON_MILLISECONDS = 1000;
     private static final int BUSY_MILLISECONDS = 200;
@@ -36,18 +36,18 @@
     private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
     private final IntConsumer runningChanged;
-    private final PauseGate pauseGate;
+    private final PauseGuard pauseGuard;
     private boolean servingAllowed = true;
     private Optional<String> leavingReason = Optional.empty();
     private Optional<CompletableFuture<Void>> drained = Optional.empty();
 
-    AgentDesk(
+    AgentEventLoop(
             AgentSettings settings,
             BackendCaller caller,
             LoadReports loadReports,
             IntConsumer runningChanged,
-            PauseGate pauseGate) {
-        this.pauseGate = pauseGate;
+            PauseGuard pauseGuard) {
+        this.pauseGuard = pauseGuard;
         this.runningChanged = runningChanged;
         this.settings = settings;
         this.caller = caller;
@@ -56,7 +56,7 @@
 
     @Override
     public void handle(AgentMessage message) {
-        if (pauseGate.stoodStill()) {
+        if (pauseGuard.stoodStill()) {
             LOG.warn("agent: the process has stood still, no new work until its right to the engine is proved");
             allowServing(false);
         }
@@ -79,7 +79,7 @@
     }
 
     private void servingAllowed(AgentMessage.ServingAllowed serving) {
-        boolean allowed = serving.allowed() && pauseGate.admits(serving.pausesKnown());
+        boolean allowed = serving.allowed() && pauseGuard.admits(serving.pausesKnown());
         allowServing(allowed);
         // The count must be right before the order thread trusts it.
         runningChanged.accept(running.size());
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentMessage.java
@@ -8,7 +8,7 @@
 import org.aspenmoor.internal.wire.v1.Frame;
 import org.aspenmoor.internal.wire.v1.Header;
 
-/** What the agent's desk hears. */
+/** What the agent's event loop hears. */
 sealed interface AgentMessage {
     /** An entry has connected. */
     record LinkOpened(Link link) implements AgentMessage {}
@@ -34,7 +34,7 @@
     /** The backend server did not say how it is. */
     record StatusMissing(String cause) implements AgentMessage {}
 
-    /** The order thread lets new work in or not; the desk says once it has heard. */
+    /** The order thread lets new work in or not; the event loop says once it has heard. */
     record ServingAllowed(boolean allowed, long pausesKnown, Runnable heard) implements AgentMessage {}
 
     /** Time has passed. */
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
@@ -15,8 +15,7 @@
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.duty.Ticker;
 import org.aspenmoor.internal.engine.EngineControl;
-import org.aspenmoor.internal.link.Link;
-import org.aspenmoor.internal.link.LinkListener;
+import org.aspenmoor.internal.link.DutyLinkListener;
 import org.aspenmoor.internal.link.LinkNetwork;
 import org.aspenmoor.internal.registration.AgentRegistration;
 import org.aspenmoor.internal.settings.AgentSettings;
@@ -24,11 +23,10 @@
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.wire.FramePipeline;
-import org.aspenmoor.internal.wire.v1.Frame;
 import org.aspenmoor.internal.wire.v1.Hello;
 import org.jboss.logging.Logger;
 
-/** A running agent: its desk, its links, its calls to the backend server, and its registration. */
+/** A running agent: its eventLoop, its links, its calls to the backend server, and its registration. */
 public final class AgentProcess implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger("agent");
     private static final int RING_SIZE = 8192;
@@ -44,10 +42,10 @@
             CALL_THREADS,
             work -> Thread.ofPlatform().name("aspenmoor-calls").daemon(true).unstarted(work));
     private final HttpClient client;
-    private final Duty<AgentMessage> desk;
+    private final Duty<AgentMessage> eventLoop;
     private final LinkNetwork network;
     private final StatusDuty status;
-    private final DeskDrain drain;
+    private final EventLoopDrain drain;
     private final Optional<OrderDuty> orders;
     private final Ticker ticker = new Ticker();
     private RegistrationDuty registration;
@@ -65,15 +63,21 @@
                 .build();
         DeferredCaller caller = new DeferredCaller();
         LoadReports reports = new LoadReports(settings.backend().name(), time);
-        this.drain = new DeskDrain(this::tellDesk, new PauseWatch(time, SlotTerms.DEFAULT.noticedPause()));
+        this.drain = new EventLoopDrain(this::tellEventLoop, new PauseWatch(time, SlotTerms.DEFAULT.noticedPause()));
         boolean takesOrders = settings.backend().type() == BackendType.ENGINE;
-        AgentDesk handler =
-                new AgentDesk(settings, caller, reports, drain::runningChanged, takesOrders ? drain : PauseGate.NONE);
-        this.desk = new Duty<>("agent-desk", RING_SIZE, handler);
-        caller.use(new HttpBackendCaller(client, settings.backend().url(), desk));
-        this.network = new LinkNetwork(hello(), new DeskLinks());
+        AgentEventLoop handler = new AgentEventLoop(
+                settings, caller, reports, drain::runningChanged, takesOrders ? drain : PauseGuard.NONE);
+        this.eventLoop = new Duty<>("agent-events", RING_SIZE, handler);
+        caller.use(new HttpBackendCaller(client, settings.backend().url(), eventLoop));
+        this.network = new LinkNetwork(
+                hello(),
+                new DutyLinkListener<>(
+                        this::tellEventLoop,
+                        AgentMessage.LinkOpened::new,
+                        AgentMessage.FrameArrived::new,
+                        (link, cause) -> new AgentMessage.LinkClosed(link)));
         EngineControl control = new HttpEngineControl(client, settings.backend().url());
-        this.status = new StatusDuty(control, desk);
+        this.status = new StatusDuty(control, eventLoop);
         this.orders = takesOrders
                 ? Optional.of(new OrderDuty(settings, incarnation, store, control, drain, time, random))
                 : Optional.empty();
@@ -81,12 +85,12 @@
 
     /** Starts the threads and returns the link port. */
     public int start() throws AspenmoorException {
-        desk.start();
+        eventLoop.start();
         int port =
                 network.listen(settings.process().address(), settings.process().linkPort());
         status.start();
         orders.ifPresent(OrderDuty::start);
-        ticker.every(TICK, () -> desk.offer(new AgentMessage.Tick()));
+        ticker.every(TICK, () -> eventLoop.offer(new AgentMessage.Tick()));
         registration = new RegistrationDuty(store, registrationAt(port), random);
         registration.start();
         LOG.infof(
@@ -103,13 +107,13 @@
     /** Asks for the state. */
     public CompletableFuture<ObjectNode> dump() {
         CompletableFuture<ObjectNode> answer = new CompletableFuture<>();
-        desk.put(new AgentMessage.DumpAsked(answer));
+        eventLoop.put(new AgentMessage.DumpAsked(answer));
         return answer.thenApply(node -> {
             node.put("process", settings.process().name());
             node.put("role", "agent");
             node.put("backend", settings.backend().name());
             orders.ifPresent(duty -> duty.dump(node.putObject("orders")));
-            desk.state().writeTo(node.putObject("duty"));
+            eventLoop.state().writeTo(node.putObject("duty"));
             return node;
         });
     }
@@ -118,7 +122,7 @@
     public CompletableFuture<Void> drain() {
         stopping = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        desk.put(new AgentMessage.DrainAsked("the agent is stopping", drained));
+        eventLoop.put(new AgentMessage.DrainAsked("the agent is stopping", drained));
         return drained;
     }
 
@@ -130,12 +134,12 @@
         status.close();
         orders.ifPresent(OrderDuty::close);
         network.close();
-        desk.close();
+        eventLoop.close();
         callThreads.shutdownNow();
     }
 
-    private void tellDesk(AgentMessage message) {
-        desk.put(message);
+    private void tellEventLoop(AgentMessage message) {
+        eventLoop.put(message);
     }
 
     private Hello hello() {
@@ -160,22 +164,4 @@
                 port,
                 incarnation);
     }
-
-    /** Puts what happens on links into the desk's ring, slowing the network down where the desk lags. */
-    private final class DeskLinks implements LinkListener {
-        @Override
-        public void opened(Link link) {
-            desk.put(new AgentMessage.LinkOpened(link));
-        }
-
-        @Override
-        public void received(Link link, Frame frame) {
-            desk.put(new AgentMessage.FrameArrived(link, frame));
-        }
-
-        @Override
-        public void closed(Link link, String cause) {
-            desk.put(new AgentMessage.LinkClosed(link));
-        }
-    }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeferredCaller.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeferredCaller.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import org.aspenmoor.internal.wire.v1.Dispatch;
 
-/** Joins the desk, which starts calls, and the caller, which tells the desk of them: each needs the other first. */
+/** Joins the event loop, which starts calls, and the caller, which tells the event loop of them: each needs the other first. */
 final class DeferredCaller implements BackendCaller {
     private Optional<BackendCaller> caller = Optional.empty();
 
@@ -13,7 +13,7 @@
 
     @Override
     public BackendCall start(AttemptKey key, Dispatch dispatch) {
-        return caller.orElseThrow(() -> new IllegalStateException("the desk runs before its caller is set"))
+        return caller.orElseThrow(() -> new IllegalStateException("the event loop runs before its caller is set"))
                 .start(key, dispatch);
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/DeskDrain.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/EventLoopDrain.java
@@ -8,27 +8,27 @@
 import org.aspenmoor.internal.authority.StreamDrain;
 
 /**
- * What the desk's thread and the order thread have to know of each other.
+ * What the event loop's thread and the order thread have to know of each other.
  *
- * <p>The desk may have a dispatch before it in its ring when a drain begins. If the order thread looked at the count
- * before the desk has seen the drain, it would find nothing running, give its order, and the stream let in a moment later
- * would be cut. So until the desk has acknowledged the drain, at least one stream counts as running.
+ * <p>The event loop may have a dispatch before it in its ring when a drain begins. If the order thread looked at the count
+ * before the event loop has seen the drain, it would find nothing running, give its order, and the stream let in a moment later
+ * would be cut. So until the event loop has acknowledged the drain, at least one stream counts as running.
  *
- * <p>A process that was paused may have been replaced meanwhile, and its ring may hold dispatches from before. The desk
+ * <p>A process that was paused may have been replaced meanwhile, and its ring may hold dispatches from before. The event loop
  * notices the pause before any work and lets nothing in until the order thread has proved that the engine is still its
  * own. A permission that the order thread gave without knowing of the pause does not count.
  */
-final class DeskDrain implements StreamDrain, PauseGate {
+final class EventLoopDrain implements StreamDrain, PauseGuard {
     private final AtomicInteger running = new AtomicInteger();
     private final AtomicBoolean asked = new AtomicBoolean();
     private final AtomicBoolean acknowledged = new AtomicBoolean();
     private final AtomicLong pauses = new AtomicLong();
-    private final Consumer<AgentMessage> desk;
+    private final Consumer<AgentMessage> eventLoop;
     private final PauseWatch watch;
     private long pausesKnownToOrders;
 
-    DeskDrain(Consumer<AgentMessage> desk, PauseWatch watch) {
-        this.desk = desk;
+    EventLoopDrain(Consumer<AgentMessage> eventLoop, PauseWatch watch) {
+        this.eventLoop = eventLoop;
         this.watch = watch;
     }
 
@@ -43,7 +43,7 @@
     @Override
     public void beginDrain() {
         if (asked.compareAndSet(false, true)) {
-            desk.accept(new AgentMessage.ServingAllowed(false, pausesKnownToOrders, () -> acknowledged.set(true)));
+            eventLoop.accept(new AgentMessage.ServingAllowed(false, pausesKnownToOrders, () -> acknowledged.set(true)));
         }
     }
 
@@ -51,7 +51,7 @@
     public void endDrain() {
         if (asked.compareAndSet(true, false)) {
             acknowledged.set(false);
-            desk.accept(new AgentMessage.ServingAllowed(true, pausesKnownToOrders, () -> {}));
+            eventLoop.accept(new AgentMessage.ServingAllowed(true, pausesKnownToOrders, () -> {}));
         }
     }
 
@@ -79,7 +79,7 @@
         return false;
     }
 
-    /** Takes the desk's count. */
+    /** Takes the event loop's count. */
     void runningChanged(int count) {
         running.set(count);
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
@@ -15,14 +15,14 @@
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.wire.v1.Header;
 
-/** One call over HTTP; pulls the answer only as fast as the desk asks for it. */
+/** One call over HTTP; pulls the answer only as fast as the event loop asks for it. */
 final class HttpBackendCall implements BackendCall, Flow.Subscriber<List<ByteBuffer>> {
     private static final int OK = 200;
     private static final Set<String> HOP_BY_HOP =
             Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", ":status");
 
     private final AttemptKey key;
-    private final Duty<AgentMessage> desk;
+    private final Duty<AgentMessage> eventLoop;
     private final AnswerDecoder decoder;
     private final boolean generation;
     private final Object lock = new Object();
@@ -31,9 +31,9 @@
     private boolean cancelled;
     private boolean ended;
 
-    HttpBackendCall(AttemptKey key, Duty<AgentMessage> desk, AnswerDecoder decoder, boolean generation) {
+    HttpBackendCall(AttemptKey key, Duty<AgentMessage> eventLoop, AnswerDecoder decoder, boolean generation) {
         this.key = key;
-        this.desk = desk;
+        this.eventLoop = eventLoop;
         this.decoder = decoder;
         this.generation = generation;
     }
@@ -92,7 +92,7 @@
     @Override
     public void onNext(List<ByteBuffer> buffers) {
         try {
-            desk.put(new AgentMessage.PiecesArrived(key, decoder.decode(buffers)));
+            eventLoop.put(new AgentMessage.PiecesArrived(key, decoder.decode(buffers)));
         } catch (AnswerMalformedException malformed) {
             cancel();
             end(new CallEnd.Failed(malformed.problem()));
@@ -115,7 +115,7 @@
             response.body().subscribe(new DiscardingSubscriber());
             return;
         }
-        desk.put(new AgentMessage.AnswerStarted(key, response.statusCode(), headersOf(response)));
+        eventLoop.put(new AgentMessage.AnswerStarted(key, response.statusCode(), headersOf(response)));
         response.body().subscribe(this);
     }
 
@@ -136,7 +136,7 @@
             }
             ended = true;
         }
-        desk.put(new AgentMessage.AnswerEnded(key, end));
+        eventLoop.put(new AgentMessage.AnswerEnded(key, end));
     }
 
     private static List<Header> headersOf(HttpResponse<?> response) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCaller.java
@@ -38,12 +38,12 @@
 
     private final HttpClient client;
     private final URI backend;
-    private final Duty<AgentMessage> desk;
+    private final Duty<AgentMessage> eventLoop;
 
-    HttpBackendCaller(HttpClient client, URI backend, Duty<AgentMessage> desk) {
+    HttpBackendCaller(HttpClient client, URI backend, Duty<AgentMessage> eventLoop) {
         this.client = client;
         this.backend = backend;
-        this.desk = desk;
+        this.eventLoop = eventLoop;
     }
 
     @Override
@@ -56,7 +56,7 @@
     }
 
     private BackendCall startGeneration(AttemptKey key, Generation generation, double weight) {
-        HttpBackendCall call = new HttpBackendCall(key, desk, new EventStreamDecoder(), true);
+        HttpBackendCall call = new HttpBackendCall(key, eventLoop, new EventStreamDecoder(), true);
         try {
             String path = generation.getChat() ? "/v1/chat/completions" : "/v1/completions";
             HttpRequest request = requestTo(key, path)
@@ -65,14 +65,14 @@
                     .build();
             call.start(client, request);
         } catch (IOException malformed) {
-            desk.put(new AgentMessage.AnswerEnded(
+            eventLoop.put(new AgentMessage.AnswerEnded(
                     key, new CallEnd.NeverStarted("the request's JSON is malformed: " + malformed.getMessage())));
         }
         return call;
     }
 
     private BackendCall startPlainCall(AttemptKey key, PlainCall plain) {
-        HttpBackendCall call = new HttpBackendCall(key, desk, new PlainAnswerDecoder(), false);
+        HttpBackendCall call = new HttpBackendCall(key, eventLoop, new PlainAnswerDecoder(), false);
         HttpRequest.Builder request = requestTo(key, plain.getPath());
         for (Header header : plain.getHeadersList()) {
             if (!NOT_FORWARDED.contains(header.getName().toLowerCase(Locale.ROOT))) {
@@ -87,8 +87,8 @@
     }
 
     private BackendCall startNothing(AttemptKey key) {
-        HttpBackendCall call = new HttpBackendCall(key, desk, new PlainAnswerDecoder(), false);
-        desk.put(new AgentMessage.AnswerEnded(key, new CallEnd.NeverStarted("the dispatch holds no work")));
+        HttpBackendCall call = new HttpBackendCall(key, eventLoop, new PlainAnswerDecoder(), false);
+        eventLoop.put(new AgentMessage.AnswerEnded(key, new CallEnd.NeverStarted("the dispatch holds no work")));
         return call;
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/OrderDuty.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/OrderDuty.java
@@ -34,7 +34,7 @@
     private final String incarnation;
     private final ObjectStore store;
     private final EngineControl control;
-    private final DeskDrain drain;
+    private final EventLoopDrain drain;
     private final TimeSource time;
     private final RandomGenerator random;
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -47,7 +47,7 @@
             String incarnation,
             ObjectStore store,
             EngineControl control,
-            DeskDrain drain,
+            EventLoopDrain drain,
             TimeSource time,
             RandomGenerator random) {
         this.settings = settings;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/PauseGate.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/PauseGuard.java
@@ -1,9 +1,9 @@
 package org.aspenmoor.internal.agent;
 
 /** Keeps new work out after the whole process has stood still, until the order thread has proved its right again. */
-interface PauseGate {
-    /** A gate for backend servers that take no orders: a pause changes nothing for them. */
-    PauseGate NONE = new PauseGate() {
+interface PauseGuard {
+    /** A guard for backend servers that take no orders: a pause changes nothing for them. */
+    PauseGuard NONE = new PauseGuard() {
         @Override
         public boolean stoodStill() {
             return false;
@@ -15,7 +15,7 @@
         }
     };
 
-    /** Says whether the process has stood still since the last call; the desk asks before any work. */
+    /** Says whether the process has stood still since the last call; the event loop asks before any work. */
     boolean stoodStill();
 
     /** Says whether a permission given by the order thread still counts: no pause has come after it. */
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/StatusDuty.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/StatusDuty.java
@@ -12,13 +12,13 @@
     private static final Duration PERIOD = Duration.ofMillis(250);
 
     private final EngineControl control;
-    private final Duty<AgentMessage> desk;
+    private final Duty<AgentMessage> eventLoop;
     private final CountDownLatch closed = new CountDownLatch(1);
     private final Thread thread;
 
-    StatusDuty(EngineControl control, Duty<AgentMessage> desk) {
+    StatusDuty(EngineControl control, Duty<AgentMessage> eventLoop) {
         this.control = control;
-        this.desk = desk;
+        this.eventLoop = eventLoop;
         this.thread = Thread.ofPlatform().name("aspenmoor-status").daemon(true).unstarted(this::run);
     }
 
@@ -43,9 +43,9 @@
 
     private void ask() {
         try {
-            desk.put(new AgentMessage.StatusRead(control.status()));
+            eventLoop.put(new AgentMessage.StatusRead(control.status()));
         } catch (EngineUnreachableException unreachable) {
-            desk.put(new AgentMessage.StatusMissing(unreachable.problem()));
+            eventLoop.put(new AgentMessage.StatusMissing(unreachable.problem()));
         }
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.aspenmoor.RequestId;
-import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimCommitter;
 import org.aspenmoor.internal.claim.ClaimRequest;
 import org.aspenmoor.internal.claim.ClaimSettings;
 import org.aspenmoor.internal.claim.ClaimVerdict;
@@ -38,7 +38,7 @@
     private static final Duration LOOK_AGAIN_AFTER = Duration.ofMillis(200);
     private static final int MOST_LOOKS = 4;
 
-    private final ClaimDesk desk;
+    private final ClaimCommitter committer;
     private final ClaimSettings settings;
     private final CircuitBreaker storeBreaker;
     private final TimeSource time;
@@ -48,13 +48,13 @@
     private final List<LookAgain> lookAgain = new ArrayList<>();
 
     public ClaimHandler(
-            ClaimDesk desk,
+            ClaimCommitter committer,
             ClaimSettings settings,
             CircuitBreaker storeBreaker,
             TimeSource time,
             double commitsPerSecond,
             Consumer<ClaimVerdict> verdicts) {
-        this.desk = desk;
+        this.committer = committer;
         this.settings = settings;
         this.storeBreaker = storeBreaker;
         this.time = time;
@@ -66,8 +66,8 @@
     public void handle(ClaimMessage message) {
         switch (message) {
             case ClaimMessage.Asked asked -> ask(asked.request());
-            case ClaimMessage.Answered answered -> desk.answered(answered.ticket(), answered.answer());
-            case ClaimMessage.NeverStarted never -> desk.neverStarted(never.ticket());
+            case ClaimMessage.Answered answered -> committer.answered(answered.ticket(), answered.answer());
+            case ClaimMessage.NeverStarted never -> committer.neverStarted(never.ticket());
             case ClaimMessage.Tick ignored -> submitDueLooks();
             case ClaimMessage.FlushAsked asked -> flush(asked.flushed());
         }
@@ -75,8 +75,8 @@
 
     @Override
     public void batchEnded() {
-        while (desk.hasDueWork() && pace.take()) {
-            desk.commitBatch().forEach(this::judged);
+        while (committer.hasDueWork() && pace.take()) {
+            committer.commitBatch().forEach(this::judged);
         }
     }
 
@@ -90,7 +90,7 @@
     }
 
     private void submit(ClaimRequest request) {
-        if (!desk.submit(request)) {
+        if (!committer.submit(request)) {
             looks.remove(request.id());
             verdicts.accept(new ClaimVerdict.NotClaimed(
                     request, settings.comeBackAfter(), "Too many claims wait for the store."));
@@ -133,8 +133,8 @@
         lookAgain.forEach(look -> verdicts.accept(new ClaimVerdict.StillUnknown(look.request())));
         lookAgain.clear();
         for (int step = 0; step < FLUSH_STEPS; step++) {
-            while (desk.hasDueWork()) {
-                desk.commitBatch().forEach(this::judged);
+            while (committer.hasDueWork()) {
+                committer.commitBatch().forEach(this::judged);
             }
             LockSupport.parkNanos(FLUSH_STEP.toNanos());
         }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/EntryDaemon.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/EntryDaemon.java
@@ -66,7 +66,7 @@
         AdministrationApi administration = new EntryAdministration(settings, store, time, random, registry).api(entry);
         return chain -> {
             chain.prefix(AdministrationApi.ROOT, administration);
-            new CallerRoutes(entry.desk(), entry.registry(), random, settings.limits(), time).execute(chain);
+            new CallerRoutes(entry.eventLoop(), entry.registry(), random, settings.limits(), time).execute(chain);
             new ProcessRoutes(registry, entry::dump, entry::isReady).execute(chain);
         };
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AnswerReceiver.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AnswerReceiver.java
@@ -15,16 +15,17 @@
 final class AnswerReceiver {
     private static final int STATUS_OK = 200;
 
-    private final RequestBook book;
+    private final RequestTable requestTable;
     private final AttemptDriver driver;
     private final CallerLimits limits;
     private final EntryMetrics metrics;
     private final Claims claims;
     private final ChunkAccount chunks = new ChunkAccount();
 
-    AnswerReceiver(RequestBook book, AttemptDriver driver, CallerLimits limits, EntryMetrics metrics, Claims claims) {
+    AnswerReceiver(
+            RequestTable requestTable, AttemptDriver driver, CallerLimits limits, EntryMetrics metrics, Claims claims) {
         this.claims = claims;
-        this.book = book;
+        this.requestTable = requestTable;
         this.driver = driver;
         this.limits = limits;
         this.metrics = metrics;
@@ -35,7 +36,7 @@
     }
 
     void started(Started started, long now) {
-        book.findCurrent(started.getId()).ifPresent(request -> {
+        requestTable.findCurrent(started.getId()).ifPresent(request -> {
             request.progressed(now);
             request.plainStarted(started.getStatus(), started.getHeadersList());
         });
@@ -43,7 +44,7 @@
 
     void chunk(Chunk chunk, long now) {
         chunks.received();
-        Optional<ActiveRequest> found = book.findCurrent(chunk.getId());
+        Optional<ActiveRequest> found = requestTable.findCurrent(chunk.getId());
         if (found.isEmpty()) {
             chunks.discarded();
             metrics.chunkDiscarded();
@@ -63,7 +64,7 @@
     }
 
     void last(Last last, long now) {
-        Optional<ActiveRequest> found = book.findCurrent(last.getId());
+        Optional<ActiveRequest> found = requestTable.findCurrent(last.getId());
         if (found.isEmpty()) {
             return;
         }
@@ -82,7 +83,9 @@
     }
 
     void refused(Refused refused, long now) {
-        book.findCurrent(refused.getId()).ifPresent(request -> driver.neverStarted(request, refused.getDetail(), now));
+        requestTable
+                .findCurrent(refused.getId())
+                .ifPresent(request -> driver.neverStarted(request, refused.getDetail(), now));
     }
 
     /** Passes credit for what the caller has taken on to the agent. */
@@ -100,7 +103,7 @@
                 if (first) {
                     double seconds = (now - request.receivedAt()) / (double) TimeUnit.SECONDS.toNanos(1);
                     metrics.firstToken(request.document(), request.kind(), seconds);
-                    book.tell(request, now, "first token");
+                    requestTable.trace(request, now, "first token");
                 }
                 String text = chunk.getData().toStringUtf8();
                 request.delivered(text);
@@ -116,7 +119,8 @@
         if (length > limits.answerBytes()) {
             cancelAtAgent(request);
             driver.endAttempt(request, true, now);
-            book.unknown(request, "The service's answer is longer than " + limits.answerBytes() + " bytes.", now);
+            requestTable.unknown(
+                    request, "The service's answer is longer than " + limits.answerBytes() + " bytes.", now);
             return;
         }
         credit(request, 1);
@@ -127,7 +131,7 @@
         driver.endAttempt(request, true, now);
         switch (request.incoming().work()) {
             case CallerWork.Generation generation -> {
-                book.answered(request, STATUS_OK, now);
+                requestTable.answered(request, STATUS_OK, now);
                 request.sink()
                         .generationDone(
                                 last.getFinishReason(),
@@ -137,11 +141,11 @@
             case CallerWork.PlainCall ignored -> {
                 PlainAnswer answer = request.plainAnswer();
                 request.ticket().ifPresent(ticket -> claims.answered(ticket, answer));
-                book.answered(request, answer.status(), now);
+                requestTable.answered(request, answer.status(), now);
                 request.sink().plainAnswer(answer);
             }
         }
-        book.tell(request, now, "answered whole, " + last.getCount() + " chunks in the last attempt");
+        requestTable.trace(request, now, "answered whole, " + last.getCount() + " chunks in the last attempt");
     }
 
     private void abandon(ActiveRequest request, String detail, long now) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AttemptDriver.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/AttemptDriver.java
@@ -24,27 +24,27 @@
     private static final double RETRIES_EARNED_BY_REQUEST = 0.1;
     private static final double MOST_RETRIES_SAVED = 50;
 
-    private final RequestBook book;
+    private final RequestTable requestTable;
     private final AgentDirectory directory;
-    private final Lanes lanes;
-    private final WaitingRoom waitingRoom;
+    private final ServiceQueues serviceQueues;
+    private final WaitingRequests waitingRequests;
     private final CallerLimits limits;
     private final EntryMetrics metrics;
     private final Claims claims;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
     AttemptDriver(
-            RequestBook book,
+            RequestTable requestTable,
             AgentDirectory directory,
-            Lanes lanes,
-            WaitingRoom waitingRoom,
+            ServiceQueues serviceQueues,
+            WaitingRequests waitingRequests,
             CallerLimits limits,
             EntryMetrics metrics,
             Claims claims) {
-        this.book = book;
+        this.requestTable = requestTable;
         this.directory = directory;
-        this.lanes = lanes;
-        this.waitingRoom = waitingRoom;
+        this.serviceQueues = serviceQueues;
+        this.waitingRequests = waitingRequests;
         this.limits = limits;
         this.metrics = metrics;
         this.claims = claims;
@@ -54,8 +54,8 @@
     void admit(ActiveRequest request, long now) {
         budgetOf(request).firstAttempt();
         if (request.isGeneration() && anyTakesWork(request)) {
-            lanes.of(request.document()).offer(request, now).forEach(refusal -> refuse(refusal, now));
-            pump(lanes.of(request.document()), now);
+            serviceQueues.of(request.document()).offer(request, now).forEach(refusal -> refuse(refusal, now));
+            pump(serviceQueues.of(request.document()), now);
             return;
         }
         startOrWait(request, now);
@@ -63,22 +63,22 @@
 
     /** Gives waiting requests to backend servers that have room again. */
     void startWaiting(long now) {
-        for (ActiveRequest request : waitingRoom.inOrder()) {
+        for (ActiveRequest request : waitingRequests.inOrder()) {
             if (now > request.deadlineAt() && !request.hasBegun()) {
-                waitingRoom.leave(request);
+                waitingRequests.leave(request);
                 giveUp(request, tooLate(), now);
             } else if (dispatchIfPossible(request, now)) {
-                waitingRoom.leave(request);
-                waitingRoom.started(now);
+                waitingRequests.leave(request);
+                waitingRequests.started(now);
             }
         }
-        lanes.all().forEach(lane -> pump(lane, now));
+        serviceQueues.all().forEach(serviceQueue -> pump(serviceQueue, now));
     }
 
     /** Takes that an agent stated it never started the attempt. */
     void neverStarted(ActiveRequest request, String detail, long now) {
         endAttempt(request, false, now);
-        book.tell(request, now, "the agent did not start it: " + detail);
+        requestTable.trace(request, now, "the agent did not start it: " + detail);
         retry(request, detail, now);
     }
 
@@ -86,9 +86,9 @@
     void lost(ActiveRequest request, String detail, long now) {
         request.peer().ifPresent(peer -> peer.breaker().failed());
         endAttempt(request, true, now);
-        book.tell(request, now, "attempt " + request.assembly().attempt() + " lost: " + detail);
+        requestTable.trace(request, now, "attempt " + request.assembly().attempt() + " lost: " + detail);
         if (!request.kind().idempotent()) {
-            book.unknown(request, "The request was sent and its answer was lost: " + detail + ".", now);
+            requestTable.unknown(request, "The request was sent and its answer was lost: " + detail + ".", now);
             return;
         }
         retry(request, detail, now);
@@ -100,21 +100,21 @@
         if (request.ticket().isPresent() && request.peer().isPresent()) {
             return;
         }
-        waitingRoom.leave(request);
-        lanes.of(request.document()).cancel(request);
+        waitingRequests.leave(request);
+        serviceQueues.of(request.document()).cancel(request);
         request.peer().flatMap(AgentPeer::link).ifPresent(link -> link.send(DispatchFrames.cancel(request)));
         boolean mayHaveRun = request.mayHaveRun() || request.peer().isPresent();
         endAttempt(request, mayHaveRun, now);
         if (!mayHaveRun) {
             request.ticket().ifPresent(claims::neverStarted);
         }
-        book.cancelled(request, now);
+        requestTable.cancelled(request, now);
     }
 
     /** Ends the current attempt, whatever came of it. */
     void endAttempt(ActiveRequest request, boolean mayHaveRun, long now) {
         if (request.isGeneration()) {
-            lanes.of(request.document()).router().ended(request, now);
+            serviceQueues.of(request.document()).router().ended(request, now);
         }
         request.attemptOver(mayHaveRun);
     }
@@ -123,33 +123,38 @@
     void answered(ActiveRequest request) {
         request.peer().ifPresent(peer -> peer.breaker().succeeded());
         if (request.isGeneration()) {
-            lanes.of(request.document())
+            serviceQueues
+                    .of(request.document())
                     .answered(
                             request, request.promptTokens(), request.assembly().deliveredTokens());
         }
     }
 
-    private void pump(ServiceLane lane, long now) {
+    private void pump(ServiceQueue serviceQueue, long now) {
         Set<String> closedBreakers = new HashSet<>();
         boolean resting = false;
         while (!resting) {
-            switch (lane.next(backend -> isOpen(backend, closedBreakers), now)) {
-                case LaneStep.Send send -> send(lane, send.request(), send.decision(), closedBreakers, now);
-                case LaneStep.Refuse refused -> refuse(refused.refusal(), now);
-                case LaneStep.Rest ignored -> resting = true;
+            switch (serviceQueue.next(backend -> isOpen(backend, closedBreakers), now)) {
+                case QueueStep.Send send -> send(serviceQueue, send.request(), send.decision(), closedBreakers, now);
+                case QueueStep.Refuse refused -> refuse(refused.refusal(), now);
+                case QueueStep.Rest ignored -> resting = true;
             }
         }
     }
 
     private void send(
-            ServiceLane lane, ActiveRequest request, RoutingDecision decision, Set<String> closedBreakers, long now) {
+            ServiceQueue serviceQueue,
+            ActiveRequest request,
+            RoutingDecision decision,
+            Set<String> closedBreakers,
+            long now) {
         Optional<AgentPeer> peer = directory.find(decision.backend()).filter(AttemptDriver::passesBreaker);
         if (peer.isEmpty()) {
             closedBreakers.add(decision.backend());
             return;
         }
-        lane.sent(request, decision, now);
-        book.tell(request, now, decision.reason());
+        serviceQueue.sent(request, decision, now);
+        requestTable.trace(request, now, decision.reason());
         dispatch(request, peer.get(), now);
     }
 
@@ -196,13 +201,13 @@
     }
 
     private void wait(ActiveRequest request, long now) {
-        Optional<ActiveRequest> displaced = waitingRoom.enter(request);
-        book.tell(request, now, "waits for a backend server with room, " + waitingRoom.size() + " wait");
+        Optional<ActiveRequest> displaced = waitingRequests.enter(request);
+        requestTable.trace(request, now, "waits for a backend server with room, " + waitingRequests.size() + " wait");
         displaced.ifPresent(loser -> giveUp(
                 loser,
                 new Outcome.NotRun(
                         RefusalReason.OVERLOADED,
-                        waitingRoom.timeToEmpty(),
+                        waitingRequests.timeToEmpty(),
                         "The queue is full and requests of greater weight go first."),
                 now));
     }
@@ -214,17 +219,17 @@
     // "Not run" must be true: once an attempt may have run, only "unknown" is left.
     private void giveUp(ActiveRequest request, Outcome.NotRun refusal, long now) {
         if (request.mayHaveRun()) {
-            book.unknown(request, refusal.detail(), now);
+            requestTable.unknown(request, refusal.detail(), now);
             return;
         }
         request.ticket().ifPresent(claims::neverStarted);
-        book.refused(request, refusal, now);
+        requestTable.refused(request, refusal, now);
     }
 
     private Outcome.NotRun tooLate() {
         return new Outcome.NotRun(
                 RefusalReason.CANNOT_FINISH_IN_TIME,
-                waitingRoom.timeToEmpty(),
+                waitingRequests.timeToEmpty(),
                 "Its turn did not come before its deadline.");
     }
 
@@ -243,12 +248,14 @@
         if (!request.isGeneration()) {
             return chooseLeastBusy(request, passedOver);
         }
-        ServiceLane lane = lanes.of(request.document());
+        ServiceQueue serviceQueue = serviceQueues.of(request.document());
         Set<String> alsoTried = new HashSet<>(passedOver);
         alsoTried.addAll(request.tried());
-        Optional<RoutingDecision> decision = lane.decideAgain(request, backend -> isOpen(backend, alsoTried), now)
-                .or(() -> lane.decideAgain(request, backend -> isOpen(backend, passedOver), now));
-        decision.ifPresent(decided -> lane.router().sent(request, lane.estimate(request), decided, now));
+        Optional<RoutingDecision> decision = serviceQueue
+                .decideAgain(request, backend -> isOpen(backend, alsoTried), now)
+                .or(() -> serviceQueue.decideAgain(request, backend -> isOpen(backend, passedOver), now));
+        decision.ifPresent(
+                decided -> serviceQueue.router().sent(request, serviceQueue.estimate(request), decided, now));
         return decision.flatMap(decided -> directory.find(decided.backend()));
     }
 
@@ -287,7 +294,7 @@
 
     private void dispatch(ActiveRequest request, AgentPeer peer, long now) {
         int attempt = request.dispatchedTo(peer, now);
-        book.tell(request, now, "attempt " + attempt + " sent to " + peer.backend());
+        requestTable.trace(request, now, "attempt " + attempt + " sent to " + peer.backend());
         peer.link().ifPresent(link -> link.send(DispatchFrames.dispatch(request, attempt, limits.chunkCredit(), now)));
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CallerSink.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CallerSink.java
@@ -2,7 +2,7 @@
 
 import org.aspenmoor.Outcome;
 
-/** Takes a request's answer towards its caller. The desk's thread calls it; no call blocks. */
+/** Takes a request's answer towards its caller. The event loop's thread calls it; no call blocks. */
 public interface CallerSink {
     /** Takes the next piece of a generation. */
     void piece(String text);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentShelf.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/DocumentIndex.java
@@ -14,13 +14,13 @@
 import org.jboss.logging.Logger;
 
 /** The documents in force in this entry, found by the caller's token. */
-final class DocumentShelf {
+final class DocumentIndex {
     private static final Logger LOG = Logger.getLogger("entry");
 
     private final DocumentRegistry registry;
     private final Map<String, List<ServiceName>> byTokenHash = new HashMap<>();
 
-    DocumentShelf(DocumentRegistry registry) {
+    DocumentIndex(DocumentRegistry registry) {
         this.registry = registry;
     }
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestDesk.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryEventLoop.java
@@ -27,7 +27,7 @@
 import org.jboss.logging.Logger;
 
 /** The entry's one place of decision: admits requests, follows their attempts, watches over agents. */
-public final class RequestDesk implements DutyHandler<EntryMessage> {
+public final class EntryEventLoop implements DutyHandler<EntryMessage> {
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int PROBES_WITHIN_SILENCE = 4;
     private static final int STALLS_WITHIN_DEADLINE = 3;
@@ -36,42 +36,43 @@
 
     private final EntrySettings settings;
     private final TimeSource time;
-    private final RequestBook book;
+    private final RequestTable requestTable;
     private final AgentDirectory directory;
-    private final WaitingRoom waitingRoom;
+    private final WaitingRequests waitingRequests;
     private final AttemptDriver driver;
     private final AnswerReceiver receiver;
     private final StoreObjects objects;
-    private final StoryBook stories;
+    private final TraceLog traces;
     private final RequestMatcher matcher;
     private final Claims claims;
-    private final Lanes lanes;
+    private final ServiceQueues serviceQueues;
     private final long probePeriodNanoseconds;
     private Optional<CompletableFuture<Void>> drained = Optional.empty();
     private long probedAt;
 
-    RequestDesk(
+    EntryEventLoop(
             EntrySettings settings,
             TimeSource time,
             AgentDirectory directory,
-            Lanes lanes,
+            ServiceQueues serviceQueues,
             Claims claims,
-            DocumentShelf shelf,
+            DocumentIndex documentIndex,
             EntryMetrics metrics) {
         this.claims = claims;
-        this.lanes = lanes;
+        this.serviceQueues = serviceQueues;
         this.probePeriodNanoseconds =
                 MembershipBounds.silence(settings.leavingBound()).toNanos() / PROBES_WITHIN_SILENCE;
         this.settings = settings;
         this.time = time;
         this.directory = directory;
-        this.stories = new StoryBook();
-        this.book = new RequestBook(stories, metrics);
-        this.waitingRoom = new WaitingRoom(settings.limits().waitingRequests());
-        this.driver = new AttemptDriver(book, directory, lanes, waitingRoom, settings.limits(), metrics, claims);
-        this.receiver = new AnswerReceiver(book, driver, settings.limits(), metrics, claims);
-        this.objects = new StoreObjects(shelf, directory);
-        this.matcher = new RequestMatcher(shelf);
+        this.traces = new TraceLog();
+        this.requestTable = new RequestTable(traces, metrics);
+        this.waitingRequests = new WaitingRequests(settings.limits().waitingRequests());
+        this.driver = new AttemptDriver(
+                requestTable, directory, serviceQueues, waitingRequests, settings.limits(), metrics, claims);
+        this.receiver = new AnswerReceiver(requestTable, driver, settings.limits(), metrics, claims);
+        this.objects = new StoreObjects(documentIndex, directory);
+        this.matcher = new RequestMatcher(documentIndex);
     }
 
     @Override
@@ -79,8 +80,9 @@
         long now = time.monotonicNanoseconds();
         switch (message) {
             case EntryMessage.RequestCame came -> requestCame(came.request(), now);
-            case EntryMessage.CallerTook took -> book.find(took.id()).ifPresent(receiver::returnCredit);
-            case EntryMessage.CallerGone gone -> book.find(gone.id()).ifPresent(request -> driver.cancel(request, now));
+            case EntryMessage.CallerTook took -> requestTable.find(took.id()).ifPresent(receiver::returnCredit);
+            case EntryMessage.CallerGone gone ->
+                requestTable.find(gone.id()).ifPresent(request -> driver.cancel(request, now));
             case EntryMessage.LinkOpened opened -> directory.opened(opened.link());
             case EntryMessage.LinkClosed closed -> linkClosed(closed, now);
             case EntryMessage.FrameArrived arrived -> received(arrived.link(), arrived.frame(), now);
@@ -92,24 +94,24 @@
             case EntryMessage.DrainAsked asked -> drained = Optional.of(asked.drained());
             case EntryMessage.EnginesAsked asked -> asked.answer().complete(engines());
             case EntryMessage.DumpAsked asked -> asked.answer().complete(dump());
-            case EntryMessage.StoryAsked asked -> asked.answer().complete(stories.story(asked.id()));
+            case EntryMessage.TraceAsked asked -> asked.answer().complete(traces.trace(asked.id()));
         }
         completeDrainIfIdle();
     }
 
     private void requestCame(IncomingRequest incoming, long now) {
         if (drained.isPresent()) {
-            book.refusedAtOnce(
+            requestTable.refusedAtOnce(
                     incoming,
                     new Outcome.NotRun(RefusalReason.STOPPING, STOPPING_COME_BACK, "This entry is stopping."));
             return;
         }
         switch (matcher.match(incoming)) {
-            case RequestMatch.Missing missing -> book.refusedAtOnce(incoming, missing.refusal());
+            case RequestMatch.Missing missing -> requestTable.refusedAtOnce(incoming, missing.refusal());
             case RequestMatch.Found found -> {
                 ActiveRequest request = new ActiveRequest(incoming, found.document(), found.kind(), now);
-                book.put(request);
-                book.tell(
+                requestTable.put(request);
+                requestTable.trace(
                         request,
                         now,
                         "came as kind " + found.kind().name() + " of "
@@ -126,12 +128,12 @@
             driver.admit(request, now);
             return;
         }
-        book.tell(request, now, "waits for the store to grant its key");
-        claims.ask(request).ifPresent(refusal -> book.refused(request, refusal, now));
+        requestTable.trace(request, now, "waits for the store to grant its key");
+        claims.ask(request).ifPresent(refusal -> requestTable.refused(request, refusal, now));
     }
 
     private void claimJudged(ClaimVerdict verdict, long now) {
-        Optional<ActiveRequest> found = book.find(verdict.request().id());
+        Optional<ActiveRequest> found = requestTable.find(verdict.request().id());
         if (found.isEmpty()) {
             releaseUnwanted(verdict);
             return;
@@ -143,14 +145,14 @@
                 driver.admit(request, now);
             }
             case ClaimVerdict.AlreadyAnswered already -> {
-                book.tell(request, now, "its key was answered before, the recorded answer is given again");
-                book.answered(request, already.answer().status(), now);
+                requestTable.trace(request, now, "its key was answered before, the recorded answer is given again");
+                requestTable.answered(request, already.answer().status(), now);
                 request.sink().plainAnswer(Claims.replay(already.answer()));
             }
             case ClaimVerdict.StillUnknown ignored ->
-                book.unknown(request, "The key was used before and what came of it is not known.", now);
+                requestTable.unknown(request, "The key was used before and what came of it is not known.", now);
             case ClaimVerdict.KeyReused ignored ->
-                book.refused(
+                requestTable.refused(
                         request,
                         new Outcome.NotRun(
                                 RefusalReason.KEY_REUSED,
@@ -158,7 +160,7 @@
                                 "The idempotency key was used before with another request; draw a new key."),
                         now);
             case ClaimVerdict.NotClaimed not ->
-                book.refused(
+                requestTable.refused(
                         request,
                         new Outcome.NotRun(RefusalReason.STORE_UNAVAILABLE, not.comeBackAfter(), not.detail()),
                         now);
@@ -175,7 +177,7 @@
     private void linkClosed(EntryMessage.LinkClosed closed, long now) {
         List<ActiveRequest> affected = directory
                 .of(closed.link())
-                .map(peer -> book.all().stream()
+                .map(peer -> requestTable.all().stream()
                         .filter(request -> request.peer().equals(Optional.of(peer)))
                         .toList())
                 .orElse(List.of());
@@ -209,7 +211,7 @@
 
     private void reported(AgentPeer peer, LoadReport report, long now) {
         peer.reported(report);
-        lanes.reported(peer, now);
+        serviceQueues.reported(peer, now);
         driver.startWaiting(now);
     }
 
@@ -220,9 +222,9 @@
             directory.probe(now);
             closeSilentLinks();
         }
-        book.all().forEach(request -> watchOver(request, now));
+        requestTable.all().forEach(request -> watchOver(request, now));
         driver.startWaiting(now);
-        book.checkAccount();
+        requestTable.checkAccount();
     }
 
     // A paused or cut-off agent keeps its connection open: nothing arrives and nothing fails. Without the probes its
@@ -259,7 +261,7 @@
     }
 
     private void completeDrainIfIdle() {
-        if (book.size() == 0) {
+        if (requestTable.size() == 0) {
             drained.ifPresent(future -> future.complete(null));
         }
     }
@@ -282,15 +284,15 @@
 
     private ObjectNode dump() {
         ObjectNode dump = JsonNodeFactory.instance.objectNode();
-        RequestAccount.Totals totals = book.totals();
+        RequestAccount.Totals totals = requestTable.totals();
         dump.putObject("requests")
                 .put("received", totals.received())
                 .put("answered", totals.answered())
                 .put("notRun", totals.notRun())
                 .put("unknown", totals.unknown())
                 .put("cancelled", totals.cancelled())
-                .put("inFlight", book.size())
-                .put("waiting", waitingRoom.size());
+                .put("inFlight", requestTable.size())
+                .put("waiting", waitingRequests.size());
         ChunkAccount.Totals chunkTotals = receiver.chunks().totals();
         dump.putObject("chunks")
                 .put("received", chunkTotals.received())
@@ -299,7 +301,7 @@
                 .put("broken", chunkTotals.broken());
         dump.put(
                 "imbalance",
-                book.imbalance().or(() -> receiver.chunks().imbalance()).orElse(""));
+                requestTable.imbalance().or(() -> receiver.chunks().imbalance()).orElse(""));
         dump.put("stopping", drained.isPresent());
         dumpBackends(dump.putArray("backends"));
         objects.dump(dump.putArray("documents"));
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryMessage.java
@@ -12,7 +12,7 @@
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.wire.v1.Frame;
 
-/** What the entry's desk hears. */
+/** What the entry's event loop hears. */
 public sealed interface EntryMessage {
     /** A caller asks for something. */
     record RequestCame(IncomingRequest request) implements EntryMessage {}
@@ -57,5 +57,5 @@
     record DumpAsked(CompletableFuture<ObjectNode> answer) implements EntryMessage {}
 
     /** Somebody wants to know what became of a request. */
-    record StoryAsked(RequestId id, CompletableFuture<Optional<RequestStory>> answer) implements EntryMessage {}
+    record TraceAsked(RequestId id, CompletableFuture<Optional<RequestTrace>> answer) implements EntryMessage {}
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/EntryProcess.java
@@ -12,7 +12,7 @@
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.RequestId;
 import org.aspenmoor.internal.administration.DutyStatus;
-import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimCommitter;
 import org.aspenmoor.internal.claim.ClaimSettings;
 import org.aspenmoor.internal.claim.ClaimVerdict;
 import org.aspenmoor.internal.claims.ClaimHandler;
@@ -20,8 +20,7 @@
 import org.aspenmoor.internal.document.DocumentRegistry;
 import org.aspenmoor.internal.duty.Duty;
 import org.aspenmoor.internal.duty.Ticker;
-import org.aspenmoor.internal.link.Link;
-import org.aspenmoor.internal.link.LinkListener;
+import org.aspenmoor.internal.link.DutyLinkListener;
 import org.aspenmoor.internal.link.LinkNetwork;
 import org.aspenmoor.internal.membership.MembershipView;
 import org.aspenmoor.internal.planner.EngineSnapshot;
@@ -41,11 +40,10 @@
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.wire.FramePipeline;
-import org.aspenmoor.internal.wire.v1.Frame;
 import org.aspenmoor.internal.wire.v1.Hello;
 import org.jboss.logging.Logger;
 
-/** A running entry: its desk, its links, and what it follows in the store. */
+/** A running entry: its eventLoop, its links, and what it follows in the store. */
 public final class EntryProcess implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger("entry");
     private static final int RING_SIZE = 8192;
@@ -60,7 +58,7 @@
             List.of(ObjectKind.DOCUMENT, ObjectKind.AGENT_REGISTRATION, ObjectKind.HOST);
 
     private final EntrySettings settings;
-    private final Duty<EntryMessage> desk;
+    private final Duty<EntryMessage> eventLoop;
     private final Duty<ClaimMessage> claimDuty;
     private final DocumentRegistry registry;
     private final PlannerDuty planner;
@@ -78,28 +76,34 @@
             RandomGenerator random,
             EntryMetrics metrics) {
         this.settings = settings;
-        this.network = new LinkNetwork(hello(settings.process(), random), new DeskLinks());
+        this.network = new LinkNetwork(
+                hello(settings.process(), random),
+                new DutyLinkListener<>(
+                        this::tellEventLoop,
+                        EntryMessage.LinkOpened::new,
+                        EntryMessage.FrameArrived::new,
+                        EntryMessage.LinkClosed::new));
         this.registry = new DocumentRegistry(time);
         ClaimSettings claimSettings = ClaimSettings.DEFAULT;
-        ClaimDesk claimDesk = new ClaimDesk(store, claimSettings, time, random);
+        ClaimCommitter claimCommitter = new ClaimCommitter(store, claimSettings, time, random);
         this.claimDuty = new Duty<>(
                 "entry-claims",
                 CLAIM_RING_SIZE,
                 new ClaimHandler(
-                        claimDesk,
+                        claimCommitter,
                         claimSettings,
                         new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random),
                         time,
                         settings.process().storeCallsPerSecond() * CLAIM_SHARE / CALLS_OF_COMMIT,
                         this::claimJudged));
-        Lanes lanes =
-                new Lanes(registry, routerSettings(settings), settings.limits().waitingRequests(), random);
+        ServiceQueues serviceQueues = new ServiceQueues(
+                registry, routerSettings(settings), settings.limits().waitingRequests(), random);
         MembershipView membership = new MembershipView(MembershipBounds.of(settings.leavingBound()), time);
         AgentDirectory directory = new AgentDirectory(
-                network, membership, () -> new CircuitBreaker(BreakerSettings.DEFAULT, time, random), lanes);
-        RequestDesk handler = new RequestDesk(
-                settings, time, directory, lanes, new Claims(claimDuty), new DocumentShelf(registry), metrics);
-        this.desk = new Duty<>("entry-desk", RING_SIZE, handler);
+                network, membership, () -> new CircuitBreaker(BreakerSettings.DEFAULT, time, random), serviceQueues);
+        EntryEventLoop handler = new EntryEventLoop(
+                settings, time, directory, serviceQueues, new Claims(claimDuty), new DocumentIndex(registry), metrics);
+        this.eventLoop = new Duty<>("entry-events", RING_SIZE, handler);
         LoadBudget loadBudget = new LoadBudget(time, LOADS_PER_SECOND, MOST_LOADS_SAVED);
         this.planner = new PlannerDuty(
                 settings.process().name() + "/" + RequestId.draw(random),
@@ -110,18 +114,18 @@
                 new PlanDraft(loadBudget),
                 time,
                 random);
-        FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new DeskObjects(kind))));
+        FOLLOWED.forEach(kind -> followed.add(collections.follow(store, kind, new EventLoopObjects(kind))));
     }
 
     /** Starts the threads and returns the link port. */
     public int start() throws AspenmoorException {
-        desk.start();
+        eventLoop.start();
         claimDuty.start();
         int port =
                 network.listen(settings.process().address(), settings.process().linkPort());
         followed.forEach(WatchedCollection::start);
         planner.start();
-        ticker.every(TICK, () -> desk.offer(new EntryMessage.Tick()));
+        ticker.every(TICK, () -> eventLoop.offer(new EntryMessage.Tick()));
         ticker.every(TICK, () -> claimDuty.offer(new ClaimMessage.Tick()));
         LOG.infof(
                 "entry: %s in %s, link port %d",
@@ -130,8 +134,8 @@
     }
 
     /** Returns the duty that callers' requests go to. */
-    public Duty<EntryMessage> desk() {
-        return desk;
+    public Duty<EntryMessage> eventLoop() {
+        return eventLoop;
     }
 
     /** Says whether the entry knows its documents and takes requests. */
@@ -142,11 +146,11 @@
     /** Asks for the state. */
     public CompletableFuture<ObjectNode> dump() {
         CompletableFuture<ObjectNode> answer = new CompletableFuture<>();
-        desk.put(new EntryMessage.DumpAsked(answer));
+        eventLoop.put(new EntryMessage.DumpAsked(answer));
         return answer.thenApply(node -> {
             node.put("process", settings.process().name());
             node.put("role", "entry");
-            desk.state().writeTo(node.putObject("duty"));
+            eventLoop.state().writeTo(node.putObject("duty"));
             return node;
         });
     }
@@ -158,15 +162,15 @@
 
     private List<EngineSnapshot> engines() {
         CompletableFuture<List<EngineSnapshot>> answer = new CompletableFuture<>();
-        desk.put(new EntryMessage.EnginesAsked(answer));
+        eventLoop.put(new EntryMessage.EnginesAsked(answer));
         return answer.completeOnTimeout(List.of(), PLANNER_PATIENCE_SECONDS, TimeUnit.SECONDS)
                 .join();
     }
 
     /** Asks what became of a request. */
-    public CompletableFuture<Optional<RequestStory>> story(RequestId id) {
-        CompletableFuture<Optional<RequestStory>> answer = new CompletableFuture<>();
-        desk.put(new EntryMessage.StoryAsked(id, answer));
+    public CompletableFuture<Optional<RequestTrace>> trace(RequestId id) {
+        CompletableFuture<Optional<RequestTrace>> answer = new CompletableFuture<>();
+        eventLoop.put(new EntryMessage.TraceAsked(id, answer));
         return answer;
     }
 
@@ -174,7 +178,7 @@
     public CompletableFuture<Void> drain() {
         stopping = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        desk.put(new EntryMessage.DrainAsked(drained));
+        eventLoop.put(new EntryMessage.DrainAsked(drained));
         return drained.thenCompose(ignored -> flushClaims());
     }
 
@@ -190,7 +194,7 @@
     }
 
     private void claimJudged(ClaimVerdict verdict) {
-        desk.put(new EntryMessage.ClaimJudged(verdict));
+        eventLoop.put(new EntryMessage.ClaimJudged(verdict));
     }
 
     private static RouterSettings routerSettings(EntrySettings settings) {
@@ -212,7 +216,11 @@
         followed.forEach(WatchedCollection::close);
         network.close();
         claimDuty.close();
-        desk.close();
+        eventLoop.close();
+    }
+
+    private void tellEventLoop(EntryMessage message) {
+        eventLoop.put(message);
     }
 
     private static Hello hello(ProcessSettings process, RandomGenerator random) {
@@ -224,46 +232,28 @@
                 .build();
     }
 
-    /** Puts what happens on links into the desk's ring, slowing the network down where the desk lags. */
-    private final class DeskLinks implements LinkListener {
-        @Override
-        public void opened(Link link) {
-            desk.put(new EntryMessage.LinkOpened(link));
-        }
-
-        @Override
-        public void received(Link link, Frame frame) {
-            desk.put(new EntryMessage.FrameArrived(link, frame));
-        }
-
-        @Override
-        public void closed(Link link, String cause) {
-            desk.put(new EntryMessage.LinkClosed(link, cause));
-        }
-    }
-
-    /** Puts what changes in the store into the desk's ring. */
-    private final class DeskObjects implements CollectionListener {
+    /** Puts what changes in the store into the event loop's ring. */
+    private final class EventLoopObjects implements CollectionListener {
         private final ObjectKind kind;
         private boolean synchronisedOnce;
 
-        private DeskObjects(ObjectKind kind) {
+        private EventLoopObjects(ObjectKind kind) {
             this.kind = kind;
         }
 
         @Override
         public void changed(StoredObject object) {
-            desk.put(new EntryMessage.ObjectChanged(object));
+            eventLoop.put(new EntryMessage.ObjectChanged(object));
         }
 
         @Override
         public void deleted(StoredObject object) {
-            desk.put(new EntryMessage.ObjectDeleted(object));
+            eventLoop.put(new EntryMessage.ObjectDeleted(object));
         }
 
         @Override
         public void synchronised() {
-            desk.put(new EntryMessage.CollectionKnown(kind));
+            eventLoop.put(new EntryMessage.CollectionKnown(kind));
             if (!synchronisedOnce) {
                 synchronisedOnce = true;
                 synchronisedKinds.incrementAndGet();
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/LaneStep.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/QueueStep.java
@@ -2,14 +2,14 @@
 
 import org.aspenmoor.internal.routing.RoutingDecision;
 
-/** What a lane does next. */
-sealed interface LaneStep {
+/** What a serviceQueue does next. */
+sealed interface QueueStep {
     /** Sends a request as decided. */
-    record Send(ActiveRequest request, RoutingDecision decision) implements LaneStep {}
+    record Send(ActiveRequest request, RoutingDecision decision) implements QueueStep {}
 
     /** Refuses a request. */
-    record Refuse(Refusal refusal) implements LaneStep {}
+    record Refuse(Refusal refusal) implements QueueStep {}
 
     /** Has nothing to do now. */
-    record Rest() implements LaneStep {}
+    record Rest() implements QueueStep {}
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestMatcher.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestMatcher.java
@@ -14,14 +14,14 @@
 final class RequestMatcher {
     private static final Duration NEVER_BY_ITSELF = Duration.ZERO;
 
-    private final DocumentShelf shelf;
+    private final DocumentIndex documentIndex;
 
-    RequestMatcher(DocumentShelf shelf) {
-        this.shelf = shelf;
+    RequestMatcher(DocumentIndex documentIndex) {
+        this.documentIndex = documentIndex;
     }
 
     RequestMatch match(IncomingRequest request) {
-        List<ServiceDocument> documents = shelf.forToken(request.token());
+        List<ServiceDocument> documents = documentIndex.forToken(request.token());
         if (documents.isEmpty()) {
             return missing(RefusalReason.NOT_AUTHORISED, "The token opens no service; send the team's token.");
         }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestBook.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestTable.java
@@ -13,16 +13,16 @@
 import org.jboss.logging.Logger;
 
 /** The requests an entry holds; each that is put in leaves by exactly one of the ways out. */
-final class RequestBook {
+final class RequestTable {
     private static final Logger LOG = Logger.getLogger("entry");
 
     private final Map<RequestId, ActiveRequest> active = new HashMap<>();
     private final RequestAccount account = new RequestAccount();
-    private final StoryBook stories;
+    private final TraceLog traces;
     private final EntryMetrics metrics;
 
-    RequestBook(StoryBook stories, EntryMetrics metrics) {
-        this.stories = stories;
+    RequestTable(TraceLog traces, EntryMetrics metrics) {
+        this.traces = traces;
         this.metrics = metrics;
     }
 
@@ -36,7 +36,7 @@
         account.received();
         account.ended(refusal);
         metrics.refusedUnmatched(refusal);
-        stories.tell(request.id(), 0, "refused, not run: " + refusal.detail());
+        traces.add(request.id(), 0, "refused, not run: " + refusal.detail());
         request.sink().refused(refusal);
     }
 
@@ -65,14 +65,14 @@
 
     void refused(ActiveRequest request, Outcome.NotRun refusal, long now) {
         leave(request, refusal, now);
-        tell(request, now, "refused, not run: " + refusal.reason() + ", " + refusal.detail());
+        trace(request, now, "refused, not run: " + refusal.reason() + ", " + refusal.detail());
         request.sink().refused(refusal);
     }
 
     void unknown(ActiveRequest request, String detail, long now) {
         Outcome.Unknown unknown = new Outcome.Unknown(detail);
         leave(request, unknown, now);
-        tell(request, now, "given up, nobody knows whether it ran: " + detail);
+        trace(request, now, "given up, nobody knows whether it ran: " + detail);
         request.sink().unknown(unknown);
     }
 
@@ -82,11 +82,11 @@
         }
         account.cancelled();
         metrics.cancelled(request.document(), request.kind());
-        tell(request, now, "cancelled, the caller has gone away");
+        trace(request, now, "cancelled, the caller has gone away");
     }
 
-    void tell(ActiveRequest request, long now, String sentence) {
-        stories.tell(request.id(), TimeUnit.NANOSECONDS.toMillis(now - request.receivedAt()), sentence);
+    void trace(ActiveRequest request, long now, String sentence) {
+        traces.add(request.id(), TimeUnit.NANOSECONDS.toMillis(now - request.receivedAt()), sentence);
     }
 
     RequestAccount.Totals totals() {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestStory.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/RequestTrace.java
@@ -9,8 +9,8 @@
  * @param id the request
  * @param sentences each starts with the milliseconds since the request came
  */
-public record RequestStory(RequestId id, List<String> sentences) {
-    public RequestStory {
+public record RequestTrace(RequestId id, List<String> sentences) {
+    public RequestTrace {
         sentences = List.copyOf(sentences);
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceLane.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceQueue.java
@@ -20,7 +20,7 @@
 import org.aspenmoor.internal.routing.RoutingDecision;
 
 /** Generations of one service that wait for their first attempt, in the order that admission gives them. */
-final class ServiceLane {
+final class ServiceQueue {
     private static final int USUAL_BATCH = 16;
 
     private final AdmissionQueue queue;
@@ -31,7 +31,7 @@
     private final Map<RequestId, ActiveRequest> waiting = new HashMap<>();
     private final Map<RequestId, WaitingWork> works = new HashMap<>();
 
-    ServiceLane(AdmissionQueue queue, EngineRouter router, EngineSpeed speed) {
+    ServiceQueue(AdmissionQueue queue, EngineRouter router, EngineSpeed speed) {
         this.queue = queue;
         this.router = router;
         this.speed = speed;
@@ -66,21 +66,21 @@
     }
 
     /** Decides on the request that is next; the caller repeats it while it gives a step that is not to wait. */
-    LaneStep next(Predicate<String> open, long now) {
+    QueueStep next(Predicate<String> open, long now) {
         Optional<WaitingWork> next = queue.next();
         if (next.isEmpty()) {
-            return new LaneStep.Rest();
+            return new QueueStep.Rest();
         }
         WaitingWork work = next.get();
         ActiveRequest request = waiting.get(work.id());
         Optional<RoutingDecision> decision = router.decide(request, estimate(request), open, now);
         return switch (policy.judge(work, decision, now)) {
-            case DispatchVerdict.Send send -> new LaneStep.Send(request, send.decision());
-            case DispatchVerdict.Wait ignored -> new LaneStep.Rest();
+            case DispatchVerdict.Send send -> new QueueStep.Send(request, send.decision());
+            case DispatchVerdict.Wait ignored -> new QueueStep.Rest();
             case DispatchVerdict.GiveUp giveUp -> {
                 queue.giveUp(work, now);
                 forget(work.id());
-                yield new LaneStep.Refuse(new Refusal(request, outcome(giveUp.refusal())));
+                yield new QueueStep.Refuse(new Refusal(request, outcome(giveUp.refusal())));
             }
         };
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/Lanes.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceQueues.java
@@ -15,16 +15,16 @@
 import org.aspenmoor.internal.routing.Router;
 import org.aspenmoor.internal.routing.RouterSettings;
 
-/** The lane of each service, made when its first request or report comes. */
-final class Lanes implements PeerListener {
+/** The serviceQueue of each service, made when its first request or report comes. */
+final class ServiceQueues implements PeerListener {
     private final DocumentRegistry registry;
     private final RouterSettings routerSettings;
     private final EngineSpeed speed;
     private final int mostWaiting;
     private final RandomGenerator random;
-    private final Map<ServiceName, ServiceLane> lanes = new HashMap<>();
+    private final Map<ServiceName, ServiceQueue> serviceQueues = new HashMap<>();
 
-    Lanes(DocumentRegistry registry, RouterSettings routerSettings, int mostWaiting, RandomGenerator random) {
+    ServiceQueues(DocumentRegistry registry, RouterSettings routerSettings, int mostWaiting, RandomGenerator random) {
         this.registry = registry;
         this.routerSettings = routerSettings;
         this.speed = routerSettings.speed();
@@ -32,12 +32,12 @@
         this.random = random;
     }
 
-    ServiceLane of(ServiceDocument document) {
-        return lanes.computeIfAbsent(ServiceName.of(document), name -> newLane(document));
+    ServiceQueue of(ServiceDocument document) {
+        return serviceQueues.computeIfAbsent(ServiceName.of(document), name -> newLane(document));
     }
 
-    Collection<ServiceLane> all() {
-        return lanes.values();
+    Collection<ServiceQueue> all() {
+        return serviceQueues.values();
     }
 
     @Override
@@ -55,7 +55,7 @@
                 new ServiceName(peer.registration().team(), peer.registration().service()));
     }
 
-    private ServiceLane newLane(ServiceDocument document) {
+    private ServiceQueue newLane(ServiceDocument document) {
         long engines = document.backends().stream()
                 .filter(backend -> backend instanceof BackendDeclaration.EngineDeclaration)
                 .count();
@@ -63,6 +63,6 @@
         AdmissionSettings settings =
                 new AdmissionSettings(mostWaiting, usual.initialEngines(), usual.rateMemorySeconds());
         EngineRouter router = new EngineRouter(new Router(routerSettings, random), routerSettings.dataCentre());
-        return new ServiceLane(new AdmissionQueue(settings), router, speed);
+        return new ServiceQueue(new AdmissionQueue(settings), router, speed);
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/StoreObjects.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/StoreObjects.java
@@ -12,17 +12,17 @@
 import org.aspenmoor.internal.store.StoredObject;
 import org.jboss.logging.Logger;
 
-/** Turns the store's objects into what the desk knows. */
+/** Turns the store's objects into what the event loop knows. */
 final class StoreObjects {
     private static final Logger LOG = Logger.getLogger("entry");
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String LEAVING = "leaving";
 
-    private final DocumentShelf shelf;
+    private final DocumentIndex documentIndex;
     private final AgentDirectory directory;
 
-    StoreObjects(DocumentShelf shelf, AgentDirectory directory) {
-        this.shelf = shelf;
+    StoreObjects(DocumentIndex documentIndex, AgentDirectory directory) {
+        this.documentIndex = documentIndex;
         this.directory = directory;
     }
 
@@ -51,7 +51,7 @@
     }
 
     void dump(ArrayNode documents) {
-        for (ServiceDocument document : shelf.all()) {
+        for (ServiceDocument document : documentIndex.all()) {
             documents
                     .addObject()
                     .put("team", document.team())
@@ -63,7 +63,7 @@
     private void documentChanged(StoredObject object) {
         try {
             ServiceDocument document = StoredDocuments.read(object).document();
-            if (shelf.put(document)) {
+            if (documentIndex.put(document)) {
                 LOG.infof(
                         "entry: document %s/%s revision %d in force",
                         document.team(), document.service(), document.revision());
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/WaitingRoom.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/WaitingRequests.java
@@ -8,7 +8,7 @@
 import java.util.TreeSet;
 
 /** Requests that wait for a backend server: greater weight first, then the nearer deadline. Bounded. */
-final class WaitingRoom {
+final class WaitingRequests {
     private static final double SMOOTHING = 0.1;
     private static final Duration LEAST_COME_BACK = Duration.ofMillis(200);
 
@@ -21,7 +21,7 @@
     private double secondsBetweenStarts;
     private long lastStartAt;
 
-    WaitingRoom(int mostWaiting) {
+    WaitingRequests(int mostWaiting) {
         this.mostWaiting = mostWaiting;
     }
 
@@ -46,7 +46,7 @@
         return waiting.size();
     }
 
-    /** Takes that a waiting request has started, for the estimate of how fast the room empties. */
+    /** Takes that a waiting request has started, for the estimate of how fast they start. */
     void started(long now) {
         double seconds = (now - lastStartAt) / (double) Duration.ofSeconds(1).toNanos();
         secondsBetweenStarts = (1 - SMOOTHING) * secondsBetweenStarts + SMOOTHING * seconds;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CallerRoutes.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CallerRoutes.java
@@ -11,28 +11,28 @@
 
 /** The paths that callers use. */
 public final class CallerRoutes implements Action<Chain> {
-    private final RequestGate gate;
+    private final RequestSubmitter submitter;
     private final DocumentRegistry registry;
     private final CallerLimits limits;
     private final TimeSource time;
 
     public CallerRoutes(
-            Duty<EntryMessage> desk,
+            Duty<EntryMessage> eventLoop,
             DocumentRegistry registry,
             RandomGenerator random,
             CallerLimits limits,
             TimeSource time) {
         this.registry = registry;
-        this.gate = new RequestGate(desk, random);
+        this.submitter = new RequestSubmitter(eventLoop, random);
         this.limits = limits;
         this.time = time;
     }
 
     @Override
     public void execute(Chain chain) {
-        chain.get("v1/models", new ModelsHandler(registry, gate));
-        chain.post("v1/completions", new CompletionsHandler(gate, limits, time, false));
-        chain.post("v1/chat/completions", new CompletionsHandler(gate, limits, time, true));
-        chain.path("services/:service/::.*", new PassThroughHandler(gate, limits));
+        chain.get("v1/models", new ModelsHandler(registry, submitter));
+        chain.post("v1/completions", new CompletionsHandler(submitter, limits, time, false));
+        chain.post("v1/chat/completions", new CompletionsHandler(submitter, limits, time, true));
+        chain.path("services/:service/::.*", new PassThroughHandler(submitter, limits));
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CompletionsHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/CompletionsHandler.java
@@ -17,13 +17,13 @@
     private static final int MALFORMED = 400;
     private static final String EVENT_STREAM = "text/event-stream;charset=UTF-8";
 
-    private final RequestGate gate;
+    private final RequestSubmitter submitter;
     private final CallerLimits limits;
     private final TimeSource time;
     private final boolean chat;
 
-    CompletionsHandler(RequestGate gate, CallerLimits limits, TimeSource time, boolean chat) {
-        this.gate = gate;
+    CompletionsHandler(RequestSubmitter submitter, CallerLimits limits, TimeSource time, boolean chat) {
+        this.submitter = submitter;
         this.limits = limits;
         this.time = time;
         this.chat = chat;
@@ -31,7 +31,7 @@
 
     @Override
     public void handle(Context context) {
-        RequestId id = gate.drawId();
+        RequestId id = submitter.drawId();
         BodyReading.read(context, id, limits, body -> answer(context, id, body));
     }
 
@@ -53,7 +53,7 @@
 
     private void answerWhole(Context context, RequestId id, CompletionRequest request, CompletionEvents events) {
         WholeSink sink = new WholeSink();
-        gate.submit(context, id, new CallerWork.Generation(request), sink);
+        submitter.submit(context, id, new CallerWork.Generation(request), sink);
         AnswerWriter.await(sink.signal()).then(signal -> {
             switch (signal) {
                 case FirstSignal.WholeText whole -> AnswerWriter.writeJson(context, id, events.whole(whole));
@@ -69,8 +69,8 @@
     private void answerStream(Context context, RequestId id, CompletionRequest request, CompletionEvents events) {
         Runnable cut = () -> context.getDirectChannelAccess().getChannel().close();
         int noticeEvery = Math.max(1, limits.chunkCredit() / 4);
-        StreamSink sink = new StreamSink(events, () -> gate.callerTook(id), cut, noticeEvery);
-        gate.submit(context, id, new CallerWork.Generation(request), sink);
+        StreamSink sink = new StreamSink(events, () -> submitter.callerTook(id), cut, noticeEvery);
+        submitter.submit(context, id, new CallerWork.Generation(request), sink);
         AnswerWriter.await(sink.signal()).then(signal -> {
             switch (signal) {
                 case FirstSignal.StreamBegins ignored -> writeStream(context, id, sink);
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/ModelsHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/ModelsHandler.java
@@ -18,16 +18,16 @@
 /** Lists the models that the holder of a token may ask for. */
 final class ModelsHandler implements Handler {
     private final DocumentRegistry registry;
-    private final RequestGate gate;
+    private final RequestSubmitter submitter;
 
-    ModelsHandler(DocumentRegistry registry, RequestGate gate) {
+    ModelsHandler(DocumentRegistry registry, RequestSubmitter submitter) {
         this.registry = registry;
-        this.gate = gate;
+        this.submitter = submitter;
     }
 
     @Override
     public void handle(Context context) {
-        String hash = TokenHash.of(RequestGate.tokenOf(context));
+        String hash = TokenHash.of(RequestSubmitter.tokenOf(context));
         ObjectNode body = JsonNodeFactory.instance.objectNode();
         body.put("object", "list");
         ArrayNode data = body.putArray("data");
@@ -40,12 +40,12 @@
             }
         }
         if (known) {
-            AnswerWriter.writeJson(context, gate.drawId(), body.toString());
+            AnswerWriter.writeJson(context, submitter.drawId(), body.toString());
             return;
         }
         AnswerWriter.writeRefusal(
                 context,
-                gate.drawId(),
+                submitter.drawId(),
                 new Outcome.NotRun(
                         RefusalReason.NOT_AUTHORISED,
                         Duration.ZERO,
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/PassThroughHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/PassThroughHandler.java
@@ -16,17 +16,17 @@
 final class PassThroughHandler implements Handler {
     private static final Set<String> KEPT_BACK = Set.of("authorization", "host", "connection", "transfer-encoding");
 
-    private final RequestGate gate;
+    private final RequestSubmitter submitter;
     private final CallerLimits limits;
 
-    PassThroughHandler(RequestGate gate, CallerLimits limits) {
-        this.gate = gate;
+    PassThroughHandler(RequestSubmitter submitter, CallerLimits limits) {
+        this.submitter = submitter;
         this.limits = limits;
     }
 
     @Override
     public void handle(Context context) {
-        RequestId id = gate.drawId();
+        RequestId id = submitter.drawId();
         BodyReading.read(context, id, limits, body -> pass(context, id, body));
     }
 
@@ -39,7 +39,7 @@
                 headersOf(context.getRequest().getHeaders()),
                 body);
         WholeSink sink = new WholeSink();
-        gate.submit(context, id, call, sink);
+        submitter.submit(context, id, call, sink);
         AnswerWriter.await(sink.signal()).then(signal -> {
             switch (signal) {
                 case FirstSignal.Plain plain -> AnswerWriter.writePlain(context, id, plain.answer());
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/StreamSink.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/StreamSink.java
@@ -127,7 +127,7 @@
         }
     }
 
-    // Two threads may come here, the desk's with a piece and the connection's with demand; one of them emits.
+    // Two threads may come here, the event loop's with a piece and the connection's with demand; one of them emits.
     private void drain() {
         synchronized (this) {
             if (emitting || subscriber.isEmpty()) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/planner/EngineSnapshot.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/planner/EngineSnapshot.java
@@ -5,7 +5,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 
 /**
- * An engine as the entry's desk saw it at one moment.
+ * An engine as the entry's event loop saw it at one moment.
  *
  * @param name its name
  * @param service the service it serves
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentDeskTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentEventLoopTest.java
@@ -27,17 +27,17 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public class AgentDeskTest {
+public class AgentEventLoopTest {
     private static final AttemptKey FIRST = new AttemptKey(new org.aspenmoor.RequestId(1, 2), 1);
 
     private final List<AttemptKey> started = new ArrayList<>();
     private final ManualTimeSource time = new ManualTimeSource();
     private final List<AgentMessage> fromOrders = new ArrayList<>();
-    private DeskDrain drain;
+    private EventLoopDrain drain;
     private final AtomicInteger wanted = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
     private final AtomicInteger running = new AtomicInteger();
-    private AgentDesk desk;
+    private AgentEventLoop eventLoop;
     private EmbeddedLink entry;
 
     @BeforeMethod
@@ -47,10 +47,11 @@
         cancelled.set(0);
         running.set(0);
         fromOrders.clear();
-        drain = new DeskDrain(fromOrders::add, new PauseWatch(time, Duration.ofSeconds(5)));
-        desk = new AgentDesk(settings(), this::startCall, new LoadReports("drafter-1", time), running::set, drain);
+        drain = new EventLoopDrain(fromOrders::add, new PauseWatch(time, Duration.ofSeconds(5)));
+        eventLoop = new AgentEventLoop(
+                settings(), this::startCall, new LoadReports("drafter-1", time), running::set, drain);
         entry = EmbeddedLink.agentOf("");
-        desk.handle(new AgentMessage.LinkOpened(entry.link()));
+        eventLoop.handle(new AgentMessage.LinkOpened(entry.link()));
     }
 
     // A caller reads slowly. Without credit the agent would go on reading from the engine, and the whole answer would
@@ -63,7 +64,7 @@
 
         assertEquals(chunksOf(entry.sent()), List.of("a", "b"));
         assertEquals(wanted.get(), 0);
-        desk.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 2)));
+        eventLoop.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 2)));
         assertEquals(chunksOf(entry.sent()), List.of("c"));
         assertEquals(wanted.get(), 1);
     }
@@ -72,10 +73,10 @@
     public void should_close_an_answer_with_its_count_only_after_its_last_chunk() {
         dispatch(FIRST, 1);
         pieces(FIRST, "a", "b");
-        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
+        eventLoop.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
         assertTrue(entry.sent().stream().noneMatch(Frame::hasLast));
 
-        desk.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 1)));
+        eventLoop.handle(new AgentMessage.FrameArrived(entry.link(), credit(FIRST, 1)));
 
         Last last = entry.sent().getLast().getLast();
         assertEquals(last.getEnd(), Last.End.COMPLETE);
@@ -88,7 +89,7 @@
     public void should_state_that_a_request_never_started_when_no_connection_came_about() {
         dispatch(FIRST, 4);
 
-        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.NeverStarted("connection refused")));
+        eventLoop.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.NeverStarted("connection refused")));
 
         assertTrue(entry.sent().getLast().hasRefused());
     }
@@ -106,7 +107,7 @@
     // The caller's deadline has passed on the way; an engine that worked on it would take room from live requests.
     @Test
     public void should_refuse_expired_work() {
-        desk.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(FIRST, 4, 0)));
+        eventLoop.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(FIRST, 4, 0)));
 
         assertTrue(started.isEmpty());
         assertTrue(entry.sent().getLast().hasRefused());
@@ -117,7 +118,7 @@
     public void should_cancel_calls_when_the_entry_is_gone() {
         dispatch(FIRST, 4);
 
-        desk.handle(new AgentMessage.LinkClosed(entry.link()));
+        eventLoop.handle(new AgentMessage.LinkClosed(entry.link()));
 
         assertEquals(cancelled.get(), 1);
         assertEquals(running.get(), 0);
@@ -128,23 +129,24 @@
     public void should_finish_running_requests_and_refuse_new_ones_when_draining() {
         dispatch(FIRST, 4);
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        desk.handle(new AgentMessage.DrainAsked("stopping", drained));
+        eventLoop.handle(new AgentMessage.DrainAsked("stopping", drained));
         assertFalse(drained.isDone());
 
         dispatch(new AttemptKey(new org.aspenmoor.RequestId(3, 4), 1), 4);
-        desk.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
+        eventLoop.handle(new AgentMessage.AnswerEnded(FIRST, new CallEnd.Complete("stop")));
 
         assertEquals(started, List.of(FIRST));
         assertTrue(drained.isDone());
     }
 
-    // An order is about to be given while a dispatch is still before the drain in the desk's ring. If the count were
-    // trusted before the desk has heard, the stream that is let in next would be cut by the order.
+    // An order is about to be given while a dispatch is still before the drain in the event loop's ring. If the count
+    // were
+    // trusted before the event loop has heard, the stream that is let in next would be cut by the order.
     @Test
     public void should_let_no_work_in_while_the_order_thread_forbids_it() {
         List<String> heard = new ArrayList<>();
         dispatch(FIRST, 4);
-        desk.handle(new AgentMessage.ServingAllowed(false, 0, () -> heard.add("running " + running.get())));
+        eventLoop.handle(new AgentMessage.ServingAllowed(false, 0, () -> heard.add("running " + running.get())));
 
         dispatch(new AttemptKey(new org.aspenmoor.RequestId(3, 4), 1), 4);
 
@@ -162,7 +164,7 @@
         assertTrue(drain.learnsOfPause());
 
         drain.endDrain();
-        fromOrders.forEach(desk::handle);
+        fromOrders.forEach(eventLoop::handle);
         dispatch(FIRST, 4);
 
         assertEquals(started, List.of(FIRST));
@@ -172,12 +174,12 @@
     @Test
     public void should_not_count_a_permission_that_was_given_without_knowing_of_the_pause() {
         drain.beginDrain();
-        fromOrders.forEach(desk::handle);
+        fromOrders.forEach(eventLoop::handle);
         fromOrders.clear();
         drain.endDrain();
 
         time.advance(Duration.ofSeconds(6));
-        fromOrders.forEach(desk::handle);
+        fromOrders.forEach(eventLoop::handle);
         dispatch(FIRST, 4);
 
         assertTrue(started.isEmpty());
@@ -199,7 +201,7 @@
     }
 
     private void dispatch(AttemptKey key, int chunkCredit) {
-        desk.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(key, chunkCredit, 5000)));
+        eventLoop.handle(new AgentMessage.FrameArrived(entry.link(), dispatchFrame(key, chunkCredit, 5000)));
     }
 
     private static Frame dispatchFrame(AttemptKey key, int chunkCredit, int deadlineMilliseconds) {
@@ -224,7 +226,7 @@
         for (String text : texts) {
             pieces.add(new Piece(text.getBytes(StandardCharsets.UTF_8), 1));
         }
-        desk.handle(new AgentMessage.PiecesArrived(key, pieces));
+        eventLoop.handle(new AgentMessage.PiecesArrived(key, pieces));
     }
 
     private static List<String> chunksOf(List<Frame> frames) {
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.aspenmoor.RequestId;
-import org.aspenmoor.internal.claim.ClaimDesk;
+import org.aspenmoor.internal.claim.ClaimCommitter;
 import org.aspenmoor.internal.claim.ClaimKey;
 import org.aspenmoor.internal.claim.ClaimRequest;
 import org.aspenmoor.internal.claim.ClaimSettings;
@@ -130,9 +130,9 @@
     private ClaimHandler handler(ObjectStore claimsIn, List<ClaimVerdict> verdicts, double commitsPerSecond) {
         ClaimSettings settings = ClaimSettings.DEFAULT;
         Random random = new Random(seeds++);
-        ClaimDesk desk = new ClaimDesk(claimsIn, settings, time, random);
+        ClaimCommitter committer = new ClaimCommitter(claimsIn, settings, time, random);
         CircuitBreaker breaker = new CircuitBreaker(ClaimHandler.STORE_BREAKER, time, random);
-        return new ClaimHandler(desk, settings, breaker, time, commitsPerSecond, verdicts::add);
+        return new ClaimHandler(committer, settings, breaker, time, commitsPerSecond, verdicts::add);
     }
 
     /** A store that does not answer. */
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/RequestDeskTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/EntryEventLoopTest.java
@@ -22,12 +22,12 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public class RequestDeskTest {
-    private DeskFixture fixture;
+public class EntryEventLoopTest {
+    private EventLoopFixture fixture;
 
     @BeforeMethod
     public void begin() {
-        fixture = new DeskFixture();
+        fixture = new EventLoopFixture();
     }
 
     @AfterMethod
@@ -38,7 +38,7 @@
     @Test
     public void should_give_the_caller_the_whole_answer() {
         EmbeddedLink engine = fixture.connect("drafter-1", "drafting");
-        RecordingSink caller = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink caller = fixture.generate(EventLoopFixture.TOKEN);
         AttemptId id = fixture.dispatchTo(engine).orElseThrow().getId();
 
         fixture.chunk(engine, id, "rain ");
@@ -54,7 +54,7 @@
     @Test
     public void should_resume_elsewhere_with_no_token_doubled_or_missing_when_a_link_is_cut() {
         EmbeddedLink first = fixture.connect("drafter-1", "drafting");
-        RecordingSink caller = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink caller = fixture.generate(EventLoopFixture.TOKEN);
         AttemptId lost = fixture.dispatchTo(first).orElseThrow().getId();
         EmbeddedLink second = fixture.connect("drafter-2", "drafting");
         fixture.chunk(first, lost, "rain ");
@@ -77,7 +77,7 @@
     @Test
     public void should_continue_a_stream_only_under_the_version_it_began_with() {
         EmbeddedLink first = fixture.connect("drafter-1", "drafting", "drafter@1");
-        fixture.generate(DeskFixture.TOKEN);
+        fixture.generate(EventLoopFixture.TOKEN);
         AttemptId lost = fixture.dispatchTo(first).orElseThrow().getId();
         fixture.chunk(first, lost, "rain ");
         EmbeddedLink newVersion = fixture.connect("drafter-2", "drafting", "drafter@2");
@@ -95,7 +95,7 @@
     @Test
     public void should_not_call_an_answer_whole_when_its_checksum_does_not_hold() {
         EmbeddedLink first = fixture.connect("drafter-1", "drafting");
-        RecordingSink caller = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink caller = fixture.generate(EventLoopFixture.TOKEN);
         AttemptId id = fixture.dispatchTo(first).orElseThrow().getId();
         fixture.chunk(first, id, "rain");
 
@@ -140,28 +140,28 @@
     // Two entries are asked to make the same booking. Before the store has granted the key, nothing may be sent.
     @Test
     public void should_send_a_keyed_call_only_after_its_claim_was_granted() {
-        EmbeddedLink desk = fixture.connect("desk-1", "desk");
+        EmbeddedLink studioDesk = fixture.connect("desk-1", "desk");
         fixture.book(Optional.of("key-1"));
-        assertTrue(fixture.dispatchTo(desk).isEmpty());
+        assertTrue(fixture.dispatchTo(studioDesk).isEmpty());
 
-        fixture.desk().handle(new EntryMessage.ClaimJudged(new ClaimVerdict.Granted(claim(), ticket())));
+        fixture.eventLoop().handle(new EntryMessage.ClaimJudged(new ClaimVerdict.Granted(claim(), ticket())));
 
-        assertTrue(fixture.dispatchTo(desk).isPresent());
+        assertTrue(fixture.dispatchTo(studioDesk).isPresent());
     }
 
     // The store is down. Whether the key was used before cannot be known, so the call is refused at once and truly.
     @Test
     public void should_refuse_a_keyed_call_as_not_run_when_the_store_is_down() {
-        EmbeddedLink desk = fixture.connect("desk-1", "desk");
+        EmbeddedLink studioDesk = fixture.connect("desk-1", "desk");
         RecordingSink caller = fixture.book(Optional.of("key-1"));
 
-        fixture.desk()
+        fixture.eventLoop()
                 .handle(new EntryMessage.ClaimJudged(
                         new ClaimVerdict.NotClaimed(claim(), Duration.ofSeconds(2), "The store does not answer.")));
 
         assertEquals(caller.refusal().orElseThrow().reason(), RefusalReason.STORE_UNAVAILABLE);
         assertEquals(caller.refusal().orElseThrow().comeBackAfter(), Duration.ofSeconds(2));
-        assertTrue(fixture.dispatchTo(desk).isEmpty());
+        assertTrue(fixture.dispatchTo(studioDesk).isEmpty());
     }
 
     // Another team's token is used, by mistake or not. It must neither reach the engines nor learn that they exist.
@@ -180,7 +180,7 @@
     @Test
     public void should_return_credit_only_for_what_the_caller_has_taken() {
         EmbeddedLink engine = fixture.connect("drafter-1", "drafting");
-        RecordingSink caller = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink caller = fixture.generate(EventLoopFixture.TOKEN);
         AttemptId id = fixture.dispatchTo(engine).orElseThrow().getId();
         caller.stopReading();
         fixture.chunk(engine, id, "rain ");
@@ -188,7 +188,7 @@
         assertEquals(creditIn(engine), 0);
 
         caller.readAll();
-        fixture.desk().handle(new EntryMessage.CallerTook(fixture.lastId()));
+        fixture.eventLoop().handle(new EntryMessage.CallerTook(fixture.lastId()));
 
         assertEquals(creditIn(engine), 2);
     }
@@ -196,10 +196,10 @@
     @Test
     public void should_cancel_at_the_agent_when_the_caller_goes_away() {
         EmbeddedLink engine = fixture.connect("drafter-1", "drafting");
-        fixture.generate(DeskFixture.TOKEN);
+        fixture.generate(EventLoopFixture.TOKEN);
         engine.sent();
 
-        fixture.desk().handle(new EntryMessage.CallerGone(fixture.lastId()));
+        fixture.eventLoop().handle(new EntryMessage.CallerGone(fixture.lastId()));
 
         assertTrue(engine.sent().getLast().hasCancel());
     }
@@ -216,7 +216,7 @@
                         .build());
 
         for (int request = 0; request < 6; request++) {
-            fixture.generate(DeskFixture.TOKEN);
+            fixture.generate(EventLoopFixture.TOKEN);
         }
 
         assertTrue(fixture.dispatchTo(leaving).isEmpty());
@@ -228,12 +228,12 @@
     @Test
     public void should_move_a_request_when_its_agent_falls_silent() {
         EmbeddedLink paused = fixture.connect("drafter-1", "drafting");
-        RecordingSink caller = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink caller = fixture.generate(EventLoopFixture.TOKEN);
         assertTrue(fixture.dispatchTo(paused).isPresent());
 
         fixture.time().advance(Duration.ofSeconds(6));
         EmbeddedLink other = fixture.connect("drafter-2", "drafting");
-        fixture.desk().handle(new EntryMessage.Tick());
+        fixture.eventLoop().handle(new EntryMessage.Tick());
         AttemptId id = fixture.dispatchTo(other).orElseThrow().getId();
         fixture.chunk(other, id, "rain");
         fixture.complete(other, id, 0);
@@ -244,12 +244,12 @@
     @Test
     public void should_finish_what_it_holds_and_refuse_the_rest_when_stopping() {
         EmbeddedLink engine = fixture.connect("drafter-1", "drafting");
-        RecordingSink held = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink held = fixture.generate(EventLoopFixture.TOKEN);
         AttemptId id = fixture.dispatchTo(engine).orElseThrow().getId();
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        fixture.desk().handle(new EntryMessage.DrainAsked(drained));
+        fixture.eventLoop().handle(new EntryMessage.DrainAsked(drained));
 
-        RecordingSink late = fixture.generate(DeskFixture.TOKEN);
+        RecordingSink late = fixture.generate(EventLoopFixture.TOKEN);
         assertFalse(drained.isDone());
         fixture.complete(engine, id, 0);
 
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/DeskFixture.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/entry/EventLoopFixture.java
@@ -47,8 +47,8 @@
 import org.aspenmoor.internal.wire.v1.Refused;
 import org.aspenmoor.internal.wire.v1.Started;
 
-/** A desk with one service of each sort, two backend servers each, and links without a network. */
-final class DeskFixture {
+/** An event loop with one service of each sort, two backend servers each, and links without a network. */
+final class EventLoopFixture {
     static final String TOKEN = "studio-token";
 
     private static final String DOCUMENT = """
@@ -66,32 +66,32 @@
     private final LinkNetwork network =
             new LinkNetwork(org.aspenmoor.internal.wire.v1.Hello.getDefaultInstance(), new SilentListener());
     private final Duty<ClaimMessage> claimDuty = new Duty<>("test-claims", 16, claims::add);
-    private final RequestDesk desk;
+    private final EntryEventLoop eventLoop;
     private long requests;
 
-    DeskFixture() {
+    EventLoopFixture() {
         EntrySettings settings = settings();
         DocumentRegistry registry = new DocumentRegistry(time);
-        Lanes lanes = new Lanes(registry, RouterSettings.usual("almaty-1"), 16, random);
+        ServiceQueues serviceQueues = new ServiceQueues(registry, RouterSettings.usual("almaty-1"), 16, random);
         AgentDirectory directory = new AgentDirectory(
                 network,
                 new MembershipView(MembershipBounds.of(settings.leavingBound()), time),
                 () -> new CircuitBreaker(BreakerSettings.DEFAULT, time, random),
-                lanes);
-        desk = new RequestDesk(
+                serviceQueues);
+        eventLoop = new EntryEventLoop(
                 settings,
                 time,
                 directory,
-                lanes,
+                serviceQueues,
                 new Claims(claimDuty),
-                new DocumentShelf(registry),
+                new DocumentIndex(registry),
                 new EntryMetrics(new PrometheusRegistry()));
         accept("drafting", "{\"name\": \"drafter\", \"version\": \"1\"}", "cue", true, "engines", "drafter");
         accept("desk", "", "booking", false, "plainServices", "desk");
     }
 
-    RequestDesk desk() {
-        return desk;
+    EntryEventLoop eventLoop() {
+        return eventLoop;
     }
 
     ManualTimeSource time() {
@@ -109,7 +109,7 @@
         changed(ObjectKind.AGENT_REGISTRATION, backend, registration.write());
         EmbeddedLink link = EmbeddedLink.agentOf(backend);
         links.put(backend, link);
-        desk.handle(new EntryMessage.LinkOpened(link.link()));
+        eventLoop.handle(new EntryMessage.LinkOpened(link.link()));
         receive(
                 link,
                 Frame.newBuilder()
@@ -194,22 +194,22 @@
     }
 
     void cut(EmbeddedLink link) {
-        desk.handle(new EntryMessage.LinkClosed(link.link(), "connection reset"));
+        eventLoop.handle(new EntryMessage.LinkClosed(link.link(), "connection reset"));
     }
 
     void receive(EmbeddedLink link, Frame frame) {
-        desk.handle(new EntryMessage.FrameArrived(link.link(), frame));
+        eventLoop.handle(new EntryMessage.FrameArrived(link.link(), frame));
     }
 
     void changed(ObjectKind kind, String name, String value) {
-        desk.handle(new EntryMessage.ObjectChanged(
+        eventLoop.handle(new EntryMessage.ObjectChanged(
                 new StoredObject(new ObjectKey(kind, "studio", name), String.valueOf(random.nextInt()), value)));
     }
 
     private RecordingSink submit(String token, CallerWork work, Optional<String> key) {
         requests++;
         RecordingSink sink = new RecordingSink();
-        desk.handle(new EntryMessage.RequestCame(new IncomingRequest(lastId(), token, work, key, sink)));
+        eventLoop.handle(new EntryMessage.RequestCame(new IncomingRequest(lastId(), token, work, key, sink)));
         return sink;
     }
 
--- a/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerProtocolTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerProtocolTest.java
@@ -100,7 +100,7 @@
         for (String field : List.of("model", "prompt", "max_tokens", "stream")) {
             assertTrue(refused.body().contains("\"param\":\"" + field + "\""), field);
         }
-        assertTrue(server.deskHeardNothing());
+        assertTrue(server.eventLoopHeardNothing());
     }
 
     @Test
@@ -109,7 +109,7 @@
 
         assertEquals(refused.statusCode(), 413);
         assertTrue(refused.body().contains(CallerServer.BODY_BYTES + " bytes"));
-        assertTrue(server.deskHeardNothing());
+        assertTrue(server.eventLoopHeardNothing());
     }
 
     @Test
@@ -135,7 +135,7 @@
 
     // The caller closes its connection while it waits. Without the word the engine would go on generating for nobody.
     @Test
-    public void should_tell_the_desk_when_a_caller_goes_away() throws Exception {
+    public void should_tell_the_event_loop_when_a_caller_goes_away() throws Exception {
         CompletableFuture<HttpResponse<String>> answer = send("/v1/completions", STREAMED);
         IncomingRequest request = request();
 
--- a/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerServer.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerServer.java
@@ -21,7 +21,7 @@
 import org.aspenmoor.internal.time.ManualTimeSource;
 import ratpack.server.RatpackServer;
 
-/** The callers' side of an entry on a free port; what reaches its desk waits for the test. */
+/** The callers' side of an entry on a free port; what reaches its event loop waits for the test. */
 final class CallerServer implements AutoCloseable {
     static final int BODY_BYTES = 2048;
 
@@ -29,20 +29,20 @@
     private static final long PATIENCE_SECONDS = 20;
 
     private final BlockingQueue<EntryMessage> messages = new LinkedBlockingQueue<>();
-    private final Duty<EntryMessage> desk = new Duty<>("test-desk", RING_SIZE, messages::add);
+    private final Duty<EntryMessage> eventLoop = new Duty<>("test-events", RING_SIZE, messages::add);
     private final HttpClient client = HttpClient.newHttpClient();
     private final RatpackServer server;
 
     CallerServer() throws AspenmoorException {
         ManualTimeSource time = new ManualTimeSource();
         CallerLimits limits = new CallerLimits(BODY_BYTES, 4096, 4096, 16, 8);
-        desk.start();
+        eventLoop.start();
         server = HttpServers.start(
                 "127.0.0.1",
                 0,
                 1,
                 limits.headerBytes(),
-                new CallerRoutes(desk, new DocumentRegistry(time), new Random(1), limits, time));
+                new CallerRoutes(eventLoop, new DocumentRegistry(time), new Random(1), limits, time));
     }
 
     HttpClient client() {
@@ -58,12 +58,12 @@
         return client.send(to(path).POST(BodyPublishers.ofString(body)).build(), BodyHandlers.ofString());
     }
 
-    /** Returns the next message of a type that reaches the desk. */
+    /** Returns the next message of a type that reaches the event loop. */
     <M extends EntryMessage> M next(Class<M> type) throws InterruptedException {
         while (true) {
             EntryMessage message = messages.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             if (message == null) {
-                throw new AssertionError("no " + type.getSimpleName() + " reached the desk");
+                throw new AssertionError("no " + type.getSimpleName() + " reached the event loop");
             }
             if (type.isInstance(message)) {
                 return type.cast(message);
@@ -71,7 +71,7 @@
         }
     }
 
-    boolean deskHeardNothing() {
+    boolean eventLoopHeardNothing() {
         return messages.isEmpty();
     }
 
@@ -79,6 +79,6 @@
     public void close() throws Exception {
         server.stop();
         client.close();
-        desk.close();
+        eventLoop.close();
     }
 }
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/EngineStandin.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/EngineStandin.java
@@ -32,7 +32,7 @@
     private final EngineLedger ledger = new EngineLedger();
     private final AtomicLong queuedPrefillTokens = new AtomicLong();
     private final AtomicLong reports = new AtomicLong();
-    private final OrderDesk orders;
+    private final OrderQueue orders;
     private final SequenceSlots slots;
     private final PrefixCache cache;
     private final Generator generator;
@@ -40,7 +40,7 @@
     public EngineStandin(EngineSettings settings, String incarnation) {
         this.settings = settings;
         this.incarnation = incarnation;
-        this.orders = new OrderDesk(settings, faults, ledger);
+        this.orders = new OrderQueue(settings, faults, ledger);
         this.slots = new SequenceSlots(settings.mostSequences());
         this.cache = new PrefixCache(settings.cachePieces());
         this.generator = new Generator(settings, faults, orders, cache, queuedPrefillTokens);
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/Generator.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/Generator.java
@@ -22,14 +22,14 @@
 
     private final EngineSettings settings;
     private final EngineFaults faults;
-    private final OrderDesk orders;
+    private final OrderQueue orders;
     private final PrefixCache cache;
     private final AtomicLong queuedPrefillTokens;
 
     Generator(
             EngineSettings settings,
             EngineFaults faults,
-            OrderDesk orders,
+            OrderQueue orders,
             PrefixCache cache,
             AtomicLong queuedPrefillTokens) {
         this.settings = settings;
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/OrderDesk.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/engine/OrderQueue.java
@@ -11,7 +11,7 @@
 import org.aspenmoor.internal.engine.OrderState;
 
 /** Carries out one order at a time. */
-final class OrderDesk {
+final class OrderQueue {
     private static final long LOAD_DIVISOR = 4;
 
     private final EngineSettings settings;
@@ -24,7 +24,7 @@
     private OrderState lastOrderState = OrderState.NEVER_SEEN;
     private boolean away;
 
-    OrderDesk(EngineSettings settings, EngineFaults faults, EngineLedger ledger) {
+    OrderQueue(EngineSettings settings, EngineFaults faults, EngineLedger ledger) {
         this.settings = settings;
         this.faults = faults;
         this.ledger = ledger;
