--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
@@ -29,14 +29,16 @@
  * So after failures the next claims are refused at once for a while, and one is let through to try.
  */
 public final class ClaimHandler implements DutyHandler<ClaimMessage> {
-    /** When claims are refused without asking the store: two failures in a row, pauses of 1 s to 5 s. */
+    /** When claims are refused without asking the store: after one failure, with pauses of 1 s to 5 s. */
     public static final BreakerSettings STORE_BREAKER =
-            new BreakerSettings(2, Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(10));
+            new BreakerSettings(1, Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(10));
 
     private static final Duration FLUSH_STEP = Duration.ofMillis(20);
     private static final int FLUSH_STEPS = 20;
     private static final Duration LOOK_AGAIN_AFTER = Duration.ofMillis(200);
     private static final int MOST_LOOKS = 4;
+    private static final Duration SLOW_COMMIT = Duration.ofMillis(500);
+    private static final Duration REST_AFTER_SLOW_COMMIT = Duration.ofSeconds(1);
 
     private final ClaimCommitter committer;
     private final ClaimSettings settings;
@@ -44,6 +46,7 @@
     private final TimeSource time;
     private final Consumer<ClaimVerdict> verdicts;
     private final CommitPace pace;
+    private long commitsRestUntil;
     private final Map<RequestId, Integer> looks = new HashMap<>();
     private final List<LookAgain> lookAgain = new ArrayList<>();
 
@@ -58,6 +61,7 @@
         this.settings = settings;
         this.storeBreaker = storeBreaker;
         this.time = time;
+        this.commitsRestUntil = time.monotonicNanoseconds();
         this.pace = new CommitPace(time, commitsPerSecond, Math.max(1, commitsPerSecond));
         this.verdicts = verdicts;
     }
@@ -75,8 +79,24 @@
 
     @Override
     public void batchEnded() {
-        while (committer.hasDueWork() && pace.take()) {
+        while (committer.hasDueWork() && mayCommit()) {
+            long began = time.monotonicNanoseconds();
             committer.commitBatch().forEach(this::judged);
+            restIfSlow(began);
+        }
+    }
+
+    private boolean mayCommit() {
+        return time.monotonicNanoseconds() - commitsRestUntil >= 0 && pace.take();
+    }
+
+    // Outcomes that could not be written wait for the next commit. With a silent store this thread would go on from one
+    // time-out to the next, and calls that come meanwhile would wait in its ring for a refusal that is certain.
+    private void restIfSlow(long began) {
+        long now = time.monotonicNanoseconds();
+        if (now - began >= SLOW_COMMIT.toNanos()) {
+            storeBreaker.failed();
+            commitsRestUntil = now + REST_AFTER_SLOW_COMMIT.toNanos();
         }
     }
 
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/claims/ClaimHandlerTest.java
@@ -17,8 +17,10 @@
 import org.aspenmoor.internal.claim.RecordedAnswer;
 import org.aspenmoor.internal.retry.CircuitBreaker;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
+import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoreListing;
 import org.aspenmoor.internal.store.StoreUnavailableException;
 import org.aspenmoor.internal.store.StoreWatch;
@@ -77,8 +79,9 @@
 
     // The store keeps silent, so every batch costs a whole time-out. Calls that come later are refused without it.
     @Test
-    public void should_refuse_at_once_after_the_store_failed_twice() {
-        CountingBrokenStore broken = new CountingBrokenStore();
+    public void should_refuse_at_once_after_the_store_has_failed() {
+        SwitchedStore broken = new SwitchedStore();
+        broken.silent = true;
         ClaimHandler handler = handler(broken, first);
 
         for (int request = 1; request <= 5; request++) {
@@ -87,7 +90,34 @@
 
         assertEquals(first.size(), 5);
         assertTrue(first.stream().allMatch(verdict -> verdict instanceof ClaimVerdict.NotClaimed));
-        assertEquals(broken.calls, 2);
+        assertEquals(broken.callsInSilence, 1);
+    }
+
+    // Outcomes of calls that ran wait to be written when the store falls silent. A call that comes then would wait
+    // behind
+    // their time-outs, one after the other, before it is told that it did not run.
+    @Test
+    public void should_refuse_at_once_while_outcomes_wait_for_a_silent_store() {
+        SwitchedStore switched = new SwitchedStore();
+        ClaimHandler handler = handler(switched, first);
+        for (int request = 1; request <= 8; request++) {
+            ClaimKey key = new ClaimKey("studio", "desk", "key-" + request);
+            handler.handle(new ClaimMessage.Asked(new ClaimRequest(new RequestId(0, request), key, "digest")));
+        }
+        handler.batchEnded();
+        for (ClaimVerdict verdict : List.copyOf(first)) {
+            ClaimVerdict.Granted granted = (ClaimVerdict.Granted) verdict;
+            handler.handle(new ClaimMessage.Answered(
+                    granted.ticket(), new RecordedAnswer(201, "text/plain", Optional.empty(), "digest")));
+        }
+        first.clear();
+        switched.silent = true;
+
+        pass(handler);
+        ask(handler, 9);
+
+        assertEquals(switched.callsInSilence, 1);
+        assertTrue(first.getFirst() instanceof ClaimVerdict.NotClaimed);
     }
 
     // Many narrators' booths are booked at once. Without the pace every claim would be a write of its own, and the
@@ -135,51 +165,61 @@
         return new ClaimHandler(committer, settings, breaker, time, commitsPerSecond, verdicts::add);
     }
 
-    /** A store that does not answer. */
-    private static final class CountingBrokenStore implements ObjectStore {
-        private int calls;
+    /** A store that answers until it is told to keep silent; each call then takes three seconds. */
+    private final class SwitchedStore implements ObjectStore {
+        private final InMemoryObjectStore answering = new InMemoryObjectStore();
+        private boolean silent;
+        private int callsInSilence;
 
         @Override
-        public Optional<StoredObject> read(org.aspenmoor.internal.store.ObjectKey key)
-                throws StoreUnavailableException {
-            throw silent();
+        public Optional<StoredObject> read(ObjectKey key) throws StoreException {
+            answer();
+            return answering.read(key);
         }
 
         @Override
-        public StoreListing list(ObjectKind kind) throws StoreUnavailableException {
-            throw silent();
+        public StoreListing list(ObjectKind kind) throws StoreException {
+            answer();
+            return answering.list(kind);
         }
 
         @Override
-        public List<StoredObject> list(ObjectKind kind, String namespace) throws StoreUnavailableException {
-            throw silent();
+        public List<StoredObject> list(ObjectKind kind, String namespace) throws StoreException {
+            answer();
+            return answering.list(kind, namespace);
         }
 
         @Override
-        public StoredObject create(org.aspenmoor.internal.store.ObjectKey key, String value)
-                throws StoreUnavailableException {
-            throw silent();
+        public StoredObject create(ObjectKey key, String value) throws StoreException {
+            answer();
+            return answering.create(key, value);
         }
 
         @Override
-        public StoredObject update(StoredObject read, String value) throws StoreUnavailableException {
-            throw silent();
+        public StoredObject update(StoredObject read, String value) throws StoreException {
+            answer();
+            return answering.update(read, value);
         }
 
         @Override
-        public void delete(StoredObject read) throws StoreUnavailableException {
-            throw silent();
+        public void delete(StoredObject read) throws StoreException {
+            answer();
+            answering.delete(read);
         }
 
         @Override
         public StoreWatch watch(ObjectKind kind, String fromVersion, StoreWatchListener listener)
-                throws StoreUnavailableException {
-            throw silent();
+                throws StoreException {
+            answer();
+            return answering.watch(kind, fromVersion, listener);
         }
 
-        private StoreUnavailableException silent() {
-            calls++;
-            return new StoreUnavailableException("The store does not answer.", "store", "Try again later.");
+        private void answer() throws StoreUnavailableException {
+            if (silent) {
+                callsInSilence++;
+                time.advance(Duration.ofSeconds(3));
+                throw new StoreUnavailableException("The store does not answer.", "store", "Try again later.");
+            }
         }
     }
 }
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreSettings.java
+++ b/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreSettings.java
@@ -28,8 +28,8 @@
     public static StoreSettings defaults() {
         return new StoreSettings(
                 Duration.ofMillis(500),
+                Duration.ofSeconds(1),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(4),
                 Duration.ofMillis(50),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(15),
