--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentAccount.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentAccount.java
@@ -4,30 +4,43 @@
 
 /** Counts the dispatches an agent received by what became of them. */
 final class AgentAccount {
+    private final AgentMetrics metrics;
     private long received;
     private long refused;
     private long complete;
     private long failed;
     private long cancelled;
 
+    AgentAccount(AgentMetrics metrics) {
+        this.metrics = metrics;
+    }
+
     void received() {
         received++;
     }
 
     void refused() {
         refused++;
+        metrics.ended("refused");
     }
 
     void ended(CallEnd end) {
         switch (end) {
-            case CallEnd.Complete ignored -> complete++;
-            case CallEnd.NeverStarted ignored -> refused++;
-            case CallEnd.Failed ignored -> failed++;
+            case CallEnd.Complete ignored -> {
+                complete++;
+                metrics.ended("complete");
+            }
+            case CallEnd.NeverStarted ignored -> refused();
+            case CallEnd.Failed ignored -> {
+                failed++;
+                metrics.ended("failed");
+            }
         }
     }
 
     void cancelled() {
         cancelled++;
+        metrics.ended("cancelled");
     }
 
     /** Checks {@code received = refused + complete + failed + cancelled + running}. */
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentEventLoop.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentEventLoop.java
@@ -32,7 +32,8 @@
     private final AgentSettings settings;
     private final BackendCaller caller;
     private final LoadReports loadReports;
-    private final AgentAccount account = new AgentAccount();
+    private final AgentMetrics metrics;
+    private final AgentAccount account;
     private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
     private final IntConsumer runningChanged;
@@ -46,7 +47,10 @@
             BackendCaller caller,
             LoadReports loadReports,
             IntConsumer runningChanged,
-            PauseGuard pauseGuard) {
+            PauseGuard pauseGuard,
+            AgentMetrics metrics) {
+        this.metrics = metrics;
+        this.account = new AgentAccount(metrics);
         this.pauseGuard = pauseGuard;
         this.runningChanged = runningChanged;
         this.settings = settings;
@@ -76,6 +80,7 @@
             case AgentMessage.DumpAsked asked -> asked.answer().complete(dump());
         }
         runningChanged.accept(running.size());
+        metrics.running(running.size());
     }
 
     private void servingAllowed(AgentMessage.ServingAllowed serving) {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/AgentProcess.java
@@ -51,7 +51,8 @@
     private RegistrationDuty registration;
     private volatile boolean stopping;
 
-    public AgentProcess(AgentSettings settings, ObjectStore store, TimeSource time, RandomGenerator random) {
+    public AgentProcess(
+            AgentSettings settings, ObjectStore store, TimeSource time, RandomGenerator random, AgentMetrics metrics) {
         this.settings = settings;
         this.store = store;
         this.random = random;
@@ -66,7 +67,7 @@
         this.drain = new EventLoopDrain(this::tellEventLoop, new PauseWatch(time, SlotTerms.DEFAULT.noticedPause()));
         boolean takesOrders = settings.backend().type() == BackendType.ENGINE;
         AgentEventLoop handler = new AgentEventLoop(
-                settings, caller, reports, drain::runningChanged, takesOrders ? drain : PauseGuard.NONE);
+                settings, caller, reports, drain::runningChanged, takesOrders ? drain : PauseGuard.NONE, metrics);
         this.eventLoop = new Duty<>("agent-events", RING_SIZE, handler);
         caller.use(new HttpBackendCaller(client, settings.backend().url(), eventLoop));
         this.network = new LinkNetwork(
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/AgentDaemon.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/AgentDaemon.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.agent.AgentMetrics;
 import org.aspenmoor.internal.agent.AgentProcess;
 import org.aspenmoor.internal.http.HttpServers;
 import org.aspenmoor.internal.http.ProcessRoutes;
@@ -30,7 +31,8 @@
 
     void start(PrintStream out) throws AspenmoorException {
         ProcessSettings process = settings.process();
-        AgentProcess agent = new AgentProcess(settings, StoreConnections.connect(process, time, random), time, random);
+        AgentProcess agent = new AgentProcess(
+                settings, StoreConnections.connect(process, time, random), time, random, new AgentMetrics(registry));
         int linkPort = agent.start();
         RatpackServer server = HttpServers.start(
                 process.address(),
--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentEventLoopTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/AgentEventLoopTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -49,7 +50,12 @@
         fromOrders.clear();
         drain = new EventLoopDrain(fromOrders::add, new PauseWatch(time, Duration.ofSeconds(5)));
         eventLoop = new AgentEventLoop(
-                settings(), this::startCall, new LoadReports("drafter-1", time), running::set, drain);
+                settings(),
+                this::startCall,
+                new LoadReports("drafter-1", time),
+                running::set,
+                drain,
+                new AgentMetrics(new PrometheusRegistry()));
         entry = EmbeddedLink.agentOf("");
         eventLoop.handle(new AgentMessage.LinkOpened(entry.link()));
     }
