The listener for a caller that leaves is removed once its request is answered

Cause, found rereading the change: every request on a connection that is kept open left a listener on it until it closed, and the close then told of as many callers gone. Behaviour as the event loop sees it is the same; it dropped the late ones. A test was added for a caller that leaves in the middle of a stream.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/RequestSubmitter.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/http/RequestSubmitter.java
@@ -1,5 +1,7 @@
 package org.aspenmoor.internal.http;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -43,11 +45,17 @@
                     RefusalReason.OVERLOADED, FULL_RING_COME_BACK, "The entry has more requests than it can look at."));
             return;
         }
-        // The close is also seen after a whole answer; the event loop no longer knows the request then.
-        context.getDirectChannelAccess()
-                .getChannel()
-                .closeFuture()
-                .addListener(closed -> eventLoop.put(new EntryMessage.CallerGone(id)));
+        tellWhenGone(context, id);
+    }
+
+    // A connection that is kept open serves many requests. Left in place, the listeners of all of them would be kept
+    // until
+    // it closes, and would then all tell of a caller who went away.
+    private void tellWhenGone(Context context, RequestId id) {
+        ChannelFuture closed = context.getDirectChannelAccess().getChannel().closeFuture();
+        ChannelFutureListener listener = future -> eventLoop.put(new EntryMessage.CallerGone(id));
+        closed.addListener(listener);
+        context.onClose(answered -> closed.removeListener(listener));
     }
 
     void callerTook(RequestId id) {
--- a/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerProtocolTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoorusage/caller/CallerProtocolTest.java
@@ -144,6 +144,24 @@
         assertEquals(server.next(EntryMessage.CallerGone.class).id(), request.id());
     }
 
+    // The caller has read a piece and closes its connection in the middle of the stream.
+    @Test
+    public void should_tell_the_event_loop_when_a_caller_goes_away_in_the_middle_of_a_stream() throws Exception {
+        HttpRequest call = server.to("/v1/completions")
+                .POST(BodyPublishers.ofString(STREAMED))
+                .build();
+        CompletableFuture<HttpResponse<InputStream>> answer =
+                server.client().sendAsync(call, BodyHandlers.ofInputStream());
+        IncomingRequest request = request();
+        request.sink().piece("rain ");
+        InputStream body = answer.get().body();
+        assertTrue(body.read() >= 0);
+
+        body.close();
+
+        assertEquals(server.next(EntryMessage.CallerGone.class).id(), request.id());
+    }
+
     private CompletableFuture<HttpResponse<String>> send(String path, String body) {
         HttpRequest call = server.to(path).POST(BodyPublishers.ofString(body)).build();
         return server.client().sendAsync(call, BodyHandlers.ofString());
