One token bucket; one map for what waits in a service queue

Three classes held the same bucket: LoadBudget, CallBudget and CommitPace. ServiceQueue kept two maps under the same keys.

--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on how often something may be done. */
+package org.aspenmoor.internal.limit;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/rollout/LoadBudget.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/rollout/LoadBudget.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.rollout;
 
+import org.aspenmoor.internal.limit.TokenBucket;
 import org.aspenmoor.internal.time.TimeSource;
 
 /**
@@ -9,31 +10,14 @@
  * serves nothing meanwhile; so a load is ordered only when the store can feed it.
  */
 public final class LoadBudget {
-    private static final double NANOSECONDS_OF_SECOND = 1e9;
-
-    private final TimeSource timeSource;
-    private final double loadsPerSecond;
-    private final double mostSaved;
-    private double saved;
-    private long countedAt;
+    private final TokenBucket bucket;
 
     public LoadBudget(TimeSource timeSource, double loadsPerSecond, double mostSaved) {
-        this.timeSource = timeSource;
-        this.loadsPerSecond = loadsPerSecond;
-        this.mostSaved = mostSaved;
-        this.saved = mostSaved;
-        this.countedAt = timeSource.monotonicNanoseconds();
+        this.bucket = new TokenBucket(timeSource, loadsPerSecond, mostSaved);
     }
 
     /** Takes one load if there is room for it now. */
     boolean take() {
-        long now = timeSource.monotonicNanoseconds();
-        saved = Math.min(mostSaved, saved + (now - countedAt) / NANOSECONDS_OF_SECOND * loadsPerSecond);
-        countedAt = now;
-        if (saved < 1) {
-            return false;
-        }
-        saved--;
-        return true;
+        return bucket.take();
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/claims/ClaimHandler.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.claim.ClaimSettings;
 import org.aspenmoor.internal.claim.ClaimVerdict;
 import org.aspenmoor.internal.duty.DutyHandler;
+import org.aspenmoor.internal.limit.TokenBucket;
 import org.aspenmoor.internal.retry.BreakerDecision;
 import org.aspenmoor.internal.retry.BreakerSettings;
 import org.aspenmoor.internal.retry.CircuitBreaker;
@@ -45,7 +46,7 @@
     private final CircuitBreaker storeBreaker;
     private final TimeSource time;
     private final Consumer<ClaimVerdict> verdicts;
-    private final CommitPace pace;
+    private final TokenBucket pace;
     private long commitsRestUntil;
     private final Map<RequestId, Integer> looks = new HashMap<>();
     private final List<LookAgain> lookAgain = new ArrayList<>();
@@ -62,7 +63,7 @@
         this.storeBreaker = storeBreaker;
         this.time = time;
         this.commitsRestUntil = time.monotonicNanoseconds();
-        this.pace = new CommitPace(time, commitsPerSecond, Math.max(1, commitsPerSecond));
+        this.pace = new TokenBucket(time, commitsPerSecond, Math.max(1, commitsPerSecond));
         this.verdicts = verdicts;
     }
 
@@ -86,6 +87,11 @@
         }
     }
 
+    // On a fast store a commit ends before the next claim arrives, and nothing would be shared: bookings alone would
+    // use up
+    // the process's share of store calls, and an operator's change be refused for it. A few commits after a quiet time
+    // go
+    // out at once; beyond them each waits for its turn.
     private boolean mayCommit() {
         return time.monotonicNanoseconds() - commitsRestUntil >= 0 && pace.take();
     }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceQueue.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ServiceQueue.java
@@ -28,8 +28,7 @@
     private final LengthEstimator lengths = new LengthEstimator();
     private final EngineRouter router;
     private final EngineSpeed speed;
-    private final Map<RequestId, ActiveRequest> waiting = new HashMap<>();
-    private final Map<RequestId, WaitingWork> works = new HashMap<>();
+    private final Map<RequestId, Waiting> waiting = new HashMap<>();
 
     ServiceQueue(AdmissionQueue queue, EngineRouter router, EngineSpeed speed) {
         this.queue = queue;
@@ -49,17 +48,15 @@
     List<Refusal> offer(ActiveRequest request, long now) {
         List<Refusal> refusals = new ArrayList<>();
         WaitingWork work = workOf(request);
-        waiting.put(request.id(), request);
-        works.put(request.id(), work);
+        waiting.put(request.id(), new Waiting(request, work));
         if (queue.offer(work, now) instanceof AdmissionDecision.Refused refused) {
-            forget(request.id());
+            waiting.remove(request.id());
             refusals.add(new Refusal(request, outcome(refused)));
         }
         for (Displaced displaced : queue.displaced(now)) {
-            ActiveRequest loser = waiting.get(displaced.work().id());
+            Waiting loser = waiting.remove(displaced.work().id());
             if (loser != null) {
-                forget(loser.id());
-                refusals.add(new Refusal(loser, outcome(displaced.refusal())));
+                refusals.add(new Refusal(loser.request(), outcome(displaced.refusal())));
             }
         }
         return refusals;
@@ -72,14 +69,14 @@
             return new QueueStep.Rest();
         }
         WaitingWork work = next.get();
-        ActiveRequest request = waiting.get(work.id());
+        ActiveRequest request = waiting.get(work.id()).request();
         Optional<RoutingDecision> decision = router.decide(request, estimate(request), open, now);
         return switch (policy.judge(work, decision, now)) {
             case DispatchVerdict.Send send -> new QueueStep.Send(request, send.decision());
             case DispatchVerdict.Wait ignored -> new QueueStep.Rest();
             case DispatchVerdict.GiveUp giveUp -> {
                 queue.giveUp(work, now);
-                forget(work.id());
+                waiting.remove(work.id());
                 yield new QueueStep.Refuse(new Refusal(request, outcome(giveUp.refusal())));
             }
         };
@@ -87,16 +84,14 @@
 
     /** Takes a request out because it is being sent as decided. */
     void sent(ActiveRequest request, RoutingDecision decision, long now) {
-        queue.take(works.get(request.id()), now);
-        forget(request.id());
+        queue.take(waiting.remove(request.id()).work(), now);
         router.sent(request, estimate(request), decision, now);
     }
 
     /** Takes a request out because its caller has gone. */
     void cancel(ActiveRequest request) {
-        if (waiting.containsKey(request.id())) {
+        if (waiting.remove(request.id()) != null) {
             queue.cancel(request.id());
-            forget(request.id());
         }
     }
 
@@ -114,11 +109,6 @@
         return lengths.estimate(request.kind().name(), request.kind().longestOutputTokens());
     }
 
-    private void forget(RequestId id) {
-        waiting.remove(id);
-        works.remove(id);
-    }
-
     private WaitingWork workOf(ActiveRequest request) {
         LengthEstimate estimate = estimate(request);
         double prefill = speed.prefillSeconds(request.promptTokens() * (1 - estimate.cachedShare()));
@@ -136,4 +126,7 @@
     private static Outcome.NotRun outcome(AdmissionDecision.Refused refused) {
         return new Outcome.NotRun(refused.reason(), refused.comeBackAfter(), refused.detail());
     }
+
+    /** A request that waits, as it stands in the queue. */
+    private record Waiting(ActiveRequest request, WaitingWork work) {}
 }
