--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptAccount.java
@@ -0,0 +1,92 @@
+package org.aspenmoor.internal.serving;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * What is known of where one request has been, and so what may truthfully be said of it.
+ *
+ * <p>A caller that is told "not run" sends a booking again. Were that said of a request whose bytes had reached a
+ * backend server, the narrator would be booked twice. So this account alone decides whether a refusal is true: it is
+ * told of each attempt before its first byte leaves and of each end, and forgets nothing.
+ */
+public final class AttemptAccount {
+    /** After so many servers that take nothing, the next is unlikely to be better and the caller's time runs. */
+    private static final int MOST_ATTEMPTS = 4;
+
+    private final RepeatRule rule;
+    private final int mostBackends;
+    private final Set<String> tried = new HashSet<>();
+    private int attempts;
+    private int arrivals;
+    private int mayHaveRunOn;
+    private boolean open;
+
+    public AttemptAccount(RepeatRule rule, int mostBackends) {
+        this.rule = rule;
+        this.mostBackends = Math.max(1, mostBackends);
+    }
+
+    /** Notes that an attempt at a server begins; from now on the request counts as possibly run there. */
+    public void began(String server) {
+        if (open) {
+            throw new IllegalStateException("An attempt began while another was open.");
+        }
+        open = true;
+        attempts++;
+        tried.add(server);
+    }
+
+    /** Notes how the open attempt ended and returns what follows; the repeat still has to be granted by the budget. */
+    public NextStep ended(AttemptEnd end) {
+        open = false;
+        return switch (end) {
+            case AttemptEnd.NeverSent neverSent -> afterNoRun();
+            case AttemptEnd.NotExecuted notExecuted -> {
+                arrivals++;
+                yield afterNoRun();
+            }
+            case AttemptEnd.Lost lost -> afterRun(NextStep.REPORT_UNKNOWN);
+            case AttemptEnd.Failed failed -> afterRun(NextStep.PASS_FAILURE_ON);
+        };
+    }
+
+    /** Returns what to say where no further attempt is made. */
+    public NextStep conclusion() {
+        return mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE;
+    }
+
+    /** Returns whether the request may have run anywhere, or may still. */
+    public boolean mayHaveRun() {
+        return open || mayHaveRunOn > 0;
+    }
+
+    /** Returns whether the next attempt would be a repeated arrival, which draws on the shared budget. */
+    public boolean nextIsRepeat() {
+        return arrivals > 0;
+    }
+
+    /** Returns how many attempts began. */
+    public int attempts() {
+        return attempts;
+    }
+
+    /** Returns the servers that were tried. */
+    public Set<String> tried() {
+        return tried;
+    }
+
+    private NextStep afterNoRun() {
+        if (attempts >= MOST_ATTEMPTS) {
+            return conclusion();
+        }
+        return NextStep.REPEAT;
+    }
+
+    private NextStep afterRun(NextStep otherwise) {
+        arrivals++;
+        mayHaveRunOn++;
+        boolean allowed = rule != RepeatRule.AT_MOST_ONCE && mayHaveRunOn < mostBackends && attempts < MOST_ATTEMPTS;
+        return allowed ? NextStep.REPEAT : otherwise;
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendDirectory.java
@@ -0,0 +1,89 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The backend servers that are registered, as far as this process knows. Confined to one thread.
+ *
+ * <p>A server's registration lapses when it cannot be renewed, so an outage of the store makes live servers look gone.
+ * Dropping them all at the store's return would leave callers without any server for seconds. Registrations that are
+ * missing right after an outage therefore stay for as long as live servers may need to return.
+ */
+public final class BackendDirectory {
+    /** Interruptions shorter than this let no registration lapse: servers renew about once a second, three may fail. */
+    static final Duration SHORTEST_OUTAGE = Duration.ofMillis(1500);
+
+    /** Live servers are registered again about two seconds after the store's return, as its operators state. */
+    static final Duration RETURN_TIME = Duration.ofSeconds(2);
+
+    private final Map<String, BackendServer> servers = new LinkedHashMap<>();
+    private final Map<String, Long> doubtfulUntil = new LinkedHashMap<>();
+    private long interruptedAt = Long.MIN_VALUE;
+    private boolean interrupted;
+    private long graceUntil = Long.MIN_VALUE;
+
+    /** Takes a registration in. */
+    public void changed(BackendServer server) {
+        servers.put(server.id(), server);
+        doubtfulUntil.remove(server.id());
+    }
+
+    /** Notes that a registration is missing; returns whether the server counts as gone at once. */
+    public boolean removed(String id, long now) {
+        boolean duringOutage = interrupted && now - interruptedAt >= SHORTEST_OUTAGE.toNanos();
+        if (duringOutage || now < graceUntil) {
+            long until = Math.max(graceUntil, duringOutage ? now + RETURN_TIME.toNanos() : now);
+            doubtfulUntil.put(id, until);
+            return false;
+        }
+        servers.remove(id);
+        return true;
+    }
+
+    /** Notes that changes may be missed from now on. */
+    public void interrupted(long now) {
+        if (!interrupted) {
+            interrupted = true;
+            interruptedAt = now;
+        }
+    }
+
+    /** Notes that all registrations have been told. */
+    public void synchronised(long now) {
+        if (interrupted && now - interruptedAt >= SHORTEST_OUTAGE.toNanos()) {
+            graceUntil = now + RETURN_TIME.toNanos();
+        }
+        interrupted = false;
+    }
+
+    /** Drops the doubtful registrations whose time is over and returns them. */
+    public List<String> expire(long now) {
+        List<String> gone = new ArrayList<>();
+        doubtfulUntil.forEach((id, until) -> {
+            if (now >= until) {
+                gone.add(id);
+            }
+        });
+        for (String id : gone) {
+            doubtfulUntil.remove(id);
+            servers.remove(id);
+        }
+        return gone;
+    }
+
+    /** Returns a server. */
+    public Optional<BackendServer> find(String id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /** Returns all servers. */
+    public Collection<BackendServer> servers() {
+        return servers.values();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
@@ -0,0 +1,49 @@
+package org.aspenmoor.internal.serving;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Which prompt parts an engine probably keeps, from what this entry sent there; the least recently used yield first.
+ *
+ * <p>Only a hint: other entries fill the same memory, and an engine may drop anything. A wrong hint costs the time of
+ * computing a part again, never a wrong answer.
+ */
+final class CacheBelief {
+    private static final float LOAD_FACTOR = 0.75f;
+    private static final int FIRST_CAPACITY = 64;
+
+    private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(FIRST_CAPACITY, LOAD_FACTOR, true);
+    private final int mostTokens;
+    private int tokens;
+
+    CacheBelief(int mostTokens) {
+        this.mostTokens = mostTokens;
+    }
+
+    /** Notes that the engine computes a prompt and so holds its parts. */
+    void sent(Prompt prompt) {
+        for (PromptPart part : prompt.parts()) {
+            Integer before = parts.put(part.identity(), part.tokens());
+            tokens += part.tokens() - (before == null ? 0 : before);
+        }
+        Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
+        while (tokens > mostTokens && oldest.hasNext()) {
+            tokens -= oldest.next().getValue();
+            oldest.remove();
+        }
+    }
+
+    /** Returns how many tokens at the beginning of the prompt need no computing. */
+    int cachedTokens(Prompt prompt) {
+        int cached = 0;
+        for (PromptPart part : prompt.parts()) {
+            if (!parts.containsKey(part.identity())) {
+                break;
+            }
+            cached += part.tokens();
+        }
+        return Math.min(cached, prompt.promptTokens());
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -0,0 +1,34 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+
+/** Where a request goes. */
+public sealed interface Placement {
+    /**
+     * One server does all of it.
+     *
+     * @param server the server
+     * @param promptSeconds how long it should work before its answer begins
+     * @param expectedSeconds when the answer should begin, counted from now
+     */
+    record Whole(BackendServer server, double promptSeconds, double expectedSeconds) implements Placement {}
+
+    /**
+     * One engine computes the prompt, another takes its cache over and generates the answer.
+     *
+     * @param prefill the first
+     * @param decode the second
+     * @param promptSeconds how long the first should compute
+     * @param expectedSeconds when the answer should begin, counted from now
+     */
+    record Staged(BackendServer prefill, BackendServer decode, double promptSeconds, double expectedSeconds)
+            implements Placement {}
+
+    /**
+     * No server can answer in time, or there is none.
+     *
+     * @param reason one sentence for the log
+     * @param comeBackAfter when it may be better
+     */
+    record Refused(String reason, Duration comeBackAfter) implements Placement {}
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -0,0 +1,269 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.dissemination.StableHash;
+import org.aspenmoor.internal.engine.EngineRole;
+
+/**
+ * Chooses the backend server, or the pair of engines, whose answer should begin first. Confined to one thread.
+ *
+ * <p>Prompts with the same shared beginning have the same home among the engines in every entry, by a hash weighted with
+ * the engines' speed. So their cache fills on one engine without the entries talking to each other, and an engine that
+ * leaves moves only its own prompts. Another engine is taken where the home's queue outweighs computing the prompt anew.
+ */
+public final class Placer {
+    private static final double NANOSECONDS = 1e9;
+
+    /** What a refused caller is told where no server is known; servers that start or return show within a second. */
+    private static final Duration NO_SERVER_PAUSE = Duration.ofMillis(600);
+
+    /** Added to the wait in another data centre, in seconds: two crossings and the price of the bytes. */
+    private static final double REMOTE_SECONDS = 0.004;
+
+    /** Added to a staged placement, in seconds: a second request's way there and back, and the price of the transfer. */
+    private static final double STAGED_SECONDS = 0.030;
+
+    /** Added per unit of failure share, in seconds: a failed attempt costs about a repeat's whole way. */
+    private static final double FAILURE_SECONDS = 0.5;
+
+    /** Width of the random part of a plain placement, in seconds: entries with equal beliefs must not all agree. */
+    private static final double TIE_SECONDS = 0.002;
+
+    /** What one request of a plain service is expected to take, in seconds; only ranks servers. */
+    private static final double PLAIN_WORK_SECONDS = 0.02;
+
+    /** The fixed part of an engine's first token, in seconds: scheduling, first step and the way. */
+    private static final double FIRST_TOKEN_SECONDS = 0.035;
+
+    private static final int UNKNOWN_CACHE_TOKENS = 500_000;
+
+    private final PlacementSettings settings;
+    private final RandomGenerator random;
+    private final Map<String, ServerBelief> beliefs = new LinkedHashMap<>();
+
+    public Placer(PlacementSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Learns of a server, or that what it says of itself has changed. */
+    public void changed(BackendServer server, int cacheTokens) {
+        ServerBelief known = beliefs.get(server.id());
+        if (known != null && known.server().sameStart(server)) {
+            known.update(server);
+            return;
+        }
+        int tokens = cacheTokens > 0 ? cacheTokens : UNKNOWN_CACHE_TOKENS;
+        beliefs.put(server.id(), new ServerBelief(server, tokens));
+    }
+
+    /** Forgets a server. */
+    public void removed(String id) {
+        beliefs.remove(id);
+    }
+
+    /** Chooses where a request goes. */
+    public Placement choose(PlacementRequest request, long now) {
+        List<ServerBelief> usable = usable(request, now);
+        if (usable.isEmpty()) {
+            return new Placement.Refused("no backend server of " + request.service() + " is known", NO_SERVER_PAUSE);
+        }
+        Placement best = request.prompt().isPresent()
+                ? generation(request, request.prompt().get(), usable, now)
+                : plain(usable, now);
+        return withinTime(best, request.timeLeft());
+    }
+
+    /** Notes that an attempt begins; the result belongs to the other calls about it. */
+    public PlacedWork placed(BackendServer server, double expectedSeconds, long now) {
+        PlacedWork work = new PlacedWork(server.id(), now, expectedSeconds);
+        ServerBelief belief = beliefs.get(server.id());
+        if (belief != null) {
+            belief.placed(work);
+        }
+        return work;
+    }
+
+    /** Notes that a prompt is computed at an engine and will be cached there. */
+    public void cached(BackendServer server, Prompt prompt) {
+        ServerBelief belief = beliefs.get(server.id());
+        if (belief != null) {
+            belief.cache().sent(prompt);
+        }
+    }
+
+    /** Notes the first byte of an answer. */
+    public void answerBegan(PlacedWork work, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.answerBegan(work, now);
+            belief.health().answered();
+        }
+    }
+
+    /** Notes the load that came with an answer. */
+    public void reported(PlacedWork work, ReportedLoad load, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.reported(load, now);
+        }
+    }
+
+    /** Notes that an attempt is over, in whatever way. */
+    public void ended(PlacedWork work) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.ended(work);
+        }
+    }
+
+    /** Notes that a server answered with a failure of its own. */
+    public void failed(PlacedWork work, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.health().failed(now);
+        }
+    }
+
+    /** Notes that a server could not be reached, or broke off before it answered. */
+    public void unreachable(PlacedWork work, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.health().unreachable(now);
+        }
+    }
+
+    private List<ServerBelief> usable(PlacementRequest request, long now) {
+        List<ServerBelief> usable = new ArrayList<>();
+        List<ServerBelief> paused = new ArrayList<>();
+        for (ServerBelief belief : beliefs.values()) {
+            BackendServer server = belief.server();
+            boolean takesWork = server.service().equals(request.service())
+                    && server.state() == BackendState.READY
+                    && !request.avoided().contains(server.id());
+            if (!takesWork) {
+                continue;
+            }
+            (belief.health().paused(now) ? paused : usable).add(belief);
+        }
+        // Where all are paused, the pauses say more about this entry's links than about the servers.
+        return usable.isEmpty() ? paused : usable;
+    }
+
+    private Placement plain(List<ServerBelief> usable, long now) {
+        ServerBelief best = null;
+        double bestSeconds = Double.MAX_VALUE;
+        for (ServerBelief belief : usable) {
+            double queue =
+                    (belief.requests(now) + 1) / Math.max(1, belief.server().slots());
+            double seconds = Math.max(queue * PLAIN_WORK_SECONDS, belief.waitSeconds(now))
+                    + penaltySeconds(belief)
+                    + random.nextDouble() * TIE_SECONDS;
+            if (seconds < bestSeconds) {
+                best = belief;
+                bestSeconds = seconds;
+            }
+        }
+        return new Placement.Whole(best.server(), PLAIN_WORK_SECONDS, best.waitSeconds(now) + PLAIN_WORK_SECONDS);
+    }
+
+    private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
+        String home = home(prompt, usable);
+        ServerBelief decode = leastBusyDecoder(usable, now);
+        Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
+        double bestSeconds = Double.MAX_VALUE;
+        for (ServerBelief belief : usable) {
+            boolean staged = belief.server().role() == EngineRole.PREFILL;
+            if (staged && (decode == null || !request.mayStage())) {
+                continue;
+            }
+            double prompting =
+                    promptSeconds(belief, prompt, belief.server().id().equals(home));
+            double begins = belief.waitSeconds(now) + prompting + FIRST_TOKEN_SECONDS;
+            double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
+            double seconds = answer + penaltySeconds(belief);
+            if (seconds < bestSeconds) {
+                bestSeconds = seconds;
+                best = staged
+                        ? new Placement.Staged(belief.server(), decode.server(), prompting, answer)
+                        : new Placement.Whole(belief.server(), prompting, answer);
+            }
+        }
+        return best;
+    }
+
+    private double handOverSeconds(Prompt prompt, ServerBelief decode, long now) {
+        return STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens()) + decode.waitSeconds(now);
+    }
+
+    private double promptSeconds(ServerBelief belief, Prompt prompt, boolean atHome) {
+        int believed = belief.cache().cachedTokens(prompt);
+        int cached = atHome ? Math.max(believed, prompt.sharedTokens()) : believed;
+        return settings.speed().prefillSeconds(prompt.promptTokens() - cached) / prefillShare(belief.server());
+    }
+
+    private double prefillShare(BackendServer server) {
+        return server.role() == EngineRole.DECODE ? settings.ownPromptShare() : 1;
+    }
+
+    private double penaltySeconds(ServerBelief belief) {
+        double distance = belief.server().dataCentre().equals(settings.dataCentre()) ? 0 : REMOTE_SECONDS;
+        return distance + FAILURE_SECONDS * belief.health().failureShare();
+    }
+
+    /** Weighted rendezvous hashing: each engine draws a number that depends only on it and the prompt. */
+    private String home(Prompt prompt, List<ServerBelief> usable) {
+        String shared = prompt.sharedIdentity();
+        String home = "";
+        double best = Double.NEGATIVE_INFINITY;
+        for (ServerBelief belief : usable) {
+            long hash = StableHash.of(shared, belief.server().id());
+            double drawn = ((hash >>> 11) + 0.5) * 0x1.0p-53;
+            double score = -prefillShare(belief.server()) / Math.log(drawn);
+            if (score > best) {
+                best = score;
+                home = belief.server().id();
+            }
+        }
+        return home;
+    }
+
+    private ServerBelief leastBusyDecoder(List<ServerBelief> usable, long now) {
+        ServerBelief best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (ServerBelief belief : usable) {
+            if (belief.server().role() == EngineRole.PREFILL) {
+                continue;
+            }
+            double score = belief.waitSeconds(now)
+                    + penaltySeconds(belief)
+                    + belief.requests(now) * settings.speed().decodeStepSecondsPerSequence()
+                    + random.nextDouble() * TIE_SECONDS;
+            if (score < bestScore) {
+                best = belief;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private static Placement withinTime(Placement best, Duration timeLeft) {
+        double expected = switch (best) {
+            case Placement.Whole whole -> whole.expectedSeconds();
+            case Placement.Staged staged -> staged.expectedSeconds();
+            case Placement.Refused refused -> 0;
+        };
+        double left = timeLeft.toNanos() / NANOSECONDS;
+        if (expected <= left) {
+            return best;
+        }
+        Duration comeBack = Duration.ofNanos((long) ((expected - left) * NANOSECONDS));
+        return new Placement.Refused(
+                String.format("the answer would begin in %.2f s and %.2f s are left", expected, left), comeBack);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptPart.java
@@ -0,0 +1,9 @@
+package org.aspenmoor.internal.serving;
+
+/**
+ * One part of a prompt; requests that begin with the same parts share their computed cache.
+ *
+ * @param identity the same for the same text
+ * @param tokens its length
+ */
+public record PromptPart(String identity, int tokens) {}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
@@ -0,0 +1,71 @@
+package org.aspenmoor.internal.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of what the operator wants served; immutable. */
+public final class ServingConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceTraits> services = new HashMap<>();
+    private final ConnectionLimits limits;
+    private final int routeCount;
+
+    public ServingConfiguration(
+            long version, List<Route> routes, List<ServiceTraits> services, ConnectionLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.routeCount = routes.size();
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        routesByHost.values().forEach(ofHost -> ofHost.sort(longestFirst));
+        for (ServiceTraits service : services) {
+            this.services.put(service.name(), service);
+        }
+    }
+
+    /** Returns the number that grows with each change. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns what callers' connections may do. */
+    public ConnectionLimits limits() {
+        return limits;
+    }
+
+    /** Returns how many routes there are. */
+    public int routeCount() {
+        return routeCount;
+    }
+
+    /** Returns what is declared of a service. */
+    public Optional<ServiceTraits> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the route of the host with the longest prefix that begins the path. */
+    public Optional<Route> match(String host, String path) {
+        List<Route> ofHost = routesByHost.get(host.toLowerCase(Locale.ROOT));
+        if (ofHost == null) {
+            return Optional.empty();
+        }
+        for (Route route : ofHost) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
@@ -15,7 +15,13 @@
     /** A bucket of at-most-once claims. */
     CLAIM_BUCKET("claimbuckets"),
     /** The platform's own list of hosts; aspenmoor only reads it. */
-    HOST("hosts");
+    HOST("hosts"),
+    /** What the operator wants served, for entries that serve callers themselves; they only read it. */
+    SERVING_CONFIGURATION("servingconfigurations"),
+    /** A backend server's own registration; entries only read it. */
+    BACKEND_SERVER("backendservers"),
+    /** The registration of an entry that serves callers itself; named after its process. */
+    ENTRY_REGISTRATION("entryregistrations");
 
     private final String resource;
 
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/StoreConnections.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/daemon/StoreConnections.java
@@ -1,9 +1,9 @@
 package org.aspenmoor.internal.daemon;
 
 import java.util.random.RandomGenerator;
-import org.aspenmoor.internal.platform.HttpObjectStore;
-import org.aspenmoor.internal.platform.StoreSettings;
 import org.aspenmoor.internal.settings.ProcessSettings;
+import org.aspenmoor.internal.store.client.HttpObjectStore;
+import org.aspenmoor.internal.store.client.StoreSettings;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** Connects a process to the platform's store. */
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CollectionFactory.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/CollectionFactory.java
@@ -1,9 +1,9 @@
 package org.aspenmoor.internal.entry;
 
-import org.aspenmoor.internal.platform.CollectionListener;
-import org.aspenmoor.internal.platform.WatchedCollection;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.client.CollectionListener;
+import org.aspenmoor.internal.store.client.WatchedCollection;
 
 /** Makes followers of the store's collections. */
 public interface CollectionFactory {
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
@@ -14,7 +14,7 @@
 import org.aspenmoor.internal.json.FieldReader;
 import org.aspenmoor.internal.json.LocatedJsonParser;
 import org.aspenmoor.internal.json.LocatedValue;
-import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.routing.EngineSpeedReader;
 
 /** Reads a process's settings and reports all mistakes with their places at once. */
 public final class SettingsReader {
@@ -35,9 +35,6 @@
     private static final double MOST_STORE_CALLS = 2000;
     private static final double DEFAULT_STORE_CALLS = 20;
     private static final int HASH_DIGITS = 64;
-    private static final double MOST_TOKENS_PER_SECOND = 1e8;
-    private static final double MOST_SLOWDOWN = 10;
-    private static final int MOST_CHUNK_TOKENS = 65_536;
 
     private final Findings findings = new Findings();
 
@@ -83,29 +80,10 @@
                 readLimits(reader),
                 reader.seconds("leavingBoundSeconds", LEAST_SECONDS, MOST_SECONDS, DEFAULT_LEAVING_BOUND),
                 reader.seconds("stallTimeoutSeconds", LEAST_SECONDS, MOST_SECONDS, DEFAULT_STALL_TIMEOUT),
-                readEngineSpeed(reader),
+                EngineSpeedReader.read(reader),
                 readOperators(reader));
     }
 
-    private EngineSpeed readEngineSpeed(FieldReader reader) {
-        EngineSpeed usual = EngineSpeed.usual();
-        Optional<FieldReader> speed = reader.object("engineSpeed");
-        if (speed.isEmpty()) {
-            return usual;
-        }
-        FieldReader fields = speed.get();
-        EngineSpeed read = new EngineSpeed(
-                fields.decimal("prefillTokensPerSecond", 1, MOST_TOKENS_PER_SECOND, usual.prefillTokensPerSecond()),
-                fields.decimal("decodeStepSeconds", 0, 1, usual.decodeStepSeconds()),
-                fields.decimal("decodeStepSecondsPerSequence", 0, 1, usual.decodeStepSecondsPerSequence()),
-                fields.decimal("mixingSlowdown", 0, MOST_SLOWDOWN, usual.mixingSlowdown()),
-                fields.integer("chunkTokens", 1, MOST_CHUNK_TOKENS, usual.chunkTokens()),
-                fields.decimal("transferSeconds", 0, 1, usual.transferSeconds()),
-                fields.decimal("transferTokensPerSecond", 1, MOST_TOKENS_PER_SECOND, usual.transferTokensPerSecond()));
-        fields.refuseUnknownFields();
-        return read;
-    }
-
     private AgentSettings readAgent(FieldReader reader) {
         return new AgentSettings(
                 readProcess(reader),
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -0,0 +1,144 @@
+package org.aspenmoor.internal.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.caller.CallerServer;
+import org.aspenmoor.internal.gateway.caller.LocalAnswers;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.membership.ConfigurationListener;
+import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
+import org.aspenmoor.internal.gateway.membership.ServerListener;
+import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
+import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
+import org.aspenmoor.internal.gateway.request.GatewayMetrics;
+import org.aspenmoor.internal.gateway.request.RequestDispatcher;
+import org.aspenmoor.internal.gateway.request.RequestTools;
+import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.serving.Placer;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.client.CollectionListener;
+import org.aspenmoor.internal.store.client.StoreSettings;
+import org.aspenmoor.internal.store.client.WatchedCollection;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** One entry process: an event loop with all requests, and a thread for each collection it follows in the store. */
+public final class Gateway {
+    /** How often limits, doubtful servers and a planned stop are looked at. */
+    private static final long CHECK_MILLISECONDS = 100;
+
+    private final GatewaySettings settings;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final DecisionLog log;
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop eventLoop = group.next();
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final ServingState state;
+    private final BackendConnections connections;
+    private final RequestDispatcher dispatcher;
+    private final CallerServer callers;
+    private final GracefulStop stop;
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    public Gateway(
+            GatewaySettings settings,
+            CallerProtocol callerProtocol,
+            BackendProtocol backendProtocol,
+            TimeSource time,
+            RandomGenerator random,
+            DecisionLog log) {
+        this.settings = settings;
+        this.time = time;
+        this.random = random;
+        this.log = log;
+        this.state = new ServingState(time, random, settings.repeats(), log, new Placer(settings.placement(), random));
+        this.connections = new BackendConnections(backendProtocol, eventLoop, time);
+        RequestTools tools =
+                new RequestTools(state, connections, backendProtocol, eventLoop, new GatewayMetrics(registry));
+        this.dispatcher = new RequestDispatcher(tools, callerProtocol, settings.mostBodyBytes());
+        this.callers = new CallerServer(dispatcher, time);
+        this.stop = new GracefulStop(callers, dispatcher, settings.grace(), ended::countDown);
+    }
+
+    /** Opens the ports and begins to follow the store. */
+    public void start(ObjectStore store, StoreSettings storeSettings, RegistrationDecoder decoder)
+            throws AspenmoorException {
+        follow(
+                store,
+                storeSettings,
+                ObjectKind.SERVING_CONFIGURATION,
+                new ConfigurationListener(decoder, state, eventLoop, log));
+        follow(
+                store,
+                storeSettings,
+                ObjectKind.BACKEND_SERVER,
+                new ServerListener(decoder, state, connections, eventLoop, time, log));
+        new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness)).start(group, settings.readiness());
+        new PlainHttpServer(Map.of("/metrics", this::metrics)).start(group, settings.administration());
+        callers.start(group, settings.callers());
+        eventLoop.scheduleWithFixedDelay(this::check, CHECK_MILLISECONDS, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins a planned stop. */
+    public void stop() {
+        eventLoop.execute(() -> stop.begin(time.monotonicNanoseconds()));
+    }
+
+    /** Waits for the end of a planned stop. */
+    public void awaitEnd() throws InterruptedException {
+        ended.await();
+    }
+
+    private void follow(ObjectStore store, StoreSettings storeSettings, ObjectKind kind, CollectionListener listener) {
+        new WatchedCollection(store, kind, listener, random, storeSettings).start();
+    }
+
+    private void check() {
+        long now = time.monotonicNanoseconds();
+        state.expireServers(now).forEach(connections::forget);
+        connections.closeStale();
+        callers.check(now);
+        stop.check(now);
+    }
+
+    private FullHttpResponse readiness() {
+        boolean ready = state.ready() && !stop.begun();
+        return ready
+                ? LocalAnswers.of(HttpResponseStatus.OK, "ready")
+                : LocalAnswers.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
+    }
+
+    private FullHttpResponse metrics() {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(text, registry.scrape());
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("Writing to memory failed.", impossible);
+        }
+        FullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(text.toByteArray()));
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, text.size());
+        return answer;
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PlainHttpServer.java
@@ -0,0 +1,81 @@
+package org.aspenmoor.internal.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.gateway.caller.LocalAnswers;
+
+/** Answers GET requests for a few fixed paths: readiness, metrics, the state dump. */
+final class PlainHttpServer {
+    private static final int MOST_REQUEST_BYTES = 16_384;
+
+    private final Map<String, Supplier<FullHttpResponse>> pages;
+
+    PlainHttpServer(Map<String, Supplier<FullHttpResponse>> pages) {
+        this.pages = Map.copyOf(pages);
+    }
+
+    void start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
+        try {
+            new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline()
+                                    .addLast(new HttpServerCodec())
+                                    .addLast(new HttpObjectAggregator(MOST_REQUEST_BYTES))
+                                    .addLast(new PageHandler());
+                        }
+                    })
+                    .bind(address)
+                    .syncUninterruptibly();
+        } catch (RuntimeException taken) {
+            throw new AspenmoorException(
+                    "A port for operators cannot be opened: " + taken.getMessage() + ".",
+                    address.toString(),
+                    "Choose a free port, or end the process that has it.",
+                    taken);
+        }
+    }
+
+    private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            String path = request.uri().split("\\?", 2)[0];
+            Supplier<FullHttpResponse> page = pages.get(path);
+            FullHttpResponse answer =
+                    page == null ? LocalAnswers.of(HttpResponseStatus.NOT_FOUND, "There is no such page.") : page.get();
+            boolean kept = HttpUtil.isKeepAlive(request);
+            HttpUtil.setKeepAlive(answer, kept);
+            if (kept) {
+                context.writeAndFlush(answer);
+            } else {
+                context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to backend servers. */
+package org.aspenmoor.internal.gateway.backend;
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -0,0 +1,100 @@
+package org.aspenmoor.internal.gateway.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** Listens for callers. All but the start is confined to the event loop. */
+public final class CallerServer {
+    private static final int MOST_INITIAL_LINE = 16_384;
+    private static final int CHUNK_BYTES = 16_384;
+    private static final int BACKLOG = 1024;
+
+    private final RequestService service;
+    private final TimeSource time;
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private Channel listener;
+
+    public CallerServer(RequestService service, TimeSource time) {
+        this.service = service;
+        this.time = time;
+    }
+
+    /** Opens the port; returns the address it got. */
+    public InetSocketAddress start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
+        try {
+            listener = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            accept(channel);
+                        }
+                    })
+                    .bind(address)
+                    .syncUninterruptibly()
+                    .channel();
+            return (InetSocketAddress) listener.localAddress();
+        } catch (RuntimeException taken) {
+            throw new AspenmoorException(
+                    "The port for callers cannot be opened: " + taken.getMessage() + ".",
+                    address.toString(),
+                    "Choose a free port, or end the process that has it.",
+                    taken);
+        }
+    }
+
+    /** Closes connections that break their limits. */
+    public void check(long now) {
+        for (CallerConnection connection : List.copyOf(connections)) {
+            connection.check(now);
+        }
+    }
+
+    /** Takes no new connection from now on. */
+    public void stopListening() {
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    /** Closes the connections on which no request is being read or served. */
+    public void closeIdle() {
+        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /** Returns how many connections are open. */
+    public int open() {
+        return connections.size();
+    }
+
+    /** Returns how many requests are being served. */
+    public long serving() {
+        return connections.stream().filter(CallerConnection::serving).count();
+    }
+
+    private void accept(Channel channel) {
+        CallerConnection connection = new CallerConnection(channel, service, time);
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        channel.pipeline()
+                .addLast(new ArrivalHandler(connection))
+                .addLast(new HttpServerCodec(MOST_INITIAL_LINE, service.limits().mostHeaderBytes(), CHUNK_BYTES))
+                .addLast(connection);
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/LocalAnswers.java
@@ -0,0 +1,36 @@
+package org.aspenmoor.internal.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+
+/** Answers that an entry gives itself. */
+public final class LocalAnswers {
+    private static final double MILLISECONDS = 1000.0;
+
+    private LocalAnswers() {}
+
+    /** Returns an answer with one sentence as its body. */
+    public static FullHttpResponse of(HttpResponseStatus status, String sentence) {
+        ByteBuf body = Unpooled.copiedBuffer(sentence + "\n", StandardCharsets.UTF_8);
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        return answer;
+    }
+
+    /** Returns the refusal of a request that has not run and will not, with the time after which to come back. */
+    public static FullHttpResponse notRun(String sentence, Duration comeBackAfter) {
+        FullHttpResponse answer = of(HttpResponseStatus.SERVICE_UNAVAILABLE, sentence);
+        String seconds = String.format(Locale.ROOT, "%.3f", comeBackAfter.toMillis() / MILLISECONDS);
+        answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+        return answer;
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of callers. */
+package org.aspenmoor.internal.gateway.caller;
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ConfigurationListener.java
@@ -0,0 +1,61 @@
+package org.aspenmoor.internal.gateway.membership;
+
+import java.util.concurrent.Executor;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.store.client.CollectionListener;
+
+/** Takes each configuration that the store tells of to the event loop. */
+public final class ConfigurationListener implements CollectionListener {
+    private final RegistrationDecoder decoder;
+    private final ServingState state;
+    private final Executor eventLoop;
+    private final DecisionLog log;
+
+    public ConfigurationListener(RegistrationDecoder decoder, ServingState state, Executor eventLoop, DecisionLog log) {
+        this.decoder = decoder;
+        this.state = state;
+        this.eventLoop = eventLoop;
+        this.log = log;
+    }
+
+    @Override
+    public void changed(StoredObject object) {
+        try {
+            ServingConfiguration read = decoder.readConfiguration(object);
+            eventLoop.execute(() -> state.configure(read));
+        } catch (StoreMalformedException malformed) {
+            // What is in force goes on: a configuration that cannot be read must not take the routes away.
+            log.notable("configuration-unreadable")
+                    .with("object", object.key().toString())
+                    .with("revision", object.version())
+                    .with("reason", malformed.problem())
+                    .write();
+        }
+    }
+
+    @Override
+    public void deleted(StoredObject object) {
+        log.notable("configuration-deleted")
+                .with("object", object.key().toString())
+                .with("outcome", "the one in force goes on")
+                .write();
+    }
+
+    @Override
+    public void synchronised() {
+        // The configuration itself says when it is known.
+    }
+
+    @Override
+    public void interrupted(StoreException cause) {
+        log.notable("store-lost")
+                .with("following", "configuration")
+                .with("reason", cause.problem())
+                .write();
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerListener.java
@@ -0,0 +1,77 @@
+package org.aspenmoor.internal.gateway.membership;
+
+import java.util.concurrent.Executor;
+import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreMalformedException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.store.client.CollectionListener;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** Takes each registration of a backend server to the event loop. */
+public final class ServerListener implements CollectionListener {
+    private final RegistrationDecoder decoder;
+    private final ServingState state;
+    private final BackendConnections connections;
+    private final Executor eventLoop;
+    private final TimeSource time;
+    private final DecisionLog log;
+
+    public ServerListener(
+            RegistrationDecoder decoder,
+            ServingState state,
+            BackendConnections connections,
+            Executor eventLoop,
+            TimeSource time,
+            DecisionLog log) {
+        this.decoder = decoder;
+        this.state = state;
+        this.connections = connections;
+        this.eventLoop = eventLoop;
+        this.time = time;
+        this.log = log;
+    }
+
+    @Override
+    public void changed(StoredObject object) {
+        try {
+            BackendServer read = decoder.readServer(object);
+            eventLoop.execute(() -> state.serverChanged(read));
+        } catch (StoreMalformedException malformed) {
+            // Anybody may write a registration that makes no sense. It names no server to use; the others hold.
+            log.notable("server-unreadable")
+                    .with("object", object.key().toString())
+                    .with("revision", object.version())
+                    .with("reason", malformed.problem())
+                    .write();
+            remove(object);
+        }
+    }
+
+    @Override
+    public void deleted(StoredObject object) {
+        remove(object);
+    }
+
+    @Override
+    public void synchronised() {
+        eventLoop.execute(() -> state.serversSynchronised(time.monotonicNanoseconds()));
+    }
+
+    @Override
+    public void interrupted(StoreException cause) {
+        eventLoop.execute(() -> state.serversInterrupted(cause.problem(), time.monotonicNanoseconds()));
+    }
+
+    private void remove(StoredObject object) {
+        String id = object.key().name();
+        eventLoop.execute(() -> {
+            if (state.serverMissing(id, time.monotonicNanoseconds())) {
+                connections.forget(id);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** An entry that hands callers' requests to backend servers itself, over HTTP, without an agent on the way. */
+package org.aspenmoor.internal.gateway;
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
@@ -0,0 +1,21 @@
+package org.aspenmoor.internal.gateway.protocol;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+
+/** The headers and calls that backend servers understand. */
+public interface BackendProtocol {
+    /** Replaces whatever a caller wrote into headers that only an entry may set by what the delivery says. */
+    void address(HttpHeaders headers, Delivery delivery);
+
+    /** Reads the head of an answer. */
+    AnswerFacts read(HttpResponse head);
+
+    /** Reads the name of a computed prompt from the body of an answer; empty where there is none. */
+    Optional<String> readHandle(String body);
+
+    /** Returns the call that frees a computed prompt. */
+    FullHttpRequest release(CacheSource source);
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -0,0 +1,53 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** What an entry counts about requests. */
+public final class GatewayMetrics {
+    private final Counter requests;
+    private final Counter attempts;
+    private final Counter repeats;
+    private final Histogram firstByteSeconds;
+
+    public GatewayMetrics(PrometheusRegistry registry) {
+        this.requests = Counter.builder()
+                .name("aspenmoor_requests_total")
+                .help("Requests by service and outcome.")
+                .labelNames("service", "outcome")
+                .register(registry);
+        this.attempts = Counter.builder()
+                .name("aspenmoor_attempts_total")
+                .help("Attempts at backend servers, by service and how they ended.")
+                .labelNames("service", "end")
+                .register(registry);
+        this.repeats = Counter.builder()
+                .name("aspenmoor_repeats_total")
+                .help("Repeated arrivals asked of the shared budget, by service and whether it granted them.")
+                .labelNames("service", "granted")
+                .register(registry);
+        this.firstByteSeconds = Histogram.builder()
+                .name("aspenmoor_first_byte_seconds")
+                .help("From a request's arrival to the first byte of its answer.")
+                .labelNames("service")
+                .classicOnly()
+                .register(registry);
+    }
+
+    void ended(String service, RequestOutcome outcome) {
+        requests.labelValues(service, outcome.name()).inc();
+    }
+
+    void attempted(String service, String end) {
+        attempts.labelValues(service, end).inc();
+    }
+
+    void repeated(String service, boolean granted) {
+        repeats.labelValues(service, Boolean.toString(granted)).inc();
+    }
+
+    void firstByte(String service, double seconds) {
+        firstByteSeconds.labelValues(service).observe(seconds);
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -0,0 +1,67 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.aspenmoor.internal.gateway.backend.ExchangeListener;
+import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
+import org.aspenmoor.internal.gateway.protocol.CacheSource;
+import org.aspenmoor.internal.serving.PlacedWork;
+import org.aspenmoor.internal.serving.Placement;
+
+/** The first stage of a generation: one engine computes the prompt and keeps it for another. */
+final class PrefillAttempt implements ExchangeListener {
+    /** An answer that names a handle is far shorter; anything longer is no such answer. */
+    private static final int MOST_BODY_BYTES = 8192;
+
+    private final ServedRequest request;
+    private final Placement.Staged placement;
+    private final PlacedWork work;
+    private final StringBuilder body = new StringBuilder();
+    private boolean accepted;
+    private boolean rejected;
+
+    PrefillAttempt(ServedRequest request, Placement.Staged placement, PlacedWork work) {
+        this.request = request;
+        this.placement = placement;
+        this.work = work;
+    }
+
+    @Override
+    public void head(HttpResponse head, AnswerFacts facts) {
+        request.loadReported(work, facts);
+        accepted = head.status().code() == HttpResponseStatus.OK.code();
+        rejected = facts.notExecuted();
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        if (body.length() < MOST_BODY_BYTES) {
+            body.append(part.toString(StandardCharsets.UTF_8));
+        }
+    }
+
+    @Override
+    public void complete() {
+        Optional<String> handle = accepted ? request.handleIn(body.toString()) : Optional.empty();
+        if (handle.isEmpty()) {
+            request.prefillFailed(placement, work, rejected ? "rejected" : "no handle came");
+            return;
+        }
+        CacheSource source =
+                new CacheSource(placement.prefill().host(), placement.prefill().port(), handle.get());
+        request.prefilled(placement, work, source);
+    }
+
+    @Override
+    public void neverSent(String reason) {
+        request.prefillUnreachable(placement, work, reason);
+    }
+
+    @Override
+    public void broken(String reason) {
+        request.prefillUnreachable(placement, work, reason);
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -0,0 +1,450 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.gateway.backend.Exchange;
+import org.aspenmoor.internal.gateway.caller.ActiveRequest;
+import org.aspenmoor.internal.gateway.caller.CallerLink;
+import org.aspenmoor.internal.gateway.caller.IncomingRequest;
+import org.aspenmoor.internal.gateway.caller.LocalAnswers;
+import org.aspenmoor.internal.gateway.log.LogLine;
+import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
+import org.aspenmoor.internal.gateway.protocol.CacheSource;
+import org.aspenmoor.internal.gateway.protocol.CallerRequest;
+import org.aspenmoor.internal.gateway.protocol.Delivery;
+import org.aspenmoor.internal.gateway.protocol.WantedWork;
+import org.aspenmoor.internal.serving.AttemptAccount;
+import org.aspenmoor.internal.serving.AttemptEnd;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.NextStep;
+import org.aspenmoor.internal.serving.PlacedWork;
+import org.aspenmoor.internal.serving.Placement;
+import org.aspenmoor.internal.serving.PlacementRequest;
+import org.aspenmoor.internal.serving.RepeatRule;
+import org.aspenmoor.internal.serving.Route;
+
+/**
+ * One request of a caller on its way: placed, sent, perhaps repeated, answered exactly once. Confined to the event loop.
+ */
+final class ServedRequest implements ActiveRequest {
+    /** A caller that is refused for want of time or servers comes back no sooner; below it, it only meets the same. */
+    private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
+
+    /** A repeatable request whose answer has not begun after this many objectives is tried elsewhere. */
+    private static final int STALLED_OBJECTIVES = 2;
+
+    private final RequestTools tools;
+    private final IncomingRequest incoming;
+    private final CallerRequest caller;
+    private final CallerLink link;
+    private final Route route;
+    private final String service;
+    private final long configurationVersion;
+    private final long deadline;
+    private final AttemptAccount account;
+    private final Set<String> avoided = new HashSet<>();
+    private Optional<CacheSource> unfetched = Optional.empty();
+    private Optional<String> lastEvent = Optional.empty();
+    private Exchange exchange;
+    private AnswerAttempt attempt;
+    private PlacedWork openWork;
+    private Future<?> deadlineTimer;
+    private Future<?> stallTimer;
+    private boolean mayStage = true;
+    private boolean answerBegun;
+    private boolean over;
+    private String lastReason = "";
+    private String lastServer = "";
+
+    ServedRequest(
+            RequestTools tools,
+            IncomingRequest incoming,
+            CallerRequest caller,
+            CallerLink link,
+            Route route,
+            String service,
+            long configurationVersion) {
+        this.tools = tools;
+        this.incoming = incoming;
+        this.caller = caller;
+        this.link = link;
+        this.route = route;
+        this.service = service;
+        this.configurationVersion = configurationVersion;
+        this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
+        Duration patience = caller.patience()
+                .filter(time -> time.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        this.deadline = incoming.arrivedAt() + patience.toNanos();
+    }
+
+    void start() {
+        tools.state().requested(service);
+        long left = deadline - now();
+        deadlineTimer = tools.eventLoop().schedule(this::deadlineReached, Math.max(0, left), TimeUnit.NANOSECONDS);
+        place();
+    }
+
+    @Override
+    public void callerLeft() {
+        if (over) {
+            return;
+        }
+        finish(RequestOutcome.CALLER_LEFT);
+    }
+
+    @Override
+    public void writabilityChanged() {
+        if (exchange != null) {
+            exchange.read(link.writable());
+        }
+    }
+
+    private void place() {
+        Duration left = Duration.ofNanos(deadline - now());
+        PlacementRequest wanted = new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
+        switch (tools.state().placer().choose(wanted, now())) {
+            case Placement.Whole whole -> send(whole.server(), whole.promptSeconds(), Optional.empty());
+            case Placement.Staged staged -> prefill(staged);
+            case Placement.Refused refused -> {
+                lastReason = refused.reason();
+                conclude(account.conclusion(), refused.comeBackAfter());
+            }
+        }
+    }
+
+    private void prefill(Placement.Staged staged) {
+        PlacedWork work = begin(staged.prefill(), staged.promptSeconds());
+        caller.prompt().ifPresent(prompt -> tools.state().placer().cached(staged.prefill(), prompt));
+        FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty());
+        PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
+        setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
+    }
+
+    private void send(BackendServer server, double promptSeconds, Optional<CacheSource> source) {
+        account.began(server.id());
+        avoided.add(server.id());
+        PlacedWork work = begin(server, promptSeconds);
+        caller.prompt().ifPresent(prompt -> tools.state().placer().cached(server, prompt));
+        attempt = new AnswerAttempt(this, work, route.streamed());
+        FullHttpRequest message = message(server, WantedWork.ANSWER, source);
+        setExchange(tools.connections().send(server, caller.id(), message, attempt));
+        watchForStall();
+    }
+
+    /** An exchange may end while it is being sent; then it is not the current one any more. */
+    private void setExchange(Exchange sent) {
+        if (!over && openWork != null) {
+            exchange = sent;
+        }
+    }
+
+    private PlacedWork begin(BackendServer server, double promptSeconds) {
+        lastServer = server.id();
+        openWork = tools.state().placer().placed(server, promptSeconds, now());
+        return openWork;
+    }
+
+    private FullHttpRequest message(BackendServer server, WantedWork work, Optional<CacheSource> source) {
+        ByteBuf body = incoming.body().retainedDuplicate();
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, incoming.head().method(), incoming.head().uri(), body);
+        message.headers().set(ForwardedHeaders.copy(incoming.head().headers()));
+        if (body.isReadable() || incoming.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        Duration left = Duration.ofNanos(Math.max(0, deadline - now()));
+        Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, lastEvent);
+        tools.protocol().address(message.headers(), delivery);
+        return message;
+    }
+
+    private void watchForStall() {
+        boolean repeatable = route.repeatRule() != RepeatRule.AT_MOST_ONCE && route.mostBackends() > 1;
+        if (!repeatable) {
+            return;
+        }
+        AnswerAttempt watched = attempt;
+        long after = route.objective().toNanos() * STALLED_OBJECTIVES;
+        stallTimer = tools.eventLoop().schedule(() -> stalled(watched), after, TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * An engine that hangs takes requests and answers none; without this its callers wait until their deadline, though
+     * another engine would have answered in time.
+     */
+    private void stalled(AnswerAttempt watched) {
+        if (over || watched != attempt || watched.begun() || account.attempts() >= route.mostBackends()) {
+            return;
+        }
+        watched.release();
+        cancelExchange();
+        attemptEnded(watched.work(), new AttemptEnd.Lost(), "no answer began in time");
+    }
+
+    void loadReported(PlacedWork work, AnswerFacts facts) {
+        facts.load().ifPresent(load -> tools.state().placer().reported(work, load, now()));
+    }
+
+    Optional<String> handleIn(String body) {
+        return tools.protocol().readHandle(body);
+    }
+
+    void prefilled(Placement.Staged placement, PlacedWork work, CacheSource source) {
+        tools.state().placer().answerBegan(work, now());
+        endWork(work);
+        if (over) {
+            return;
+        }
+        unfetched = Optional.of(source);
+        tools.metrics().attempted(service, "prefilled");
+        send(placement.decode(), 0, unfetched);
+    }
+
+    void prefillFailed(Placement.Staged placement, PlacedWork work, String reason) {
+        endWork(work);
+        withoutStages(placement, reason);
+    }
+
+    void prefillUnreachable(Placement.Staged placement, PlacedWork work, String reason) {
+        tools.state().placer().unreachable(work, now());
+        endWork(work);
+        withoutStages(placement, reason);
+    }
+
+    /** A computed prompt is only a help: where none came about, one engine does both parts. */
+    private void withoutStages(Placement.Staged placement, String reason) {
+        if (over) {
+            return;
+        }
+        tools.metrics().attempted(service, "prefill-failed");
+        lastReason = "prefill at " + placement.prefill().id() + ": " + reason;
+        avoided.add(placement.prefill().id());
+        mayStage = false;
+        place();
+    }
+
+    void answerBegan(PlacedWork work) {
+        tools.state().placer().answerBegan(work, now());
+        unfetched = Optional.empty();
+        if (!answerBegun) {
+            tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
+        }
+    }
+
+    void eventCame(HttpResponse head, ByteBuf event) {
+        Optional<String> identity = EventSplitter.identity(event);
+        if (!answerBegun) {
+            answerBegun = true;
+            HttpResponse begun = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+            begun.headers().set(ForwardedHeaders.copy(head.headers()));
+            link.begin(begun);
+        }
+        if (identity.isPresent()) {
+            lastEvent = identity;
+        }
+        link.part(event);
+        if (!link.writable() && exchange != null) {
+            exchange.read(false);
+        }
+    }
+
+    void streamComplete(PlacedWork work, boolean begun) {
+        endWork(work);
+        if (!answerBegun) {
+            attemptEndedAfterWork(new AttemptEnd.Lost(), begun ? "no event came" : "the stream was empty");
+            return;
+        }
+        finish(RequestOutcome.ANSWERED);
+        link.end();
+    }
+
+    void answerComplete(PlacedWork work, HttpResponse head, ByteBuf body) {
+        endWork(work);
+        finish(RequestOutcome.ANSWERED);
+        link.answer(passedOn(head, body));
+    }
+
+    /** The server's own failure: tried elsewhere where the request may be repeated, else passed on as it is. */
+    void failureCame(PlacedWork work, HttpResponse head, ByteBuf body, AnswerFacts facts) {
+        tools.state().placer().failed(work, now());
+        endWork(work);
+        NextStep next = account.ended(new AttemptEnd.Failed());
+        lastReason = "the server failed with status " + head.status().code();
+        tools.metrics().attempted(service, "failed");
+        if (next == NextStep.REPEAT && !answerBegun && timeForAnother() && granted()) {
+            body.release();
+            place();
+            return;
+        }
+        if (answerBegun || !facts.signed() || AnswerAttempt.promisesNoRun(head.status())) {
+            body.release();
+            conclude(NextStep.REPORT_UNKNOWN, SHORTEST_PAUSE);
+            return;
+        }
+        finish(RequestOutcome.FAILURE_PASSED_ON);
+        link.answer(passedOn(head, body));
+    }
+
+    void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
+        if (end instanceof AttemptEnd.NeverSent || end instanceof AttemptEnd.Lost) {
+            tools.state().placer().unreachable(work, now());
+        }
+        endWork(work);
+        attemptEndedAfterWork(end, reason);
+    }
+
+    private void attemptEndedAfterWork(AttemptEnd end, String reason) {
+        if (over) {
+            return;
+        }
+        lastReason = reason;
+        tools.metrics().attempted(service, end.getClass().getSimpleName());
+        NextStep next = account.ended(end);
+        tools.state()
+                .log()
+                .notable("attempt-ended")
+                .with("request", caller.id())
+                .with("server", lastServer)
+                .with("end", end.getClass().getSimpleName())
+                .with("reason", reason)
+                .with("next", next.name())
+                .write();
+        if (next == NextStep.REPEAT && timeForAnother() && granted()) {
+            mayStage = mayStage && unfetched.isEmpty();
+            place();
+            return;
+        }
+        conclude(next == NextStep.REPEAT ? account.conclusion() : next, SHORTEST_PAUSE);
+    }
+
+    private boolean timeForAnother() {
+        return deadline - now() > 0;
+    }
+
+    private boolean granted() {
+        if (!account.nextIsRepeat()) {
+            return true;
+        }
+        boolean granted = tools.state().takeRepeat(service);
+        tools.metrics().repeated(service, granted);
+        return granted;
+    }
+
+    private void deadlineReached() {
+        if (over) {
+            return;
+        }
+        lastReason = "the time was over; " + lastReason;
+        conclude(account.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, SHORTEST_PAUSE);
+    }
+
+    private void conclude(NextStep step, Duration pause) {
+        if (over) {
+            return;
+        }
+        if (answerBegun) {
+            finish(RequestOutcome.CUT);
+            link.breakOff();
+            return;
+        }
+        boolean late = deadline - now() <= 0;
+        if (step == NextStep.REFUSE) {
+            finish(RequestOutcome.NOT_RUN);
+            Duration comeBack = pause.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : pause;
+            link.answer(LocalAnswers.notRun(
+                    "The request has not run: " + lastReason + ".",
+                    tools.state().spread(comeBack)));
+            return;
+        }
+        finish(RequestOutcome.UNKNOWN);
+        HttpResponseStatus status = late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
+        link.answer(LocalAnswers.of(status, "The request may have run: " + lastReason + "."));
+    }
+
+    private static FullHttpResponse passedOn(HttpResponse head, ByteBuf body) {
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
+        answer.headers().set(ForwardedHeaders.copy(head.headers()));
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        return answer;
+    }
+
+    private void endWork(PlacedWork work) {
+        tools.state().placer().ended(work);
+        if (work == openWork) {
+            openWork = null;
+            exchange = null;
+        }
+    }
+
+    private void cancelExchange() {
+        if (exchange != null) {
+            exchange.cancel();
+            exchange = null;
+        }
+    }
+
+    /** Ends everything that belongs to the request; its answer is sent right after, if its caller is still there. */
+    private void finish(RequestOutcome outcome) {
+        over = true;
+        deadlineTimer.cancel(false);
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+        }
+        cancelExchange();
+        if (openWork != null) {
+            tools.state().placer().ended(openWork);
+            openWork = null;
+        }
+        if (attempt != null) {
+            attempt.release();
+        }
+        freeUnfetched();
+        incoming.body().release();
+        tools.metrics().ended(service, outcome);
+        boolean fine = outcome == RequestOutcome.ANSWERED;
+        LogLine line = fine
+                ? tools.state().log().usual("request-ended")
+                : tools.state().log().notable("request-ended");
+        line.with("request", caller.id())
+                .with("outcome", outcome.name())
+                .with("route", route.name())
+                .with("configuration", configurationVersion)
+                .with("service", service)
+                .with("server", lastServer)
+                .with("attempts", account.attempts())
+                .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now() - incoming.arrivedAt()))
+                .with("allowedMs", TimeUnit.NANOSECONDS.toMillis(deadline - incoming.arrivedAt()))
+                .with("reason", lastReason)
+                .write();
+    }
+
+    /** A computed prompt that nobody fetches keeps an engine's memory until its handle lapses. */
+    private void freeUnfetched() {
+        unfetched.ifPresent(source -> tools.state()
+                .log()
+                .usual("prompt-unfetched")
+                .with("request", caller.id())
+                .with("engine", source.host() + ":" + source.port())
+                .write());
+        unfetched = Optional.empty();
+    }
+
+    private long now() {
+        return tools.state().time().monotonicNanoseconds();
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -0,0 +1,167 @@
+package org.aspenmoor.internal.gateway.request;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.settings.RepeatSettings;
+import org.aspenmoor.internal.serving.BackendDirectory;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.GenerationTraits;
+import org.aspenmoor.internal.serving.Placer;
+import org.aspenmoor.internal.serving.RepeatAllowance;
+import org.aspenmoor.internal.serving.ServiceTraits;
+import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** What one process knows while it serves: configuration, servers, budgets. Confined to the event loop. */
+public final class ServingState {
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final RepeatSettings repeats;
+    private final DecisionLog log;
+    private final BackendDirectory directory = new BackendDirectory();
+    private final Placer placer;
+    private final Map<String, RepeatAllowance> allowances = new HashMap<>();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private boolean serversKnown;
+    private int entries;
+
+    public ServingState(
+            TimeSource time, RandomGenerator random, RepeatSettings repeats, DecisionLog log, Placer placer) {
+        this.time = time;
+        this.random = random;
+        this.repeats = repeats;
+        this.log = log;
+        this.placer = placer;
+        this.entries = repeats.assumedEntries();
+    }
+
+    /** Takes a configuration in; an older one than that in force is dropped, so that nothing goes back. */
+    public boolean configure(ServingConfiguration newer) {
+        if (configuration.isPresent() && newer.version() <= configuration.get().version()) {
+            return false;
+        }
+        log.notable("configuration-in-force")
+                .with("version", newer.version())
+                .with("before", configuration.map(ServingConfiguration::version).orElse(-1L))
+                .with("routes", newer.routeCount())
+                .write();
+        configuration = Optional.of(newer);
+        return true;
+    }
+
+    /** Takes a server's registration in. */
+    public void serverChanged(BackendServer server) {
+        Optional<BackendServer> before = directory.find(server.id());
+        directory.changed(server);
+        placer.changed(server, cacheTokens(server));
+        if (before.isEmpty() || !before.get().equals(server)) {
+            log.notable("server-known")
+                    .with("server", server.id())
+                    .with("service", server.service())
+                    .with("address", server.host() + ":" + server.port())
+                    .with("dataCentre", server.dataCentre())
+                    .with("state", server.state().name())
+                    .with("role", server.role().name())
+                    .with("startedAt", server.startedAt())
+                    .write();
+        }
+    }
+
+    /** Notes that a registration is missing; returns whether the server is gone. */
+    public boolean serverMissing(String id, long now) {
+        boolean gone = directory.removed(id, now);
+        log.notable(gone ? "server-gone" : "server-doubtful").with("server", id).write();
+        if (gone) {
+            placer.removed(id);
+        }
+        return gone;
+    }
+
+    /** Notes whether the list of servers may have missed changes. */
+    public void serversInterrupted(String reason, long now) {
+        directory.interrupted(now);
+        log.notable("store-lost").with("reason", reason).write();
+    }
+
+    /** Notes that the list of servers is complete. */
+    public void serversSynchronised(long now) {
+        directory.synchronised(now);
+        serversKnown = true;
+    }
+
+    /** Drops servers whose time to return is over; returns their identities. */
+    public Iterable<String> expireServers(long now) {
+        Iterable<String> gone = directory.expire(now);
+        for (String id : gone) {
+            placer.removed(id);
+            log.notable("server-gone")
+                    .with("server", id)
+                    .with("reason", "not back after an outage of the store")
+                    .write();
+        }
+        return gone;
+    }
+
+    /** Notes how many entries share the budgets. */
+    public void entries(int count) {
+        entries = Math.max(1, count);
+    }
+
+    /** Returns whether requests can be served. */
+    public boolean ready() {
+        return configuration.isPresent() && serversKnown;
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<ServingConfiguration> configuration() {
+        return configuration;
+    }
+
+    Placer placer() {
+        return placer;
+    }
+
+    /** Notes a request for a service, which earns a part of a repeat. */
+    void requested(String service) {
+        allowance(service).requested();
+    }
+
+    /** Takes a repeat out of the service's budget. */
+    boolean takeRepeat(String service) {
+        return allowance(service).take(entries);
+    }
+
+    TimeSource time() {
+        return time;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    /** Returns a pause with up to half of it added at random, so that refused callers do not return in one wave. */
+    Duration spread(Duration pause) {
+        return pause.plusNanos((long) (pause.toNanos() * random.nextDouble() / 2));
+    }
+
+    private RepeatAllowance allowance(String service) {
+        return allowances.computeIfAbsent(
+                service, name -> new RepeatAllowance(time, repeats.ratio(), repeats.slack(), repeats.window()));
+    }
+
+    private int cacheTokens(BackendServer server) {
+        return configuration
+                .flatMap(known -> known.service(server.service()))
+                .flatMap(ServiceTraits::generation)
+                .map(GenerationTraits::cacheTokens)
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -0,0 +1,34 @@
+package org.aspenmoor.internal.gateway.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import org.aspenmoor.internal.serving.PlacementSettings;
+
+/**
+ * The settings of an entry that serves callers itself.
+ *
+ * @param process its name
+ * @param callers where it listens for callers
+ * @param readiness where it says whether it wants new connections
+ * @param readinessPath the path asked there
+ * @param administration where metrics and the state dump are served
+ * @param store the store's address
+ * @param watchTime how long one call for changes may wait at the store
+ * @param grace how long after SIGTERM the process is left alone
+ * @param mostBodyBytes how many bytes of request bodies may be held at once
+ * @param placement what placements go by
+ * @param repeats how many repeats may be sent
+ */
+public record GatewaySettings(
+        String process,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        String readinessPath,
+        InetSocketAddress administration,
+        URI store,
+        Duration watchTime,
+        Duration grace,
+        int mostBodyBytes,
+        PlacementSettings placement,
+        RepeatSettings repeats) {}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -0,0 +1,122 @@
+package org.aspenmoor.internal.gateway.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.finding.Findings;
+import org.aspenmoor.internal.json.FieldReader;
+import org.aspenmoor.internal.json.LocatedJsonParser;
+import org.aspenmoor.internal.json.LocatedValue;
+import org.aspenmoor.internal.routing.EngineSpeedReader;
+import org.aspenmoor.internal.serving.PlacementSettings;
+
+/** Reads an entry's settings and reports all mistakes with their places at once. */
+public final class GatewaySettingsReader {
+    private static final int HIGHEST_PORT = 65_535;
+    private static final int MEBIBYTE = 1024 * 1024;
+    private static final int MOST_BODY_MEBIBYTES = 1024;
+
+    /** A sixth of the memory of the smallest host that entries run on. */
+    private static final int USUAL_BODY_MEBIBYTES = 48;
+
+    /** Half of the time in which a change must be in force, so that a watch gone silent is noticed in time. */
+    private static final Duration USUAL_WATCH_TIME = Duration.ofSeconds(1);
+
+    private static final Duration USUAL_GRACE = Duration.ofSeconds(8);
+    private static final Duration USUAL_REPEAT_WINDOW = Duration.ofSeconds(10);
+    private static final double USUAL_REPEAT_RATIO = 0.1;
+    private static final double MOST_REPEAT_SLACK = 1_000_000;
+    private static final int USUAL_ENTRIES = 16;
+    private static final int MOST_ENTRIES = 10_000;
+    private static final double MOST_SECONDS = 3600;
+    private static final double LEAST_SECONDS = 0.1;
+
+    /** An engine that generates answers computes prompts between its decode steps, at about half its speed. */
+    private static final double USUAL_OWN_PROMPT_SHARE = 0.5;
+
+    private final Findings findings = new Findings();
+
+    /** Reads settings from a file. */
+    public GatewaySettings read(Path file) throws AspenmoorException {
+        try {
+            return read(file.getFileName().toString(), Files.readString(file));
+        } catch (IOException unreadable) {
+            throw new AspenmoorException(
+                    "The settings cannot be read: " + unreadable.getMessage() + ".",
+                    file.toString(),
+                    "Give the path of a readable file after --settings.",
+                    unreadable);
+        }
+    }
+
+    /** Reads settings from a text. */
+    public GatewaySettings read(String source, String text) throws AspenmoorException {
+        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
+        findings.throwIfAny("The settings");
+        FieldReader reader = new FieldReader(root.orElseThrow(), findings);
+        GatewaySettings settings = readAll(reader);
+        reader.refuseUnknownFields();
+        findings.throwIfAny("The settings");
+        return settings;
+    }
+
+    private GatewaySettings readAll(FieldReader reader) {
+        return new GatewaySettings(
+                reader.requiredText("process"),
+                readAddress(reader, "callers"),
+                readAddress(reader, "readiness"),
+                reader.optionalText("readinessPath").orElse("/ready"),
+                readAddress(reader, "administration"),
+                readUrl(reader),
+                reader.seconds("watchSeconds", LEAST_SECONDS, MOST_SECONDS, USUAL_WATCH_TIME),
+                reader.seconds("graceSeconds", 1, MOST_SECONDS, USUAL_GRACE),
+                reader.integer("mostBodyMebibytes", 1, MOST_BODY_MEBIBYTES, USUAL_BODY_MEBIBYTES) * MEBIBYTE,
+                new PlacementSettings(
+                        reader.requiredText("dataCentre"),
+                        EngineSpeedReader.read(reader),
+                        reader.decimal("ownPromptShare", LEAST_SECONDS, 1, USUAL_OWN_PROMPT_SHARE)),
+                new RepeatSettings(
+                        reader.decimal("repeatRatio", 0, 1, USUAL_REPEAT_RATIO),
+                        reader.decimal("repeatSlack", 0, MOST_REPEAT_SLACK, 0),
+                        reader.seconds("repeatWindowSeconds", 1, MOST_SECONDS, USUAL_REPEAT_WINDOW),
+                        reader.integer("assumedEntries", 1, MOST_ENTRIES, USUAL_ENTRIES)));
+    }
+
+    private InetSocketAddress readAddress(FieldReader reader, String name) {
+        String text = reader.requiredText(name);
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= HIGHEST_PORT) {
+                return new InetSocketAddress(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException notANumber) {
+            // Reported below, like a port out of range.
+        }
+        if (!text.isEmpty()) {
+            findings.add(reader.placeOf(name), "The address is malformed.", "Write it as IP:PORT.");
+        }
+        return new InetSocketAddress(0);
+    }
+
+    private URI readUrl(FieldReader reader) {
+        String text = reader.requiredText("store");
+        try {
+            URI url = URI.create(text);
+            if ("http".equals(url.getScheme()) && url.getHost() != null) {
+                return url;
+            }
+        } catch (IllegalArgumentException malformed) {
+            // Reported below, like another scheme.
+        }
+        if (!text.isEmpty()) {
+            findings.add(reader.placeOf("store"), "The address is no HTTP URL.", "Write it as http://IP:PORT.");
+        }
+        return URI.create("http://127.0.0.1/");
+    }
+}
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/StoreAccess.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/command/StoreAccess.java
@@ -4,12 +4,12 @@
 import java.util.Optional;
 import java.util.Random;
 import org.aspenmoor.AspenmoorException;
-import org.aspenmoor.internal.platform.HttpObjectStore;
-import org.aspenmoor.internal.platform.SettledWrite;
-import org.aspenmoor.internal.platform.SettledWrites;
-import org.aspenmoor.internal.platform.StoreSettings;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.store.client.HttpObjectStore;
+import org.aspenmoor.internal.store.client.SettledWrite;
+import org.aspenmoor.internal.store.client.SettledWrites;
+import org.aspenmoor.internal.store.client.StoreSettings;
 import org.aspenmoor.internal.time.SystemTimeSource;
 
 /** Reads and writes single objects of a running store. */
--- a/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/StoreLimits.java
+++ b/aspenmoor-standins/src/main/java/org/aspenmoor/internal/standins/store/StoreLimits.java
@@ -1,7 +1,7 @@
 package org.aspenmoor.internal.standins.store;
 
-import org.aspenmoor.internal.platform.CallBudget;
 import org.aspenmoor.internal.store.StoreBudgetException;
+import org.aspenmoor.internal.store.client.CallBudget;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** How many calls a second the store takes. */
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/CallCounts.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CallCounts.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 /**
  * Store calls of this process since its start.
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HostRecord.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HostRecord.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.aspenmoor.internal.store.StoreMalformedException;
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HostState.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HostState.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 /** What the platform says of a host. */
 public enum HostState {
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/HttpObjectStore.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HttpObjectStore.java
@@ -1,14 +1,12 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import java.net.URI;
 import java.net.http.HttpResponse;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Flow;
-import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -16,7 +14,6 @@
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoreListing;
 import org.aspenmoor.internal.store.StoreMalformedException;
-import org.aspenmoor.internal.store.StoreUnavailableException;
 import org.aspenmoor.internal.store.StoreWatch;
 import org.aspenmoor.internal.store.StoreWatchListener;
 import org.aspenmoor.internal.store.StoredObject;
@@ -25,45 +22,38 @@
 /**
  * The object store over its HTTP API.
  *
- * <p>Reads are repeated with jittered pauses until their deadline. Writes are sent once: whoever writes must settle a
- * lost answer, for which there is {@link SettledWrites}.
+ * <p>A lost answer to a write has to be settled by whoever writes, for which there is {@link SettledWrites}.
  */
 public final class HttpObjectStore implements ObjectStore {
     private static final int MOST_VALUE_BYTES = 1024 * 1024;
-    private static final int MOST_READ_ATTEMPTS = 8;
     private static final int OK = 200;
 
     private final ObjectPaths paths;
-    private final TimeSource time;
     private final StoreSettings settings;
-    private final Pauser pauser;
-    private final StoreTransport transport;
-    private final CallBudget budget;
-    private final Backoff backoff;
-    private final CallCounters counters = new CallCounters();
+    private final StoreCalls calls;
 
     public HttpObjectStore(URI base, TimeSource time, RandomGenerator random, StoreSettings settings) {
-        this(base, time, random, settings, duration -> LockSupport.parkNanos(duration.toNanos()));
+        this(base, settings, new StoreCalls(time, random, settings));
     }
 
     HttpObjectStore(URI base, TimeSource time, RandomGenerator random, StoreSettings settings, Pauser pauser) {
+        this(base, settings, new StoreCalls(time, random, settings, pauser));
+    }
+
+    private HttpObjectStore(URI base, StoreSettings settings, StoreCalls calls) {
         this.paths = new ObjectPaths(base);
-        this.time = time;
         this.settings = settings;
-        this.pauser = pauser;
-        this.transport = new StoreTransport(settings);
-        this.budget = new CallBudget(time, settings.callsPerSecond(), settings.mostCallsAtOnce());
-        this.backoff = new Backoff(random, settings.firstBackoff(), settings.mostBackoff());
+        this.calls = calls;
     }
 
     /** Returns how many calls the process has made. */
     public CallCounts counts() {
-        return counters.counts();
+        return calls.counts();
     }
 
     @Override
     public Optional<StoredObject> read(ObjectKey key) throws StoreException {
-        Optional<String> body = readWithRetries(paths.object(key));
+        Optional<String> body = calls.read(paths.object(key));
         if (body.isEmpty()) {
             return Optional.empty();
         }
@@ -97,31 +87,32 @@
     @Override
     public void delete(StoredObject read) throws StoreException {
         String body = ObjectCodec.writeDeletion(read.version());
-        sendWrite("DELETE", paths.object(read.key()), read.key().toString(), body);
+        calls.write("DELETE", paths.object(read.key()), read.key().toString(), body);
     }
 
     @Override
     public StoreWatch watch(ObjectKind kind, String fromVersion, StoreWatchListener listener) throws StoreException {
         try {
             URI uri = paths.watch(kind, fromVersion);
-            budget.take(uri.toString());
-            HttpResponse<Flow.Publisher<List<ByteBuffer>>> response = transport.open(uri);
+            calls.budget().take(uri.toString());
+            HttpResponse<Flow.Publisher<List<ByteBuffer>>> response =
+                    calls.transport().open(uri);
             if (response.statusCode() != OK) {
                 response.body().subscribe(new DiscardingSubscriber());
                 StoreAnswer answer = new StoreAnswer(response.statusCode(), "", StoreTransport.retryAfter(response));
                 throw StoreAnswers.toWatch(answer, uri.toString());
             }
-            HttpStoreWatch watch = new HttpStoreWatch(kind, uri, settings.watchSilence(), listener, counters);
+            HttpStoreWatch watch = new HttpStoreWatch(kind, uri, settings.watchSilence(), listener, calls.counters());
             watch.start(response.body());
             return watch;
         } catch (StoreException failure) {
-            counters.failed(failure);
+            calls.counters().failed(failure);
             throw failure;
         }
     }
 
     private StoreListing listAt(URI uri, ObjectKind kind) throws StoreException {
-        Optional<String> body = readWithRetries(uri);
+        Optional<String> body = calls.read(uri);
         if (body.isEmpty()) {
             throw new StoreMalformedException(
                     "The store does not know this kind of object.", uri.toString(), "Check the store's address.");
@@ -129,51 +120,11 @@
         return ObjectCodec.readListing(kind, uri.toString(), body.get());
     }
 
-    private Optional<String> readWithRetries(URI uri) throws StoreException {
-        long deadline = time.monotonicNanoseconds() + settings.readDeadline().toNanos();
-        for (int attempt = 0; ; attempt++) {
-            try {
-                return readOnce(uri);
-            } catch (StoreUnavailableException unavailable) {
-                Duration pause = backoff.pauseBefore(attempt);
-                boolean late = time.monotonicNanoseconds() + pause.toNanos() - deadline >= 0;
-                if (late
-                        || attempt + 1 >= MOST_READ_ATTEMPTS
-                        || Thread.currentThread().isInterrupted()) {
-                    throw unavailable;
-                }
-                pauser.pause(pause);
-            }
-        }
-    }
-
-    private Optional<String> readOnce(URI uri) throws StoreException {
-        try {
-            budget.take(uri.toString());
-            counters.readSent();
-            return StoreAnswers.toRead(transport.read(uri), uri.toString());
-        } catch (StoreException failure) {
-            counters.failed(failure);
-            throw failure;
-        }
-    }
-
     private StoredObject write(String method, URI uri, ObjectKey key, String body) throws StoreException {
-        String answer = sendWrite(method, uri, key.toString(), body);
+        String answer = calls.write(method, uri, key.toString(), body);
         return ObjectCodec.read(key.kind(), key.toString(), answer);
     }
 
-    private String sendWrite(String method, URI uri, String place, String body) throws StoreException {
-        try {
-            budget.take(place);
-            counters.writeSent();
-            return StoreAnswers.toWrite(transport.write(method, uri, body), place);
-        } catch (StoreException failure) {
-            counters.failed(failure);
-            throw failure;
-        }
-    }
-
     private static void refuseTooLarge(ObjectKey key, String value) throws StoreMalformedException {
         if (value.getBytes(StandardCharsets.UTF_8).length > MOST_VALUE_BYTES) {
             throw new StoreMalformedException(
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/ObjectCodec.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -99,6 +99,9 @@
             case AGENT_REGISTRATION -> "AgentRegistration";
             case CLAIM_BUCKET -> "ClaimBucket";
             case HOST -> "Host";
+            case SERVING_CONFIGURATION -> "ServingConfiguration";
+            case BACKEND_SERVER -> "BackendServer";
+            case ENTRY_REGISTRATION -> "EntryRegistration";
         };
     }
 }
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreAnswer.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreAnswer.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import java.time.Duration;
 
--- /dev/null
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreCalls.java
@@ -0,0 +1,105 @@
+package org.aspenmoor.internal.store.client;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreUnavailableException;
+import org.aspenmoor.internal.time.TimeSource;
+
+/**
+ * Calls to the store, whatever its paths and objects look like: budgeted, timed, counted, reads repeated.
+ *
+ * <p>Reads are repeated with jittered pauses until their deadline. Writes are sent once: whoever writes must settle a
+ * lost answer, for which there is {@link SettledWrites}.
+ */
+public final class StoreCalls {
+    private static final int MOST_READ_ATTEMPTS = 8;
+
+    private final TimeSource time;
+    private final StoreSettings settings;
+    private final Pauser pauser;
+    private final StoreTransport transport;
+    private final CallBudget budget;
+    private final Backoff backoff;
+    private final CallCounters counters = new CallCounters();
+
+    public StoreCalls(TimeSource time, RandomGenerator random, StoreSettings settings) {
+        this(time, random, settings, duration -> LockSupport.parkNanos(duration.toNanos()));
+    }
+
+    StoreCalls(TimeSource time, RandomGenerator random, StoreSettings settings, Pauser pauser) {
+        this.time = time;
+        this.settings = settings;
+        this.pauser = pauser;
+        this.transport = new StoreTransport(settings);
+        this.budget = new CallBudget(time, settings.callsPerSecond(), settings.mostCallsAtOnce());
+        this.backoff = new Backoff(random, settings.firstBackoff(), settings.mostBackoff());
+    }
+
+    /** Reads, repeating while the store is away; empty where there is no such object. */
+    public Optional<String> read(URI uri) throws StoreException {
+        long deadline = time.monotonicNanoseconds() + settings.readDeadline().toNanos();
+        for (int attempt = 0; ; attempt++) {
+            try {
+                return readOnce(uri, settings.callTimeout());
+            } catch (StoreUnavailableException unavailable) {
+                Duration pause = backoff.pauseBefore(attempt);
+                boolean late = time.monotonicNanoseconds() + pause.toNanos() - deadline >= 0;
+                if (late
+                        || attempt + 1 >= MOST_READ_ATTEMPTS
+                        || Thread.currentThread().isInterrupted()) {
+                    throw unavailable;
+                }
+                pauser.pause(pause);
+            }
+        }
+    }
+
+    /** Makes one call that the store may leave waiting for up to the given time before it answers. */
+    public Optional<String> poll(URI uri, Duration waiting) throws StoreException {
+        return readOnce(uri, waiting.plus(settings.callTimeout()));
+    }
+
+    /** Sends a write once and returns the body of its answer. */
+    public String write(String method, URI uri, String place, String body) throws StoreException {
+        try {
+            budget.take(place);
+            counters.writeSent();
+            return StoreAnswers.toWrite(transport.write(method, uri, body), place);
+        } catch (StoreException failure) {
+            counters.failed(failure);
+            throw failure;
+        }
+    }
+
+    /** Returns how many calls were made. */
+    public CallCounts counts() {
+        return counters.counts();
+    }
+
+    CallCounters counters() {
+        return counters;
+    }
+
+    CallBudget budget() {
+        return budget;
+    }
+
+    StoreTransport transport() {
+        return transport;
+    }
+
+    private Optional<String> readOnce(URI uri, Duration timeout) throws StoreException {
+        try {
+            budget.take(uri.toString());
+            counters.readSent();
+            return StoreAnswers.toRead(transport.read(uri, timeout), uri.toString());
+        } catch (StoreException failure) {
+            counters.failed(failure);
+            throw failure;
+        }
+    }
+}
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/StoreTransport.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreTransport.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import java.net.ConnectException;
 import java.net.URI;
@@ -40,9 +40,9 @@
                 .build();
     }
 
-    StoreAnswer read(URI uri) throws StoreException {
+    StoreAnswer read(URI uri, Duration timeout) throws StoreException {
         HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
-        return send(request, false);
+        return send(request, false, timeout);
     }
 
     StoreAnswer write(String method, URI uri, String body) throws StoreException {
@@ -50,27 +50,28 @@
                 .method(method, HttpRequest.BodyPublishers.ofString(body, StandardCharsets.UTF_8))
                 .header("Content-Type", "application/json")
                 .build();
-        return send(request, true);
+        return send(request, true, settings.callTimeout());
     }
 
     /** Opens a stream; returns once the head of the answer is there. */
     HttpResponse<Flow.Publisher<List<ByteBuffer>>> open(URI uri) throws StoreException {
         HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
-        return await(client.sendAsync(request, HttpResponse.BodyHandlers.ofPublisher()), uri, false);
+        return await(
+                client.sendAsync(request, HttpResponse.BodyHandlers.ofPublisher()), uri, false, settings.callTimeout());
     }
 
-    private StoreAnswer send(HttpRequest request, boolean writes) throws StoreException {
+    private StoreAnswer send(HttpRequest request, boolean writes, Duration timeout) throws StoreException {
         CompletableFuture<HttpResponse<String>> pending =
                 client.sendAsync(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
-        HttpResponse<String> response = await(pending, request.uri(), writes);
+        HttpResponse<String> response = await(pending, request.uri(), writes, timeout);
         return new StoreAnswer(response.statusCode(), response.body(), retryAfter(response));
     }
 
     // The client's own request timeout ends with the head of the answer; a store that stalls in the middle of a body
     // would hold the calling thread for ever. Waiting on the future bounds the whole call.
-    private <T> T await(CompletableFuture<T> pending, URI uri, boolean writes) throws StoreException {
+    private <T> T await(CompletableFuture<T> pending, URI uri, boolean writes, Duration timeout) throws StoreException {
         try {
-            return pending.get(settings.callTimeout().toNanos(), TimeUnit.NANOSECONDS);
+            return pending.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException late) {
             pending.cancel(true);
             throw lost("The store did not answer in time.", uri, writes, late);
--- a/aspenmoor-platform/src/main/java/org/aspenmoor/internal/platform/package-info.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/package-info.java
@@ -1,2 +1,2 @@
 /** The client of the platform's object store: budgeted calls, settled writes, and watches that survive gaps. */
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
--- a/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/HttpObjectStoreTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/HttpObjectStoreTest.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
--- a/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/ScriptedStore.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/ScriptedStore.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
--- a/aspenmoor-platform/src/test/java/org/aspenmoor/internal/platform/SettledWritesTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/SettledWritesTest.java
@@ -1,11 +1,11 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.store.client;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import org.aspenmoor.internal.platform.FakeStore.WriteFault;
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.store.client.FakeStore.WriteFault;
 import org.testng.annotations.Test;
 
 public class SettledWritesTest {
