Placement: shared parts computed again weigh against an engine that is free sooner

An entry went to any engine whose answer should begin a little sooner, and each detour filled the queues of all.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -26,7 +26,7 @@
     private static final double REMOTE_SECONDS = 0.004;
 
     /** Added to a staged placement, in seconds: a second request's way there and back, and the price of the transfer. */
-    private static final double STAGED_SECONDS = 0.030;
+    private static final double STAGED_SECONDS = 0.035;
 
     /** Added per unit of failure share, in seconds: a failed attempt costs about a repeat's whole way. */
     private static final double FAILURE_SECONDS = 0.5;
@@ -40,6 +40,13 @@
     /** The fixed part of an engine's first token, in seconds: scheduling, first step and the way. */
     private static final double FIRST_TOKEN_SECONDS = 0.035;
 
+    /**
+     * What each second of computing costs the requests behind it, in seconds. Without it an entry takes a prompt to any
+     * engine that is free a little sooner; there its shared part is computed again, which fills the queues of all.
+     */
+    private static final double HARM_SHARE = 2;
+
+    private static final double PAIRS_OF_MEGAPAIR = 1e6;
     private static final int UNKNOWN_CACHE_TOKENS = 500_000;
 
     private final PlacementSettings settings;
@@ -114,6 +121,12 @@
         }
     }
 
+    /** Returns whether the server has begun no answer to this entry since the attempt was placed. */
+    public boolean silentSince(PlacedWork work) {
+        ServerBelief belief = beliefs.get(work.server());
+        return belief == null || belief.lastAnswerAt() < work.atNanoseconds();
+    }
+
     /** Notes that an attempt is over, in whatever way. */
     public void ended(PlacedWork work) {
         ServerBelief belief = beliefs.get(work.server());
@@ -186,7 +199,7 @@
                     promptSeconds(belief, prompt, belief.server().id().equals(home));
             double begins = belief.waitSeconds(now) + prompting + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
-            double seconds = answer + penaltySeconds(belief);
+            double seconds = answer + penaltySeconds(belief) + HARM_SHARE * prompting;
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
@@ -204,7 +217,10 @@
     private double promptSeconds(ServerBelief belief, Prompt prompt, boolean atHome) {
         int believed = belief.cache().cachedTokens(prompt);
         int cached = atHome ? Math.max(believed, prompt.sharedTokens()) : believed;
-        return settings.speed().prefillSeconds(prompt.promptTokens() - cached) / prefillShare(belief.server());
+        double computed = prompt.promptTokens() - cached;
+        double megapairs = computed * (cached + computed / 2) / PAIRS_OF_MEGAPAIR;
+        double seconds = settings.speed().prefillSeconds(computed) + megapairs * settings.secondsPerMegapair();
+        return seconds / prefillShare(belief.server());
     }
 
     private double prefillShare(BackendServer server) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -27,6 +27,7 @@
     private double delaySeconds;
     private long delayAt;
     private double busyUntilSeconds;
+    private long lastAnswerAt = Long.MIN_VALUE;
 
     ServerBelief(BackendServer server, int cacheTokens) {
         this.server = server;
@@ -61,6 +62,7 @@
 
     /** Notes the first byte of the answer to a piece of work. */
     void answerBegan(PlacedWork work, long now) {
+        lastAnswerAt = now;
         if (!unanswered.remove(work)) {
             return;
         }
@@ -69,6 +71,10 @@
         delayAt = now;
     }
 
+    long lastAnswerAt() {
+        return lastAnswerAt;
+    }
+
     void ended(PlacedWork work) {
         unanswered.remove(work);
         outstanding = Math.max(0, outstanding - 1);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -20,6 +20,7 @@
     private final Placement.Staged placement;
     private final PlacedWork work;
     private final StringBuilder body = new StringBuilder();
+    private int status;
     private boolean accepted;
     private boolean rejected;
 
@@ -32,6 +33,7 @@
     @Override
     public void head(HttpResponse head, AnswerFacts facts) {
         request.loadReported(work, facts);
+        status = head.status().code();
         accepted = head.status().code() == HttpResponseStatus.OK.code();
         rejected = facts.notExecuted();
     }
@@ -47,7 +49,7 @@
     public void complete() {
         Optional<String> handle = accepted ? request.handleIn(body.toString()) : Optional.empty();
         if (handle.isEmpty()) {
-            request.prefillFailed(placement, work, rejected ? "rejected" : "no handle came");
+            request.prefillFailed(placement, work, "status " + status + (rejected ? ", rejected" : ", no handle"));
             return;
         }
         CacheSource source =
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -34,6 +34,7 @@
 import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
+import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.RepeatRule;
 import org.aspenmoor.internal.serving.Route;
 
@@ -69,6 +70,9 @@
     private boolean over;
     private String lastReason = "";
     private String lastServer = "";
+    private String way = "";
+    private double expectedSeconds;
+    private long firstByteAt;
 
     ServedRequest(
             RequestTools tools,
@@ -118,8 +122,16 @@
         Duration left = Duration.ofNanos(deadline - now());
         PlacementRequest wanted = new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
         switch (tools.state().placer().choose(wanted, now())) {
-            case Placement.Whole whole -> send(whole.server(), whole.promptSeconds(), Optional.empty());
-            case Placement.Staged staged -> prefill(staged);
+            case Placement.Whole whole -> {
+                way = "whole";
+                expectedSeconds = whole.expectedSeconds();
+                send(whole.server(), whole.promptSeconds(), Optional.empty());
+            }
+            case Placement.Staged staged -> {
+                way = "staged";
+                expectedSeconds = staged.expectedSeconds();
+                prefill(staged);
+            }
             case Placement.Refused refused -> {
                 lastReason = refused.reason();
                 conclude(account.conclusion(), refused.comeBackAfter());
@@ -191,6 +203,11 @@
         if (over || watched != attempt || watched.begun() || account.attempts() >= route.mostBackends()) {
             return;
         }
+        if (!tools.state().placer().silentSince(watched.work())) {
+            // It answers others: the request waits in a queue, and would wait in another one too.
+            watchForStall();
+            return;
+        }
         watched.release();
         cancelExchange();
         attemptEnded(watched.work(), new AttemptEnd.Lost(), "no answer began in time");
@@ -233,6 +250,13 @@
         }
         tools.metrics().attempted(service, "prefill-failed");
         lastReason = "prefill at " + placement.prefill().id() + ": " + reason;
+        tools.state()
+                .log()
+                .notable("prefill-failed")
+                .with("request", caller.id())
+                .with("server", placement.prefill().id())
+                .with("reason", reason)
+                .write();
         avoided.add(placement.prefill().id());
         mayStage = false;
         place();
@@ -242,6 +266,7 @@
         tools.state().placer().answerBegan(work, now());
         unfetched = Optional.empty();
         if (!answerBegun) {
+            firstByteAt = now();
             tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
         }
     }
@@ -427,6 +452,13 @@
                 .with("service", service)
                 .with("server", lastServer)
                 .with("attempts", account.attempts())
+                .with("way", way)
+                .with("promptTokens", caller.prompt().map(Prompt::promptTokens).orElse(0))
+                .with("sharedTokens", caller.prompt().map(Prompt::sharedTokens).orElse(0))
+                .with("expectedMs", Math.round(expectedSeconds * 1e3))
+                .with(
+                        "firstByteMs",
+                        firstByteAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstByteAt - incoming.arrivedAt()))
                 .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now() - incoming.arrivedAt()))
                 .with("allowedMs", TimeUnit.NANOSECONDS.toMillis(deadline - incoming.arrivedAt()))
                 .with("reason", lastReason)
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -79,7 +79,8 @@
                 new PlacementSettings(
                         reader.requiredText("dataCentre"),
                         EngineSpeedReader.read(reader),
-                        reader.decimal("ownPromptShare", LEAST_SECONDS, 1, USUAL_OWN_PROMPT_SHARE)),
+                        reader.decimal("ownPromptShare", LEAST_SECONDS, 1, USUAL_OWN_PROMPT_SHARE),
+                        reader.decimal("secondsPerMegapair", 0, 1, 0)),
                 new RepeatSettings(
                         reader.decimal("repeatRatio", 0, 1, USUAL_REPEAT_RATIO),
                         reader.decimal("repeatSlack", 0, MOST_REPEAT_SLACK, 0),
