--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/OutgoingMessage.java
@@ -0,0 +1,40 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.aspenmoor.internal.gateway.caller.IncomingRequest;
+import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
+import org.aspenmoor.internal.gateway.protocol.Delivery;
+
+/** Builds what leaves an entry from what came in: method, path, status and body stay as they were. */
+final class OutgoingMessage {
+    private OutgoingMessage() {}
+
+    /** Returns the request for a backend server; the body is shared with the incoming one. */
+    static FullHttpRequest request(IncomingRequest incoming, BackendProtocol protocol, Delivery delivery) {
+        HttpRequest head = incoming.head();
+        ByteBuf body = incoming.body().retainedDuplicate();
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body);
+        message.headers().set(ForwardedHeaders.copy(head.headers()));
+        if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        protocol.address(message.headers(), delivery);
+        return message;
+    }
+
+    /** Returns the whole answer for the caller; takes over the body. */
+    static FullHttpResponse answer(HttpResponse head, ByteBuf body) {
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
+        answer.headers().set(ForwardedHeaders.copy(head.headers()));
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        return answer;
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -1,12 +1,8 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,7 +30,6 @@
 import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
-import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.RepeatRule;
 import org.aspenmoor.internal.serving.Route;
 
@@ -54,8 +49,8 @@
     private final CallerLink link;
     private final Route route;
     private final String service;
-    private final long configurationVersion;
     private final long deadline;
+    private final RequestTrace trace;
     private final AttemptAccount account;
     private final Set<String> avoided = new HashSet<>();
     private Optional<CacheSource> unfetched = Optional.empty();
@@ -68,11 +63,6 @@
     private boolean mayStage = true;
     private boolean answerBegun;
     private boolean over;
-    private String lastReason = "";
-    private String lastServer = "";
-    private String way = "";
-    private double expectedSeconds;
-    private long firstByteAt;
 
     ServedRequest(
             RequestTools tools,
@@ -88,12 +78,12 @@
         this.link = link;
         this.route = route;
         this.service = service;
-        this.configurationVersion = configurationVersion;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
         Duration patience = caller.patience()
                 .filter(time -> time.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
         this.deadline = incoming.arrivedAt() + patience.toNanos();
+        this.trace = new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), deadline);
     }
 
     void start() {
@@ -123,17 +113,15 @@
         PlacementRequest wanted = new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
         switch (tools.state().placer().choose(wanted, now())) {
             case Placement.Whole whole -> {
-                way = "whole";
-                expectedSeconds = whole.expectedSeconds();
+                trace.placed("whole", whole.expectedSeconds());
                 send(whole.server(), whole.promptSeconds(), Optional.empty());
             }
             case Placement.Staged staged -> {
-                way = "staged";
-                expectedSeconds = staged.expectedSeconds();
+                trace.placed("staged", staged.expectedSeconds());
                 prefill(staged);
             }
             case Placement.Refused refused -> {
-                lastReason = refused.reason();
+                trace.because(refused.reason());
                 conclude(account.conclusion(), refused.comeBackAfter());
             }
         }
@@ -166,23 +154,15 @@
     }
 
     private PlacedWork begin(BackendServer server, double promptSeconds) {
-        lastServer = server.id();
+        trace.sentTo(server);
         openWork = tools.state().placer().placed(server, promptSeconds, now());
         return openWork;
     }
 
     private FullHttpRequest message(BackendServer server, WantedWork work, Optional<CacheSource> source) {
-        ByteBuf body = incoming.body().retainedDuplicate();
-        FullHttpRequest message = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, incoming.head().method(), incoming.head().uri(), body);
-        message.headers().set(ForwardedHeaders.copy(incoming.head().headers()));
-        if (body.isReadable() || incoming.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        }
         Duration left = Duration.ofNanos(Math.max(0, deadline - now()));
         Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, lastEvent);
-        tools.protocol().address(message.headers(), delivery);
-        return message;
+        return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
     private void watchForStall() {
@@ -249,7 +229,7 @@
             return;
         }
         tools.metrics().attempted(service, "prefill-failed");
-        lastReason = "prefill at " + placement.prefill().id() + ": " + reason;
+        trace.because("prefill at " + placement.prefill().id() + ": " + reason);
         tools.state()
                 .log()
                 .notable("prefill-failed")
@@ -266,7 +246,7 @@
         tools.state().placer().answerBegan(work, now());
         unfetched = Optional.empty();
         if (!answerBegun) {
-            firstByteAt = now();
+            trace.firstByte(now());
             tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
         }
     }
@@ -301,7 +281,7 @@
     void answerComplete(PlacedWork work, HttpResponse head, ByteBuf body) {
         endWork(work);
         finish(RequestOutcome.ANSWERED);
-        link.answer(passedOn(head, body));
+        link.answer(OutgoingMessage.answer(head, body));
     }
 
     /** The server's own failure: tried elsewhere where the request may be repeated, else passed on as it is. */
@@ -309,7 +289,7 @@
         tools.state().placer().failed(work, now());
         endWork(work);
         NextStep next = account.ended(new AttemptEnd.Failed());
-        lastReason = "the server failed with status " + head.status().code();
+        trace.because("the server failed with status " + head.status().code());
         tools.metrics().attempted(service, "failed");
         if (next == NextStep.REPEAT && !answerBegun && timeForAnother() && granted()) {
             body.release();
@@ -322,7 +302,7 @@
             return;
         }
         finish(RequestOutcome.FAILURE_PASSED_ON);
-        link.answer(passedOn(head, body));
+        link.answer(OutgoingMessage.answer(head, body));
     }
 
     void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
@@ -337,14 +317,14 @@
         if (over) {
             return;
         }
-        lastReason = reason;
+        trace.because(reason);
         tools.metrics().attempted(service, end.getClass().getSimpleName());
         NextStep next = account.ended(end);
         tools.state()
                 .log()
                 .notable("attempt-ended")
                 .with("request", caller.id())
-                .with("server", lastServer)
+                .with("server", trace.server())
                 .with("end", end.getClass().getSimpleName())
                 .with("reason", reason)
                 .with("next", next.name())
@@ -374,7 +354,7 @@
         if (over) {
             return;
         }
-        lastReason = "the time was over; " + lastReason;
+        trace.because("the time was over; " + trace.reason());
         conclude(account.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, SHORTEST_PAUSE);
     }
 
@@ -392,20 +372,13 @@
             finish(RequestOutcome.NOT_RUN);
             Duration comeBack = pause.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : pause;
             link.answer(LocalAnswers.notRun(
-                    "The request has not run: " + lastReason + ".",
+                    "The request has not run: " + trace.reason() + ".",
                     tools.state().spread(comeBack)));
             return;
         }
         finish(RequestOutcome.UNKNOWN);
         HttpResponseStatus status = late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
-        link.answer(LocalAnswers.of(status, "The request may have run: " + lastReason + "."));
-    }
-
-    private static FullHttpResponse passedOn(HttpResponse head, ByteBuf body) {
-        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
-        answer.headers().set(ForwardedHeaders.copy(head.headers()));
-        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        return answer;
+        link.answer(LocalAnswers.of(status, "The request may have run: " + trace.reason() + "."));
     }
 
     private void endWork(PlacedWork work) {
@@ -445,24 +418,7 @@
         LogLine line = fine
                 ? tools.state().log().usual("request-ended")
                 : tools.state().log().notable("request-ended");
-        line.with("request", caller.id())
-                .with("outcome", outcome.name())
-                .with("route", route.name())
-                .with("configuration", configurationVersion)
-                .with("service", service)
-                .with("server", lastServer)
-                .with("attempts", account.attempts())
-                .with("way", way)
-                .with("promptTokens", caller.prompt().map(Prompt::promptTokens).orElse(0))
-                .with("sharedTokens", caller.prompt().map(Prompt::sharedTokens).orElse(0))
-                .with("expectedMs", Math.round(expectedSeconds * 1e3))
-                .with(
-                        "firstByteMs",
-                        firstByteAt == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstByteAt - incoming.arrivedAt()))
-                .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now() - incoming.arrivedAt()))
-                .with("allowedMs", TimeUnit.NANOSECONDS.toMillis(deadline - incoming.arrivedAt()))
-                .with("reason", lastReason)
-                .write();
+        trace.write(line, outcome, account.attempts(), now());
     }
 
     /** A computed prompt that nobody fetches keeps an engine's memory until its handle lapses. */
