--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
@@ -15,11 +15,12 @@
     private static final int FIRST_CAPACITY = 64;
 
     private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(FIRST_CAPACITY, LOAD_FACTOR, true);
-    private final int mostTokens;
+    private int mostTokens;
     private int tokens;
 
-    CacheBelief(int mostTokens) {
-        this.mostTokens = mostTokens;
+    /** Sets how many tokens the engine's memory holds. */
+    void limit(int newMostTokens) {
+        mostTokens = newMostTokens;
     }
 
     /** Notes that the engine computes a prompt and so holds its parts. */
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
@@ -0,0 +1,62 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * What the other entries have placed on the backend servers, as they last said. Confined to one thread.
+ *
+ * <p>An entry that sees only its own requests takes a server for idle that others have filled; on calm days half of the
+ * long prompts then waited for seconds while other engines had room. Reports may be lost or late: each names the whole
+ * part of its sender, so the next one mends it, and a sender that is silent counts for nothing after a while.
+ */
+public final class PeerLoads {
+    /** Reports come several times a second; after this time of silence their sender has stopped or is cut off. */
+    static final Duration SILENCE = Duration.ofMillis(1500);
+
+    private final Map<String, HeardReport> reports = new HashMap<>();
+
+    /** Takes a report in; one that was overtaken by a newer one is dropped. */
+    public void heard(PeerReport report, long now) {
+        HeardReport before = reports.get(report.entry());
+        boolean overtaken = before != null
+                && before.report().start() == report.start()
+                && before.report().sequence() >= report.sequence();
+        if (overtaken) {
+            return;
+        }
+        if (report.leaving()) {
+            reports.remove(report.entry());
+            return;
+        }
+        reports.put(report.entry(), new HeardReport(report, now));
+    }
+
+    /** Forgets the entries that have been silent for too long. */
+    public void expire(long now) {
+        Iterator<HeardReport> all = reports.values().iterator();
+        while (all.hasNext()) {
+            if (now - all.next().at() > SILENCE.toNanos()) {
+                all.remove();
+            }
+        }
+    }
+
+    /** Returns what all others together have placed on a server. */
+    public PeerShare on(String server) {
+        PeerShare total = PeerShare.NONE;
+        for (HeardReport heard : reports.values()) {
+            total = total.plus(heard.report().shares().getOrDefault(server, PeerShare.NONE));
+        }
+        return total;
+    }
+
+    /** Returns how many other entries are heard. */
+    public int heardEntries() {
+        return reports.size();
+    }
+
+    private record HeardReport(PeerReport report, long at) {}
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
@@ -1,31 +1,34 @@
 package org.aspenmoor.internal.serving;
 
-/**
- * One attempt at one backend server, as the placement expected it. Compared by identity.
- */
+/** One attempt at one backend server, as the placement expected it. Compared by identity. */
 public final class PlacedWork {
     private final String server;
     private final long atNanoseconds;
-    private final double expectedSeconds;
+    private final double workSeconds;
+    private final double answerSeconds;
 
-    public PlacedWork(String server, long atNanoseconds, double expectedSeconds) {
+    PlacedWork(String server, long atNanoseconds, double workSeconds, double answerSeconds) {
         this.server = server;
         this.atNanoseconds = atNanoseconds;
-        this.expectedSeconds = expectedSeconds;
+        this.workSeconds = workSeconds;
+        this.answerSeconds = answerSeconds;
     }
 
-    /** Returns the identity of the server. */
-    public String server() {
+    String server() {
         return server;
     }
 
-    /** Returns when it was placed. */
-    public long atNanoseconds() {
+    long atNanoseconds() {
         return atNanoseconds;
     }
 
     /** Returns how long the server was expected to work before its answer begins. */
-    public double expectedSeconds() {
-        return expectedSeconds;
+    double workSeconds() {
+        return workSeconds;
+    }
+
+    /** Returns when the answer was expected to begin, with what waits before it. */
+    double answerSeconds() {
+        return answerSeconds;
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -14,15 +14,13 @@
     record Whole(BackendServer server, double promptSeconds, double expectedSeconds) implements Placement {}
 
     /**
-     * One engine computes the prompt, another takes its cache over and generates the answer.
+     * One engine computes the prompt; another, chosen once that is done, takes its cache over and generates the answer.
      *
      * @param prefill the first
-     * @param decode the second
      * @param promptSeconds how long the first should compute
      * @param expectedSeconds when the answer should begin, counted from now
      */
-    record Staged(BackendServer prefill, BackendServer decode, double promptSeconds, double expectedSeconds)
-            implements Placement {}
+    record Staged(BackendServer prefill, double promptSeconds, double expectedSeconds) implements Placement {}
 
     /**
      * No server can answer in time, or there is none.
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.dissemination.StableHash;
 import org.aspenmoor.internal.engine.EngineRole;
@@ -47,26 +49,31 @@
     private static final double HARM_SHARE = 2;
 
     private static final double PAIRS_OF_MEGAPAIR = 1e6;
-    private static final int UNKNOWN_CACHE_TOKENS = 500_000;
 
-    private final PlacementSettings settings;
     private final RandomGenerator random;
     private final Map<String, ServerBelief> beliefs = new LinkedHashMap<>();
+    private final PeerLoads peers;
+    private PlacementSettings settings;
 
-    public Placer(PlacementSettings settings, RandomGenerator random) {
+    public Placer(PlacementSettings settings, PeerLoads peers, RandomGenerator random) {
         this.settings = settings;
+        this.peers = peers;
         this.random = random;
     }
 
-    /** Learns of a server, or that what it says of itself has changed. */
+    /** Takes changed settings up. */
+    public void reload(PlacementSettings changed) {
+        settings = changed;
+    }
+
+    /** Learns of a server, or that what is known of it has changed; cache tokens are above zero where it runs a model. */
     public void changed(BackendServer server, int cacheTokens) {
         ServerBelief known = beliefs.get(server.id());
         if (known != null && known.server().sameStart(server)) {
-            known.update(server);
+            known.update(server, cacheTokens);
             return;
         }
-        int tokens = cacheTokens > 0 ? cacheTokens : UNKNOWN_CACHE_TOKENS;
-        beliefs.put(server.id(), new ServerBelief(server, tokens));
+        beliefs.put(server.id(), new ServerBelief(server, cacheTokens));
     }
 
     /** Forgets a server. */
@@ -86,10 +93,20 @@
         return withinTime(best, request.timeLeft());
     }
 
+    /**
+     * Chooses the engine that takes a computed prompt over. Computing may take seconds, in which an engine that was chosen
+     * beforehand could have begun to leave; the request would be cut with it.
+     */
+    public Optional<BackendServer> chooseDecoder(PlacementRequest request, long now) {
+        return Optional.ofNullable(leastBusyDecoder(usable(request, now), now)).map(ServerBelief::server);
+    }
+
     /** Notes that an attempt begins; the result belongs to the other calls about it. */
-    public PlacedWork placed(BackendServer server, double expectedSeconds, long now) {
-        PlacedWork work = new PlacedWork(server.id(), now, expectedSeconds);
+    public PlacedWork placed(BackendServer server, double workSeconds, long now) {
         ServerBelief belief = beliefs.get(server.id());
+        double waitSeconds = belief == null ? 0 : waitSeconds(belief, now);
+        PlacedWork work =
+                new PlacedWork(server.id(), now, workSeconds, waitSeconds + workSeconds + FIRST_TOKEN_SECONDS);
         if (belief != null) {
             belief.placed(work);
         }
@@ -121,6 +138,18 @@
         }
     }
 
+    /** Returns this entry's own part of the load, for the other entries; servers without any are left out. */
+    public Map<String, PeerShare> ownShares() {
+        Map<String, PeerShare> shares = new HashMap<>();
+        beliefs.forEach((id, belief) -> {
+            PeerShare share = belief.ownShare();
+            if (share.requests() > 0) {
+                shares.put(id, share);
+            }
+        });
+        return shares;
+    }
+
     /** Returns whether the server has begun no answer to this entry since the attempt was placed. */
     public boolean silentSince(PlacedWork work) {
         ServerBelief belief = beliefs.get(work.server());
@@ -172,9 +201,9 @@
         ServerBelief best = null;
         double bestSeconds = Double.MAX_VALUE;
         for (ServerBelief belief : usable) {
-            double queue =
-                    (belief.requests(now) + 1) / Math.max(1, belief.server().slots());
-            double seconds = Math.max(queue * PLAIN_WORK_SECONDS, belief.waitSeconds(now))
+            double queue = (belief.requests(peers.on(belief.server().id()), now) + 1)
+                    / Math.max(1, belief.server().slots());
+            double seconds = Math.max(queue * PLAIN_WORK_SECONDS * belief.slowness(), waitSeconds(belief, now))
                     + penaltySeconds(belief)
                     + random.nextDouble() * TIE_SECONDS;
             if (seconds < bestSeconds) {
@@ -182,7 +211,7 @@
                 bestSeconds = seconds;
             }
         }
-        return new Placement.Whole(best.server(), PLAIN_WORK_SECONDS, best.waitSeconds(now) + PLAIN_WORK_SECONDS);
+        return new Placement.Whole(best.server(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
     }
 
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
@@ -197,21 +226,25 @@
             }
             double prompting =
                     promptSeconds(belief, prompt, belief.server().id().equals(home));
-            double begins = belief.waitSeconds(now) + prompting + FIRST_TOKEN_SECONDS;
+            double begins = waitSeconds(belief, now) + prompting + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
             double seconds = answer + penaltySeconds(belief) + HARM_SHARE * prompting;
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
-                        ? new Placement.Staged(belief.server(), decode.server(), prompting, answer)
+                        ? new Placement.Staged(belief.server(), prompting, answer)
                         : new Placement.Whole(belief.server(), prompting, answer);
             }
         }
         return best;
     }
 
+    private double waitSeconds(ServerBelief belief, long now) {
+        return belief.waitSeconds(peers.on(belief.server().id()), now);
+    }
+
     private double handOverSeconds(Prompt prompt, ServerBelief decode, long now) {
-        return STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens()) + decode.waitSeconds(now);
+        return STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens()) + waitSeconds(decode, now);
     }
 
     private double promptSeconds(ServerBelief belief, Prompt prompt, boolean atHome) {
@@ -220,7 +253,7 @@
         double computed = prompt.promptTokens() - cached;
         double megapairs = computed * (cached + computed / 2) / PAIRS_OF_MEGAPAIR;
         double seconds = settings.speed().prefillSeconds(computed) + megapairs * settings.secondsPerMegapair();
-        return seconds / prefillShare(belief.server());
+        return seconds * belief.slowness() / prefillShare(belief.server());
     }
 
     private double prefillShare(BackendServer server) {
@@ -256,9 +289,10 @@
             if (belief.server().role() == EngineRole.PREFILL) {
                 continue;
             }
-            double score = belief.waitSeconds(now)
+            double score = waitSeconds(belief, now)
                     + penaltySeconds(belief)
-                    + belief.requests(now) * settings.speed().decodeStepSecondsPerSequence()
+                    + belief.requests(peers.on(belief.server().id()), now)
+                            * settings.speed().decodeStepSecondsPerSequence()
                     + random.nextDouble() * TIE_SECONDS;
             if (score < bestScore) {
                 best = belief;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -4,42 +4,50 @@
 import java.util.Deque;
 
 /**
- * What this entry believes of one backend server: its own requests there, what answers told, and its health.
- *
- * <p>An entry sees only its own part of the traffic. What the others send shows in two ways: the load that comes with
- * answers, and answers that begin later than this entry's own work explains. Both age within seconds.
+ * What this entry believes of one backend server: its own requests there, what the other entries and the server's answers
+ * told, and its health.
  */
 final class ServerBelief {
     private static final double NANOSECONDS = 1e9;
-    private static final double LEARNING_SHARE = 0.3;
 
-    /** Half-life of what an answer told; the load of a busy server changes within about a second. */
+    /** Half-life of the load that came with an answer; that of a busy server changes within about a second. */
     private static final double HALF_LIFE_SECONDS = 1.0;
 
-    private BackendServer server;
+    /** Weight of one more answer in what is believed of a server's speed. */
+    private static final double LEARNING_SHARE = 0.1;
+
+    /** A server is not taken for slower than this, so that it gets enough work to show that it has recovered. */
+    private static final double MOST_SLOWNESS = 6;
+
+    /** Answers that were expected sooner say more of the way there than of the server's speed. */
+    private static final double SHORTEST_JUDGED_SECONDS = 0.02;
+
     private final ServerHealth health = new ServerHealth();
-    private final CacheBelief cache;
+    private final CacheBelief cache = new CacheBelief();
     private final Deque<PlacedWork> unanswered = new ArrayDeque<>();
+    private BackendServer server;
+    private int parallelism;
     private ReportedLoad reported = new ReportedLoad(0, 0, 1);
     private long reportedAt;
     private int outstandingAtReport;
     private int outstanding;
-    private double delaySeconds;
-    private long delayAt;
-    private double busyUntilSeconds;
+    private double unansweredSeconds;
+    private double slowness = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
 
     ServerBelief(BackendServer server, int cacheTokens) {
-        this.server = server;
-        this.cache = new CacheBelief(cacheTokens);
+        update(server, cacheTokens);
     }
 
     BackendServer server() {
         return server;
     }
 
-    void update(BackendServer newer) {
+    /** Takes what the server says of itself; cache tokens are above zero where it runs a model. */
+    void update(BackendServer newer, int cacheTokens) {
         server = newer;
+        parallelism = cacheTokens > 0 ? 1 : Math.max(1, newer.slots());
+        cache.limit(cacheTokens);
     }
 
     ServerHealth health() {
@@ -50,33 +58,40 @@
         return cache;
     }
 
-    int outstanding() {
-        return outstanding;
+    long lastAnswerAt() {
+        return lastAnswerAt;
+    }
+
+    /** Returns how many times longer than expected the server takes. */
+    double slowness() {
+        return slowness;
+    }
+
+    /** Returns this entry's own part of the load. */
+    PeerShare ownShare() {
+        return new PeerShare(unansweredSeconds, outstanding);
     }
 
     void placed(PlacedWork work) {
         outstanding++;
         unanswered.addLast(work);
-        busyUntilSeconds = Math.max(busyUntilSeconds, seconds(work.atNanoseconds())) + work.expectedSeconds();
+        unansweredSeconds += work.workSeconds();
     }
 
     /** Notes the first byte of the answer to a piece of work. */
     void answerBegan(PlacedWork work, long now) {
         lastAnswerAt = now;
-        if (!unanswered.remove(work)) {
+        if (!answered(work)) {
             return;
         }
-        double late = (now - work.atNanoseconds()) / NANOSECONDS - work.expectedSeconds();
-        delaySeconds = delaySeconds(now) + LEARNING_SHARE * (Math.max(0, late) - delaySeconds(now));
-        delayAt = now;
-    }
-
-    long lastAnswerAt() {
-        return lastAnswerAt;
+        double took = (now - work.atNanoseconds()) / NANOSECONDS;
+        double expected = Math.max(SHORTEST_JUDGED_SECONDS, work.answerSeconds());
+        double ratio = Math.clamp(took / expected, 1, MOST_SLOWNESS);
+        slowness += LEARNING_SHARE * (ratio - slowness);
     }
 
     void ended(PlacedWork work) {
-        unanswered.remove(work);
+        answered(work);
         outstanding = Math.max(0, outstanding - 1);
     }
 
@@ -86,16 +101,19 @@
         outstandingAtReport = outstanding;
     }
 
-    /** Returns the requests at the server: what it last told, faded, with this entry's own since then. */
-    double requests(long now) {
-        double others = Math.max(0, reported.running() + reported.waiting() - outstandingAtReport);
-        return outstanding + others * faded(now - reportedAt);
+    /** Returns the requests at the server, given what the other entries have there. */
+    double requests(PeerShare others, long now) {
+        double told = Math.max(0, reported.running() + reported.waiting() - outstandingAtReport);
+        return outstanding + Math.max(others.requests(), told * faded(now - reportedAt));
     }
 
-    /** Returns how long a new request probably waits before the server turns to it. */
-    double waitSeconds(long now) {
-        double own = Math.max(0, busyUntilSeconds - seconds(now));
-        return Math.max(Math.max(own, delaySeconds(now)), overdueSeconds(now));
+    /**
+     * Returns how long a new request probably waits before the server turns to it. An engine computes prompts one after
+     * the other; a plain server works in all its slots.
+     */
+    double waitSeconds(PeerShare others, long now) {
+        double queued = (unansweredSeconds + others.unansweredSeconds()) / parallelism;
+        return Math.max(queued, overdueSeconds(now));
     }
 
     /** A server that has stopped answering shows first in the age of its oldest unanswered request. */
@@ -104,18 +122,18 @@
         if (oldest == null) {
             return 0;
         }
-        return Math.max(0, (now - oldest.atNanoseconds()) / NANOSECONDS - oldest.expectedSeconds());
+        return Math.max(0, (now - oldest.atNanoseconds()) / NANOSECONDS - oldest.answerSeconds());
     }
 
-    private double delaySeconds(long now) {
-        return delaySeconds * faded(now - delayAt);
+    private boolean answered(PlacedWork work) {
+        if (!unanswered.remove(work)) {
+            return false;
+        }
+        unansweredSeconds = unanswered.isEmpty() ? 0 : Math.max(0, unansweredSeconds - work.workSeconds());
+        return true;
     }
 
     private static double faded(long ageNanoseconds) {
         return Math.pow(0.5, Math.max(0, ageNanoseconds) / NANOSECONDS / HALF_LIFE_SECONDS);
     }
-
-    private static double seconds(long nanoseconds) {
-        return nanoseconds / NANOSECONDS;
-    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -26,6 +26,8 @@
 import org.aspenmoor.internal.gateway.membership.ConfigurationListener;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
 import org.aspenmoor.internal.gateway.membership.ServerListener;
+import org.aspenmoor.internal.gateway.peers.PeerDirectory;
+import org.aspenmoor.internal.gateway.peers.PeerExchange;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
 import org.aspenmoor.internal.gateway.request.GatewayMetrics;
@@ -33,7 +35,6 @@
 import org.aspenmoor.internal.gateway.request.RequestTools;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
-import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.store.client.CollectionListener;
@@ -58,6 +59,7 @@
     private final RequestDispatcher dispatcher;
     private final CallerServer callers;
     private final GracefulStop stop;
+    private final PeerExchange peers;
     private final CountDownLatch ended = new CountDownLatch(1);
 
     public Gateway(
@@ -71,12 +73,18 @@
         this.time = time;
         this.random = random;
         this.log = log;
-        this.state = new ServingState(time, random, settings.repeats(), log, new Placer(settings.placement(), random));
+        this.state = new ServingState(time, random, settings.repeats(), log, settings.placement());
         this.connections = new BackendConnections(backendProtocol, eventLoop, time);
         RequestTools tools =
                 new RequestTools(state, connections, backendProtocol, eventLoop, new GatewayMetrics(registry));
         this.dispatcher = new RequestDispatcher(tools, callerProtocol, settings.mostBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
+        this.peers = new PeerExchange(
+                settings.process(),
+                time,
+                eventLoop,
+                log,
+                report -> state.peerHeard(report, time.monotonicNanoseconds()));
         this.stop = new GracefulStop(callers, dispatcher, settings.grace(), ended::countDown);
     }
 
@@ -95,10 +103,27 @@
                 new ServerListener(decoder, state, connections, eventLoop, time, log));
         new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness)).start(group, settings.readiness());
         new PlainHttpServer(Map.of("/metrics", this::metrics)).start(group, settings.administration());
+        peers.open(settings.peers());
+        new PeerDirectory(
+                        store,
+                        settings.process(),
+                        peers.address(),
+                        addresses -> eventLoop.execute(() -> peers.know(addresses)),
+                        log)
+                .start();
+        eventLoop.execute(this::tellPeers);
         callers.start(group, settings.callers());
         eventLoop.scheduleWithFixedDelay(this::check, CHECK_MILLISECONDS, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
+    /** Takes changed settings up; addresses stay as they are. */
+    public void reload(GatewaySettings changed) {
+        eventLoop.execute(() -> {
+            state.reload(changed.repeats(), changed.placement());
+            stop.reload(changed.grace());
+        });
+    }
+
     /** Begins a planned stop. */
     public void stop() {
         eventLoop.execute(() -> stop.begin(time.monotonicNanoseconds()));
@@ -113,8 +138,14 @@
         new WatchedCollection(store, kind, listener, random, storeSettings).start();
     }
 
+    private void tellPeers() {
+        peers.tell(state.ownShares(), stop.begun());
+        eventLoop.schedule(this::tellPeers, peers.pause().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void check() {
         long now = time.monotonicNanoseconds();
+        state.expirePeers(now);
         state.expireServers(now).forEach(connections::forget);
         connections.closeStale();
         callers.check(now);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
@@ -20,8 +20,8 @@
 
     private final CallerServer callers;
     private final RequestDispatcher dispatcher;
-    private final Duration grace;
     private final Runnable exit;
+    private Duration grace;
     private boolean begun;
     private boolean closed;
     private long begunAt;
@@ -41,6 +41,10 @@
         }
     }
 
+    void reload(Duration newGrace) {
+        grace = newGrace;
+    }
+
     boolean begun() {
         return begun;
     }
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerAddress.java
@@ -0,0 +1,38 @@
+package org.aspenmoor.internal.gateway.peers;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** The registration of an entry in the store: where it hears the others. */
+final class PeerAddress {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String HOST = "host";
+    private static final String PORT = "port";
+    private static final int HIGHEST_PORT = 65_535;
+
+    private PeerAddress() {}
+
+    static String write(InetSocketAddress address) {
+        return MAPPER.createObjectNode()
+                .put(HOST, address.getAddress().getHostAddress())
+                .put(PORT, address.getPort())
+                .toString();
+    }
+
+    /** Reads a registration; empty where it names no address. */
+    static Optional<InetSocketAddress> read(StoredObject object) {
+        try {
+            JsonNode root = MAPPER.readTree(object.value());
+            String host = root.path(HOST).asText("");
+            int port = root.path(PORT).asInt(0);
+            boolean usable = !host.isEmpty() && port > 0 && port <= HIGHEST_PORT;
+            return usable ? Optional.of(new InetSocketAddress(host, port)) : Optional.empty();
+        } catch (JsonProcessingException malformed) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/IgnoredAnswer.java
@@ -0,0 +1,34 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.aspenmoor.internal.gateway.backend.ExchangeListener;
+import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
+
+/** Listens to a call whose outcome changes nothing: what it frees lapses by itself some seconds later. */
+final class IgnoredAnswer implements ExchangeListener {
+    @Override
+    public void head(HttpResponse head, AnswerFacts facts) {
+        // Nothing depends on it.
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        // Nothing depends on it.
+    }
+
+    @Override
+    public void complete() {
+        // Nothing depends on it.
+    }
+
+    @Override
+    public void neverSent(String reason) {
+        // The handle lapses by itself.
+    }
+
+    @Override
+    public void broken(String reason) {
+        // The handle lapses by itself.
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -53,7 +53,7 @@
     private final RequestTrace trace;
     private final AttemptAccount account;
     private final Set<String> avoided = new HashSet<>();
-    private Optional<CacheSource> unfetched = Optional.empty();
+    private Optional<ComputedPrompt> unfetched = Optional.empty();
     private Optional<String> lastEvent = Optional.empty();
     private Exchange exchange;
     private AnswerAttempt attempt;
@@ -109,9 +109,7 @@
     }
 
     private void place() {
-        Duration left = Duration.ofNanos(deadline - now());
-        PlacementRequest wanted = new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
-        switch (tools.state().placer().choose(wanted, now())) {
+        switch (tools.state().placer().choose(wanted(), now())) {
             case Placement.Whole whole -> {
                 trace.placed("whole", whole.expectedSeconds());
                 send(whole.server(), whole.promptSeconds(), Optional.empty());
@@ -127,6 +125,11 @@
         }
     }
 
+    private PlacementRequest wanted() {
+        Duration left = Duration.ofNanos(deadline - now());
+        return new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
+    }
+
     private void prefill(Placement.Staged staged) {
         PlacedWork work = begin(staged.prefill(), staged.promptSeconds());
         caller.prompt().ifPresent(prompt -> tools.state().placer().cached(staged.prefill(), prompt));
@@ -207,9 +210,15 @@
         if (over) {
             return;
         }
-        unfetched = Optional.of(source);
+        unfetched = Optional.of(new ComputedPrompt(placement.prefill(), source));
         tools.metrics().attempted(service, "prefilled");
-        send(placement.decode(), 0, unfetched);
+        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), now());
+        if (decoder.isEmpty()) {
+            trace.because("no engine that may answer is known");
+            conclude(account.conclusion(), SHORTEST_PAUSE);
+            return;
+        }
+        send(decoder.get(), 0, Optional.of(source));
     }
 
     void prefillFailed(Placement.Staged placement, PlacedWork work, String reason) {
@@ -331,6 +340,7 @@
                 .write();
         if (next == NextStep.REPEAT && timeForAnother() && granted()) {
             mayStage = mayStage && unfetched.isEmpty();
+            freeUnfetched();
             place();
             return;
         }
@@ -421,14 +431,9 @@
         trace.write(line, outcome, account.attempts(), now());
     }
 
-    /** A computed prompt that nobody fetches keeps an engine's memory until its handle lapses. */
+    /** A computed prompt that nobody fetches would keep an engine's memory until its handle lapses. */
     private void freeUnfetched() {
-        unfetched.ifPresent(source -> tools.state()
-                .log()
-                .usual("prompt-unfetched")
-                .with("request", caller.id())
-                .with("engine", source.host() + ":" + source.port())
-                .write());
+        unfetched.ifPresent(prompt -> prompt.free(tools, caller.id()));
         unfetched = Optional.empty();
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -10,6 +10,10 @@
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.GenerationTraits;
+import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.PeerShare;
+import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.serving.RepeatAllowance;
 import org.aspenmoor.internal.serving.ServiceTraits;
@@ -20,23 +24,36 @@
 public final class ServingState {
     private final TimeSource time;
     private final RandomGenerator random;
-    private final RepeatSettings repeats;
     private final DecisionLog log;
     private final BackendDirectory directory = new BackendDirectory();
     private final Placer placer;
+    private final PeerLoads peers;
     private final Map<String, RepeatAllowance> allowances = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private RepeatSettings repeats;
     private boolean serversKnown;
-    private int entries;
 
     public ServingState(
-            TimeSource time, RandomGenerator random, RepeatSettings repeats, DecisionLog log, Placer placer) {
+            TimeSource time,
+            RandomGenerator random,
+            RepeatSettings repeats,
+            DecisionLog log,
+            PlacementSettings placement) {
         this.time = time;
         this.random = random;
         this.repeats = repeats;
         this.log = log;
-        this.placer = placer;
-        this.entries = repeats.assumedEntries();
+        this.peers = new PeerLoads();
+        this.placer = new Placer(placement, peers, random);
+    }
+
+    /** Takes changed settings up. */
+    public void reload(RepeatSettings newRepeats, PlacementSettings placement) {
+        if (!newRepeats.equals(repeats)) {
+            repeats = newRepeats;
+            allowances.clear();
+        }
+        placer.reload(placement);
     }
 
     /** Takes a configuration in; an older one than that in force is dropped, so that nothing goes back. */
@@ -50,6 +67,7 @@
                 .with("routes", newer.routeCount())
                 .write();
         configuration = Optional.of(newer);
+        directory.servers().forEach(server -> placer.changed(server, cacheTokens(server)));
         return true;
     }
 
@@ -106,9 +124,28 @@
         return gone;
     }
 
-    /** Notes how many entries share the budgets. */
-    public void entries(int count) {
-        entries = Math.max(1, count);
+    /** Takes another entry's report in. */
+    public void peerHeard(PeerReport report, long now) {
+        peers.heard(report, now);
+    }
+
+    /** Forgets entries that have been silent for too long. */
+    public void expirePeers(long now) {
+        peers.expire(now);
+    }
+
+    /** Returns this entry's own part of the load. */
+    public Map<String, PeerShare> ownShares() {
+        return placer.ownShares();
+    }
+
+    /**
+     * Returns how many entries share the budgets: those that are heard and this one. Until any is heard the settings'
+     * number stands, since a process that has just started may be one of many.
+     */
+    public int entries() {
+        int heard = peers.heardEntries();
+        return heard == 0 ? repeats.assumedEntries() : heard + 1;
     }
 
     /** Returns whether requests can be served. */
@@ -132,7 +169,7 @@
 
     /** Takes a repeat out of the service's budget. */
     boolean takeRepeat(String service) {
-        return allowance(service).take(entries);
+        return allowance(service).take(entries());
     }
 
     TimeSource time() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -13,6 +13,7 @@
  * @param readiness where it says whether it wants new connections
  * @param readinessPath the path asked there
  * @param administration where metrics and the state dump are served
+ * @param peers where it hears other entries
  * @param store the store's address
  * @param watchTime how long one call for changes may wait at the store
  * @param grace how long after SIGTERM the process is left alone
@@ -26,9 +27,21 @@
         InetSocketAddress readiness,
         String readinessPath,
         InetSocketAddress administration,
+        InetSocketAddress peers,
         URI store,
         Duration watchTime,
         Duration grace,
         int mostBodyBytes,
         PlacementSettings placement,
-        RepeatSettings repeats) {}
+        RepeatSettings repeats) {
+    /** Returns whether the other names the same process and addresses, so that it can be taken up without a restart. */
+    public boolean sameAddresses(GatewaySettings other) {
+        return process.equals(other.process)
+                && callers.equals(other.callers)
+                && readiness.equals(other.readiness)
+                && readinessPath.equals(other.readinessPath)
+                && administration.equals(other.administration)
+                && peers.equals(other.peers)
+                && store.equals(other.store);
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -72,6 +72,7 @@
                 readAddress(reader, "readiness"),
                 reader.optionalText("readinessPath").orElse("/ready"),
                 readAddress(reader, "administration"),
+                readAddress(reader, "peers"),
                 readUrl(reader),
                 reader.seconds("watchSeconds", LEAST_SECONDS, MOST_SECONDS, USUAL_WATCH_TIME),
                 reader.seconds("graceSeconds", 1, MOST_SECONDS, USUAL_GRACE),
