--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
@@ -2,12 +2,13 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * Which prompt parts an engine probably keeps, from what this entry sent there; the least recently used yield first.
+ * Which prompt parts an engine probably keeps, from what entries placed there; the least recently used yield first.
  *
- * <p>Only a hint: other entries fill the same memory, and an engine may drop anything. A wrong hint costs the time of
+ * <p>Only a hint: a report of another entry may be lost, and an engine may drop anything. A wrong hint costs the time of
  * computing a part again, never a wrong answer.
  */
 final class CacheBelief {
@@ -24,8 +25,8 @@
     }
 
     /** Notes that the engine computes a prompt and so holds its parts. */
-    void sent(Prompt prompt) {
-        for (PromptPart part : prompt.parts()) {
+    void placed(List<PromptPart> placed) {
+        for (PromptPart part : placed) {
             Integer before = parts.put(part.identity(), part.tokens());
             tokens += part.tokens() - (before == null ? 0 : before);
         }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.serving;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,10 +10,18 @@
  * @param start tells its starts apart
  * @param sequence grows with each report of one start
  * @param shares its part of the load, by backend server
+ * @param prompts the prompts it has placed since its last report
  * @param leaving whether it is stopping
  */
-public record PeerReport(String entry, long start, long sequence, Map<String, PeerShare> shares, boolean leaving) {
+public record PeerReport(
+        String entry,
+        long start,
+        long sequence,
+        Map<String, PeerShare> shares,
+        List<PlacedPrompt> prompts,
+        boolean leaving) {
     public PeerReport {
         shares = Map.copyOf(shares);
+        prompts = List.copyOf(prompts);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.serving;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /** Where a request goes. */
 public sealed interface Placement {
@@ -8,19 +9,23 @@
      * One server does all of it.
      *
      * @param server the server
+     * @param holder an engine that probably keeps the shared beginning of the prompt, for the server to fetch it from
      * @param promptSeconds how long it should work before its answer begins
      * @param expectedSeconds when the answer should begin, counted from now
      */
-    record Whole(BackendServer server, double promptSeconds, double expectedSeconds) implements Placement {}
+    record Whole(BackendServer server, Optional<BackendServer> holder, double promptSeconds, double expectedSeconds)
+            implements Placement {}
 
     /**
      * One engine computes the prompt; another, chosen once that is done, takes its cache over and generates the answer.
      *
      * @param prefill the first
+     * @param holder an engine that probably keeps the shared beginning of the prompt, for the first to fetch it from
      * @param promptSeconds how long the first should compute
      * @param expectedSeconds when the answer should begin, counted from now
      */
-    record Staged(BackendServer prefill, double promptSeconds, double expectedSeconds) implements Placement {}
+    record Staged(BackendServer prefill, Optional<BackendServer> holder, double promptSeconds, double expectedSeconds)
+            implements Placement {}
 
     /**
      * No server can answer in time, or there is none.
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -48,11 +48,27 @@
      */
     private static final double HARM_SHARE = 2;
 
+    /** Shorter parts are computed about as fast as a transfer is set up. */
+    private static final int LEAST_FETCHED_TOKENS = 1024;
+
+    /** Transfers between data centres take twice as long. */
+    private static final double REMOTE_TRANSFER_FACTOR = 2;
+
+    /** Prompts kept for the next report, which so stays one datagram; more are only a lost hint. */
+    private static final int MOST_UNTOLD_PROMPTS = 24;
+
+    /**
+     * Added where a prompt that no engine keeps is computed away from its home, in seconds: entries that meet the same new
+     * prompt at the same moment should not compute it at two engines.
+     */
+    private static final double AWAY_SECONDS = 0.02;
+
     private static final double PAIRS_OF_MEGAPAIR = 1e6;
 
     private final RandomGenerator random;
     private final Map<String, ServerBelief> beliefs = new LinkedHashMap<>();
     private final PeerLoads peers;
+    private final List<PlacedPrompt> untold = new ArrayList<>();
     private PlacementSettings settings;
 
     public Placer(PlacementSettings settings, PeerLoads peers, RandomGenerator random) {
@@ -113,14 +129,30 @@
         return work;
     }
 
-    /** Notes that a prompt is computed at an engine and will be cached there. */
-    public void cached(BackendServer server, Prompt prompt) {
-        ServerBelief belief = beliefs.get(server.id());
+    /** Notes that this entry has placed a prompt at an engine, which will keep it. */
+    public void promptPlaced(BackendServer server, Prompt prompt) {
+        PlacedPrompt placed = new PlacedPrompt(server.id(), prompt.parts());
+        promptPlacedByPeer(placed);
+        if (untold.size() < MOST_UNTOLD_PROMPTS) {
+            untold.add(placed);
+        }
+    }
+
+    /** Notes that another entry has placed a prompt at an engine. */
+    public void promptPlacedByPeer(PlacedPrompt placed) {
+        ServerBelief belief = beliefs.get(placed.server());
         if (belief != null) {
-            belief.cache().sent(prompt);
+            belief.cache().placed(placed.parts());
         }
     }
 
+    /** Returns the prompts that this entry has placed since it was last asked. */
+    public List<PlacedPrompt> takeUntoldPrompts() {
+        List<PlacedPrompt> taken = List.copyOf(untold);
+        untold.clear();
+        return taken;
+    }
+
     /** Notes the first byte of an answer. */
     public void answerBegan(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
@@ -211,11 +243,13 @@
                 bestSeconds = seconds;
             }
         }
-        return new Placement.Whole(best.server(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
+        return new Placement.Whole(
+                best.server(), Optional.empty(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
     }
 
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
-        String home = home(prompt, usable);
+        ServerBelief home = home(prompt, usable);
+        Optional<HeldPrompt> held = held(prompt, usable);
         ServerBelief decode = leastBusyDecoder(usable, now);
         Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
         double bestSeconds = Double.MAX_VALUE;
@@ -224,16 +258,15 @@
             if (staged && (decode == null || !request.mayStage())) {
                 continue;
             }
-            double prompting =
-                    promptSeconds(belief, prompt, belief.server().id().equals(home));
-            double begins = waitSeconds(belief, now) + prompting + FIRST_TOKEN_SECONDS;
+            PromptWork work = promptWork(belief, prompt, home, held);
+            double begins = waitSeconds(belief, now) + work.seconds() + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
-            double seconds = answer + penaltySeconds(belief) + HARM_SHARE * prompting;
+            double seconds = answer + penaltySeconds(belief) + HARM_SHARE * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
-                        ? new Placement.Staged(belief.server(), prompting, answer)
-                        : new Placement.Whole(belief.server(), prompting, answer);
+                        ? new Placement.Staged(belief.server(), work.holder(), work.seconds(), answer)
+                        : new Placement.Whole(belief.server(), work.holder(), work.seconds(), answer);
             }
         }
         return best;
@@ -247,15 +280,46 @@
         return STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens()) + waitSeconds(decode, now);
     }
 
-    private double promptSeconds(ServerBelief belief, Prompt prompt, boolean atHome) {
+    /**
+     * Returns what an engine has to do for a prompt. Parts that it lacks are fetched from an engine that keeps them: moving
+     * them takes milliseconds, computing them again a tenth of a second and more.
+     */
+    private PromptWork promptWork(ServerBelief belief, Prompt prompt, ServerBelief home, Optional<HeldPrompt> held) {
         int believed = belief.cache().cachedTokens(prompt);
-        int cached = atHome ? Math.max(believed, prompt.sharedTokens()) : believed;
+        double alone = computeSeconds(belief, prompt, believed) + (believed > 0 || belief == home ? 0 : AWAY_SECONDS);
+        int fetched = held.map(HeldPrompt::tokens).orElse(0) - believed;
+        if (fetched < LEAST_FETCHED_TOKENS) {
+            return new PromptWork(alone, Optional.empty());
+        }
+        ServerBelief holder = held.orElseThrow().holder();
+        double fetch = settings.speed().handOverSeconds(fetched) * distanceFactor(belief, holder);
+        double compute = computeSeconds(belief, prompt, believed + fetched);
+        return new PromptWork(fetch + compute, Optional.of(holder.server()));
+    }
+
+    /** Returns the engine that keeps most of a prompt. */
+    private static Optional<HeldPrompt> held(Prompt prompt, List<ServerBelief> usable) {
+        HeldPrompt most = null;
+        for (ServerBelief belief : usable) {
+            int tokens = belief.cache().cachedTokens(prompt);
+            if (tokens > 0 && (most == null || tokens > most.tokens())) {
+                most = new HeldPrompt(belief, tokens);
+            }
+        }
+        return Optional.ofNullable(most);
+    }
+
+    private double computeSeconds(ServerBelief belief, Prompt prompt, int cached) {
         double computed = prompt.promptTokens() - cached;
         double megapairs = computed * (cached + computed / 2) / PAIRS_OF_MEGAPAIR;
         double seconds = settings.speed().prefillSeconds(computed) + megapairs * settings.secondsPerMegapair();
         return seconds * belief.slowness() / prefillShare(belief.server());
     }
 
+    private static double distanceFactor(ServerBelief one, ServerBelief other) {
+        return one.server().dataCentre().equals(other.server().dataCentre()) ? 1 : REMOTE_TRANSFER_FACTOR;
+    }
+
     private double prefillShare(BackendServer server) {
         return server.role() == EngineRole.DECODE ? settings.ownPromptShare() : 1;
     }
@@ -266,9 +330,9 @@
     }
 
     /** Weighted rendezvous hashing: each engine draws a number that depends only on it and the prompt. */
-    private String home(Prompt prompt, List<ServerBelief> usable) {
+    private ServerBelief home(Prompt prompt, List<ServerBelief> usable) {
         String shared = prompt.sharedIdentity();
-        String home = "";
+        ServerBelief home = usable.getFirst();
         double best = Double.NEGATIVE_INFINITY;
         for (ServerBelief belief : usable) {
             long hash = StableHash.of(shared, belief.server().id());
@@ -276,7 +340,7 @@
             double score = -prefillShare(belief.server()) / Math.log(drawn);
             if (score > best) {
                 best = score;
-                home = belief.server().id();
+                home = belief;
             }
         }
         return home;
@@ -316,4 +380,8 @@
         return new Placement.Refused(
                 String.format("the answer would begin in %.2f s and %.2f s are left", expected, left), comeBack);
     }
+
+    private record HeldPrompt(ServerBelief holder, int tokens) {}
+
+    private record PromptWork(double seconds, Optional<BackendServer> holder) {}
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import java.util.Map;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -49,11 +50,11 @@
         peers.expire(PeerLoads.SILENCE.toNanos() + 1);
         assertEquals(peers.heardEntries(), 1);
 
-        peers.heard(new PeerReport("two", 1, 2, Map.of(), true), PeerLoads.SILENCE.toNanos());
+        peers.heard(new PeerReport("two", 1, 2, Map.of(), List.of(), true), PeerLoads.SILENCE.toNanos());
         assertEquals(peers.heardEntries(), 0);
     }
 
     private static PeerReport report(String entry, long start, long sequence, double seconds) {
-        return new PeerReport(entry, start, sequence, Map.of("server", new PeerShare(seconds, 1)), false);
+        return new PeerReport(entry, start, sequence, Map.of("server", new PeerShare(seconds, 1)), List.of(), false);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -153,7 +153,7 @@
         }
         Prompt prompt = prompt("subject");
         String home = whole(placer.choose(generation(prompt), 0));
-        peers.heard(new PeerReport("other", 1, 1, Map.of(home, new PeerShare(2.0, 9)), false), 0);
+        peers.heard(new PeerReport("other", 1, 1, Map.of(home, new PeerShare(2.0, 9)), List.of(), false), 0);
 
         assertNotEquals(whole(placer.choose(generation(prompt), 0)), home);
         peers.expire(PeerLoads.SILENCE.toNanos() + 1);
@@ -202,7 +202,7 @@
     @Test
     public void should_refuse_at_once_what_cannot_begin_in_time() {
         placer.changed(TestServers.engine("engine", EngineRole.WHOLE), TestServers.CACHE_TOKENS);
-        peers.heard(new PeerReport("other", 1, 1, Map.of("engine", new PeerShare(8.0, 40)), false), 0);
+        peers.heard(new PeerReport("other", 1, 1, Map.of("engine", new PeerShare(8.0, 40)), List.of(), false), 0);
 
         Placement.Refused refused = (Placement.Refused) placer.choose(generation(prompt("subject")), 0);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -139,7 +139,7 @@
     }
 
     private void tellPeers() {
-        peers.tell(state.ownShares(), stop.begun());
+        peers.tell(state.ownShares(), state.takeUntoldPrompts(), stop.begun());
         eventLoop.schedule(this::tellPeers, peers.pause().toMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
@@ -1,11 +1,15 @@
 package org.aspenmoor.internal.gateway.peers;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
+import org.aspenmoor.internal.serving.PlacedPrompt;
+import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.wire.v1.PeerLoad;
 
 /** Turns reports into datagrams and back. */
@@ -25,9 +29,29 @@
                         .setServer(server)
                         .setUnansweredMicroseconds((int) (share.unansweredSeconds() * MICROSECONDS))
                         .setRequests(share.requests())));
+        for (PlacedPrompt placed : report.prompts()) {
+            PeerLoad.Prompt.Builder prompt = PeerLoad.Prompt.newBuilder().setServer(placed.server());
+            for (PromptPart part : placed.parts()) {
+                prompt.addParts(part.identity()).addTokens(part.tokens());
+            }
+            message.addPrompts(prompt);
+        }
         return message.build().toByteArray();
     }
 
+    private static List<PlacedPrompt> readPrompts(PeerLoad message) {
+        List<PlacedPrompt> prompts = new ArrayList<>();
+        for (PeerLoad.Prompt prompt : message.getPromptsList()) {
+            List<PromptPart> parts = new ArrayList<>();
+            int complete = Math.min(prompt.getPartsCount(), prompt.getTokensCount());
+            for (int index = 0; index < complete; index++) {
+                parts.add(new PromptPart(prompt.getParts(index), prompt.getTokens(index)));
+            }
+            prompts.add(new PlacedPrompt(prompt.getServer(), parts));
+        }
+        return prompts;
+    }
+
     /** Reads a datagram; empty where it is no report, since anybody may send to the port. */
     static Optional<PeerReport> read(byte[] datagram) {
         try {
@@ -41,7 +65,12 @@
                 shares.put(share.getServer(), new PeerShare(seconds, share.getRequests()));
             }
             return Optional.of(new PeerReport(
-                    message.getEntry(), message.getStart(), message.getSequence(), shares, message.getLeaving()));
+                    message.getEntry(),
+                    message.getStart(),
+                    message.getSequence(),
+                    shares,
+                    readPrompts(message),
+                    message.getLeaving()));
         } catch (InvalidProtocolBufferException malformed) {
             return Optional.empty();
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
+import org.aspenmoor.internal.serving.PlacedPrompt;
 import org.aspenmoor.internal.time.TimeSource;
 
 /**
@@ -91,9 +93,9 @@
     }
 
     /** Sends a report to all others. */
-    public void tell(Map<String, PeerShare> shares, boolean leaving) {
+    public void tell(Map<String, PeerShare> shares, List<PlacedPrompt> prompts, boolean leaving) {
         sequence++;
-        byte[] datagram = PeerCodec.write(new PeerReport(entry, start, sequence, shares, leaving));
+        byte[] datagram = PeerCodec.write(new PeerReport(entry, start, sequence, shares, prompts, leaving));
         for (InetSocketAddress peer : peers.values()) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), peer));
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/Delivery.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/Delivery.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.BackendServer;
 
 /**
  * How a request is handed to one backend server.
@@ -11,6 +12,7 @@
  * @param priority its rank; 0 goes first
  * @param work which part of it is wanted
  * @param cacheSource where the computed prompt lies, if it was computed elsewhere
+ * @param holder an engine that probably keeps the shared beginning of the prompt
  * @param lastEvent the last event that the caller has, if the answer is continued
  */
 public record Delivery(
@@ -19,4 +21,5 @@
         int priority,
         WantedWork work,
         Optional<CacheSource> cacheSource,
+        Optional<BackendServer> holder,
         Optional<String> lastEvent) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -112,7 +112,7 @@
         switch (tools.state().placer().choose(wanted(), now())) {
             case Placement.Whole whole -> {
                 trace.placed("whole", whole.expectedSeconds());
-                send(whole.server(), whole.promptSeconds(), Optional.empty());
+                send(whole.server(), whole.promptSeconds(), Optional.empty(), whole.holder());
             }
             case Placement.Staged staged -> {
                 trace.placed("staged", staged.expectedSeconds());
@@ -132,19 +132,20 @@
 
     private void prefill(Placement.Staged staged) {
         PlacedWork work = begin(staged.prefill(), staged.promptSeconds());
-        caller.prompt().ifPresent(prompt -> tools.state().placer().cached(staged.prefill(), prompt));
-        FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty());
+        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt));
+        FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty(), staged.holder());
         PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
         setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
     }
 
-    private void send(BackendServer server, double promptSeconds, Optional<CacheSource> source) {
+    private void send(
+            BackendServer server, double promptSeconds, Optional<CacheSource> source, Optional<BackendServer> holder) {
         account.began(server.id());
         avoided.add(server.id());
         PlacedWork work = begin(server, promptSeconds);
-        caller.prompt().ifPresent(prompt -> tools.state().placer().cached(server, prompt));
+        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt));
         attempt = new AnswerAttempt(this, work, route.streamed());
-        FullHttpRequest message = message(server, WantedWork.ANSWER, source);
+        FullHttpRequest message = message(server, WantedWork.ANSWER, source, holder);
         setExchange(tools.connections().send(server, caller.id(), message, attempt));
         watchForStall();
     }
@@ -162,9 +163,10 @@
         return openWork;
     }
 
-    private FullHttpRequest message(BackendServer server, WantedWork work, Optional<CacheSource> source) {
+    private FullHttpRequest message(
+            BackendServer server, WantedWork work, Optional<CacheSource> source, Optional<BackendServer> holder) {
         Duration left = Duration.ofNanos(Math.max(0, deadline - now()));
-        Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, lastEvent);
+        Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, holder, lastEvent);
         return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
@@ -218,7 +220,7 @@
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
         }
-        send(decoder.get(), 0, Optional.of(source));
+        send(decoder.get(), 0, Optional.of(source), Optional.empty());
     }
 
     void prefillFailed(Placement.Staged placement, PlacedWork work, String reason) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -13,6 +14,7 @@
 import org.aspenmoor.internal.serving.PeerLoads;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
+import org.aspenmoor.internal.serving.PlacedPrompt;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.serving.RepeatAllowance;
@@ -127,6 +129,7 @@
     /** Takes another entry's report in. */
     public void peerHeard(PeerReport report, long now) {
         peers.heard(report, now);
+        report.prompts().forEach(placer::promptPlacedByPeer);
     }
 
     /** Forgets entries that have been silent for too long. */
@@ -139,6 +142,11 @@
         return placer.ownShares();
     }
 
+    /** Returns the prompts that this entry has placed since it was last asked. */
+    public List<PlacedPrompt> takeUntoldPrompts() {
+        return placer.takeUntoldPrompts();
+    }
+
     /**
      * Returns how many entries share the budgets: those that are heard and this one. Until any is heard the settings'
      * number stands, since a process that has just started may be one of many.
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -34,6 +34,7 @@
   private PeerLoad() {
     entry_ = "";
     shares_ = java.util.Collections.emptyList();
+    prompts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -735,6 +736,996 @@
 
   }
 
+  public interface PromptOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Prompt)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @return A list containing the parts.
+     */
+    java.util.List<java.lang.String>
+        getPartsList();
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @return The count of parts.
+     */
+    int getPartsCount();
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @param index The index of the element to return.
+     * @return The parts at the given index.
+     */
+    java.lang.String getParts(int index);
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the parts at the given index.
+     */
+    com.google.protobuf.ByteString
+        getPartsBytes(int index);
+
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @return A list containing the tokens.
+     */
+    java.util.List<java.lang.Integer> getTokensList();
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @return The count of tokens.
+     */
+    int getTokensCount();
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @param index The index of the element to return.
+     * @return The tokens at the given index.
+     */
+    int getTokens(int index);
+  }
+  /**
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Prompt}
+   */
+  public static final class Prompt extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Prompt)
+      PromptOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Prompt");
+    }
+    // Use Prompt.newBuilder() to construct.
+    private Prompt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Prompt() {
+      server_ = "";
+      parts_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      tokens_ = emptyIntList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.class, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder.class);
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PARTS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList parts_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @return A list containing the parts.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getPartsList() {
+      return parts_;
+    }
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @return The count of parts.
+     */
+    public int getPartsCount() {
+      return parts_.size();
+    }
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @param index The index of the element to return.
+     * @return The parts at the given index.
+     */
+    public java.lang.String getParts(int index) {
+      return parts_.get(index);
+    }
+    /**
+     * <pre>
+     * The parts of the prompt in order, with their lengths in tokens.
+     * </pre>
+     *
+     * <code>repeated string parts = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the parts at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getPartsBytes(int index) {
+      return parts_.getByteString(index);
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList tokens_ =
+        emptyIntList();
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @return A list containing the tokens.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getTokensList() {
+      return tokens_;
+    }
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @return The count of tokens.
+     */
+    public int getTokensCount() {
+      return tokens_.size();
+    }
+    /**
+     * <code>repeated uint32 tokens = 3;</code>
+     * @param index The index of the element to return.
+     * @return The tokens at the given index.
+     */
+    public int getTokens(int index) {
+      return tokens_.getInt(index);
+    }
+    private int tokensMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      for (int i = 0; i < parts_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, parts_.getRaw(i));
+      }
+      if (getTokensList().size() > 0) {
+        output.writeUInt32NoTag(26);
+        output.writeUInt32NoTag(tokensMemoizedSerializedSize);
+      }
+      for (int i = 0; i < tokens_.size(); i++) {
+        output.writeUInt32NoTag(tokens_.getInt(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < parts_.size(); i++) {
+          dataSize += computeStringSizeNoTag(parts_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getPartsList().size();
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < tokens_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(tokens_.getInt(i));
+        }
+        size += dataSize;
+        if (!getTokensList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        tokensMemoizedSerializedSize = dataSize;
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Prompt)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt other = (org.aspenmoor.internal.wire.v1.PeerLoad.Prompt) obj;
+
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (!getPartsList()
+          .equals(other.getPartsList())) return false;
+      if (!getTokensList()
+          .equals(other.getTokensList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      if (getPartsCount() > 0) {
+        hash = (37 * hash) + PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartsList().hashCode();
+      }
+      if (getTokensCount() > 0) {
+        hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+        hash = (53 * hash) + getTokensList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Prompt}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Prompt)
+        org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.class, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        parts_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        tokens_ = emptyIntList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt result = new org.aspenmoor.internal.wire.v1.PeerLoad.Prompt(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          parts_.makeImmutable();
+          result.parts_ = parts_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          tokens_.makeImmutable();
+          result.tokens_ = tokens_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Prompt) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Prompt)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.parts_.isEmpty()) {
+          if (parts_.isEmpty()) {
+            parts_ = other.parts_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensurePartsIsMutable();
+            parts_.addAll(other.parts_);
+          }
+          onChanged();
+        }
+        if (!other.tokens_.isEmpty()) {
+          if (tokens_.isEmpty()) {
+            tokens_ = other.tokens_;
+            tokens_.makeImmutable();
+            bitField0_ |= 0x00000004;
+          } else {
+            ensureTokensIsMutable();
+            tokens_.addAll(other.tokens_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                ensurePartsIsMutable();
+                parts_.add(input.readStringRequireUtf8());
+                break;
+              } // case 18
+              case 24: {
+                int v = input.readUInt32();
+                ensureTokensIsMutable();
+                tokens_.addInt(v);
+                break;
+              } // case 24
+              case 26: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureTokensIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  tokens_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList parts_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensurePartsIsMutable() {
+        if (!parts_.isModifiable()) {
+          parts_ = new com.google.protobuf.LazyStringArrayList(parts_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @return A list containing the parts.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getPartsList() {
+        parts_.makeImmutable();
+        return parts_;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @return The count of parts.
+       */
+      public int getPartsCount() {
+        return parts_.size();
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param index The index of the element to return.
+       * @return The parts at the given index.
+       */
+      public java.lang.String getParts(int index) {
+        return parts_.get(index);
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the parts at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getPartsBytes(int index) {
+        return parts_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The parts to set.
+       * @return This builder for chaining.
+       */
+      public Builder setParts(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param value The parts to add.
+       * @return This builder for chaining.
+       */
+      public Builder addParts(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartsIsMutable();
+        parts_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param values The parts to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllParts(
+          java.lang.Iterable<java.lang.String> values) {
+        ensurePartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, parts_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearParts() {
+        parts_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The parts of the prompt in order, with their lengths in tokens.
+       * </pre>
+       *
+       * <code>repeated string parts = 2;</code>
+       * @param value The bytes of the parts to add.
+       * @return This builder for chaining.
+       */
+      public Builder addPartsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensurePartsIsMutable();
+        parts_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.IntList tokens_ = emptyIntList();
+      private void ensureTokensIsMutable() {
+        if (!tokens_.isModifiable()) {
+          tokens_ = makeMutableCopy(tokens_);
+        }
+        bitField0_ |= 0x00000004;
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @return A list containing the tokens.
+       */
+      public java.util.List<java.lang.Integer>
+          getTokensList() {
+        tokens_.makeImmutable();
+        return tokens_;
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @return The count of tokens.
+       */
+      public int getTokensCount() {
+        return tokens_.size();
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @param index The index of the element to return.
+       * @return The tokens at the given index.
+       */
+      public int getTokens(int index) {
+        return tokens_.getInt(index);
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @param index The index to set the value at.
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(
+          int index, int value) {
+
+        ensureTokensIsMutable();
+        tokens_.setInt(index, value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @param value The tokens to add.
+       * @return This builder for chaining.
+       */
+      public Builder addTokens(int value) {
+
+        ensureTokensIsMutable();
+        tokens_.addInt(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @param values The tokens to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllTokens(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureTokensIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, tokens_);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated uint32 tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        tokens_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Prompt)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Prompt)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Prompt DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Prompt();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Prompt>
+        PARSER = new com.google.protobuf.AbstractParser<Prompt>() {
+      @java.lang.Override
+      public Prompt parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Prompt> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Prompt> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object entry_ = "";
@@ -841,6 +1832,67 @@
     return shares_.get(index);
   }
 
+  public static final int PROMPTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_;
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+      getPromptsOrBuilderList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public int getPromptsCount() {
+    return prompts_.size();
+  }
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+    return prompts_.get(index);
+  }
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+      int index) {
+    return prompts_.get(index);
+  }
+
   public static final int LEAVING_FIELD_NUMBER = 5;
   private boolean leaving_ = false;
   /**
@@ -885,6 +1937,9 @@
     if (leaving_ != false) {
       output.writeBool(5, leaving_);
     }
+    for (int i = 0; i < prompts_.size(); i++) {
+      output.writeMessage(6, prompts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -913,6 +1968,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, leaving_);
     }
+
+        {
+          final int count = prompts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(prompts_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -945,6 +2009,8 @@
         != other.getSequence()) return false;
     if (!getSharesList()
         .equals(other.getSharesList())) return false;
+    if (!getPromptsList()
+        .equals(other.getPromptsList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -970,6 +2036,10 @@
       hash = (37 * hash) + SHARES_FIELD_NUMBER;
       hash = (53 * hash) + getSharesList().hashCode();
     }
+    if (getPromptsCount() > 0) {
+      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptsList().hashCode();
+    }
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
@@ -1118,6 +2188,13 @@
         sharesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+      } else {
+        prompts_ = null;
+        promptsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       leaving_ = false;
       return this;
     }
@@ -1161,6 +2238,15 @@
       } else {
         result.shares_ = sharesBuilder_.build();
       }
+      if (promptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          prompts_ = java.util.Collections.unmodifiableList(prompts_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.prompts_ = prompts_;
+      } else {
+        result.prompts_ = promptsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
@@ -1174,7 +2260,7 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.sequence_ = sequence_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
+      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leaving_ = leaving_;
       }
     }
@@ -1228,6 +2314,32 @@
           }
         }
       }
+      if (promptsBuilder_ == null) {
+        if (!other.prompts_.isEmpty()) {
+          if (prompts_.isEmpty()) {
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensurePromptsIsMutable();
+            prompts_.addAll(other.prompts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.prompts_.isEmpty()) {
+          if (promptsBuilder_.isEmpty()) {
+            promptsBuilder_.dispose();
+            promptsBuilder_ = null;
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            promptsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPromptsFieldBuilder() : null;
+          } else {
+            promptsBuilder_.addAllMessages(other.prompts_);
+          }
+        }
+      }
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
@@ -1285,9 +2397,22 @@
             } // case 34
             case 40: {
               leaving_ = input.readBool();
-              bitField0_ |= 0x00000010;
+              bitField0_ |= 0x00000020;
               break;
             } // case 40
+            case 50: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.parser(),
+                      extensionRegistry);
+              if (promptsBuilder_ == null) {
+                ensurePromptsIsMutable();
+                prompts_.add(m);
+              } else {
+                promptsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1687,6 +2812,312 @@
       return sharesBuilder_;
     }
 
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        prompts_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt>(prompts_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> promptsBuilder_;
+
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
+      if (promptsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(prompts_);
+      } else {
+        return promptsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public int getPromptsCount() {
+      if (promptsBuilder_ == null) {
+        return prompts_.size();
+      } else {
+        return promptsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);
+      } else {
+        return promptsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.set(index, value);
+        onChanged();
+      } else {
+        promptsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(value);
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(index, value);
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addAllPrompts(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> values) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, prompts_);
+        onChanged();
+      } else {
+        promptsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder clearPrompts() {
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        promptsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder removePrompts(int index) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.remove(index);
+        onChanged();
+      } else {
+        promptsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder getPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+        int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);  } else {
+        return promptsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+         getPromptsOrBuilderList() {
+      if (promptsBuilder_ != null) {
+        return promptsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(prompts_);
+      }
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder() {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder> 
+         getPromptsBuilderList() {
+      return internalGetPromptsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+        internalGetPromptsFieldBuilder() {
+      if (promptsBuilder_ == null) {
+        promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder>(
+                prompts_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        prompts_ = null;
+      }
+      return promptsBuilder_;
+    }
+
     private boolean leaving_ ;
     /**
      * <pre>
@@ -1712,7 +3143,7 @@
     public Builder setLeaving(boolean value) {
 
       leaving_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
@@ -1725,7 +3156,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLeaving() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000020);
       leaving_ = false;
       onChanged();
       return this;
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -62,6 +62,50 @@
   org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
       int index);
 
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> 
+      getPromptsList();
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index);
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  int getPromptsCount();
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+      getPromptsOrBuilderList();
+  /**
+   * <pre>
+   * Prompts placed since the last report; a hint about what engines keep, lost with its datagram.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+      int index);
+
   /**
    * <pre>
    * The entry is stopping; its part of shared budgets is free.
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -45,14 +50,16 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\312\001\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\270\002\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
-      "r.wire.v1.PeerLoad.Share\022\017\n\007leaving\030\005 \001(" +
-      "\010\032J\n\005Share\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered" +
-      "_microseconds\030\002 \001(\r\022\020\n\010requests\030\003 \001(\rB\"\n" +
-      "\036org.aspenmoor.internal.wire.v1P\001b\006proto" +
-      "3"
+      "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
+      "\0132\".aspenmoor.wire.v1.PeerLoad.Prompt\022\017\n" +
+      "\007leaving\030\005 \001(\010\032J\n\005Share\022\016\n\006server\030\001 \001(\t\022" +
+      "\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n\010requ" +
+      "ests\030\003 \001(\r\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005" +
+      "parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\rB\"\n\036org.aspen" +
+      "moor.internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -63,13 +70,19 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Leaving", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor,
         new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(1);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor,
+        new java.lang.String[] { "Server", "Parts", "Tokens", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
