--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
@@ -3,7 +3,6 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Which prompt parts an engine probably keeps, from what entries placed there; the least recently used yield first.
@@ -15,7 +14,7 @@
     private static final float LOAD_FACTOR = 0.75f;
     private static final int FIRST_CAPACITY = 64;
 
-    private final LinkedHashMap<String, Integer> parts = new LinkedHashMap<>(FIRST_CAPACITY, LOAD_FACTOR, true);
+    private final LinkedHashMap<String, KeptPart> parts = new LinkedHashMap<>(FIRST_CAPACITY, LOAD_FACTOR, true);
     private int mostTokens;
     private int tokens;
 
@@ -24,28 +23,45 @@
         mostTokens = newMostTokens;
     }
 
-    /** Notes that the engine computes a prompt and so holds its parts. */
-    void placed(List<PromptPart> placed) {
+    /** Notes that the engine computes a prompt, and when that is probably done. */
+    void placed(List<PromptPart> placed, long doneAt) {
         for (PromptPart part : placed) {
-            Integer before = parts.put(part.identity(), part.tokens());
-            tokens += part.tokens() - (before == null ? 0 : before);
+            KeptPart before = parts.get(part.identity());
+            long keptFrom = before == null ? doneAt : Math.min(before.from(), doneAt);
+            parts.put(part.identity(), new KeptPart(part.tokens(), keptFrom));
+            tokens += part.tokens() - (before == null ? 0 : before.tokens());
         }
-        Iterator<Map.Entry<String, Integer>> oldest = parts.entrySet().iterator();
+        Iterator<KeptPart> oldest = parts.values().iterator();
         while (tokens > mostTokens && oldest.hasNext()) {
-            tokens -= oldest.next().getValue();
+            tokens -= oldest.next().tokens();
             oldest.remove();
         }
     }
 
-    /** Returns how many tokens at the beginning of the prompt need no computing. */
+    /** Returns how many tokens at the beginning of the prompt need no computing behind what the engine has to do. */
     int cachedTokens(Prompt prompt) {
-        int cached = 0;
+        return keptTokens(prompt, Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns how many tokens at the beginning of the prompt another engine can fetch now. A part that is still being
+     * computed cannot be fetched; the other engine would compute it a second time.
+     */
+    int fetchableTokens(Prompt prompt, long now) {
+        return keptTokens(prompt, now);
+    }
+
+    private int keptTokens(Prompt prompt, long latest) {
+        int kept = 0;
         for (PromptPart part : prompt.parts()) {
-            if (!parts.containsKey(part.identity())) {
+            KeptPart known = parts.get(part.identity());
+            if (known == null || known.from() > latest) {
                 break;
             }
-            cached += part.tokens();
+            kept += part.tokens();
         }
-        return Math.min(cached, prompt.promptTokens());
+        return Math.min(kept, prompt.promptTokens());
     }
+
+    private record KeptPart(int tokens, long from) {}
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -130,19 +130,20 @@
     }
 
     /** Notes that this entry has placed a prompt at an engine, which will keep it. */
-    public void promptPlaced(BackendServer server, Prompt prompt) {
+    public void promptPlaced(BackendServer server, Prompt prompt, long now) {
         PlacedPrompt placed = new PlacedPrompt(server.id(), prompt.parts());
-        promptPlacedByPeer(placed);
+        promptPlacedByPeer(placed, now);
         if (untold.size() < MOST_UNTOLD_PROMPTS) {
             untold.add(placed);
         }
     }
 
     /** Notes that another entry has placed a prompt at an engine. */
-    public void promptPlacedByPeer(PlacedPrompt placed) {
+    public void promptPlacedByPeer(PlacedPrompt placed, long now) {
         ServerBelief belief = beliefs.get(placed.server());
         if (belief != null) {
-            belief.cache().placed(placed.parts());
+            long doneAt = now + (long) (waitSeconds(belief, now) * NANOSECONDS);
+            belief.cache().placed(placed.parts(), doneAt);
         }
     }
 
@@ -249,7 +250,7 @@
 
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
         ServerBelief home = home(prompt, usable);
-        Optional<HeldPrompt> held = held(prompt, usable);
+        Optional<HeldPrompt> held = held(prompt, usable, now);
         ServerBelief decode = leastBusyDecoder(usable, now);
         Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
         double bestSeconds = Double.MAX_VALUE;
@@ -298,10 +299,10 @@
     }
 
     /** Returns the engine that keeps most of a prompt. */
-    private static Optional<HeldPrompt> held(Prompt prompt, List<ServerBelief> usable) {
+    private static Optional<HeldPrompt> held(Prompt prompt, List<ServerBelief> usable, long now) {
         HeldPrompt most = null;
         for (ServerBelief belief : usable) {
-            int tokens = belief.cache().cachedTokens(prompt);
+            int tokens = belief.cache().fetchableTokens(prompt, now);
             if (tokens > 0 && (most == null || tokens > most.tokens())) {
                 most = new HeldPrompt(belief, tokens);
             }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Route.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Route.java
@@ -13,6 +13,7 @@
  * @param streamed whether the answer is a stream of events
  * @param timeout how long a request may be kept waiting for its answer
  * @param objective within which an answer is on time; for a stream, its first event
+ * @param longestSilence after how long without anything callers leave; no shorter than the timeout where they do not
  * @param mostBackends how many backend servers may run one request
  * @param priority the rank among kinds of request; 0 goes first
  * @param targets the services it leads to; more than one while traffic is split
@@ -25,6 +26,7 @@
         boolean streamed,
         Duration timeout,
         Duration objective,
+        Duration longestSilence,
         int mostBackends,
         int priority,
         List<RouteTarget> targets) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/ServingConfigurationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/ServingConfigurationTest.java
@@ -38,6 +38,7 @@
                 false,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
                 1,
                 0,
                 List.of(new RouteTarget("many", 90), new RouteTarget("none", 0), new RouteTarget("few", 10)));
@@ -57,6 +58,7 @@
                 false,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
                 1,
                 0,
                 List.of(new RouteTarget("service", 1)));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -14,6 +14,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -61,6 +64,10 @@
     private final GracefulStop stop;
     private final PeerExchange peers;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final List<WatchedCollection> followed = new ArrayList<>();
+    private InetSocketAddress callersAddress;
+    private InetSocketAddress readinessAddress;
+    private InetSocketAddress administrationAddress;
 
     public Gateway(
             GatewaySettings settings,
@@ -101,8 +108,10 @@
                 storeSettings,
                 ObjectKind.BACKEND_SERVER,
                 new ServerListener(decoder, state, connections, eventLoop, time, log));
-        new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness)).start(group, settings.readiness());
-        new PlainHttpServer(Map.of("/metrics", this::metrics)).start(group, settings.administration());
+        readinessAddress = new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness))
+                .start(group, settings.readiness());
+        administrationAddress =
+                new PlainHttpServer(Map.of("/metrics", this::metrics)).start(group, settings.administration());
         peers.open(settings.peers());
         new PeerDirectory(
                         store,
@@ -112,10 +121,25 @@
                         log)
                 .start();
         eventLoop.execute(this::tellPeers);
-        callers.start(group, settings.callers());
+        callersAddress = callers.start(group, settings.callers());
         eventLoop.scheduleWithFixedDelay(this::check, CHECK_MILLISECONDS, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns where callers are served. */
+    public InetSocketAddress callersAddress() {
+        return callersAddress;
+    }
+
+    /** Returns where readiness is told. */
+    public InetSocketAddress readinessAddress() {
+        return readinessAddress;
+    }
+
+    /** Returns where metrics are served. */
+    public InetSocketAddress administrationAddress() {
+        return administrationAddress;
+    }
+
     /** Takes changed settings up; addresses stay as they are. */
     public void reload(GatewaySettings changed) {
         eventLoop.execute(() -> {
@@ -134,8 +158,16 @@
         ended.await();
     }
 
+    /** Ends all at once, without regard to requests. */
+    public void close() {
+        followed.forEach(WatchedCollection::close);
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     private void follow(ObjectStore store, StoreSettings storeSettings, ObjectKind kind, CollectionListener listener) {
-        new WatchedCollection(store, kind, listener, random, storeSettings).start();
+        WatchedCollection collection = new WatchedCollection(store, kind, listener, random, storeSettings);
+        followed.add(collection);
+        collection.start();
     }
 
     private void tellPeers() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PlainHttpServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PlainHttpServer.java
@@ -31,9 +31,9 @@
         this.pages = Map.copyOf(pages);
     }
 
-    void start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
+    InetSocketAddress start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
         try {
-            new ServerBootstrap()
+            Channel listener = new ServerBootstrap()
                     .group(group)
                     .channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_REUSEADDR, true)
@@ -47,7 +47,9 @@
                         }
                     })
                     .bind(address)
-                    .syncUninterruptibly();
+                    .syncUninterruptibly()
+                    .channel();
+            return (InetSocketAddress) listener.localAddress();
         } catch (RuntimeException taken) {
             throw new AspenmoorException(
                     "A port for operators cannot be opened: " + taken.getMessage() + ".",
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -126,13 +126,14 @@
     }
 
     private PlacementRequest wanted() {
-        Duration left = Duration.ofNanos(deadline - now());
+        long callerLeaves = incoming.arrivedAt() + route.longestSilence().toNanos();
+        Duration left = Duration.ofNanos(Math.min(deadline, callerLeaves) - now());
         return new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
     }
 
     private void prefill(Placement.Staged staged) {
         PlacedWork work = begin(staged.prefill(), staged.promptSeconds());
-        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt));
+        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt, now()));
         FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty(), staged.holder());
         PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
         setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
@@ -143,7 +144,7 @@
         account.began(server.id());
         avoided.add(server.id());
         PlacedWork work = begin(server, promptSeconds);
-        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt));
+        caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt, now()));
         attempt = new AnswerAttempt(this, work, route.streamed());
         FullHttpRequest message = message(server, WantedWork.ANSWER, source, holder);
         setExchange(tools.connections().send(server, caller.id(), message, attempt));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -129,7 +129,7 @@
     /** Takes another entry's report in. */
     public void peerHeard(PeerReport report, long now) {
         peers.heard(report, now);
-        report.prompts().forEach(placer::promptPlacedByPeer);
+        report.prompts().forEach(prompt -> placer.promptPlacedByPeer(prompt, now));
     }
 
     /** Forgets entries that have been silent for too long. */
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
@@ -0,0 +1,114 @@
+package org.aspenmoor.internal.gateway.standin;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A backend server that answers each request with the bytes its script says, good or bad. */
+public final class ScriptedBackend implements AutoCloseable {
+    private static final long PATIENCE_SECONDS = 20;
+
+    private final ServerSocket listener;
+    private final Script script;
+    private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<ReceivedRequest> arrivals = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+
+    public ScriptedBackend(Script script) throws IOException {
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.script = script;
+        Thread.ofPlatform().daemon().name("scripted-backend").start(this::accept);
+    }
+
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    public List<ReceivedRequest> received() {
+        return received;
+    }
+
+    /** Waits for a request. */
+    public ReceivedRequest awaitRequest() throws InterruptedException {
+        return present(arrivals.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Waits until a caller closes its connection. */
+    public void awaitClose() throws InterruptedException {
+        present(closed.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                Thread.ofPlatform().daemon().name("scripted-connection").start(() -> serve(socket));
+            }
+        } catch (IOException ended) {
+            // The test is over.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            HttpReader reader = new HttpReader(socket.getInputStream());
+            OutputStream output = socket.getOutputStream();
+            while (true) {
+                ReceivedRequest request = reader.readMessage();
+                received.add(request);
+                arrivals.add(request);
+                Reply reply = script.replyTo(request);
+                output.write(reply.bytes().getBytes(StandardCharsets.UTF_8));
+                output.flush();
+                if (reply.closes()) {
+                    return;
+                }
+            }
+        } catch (IOException ended) {
+            closed.add("closed");
+        }
+    }
+
+    private static <T> T present(T value) {
+        if (value == null) {
+            throw new UncheckedIOException(new IOException("Nothing came within " + PATIENCE_SECONDS + " s."));
+        }
+        return value;
+    }
+
+    /** What a backend server does with a request. */
+    @FunctionalInterface
+    public interface Script {
+        Reply replyTo(ReceivedRequest request);
+    }
+
+    /**
+     * The bytes of a reply.
+     *
+     * @param bytes what is written
+     * @param closes whether the connection is closed after them
+     */
+    public record Reply(String bytes, boolean closes) {
+        public static Reply of(String bytes) {
+            return new Reply(bytes, false);
+        }
+
+        public static Reply thenClose(String bytes) {
+            return new Reply(bytes, true);
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -0,0 +1,180 @@
+package org.aspenmoor.internal.gateway.standin;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.gateway.Gateway;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
+import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.gateway.settings.RepeatSettings;
+import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.ConnectionLimits;
+import org.aspenmoor.internal.serving.GenerationTraits;
+import org.aspenmoor.internal.serving.PlacementSettings;
+import org.aspenmoor.internal.serving.RepeatRule;
+import org.aspenmoor.internal.serving.Route;
+import org.aspenmoor.internal.serving.RouteTarget;
+import org.aspenmoor.internal.serving.ServiceTraits;
+import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.store.InMemoryObjectStore;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoredObject;
+import org.aspenmoor.internal.store.client.StoreSettings;
+import org.aspenmoor.internal.time.SystemTimeSource;
+
+/** A gateway on free ports of the loopback address, with a store in memory. */
+public final class TestGateway implements AutoCloseable {
+    public static final String HOST = "house.example";
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(15);
+    private static final int MOST_QUESTIONS = 2000;
+
+    private final InMemoryObjectStore store = new InMemoryObjectStore();
+    private final Map<String, ServingConfiguration> configurations = new HashMap<>();
+    private final Map<String, BackendServer> servers = new HashMap<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Gateway gateway;
+
+    public TestGateway() throws AspenmoorException {
+        InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        PlacementSettings placement = new PlacementSettings("here", EngineSpeed.usual(), 0.5, 0);
+        GatewaySettings settings = new GatewaySettings(
+                "entry-under-test",
+                free,
+                free,
+                "/ready",
+                free,
+                free,
+                URI.create("http://127.0.0.1/"),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(8),
+                8 * 1024 * 1024,
+                placement,
+                new RepeatSettings(1, 100, Duration.ofSeconds(10), 1));
+        SystemTimeSource time = new SystemTimeSource();
+        DecisionLog log =
+                new DecisionLog(time, "entry-under-test", new PrintStream(logged, true, StandardCharsets.UTF_8));
+        log.start();
+        TestProtocols protocols = new TestProtocols();
+        this.gateway = new Gateway(settings, protocols, protocols, time, new Random(1), log);
+        gateway.start(store, StoreSettings.defaults(), new Decoder());
+    }
+
+    /** Adds a route to a service; it is in force after {@link #publish}. */
+    public TestGateway route(String path, RepeatRule rule, boolean streamed, int mostBackends, String service) {
+        routes.add(new Route(
+                "route-" + path,
+                HOST,
+                path,
+                rule,
+                streamed,
+                TIMEOUT,
+                Duration.ofSeconds(5),
+                TIMEOUT,
+                mostBackends,
+                0,
+                List.of(new RouteTarget(service, 1))));
+        return this;
+    }
+
+    /** Registers a plain server. */
+    public TestGateway server(String id, String service, int port) throws StoreException {
+        return server(id, service, port, EngineRole.WHOLE);
+    }
+
+    /** Registers a server. */
+    public TestGateway server(String id, String service, int port, EngineRole role) throws StoreException {
+        BackendServer server =
+                new BackendServer(id, 1, service, "127.0.0.1", port, "here", 4, BackendState.READY, role);
+        servers.put(id, server);
+        store.create(new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id), "{}");
+        return this;
+    }
+
+    /** Puts the routes in force and waits until requests are served. */
+    public void publish() throws StoreException, IOException {
+        List<ServiceTraits> services =
+                List.of(new ServiceTraits("model", 100, java.util.Optional.of(new GenerationTraits(100_000, TIMEOUT))));
+        ServingConfiguration configuration = new ServingConfiguration(7, routes, services, ConnectionLimits.usual());
+        configurations.put("main", configuration);
+        store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
+        for (int question = 0; question < MOST_QUESTIONS; question++) {
+            if (statusOf(gateway.readinessAddress().getPort(), "/ready").contains(" 200 ")) {
+                return;
+            }
+        }
+        throw new IOException("The gateway did not become ready.");
+    }
+
+    public TestCaller caller() throws IOException {
+        return new TestCaller(gateway.callersAddress().getPort());
+    }
+
+    /** Returns the first line of the answer to a GET of a page for operators. */
+    public String statusOf(int port, String path) throws IOException {
+        try (TestCaller question = new TestCaller(port)) {
+            question.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+            return question.answer().line();
+        }
+    }
+
+    public String metrics() throws IOException {
+        try (TestCaller question =
+                new TestCaller(gateway.administrationAddress().getPort())) {
+            question.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            return question.answer().body();
+        }
+    }
+
+    public Gateway gateway() {
+        return gateway;
+    }
+
+    /** Waits until a line of the log contains the text. */
+    public String awaitLogged(String text) throws IOException {
+        for (int look = 0; look < MOST_QUESTIONS; look++) {
+            for (String line : logged.toString(StandardCharsets.UTF_8).lines().toList()) {
+                if (line.contains(text)) {
+                    return line;
+                }
+            }
+            statusOf(gateway.readinessAddress().getPort(), "/ready");
+        }
+        throw new IOException("Nothing was logged with: " + text);
+    }
+
+    @Override
+    public void close() {
+        gateway.close();
+    }
+
+    private final class Decoder implements RegistrationDecoder {
+        @Override
+        public ServingConfiguration readConfiguration(StoredObject object) {
+            return configurations.get(object.key().name());
+        }
+
+        @Override
+        public BackendServer readServer(StoredObject object) {
+            return servers.get(object.key().name());
+        }
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -0,0 +1,155 @@
+package org.aspenmoorusage.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Script;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestGateway;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.RepeatRule;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class StreamTest {
+    private static final String SERVICE = "model";
+    private static final String HEAD =
+            "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private TestGateway gateway;
+    private List<ScriptedBackend> backends;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        gateway = new TestGateway();
+        gateway.route("/once/", RepeatRule.AT_MOST_ONCE, true, 1, SERVICE);
+        gateway.route("/resume/", RepeatRule.RESUMABLE, true, 2, SERVICE);
+        backends = new ArrayList<>();
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        gateway.close();
+        for (ScriptedBackend backend : backends) {
+            backend.close();
+        }
+    }
+
+    @Test
+    public void should_pass_all_events_on() throws Exception {
+        backend("one", EngineRole.WHOLE, request -> Reply.of(HEAD + event(1) + event(2) + HttpText.END_OF_CHUNKS));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(stream("/once/"));
+
+            assertEquals(caller.answer().body(), text(1) + text(2));
+        }
+    }
+
+    // An engine crashes in the middle of a draft. The caller must see that the draft is not complete; one that looks
+    // whole would be filed with its end missing.
+    @Test
+    public void should_not_let_a_broken_stream_look_complete() throws Exception {
+        backend("one", EngineRole.WHOLE, request -> Reply.thenClose(HEAD + event(1)));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(stream("/once/"));
+
+            assertThrows(EOFException.class, caller::answer);
+        }
+    }
+
+    // An engine stops within an event. Another goes on after the last whole one, and the caller reads one draft.
+    @Test
+    public void should_resume_at_another_engine_after_the_last_whole_event() throws Exception {
+        Script breaksUnlessResumed =
+                request -> request.header(TestProtocols.AFTER).isPresent()
+                        ? Reply.of(HEAD + event(2) + event(3) + HttpText.END_OF_CHUNKS)
+                        : Reply.thenClose(HEAD + event(1) + "6\r\nid: 2\n\r\n");
+        ScriptedBackend first = backend("one", EngineRole.WHOLE, breaksUnlessResumed);
+        ScriptedBackend second = backend("two", EngineRole.WHOLE, breaksUnlessResumed);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(stream("/resume/"));
+
+            assertEquals(caller.answer().body(), text(1) + text(2) + text(3));
+        }
+        List<ReceivedRequest> all = new ArrayList<>(first.received());
+        all.addAll(second.received());
+        assertEquals(all.size(), 2);
+        assertTrue(all.stream()
+                .anyMatch(request ->
+                        request.header(TestProtocols.AFTER).orElse("").equals("1")));
+    }
+
+    @Test
+    public void should_have_a_prompt_computed_at_one_engine_and_answered_at_another() throws Exception {
+        ScriptedBackend prefill = backend(
+                "prefill", EngineRole.PREFILL, request -> Reply.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1"));
+        ScriptedBackend decode =
+                backend("decode", EngineRole.DECODE, request -> Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(HttpText.head(
+                    "POST /once/a HTTP/1.1",
+                    "Host: house.example",
+                    "Test-Id: r1",
+                    "Test-Prompt: 20000",
+                    "Content-Length: 0"));
+
+            assertEquals(caller.answer().body(), text(1));
+        }
+        assertEquals(prefill.received().getFirst().header(TestProtocols.WORK).orElse(""), "prompt");
+        assertEquals(decode.received().getFirst().header(TestProtocols.SOURCE).orElse(""), "h1");
+    }
+
+    // The engine that should compute the prompt takes nothing. The other can do both parts, only slower.
+    @Test
+    public void should_answer_without_a_computed_prompt_where_none_can_be_had() throws Exception {
+        backend("prefill", EngineRole.PREFILL, request -> Reply.thenClose(""));
+        ScriptedBackend decode =
+                backend("decode", EngineRole.DECODE, request -> Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(HttpText.head(
+                    "POST /once/a HTTP/1.1",
+                    "Host: house.example",
+                    "Test-Id: r1",
+                    "Test-Prompt: 20000",
+                    "Content-Length: 0"));
+
+            assertEquals(caller.answer().body(), text(1));
+        }
+        assertTrue(decode.received().getFirst().header(TestProtocols.SOURCE).isEmpty());
+    }
+
+    private ScriptedBackend backend(String id, EngineRole role, Script script) throws Exception {
+        ScriptedBackend backend = new ScriptedBackend(script);
+        backends.add(backend);
+        gateway.server(id, SERVICE, backend.port(), role);
+        return backend;
+    }
+
+    private static String stream(String path) {
+        return "POST " + path + "a HTTP/1.1\r\nHost: house.example\r\nTest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private static String text(int number) {
+        return "id: " + number + "\ndata: token " + number + "\n\n";
+    }
+
+    private static String event(int number) {
+        return HttpText.chunk(text(number));
+    }
+}
