Most engines compute prompts, a few generate answers; orders are given under a right that one entry holds at a time

Cause: engines for answers computed most prompts, at 45 tokens/ms instead of 105, between the tokens of their streams. Ruled out: waiting queues at the start of a stream (first byte fits what was expected).

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
@@ -53,6 +53,17 @@
         return total;
     }
 
+    /** Returns whether no other entry has anything on a server. */
+    public boolean idle() {
+        return reports.values().stream()
+                .allMatch(heard -> heard.report().shares().isEmpty());
+    }
+
+    /** Returns whether no entry that is heard has a name before the given one. */
+    public boolean noneBefore(String entry) {
+        return reports.keySet().stream().allMatch(other -> other.compareTo(entry) > 0);
+    }
+
     /** Returns how many other entries are heard. */
     public int heardEntries() {
         return reports.size();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -48,6 +48,12 @@
      */
     private static final double HARM_SHARE = 2;
 
+    /**
+     * What each second of computing at an engine for answers costs each stream there, in seconds: its tokens come between
+     * the pieces of the prompt, at 70 to 100 ms instead of 5 ms each, and long answers miss their deadline.
+     */
+    private static final double STREAM_HARM_SHARE = 0.3;
+
     /** Shorter parts are computed about as fast as a transfer is set up. */
     private static final int LEAST_FETCHED_TOKENS = 1024;
 
@@ -262,7 +268,7 @@
             PromptWork work = promptWork(belief, prompt, home, held);
             double begins = waitSeconds(belief, now) + work.seconds() + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
-            double seconds = answer + penaltySeconds(belief) + HARM_SHARE * work.seconds();
+            double seconds = answer + penaltySeconds(belief) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
@@ -321,6 +327,14 @@
         return one.server().dataCentre().equals(other.server().dataCentre()) ? 1 : REMOTE_TRANSFER_FACTOR;
     }
 
+    private double harmShare(ServerBelief belief, long now) {
+        if (belief.server().role() != EngineRole.DECODE) {
+            return HARM_SHARE;
+        }
+        return HARM_SHARE
+                + STREAM_HARM_SHARE * belief.requests(peers.on(belief.server().id()), now);
+    }
+
     private double prefillShare(BackendServer server) {
         return server.role() == EngineRole.DECODE ? settings.ownPromptShare() : 1;
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
@@ -21,7 +21,9 @@
     /** A backend server's own registration; entries only read it. */
     BACKEND_SERVER("backendservers"),
     /** The registration of an entry that serves callers itself; named after its process. */
-    ENTRY_REGISTRATION("entryregistrations");
+    ENTRY_REGISTRATION("entryregistrations"),
+    /** Who may give orders to engines, under which number. */
+    ORDER_RIGHT("orderrights");
 
     private final String resource;
 
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/CacheBeliefTest.java
@@ -0,0 +1,58 @@
+package org.aspenmoor.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class CacheBeliefTest {
+    private CacheBelief cache;
+
+    @BeforeMethod
+    public void start() {
+        cache = new CacheBelief();
+        cache.limit(1000);
+    }
+
+    @Test
+    public void should_count_the_parts_from_the_beginning_on() {
+        cache.placed(prompt("a", "b").parts(), 0);
+
+        assertEquals(cache.cachedTokens(prompt("a", "b", "c")), 200);
+        assertEquals(cache.cachedTokens(prompt("a", "x", "b")), 100);
+        assertEquals(cache.cachedTokens(prompt("b", "a")), 200);
+        assertEquals(cache.cachedTokens(prompt("x", "a")), 0);
+    }
+
+    @Test
+    public void should_forget_what_was_used_least_recently() {
+        for (int number = 0; number < 10; number++) {
+            cache.placed(prompt("part-" + number).parts(), 0);
+        }
+        cache.cachedTokens(prompt("part-0"));
+        cache.placed(prompt("one-more").parts(), 0);
+
+        assertEquals(cache.cachedTokens(prompt("part-0")), 100);
+        assertEquals(cache.cachedTokens(prompt("part-1")), 0);
+    }
+
+    // One entry has just placed a prompt, and another meets the same prompt. Fetched from an engine that still computes
+    // it, nothing would come and it would be computed a second time.
+    @Test
+    public void should_not_offer_a_part_that_is_still_being_computed() {
+        cache.placed(prompt("a").parts(), 500);
+
+        assertEquals(cache.cachedTokens(prompt("a")), 100);
+        assertEquals(cache.fetchableTokens(prompt("a"), 499), 0);
+        assertEquals(cache.fetchableTokens(prompt("a"), 500), 100);
+        cache.placed(prompt("a").parts(), 900);
+        assertEquals(cache.fetchableTokens(prompt("a"), 500), 100, "it is still kept while it is placed again");
+    }
+
+    private static Prompt prompt(String... parts) {
+        List<PromptPart> all =
+                List.of(parts).stream().map(part -> new PromptPart(part, 100)).toList();
+        return new Prompt("m", 100 * parts.length, 10, all);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/OrderRightTest.java
@@ -0,0 +1,135 @@
+package org.aspenmoor.internal.serving.roles;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.aspenmoor.internal.store.InMemoryObjectStore;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.aspenmoor.internal.time.TimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class OrderRightTest {
+    private static final ObjectKey KEY = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
+    private static final Duration ENGINES_PAUSE = Duration.ofSeconds(3);
+
+    private InMemoryObjectStore store;
+    private ManualTimeSource time;
+
+    @BeforeMethod
+    public void start() {
+        store = new InMemoryObjectStore();
+        time = new ManualTimeSource();
+    }
+
+    @Test
+    public void should_grant_the_right_where_nobody_had_it() throws StoreException {
+        OrderRight right = right("one");
+
+        assertEquals(right.acquire(), Optional.of(1L));
+        assertTrue(right.holds());
+    }
+
+    @Test
+    public void should_grant_it_again_at_once_to_who_had_it_last() throws StoreException {
+        OrderRight right = right("one");
+        right.acquire();
+
+        assertEquals(right.acquire(), Optional.of(2L));
+    }
+
+    @Test
+    public void should_run_out_after_its_window() throws StoreException {
+        OrderRight right = right("one");
+        right.acquire();
+        time.advance(OrderRight.WINDOW);
+
+        assertFalse(right.holds());
+    }
+
+    @Test
+    public void should_not_pass_on_before_the_record_has_settled() throws StoreException {
+        right("one").acquire();
+        OrderRight other = right("two");
+
+        assertEquals(other.acquire(), Optional.empty());
+        time.advance(OrderRight.SETTLED.minusMillis(1));
+        assertEquals(other.acquire(), Optional.empty());
+        time.advance(Duration.ofMillis(1));
+        assertEquals(other.acquire(), Optional.of(2L));
+    }
+
+    // The holder's host is suspended just before it gives an order, and its steady clock stands still meanwhile. When
+    // it
+    // wakes, another process may hold the right; only the time of day tells.
+    @Test
+    public void should_not_hold_after_a_suspension_that_the_steady_clock_did_not_count() throws StoreException {
+        SuspendedTimeSource suspended = new SuspendedTimeSource();
+        OrderRight right = new OrderRight(store, KEY, "one", suspended);
+        right.acquire();
+        assertTrue(right.holds());
+        suspended.slept = Duration.ofSeconds(30);
+
+        assertFalse(right.holds());
+    }
+
+    // Several entries see the same deviation and all want to mend it. Whatever the schedule, orders of two of them are
+    // never closer than the pause that engines need between two holders, and numbers only grow.
+    @Test
+    public void should_keep_holders_apart_under_any_schedule() throws StoreException {
+        Random random = new Random(11);
+        List<OrderRight> rights = new ArrayList<>(List.of(right("one"), right("two"), right("three")));
+        long lastNumber = 0;
+        long lastOrderAt = 0;
+        OrderRight lastHolder = null;
+        for (int step = 0; step < 200_000; step++) {
+            time.advance(Duration.ofMillis(random.nextInt(400)));
+            int index = random.nextInt(rights.size());
+            if (random.nextInt(500) == 0) {
+                rights.set(index, right("restarted-" + step));
+            }
+            OrderRight right = rights.get(index);
+            if (random.nextInt(4) == 0) {
+                Optional<Long> number = right.acquire();
+                assertTrue(number.isEmpty() || number.get() > lastNumber);
+                lastNumber = number.orElse(lastNumber);
+            }
+            if (right.holds()) {
+                long now = time.monotonicNanoseconds();
+                boolean apart = right == lastHolder || now - lastOrderAt >= ENGINES_PAUSE.toNanos();
+                assertTrue(lastHolder == null || apart, "two holders at " + now);
+                lastHolder = right;
+                lastOrderAt = now;
+            }
+        }
+        assertTrue(lastNumber > 100, "the right was passed on: " + lastNumber);
+    }
+
+    private OrderRight right(String holder) {
+        return new OrderRight(store, KEY, holder, time);
+    }
+
+    private static final class SuspendedTimeSource implements TimeSource {
+        private Duration slept = Duration.ZERO;
+
+        @Override
+        public long monotonicNanoseconds() {
+            return 0;
+        }
+
+        @Override
+        public Instant timeOfDay() {
+            return Instant.EPOCH.plus(slept);
+        }
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -18,8 +18,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
@@ -37,7 +39,11 @@
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.RequestTools;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
+import org.aspenmoor.internal.gateway.roles.RoleKeeper;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.serving.roles.OrderRight;
+import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.store.client.CollectionListener;
@@ -54,6 +60,7 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
+    private final BackendProtocol backendProtocol;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -80,6 +87,7 @@
         this.time = time;
         this.random = random;
         this.log = log;
+        this.backendProtocol = backendProtocol;
         this.state = new ServingState(time, random, settings.repeats(), log, settings.placement());
         this.connections = new BackendConnections(backendProtocol, eventLoop, time);
         RequestTools tools =
@@ -121,6 +129,7 @@
                         log)
                 .start();
         eventLoop.execute(this::tellPeers);
+        startRoleKeeper(store);
         callersAddress = callers.start(group, settings.callers());
         eventLoop.scheduleWithFixedDelay(this::check, CHECK_MILLISECONDS, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
@@ -170,6 +179,15 @@
         collection.start();
     }
 
+    private void startRoleKeeper(ObjectStore store) {
+        ObjectKey key = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
+        OrderRight right = new OrderRight(store, key, settings.process(), time);
+        Supplier<FleetSnapshot> fleet =
+                () -> CompletableFuture.supplyAsync(() -> state.snapshot(settings.process()), eventLoop)
+                        .join();
+        new RoleKeeper(settings.process(), fleet, right, connections, backendProtocol, eventLoop, log).start();
+    }
+
     private void tellPeers() {
         peers.tell(state.ownShares(), state.takeUntoldPrompts(), stop.begun());
         eventLoop.schedule(this::tellPeers, peers.pause().toMillis(), TimeUnit.MILLISECONDS);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
@@ -18,4 +18,13 @@
 
     /** Returns the call that frees a computed prompt. */
     FullHttpRequest release(CacheSource source);
+
+    /** Returns the call that asks an engine for a report. */
+    FullHttpRequest askReport(String server);
+
+    /** Reads an engine's report; empty where the body is none. */
+    Optional<EngineReport> readReport(String body);
+
+    /** Returns the call that orders an engine to change its role. */
+    FullHttpRequest order(RoleOrder order);
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -1,12 +1,15 @@
 package org.aspenmoor.internal.gateway.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.settings.RepeatSettings;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
@@ -24,6 +27,9 @@
 
 /** What one process knows while it serves: configuration, servers, budgets. Confined to the event loop. */
 public final class ServingState {
+    /** Traffic pauses for fractions of a second; after some seconds without any, a change of role disturbs nobody. */
+    private static final Duration IDLE_AFTER = Duration.ofSeconds(4);
+
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
@@ -34,6 +40,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private RepeatSettings repeats;
     private boolean serversKnown;
+    private long lastRequestAt;
 
     public ServingState(
             TimeSource time,
@@ -44,6 +51,7 @@
         this.time = time;
         this.random = random;
         this.repeats = repeats;
+        this.lastRequestAt = time.monotonicNanoseconds() - IDLE_AFTER.toNanos();
         this.log = log;
         this.peers = new PeerLoads();
         this.placer = new Placer(placement, peers, random);
@@ -170,8 +178,22 @@
         return placer;
     }
 
+    /** Returns what the role duty needs to know, given the name of this entry. */
+    public FleetSnapshot snapshot(String entry) {
+        Map<String, List<BackendServer>> engines = new TreeMap<>();
+        for (BackendServer server : directory.servers()) {
+            if (cacheTokens(server) > 0) {
+                engines.computeIfAbsent(server.service(), service -> new ArrayList<>())
+                        .add(server);
+            }
+        }
+        boolean idle = time.monotonicNanoseconds() - lastRequestAt > IDLE_AFTER.toNanos() && peers.idle();
+        return new FleetSnapshot(List.copyOf(engines.values()), idle, peers.noneBefore(entry));
+    }
+
     /** Notes a request for a service, which earns a part of a repeat. */
     void requested(String service) {
+        lastRequestAt = time.monotonicNanoseconds();
         allowance(service).requested();
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -16,6 +16,8 @@
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
 import org.aspenmoor.internal.gateway.protocol.CallerRequest;
 import org.aspenmoor.internal.gateway.protocol.Delivery;
+import org.aspenmoor.internal.gateway.protocol.EngineReport;
+import org.aspenmoor.internal.gateway.protocol.RoleOrder;
 import org.aspenmoor.internal.gateway.protocol.WantedWork;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
@@ -72,4 +74,19 @@
     public FullHttpRequest release(CacheSource source) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.DELETE, "/prompts/" + source.handle());
     }
+
+    @Override
+    public FullHttpRequest askReport(String server) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/report");
+    }
+
+    @Override
+    public Optional<EngineReport> readReport(String body) {
+        return Optional.empty();
+    }
+
+    @Override
+    public FullHttpRequest order(RoleOrder order) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/order");
+    }
 }
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
@@ -102,6 +102,7 @@
             case SERVING_CONFIGURATION -> "ServingConfiguration";
             case BACKEND_SERVER -> "BackendServer";
             case ENTRY_REGISTRATION -> "EntryRegistration";
+            case ORDER_RIGHT -> "OrderRight";
         };
     }
 }
