--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/log/DecisionLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/log/DecisionLog.java
@@ -30,6 +30,7 @@
     private final PrintStream out;
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MOST_WAITING_LINES);
     private final AtomicLong leftOut = new AtomicLong();
+    private final AtomicLong toldLeftOut = new AtomicLong();
     private final TokenBucket usual;
     private final TokenBucket notable;
 
@@ -64,7 +65,7 @@
         out.flush();
     }
 
-    /** Returns how many lines were left out. */
+    /** Returns how many lines were left out since the start; lines name it whenever it has grown. */
     public long leftOut() {
         return leftOut.get();
     }
@@ -78,10 +79,15 @@
             leftOut.incrementAndGet();
             return new LogLine(null, this::offer);
         }
-        return new LogLine(JsonNodeFactory.instance.objectNode(), this::offer)
+        LogLine line = new LogLine(JsonNodeFactory.instance.objectNode(), this::offer)
                 .with("time", time.timeOfDay().toString())
                 .with("process", process)
                 .with("event", event);
+        long missing = leftOut.get();
+        if (missing != toldLeftOut.getAndSet(missing)) {
+            line.with("leftOut", missing);
+        }
+        return line;
     }
 
     private void offer(String line) {
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/log/DecisionLogTest.java
@@ -0,0 +1,71 @@
+package org.aspenmoor.internal.gateway.log;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class DecisionLogTest {
+    private ManualTimeSource time;
+    private ByteArrayOutputStream written;
+    private DecisionLog log;
+
+    @BeforeMethod
+    public void start() {
+        time = new ManualTimeSource();
+        written = new ByteArrayOutputStream();
+        log = new DecisionLog(time, "entry-1", new PrintStream(written, true, StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void should_write_a_decision_as_one_json_line() {
+        log.notable("server-gone").with("server", "one").with("age", 3).write();
+        log.flush();
+
+        assertEquals(
+                lines(),
+                List.of("{\"time\":\"2026-01-01T00:00:00Z\",\"process\":\"entry-1\",\"event\":\"server-gone\","
+                        + "\"server\":\"one\",\"age\":3}"));
+    }
+
+    // Thousands of requests a second end well while some fail. Lines about those that went well must neither fill the
+    // output nor push the failures out of it.
+    @Test
+    public void should_bound_ordinary_lines_and_keep_the_notable_ones() {
+        for (int request = 0; request < 5000; request++) {
+            log.usual("request-ended").with("request", request).write();
+        }
+        log.notable("request-ended").with("outcome", "UNKNOWN").write();
+        log.flush();
+
+        assertTrue(lines().size() < 200, "lines: " + lines().size());
+        assertTrue(lines().getLast().contains("UNKNOWN"));
+        assertTrue(log.leftOut() > 4000);
+    }
+
+    @Test
+    public void should_say_how_many_lines_were_left_out() {
+        for (int request = 0; request < 500; request++) {
+            log.usual("request-ended").write();
+        }
+        log.flush();
+        long before = log.leftOut();
+        time.advance(Duration.ofSeconds(10));
+        log.usual("request-ended").write();
+        log.flush();
+
+        assertTrue(before > 0);
+        assertTrue(lines().getLast().contains("\"leftOut\":" + before), lines().getLast());
+    }
+
+    private List<String> lines() {
+        return written.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+}
