An entry that starts asks the engines what they keep

After all entries have been restarted none remembers a placement; asked at first sight, engines list their parts (one call an engine and start).

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -153,6 +153,14 @@
         }
     }
 
+    /** Notes which prompt parts an engine says that it keeps. */
+    public void cacheListed(String server, List<PromptPart> parts, long now) {
+        ServerBelief belief = beliefs.get(server);
+        if (belief != null) {
+            belief.cache().placed(parts, now);
+        }
+    }
+
     /** Returns the prompts that this entry has placed since it was last asked. */
     public List<PlacedPrompt> takeUntoldPrompts() {
         List<PlacedPrompt> taken = List.copyOf(untold);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.gateway.backend.AwaitedAnswer;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
 import org.aspenmoor.internal.gateway.caller.LocalAnswers;
@@ -42,6 +43,7 @@
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.RoleKeeper;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.roles.OrderRight;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -196,12 +198,21 @@
     private void check() {
         long now = time.monotonicNanoseconds();
         state.expirePeers(now);
+        state.takeUnlistedEngines().forEach(this::askCache);
         state.expireServers(now).forEach(connections::forget);
         connections.closeStale();
         callers.check(now);
         stop.check(now);
     }
 
+    private void askCache(BackendServer engine) {
+        AwaitedAnswer answer = new AwaitedAnswer();
+        answer.done()
+                .thenAccept(told ->
+                        state.cacheListed(engine, backendProtocol.readCache(told.body()), time.monotonicNanoseconds()));
+        connections.send(engine, "", backendProtocol.askCache(engine.id()), answer);
+    }
+
     private FullHttpResponse readiness() {
         boolean ready = state.ready() && !stop.begun();
         return ready
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/AwaitedAnswer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/AwaitedAnswer.java
@@ -1,22 +1,22 @@
-package org.aspenmoor.internal.gateway.roles;
+package org.aspenmoor.internal.gateway.backend;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import org.aspenmoor.internal.gateway.backend.ExchangeListener;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
 
-/** Collects the short answer to a call that a duty's thread waits for. */
-final class AwaitedAnswer implements ExchangeListener {
-    private static final int MOST_BODY_CHARACTERS = 65_536;
+/** Collects the whole answer to a call of the process itself. */
+public final class AwaitedAnswer implements ExchangeListener {
+    private static final int MOST_BODY_CHARACTERS = 1_000_000;
 
     private final CompletableFuture<Answer> done = new CompletableFuture<>();
     private final StringBuilder body = new StringBuilder();
     private int status;
 
-    CompletableFuture<Answer> done() {
+    /** Returns what is completed with the answer, or with the failure of the call. */
+    public CompletableFuture<Answer> done() {
         return done;
     }
 
@@ -53,5 +53,5 @@
      * @param status its HTTP status
      * @param body its body
      */
-    record Answer(int status, String body) {}
+    public record Answer(int status, String body) {}
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
@@ -3,7 +3,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.PromptPart;
 
 /** The headers and calls that backend servers understand. */
 public interface BackendProtocol {
@@ -27,4 +29,10 @@
 
     /** Returns the call that orders an engine to change its role. */
     FullHttpRequest order(RoleOrder order);
+
+    /** Returns the call that asks an engine which prompt parts it keeps. */
+    FullHttpRequest askCache(String server);
+
+    /** Reads the prompt parts that an engine keeps; empty where the body names none. */
+    List<PromptPart> readCache(String body);
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
@@ -20,6 +22,7 @@
 import org.aspenmoor.internal.serving.PlacedPrompt;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.Placer;
+import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RepeatAllowance;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
@@ -36,6 +39,7 @@
     private final BackendDirectory directory = new BackendDirectory();
     private final Placer placer;
     private final PeerLoads peers;
+    private final Set<String> listed = new HashSet<>();
     private final Map<String, RepeatAllowance> allowances = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private RepeatSettings repeats;
@@ -178,6 +182,29 @@
         return placer;
     }
 
+    /**
+     * Returns the engines that were not returned before. A process that has just started does not know what engines keep;
+     * after a restart of all entries, every shared part would be computed anew while the callers wait.
+     */
+    public List<BackendServer> takeUnlistedEngines() {
+        List<BackendServer> unlisted = new ArrayList<>();
+        for (BackendServer server : directory.servers()) {
+            if (cacheTokens(server) > 0 && listed.add(server.id() + "@" + server.startedAt())) {
+                unlisted.add(server);
+            }
+        }
+        return unlisted;
+    }
+
+    /** Notes which prompt parts an engine says that it keeps. */
+    public void cacheListed(BackendServer engine, List<PromptPart> parts, long now) {
+        placer.cacheListed(engine.id(), parts, now);
+        log.notable("cache-listed")
+                .with("server", engine.id())
+                .with("parts", parts.size())
+                .write();
+    }
+
     /** Returns what the role duty needs to know, given the name of this entry. */
     public FleetSnapshot snapshot(String entry) {
         Map<String, List<BackendServer>> engines = new TreeMap<>();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
+import org.aspenmoor.internal.gateway.backend.AwaitedAnswer;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
@@ -89,4 +90,22 @@
     public FullHttpRequest order(RoleOrder order) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/order");
     }
+
+    @Override
+    public FullHttpRequest askCache(String server) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/cache");
+    }
+
+    /** A body lists parts as IDENTITY:TOKENS, separated by spaces. */
+    @Override
+    public List<PromptPart> readCache(String body) {
+        List<PromptPart> parts = new ArrayList<>();
+        for (String part : body.split(" ", -1)) {
+            String[] both = part.split(":", -1);
+            if (both.length == 2) {
+                parts.add(new PromptPart(both[0], Integer.parseInt(both[1])));
+            }
+        }
+        return parts;
+    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -85,8 +85,8 @@
 
             assertEquals(caller.answer().body(), text(1) + text(2) + text(3));
         }
-        List<ReceivedRequest> all = new ArrayList<>(first.received());
-        all.addAll(second.received());
+        List<ReceivedRequest> all = new ArrayList<>(posts(first));
+        all.addAll(posts(second));
         assertEquals(all.size(), 2);
         assertTrue(all.stream()
                 .anyMatch(request ->
@@ -110,8 +110,8 @@
 
             assertEquals(caller.answer().body(), text(1));
         }
-        assertEquals(prefill.received().getFirst().header(TestProtocols.WORK).orElse(""), "prompt");
-        assertEquals(decode.received().getFirst().header(TestProtocols.SOURCE).orElse(""), "h1");
+        assertEquals(posts(prefill).getFirst().header(TestProtocols.WORK).orElse(""), "prompt");
+        assertEquals(posts(decode).getFirst().header(TestProtocols.SOURCE).orElse(""), "h1");
     }
 
     // The engine that should compute the prompt takes nothing. The other can do both parts, only slower.
@@ -131,7 +131,45 @@
 
             assertEquals(caller.answer().body(), text(1));
         }
-        assertTrue(decode.received().getFirst().header(TestProtocols.SOURCE).isEmpty());
+        assertTrue(posts(decode).getFirst().header(TestProtocols.SOURCE).isEmpty());
+    }
+
+    // All entries have been restarted and remember nothing, while the engines still keep what they have computed.
+    // Placed
+    // anywhere else, every prompt would be computed anew in the seconds in which the callers come back.
+    @Test
+    public void should_learn_what_engines_keep_when_it_starts() throws Exception {
+        for (int engine = 0; engine < 5; engine++) {
+            backend("empty-" + engine, EngineRole.WHOLE, request -> streamOrCache(request, ""));
+        }
+        ScriptedBackend keeps = backend("keeps", EngineRole.WHOLE, request -> streamOrCache(request, "own:20000"));
+        gateway.publish();
+        gateway.awaitLogged("\"event\":\"cache-listed\",\"server\":\"keeps\"");
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(HttpText.head(
+                    "POST /once/a HTTP/1.1",
+                    "Host: house.example",
+                    "Test-Id: r1",
+                    "Test-Prompt: 20000",
+                    "Content-Length: 0"));
+
+            assertEquals(caller.answer().body(), text(1));
+        }
+        assertTrue(keeps.received().stream().anyMatch(request -> request.line().startsWith("POST")));
+    }
+
+    /** An entry also asks engines what they keep; only callers' requests are posted. */
+    private static List<ReceivedRequest> posts(ScriptedBackend backend) {
+        return backend.received().stream()
+                .filter(request -> request.line().startsWith("POST"))
+                .toList();
+    }
+
+    private static Reply streamOrCache(ReceivedRequest request, String kept) {
+        if (request.line().startsWith("POST")) {
+            return Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS);
+        }
+        return Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: " + kept.length()) + kept);
     }
 
     private ScriptedBackend backend(String id, EngineRole role, Script script) throws Exception {
