--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -54,6 +54,9 @@
      */
     private static final double STREAM_HARM_SHARE = 0.3;
 
+    /** What each request at an engine for answers adds to the next one's start, in seconds: part of a transfer, slower steps. */
+    private static final double STREAM_SECONDS = 0.002;
+
     /** Shorter parts are computed about as fast as a transfer is set up. */
     private static final int LEAST_FETCHED_TOKENS = 1024;
 
@@ -119,8 +122,10 @@
      * Chooses the engine that takes a computed prompt over. Computing may take seconds, in which an engine that was chosen
      * beforehand could have begun to leave; the request would be cut with it.
      */
-    public Optional<BackendServer> chooseDecoder(PlacementRequest request, long now) {
-        return Optional.ofNullable(leastBusyDecoder(usable(request, now), now)).map(ServerBelief::server);
+    public Optional<BackendServer> chooseDecoder(PlacementRequest request, BackendServer prefill, long now) {
+        int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
+        ServerBelief chosen = leastBusyDecoder(usable(request, now), tokens, prefill.dataCentre(), now);
+        return Optional.ofNullable(chosen).map(ServerBelief::server);
     }
 
     /** Notes that an attempt begins; the result belongs to the other calls about it. */
@@ -265,7 +270,7 @@
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
         ServerBelief home = home(prompt, usable);
         Optional<HeldPrompt> held = held(prompt, usable, now);
-        ServerBelief decode = leastBusyDecoder(usable, now);
+        ServerBelief decode = leastBusyDecoder(usable, prompt.promptTokens(), settings.dataCentre(), now);
         Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
         double bestSeconds = Double.MAX_VALUE;
         for (ServerBelief belief : usable) {
@@ -369,17 +374,19 @@
         return home;
     }
 
-    private ServerBelief leastBusyDecoder(List<ServerBelief> usable, long now) {
+    /** Transfers to an engine follow one another, so its requests stand for the transfers that go before. */
+    private ServerBelief leastBusyDecoder(List<ServerBelief> usable, int tokens, String from, long now) {
         ServerBelief best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerBelief belief : usable) {
             if (belief.server().role() == EngineRole.PREFILL) {
                 continue;
             }
+            double factor = belief.server().dataCentre().equals(from) ? 1 : REMOTE_TRANSFER_FACTOR;
             double score = waitSeconds(belief, now)
                     + penaltySeconds(belief)
-                    + belief.requests(peers.on(belief.server().id()), now)
-                            * settings.speed().decodeStepSecondsPerSequence()
+                    + factor * settings.speed().handOverSeconds(tokens)
+                    + belief.requests(peers.on(belief.server().id()), now) * STREAM_SECONDS
                     + random.nextDouble() * TIE_SECONDS;
             if (score < bestScore) {
                 best = belief;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleBalance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleBalance.java
@@ -19,11 +19,14 @@
  */
 public final class RoleBalance {
     /**
-     * Part of the engines that generate answers. One engine generates some 2,000 tokens a second with ten streams, a
-     * service of eight asks for about 800; the rest covers bursts and engines that are lost.
+     * Part of the engines that generate answers. Two of eight generate far more tokens than are asked for; what binds is
+     * their link, over which every computed prompt is fetched. With one left, fetching took seconds.
      */
     private static final double DECODE_SHARE = 0.25;
 
+    /** With fewer engines for answers than this, their links bind; the loss is mended also while there is traffic. */
+    private static final int LEAST_DECODERS = 2;
+
     /** Up to this many engines one is enough for answers; two would leave too little for prompts. */
     private static final int FEW_ENGINES = 3;
 
@@ -39,8 +42,8 @@
             return List.of();
         }
         int missing = wantedDecoders(total) - decode.size();
-        boolean tolerated =
-                !idle && !decode.isEmpty() && !prefill.isEmpty() && Math.abs(missing) <= TOLERATED_DEVIATION;
+        boolean enough = !prefill.isEmpty() && decode.size() >= Math.min(LEAST_DECODERS, wantedDecoders(total));
+        boolean tolerated = !idle && enough && Math.abs(missing) <= TOLERATED_DEVIATION;
         if (missing == 0 || tolerated) {
             return List.of();
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -215,7 +215,7 @@
         }
         unfetched = Optional.of(new ComputedPrompt(placement.prefill(), source));
         tools.metrics().attempted(service, "prefilled");
-        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), now());
+        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), placement.prefill(), now());
         if (decoder.isEmpty()) {
             trace.because("no engine that may answer is known");
             conclude(account.conclusion(), SHORTEST_PAUSE);
