A paused server is the last choice, not none; a lost answer does not count as an unreachable server

Each loss paused its engine as if it could not be reached, also the only engine for answers, and up to 40 % of the callers of two seconds were refused though places were free. Ruled out: refusals for want of time (none of these named a wait).

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -30,6 +30,12 @@
     /** Added to a staged placement, in seconds: a second request's way there and back, and the price of the transfer. */
     private static final double STAGED_SECONDS = 0.035;
 
+    /**
+     * Added for a server that is paused after failures, in seconds: more than any wait that is worth it. It is still tried
+     * where no other can take the work, since an attempt that fails loses no more than one that is not made.
+     */
+    private static final double PAUSED_SECONDS = 3;
+
     /** Added per unit of failure share, in seconds: a failed attempt costs about a repeat's whole way. */
     private static final double FAILURE_SECONDS = 0.5;
 
@@ -108,7 +114,7 @@
 
     /** Chooses where a request goes. */
     public Placement choose(PlacementRequest request, long now) {
-        List<ServerBelief> usable = usable(request, now);
+        List<ServerBelief> usable = usable(request);
         if (usable.isEmpty()) {
             return new Placement.Refused("no backend server of " + request.service() + " is known", NO_SERVER_PAUSE);
         }
@@ -124,7 +130,7 @@
      */
     public Optional<BackendServer> chooseDecoder(PlacementRequest request, BackendServer prefill, long now) {
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
-        ServerBelief chosen = leastBusyDecoder(usable(request, now), tokens, prefill.dataCentre(), now);
+        ServerBelief chosen = leastBusyDecoder(usable(request), tokens, prefill.dataCentre(), now);
         return Optional.ofNullable(chosen).map(ServerBelief::server);
     }
 
@@ -232,21 +238,18 @@
         }
     }
 
-    private List<ServerBelief> usable(PlacementRequest request, long now) {
+    private List<ServerBelief> usable(PlacementRequest request) {
         List<ServerBelief> usable = new ArrayList<>();
-        List<ServerBelief> paused = new ArrayList<>();
         for (ServerBelief belief : beliefs.values()) {
             BackendServer server = belief.server();
             boolean takesWork = server.service().equals(request.service())
                     && server.state() == BackendState.READY
                     && !request.avoided().contains(server.id());
-            if (!takesWork) {
-                continue;
+            if (takesWork) {
+                usable.add(belief);
             }
-            (belief.health().paused(now) ? paused : usable).add(belief);
         }
-        // Where all are paused, the pauses say more about this entry's links than about the servers.
-        return usable.isEmpty() ? paused : usable;
+        return usable;
     }
 
     private Placement plain(List<ServerBelief> usable, long now) {
@@ -256,7 +259,7 @@
             double queue = (belief.requests(peers.on(belief.server().id()), now) + 1)
                     / Math.max(1, belief.server().slots());
             double seconds = Math.max(queue * PLAIN_WORK_SECONDS * belief.slowness(), waitSeconds(belief, now))
-                    + penaltySeconds(belief)
+                    + penaltySeconds(belief, now)
                     + random.nextDouble() * TIE_SECONDS;
             if (seconds < bestSeconds) {
                 best = belief;
@@ -281,7 +284,7 @@
             PromptWork work = promptWork(belief, prompt, home, held);
             double begins = waitSeconds(belief, now) + work.seconds() + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
-            double seconds = answer + penaltySeconds(belief) + harmShare(belief, now) * work.seconds();
+            double seconds = answer + penaltySeconds(belief, now) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
@@ -352,9 +355,10 @@
         return server.role() == EngineRole.DECODE ? settings.ownPromptShare() : 1;
     }
 
-    private double penaltySeconds(ServerBelief belief) {
+    private double penaltySeconds(ServerBelief belief, long now) {
         double distance = belief.server().dataCentre().equals(settings.dataCentre()) ? 0 : REMOTE_SECONDS;
-        return distance + FAILURE_SECONDS * belief.health().failureShare();
+        double paused = belief.health().paused(now) ? PAUSED_SECONDS : 0;
+        return distance + paused + FAILURE_SECONDS * belief.health().failureShare();
     }
 
     /** Weighted rendezvous hashing: each engine draws a number that depends only on it and the prompt. */
@@ -384,7 +388,7 @@
             }
             double factor = belief.server().dataCentre().equals(from) ? 1 : REMOTE_TRANSFER_FACTOR;
             double score = waitSeconds(belief, now)
-                    + penaltySeconds(belief)
+                    + penaltySeconds(belief, now)
                     + factor * settings.speed().handOverSeconds(tokens)
                     + belief.requests(peers.on(belief.server().id()), now) * STREAM_SECONDS
                     + random.nextDouble() * TIE_SECONDS;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
@@ -27,8 +27,11 @@
     /** How long after its write a holder gives orders; some take a few milliseconds each. */
     static final Duration WINDOW = Duration.ofSeconds(2);
 
-    /** How long the record must have stood unchanged before another takes it: the window, and twice the engines' pause. */
-    static final Duration SETTLED = Duration.ofSeconds(8);
+    /**
+     * How long the record must have stood unchanged before another takes it: the window, the three seconds that engines
+     * need between two holders, and one for the way of the last order.
+     */
+    static final Duration SETTLED = Duration.ofSeconds(6);
 
     /** Where the time of day has run so much further than the steady clock, the process has been suspended. */
     private static final Duration SUSPENDED = Duration.ofMillis(200);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.serving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -96,6 +97,19 @@
         assertEquals(whole(placer.choose(plainRequest(Set.of()), MILLISECOND)), "only");
     }
 
+    // Answers of the only engine for answers are lost again and again, so that it is paused, while engines for prompts
+    // are
+    // fine. Left out, it would leave nobody to answer and every caller would be refused.
+    @Test
+    public void should_still_use_a_paused_engine_where_no_other_has_its_role() {
+        placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        placer.unreachable(placer.placed(TestServers.engine("decode", EngineRole.DECODE), 0.02, 0), 0);
+
+        assertEquals(decoder(prompt("subject")), "decode");
+        assertFalse(placer.choose(generation(prompt("subject")), 0) instanceof Placement.Refused);
+    }
+
     // A server hangs: it takes requests and begins no answer. It looks no busier than others for a while; what tells is
     // the age of what it owes.
     @Test
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -64,6 +64,6 @@
 
     @Override
     public void broken(String reason) {
-        request.prefillUnreachable(placement, work, reason);
+        request.prefillLost(placement, work, reason);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -1,9 +1,12 @@
 package org.aspenmoor.internal.gateway.request;
 
 import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.LogLine;
 import org.aspenmoor.internal.gateway.protocol.CallerRequest;
+import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.NextStep;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.Route;
 
@@ -65,6 +68,26 @@
         return reason;
     }
 
+    /** Writes that a prompt was not computed where it should have been. */
+    void prefillFailed(DecisionLog log, BackendServer engine, String why) {
+        log.notable("prefill-failed")
+                .with("request", caller.id())
+                .with("server", engine.id())
+                .with("reason", why)
+                .write();
+    }
+
+    /** Writes how an attempt ended and what follows. */
+    void attemptEnded(DecisionLog log, AttemptEnd end, NextStep next) {
+        log.notable("attempt-ended")
+                .with("request", caller.id())
+                .with("server", server)
+                .with("end", end.getClass().getSimpleName())
+                .with("reason", reason)
+                .with("next", next.name())
+                .write();
+    }
+
     /** Writes all of it. */
     void write(LogLine line, RequestOutcome outcome, int attempts, long now) {
         line.with("request", caller.id())
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -231,6 +231,11 @@
 
     void prefillUnreachable(Placement.Staged placement, PlacedWork work, String reason) {
         tools.state().placer().unreachable(work, now());
+        prefillFailed(placement, work, reason);
+    }
+
+    void prefillLost(Placement.Staged placement, PlacedWork work, String reason) {
+        tools.state().placer().failed(work, now());
         endWork(work);
         withoutStages(placement, reason);
     }
@@ -242,13 +247,7 @@
         }
         tools.metrics().attempted(service, "prefill-failed");
         trace.because("prefill at " + placement.prefill().id() + ": " + reason);
-        tools.state()
-                .log()
-                .notable("prefill-failed")
-                .with("request", caller.id())
-                .with("server", placement.prefill().id())
-                .with("reason", reason)
-                .write();
+        trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
         avoided.add(placement.prefill().id());
         mayStage = false;
         place();
@@ -318,8 +317,13 @@
     }
 
     void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
-        if (end instanceof AttemptEnd.NeverSent || end instanceof AttemptEnd.Lost) {
-            tools.state().placer().unreachable(work, now());
+        switch (end) {
+            case AttemptEnd.NeverSent neverSent -> tools.state().placer().unreachable(work, now());
+            case AttemptEnd.Lost lost -> tools.state().placer().failed(work, now());
+            case AttemptEnd.NotExecuted notExecuted -> {
+                // A server that is full or leaving is not broken; its load tells the rest.
+            }
+            case AttemptEnd.Failed failed -> tools.state().placer().failed(work, now());
         }
         endWork(work);
         attemptEndedAfterWork(end, reason);
@@ -332,15 +336,7 @@
         trace.because(reason);
         tools.metrics().attempted(service, end.getClass().getSimpleName());
         NextStep next = account.ended(end);
-        tools.state()
-                .log()
-                .notable("attempt-ended")
-                .with("request", caller.id())
-                .with("server", trace.server())
-                .with("end", end.getClass().getSimpleName())
-                .with("reason", reason)
-                .with("next", next.name())
-                .write();
+        trace.attemptEnded(tools.state().log(), end, next);
         if (next == NextStep.REPEAT && timeForAnother() && granted()) {
             mayStage = mayStage && unfetched.isEmpty();
             freeUnfetched();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
@@ -30,7 +30,7 @@
     private static final int LOOKS = 2;
 
     /** After so many looks an entry acts though another one should have; that one may be cut off from the store. */
-    private static final int LOOKS_IN_ANOTHERS_PLACE = 12;
+    private static final int LOOKS_IN_ANOTHERS_PLACE = 4;
 
     /** An engine answers such a call within milliseconds. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
