--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -44,4 +44,21 @@
                 && peers.equals(other.peers)
                 && store.equals(other.store);
     }
+
+    /** Returns the same settings with another store. */
+    public GatewaySettings withStore(URI otherStore) {
+        return new GatewaySettings(
+                process,
+                callers,
+                readiness,
+                readinessPath,
+                administration,
+                peers,
+                otherStore,
+                watchTime,
+                grace,
+                mostBodyBytes,
+                placement,
+                repeats);
+    }
 }
