--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleBalance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleBalance.java
@@ -22,7 +22,7 @@
      * Part of the engines that generate answers. Two of eight generate far more tokens than are asked for; what binds is
      * their link, over which every computed prompt is fetched. With one left, fetching took seconds.
      */
-    private static final double DECODE_SHARE = 0.25;
+    private static final double DECODE_SHARE = 0.375;
 
     /** With fewer engines for answers than this, their links bind; the loss is mended also while there is traffic. */
     private static final int LEAST_DECODERS = 2;
