--- a/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/OperatorTool.java
+++ b/aspenmoor-cli/src/main/java/org/aspenmoor/internal/cli/OperatorTool.java
@@ -113,7 +113,8 @@
         }
         table.print(terminal.out());
         terminal.out().println();
-        terminal.out().println("aspenmoor COMMAND --help shows a command's options; docs/OPERATIONS.md the exit codes.");
+        terminal.out()
+                .println("aspenmoor COMMAND --help shows a command's options; docs/OPERATIONS.md the exit codes.");
     }
 
     private void printHelp(OptionParser parser, Command command) {
