A continuation that is no stream breaks the caller's stream off at once

Cause (found in reading): a resumed stream whose engine answers with a plain page wrote a second head into the open answer; the codec refused it and the caller waited until its deadline. Ruled out: that anything of the page reached the caller.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -236,8 +236,7 @@
 
     void prefillLost(Placement.Staged placement, PlacedWork work, String reason) {
         tools.state().placer().failed(work, now());
-        endWork(work);
-        withoutStages(placement, reason);
+        prefillFailed(placement, work, reason);
     }
 
     /** A computed prompt is only a help: where none came about, one engine does both parts. */
@@ -291,6 +290,15 @@
 
     void answerComplete(PlacedWork work, HttpResponse head, ByteBuf body) {
         endWork(work);
+        if (answerBegun) {
+            // A stream was to be continued and this is no stream; written now, it would stand in the middle of the
+            // draft.
+            body.release();
+            trace.because(
+                    "the continuation was answered with status " + head.status().code());
+            conclude(NextStep.REPORT_UNKNOWN, SHORTEST_PAUSE);
+            return;
+        }
         finish(RequestOutcome.ANSWERED);
         link.answer(OutgoingMessage.answer(head, body));
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -93,6 +93,28 @@
                         request.header(TestProtocols.AFTER).orElse("").equals("1")));
     }
 
+    // A stream breaks, and the engine that should go on answers with a plain page instead. Written into the open
+    // stream, the
+    // page would stand in the middle of the caller's draft.
+    @Test
+    public void should_break_a_stream_off_whose_continuation_is_no_stream() throws Exception {
+        Script answersPlainlyWhenResumed = request -> request.header(TestProtocols.AFTER)
+                        .isPresent()
+                ? Reply.of(HttpText.head(
+                                "HTTP/1.1 404 Not Found", "Test-Id: r1", "Test-Signed: by one", "Content-Length: 4")
+                        + "page")
+                : Reply.thenClose(HEAD + event(1));
+        backend("one", EngineRole.WHOLE, answersPlainlyWhenResumed);
+        backend("two", EngineRole.WHOLE, answersPlainlyWhenResumed);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(stream("/resume/"));
+
+            assertThrows(EOFException.class, caller::answer);
+        }
+        assertTrue(gateway.awaitLogged("\"outcome\":\"CUT\"").contains("status 404"));
+    }
+
     @Test
     public void should_have_a_prompt_computed_at_one_engine_and_answered_at_another() throws Exception {
         ScriptedBackend prefill = backend(
