--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -222,7 +222,7 @@
         }
     }
 
-    /** Notes that a server answered with a failure of its own. */
+    /** Notes that a server answered with a failure of its own, or that its answer was lost. */
     public void failed(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
         if (belief != null) {
@@ -230,7 +230,7 @@
         }
     }
 
-    /** Notes that a server could not be reached, or broke off before it answered. */
+    /** Notes that no connection to a server came about. */
     public void unreachable(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
         if (belief != null) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerHealth.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerHealth.java
@@ -32,7 +32,7 @@
         failureShare -= LEARNING_SHARE * failureShare;
     }
 
-    /** The server answered with a failure of its own. */
+    /** The server answered with a failure of its own, or its answer was lost. */
     void failed(long now) {
         unreachableInARow = 0;
         failureShare += LEARNING_SHARE * (1 - failureShare);
@@ -42,7 +42,7 @@
         }
     }
 
-    /** No connection came about, or one broke before an answer. */
+    /** No connection came about. */
     void unreachable(long now) {
         failureShare += LEARNING_SHARE * (1 - failureShare);
         pause(now, unreachableInARow);
