A failed question for an engine's cache is logged

Found in reading the change: the failure of that call was dropped without a line, against the rule that no error is swallowed. Nothing else changes.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -207,9 +207,16 @@
 
     private void askCache(BackendServer engine) {
         AwaitedAnswer answer = new AwaitedAnswer();
-        answer.done()
-                .thenAccept(told ->
-                        state.cacheListed(engine, backendProtocol.readCache(told.body()), time.monotonicNanoseconds()));
+        answer.done().whenComplete((told, failure) -> {
+            if (failure != null) {
+                log.notable("cache-unknown")
+                        .with("server", engine.id())
+                        .with("reason", String.valueOf(failure.getMessage()))
+                        .write();
+                return;
+            }
+            state.cacheListed(engine, backendProtocol.readCache(told.body()), time.monotonicNanoseconds());
+        });
         connections.send(engine, "", backendProtocol.askCache(engine.id()), answer);
     }
 
