An entry shows operators its state, and opens no more connections than its part

The page /state on the administration address lists what the entry believes of each server; the number of connections that were opened stands among the metrics. ServiceTraits.mostConnections was read and not enforced: a server resets connections beyond its limit, and a booking on one of them has an unknown outcome. Each entry now opens its part of the limit; what is beyond is tried elsewhere or refused unrun.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/CacheBelief.java
@@ -23,6 +23,11 @@
         mostTokens = newMostTokens;
     }
 
+    /** Returns how many tokens the engine probably keeps. */
+    int tokens() {
+        return tokens;
+    }
+
     /** Notes that the engine computes a prompt, and when that is probably done. */
     void placed(List<PromptPart> placed, long doneAt) {
         for (PromptPart part : placed) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -208,6 +208,13 @@
         return shares;
     }
 
+    /** Returns what is believed of each server. */
+    public List<ServerSummary> summaries(long now) {
+        return beliefs.values().stream()
+                .map(belief -> belief.summary(peers.on(belief.server().id()), now))
+                .toList();
+    }
+
     /** Returns whether the server has begun no answer to this entry since the attempt was placed. */
     public boolean silentSince(PlacedWork work) {
         ServerBelief belief = beliefs.get(work.server());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -116,6 +116,18 @@
         return Math.max(queued, overdueSeconds(now));
     }
 
+    ServerSummary summary(PeerShare others, long now) {
+        return new ServerSummary(
+                server,
+                waitSeconds(others, now),
+                requests(others, now),
+                outstanding,
+                slowness,
+                health.failureShare(),
+                health.paused(now),
+                cache.tokens());
+    }
+
     /** A server that has stopped answering shows first in the age of its oldest unanswered request. */
     private double overdueSeconds(long now) {
         PlacedWork oldest = unanswered.peekFirst();
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -0,0 +1,23 @@
+package org.aspenmoor.internal.serving;
+
+/**
+ * What this entry believes of one backend server, for operators.
+ *
+ * @param server the server as it registered itself
+ * @param waitSeconds how long a new request probably waits there
+ * @param requests requests there, of all entries
+ * @param ownRequests requests there of this entry
+ * @param slowness how many times longer than expected it takes
+ * @param failureShare part of its last answers that were failures
+ * @param paused whether it is left alone after failures
+ * @param cachedTokens prompt tokens that it probably keeps
+ */
+public record ServerSummary(
+        BackendServer server,
+        double waitSeconds,
+        double requests,
+        int ownRequests,
+        double slowness,
+        double failureShare,
+        boolean paused,
+        int cachedTokens) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -71,6 +72,7 @@
     private final RequestDispatcher dispatcher;
     private final CallerServer callers;
     private final GracefulStop stop;
+    private final StateDump dump;
     private final PeerExchange peers;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final List<WatchedCollection> followed = new ArrayList<>();
@@ -91,9 +93,9 @@
         this.log = log;
         this.backendProtocol = backendProtocol;
         this.state = new ServingState(time, random, settings.repeats(), log, settings.placement());
-        this.connections = new BackendConnections(backendProtocol, eventLoop, time);
-        RequestTools tools =
-                new RequestTools(state, connections, backendProtocol, eventLoop, new GatewayMetrics(registry));
+        this.connections = new BackendConnections(backendProtocol, eventLoop, time, state::connectionShare);
+        RequestTools tools = new RequestTools(
+                state, connections, backendProtocol, eventLoop, new GatewayMetrics(registry, connections::opened));
         this.dispatcher = new RequestDispatcher(tools, callerProtocol, settings.mostBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
         this.peers = new PeerExchange(
@@ -103,6 +105,7 @@
                 log,
                 report -> state.peerHeard(report, time.monotonicNanoseconds()));
         this.stop = new GracefulStop(callers, dispatcher, settings.grace(), ended::countDown);
+        this.dump = new StateDump(settings.process(), state, callers, connections, stop);
     }
 
     /** Opens the ports and begins to follow the store. */
@@ -120,8 +123,8 @@
                 new ServerListener(decoder, state, connections, eventLoop, time, log));
         readinessAddress = new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness))
                 .start(group, settings.readiness());
-        administrationAddress =
-                new PlainHttpServer(Map.of("/metrics", this::metrics)).start(group, settings.administration());
+        administrationAddress = new PlainHttpServer(Map.of("/metrics", this::metrics, "/state", this::stateDump))
+                .start(group, settings.administration());
         peers.open(settings.peers());
         new PeerDirectory(
                         store,
@@ -227,6 +230,11 @@
                 : LocalAnswers.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
     }
 
+    private FullHttpResponse stateDump() {
+        byte[] text = dump.take().toPrettyString().getBytes(StandardCharsets.UTF_8);
+        return page(text, "application/json");
+    }
+
     private FullHttpResponse metrics() {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
@@ -234,10 +242,14 @@
         } catch (IOException impossible) {
             throw new UncheckedIOException("Writing to memory failed.", impossible);
         }
-        FullHttpResponse answer = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(text.toByteArray()));
-        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
-        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, text.size());
+        return page(text.toByteArray(), PrometheusTextFormatWriter.CONTENT_TYPE);
+    }
+
+    private static FullHttpResponse page(byte[] text, String type) {
+        FullHttpResponse answer =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(text));
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, text.length);
         return answer;
     }
 }
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -0,0 +1,74 @@
+package org.aspenmoor.internal.gateway;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.caller.CallerServer;
+import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.ServerSummary;
+import org.aspenmoor.internal.serving.ServingConfiguration;
+
+/** What one entry knows and does at this moment, as JSON for operators. Confined to the event loop. */
+final class StateDump {
+    private static final double MILLISECONDS = 1000;
+
+    private final String process;
+    private final ServingState state;
+    private final CallerServer callers;
+    private final BackendConnections connections;
+    private final GracefulStop stop;
+
+    StateDump(
+            String process,
+            ServingState state,
+            CallerServer callers,
+            BackendConnections connections,
+            GracefulStop stop) {
+        this.process = process;
+        this.state = state;
+        this.callers = callers;
+        this.connections = connections;
+        this.stop = stop;
+    }
+
+    ObjectNode take() {
+        ObjectNode dump = JsonNodeFactory.instance.objectNode();
+        dump.put("process", process);
+        dump.put("ready", state.ready());
+        dump.put("stopping", stop.begun());
+        dump.put(
+                "configuration",
+                state.configuration().map(ServingConfiguration::version).orElse(-1L));
+        dump.put("otherEntries", state.heardEntries());
+        dump.put("callerConnections", callers.open());
+        dump.put("requests", callers.serving());
+        dump.put("connectionsOpened", connections.opened());
+        ArrayNode servers = dump.putArray("servers");
+        state.servers().forEach(server -> describe(server, servers.addObject()));
+        return dump;
+    }
+
+    private static void describe(ServerSummary summary, ObjectNode node) {
+        BackendServer server = summary.server();
+        node.put("id", server.id());
+        node.put("service", server.service());
+        node.put("address", server.host() + ":" + server.port());
+        node.put("dataCentre", server.dataCentre());
+        node.put("state", lowerCase(server.state()));
+        node.put("role", lowerCase(server.role()));
+        node.put("waitMilliseconds", Math.round(summary.waitSeconds() * MILLISECONDS));
+        node.put("requests", Math.round(summary.requests()));
+        node.put("ownRequests", summary.ownRequests());
+        node.put("slowness", summary.slowness());
+        node.put("failureShare", summary.failureShare());
+        node.put("paused", summary.paused());
+        node.put("cachedTokens", summary.cachedTokens());
+    }
+
+    private static String lowerCase(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -4,19 +4,33 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.time.TimeSource;
 
-/** All connections to backend servers. Confined to the event loop. */
+/**
+ * All connections to backend servers. Confined to the event loop.
+ *
+ * <p>A server accepts a fixed number of connections from all entries together and resets those beyond it, with the
+ * requests on them. So each entry opens no more than its part; a request beyond it is tried elsewhere or refused unrun.
+ */
 public final class BackendConnections {
     private final BackendProtocol protocol;
     private final EventLoop eventLoop;
     private final TimeSource time;
     private final Map<String, ServerConnections> byServer = new HashMap<>();
+    private final ToIntFunction<String> mostOpen;
     private long openedBefore;
 
-    public BackendConnections(BackendProtocol protocol, EventLoop eventLoop, TimeSource time) {
+    /**
+     * Makes the connections.
+     *
+     * @param mostOpen how many connections may be open to one server of a service
+     */
+    public BackendConnections(
+            BackendProtocol protocol, EventLoop eventLoop, TimeSource time, ToIntFunction<String> mostOpen) {
+        this.mostOpen = mostOpen;
         this.protocol = protocol;
         this.eventLoop = eventLoop;
         this.time = time;
@@ -25,7 +39,7 @@
     /** Sends a request, of which it takes over the reference. */
     public Exchange send(BackendServer server, String requestId, FullHttpRequest request, ExchangeListener listener) {
         Exchange exchange = new Exchange(requestId, request, listener);
-        connectionsTo(server).send(exchange);
+        connectionsTo(server).send(exchange, mostOpen.applyAsInt(server.service()));
         return exchange;
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnections.java
@@ -31,6 +31,7 @@
     private final EventLoop eventLoop;
     private final TimeSource time;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private int open;
     private long opened;
     private boolean retired;
 
@@ -45,12 +46,18 @@
         return server.sameStart(other);
     }
 
-    void send(Exchange exchange) {
+    /** Sends a request, over a new connection only while fewer than the given number are open. */
+    void send(Exchange exchange, int mostOpen) {
         BackendConnection reused = takeIdle();
         if (reused != null) {
             reused.send(exchange);
             return;
         }
+        if (open >= mostOpen) {
+            // Told later, since the sender does not yet hold what this call returns.
+            eventLoop.execute(() -> notSent(exchange, open + " connections are open, which is this entry's part"));
+            return;
+        }
         open(exchange);
     }
 
@@ -104,6 +111,7 @@
 
     private void open(Exchange exchange) {
         opened++;
+        open++;
         BackendConnection[] made = new BackendConnection[1];
         ChannelFuture connecting = new Bootstrap()
                 .group(eventLoop)
@@ -120,6 +128,7 @@
                     }
                 })
                 .connect(server.host(), server.port());
+        connecting.channel().closeFuture().addListener(closed -> open--);
         connecting.addListener(connected -> {
             if (exchange.ended()) {
                 connecting.channel().close();
@@ -129,9 +138,16 @@
                 made[0].send(exchange);
                 return;
             }
-            exchange.finish();
-            exchange.request().release();
-            exchange.listener().neverSent("no connection: " + connected.cause().getMessage());
+            notSent(exchange, "no connection: " + connected.cause().getMessage());
         });
     }
+
+    private static void notSent(Exchange exchange, String reason) {
+        if (exchange.ended()) {
+            return;
+        }
+        exchange.finish();
+        exchange.request().release();
+        exchange.listener().neverSent(reason);
+    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -1,8 +1,10 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.LongSupplier;
 
 /** What an entry counts about requests. */
 public final class GatewayMetrics {
@@ -11,7 +13,12 @@
     private final Counter repeats;
     private final Histogram firstByteSeconds;
 
-    public GatewayMetrics(PrometheusRegistry registry) {
+    /**
+     * Registers the metrics.
+     *
+     * @param connectionsOpened how many connections to backend servers were opened
+     */
+    public GatewayMetrics(PrometheusRegistry registry, LongSupplier connectionsOpened) {
         this.requests = Counter.builder()
                 .name("aspenmoor_requests_total")
                 .help("Requests by service and outcome.")
@@ -33,6 +40,11 @@
                 .labelNames("service")
                 .classicOnly()
                 .register(registry);
+        CounterWithCallback.builder()
+                .name("aspenmoor_connections_opened_total")
+                .help("Connections to backend servers that were opened.")
+                .callback(callback -> callback.call((double) connectionsOpened.getAsLong()))
+                .register(registry);
     }
 
     void ended(String service, RequestOutcome outcome) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -24,6 +24,7 @@
 import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RepeatAllowance;
+import org.aspenmoor.internal.serving.ServerSummary;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.time.TimeSource;
@@ -168,11 +169,29 @@
         return heard == 0 ? repeats.assumedEntries() : heard + 1;
     }
 
+    /** Returns how many connections this entry may have open to one server of a service. */
+    public int connectionShare(String service) {
+        return configuration
+                .flatMap(known -> known.service(service))
+                .map(traits -> Math.max(1, traits.mostConnections() / entries()))
+                .orElse(Integer.MAX_VALUE);
+    }
+
     /** Returns whether requests can be served. */
     public boolean ready() {
         return configuration.isPresent() && serversKnown;
     }
 
+    /** Returns how many other entries are heard. */
+    public int heardEntries() {
+        return peers.heardEntries();
+    }
+
+    /** Returns what is believed of each backend server. */
+    public List<ServerSummary> servers() {
+        return placer.summaries(time.monotonicNanoseconds());
+    }
+
     /** Returns the configuration in force. */
     public Optional<ServingConfiguration> configuration() {
         return configuration;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.engine.EngineRole;
@@ -50,6 +51,7 @@
     private final Map<String, ServingConfiguration> configurations = new HashMap<>();
     private final Map<String, BackendServer> servers = new HashMap<>();
     private final List<Route> routes = new ArrayList<>();
+    private final List<ServiceTraits> services = new ArrayList<>();
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final Gateway gateway;
 
@@ -95,6 +97,12 @@
         return this;
     }
 
+    /** Bounds the connections that one server of a plain service accepts; it is in force after {@link #publish}. */
+    public TestGateway connectionLimit(String service, int mostConnections) {
+        services.add(new ServiceTraits(service, mostConnections, Optional.empty()));
+        return this;
+    }
+
     /** Registers a plain server. */
     public TestGateway server(String id, String service, int port) throws StoreException {
         return server(id, service, port, EngineRole.WHOLE);
@@ -111,8 +119,7 @@
 
     /** Puts the routes in force and waits until requests are served. */
     public void publish() throws StoreException, IOException {
-        List<ServiceTraits> services =
-                List.of(new ServiceTraits("model", 100, java.util.Optional.of(new GenerationTraits(100_000, TIMEOUT))));
+        services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000, TIMEOUT))));
         ServingConfiguration configuration = new ServingConfiguration(7, routes, services, ConnectionLimits.usual());
         configurations.put("main", configuration);
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
@@ -137,9 +144,17 @@
     }
 
     public String metrics() throws IOException {
+        return administrationPage("/metrics");
+    }
+
+    public String state() throws IOException {
+        return administrationPage("/state");
+    }
+
+    private String administrationPage(String path) throws IOException {
         try (TestCaller question =
                 new TestCaller(gateway.administrationAddress().getPort())) {
-            question.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            question.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
             return question.answer().body();
         }
     }
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/OperatorPagesTest.java
@@ -0,0 +1,132 @@
+package org.aspenmoorusage.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Script;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestGateway;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.RepeatRule;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What operators see of an entry, and how many connections it opens. */
+public class OperatorPagesTest {
+    private static final String SERVICE = "registry";
+
+    private TestGateway gateway;
+    private List<ScriptedBackend> backends;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        gateway = new TestGateway();
+        gateway.route("/book/", RepeatRule.AT_MOST_ONCE, false, 1, SERVICE);
+        gateway.route("/read/", RepeatRule.REPEATABLE, false, 2, SERVICE);
+        backends = new ArrayList<>();
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        gateway.close();
+        for (ScriptedBackend backend : backends) {
+            backend.close();
+        }
+    }
+
+    @Test
+    public void should_count_requests_by_outcome() throws Exception {
+        backend("one", OperatorPagesTest::answer);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(read("r1"));
+            caller.answer();
+        }
+
+        assertTrue(gateway.metrics()
+                .contains("aspenmoor_requests_total{outcome=\"ANSWERED\",service=\"" + SERVICE + "\"} 1.0"));
+    }
+
+    @Test
+    public void should_show_operators_what_it_believes_of_each_server() throws Exception {
+        backend("one", OperatorPagesTest::answer);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(read("r1"));
+            caller.answer();
+        }
+
+        String state = gateway.state();
+
+        assertTrue(state.contains("\"id\" : \"one\""), state);
+        assertTrue(state.contains("\"state\" : \"ready\""), state);
+        assertTrue(state.contains("\"configuration\" : 7"), state);
+        assertTrue(state.contains("\"connectionsOpened\" : 1"), state);
+    }
+
+    // A server accepts a bounded number of connections from all entries and resets those beyond it, bookings included.
+    // The second booking here would be lost with its connection, and nobody could say whether it had run.
+    @Test
+    public void should_open_no_more_connections_than_its_part_and_refuse_what_is_beyond() throws Exception {
+        gateway.connectionLimit(SERVICE, 1);
+        CountDownLatch held = new CountDownLatch(1);
+        ScriptedBackend backend = backend("one", request -> {
+            awaitQuietly(held);
+            return answer(request);
+        });
+        gateway.publish();
+        try (TestCaller first = gateway.caller();
+                TestCaller second = gateway.caller()) {
+            first.send(book("r1"));
+            backend.awaitRequest();
+            second.send(book("r2"));
+
+            ReceivedRequest refusal = second.answer();
+            assertEquals(refusal.line(), "HTTP/1.1 503 Service Unavailable");
+            assertTrue(refusal.header("Retry-After").isPresent());
+
+            held.countDown();
+            assertEquals(first.answer().body(), "answer to r1");
+        }
+        assertEquals(backend.received().size(), 1);
+    }
+
+    private ScriptedBackend backend(String id, Script script) throws Exception {
+        ScriptedBackend backend = new ScriptedBackend(script);
+        backends.add(backend);
+        gateway.server(id, SERVICE, backend.port());
+        return backend;
+    }
+
+    private static Reply answer(ReceivedRequest request) {
+        String id = request.header(TestProtocols.ID).orElse("");
+        String body = "answer to " + id;
+        return Reply.of("HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: by "
+                + request.header(TestProtocols.SERVER).orElse("") + "\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body);
+    }
+
+    private static String book(String id) {
+        return "POST /book/a HTTP/1.1\r\nHost: house.example\r\nTest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private static String read(String id) {
+        return "GET /read/a HTTP/1.1\r\nHost: house.example\r\nTest-Id: " + id + "\r\n\r\n";
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
@@ -356,19 +356,6 @@
         }
     }
 
-    @Test
-    public void should_count_requests_by_outcome() throws Exception {
-        backend("one", PlainRequestTest::answer);
-        gateway.publish();
-        try (TestCaller caller = gateway.caller()) {
-            caller.send(read("r1"));
-            caller.answer();
-        }
-
-        assertTrue(gateway.metrics()
-                .contains("aspenmoor_requests_total{outcome=\"ANSWERED\",service=\"" + SERVICE + "\"} 1.0"));
-    }
-
     @Test
     public void should_ask_callers_to_close_and_end_once_it_is_told_to_stop() throws Exception {
         backend("one", PlainRequestTest::answer);
