Settings of both kinds of entry are read by the same lines

GatewaySettingsReader and SettingsReader each opened the file, parsed it and checked the store's URL; the two checks differed (one took a URL without a host). SettingsFile and FieldReader.requiredHttpUrl are the one copy.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/json/FieldReader.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/json/FieldReader.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.json;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,6 +20,9 @@
 public final class FieldReader {
     private static final double MILLISECONDS_OF_SECOND = 1000.0;
 
+    /** Stands for a URL that was not given or is malformed; nothing is asked there, since the findings end the start. */
+    private static final URI URL_INSTEAD = URI.create("http://127.0.0.1/");
+
     private final LocatedValue.ObjectValue object;
     private final Findings findings;
     private final Set<String> asked = new HashSet<>();
@@ -67,6 +71,23 @@
         };
     }
 
+    /** Reads an HTTP URL that must be there. */
+    public URI requiredHttpUrl(String name) {
+        String text = requiredText(name);
+        try {
+            URI url = URI.create(text);
+            if ("http".equals(url.getScheme()) && url.getHost() != null) {
+                return url;
+            }
+        } catch (IllegalArgumentException malformed) {
+            // Reported below, like another scheme.
+        }
+        if (!text.isEmpty()) {
+            findings.add(placeOf(name), "The address is no HTTP URL.", "Write it as http://IP:PORT.");
+        }
+        return URL_INSTEAD;
+    }
+
     /** Reads a whole number within bounds; the fallback stands where the field is missing. */
     public int integer(String name, int least, int most, int fallback) {
         Optional<Double> number = number(name, least, most, true);
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/json/SettingsFile.java
@@ -0,0 +1,44 @@
+package org.aspenmoor.internal.json;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.function.Function;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.finding.Findings;
+
+/**
+ * Reads settings of any program: JSON with comments, in which every field must be known. All mistakes are reported with
+ * their places at once.
+ */
+public final class SettingsFile {
+    private static final String NAME = "The settings";
+
+    private SettingsFile() {}
+
+    /** Reads a file; the function reads the fields and adds what is wrong with them to the same findings. */
+    public static <T> T read(Path file, Findings findings, Function<FieldReader, T> fields) throws AspenmoorException {
+        try {
+            return read(file.getFileName().toString(), Files.readString(file), findings, fields);
+        } catch (IOException unreadable) {
+            throw new AspenmoorException(
+                    "The settings cannot be read: " + unreadable.getMessage() + ".",
+                    file.toString(),
+                    "Give the path of a readable file after --settings.",
+                    unreadable);
+        }
+    }
+
+    /** Reads a text that came from the given source. */
+    public static <T> T read(String source, String text, Findings findings, Function<FieldReader, T> fields)
+            throws AspenmoorException {
+        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
+        findings.throwIfAny(NAME);
+        FieldReader reader = new FieldReader(root.orElseThrow(), findings);
+        T settings = fields.apply(reader);
+        reader.refuseUnknownFields();
+        findings.throwIfAny(NAME);
+        return settings;
+    }
+}
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/settings/SettingsReader.java
@@ -1,8 +1,6 @@
 package org.aspenmoor.internal.settings;
 
-import java.io.IOException;
 import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,8 +10,7 @@
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.finding.Findings;
 import org.aspenmoor.internal.json.FieldReader;
-import org.aspenmoor.internal.json.LocatedJsonParser;
-import org.aspenmoor.internal.json.LocatedValue;
+import org.aspenmoor.internal.json.SettingsFile;
 import org.aspenmoor.internal.routing.EngineSpeedReader;
 
 /** Reads a process's settings and reports all mistakes with their places at once. */
@@ -40,26 +37,12 @@
 
     /** Reads settings from a file. */
     public DaemonSettings read(Path file) throws AspenmoorException {
-        try {
-            return read(file.getFileName().toString(), Files.readString(file));
-        } catch (IOException unreadable) {
-            throw new AspenmoorException(
-                    "The settings cannot be read: " + unreadable.getMessage() + ".",
-                    file.toString(),
-                    "Give the path of a readable file after --settings.",
-                    unreadable);
-        }
+        return SettingsFile.read(file, findings, this::readRole);
     }
 
     /** Reads settings from a text. */
     public DaemonSettings read(String source, String text) throws AspenmoorException {
-        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
-        findings.throwIfAny("The settings");
-        FieldReader reader = new FieldReader(root.orElseThrow(), findings);
-        DaemonSettings settings = readRole(reader);
-        reader.refuseUnknownFields();
-        findings.throwIfAny("The settings");
-        return settings;
+        return SettingsFile.read(source, text, findings, this::readRole);
     }
 
     private DaemonSettings readRole(FieldReader reader) {
@@ -104,7 +87,7 @@
                 reader.optionalText("address").orElse("127.0.0.1"),
                 httpPort,
                 linkPort,
-                readUrl(reader, "store"),
+                reader.requiredHttpUrl("store"),
                 reader.decimal("storeCallsPerSecond", LEAST_SECONDS, MOST_STORE_CALLS, DEFAULT_STORE_CALLS),
                 readChoice(reader, "logFormat", LogFormat.values(), LogFormat.TEXT));
     }
@@ -147,25 +130,11 @@
                 fields.requiredText("service"),
                 fields.requiredText("host"),
                 readChoice(fields, "type", BackendType.values(), BackendType.ENGINE),
-                readUrl(fields, "url"));
+                fields.requiredHttpUrl("url"));
         fields.refuseUnknownFields();
         return settings;
     }
 
-    private URI readUrl(FieldReader reader, String name) {
-        String text = reader.requiredText(name);
-        try {
-            URI url = URI.create(text);
-            if (!text.isEmpty() && !"http".equals(url.getScheme())) {
-                findings.add(reader.placeOf(name), "The address is no HTTP URL.", "Start it with http://.");
-            }
-            return url;
-        } catch (IllegalArgumentException malformed) {
-            findings.add(reader.placeOf(name), "The address is malformed.", "Write it as http://IP:PORT.");
-            return URI.create("http://127.0.0.1/");
-        }
-    }
-
     private <E extends Enum<E>> E readChoice(FieldReader reader, String name, E[] choices, E fallback) {
         Optional<String> text = reader.optionalText(name);
         if (text.isEmpty()) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -1,17 +1,12 @@
 package org.aspenmoor.internal.gateway.settings;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Optional;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.finding.Findings;
 import org.aspenmoor.internal.json.FieldReader;
-import org.aspenmoor.internal.json.LocatedJsonParser;
-import org.aspenmoor.internal.json.LocatedValue;
+import org.aspenmoor.internal.json.SettingsFile;
 import org.aspenmoor.internal.routing.EngineSpeedReader;
 import org.aspenmoor.internal.serving.PlacementSettings;
 
@@ -43,26 +38,12 @@
 
     /** Reads settings from a file. */
     public GatewaySettings read(Path file) throws AspenmoorException {
-        try {
-            return read(file.getFileName().toString(), Files.readString(file));
-        } catch (IOException unreadable) {
-            throw new AspenmoorException(
-                    "The settings cannot be read: " + unreadable.getMessage() + ".",
-                    file.toString(),
-                    "Give the path of a readable file after --settings.",
-                    unreadable);
-        }
+        return SettingsFile.read(file, findings, this::readAll);
     }
 
     /** Reads settings from a text. */
     public GatewaySettings read(String source, String text) throws AspenmoorException {
-        Optional<LocatedValue.ObjectValue> root = new LocatedJsonParser(source, findings).parseObject(text);
-        findings.throwIfAny("The settings");
-        FieldReader reader = new FieldReader(root.orElseThrow(), findings);
-        GatewaySettings settings = readAll(reader);
-        reader.refuseUnknownFields();
-        findings.throwIfAny("The settings");
-        return settings;
+        return SettingsFile.read(source, text, findings, this::readAll);
     }
 
     private GatewaySettings readAll(FieldReader reader) {
@@ -73,7 +54,7 @@
                 reader.optionalText("readinessPath").orElse("/ready"),
                 readAddress(reader, "administration"),
                 readAddress(reader, "peers"),
-                readUrl(reader),
+                reader.requiredHttpUrl("store"),
                 reader.seconds("watchSeconds", LEAST_SECONDS, MOST_SECONDS, USUAL_WATCH_TIME),
                 reader.seconds("graceSeconds", 1, MOST_SECONDS, USUAL_GRACE),
                 reader.integer("mostBodyMebibytes", 1, MOST_BODY_MEBIBYTES, USUAL_BODY_MEBIBYTES) * MEBIBYTE,
@@ -105,20 +86,4 @@
         }
         return new InetSocketAddress(0);
     }
-
-    private URI readUrl(FieldReader reader) {
-        String text = reader.requiredText("store");
-        try {
-            URI url = URI.create(text);
-            if ("http".equals(url.getScheme()) && url.getHost() != null) {
-                return url;
-            }
-        } catch (IllegalArgumentException malformed) {
-            // Reported below, like another scheme.
-        }
-        if (!text.isEmpty()) {
-            findings.add(reader.placeOf("store"), "The address is no HTTP URL.", "Write it as http://IP:PORT.");
-        }
-        return URI.create("http://127.0.0.1/");
-    }
 }
