A computed prompt goes to another engine where the first is gone; computing it again counts as a repeat

Traced: an engine was gone, another server had its address and answered that it is not the one asked for. (1) that answer counted as the begin of an answer, which cleared the pause of the server and the memory of the computed prompt; (2) so the prompt was computed again for each try, and (3) a computed prompt never drew on the budget of repeats, though only the first is free. Ruled out: the shared bound itself (each entry stayed within its part). StreamTest (two tests) and AttemptAccountTest (two) fail on the code before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptAccount.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptAccount.java
@@ -20,6 +20,7 @@
     private int attempts;
     private int arrivals;
     private int mayHaveRunOn;
+    private boolean promptComputed;
     private boolean open;
 
     public AttemptAccount(RepeatRule rule, int mostBackends) {
@@ -42,15 +43,31 @@
         open = false;
         return switch (end) {
             case AttemptEnd.NeverSent neverSent -> afterNoRun();
-            case AttemptEnd.NotExecuted notExecuted -> {
-                arrivals++;
-                yield afterNoRun();
-            }
+            case AttemptEnd.NotExecuted notExecuted -> afterRejection();
+            case AttemptEnd.Misdirected misdirected -> afterRejection();
             case AttemptEnd.Lost lost -> afterRun(NextStep.REPORT_UNKNOWN);
             case AttemptEnd.Failed failed -> afterRun(NextStep.PASS_FAILURE_ON);
         };
     }
 
+    /**
+     * Notes how a request to compute only the prompt ended. It never counts as a run. The first that succeeds is no
+     * arrival of the request either; every other one is, and loads an engine like a repeat.
+     */
+    public void promptEnded(AttemptEnd end) {
+        if (!(end instanceof AttemptEnd.NeverSent)) {
+            arrivals++;
+        }
+    }
+
+    /** Notes that an engine has computed the prompt. */
+    public void promptComputed() {
+        if (promptComputed) {
+            arrivals++;
+        }
+        promptComputed = true;
+    }
+
     /** Returns what to say where no further attempt is made. */
     public NextStep conclusion() {
         return mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE;
@@ -76,6 +93,11 @@
         return tried;
     }
 
+    private NextStep afterRejection() {
+        arrivals++;
+        return afterNoRun();
+    }
+
     private NextStep afterNoRun() {
         if (attempts >= MOST_ATTEMPTS) {
             return conclusion();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
@@ -8,6 +8,12 @@
     /** The backend server said that it did not run the request and will not. */
     record NotExecuted() implements AttemptEnd {}
 
+    /**
+     * The request was not run because the server at the address is another one, or does another part of the work, than
+     * this process believed.
+     */
+    record Misdirected() implements AttemptEnd {}
+
     /** The request was sent and nothing usable came back: whether it ran is not known. */
     record Lost() implements AttemptEnd {}
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -237,7 +237,7 @@
         }
     }
 
-    /** Notes that no connection to a server came about. */
+    /** Notes that a server was not there: no connection came about, or another server answered at its address. */
     public void unreachable(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
         if (belief != null) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -45,6 +45,9 @@
 
     /** Takes what the server says of itself; cache tokens are above zero where it runs a model. */
     void update(BackendServer newer, int cacheTokens) {
+        if (server != null && server.role() != newer.role()) {
+            health.roleChanged();
+        }
         server = newer;
         parallelism = cacheTokens > 0 ? 1 : Math.max(1, newer.slots());
         cache.limit(cacheTokens);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerHealth.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerHealth.java
@@ -42,7 +42,13 @@
         }
     }
 
-    /** No connection came about. */
+    /** The server does other work now; that it turned requests away before says nothing of it any more. */
+    void roleChanged() {
+        unreachableInARow = 0;
+        pausedUntil = Long.MIN_VALUE;
+    }
+
+    /** No connection came about, or the server at the address is another one. */
     void unreachable(long now) {
         failureShare += LEARNING_SHARE * (1 - failureShare);
         pause(now, unreachableInARow);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptAccountTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptAccountTest.java
@@ -43,6 +43,33 @@
         assertEquals(account.conclusion(), NextStep.REPORT_UNKNOWN);
     }
 
+    // Engines turn requests away after their prompts were computed, and each prompt is computed again for the next try.
+    // Were
+    // that free, a fleet in trouble would get a multiple of its load and recover late.
+    @Test
+    public void should_count_all_but_the_first_computed_prompt_as_repeats() {
+        AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
+        account.promptComputed();
+        assertFalse(account.nextIsRepeat());
+
+        account.began("one");
+        account.ended(new AttemptEnd.Misdirected());
+        assertTrue(account.nextIsRepeat());
+        assertFalse(account.mayHaveRun());
+    }
+
+    @Test
+    public void should_count_a_prompt_that_an_engine_did_not_compute_as_an_arrival() {
+        AttemptAccount neverSent = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
+        neverSent.promptEnded(new AttemptEnd.NeverSent());
+        AttemptAccount rejected = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
+        rejected.promptEnded(new AttemptEnd.NotExecuted());
+
+        assertFalse(neverSent.nextIsRepeat());
+        assertTrue(rejected.nextIsRepeat());
+        assertFalse(rejected.mayHaveRun());
+    }
+
     @Test
     public void should_repeat_an_idempotent_request_up_to_its_servers() {
         AttemptAccount account = new AttemptAccount(RepeatRule.REPEATABLE, 2);
@@ -119,10 +146,11 @@
     }
 
     private static AttemptEnd anyEnd(Random random) {
-        return switch (random.nextInt(4)) {
+        return switch (random.nextInt(5)) {
             case 0 -> new AttemptEnd.NeverSent();
             case 1 -> new AttemptEnd.NotExecuted();
             case 2 -> new AttemptEnd.Lost();
+            case 3 -> new AttemptEnd.Misdirected();
             default -> new AttemptEnd.Failed();
         };
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -42,7 +42,7 @@
         head = answerHead;
         facts = answerFacts;
         request.loadReported(work, answerFacts);
-        if (!streams()) {
+        if (!streams() && !answerFacts.notExecuted()) {
             noteBegin();
         }
     }
@@ -130,7 +130,7 @@
     private void completeKept() {
         if (facts.notExecuted()) {
             ended(
-                    new AttemptEnd.NotExecuted(),
+                    rejection(head.status()),
                     "the server did not run it: status " + head.status().code());
             return;
         }
@@ -147,6 +147,13 @@
         release();
     }
 
+    /** Returns what an answer that promises no run says of the server. */
+    static AttemptEnd rejection(HttpResponseStatus status) {
+        return status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+                ? new AttemptEnd.Misdirected()
+                : new AttemptEnd.NotExecuted();
+    }
+
     /** These promise callers that a request did not run; only a server that says so itself may be believed. */
     static boolean promisesNoRun(HttpResponseStatus status) {
         return status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -8,6 +8,7 @@
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
+import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.Placement;
 
@@ -20,8 +21,7 @@
     private final Placement.Staged placement;
     private final PlacedWork work;
     private final StringBuilder body = new StringBuilder();
-    private int status;
-    private boolean accepted;
+    private HttpResponseStatus status;
     private boolean rejected;
 
     PrefillAttempt(ServedRequest request, Placement.Staged placement, PlacedWork work) {
@@ -33,8 +33,7 @@
     @Override
     public void head(HttpResponse head, AnswerFacts facts) {
         request.loadReported(work, facts);
-        status = head.status().code();
-        accepted = head.status().code() == HttpResponseStatus.OK.code();
+        status = head.status();
         rejected = facts.notExecuted();
     }
 
@@ -47,9 +46,11 @@
 
     @Override
     public void complete() {
+        boolean accepted = status.code() == HttpResponseStatus.OK.code();
         Optional<String> handle = accepted ? request.handleIn(body.toString()) : Optional.empty();
         if (handle.isEmpty()) {
-            request.prefillFailed(placement, work, "status " + status + (rejected ? ", rejected" : ", no handle"));
+            AttemptEnd end = rejected ? AnswerAttempt.rejection(status) : new AttemptEnd.Failed();
+            request.prefillEnded(placement, work, end, "status " + status.code() + ", no handle");
             return;
         }
         CacheSource source =
@@ -59,11 +60,11 @@
 
     @Override
     public void neverSent(String reason) {
-        request.prefillUnreachable(placement, work, reason);
+        request.prefillEnded(placement, work, new AttemptEnd.NeverSent(), reason);
     }
 
     @Override
     public void broken(String reason) {
-        request.prefillLost(placement, work, reason);
+        request.prefillEnded(placement, work, new AttemptEnd.Lost(), reason);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -30,7 +30,6 @@
 import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
-import org.aspenmoor.internal.serving.RepeatRule;
 import org.aspenmoor.internal.serving.Route;
 
 /**
@@ -40,9 +39,6 @@
     /** A caller that is refused for want of time or servers comes back no sooner; below it, it only meets the same. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
 
-    /** A repeatable request whose answer has not begun after this many objectives is tried elsewhere. */
-    private static final int STALLED_OBJECTIVES = 2;
-
     private final RequestTools tools;
     private final IncomingRequest incoming;
     private final CallerRequest caller;
@@ -52,6 +48,7 @@
     private final long deadline;
     private final RequestTrace trace;
     private final AttemptAccount account;
+    private final StallWatch stallWatch;
     private final Set<String> avoided = new HashSet<>();
     private Optional<ComputedPrompt> unfetched = Optional.empty();
     private Optional<String> lastEvent = Optional.empty();
@@ -59,7 +56,6 @@
     private AnswerAttempt attempt;
     private PlacedWork openWork;
     private Future<?> deadlineTimer;
-    private Future<?> stallTimer;
     private boolean mayStage = true;
     private boolean answerBegun;
     private boolean over;
@@ -79,6 +75,7 @@
         this.route = route;
         this.service = service;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
+        this.stallWatch = new StallWatch(tools, route, this::stalled);
         Duration patience = caller.patience()
                 .filter(time -> time.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -88,8 +85,8 @@
 
     void start() {
         tools.state().requested(service);
-        long left = deadline - now();
-        deadlineTimer = tools.eventLoop().schedule(this::deadlineReached, Math.max(0, left), TimeUnit.NANOSECONDS);
+        long left = Math.max(0, deadline - now());
+        deadlineTimer = tools.eventLoop().schedule(this::deadlineReached, left, TimeUnit.NANOSECONDS);
         place();
     }
 
@@ -148,7 +145,7 @@
         attempt = new AnswerAttempt(this, work, route.streamed());
         FullHttpRequest message = message(server, WantedWork.ANSWER, source, holder);
         setExchange(tools.connections().send(server, caller.id(), message, attempt));
-        watchForStall();
+        stallWatch.watch(attempt);
     }
 
     /** An exchange may end while it is being sent; then it is not the current one any more. */
@@ -171,27 +168,8 @@
         return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
-    private void watchForStall() {
-        boolean repeatable = route.repeatRule() != RepeatRule.AT_MOST_ONCE && route.mostBackends() > 1;
-        if (!repeatable) {
-            return;
-        }
-        AnswerAttempt watched = attempt;
-        long after = route.objective().toNanos() * STALLED_OBJECTIVES;
-        stallTimer = tools.eventLoop().schedule(() -> stalled(watched), after, TimeUnit.NANOSECONDS);
-    }
-
-    /**
-     * An engine that hangs takes requests and answers none; without this its callers wait until their deadline, though
-     * another engine would have answered in time.
-     */
     private void stalled(AnswerAttempt watched) {
-        if (over || watched != attempt || watched.begun() || account.attempts() >= route.mostBackends()) {
-            return;
-        }
-        if (!tools.state().placer().silentSince(watched.work())) {
-            // It answers others: the request waits in a queue, and would wait in another one too.
-            watchForStall();
+        if (over || watched != attempt || account.attempts() >= route.mostBackends()) {
             return;
         }
         watched.release();
@@ -213,42 +191,44 @@
         if (over) {
             return;
         }
-        unfetched = Optional.of(new ComputedPrompt(placement.prefill(), source));
+        account.promptComputed();
+        ComputedPrompt computed = new ComputedPrompt(placement.prefill(), source);
+        unfetched = Optional.of(computed);
         tools.metrics().attempted(service, "prefilled");
-        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), placement.prefill(), now());
-        if (decoder.isEmpty()) {
-            trace.because("no engine that may answer is known");
+        if (!granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
         }
-        send(decoder.get(), 0, Optional.of(source), Optional.empty());
+        handOver(computed);
     }
 
-    void prefillFailed(Placement.Staged placement, PlacedWork work, String reason) {
-        endWork(work);
-        withoutStages(placement, reason);
-    }
-
-    void prefillUnreachable(Placement.Staged placement, PlacedWork work, String reason) {
-        tools.state().placer().unreachable(work, now());
-        prefillFailed(placement, work, reason);
-    }
-
-    void prefillLost(Placement.Staged placement, PlacedWork work, String reason) {
-        tools.state().placer().failed(work, now());
-        prefillFailed(placement, work, reason);
+    private void handOver(ComputedPrompt computed) {
+        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), computed.engine(), now());
+        if (decoder.isEmpty()) {
+            trace.because("no engine that may answer is known");
+            conclude(account.conclusion(), SHORTEST_PAUSE);
+            return;
+        }
+        send(decoder.get(), 0, Optional.of(computed.source()), Optional.empty());
     }
 
     /** A computed prompt is only a help: where none came about, one engine does both parts. */
-    private void withoutStages(Placement.Staged placement, String reason) {
+    void prefillEnded(Placement.Staged placement, PlacedWork work, AttemptEnd end, String reason) {
+        noteHealth(work, end);
+        endWork(work);
         if (over) {
             return;
         }
+        account.promptEnded(end);
         tools.metrics().attempted(service, "prefill-failed");
         trace.because("prefill at " + placement.prefill().id() + ": " + reason);
         trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
         avoided.add(placement.prefill().id());
         mayStage = false;
+        if (!granted()) {
+            conclude(account.conclusion(), SHORTEST_PAUSE);
+            return;
+        }
         place();
     }
 
@@ -325,16 +305,21 @@
     }
 
     void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
+        noteHealth(work, end);
+        endWork(work);
+        attemptEndedAfterWork(end, reason);
+    }
+
+    private void noteHealth(PlacedWork work, AttemptEnd end) {
         switch (end) {
             case AttemptEnd.NeverSent neverSent -> tools.state().placer().unreachable(work, now());
+            case AttemptEnd.Misdirected misdirected -> tools.state().placer().unreachable(work, now());
             case AttemptEnd.Lost lost -> tools.state().placer().failed(work, now());
             case AttemptEnd.NotExecuted notExecuted -> {
                 // A server that is full or leaving is not broken; its load tells the rest.
             }
             case AttemptEnd.Failed failed -> tools.state().placer().failed(work, now());
         }
-        endWork(work);
-        attemptEndedAfterWork(end, reason);
     }
 
     private void attemptEndedAfterWork(AttemptEnd end, String reason) {
@@ -346,12 +331,27 @@
         NextStep next = account.ended(end);
         trace.attemptEnded(tools.state().log(), end, next);
         if (next == NextStep.REPEAT && timeForAnother() && granted()) {
-            mayStage = mayStage && unfetched.isEmpty();
-            freeUnfetched();
-            place();
+            tryElsewhere(end);
+        } else {
+            conclude(next == NextStep.REPEAT ? account.conclusion() : next, SHORTEST_PAUSE);
+        }
+    }
+
+    /**
+     * An engine that was not there has not touched a computed prompt, and another can fetch it. One that turned the request
+     * away may have found it gone, so it is computed anew, and not where it lapsed.
+     */
+    private void tryElsewhere(AttemptEnd end) {
+        boolean untouched = end instanceof AttemptEnd.Misdirected || end instanceof AttemptEnd.NeverSent;
+        if (untouched && unfetched.isPresent()) {
+            handOver(unfetched.get());
             return;
         }
-        conclude(next == NextStep.REPEAT ? account.conclusion() : next, SHORTEST_PAUSE);
+        if (end instanceof AttemptEnd.NotExecuted) {
+            unfetched.ifPresent(computed -> avoided.add(computed.engine().id()));
+        }
+        freeUnfetched();
+        place();
     }
 
     private boolean timeForAnother() {
@@ -364,6 +364,9 @@
         }
         boolean granted = tools.state().takeRepeat(service);
         tools.metrics().repeated(service, granted);
+        if (!granted) {
+            trace.because("the budget of repeats is used up; " + trace.reason());
+        }
         return granted;
     }
 
@@ -417,9 +420,7 @@
     private void finish(RequestOutcome outcome) {
         over = true;
         deadlineTimer.cancel(false);
-        if (stallTimer != null) {
-            stallTimer.cancel(false);
-        }
+        stallWatch.cancel();
         cancelExchange();
         if (openWork != null) {
             tools.state().placer().ended(openWork);
@@ -431,8 +432,7 @@
         freeUnfetched();
         incoming.body().release();
         tools.metrics().ended(service, outcome);
-        boolean fine = outcome == RequestOutcome.ANSWERED;
-        LogLine line = fine
+        LogLine line = outcome == RequestOutcome.ANSWERED
                 ? tools.state().log().usual("request-ended")
                 : tools.state().log().notable("request-ended");
         trace.write(line, outcome, account.attempts(), now());
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -43,6 +43,7 @@
 /** A gateway on free ports of the loopback address, with a store in memory. */
 public final class TestGateway implements AutoCloseable {
     public static final String HOST = "house.example";
+    public static final String HERE = "here";
 
     private static final Duration TIMEOUT = Duration.ofSeconds(15);
     private static final int MOST_QUESTIONS = 2000;
@@ -57,7 +58,7 @@
 
     public TestGateway() throws AspenmoorException {
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        PlacementSettings placement = new PlacementSettings("here", EngineSpeed.usual(), 0.5, 0);
+        PlacementSettings placement = new PlacementSettings(HERE, EngineSpeed.usual(), 0.5, 0);
         GatewaySettings settings = new GatewaySettings(
                 "entry-under-test",
                 free,
@@ -110,8 +111,14 @@
 
     /** Registers a server. */
     public TestGateway server(String id, String service, int port, EngineRole role) throws StoreException {
+        return server(id, service, port, role, HERE);
+    }
+
+    /** Registers a server in a data centre; this entry stands in {@link #HERE}. */
+    public TestGateway server(String id, String service, int port, EngineRole role, String dataCentre)
+            throws StoreException {
         BackendServer server =
-                new BackendServer(id, 1, service, "127.0.0.1", port, "here", 4, BackendState.READY, role);
+                new BackendServer(id, 1, service, "127.0.0.1", port, dataCentre, 4, BackendState.READY, role);
         servers.put(id, server);
         store.create(new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id), "{}");
         return this;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -24,6 +24,7 @@
 
 public class StreamTest {
     private static final String SERVICE = "model";
+    private static final int REQUESTS = 4;
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -136,6 +137,66 @@
         assertEquals(posts(decode).getFirst().header(TestProtocols.SOURCE).orElse(""), "h1");
     }
 
+    // An engine for answers is gone and another server has its address, which says that it is not the one asked for.
+    // Its
+    // registration lapses only seconds later. Every prompt would be computed again for each such answer, and the
+    // requests
+    // that come after would meet the same; callers then wait and are refused though another engine is free.
+    @Test
+    public void should_hand_a_computed_prompt_to_another_engine_where_the_first_is_gone() throws Exception {
+        ScriptedBackend prefill = backend("prefill", EngineRole.PREFILL, StreamTest::computes);
+        Script anotherServer = request -> Reply.of(HttpText.head(
+                "HTTP/1.1 421 Misdirected Request", "Test-Id: r1", "Test-Not-Run: 1", "Content-Length: 0"));
+        ScriptedBackend gone = backend("decode-gone", EngineRole.DECODE, anotherServer);
+        ScriptedBackend there = new ScriptedBackend(StreamTest::streams);
+        backends.add(there);
+        gateway.server("decode-there", SERVICE, there.port(), EngineRole.DECODE, "elsewhere");
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(generation());
+            assertEquals(caller.answer().body(), text(1));
+            assertEquals(posts(prefill).size(), 1);
+            assertEquals(posts(there).getFirst().header(TestProtocols.SOURCE).orElse(""), "h1");
+
+            for (int request = 1; request < REQUESTS; request++) {
+                caller.send(generation());
+                assertEquals(caller.answer().body(), text(1));
+            }
+        }
+        assertEquals(posts(there).size(), REQUESTS);
+        assertEquals(posts(gone).size(), 1);
+    }
+
+    // An engine for answers turns a request away for want of memory. The prompt is computed again, which loads an
+    // engine a
+    // second time: both count against the budget of repeats, or a fleet that is short of memory gets twice the load.
+    @Test
+    public void should_count_a_prompt_that_is_computed_again_as_a_repeat() throws Exception {
+        backend("prefill", EngineRole.PREFILL, StreamTest::computes);
+        backend("prefill-too", EngineRole.PREFILL, StreamTest::computes);
+        boolean[] refused = {false};
+        Script refusesTheFirst = request -> {
+            synchronized (refused) {
+                Reply full = Reply.of(HttpText.head(
+                        "HTTP/1.1 503 Service Unavailable", "Test-Id: r1", "Test-Not-Run: 1", "Content-Length: 0"));
+                Reply reply = refused[0] ? streams(request) : full;
+                refused[0] = true;
+                return reply;
+            }
+        };
+        backend("decode", EngineRole.DECODE, refusesTheFirst);
+        backend("decode-too", EngineRole.DECODE, refusesTheFirst);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(generation());
+
+            assertEquals(caller.answer().body(), text(1));
+        }
+        assertTrue(
+                gateway.metrics().contains("aspenmoor_repeats_total{granted=\"true\",service=\"model\"} 2.0"),
+                gateway.metrics());
+    }
+
     // The engine that should compute the prompt takes nothing. The other can do both parts, only slower.
     @Test
     public void should_answer_without_a_computed_prompt_where_none_can_be_had() throws Exception {
@@ -194,6 +255,23 @@
         return Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: " + kept.length()) + kept);
     }
 
+    private static Reply computes(ReceivedRequest request) {
+        return Reply.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+    }
+
+    private static Reply streams(ReceivedRequest request) {
+        return Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS);
+    }
+
+    private static String generation() {
+        return HttpText.head(
+                "POST /once/a HTTP/1.1",
+                "Host: house.example",
+                "Test-Id: r1",
+                "Test-Prompt: 20000",
+                "Content-Length: 0");
+    }
+
     private ScriptedBackend backend(String id, EngineRole role, Script script) throws Exception {
         ScriptedBackend backend = new ScriptedBackend(script);
         backends.add(backend);
