An engine that has gone dark while it computes a prompt is given up, and the prompt computed elsewhere

Computing a prompt never executes a request, so it is watched on every route, and tried at two engines before the answering engine does both parts. StreamTest (dark engine) fails on the code before by its deadline.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/LocalAnswers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/LocalAnswers.java
@@ -27,10 +27,17 @@
     }
 
     /** Returns the refusal of a request that has not run and will not, with the time after which to come back. */
-    public static FullHttpResponse notRun(String sentence, Duration comeBackAfter) {
-        FullHttpResponse answer = of(HttpResponseStatus.SERVICE_UNAVAILABLE, sentence);
+    public static FullHttpResponse notRun(String reason, Duration comeBackAfter) {
+        FullHttpResponse answer =
+                of(HttpResponseStatus.SERVICE_UNAVAILABLE, "The request has not run: " + reason + ".");
         String seconds = String.format(Locale.ROOT, "%.3f", comeBackAfter.toMillis() / MILLISECONDS);
         answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
         return answer;
     }
+
+    /** Returns the failure of a request that may have run, without an answer in its time or at all. */
+    public static FullHttpResponse unknown(String reason, boolean timeIsOver) {
+        HttpResponseStatus status = timeIsOver ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
+        return of(status, "The request may have run: " + reason + ".");
+    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -17,7 +17,7 @@
  * <p>Answers without events are kept until they are complete, so that one that breaks off reaches nobody; events are
  * passed on as they come.
  */
-final class AnswerAttempt implements ExchangeListener {
+final class AnswerAttempt implements ExchangeListener, WatchedAttempt {
     /** The longest answer without events that is kept; plain services answer with some kilobytes. */
     private static final int MOST_KEPT_BYTES = 8 * 1024 * 1024;
 
@@ -84,12 +84,13 @@
         ended(new AttemptEnd.Lost(), reason);
     }
 
-    /** Returns whether any part of the answer came. */
-    boolean begun() {
+    @Override
+    public boolean begun() {
         return begun;
     }
 
-    PlacedWork work() {
+    @Override
+    public PlacedWork work() {
         return work;
     }
 
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CallerStream.java
@@ -0,0 +1,47 @@
+package org.aspenmoor.internal.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import org.aspenmoor.internal.gateway.caller.CallerLink;
+
+/**
+ * The events that a caller gets in one answer, whichever servers they come from. Confined to the event loop.
+ *
+ * <p>The head is that of the first server. Only whole events leave, so that another server can go on after the last one.
+ */
+final class CallerStream {
+    private final CallerLink link;
+    private Optional<String> lastEvent = Optional.empty();
+    private boolean begun;
+
+    CallerStream(CallerLink link) {
+        this.link = link;
+    }
+
+    void pass(HttpResponse head, ByteBuf event) {
+        Optional<String> identity = EventSplitter.identity(event);
+        if (!begun) {
+            begun = true;
+            HttpResponse first = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+            first.headers().set(ForwardedHeaders.copy(head.headers()));
+            link.begin(first);
+        }
+        if (identity.isPresent()) {
+            lastEvent = identity;
+        }
+        link.part(event);
+    }
+
+    /** Returns whether the caller has got any event. */
+    boolean begun() {
+        return begun;
+    }
+
+    /** Returns the identity of the last event that has one. */
+    Optional<String> lastEvent() {
+        return lastEvent;
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -13,7 +13,7 @@
 import org.aspenmoor.internal.serving.Placement;
 
 /** The first stage of a generation: one engine computes the prompt and keeps it for another. */
-final class PrefillAttempt implements ExchangeListener {
+final class PrefillAttempt implements ExchangeListener, WatchedAttempt {
     /** An answer that names a handle is far shorter; anything longer is no such answer. */
     private static final int MOST_BODY_BYTES = 8192;
 
@@ -58,6 +58,21 @@
         request.prefilled(placement, work, source);
     }
 
+    @Override
+    public boolean begun() {
+        return status != null;
+    }
+
+    @Override
+    public PlacedWork work() {
+        return work;
+    }
+
+    /** Notes that the engine is given up; the exchange was cancelled. */
+    void stalled() {
+        request.prefillEnded(placement, work, new AttemptEnd.Lost(), "no answer came in time");
+    }
+
     @Override
     public void neverSent(String reason) {
         request.prefillEnded(placement, work, new AttemptEnd.NeverSent(), reason);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -54,8 +54,7 @@
                     link,
                     RequestOutcome.NOT_RUN,
                     LocalAnswers.notRun(
-                            "The request has not run: this entry has just started.",
-                            tools.state().spread(START_PAUSE)));
+                            "this entry has just started", tools.state().spread(START_PAUSE)));
         }
         Optional<Route> route = configuration.get().match(host(incoming), path(incoming));
         if (route.isEmpty()) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -1,11 +1,8 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.HashSet;
@@ -30,6 +27,7 @@
 import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
+import org.aspenmoor.internal.serving.RepeatRule;
 import org.aspenmoor.internal.serving.Route;
 
 /**
@@ -39,10 +37,17 @@
     /** A caller that is refused for want of time or servers comes back no sooner; below it, it only meets the same. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
 
+    /** An attempt whose answer has not begun after this many objectives is looked at, and given up if its server is silent. */
+    private static final int STALLED_OBJECTIVES = 2;
+
+    /** Engines at which a prompt may be computed ahead of its answer; with more the time is better spent on the answer. */
+    private static final int MOST_STAGED_TRIES = 2;
+
     private final RequestTools tools;
     private final IncomingRequest incoming;
     private final CallerRequest caller;
     private final CallerLink link;
+    private final CallerStream stream;
     private final Route route;
     private final String service;
     private final long deadline;
@@ -51,13 +56,11 @@
     private final StallWatch stallWatch;
     private final Set<String> avoided = new HashSet<>();
     private Optional<ComputedPrompt> unfetched = Optional.empty();
-    private Optional<String> lastEvent = Optional.empty();
     private Exchange exchange;
     private AnswerAttempt attempt;
     private PlacedWork openWork;
     private Future<?> deadlineTimer;
-    private boolean mayStage = true;
-    private boolean answerBegun;
+    private int failedStages;
     private boolean over;
 
     ServedRequest(
@@ -72,10 +75,11 @@
         this.incoming = incoming;
         this.caller = caller;
         this.link = link;
+        this.stream = new CallerStream(link);
         this.route = route;
         this.service = service;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
-        this.stallWatch = new StallWatch(tools, route, this::stalled);
+        this.stallWatch = new StallWatch(tools, this::stalled);
         Duration patience = caller.patience()
                 .filter(time -> time.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -125,7 +129,7 @@
     private PlacementRequest wanted() {
         long callerLeaves = incoming.arrivedAt() + route.longestSilence().toNanos();
         Duration left = Duration.ofNanos(Math.min(deadline, callerLeaves) - now());
-        return new PlacementRequest(service, caller.prompt(), left, avoided, mayStage);
+        return new PlacementRequest(service, caller.prompt(), left, avoided, failedStages < MOST_STAGED_TRIES);
     }
 
     private void prefill(Placement.Staged staged) {
@@ -133,6 +137,7 @@
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt, now()));
         FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty(), staged.holder());
         PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
+        stallWatch.watch(prefill, stallPatience());
         setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
     }
 
@@ -144,8 +149,12 @@
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt, now()));
         attempt = new AnswerAttempt(this, work, route.streamed());
         FullHttpRequest message = message(server, WantedWork.ANSWER, source, holder);
+        if (route.repeatRule() == RepeatRule.AT_MOST_ONCE || route.mostBackends() == 1) {
+            stallWatch.cancel();
+        } else {
+            stallWatch.watch(attempt, stallPatience());
+        }
         setExchange(tools.connections().send(server, caller.id(), message, attempt));
-        stallWatch.watch(attempt);
     }
 
     /** An exchange may end while it is being sent; then it is not the current one any more. */
@@ -164,17 +173,33 @@
     private FullHttpRequest message(
             BackendServer server, WantedWork work, Optional<CacheSource> source, Optional<BackendServer> holder) {
         Duration left = Duration.ofNanos(Math.max(0, deadline - now()));
-        Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, holder, lastEvent);
+        Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, holder, stream.lastEvent());
         return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
-    private void stalled(AnswerAttempt watched) {
-        if (over || watched != attempt || account.attempts() >= route.mostBackends()) {
+    private Duration stallPatience() {
+        return route.objective().multipliedBy(STALLED_OBJECTIVES);
+    }
+
+    private void stalled(WatchedAttempt watched) {
+        if (over) {
             return;
         }
-        watched.release();
-        cancelExchange();
-        attemptEnded(watched.work(), new AttemptEnd.Lost(), "no answer began in time");
+        switch (watched) {
+            case AnswerAttempt answer
+            when account.attempts() < route.mostBackends() -> {
+                answer.release();
+                cancelExchange();
+                attemptEnded(answer.work(), new AttemptEnd.Lost(), "no answer began in time");
+            }
+            case AnswerAttempt last -> {
+                // There is nowhere else to go; the answer may still come.
+            }
+            case PrefillAttempt prefill -> {
+                cancelExchange();
+                prefill.stalled();
+            }
+        }
     }
 
     void loadReported(PlacedWork work, AnswerFacts facts) {
@@ -214,7 +239,7 @@
 
     /** A computed prompt is only a help: where none came about, one engine does both parts. */
     void prefillEnded(Placement.Staged placement, PlacedWork work, AttemptEnd end, String reason) {
-        noteHealth(work, end);
+        tools.state().attemptEnded(work, end);
         endWork(work);
         if (over) {
             return;
@@ -224,7 +249,7 @@
         trace.because("prefill at " + placement.prefill().id() + ": " + reason);
         trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
         avoided.add(placement.prefill().id());
-        mayStage = false;
+        failedStages++;
         if (!granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
@@ -235,24 +260,14 @@
     void answerBegan(PlacedWork work) {
         tools.state().placer().answerBegan(work, now());
         unfetched = Optional.empty();
-        if (!answerBegun) {
+        if (!stream.begun()) {
             trace.firstByte(now());
             tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
         }
     }
 
     void eventCame(HttpResponse head, ByteBuf event) {
-        Optional<String> identity = EventSplitter.identity(event);
-        if (!answerBegun) {
-            answerBegun = true;
-            HttpResponse begun = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
-            begun.headers().set(ForwardedHeaders.copy(head.headers()));
-            link.begin(begun);
-        }
-        if (identity.isPresent()) {
-            lastEvent = identity;
-        }
-        link.part(event);
+        stream.pass(head, event);
         if (!link.writable() && exchange != null) {
             exchange.read(false);
         }
@@ -260,7 +275,7 @@
 
     void streamComplete(PlacedWork work, boolean begun) {
         endWork(work);
-        if (!answerBegun) {
+        if (!stream.begun()) {
             attemptEndedAfterWork(new AttemptEnd.Lost(), begun ? "no event came" : "the stream was empty");
             return;
         }
@@ -270,7 +285,7 @@
 
     void answerComplete(PlacedWork work, HttpResponse head, ByteBuf body) {
         endWork(work);
-        if (answerBegun) {
+        if (stream.begun()) {
             // A stream was to be continued and this is no stream; written now, it would stand in the middle of the
             // draft.
             body.release();
@@ -290,12 +305,12 @@
         NextStep next = account.ended(new AttemptEnd.Failed());
         trace.because("the server failed with status " + head.status().code());
         tools.metrics().attempted(service, "failed");
-        if (next == NextStep.REPEAT && !answerBegun && timeForAnother() && granted()) {
+        if (next == NextStep.REPEAT && !stream.begun() && timeForAnother() && granted()) {
             body.release();
             place();
             return;
         }
-        if (answerBegun || !facts.signed() || AnswerAttempt.promisesNoRun(head.status())) {
+        if (stream.begun() || !facts.signed() || AnswerAttempt.promisesNoRun(head.status())) {
             body.release();
             conclude(NextStep.REPORT_UNKNOWN, SHORTEST_PAUSE);
             return;
@@ -305,23 +320,11 @@
     }
 
     void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
-        noteHealth(work, end);
+        tools.state().attemptEnded(work, end);
         endWork(work);
         attemptEndedAfterWork(end, reason);
     }
 
-    private void noteHealth(PlacedWork work, AttemptEnd end) {
-        switch (end) {
-            case AttemptEnd.NeverSent neverSent -> tools.state().placer().unreachable(work, now());
-            case AttemptEnd.Misdirected misdirected -> tools.state().placer().unreachable(work, now());
-            case AttemptEnd.Lost lost -> tools.state().placer().failed(work, now());
-            case AttemptEnd.NotExecuted notExecuted -> {
-                // A server that is full or leaving is not broken; its load tells the rest.
-            }
-            case AttemptEnd.Failed failed -> tools.state().placer().failed(work, now());
-        }
-    }
-
     private void attemptEndedAfterWork(AttemptEnd end, String reason) {
         if (over) {
             return;
@@ -382,23 +385,19 @@
         if (over) {
             return;
         }
-        if (answerBegun) {
+        if (stream.begun()) {
             finish(RequestOutcome.CUT);
             link.breakOff();
             return;
         }
-        boolean late = deadline - now() <= 0;
         if (step == NextStep.REFUSE) {
             finish(RequestOutcome.NOT_RUN);
             Duration comeBack = pause.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : pause;
-            link.answer(LocalAnswers.notRun(
-                    "The request has not run: " + trace.reason() + ".",
-                    tools.state().spread(comeBack)));
+            link.answer(LocalAnswers.notRun(trace.reason(), tools.state().spread(comeBack)));
             return;
         }
         finish(RequestOutcome.UNKNOWN);
-        HttpResponseStatus status = late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
-        link.answer(LocalAnswers.of(status, "The request may have run: " + trace.reason() + "."));
+        link.answer(LocalAnswers.unknown(trace.reason(), !timeForAnother()));
     }
 
     private void endWork(PlacedWork work) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -13,6 +13,7 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.settings.RepeatSettings;
+import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.GenerationTraits;
@@ -20,6 +21,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
 import org.aspenmoor.internal.serving.PlacedPrompt;
+import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.serving.PromptPart;
@@ -248,6 +250,20 @@
         return allowance(service).take(entries());
     }
 
+    /** Notes what the end of an attempt says of its server. */
+    void attemptEnded(PlacedWork work, AttemptEnd end) {
+        long now = time.monotonicNanoseconds();
+        switch (end) {
+            case AttemptEnd.NeverSent neverSent -> placer.unreachable(work, now);
+            case AttemptEnd.Misdirected misdirected -> placer.unreachable(work, now);
+            case AttemptEnd.NotExecuted notExecuted -> {
+                // A server that is full or leaving is not broken; its load tells the rest.
+            }
+            case AttemptEnd.Lost lost -> placer.failed(work, now);
+            case AttemptEnd.Failed failed -> placer.failed(work, now);
+        }
+    }
+
     TimeSource time() {
         return time;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -90,7 +90,7 @@
                 rule,
                 streamed,
                 TIMEOUT,
-                Duration.ofSeconds(5),
+                Duration.ofSeconds(2),
                 TIMEOUT,
                 mostBackends,
                 0,
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/OperatorPagesTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/OperatorPagesTest.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.gateway.standin.Waiting;
 import org.aspenmoor.internal.serving.RepeatRule;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -79,7 +80,7 @@
         gateway.connectionLimit(SERVICE, 1);
         CountDownLatch held = new CountDownLatch(1);
         ScriptedBackend backend = backend("one", request -> {
-            awaitQuietly(held);
+            Waiting.on(held);
             return answer(request);
         });
         gateway.publish();
@@ -121,12 +122,4 @@
     private static String read(String id) {
         return "GET /read/a HTTP/1.1\r\nHost: house.example\r\nTest-Id: " + id + "\r\n\r\n";
     }
-
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
@@ -17,6 +18,7 @@
 import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.gateway.standin.Waiting;
 import org.aspenmoor.internal.serving.RepeatRule;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -167,6 +169,31 @@
         assertEquals(posts(gone).size(), 1);
     }
 
+    // An engine for prompts goes dark: it takes requests and says nothing more. Its callers would wait until their
+    // deadline
+    // and get no draft, though another engine is free.
+    @Test
+    public void should_compute_a_prompt_elsewhere_where_the_engine_has_gone_dark() throws Exception {
+        CountDownLatch dark = new CountDownLatch(1);
+        ScriptedBackend silent = backend("prefill-dark", EngineRole.PREFILL, request -> {
+            Waiting.on(dark);
+            return Reply.thenClose("");
+        });
+        ScriptedBackend other = new ScriptedBackend(StreamTest::computes);
+        backends.add(other);
+        gateway.server("prefill-there", SERVICE, other.port(), EngineRole.PREFILL, "elsewhere");
+        backend("decode", EngineRole.DECODE, StreamTest::streams);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(generation());
+
+            assertEquals(caller.answer().body(), text(1));
+        } finally {
+            dark.countDown();
+        }
+        assertEquals(posts(silent).size() + posts(other).size(), 2);
+    }
+
     // An engine for answers turns a request away for want of memory. The prompt is computed again, which loads an
     // engine a
     // second time: both count against the budget of repeats, or a fleet that is short of memory gets twice the load.
