--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreTransport.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreTransport.java
@@ -37,6 +37,7 @@
         this.client = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
                 .connectTimeout(settings.connectTimeout())
+                .sslContext(new UnencryptedContext())
                 .build();
     }
 
