--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
@@ -28,7 +28,7 @@
     }
 
     /** Returns when the answer was expected to begin, with what waits before it. */
-    double answerSeconds() {
+    public double answerSeconds() {
         return answerSeconds;
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ConfigurationListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ConfigurationListener.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.store.StoreException;
@@ -15,12 +16,14 @@
     private final ServingState state;
     private final Executor eventLoop;
     private final DecisionLog log;
+    private final DependencyLog configurations;
 
     public ConfigurationListener(RegistrationDecoder decoder, ServingState state, Executor eventLoop, DecisionLog log) {
         this.decoder = decoder;
         this.state = state;
         this.eventLoop = eventLoop;
         this.log = log;
+        this.configurations = new DependencyLog(log, "configuration");
     }
 
     @Override
@@ -48,14 +51,11 @@
 
     @Override
     public void synchronised() {
-        // The configuration itself says when it is known.
+        configurations.back();
     }
 
     @Override
     public void interrupted(StoreException cause) {
-        log.notable("store-lost")
-                .with("following", "configuration")
-                .with("reason", cause.problem())
-                .write();
+        configurations.lost(cause.problem());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerListener.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.store.StoreException;
@@ -19,6 +20,7 @@
     private final Executor eventLoop;
     private final TimeSource time;
     private final DecisionLog log;
+    private final DependencyLog registrations;
 
     public ServerListener(
             RegistrationDecoder decoder,
@@ -33,6 +35,7 @@
         this.eventLoop = eventLoop;
         this.time = time;
         this.log = log;
+        this.registrations = new DependencyLog(log, "servers");
     }
 
     @Override
@@ -58,12 +61,14 @@
 
     @Override
     public void synchronised() {
+        registrations.back();
         eventLoop.execute(() -> state.serversSynchronised(time.monotonicNanoseconds()));
     }
 
     @Override
     public void interrupted(StoreException cause) {
-        eventLoop.execute(() -> state.serversInterrupted(cause.problem(), time.monotonicNanoseconds()));
+        registrations.lost(cause.problem());
+        eventLoop.execute(() -> state.serversInterrupted(time.monotonicNanoseconds()));
     }
 
     private void remove(StoredObject object) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -31,7 +32,7 @@
     private final ObjectKey key;
     private final InetSocketAddress address;
     private final Consumer<Map<String, InetSocketAddress>> listener;
-    private final DecisionLog log;
+    private final DependencyLog entries;
     private boolean registered;
 
     public PeerDirectory(
@@ -44,7 +45,7 @@
         this.key = new ObjectKey(ObjectKind.ENTRY_REGISTRATION, ObjectKey.PLATFORM_NAMESPACE, entry);
         this.address = address;
         this.listener = listener;
-        this.log = log;
+        this.entries = new DependencyLog(log, "entries");
     }
 
     /** Starts the duty. */
@@ -74,10 +75,11 @@
                 PeerAddress.read(object)
                         .ifPresent(peer -> addresses.put(object.key().name(), peer));
             }
+            entries.back();
             listener.accept(addresses);
             return LISTING_PAUSE;
         } catch (StoreException failure) {
-            log.notable("peers-unknown").with("reason", failure.problem()).write();
+            entries.lost(failure.problem());
             return FAILURE_PAUSE;
         }
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -138,7 +138,7 @@
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt, now()));
         FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty(), staged.holder());
         PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
-        stallWatch.watch(prefill, stallPatience());
+        stallWatch.watch(prefill, stallPatience(work));
         setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
     }
 
@@ -153,7 +153,7 @@
         if (route.repeatRule() == RepeatRule.AT_MOST_ONCE || route.mostBackends() == 1) {
             stallWatch.cancel();
         } else {
-            stallWatch.watch(attempt, stallPatience());
+            stallWatch.watch(attempt, stallPatience(work));
         }
         setExchange(tools.connections().send(server, caller.id(), message, attempt));
     }
@@ -178,8 +178,10 @@
         return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
-    private Duration stallPatience() {
-        return route.objective().multipliedBy(STALLED_OBJECTIVES);
+    /** Where a long queue is expected, an entry with few requests there may see no answer of the engine for its length. */
+    private Duration stallPatience(PlacedWork work) {
+        Duration queue = Duration.ofNanos((long) (2 * work.answerSeconds() * 1e9));
+        return route.objective().multipliedBy(STALLED_OBJECTIVES).plus(queue);
     }
 
     private void stalled(WatchedAttempt watched) {
@@ -193,9 +195,7 @@
                 cancelExchange();
                 attemptEnded(answer.work(), new AttemptEnd.Lost(), "no answer began in time");
             }
-            case AnswerAttempt last -> {
-                // There is nowhere else to go; the answer may still come.
-            }
+            case AnswerAttempt last -> trace.because("the server is silent, and there is no other to ask");
             case PrefillAttempt prefill -> {
                 cancelExchange();
                 prefill.stalled();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -116,10 +116,9 @@
         return gone;
     }
 
-    /** Notes whether the list of servers may have missed changes. */
-    public void serversInterrupted(String reason, long now) {
+    /** Notes that the list of servers may miss changes from now on. */
+    public void serversInterrupted(long now) {
         directory.interrupted(now);
-        log.notable("store-lost").with("reason", reason).write();
     }
 
     /** Notes that the list of servers is complete. */
