--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
@@ -10,14 +10,8 @@
  * @param service the service it goes to
  * @param prompt its prompt; empty where no model is asked
  * @param timeLeft until nobody waits for the answer any more
- * @param onTimeLeft until its answer should begin to be on time; zero or less where it is late already
  * @param avoided servers that were tried already
  * @param mayStage whether its prompt may be computed elsewhere
  */
 public record PlacementRequest(
-        String service,
-        Optional<Prompt> prompt,
-        Duration timeLeft,
-        Duration onTimeLeft,
-        Set<String> avoided,
-        boolean mayStage) {}
+        String service, Optional<Prompt> prompt, Duration timeLeft, Set<String> avoided, boolean mayStage) {}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -291,9 +291,7 @@
             PromptWork work = promptWork(belief, prompt, home, held);
             double begins = waitSeconds(belief, now) + work.seconds() + FIRST_TOKEN_SECONDS;
             double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
-            double seconds = DelayCost.of(answer, request.onTimeLeft().toNanos() / NANOSECONDS)
-                    + penaltySeconds(belief, now)
-                    + harmShare(belief, now) * work.seconds();
+            double seconds = answer + penaltySeconds(belief, now) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -21,7 +21,6 @@
 public class PlacerTest {
     private static final long MILLISECOND = 1_000_000;
     private static final Duration PATIENCE = Duration.ofSeconds(5);
-    private static final Duration OBJECTIVE = Duration.ofMillis(500);
     private static final EngineSpeed SPEED =
             new EngineSpeed(112_000, 0.003_41, 0.000_097, 0.25, 2048, 0.008, 2_300_000);
 
@@ -230,12 +229,11 @@
     }
 
     private static PlacementRequest plainRequest(Set<String> avoided) {
-        return new PlacementRequest(TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, OBJECTIVE, avoided, true);
+        return new PlacementRequest(TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, avoided, true);
     }
 
     private static PlacementRequest generation(Prompt prompt) {
-        return new PlacementRequest(
-                TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, OBJECTIVE, Set.of(), true);
+        return new PlacementRequest(TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, Set.of(), true);
     }
 
     private static Prompt prompt(String subject) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -129,8 +129,7 @@
     private PlacementRequest wanted() {
         long callerLeaves = incoming.arrivedAt() + route.longestSilence().toNanos();
         Duration left = Duration.ofNanos(Math.min(deadline, callerLeaves) - now());
-        Duration onTime = route.objective().minusNanos(now() - incoming.arrivedAt());
-        return new PlacementRequest(service, caller.prompt(), left, onTime, avoided, failedStages < MOST_STAGED_TRIES);
+        return new PlacementRequest(service, caller.prompt(), left, avoided, failedStages < MOST_STAGED_TRIES);
     }
 
     private void prefill(Placement.Staged staged) {
