Rereading the change: state that nobody reads goes, ports are opened by one piece of code, signals belong to the entry

AttemptAccount kept the servers it had tried and GenerationTraits the lifetime of handles; neither was read. The three ports of an entry each had the same way to fail (ListeningPort). The daemon and the store client each had a subscriber that discards a body. ServedRequest told the placer of a failure beside the method that does so for every other end. StreamTest writes its request and replies once; its assertions are unchanged. promptEnded is called promptFailed.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptAccount.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptAccount.java
@@ -1,8 +1,5 @@
 package org.aspenmoor.internal.serving;
 
-import java.util.HashSet;
-import java.util.Set;
-
 /**
  * What is known of where one request has been, and so what may truthfully be said of it.
  *
@@ -16,7 +13,6 @@
 
     private final RepeatRule rule;
     private final int mostBackends;
-    private final Set<String> tried = new HashSet<>();
     private int attempts;
     private int arrivals;
     private int mayHaveRunOn;
@@ -29,13 +25,12 @@
     }
 
     /** Notes that an attempt at a server begins; from now on the request counts as possibly run there. */
-    public void began(String server) {
+    public void began() {
         if (open) {
             throw new IllegalStateException("An attempt began while another was open.");
         }
         open = true;
         attempts++;
-        tried.add(server);
     }
 
     /** Notes how the open attempt ended and returns what follows; the repeat still has to be granted by the budget. */
@@ -54,7 +49,7 @@
      * Notes that an attempt to have only the prompt computed ended without a result. It never counts as a run, but as an
      * arrival: it has loaded an engine like a repeat.
      */
-    public void promptEnded(AttemptEnd end) {
+    public void promptFailed(AttemptEnd end) {
         if (!(end instanceof AttemptEnd.NeverSent)) {
             arrivals++;
         }
@@ -88,11 +83,6 @@
         return attempts;
     }
 
-    /** Returns the servers that were tried. */
-    public Set<String> tried() {
-        return tried;
-    }
-
     private NextStep afterRejection() {
         arrivals++;
         return afterNoRun();
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptAccountTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptAccountTest.java
@@ -17,7 +17,7 @@
         AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
 
         assertEquals(account.conclusion(), NextStep.REFUSE);
-        account.began("one");
+        account.began();
         assertEquals(account.ended(new AttemptEnd.NeverSent()), NextStep.REPEAT);
         assertEquals(account.conclusion(), NextStep.REFUSE);
     }
@@ -27,7 +27,7 @@
     @Test
     public void should_never_call_a_lost_booking_not_run() {
         AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 3);
-        account.began("one");
+        account.began();
 
         assertEquals(account.ended(new AttemptEnd.Lost()), NextStep.REPORT_UNKNOWN);
         assertEquals(account.conclusion(), NextStep.REPORT_UNKNOWN);
@@ -38,7 +38,7 @@
     @Test
     public void should_count_an_open_attempt_as_possibly_run() {
         AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
-        account.began("one");
+        account.began();
 
         assertEquals(account.conclusion(), NextStep.REPORT_UNKNOWN);
     }
@@ -52,7 +52,7 @@
         account.promptComputed();
         assertFalse(account.nextIsRepeat());
 
-        account.began("one");
+        account.began();
         account.ended(new AttemptEnd.Misdirected());
         assertTrue(account.nextIsRepeat());
         assertFalse(account.mayHaveRun());
@@ -61,9 +61,9 @@
     @Test
     public void should_count_a_prompt_that_an_engine_did_not_compute_as_an_arrival() {
         AttemptAccount neverSent = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
-        neverSent.promptEnded(new AttemptEnd.NeverSent());
+        neverSent.promptFailed(new AttemptEnd.NeverSent());
         AttemptAccount rejected = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
-        rejected.promptEnded(new AttemptEnd.NotExecuted());
+        rejected.promptFailed(new AttemptEnd.NotExecuted());
 
         assertFalse(neverSent.nextIsRepeat());
         assertTrue(rejected.nextIsRepeat());
@@ -73,16 +73,16 @@
     @Test
     public void should_repeat_an_idempotent_request_up_to_its_servers() {
         AttemptAccount account = new AttemptAccount(RepeatRule.REPEATABLE, 2);
-        account.began("one");
+        account.began();
         assertEquals(account.ended(new AttemptEnd.Lost()), NextStep.REPEAT);
-        account.began("two");
+        account.began();
         assertEquals(account.ended(new AttemptEnd.Lost()), NextStep.REPORT_UNKNOWN);
     }
 
     @Test
     public void should_pass_the_failure_of_a_request_on_that_may_run_once() {
         AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 2);
-        account.began("one");
+        account.began();
 
         assertEquals(account.ended(new AttemptEnd.Failed()), NextStep.PASS_FAILURE_ON);
     }
@@ -90,10 +90,10 @@
     @Test
     public void should_count_only_arrivals_as_repeats() {
         AttemptAccount account = new AttemptAccount(RepeatRule.AT_MOST_ONCE, 1);
-        account.began("one");
+        account.began();
         account.ended(new AttemptEnd.NeverSent());
         assertFalse(account.nextIsRepeat());
-        account.began("two");
+        account.began();
         account.ended(new AttemptEnd.NotExecuted());
         assertTrue(account.nextIsRepeat());
     }
@@ -104,7 +104,7 @@
         NextStep last = NextStep.REPEAT;
         int attempts = 0;
         while (last == NextStep.REPEAT) {
-            account.began("server-" + attempts);
+            account.began();
             last = account.ended(new AttemptEnd.NotExecuted());
             attempts++;
         }
@@ -115,9 +115,9 @@
     @Test
     public void should_not_take_two_attempts_at_once() {
         AttemptAccount account = new AttemptAccount(RepeatRule.REPEATABLE, 2);
-        account.began("one");
+        account.began();
 
-        assertThrows(IllegalStateException.class, () -> account.began("two"));
+        assertThrows(IllegalStateException.class, () -> account.began());
     }
 
     // Servers crash, refuse and lose answers in any order. Whatever comes, a booking reaches at most one server that
@@ -133,7 +133,7 @@
             int mayHaveRun = 0;
             NextStep step = NextStep.REPEAT;
             for (int attempt = 0; attempt < STEPS && step == NextStep.REPEAT; attempt++) {
-                account.began("server-" + attempt);
+                account.began();
                 AttemptEnd end = anyEnd(random);
                 boolean ran = end instanceof AttemptEnd.Lost || end instanceof AttemptEnd.Failed;
                 mayHaveRun += ran ? 1 : 0;
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Flow;
 import org.aspenmoor.internal.duty.Duty;
+import org.aspenmoor.internal.store.client.DiscardingSubscriber;
 import org.aspenmoor.internal.wire.v1.Header;
 
 /** One call over HTTP; pulls the answer only as fast as the event loop asks for it. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PlainHttpServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PlainHttpServer.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.caller.LocalAnswers;
 
 /** Answers GET requests for a few fixed paths: readiness, metrics, the state dump. */
@@ -32,31 +33,21 @@
     }
 
     InetSocketAddress start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
-        try {
-            Channel listener = new ServerBootstrap()
-                    .group(group)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel channel) {
-                            channel.pipeline()
-                                    .addLast(new HttpServerCodec())
-                                    .addLast(new HttpObjectAggregator(MOST_REQUEST_BYTES))
-                                    .addLast(new PageHandler());
-                        }
-                    })
-                    .bind(address)
-                    .syncUninterruptibly()
-                    .channel();
-            return (InetSocketAddress) listener.localAddress();
-        } catch (RuntimeException taken) {
-            throw new AspenmoorException(
-                    "A port for operators cannot be opened: " + taken.getMessage() + ".",
-                    address.toString(),
-                    "Choose a free port, or end the process that has it.",
-                    taken);
-        }
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MOST_REQUEST_BYTES))
+                                .addLast(new PageHandler());
+                    }
+                });
+        Channel listener = ListeningPort.open(bootstrap, address, "A port for operators");
+        return (InetSocketAddress) listener.localAddress();
     }
 
     private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/platform/src/main/java/org/aspenmoor/internal/platform/Signals.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Signals.java
@@ -1,28 +1,28 @@
-package org.aspenmoor.internal.platform;
+package org.aspenmoor.internal.gateway;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
 import org.aspenmoor.AspenmoorException;
 
 /**
- * The signals that the platform sends.
+ * The signals that a process of an entry answers to.
  *
  * <p>The runtime ends a process at SIGHUP unless a handler is set, and its only interface for that is one that the
  * compiler warns of; so it is reached by name.
  */
-final class Signals {
+public final class Signals {
     private static final String SIGNAL_CLASS = "sun.misc.Signal";
     private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
 
     private Signals() {}
 
     /** Runs something when the process is asked to stop. */
-    static void onTerminate(Runnable action) throws AspenmoorException {
+    public static void onTerminate(Runnable action) throws AspenmoorException {
         handle("TERM", action);
     }
 
     /** Runs something when the process is asked to read its settings again. */
-    static void onReload(Runnable action) throws AspenmoorException {
+    public static void onReload(Runnable action) throws AspenmoorException {
         handle("HUP", action);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -33,30 +33,20 @@
 
     /** Opens the port; returns the address it got. */
     public InetSocketAddress start(EventLoopGroup group, InetSocketAddress address) throws AspenmoorException {
-        try {
-            listener = new ServerBootstrap()
-                    .group(group)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel channel) {
-                            accept(channel);
-                        }
-                    })
-                    .bind(address)
-                    .syncUninterruptibly()
-                    .channel();
-            return (InetSocketAddress) listener.localAddress();
-        } catch (RuntimeException taken) {
-            throw new AspenmoorException(
-                    "The port for callers cannot be opened: " + taken.getMessage() + ".",
-                    address.toString(),
-                    "Choose a free port, or end the process that has it.",
-                    taken);
-        }
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                });
+        listener = ListeningPort.open(bootstrap, address, "The port for callers");
+        return (InetSocketAddress) listener.localAddress();
     }
 
     /** Closes connections that break their limits. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
@@ -57,21 +58,11 @@
 
     /** Opens the port. */
     public void open(InetSocketAddress address) throws AspenmoorException {
-        try {
-            channel = new Bootstrap()
-                    .group(eventLoop)
-                    .channel(NioDatagramChannel.class)
-                    .handler(new ReportHandler())
-                    .bind(address)
-                    .syncUninterruptibly()
-                    .channel();
-        } catch (RuntimeException taken) {
-            throw new AspenmoorException(
-                    "The port for other entries cannot be opened: " + taken.getMessage() + ".",
-                    address.toString(),
-                    "Choose a free port, or end the process that has it.",
-                    taken);
-        }
+        Bootstrap bootstrap = new Bootstrap()
+                .group(eventLoop)
+                .channel(NioDatagramChannel.class)
+                .handler(new ReportHandler());
+        channel = ListeningPort.open(bootstrap, address, "The port for other entries");
     }
 
     /** Returns the address that the port got. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -143,7 +143,7 @@
 
     private void send(
             BackendServer server, double promptSeconds, Optional<CacheSource> source, Optional<BackendServer> holder) {
-        account.began(server.id());
+        account.began();
         avoided.add(server.id());
         PlacedWork work = begin(server, promptSeconds);
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt, now()));
@@ -244,7 +244,7 @@
         if (over) {
             return;
         }
-        account.promptEnded(end);
+        account.promptFailed(end);
         tools.metrics().attempted(service, "prefill-failed");
         trace.because("prefill at " + placement.prefill().id() + ": " + reason);
         trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
@@ -300,9 +300,10 @@
 
     /** The server's own failure: tried elsewhere where the request may be repeated, else passed on as it is. */
     void failureCame(PlacedWork work, HttpResponse head, ByteBuf body, AnswerFacts facts) {
-        tools.state().placer().failed(work, now());
+        AttemptEnd end = new AttemptEnd.Failed();
+        tools.state().attemptEnded(work, end);
         endWork(work);
-        NextStep next = account.ended(new AttemptEnd.Failed());
+        NextStep next = account.ended(end);
         trace.because("the server failed with status " + head.status().code());
         tools.metrics().attempted(service, "failed");
         if (next == NextStep.REPEAT && !stream.begun() && timeForAnother() && granted()) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -144,7 +144,7 @@
 
     /** Puts the routes in force and waits until requests are served. */
     public void publish() throws StoreException, IOException {
-        services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000, TIMEOUT))));
+        services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000))));
         ServingConfiguration configuration = new ServingConfiguration(7, routes, services, ConnectionLimits.usual());
         configurations.put("main", configuration);
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -115,18 +115,11 @@
 
     @Test
     public void should_have_a_prompt_computed_at_one_engine_and_answered_at_another() throws Exception {
-        ScriptedBackend prefill = backend(
-                "prefill", EngineRole.PREFILL, request -> Reply.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1"));
-        ScriptedBackend decode =
-                backend("decode", EngineRole.DECODE, request -> Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS));
+        ScriptedBackend prefill = backend("prefill", EngineRole.PREFILL, StreamTest::computes);
+        ScriptedBackend decode = backend("decode", EngineRole.DECODE, StreamTest::streams);
         gateway.publish();
         try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head(
-                    "POST /once/a HTTP/1.1",
-                    "Host: house.example",
-                    "Test-Id: r1",
-                    "Test-Prompt: 20000",
-                    "Content-Length: 0"));
+            caller.send(generation());
 
             assertEquals(caller.answer().body(), text(1));
         }
@@ -224,16 +217,10 @@
     @Test
     public void should_answer_without_a_computed_prompt_where_none_can_be_had() throws Exception {
         backend("prefill", EngineRole.PREFILL, request -> Reply.thenClose(""));
-        ScriptedBackend decode =
-                backend("decode", EngineRole.DECODE, request -> Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS));
+        ScriptedBackend decode = backend("decode", EngineRole.DECODE, StreamTest::streams);
         gateway.publish();
         try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head(
-                    "POST /once/a HTTP/1.1",
-                    "Host: house.example",
-                    "Test-Id: r1",
-                    "Test-Prompt: 20000",
-                    "Content-Length: 0"));
+            caller.send(generation());
 
             assertEquals(caller.answer().body(), text(1));
         }
@@ -252,12 +239,7 @@
         gateway.publish();
         gateway.awaitLogged("\"event\":\"cache-listed\",\"server\":\"keeps\"");
         try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head(
-                    "POST /once/a HTTP/1.1",
-                    "Host: house.example",
-                    "Test-Id: r1",
-                    "Test-Prompt: 20000",
-                    "Content-Length: 0"));
+            caller.send(generation());
 
             assertEquals(caller.answer().body(), text(1));
         }
@@ -273,7 +255,7 @@
 
     private static Reply streamOrCache(ReceivedRequest request, String kept) {
         if (request.line().startsWith("POST")) {
-            return Reply.of(HEAD + event(1) + HttpText.END_OF_CHUNKS);
+            return streams(request);
         }
         return Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: " + kept.length()) + kept);
     }
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/DiscardingSubscriber.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/DiscardingSubscriber.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.Flow;
 
 /** Gives up a body that nobody reads, so that its connection is closed. */
-final class DiscardingSubscriber implements Flow.Subscriber<List<ByteBuffer>> {
+public final class DiscardingSubscriber implements Flow.Subscriber<List<ByteBuffer>> {
     @Override
     public void onSubscribe(Flow.Subscription subscription) {
         subscription.cancel();
