--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LongAnswers.java
@@ -0,0 +1,41 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which services give answers that take so long to tell that their engines cannot compute long prompts beside them.
+ *
+ * <p>The load it answers: answers of thousands of tokens that need most of their time even at an engine that does nothing
+ * else, beside prompts of thousands of tokens. Between the pieces of such prompts a token took two to three times as long;
+ * of the largest tenth of the answers a third was complete at its deadline, and the prompts of a burst were computed no
+ * sooner. Short answers do not mind: there, engines for answers compute prompts too when all others are full.
+ */
+final class LongAnswers {
+    /** An answer that takes this part of its time to tell may not be complete in time at half the pace, with its wait. */
+    private static final double LONG_SHARE = 0.25;
+
+    /** How long one such answer counts: an entry sees a part of them only, and they come in phases of some seconds. */
+    private static final Duration MEMORY = Duration.ofSeconds(10);
+
+    private final Map<String, Long> seenAt = new HashMap<>();
+
+    /**
+     * Notes how long an answer has been told so far.
+     *
+     * @param told since its first event
+     * @param allowed from its arrival to its deadline
+     */
+    void told(String service, Duration told, Duration allowed, long now) {
+        if (told.toNanos() > LONG_SHARE * allowed.toNanos()) {
+            seenAt.put(service, now);
+        }
+    }
+
+    /** Returns whether the service probably has long answers under way, from this entry or another. */
+    boolean underWay(String service, long now) {
+        Long seen = seenAt.get(service);
+        return seen != null && now - seen < MEMORY.toNanos();
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Pacing.java
@@ -0,0 +1,50 @@
+package org.aspenmoor.internal.serving;
+
+import java.time.Duration;
+import java.util.List;
+import org.aspenmoor.internal.engine.EngineRole;
+
+/** Which prompts an entry holds back until an engine has room, and how long prompts may wait at engines. */
+final class Pacing {
+    /** Fewer prompts within the tolerated wait leave an engine idle whenever one entry gives way. */
+    private static final double LEAST_PROMPTS_WITHIN_WAIT = 2.5;
+
+    /**
+     * Part of a request's objective that it may wait at an engine before this entry sends less there. With less, engines
+     * run dry between the reports of their answers; with more, waiting and the answer itself do not fit the objective.
+     */
+    private static final double TOLERATED_SHARE = 0.25;
+
+    /** Prompts that take less than this part of an answer's fixed time do not wait for room: they hold nobody up. */
+    private static final double LIGHT_SHARE = 0.1;
+
+    private static final double NANOSECONDS = 1e9;
+
+    private Pacing() {}
+
+    /** Returns how long a prompt may wait at an engine before its entry sends less there. */
+    static double toleratedSeconds(Duration objective) {
+        return objective.toNanos() / NANOSECONDS * TOLERATED_SHARE;
+    }
+
+    /** Returns whether a prompt keeps an engine busy for so long that it holds others up. */
+    static boolean isLong(ServerBelief belief, double workSeconds) {
+        return workSeconds > LIGHT_SHARE * belief.fixedSeconds();
+    }
+
+    /**
+     * Returns whether engines compute several prompts within the wait that is tolerated. Only then can an entry learn from
+     * waits how many it may send, and does a short queue keep an engine busy. Where one prompt takes as long as the whole
+     * wait, each entry sends too few to learn in time: requests waited here for seconds while engines stood idle.
+     */
+    static boolean possible(PlacementRequest request, List<ServerBelief> usable) {
+        double tolerated = toleratedSeconds(request.objective());
+        double usual = usable.stream()
+                .filter(each -> each.server().role() != EngineRole.DECODE)
+                .mapToDouble(ServerBelief::usualPromptSeconds)
+                .filter(seconds -> seconds > 0)
+                .average()
+                .orElse(Double.MAX_VALUE);
+        return usual * LEAST_PROMPTS_WITHIN_WAIT <= tolerated;
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -11,6 +11,7 @@
  * @param sequence grows with each report of one start
  * @param shares its part of the load, by backend server
  * @param prompts the prompts it has placed since its last report
+ * @param speeds how fast it has found the engines
  * @param leaving whether it is stopping
  */
 public record PeerReport(
@@ -19,9 +20,11 @@
         long sequence,
         Map<String, PeerShare> shares,
         List<PlacedPrompt> prompts,
+        List<LearntSpeed> speeds,
         boolean leaving) {
     public PeerReport {
         shares = Map.copyOf(shares);
         prompts = List.copyOf(prompts);
+        speeds = List.copyOf(speeds);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
@@ -3,15 +3,50 @@
 /** One attempt at one backend server, as the placement expected it. Compared by identity. */
 public final class PlacedWork {
     private final String server;
+    private final WorkKind kind;
     private final long atNanoseconds;
     private final double workSeconds;
     private final double answerSeconds;
+    private final double toleratedSeconds;
+    private final boolean longPrompt;
+    private final boolean alone;
 
-    PlacedWork(String server, long atNanoseconds, double workSeconds, double answerSeconds) {
+    PlacedWork(
+            String server,
+            WorkKind kind,
+            long atNanoseconds,
+            double workSeconds,
+            double answerSeconds,
+            double toleratedSeconds,
+            boolean longPrompt,
+            boolean alone) {
         this.server = server;
+        this.kind = kind;
         this.atNanoseconds = atNanoseconds;
         this.workSeconds = workSeconds;
         this.answerSeconds = answerSeconds;
+        this.toleratedSeconds = toleratedSeconds;
+        this.longPrompt = longPrompt;
+        this.alone = alone;
+    }
+
+    WorkKind kind() {
+        return kind;
+    }
+
+    /** Returns how long it may wait at the server before this entry sends less there. */
+    double toleratedSeconds() {
+        return toleratedSeconds;
+    }
+
+    /** Returns whether it is a prompt that keeps an engine busy for longer than an answer's start. */
+    boolean longPrompt() {
+        return longPrompt;
+    }
+
+    /** Returns whether nothing else was known at the server when it was placed. */
+    boolean alone() {
+        return alone;
     }
 
     String server() {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -27,6 +27,9 @@
     record Staged(BackendServer prefill, Optional<BackendServer> holder, double promptSeconds, double expectedSeconds)
             implements Placement {}
 
+    /** Each engine has as many prompts as it should; the request waits at this entry until one has room. */
+    record Held() implements Placement {}
+
     /**
      * No server can answer in time, or there is none.
      *
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
@@ -10,8 +10,18 @@
  * @param service the service it goes to
  * @param prompt its prompt; empty where no model is asked
  * @param timeLeft until nobody waits for the answer any more
+ * @param objective within which its answer is on time
  * @param avoided servers that were tried already
  * @param mayStage whether its prompt may be computed elsewhere
+ * @param mayWait whether it may wait here for room at an engine
+ * @param othersWait whether others wait already, so that a long prompt takes its place among them
  */
 public record PlacementRequest(
-        String service, Optional<Prompt> prompt, Duration timeLeft, Set<String> avoided, boolean mayStage) {}
+        String service,
+        Optional<Prompt> prompt,
+        Duration timeLeft,
+        Duration objective,
+        Set<String> avoided,
+        boolean mayStage,
+        boolean mayWait,
+        boolean othersWait) {}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.aspenmoor.internal.dissemination.StableHash;
 import org.aspenmoor.internal.engine.EngineRole;
 
 /**
@@ -27,9 +26,6 @@
     /** Added to the wait in another data centre, in seconds: two crossings and the price of the bytes. */
     private static final double REMOTE_SECONDS = 0.004;
 
-    /** Added to a staged placement, in seconds: a second request's way there and back, and the price of the transfer. */
-    private static final double STAGED_SECONDS = 0.035;
-
     /**
      * Added for a server that is paused after failures, in seconds: more than any wait that is worth it. It is still tried
      * where no other can take the work, since an attempt that fails loses no more than one that is not made.
@@ -45,9 +41,12 @@
     /** What one request of a plain service is expected to take, in seconds; only ranks servers. */
     private static final double PLAIN_WORK_SECONDS = 0.02;
 
-    /** The fixed part of an engine's first token, in seconds: scheduling, first step and the way. */
+    /** The fixed part of an answer until answers are seen, in seconds: scheduling, first step and the way. */
     private static final double FIRST_TOKEN_SECONDS = 0.035;
 
+    /** Fewer requests at a server than this are none: what its answers told of its load fades, and never quite to zero. */
+    private static final double LEAST_REQUESTS = 0.5;
+
     /**
      * What each second of computing costs the requests behind it, in seconds. Without it an entry takes a prompt to any
      * engine that is free a little sooner; there its shared part is computed again, which fills the queues of all.
@@ -63,25 +62,13 @@
     /** What each request at an engine for answers adds to the next one's start, in seconds: part of a transfer, slower steps. */
     private static final double STREAM_SECONDS = 0.002;
 
-    /** Shorter parts are computed about as fast as a transfer is set up. */
-    private static final int LEAST_FETCHED_TOKENS = 1024;
-
-    /** Transfers between data centres take twice as long. */
-    private static final double REMOTE_TRANSFER_FACTOR = 2;
-
     /** Prompts kept for the next report, which so stays one datagram; more are only a lost hint. */
     private static final int MOST_UNTOLD_PROMPTS = 24;
 
-    /**
-     * Added where a prompt that no engine keeps is computed away from its home, in seconds: entries that meet the same new
-     * prompt at the same moment should not compute it at two engines.
-     */
-    private static final double AWAY_SECONDS = 0.02;
-
-    private static final double PAIRS_OF_MEGAPAIR = 1e6;
-
     private final RandomGenerator random;
     private final Map<String, ServerBelief> beliefs = new LinkedHashMap<>();
+    private final EngineSpeeds speeds = new EngineSpeeds();
+    private final LongAnswers longAnswers = new LongAnswers();
     private final PeerLoads peers;
     private final List<PlacedPrompt> untold = new ArrayList<>();
     private PlacementSettings settings;
@@ -99,12 +86,13 @@
 
     /** Learns of a server, or that what is known of it has changed; cache tokens are above zero where it runs a model. */
     public void changed(BackendServer server, int cacheTokens) {
+        SpeedEstimate speed = speeds.of(server.service(), server.role());
         ServerBelief known = beliefs.get(server.id());
         if (known != null && known.server().sameStart(server)) {
-            known.update(server, cacheTokens);
+            known.update(server, cacheTokens, speed);
             return;
         }
-        beliefs.put(server.id(), new ServerBelief(server, cacheTokens));
+        beliefs.put(server.id(), new ServerBelief(server, cacheTokens, speed));
     }
 
     /** Forgets a server. */
@@ -121,7 +109,17 @@
         Placement best = request.prompt().isPresent()
                 ? generation(request, request.prompt().get(), usable, now)
                 : plain(usable, now);
-        return withinTime(best, request.timeLeft());
+        boolean unknown = request.prompt().isPresent() && !speedKnown(best);
+        return unknown ? best : withinTime(best, request.timeLeft());
+    }
+
+    private boolean speedKnown(Placement placement) {
+        return switch (placement) {
+            case Placement.Whole whole -> beliefs.get(whole.server().id()).speedKnown();
+            case Placement.Staged staged -> beliefs.get(staged.prefill().id()).speedKnown();
+            case Placement.Held held -> true;
+            case Placement.Refused refused -> true;
+        };
     }
 
     /**
@@ -134,15 +132,28 @@
         return Optional.ofNullable(chosen).map(ServerBelief::server);
     }
 
-    /** Notes that an attempt begins; the result belongs to the other calls about it. */
-    public PlacedWork placed(BackendServer server, double workSeconds, long now) {
+    /**
+     * Notes that an attempt begins; the result belongs to the other calls about it.
+     *
+     * @param objective within which the answer is on time
+     */
+    public PlacedWork placed(BackendServer server, WorkKind kind, double workSeconds, Duration objective, long now) {
+        double tolerated = Pacing.toleratedSeconds(objective);
         ServerBelief belief = beliefs.get(server.id());
-        double waitSeconds = belief == null ? 0 : waitSeconds(belief, now);
-        PlacedWork work =
-                new PlacedWork(server.id(), now, workSeconds, waitSeconds + workSeconds + FIRST_TOKEN_SECONDS);
-        if (belief != null) {
-            belief.placed(work);
+        if (belief == null) {
+            double answer = workSeconds + FIRST_TOKEN_SECONDS;
+            return new PlacedWork(server.id(), kind, now, workSeconds, answer, tolerated, false, false);
         }
+        double start = switch (kind) {
+            case PLAIN -> FIRST_TOKEN_SECONDS;
+            case PROMPT_ONLY, WHOLE -> belief.fixedSeconds();
+            case HAND_OVER -> speeds.handOverSeconds(server.service());
+        };
+        double answer = waitSeconds(belief, now) + workSeconds + start;
+        boolean longPrompt = kind != WorkKind.PLAIN && Pacing.isLong(belief, workSeconds);
+        boolean alone = belief.requests(peers.on(server.id()), now) < LEAST_REQUESTS;
+        PlacedWork work = new PlacedWork(server.id(), kind, now, workSeconds, answer, tolerated, longPrompt, alone);
+        belief.placed(work);
         return work;
     }
 
@@ -186,6 +197,19 @@
             belief.answerBegan(work, now);
             belief.health().answered();
         }
+        if (belief != null && work.kind() == WorkKind.HAND_OVER) {
+            double took = (now - work.atNanoseconds()) / NANOSECONDS;
+            belief.tookOver(took, now);
+            speeds.tookOver(belief.server().service(), took);
+        }
+    }
+
+    /**
+     * Notes how long an answer has been told so far, out of the time that the request was allowed; to be told with each
+     * event or at its end.
+     */
+    public void answerTold(String service, Duration told, Duration allowed, long now) {
+        longAnswers.told(service, told, allowed, now);
     }
 
     /** Notes the load that came with an answer. */
@@ -208,6 +232,16 @@
         return shares;
     }
 
+    /** Returns how fast this entry has found the engines, as far as it has seen enough answers. */
+    public List<LearntSpeed> learntSpeeds() {
+        return speeds.learnt();
+    }
+
+    /** Takes in how fast another entry has found the engines. */
+    public void speedHeard(LearntSpeed heard) {
+        speeds.heard(heard);
+    }
+
     /** Returns what is believed of each server. */
     public List<ServerSummary> summaries(long now) {
         return beliefs.values().stream()
@@ -237,6 +271,14 @@
         }
     }
 
+    /** Notes that a server turned work away without running it. */
+    public void rejected(PlacedWork work, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.rejected(work, now);
+        }
+    }
+
     /** Notes that a server was not there: no connection came about, or another server answered at its address. */
     public void unreachable(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
@@ -277,10 +319,20 @@
                 best.server(), Optional.empty(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
     }
 
+    private static boolean computes(ServerBelief belief, long now) {
+        return belief.server().role() == EngineRole.PREFILL && !belief.health().paused(now);
+    }
+
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
-        ServerBelief home = home(prompt, usable);
-        Optional<HeldPrompt> held = held(prompt, usable, now);
+        boolean full = false;
+        PromptCosts costs = new PromptCosts(settings, prompt, usable, now);
         ServerBelief decode = leastBusyDecoder(usable, prompt.promptTokens(), settings.dataCentre(), now);
+        boolean stages = request.mayStage() && decode != null && usable.stream().anyMatch(each -> computes(each, now));
+        boolean paced = request.mayWait() && Pacing.possible(request, usable);
+        boolean direct = paced
+                && decode != null
+                && !Pacing.isLong(decode, costs.at(decode).seconds());
+        boolean apart = paced && stages && longAnswers.underWay(request.service(), now);
         Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
         double bestSeconds = Double.MAX_VALUE;
         for (ServerBelief belief : usable) {
@@ -288,9 +340,21 @@
             if (staged && (decode == null || !request.mayStage())) {
                 continue;
             }
-            PromptWork work = promptWork(belief, prompt, home, held);
-            double begins = waitSeconds(belief, now) + work.seconds() + FIRST_TOKEN_SECONDS;
-            double answer = staged ? begins + handOverSeconds(prompt, decode, now) : begins;
+            PromptCosts.PromptWork work = costs.at(belief);
+            boolean longPrompt = Pacing.isLong(belief, work.seconds());
+            if (direct ? staged : apart && belief.server().role() == EngineRole.DECODE) {
+                continue;
+            }
+            boolean noRoom = request.othersWait()
+                    || !belief.hasRoom(peers.on(belief.server().id()), now)
+                    || (stages && belief.health().paused(now));
+            if (paced && longPrompt && noRoom) {
+                full = true;
+                continue;
+            }
+            double begins = waitSeconds(belief, now) + work.seconds() + belief.fixedSeconds();
+            double answer =
+                    staged ? begins + speeds.handOverSeconds(request.service()) + waitSeconds(decode, now) : begins;
             double seconds = answer + penaltySeconds(belief, now) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
@@ -299,57 +363,13 @@
                         : new Placement.Whole(belief.server(), work.holder(), work.seconds(), answer);
             }
         }
-        return best;
+        return full && best instanceof Placement.Refused ? new Placement.Held() : best;
     }
 
     private double waitSeconds(ServerBelief belief, long now) {
         return belief.waitSeconds(peers.on(belief.server().id()), now);
     }
 
-    private double handOverSeconds(Prompt prompt, ServerBelief decode, long now) {
-        return STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens()) + waitSeconds(decode, now);
-    }
-
-    /**
-     * Returns what an engine has to do for a prompt. Parts that it lacks are fetched from an engine that keeps them: moving
-     * them takes milliseconds, computing them again a tenth of a second and more.
-     */
-    private PromptWork promptWork(ServerBelief belief, Prompt prompt, ServerBelief home, Optional<HeldPrompt> held) {
-        int believed = belief.cache().cachedTokens(prompt);
-        double alone = computeSeconds(belief, prompt, believed) + (believed > 0 || belief == home ? 0 : AWAY_SECONDS);
-        int fetched = held.map(HeldPrompt::tokens).orElse(0) - believed;
-        if (fetched < LEAST_FETCHED_TOKENS) {
-            return new PromptWork(alone, Optional.empty());
-        }
-        ServerBelief holder = held.orElseThrow().holder();
-        double fetch = settings.speed().handOverSeconds(fetched) * distanceFactor(belief, holder);
-        double compute = computeSeconds(belief, prompt, believed + fetched);
-        return new PromptWork(fetch + compute, Optional.of(holder.server()));
-    }
-
-    /** Returns the engine that keeps most of a prompt. */
-    private static Optional<HeldPrompt> held(Prompt prompt, List<ServerBelief> usable, long now) {
-        HeldPrompt most = null;
-        for (ServerBelief belief : usable) {
-            int tokens = belief.cache().fetchableTokens(prompt, now);
-            if (tokens > 0 && (most == null || tokens > most.tokens())) {
-                most = new HeldPrompt(belief, tokens);
-            }
-        }
-        return Optional.ofNullable(most);
-    }
-
-    private double computeSeconds(ServerBelief belief, Prompt prompt, int cached) {
-        double computed = prompt.promptTokens() - cached;
-        double megapairs = computed * (cached + computed / 2) / PAIRS_OF_MEGAPAIR;
-        double seconds = settings.speed().prefillSeconds(computed) + megapairs * settings.secondsPerMegapair();
-        return seconds * belief.slowness() / prefillShare(belief.server());
-    }
-
-    private static double distanceFactor(ServerBelief one, ServerBelief other) {
-        return one.server().dataCentre().equals(other.server().dataCentre()) ? 1 : REMOTE_TRANSFER_FACTOR;
-    }
-
     private double harmShare(ServerBelief belief, long now) {
         if (belief.server().role() != EngineRole.DECODE) {
             return HARM_SHARE;
@@ -358,33 +378,12 @@
                 + STREAM_HARM_SHARE * belief.requests(peers.on(belief.server().id()), now);
     }
 
-    private double prefillShare(BackendServer server) {
-        return server.role() == EngineRole.DECODE ? settings.ownPromptShare() : 1;
-    }
-
     private double penaltySeconds(ServerBelief belief, long now) {
         double distance = belief.server().dataCentre().equals(settings.dataCentre()) ? 0 : REMOTE_SECONDS;
         double paused = belief.health().paused(now) ? PAUSED_SECONDS : 0;
         return distance + paused + FAILURE_SECONDS * belief.health().failureShare();
     }
 
-    /** Weighted rendezvous hashing: each engine draws a number that depends only on it and the prompt. */
-    private ServerBelief home(Prompt prompt, List<ServerBelief> usable) {
-        String shared = prompt.sharedIdentity();
-        ServerBelief home = usable.getFirst();
-        double best = Double.NEGATIVE_INFINITY;
-        for (ServerBelief belief : usable) {
-            long hash = StableHash.of(shared, belief.server().id());
-            double drawn = ((hash >>> 11) + 0.5) * 0x1.0p-53;
-            double score = -prefillShare(belief.server()) / Math.log(drawn);
-            if (score > best) {
-                best = score;
-                home = belief;
-            }
-        }
-        return home;
-    }
-
     /** Transfers to an engine follow one another, so its requests stand for the transfers that go before. */
     private ServerBelief leastBusyDecoder(List<ServerBelief> usable, int tokens, String from, long now) {
         ServerBelief best = null;
@@ -393,10 +392,12 @@
             if (belief.server().role() == EngineRole.PREFILL) {
                 continue;
             }
-            double factor = belief.server().dataCentre().equals(from) ? 1 : REMOTE_TRANSFER_FACTOR;
+            double elsewhere = speeds.handOverSeconds(belief.server().service());
             double score = waitSeconds(belief, now)
                     + penaltySeconds(belief, now)
-                    + factor * settings.speed().handOverSeconds(tokens)
+                    + Math.max(
+                            PromptCosts.transferSeconds(settings, tokens, from, belief),
+                            belief.handOverSeconds(elsewhere, now))
                     + belief.requests(peers.on(belief.server().id()), now) * STREAM_SECONDS
                     + random.nextDouble() * TIE_SECONDS;
             if (score < bestScore) {
@@ -411,6 +412,7 @@
         double expected = switch (best) {
             case Placement.Whole whole -> whole.expectedSeconds();
             case Placement.Staged staged -> staged.expectedSeconds();
+            case Placement.Held held -> 0;
             case Placement.Refused refused -> 0;
         };
         double left = timeLeft.toNanos() / NANOSECONDS;
@@ -421,8 +423,4 @@
         return new Placement.Refused(
                 String.format("the answer would begin in %.2f s and %.2f s are left", expected, left), comeBack);
     }
-
-    private record HeldPrompt(ServerBelief holder, int tokens) {}
-
-    private record PromptWork(double seconds, Optional<BackendServer> holder) {}
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.aspenmoor.internal.engine.EngineRole;
 
 /**
  * What this entry believes of one backend server: its own requests there, what the other entries and the server's answers
@@ -16,6 +17,18 @@
     /** Weight of one more answer in what is believed of a server's speed. */
     private static final double LEARNING_SHARE = 0.1;
 
+    /** Part of what an answer says that is put down to the one engine; all with its role learn from it too. */
+    private static final double OWN_SHARE = 0.5;
+
+    /** Weight of one more hand-over in what they take here: a link turns slow from one moment to the next. */
+    private static final double HAND_OVER_SHARE = 0.3;
+
+    /** Weight of one more long prompt in what they usually take: about the last twenty count. */
+    private static final double PROMPT_SHARE = 0.05;
+
+    /** An engine with less work before it is idle by the time at which a request gets there, in seconds. */
+    private static final double IDLE_SECONDS = 0.005;
+
     /** A server is not taken for slower than this, so that it gets enough work to show that it has recovered. */
     private static final double MOST_SLOWNESS = 6;
 
@@ -24,19 +37,26 @@
 
     private final ServerHealth health = new ServerHealth();
     private final CacheBelief cache = new CacheBelief();
+    private final PromptWindow window = new PromptWindow();
     private final Deque<PlacedWork> unanswered = new ArrayDeque<>();
     private BackendServer server;
     private int parallelism;
+    private int cacheTokens;
     private ReportedLoad reported = new ReportedLoad(0, 0, 1);
     private long reportedAt;
     private int outstandingAtReport;
     private int outstanding;
     private double unansweredSeconds;
+    private SpeedEstimate speed;
+    private double usualPromptSeconds;
+    private double handOverSeconds;
+    private long handOverAt = Long.MIN_VALUE;
     private double slowness = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
 
-    ServerBelief(BackendServer server, int cacheTokens) {
-        update(server, cacheTokens);
+    /** Makes a belief; the speed is what is known of all servers of the service with the same role. */
+    ServerBelief(BackendServer server, int cacheTokens, SpeedEstimate speed) {
+        update(server, cacheTokens, speed);
     }
 
     BackendServer server() {
@@ -44,12 +64,15 @@
     }
 
     /** Takes what the server says of itself; cache tokens are above zero where it runs a model. */
-    void update(BackendServer newer, int cacheTokens) {
+    void update(BackendServer newer, int newCacheTokens, SpeedEstimate newSpeed) {
         if (server != null && server.role() != newer.role()) {
             health.roleChanged();
+            slowness = 1;
         }
+        speed = newSpeed;
         server = newer;
-        parallelism = cacheTokens > 0 ? 1 : Math.max(1, newer.slots());
+        parallelism = newCacheTokens > 0 ? 1 : Math.max(1, newer.slots());
+        cacheTokens = newCacheTokens;
         cache.limit(cacheTokens);
     }
 
@@ -65,11 +88,64 @@
         return lastAnswerAt;
     }
 
-    /** Returns how many times longer than expected the server takes. */
+    /** Returns how many times longer than the others with its role the server takes. */
     double slowness() {
         return slowness;
     }
 
+    /** Returns how many times longer than the settings say the server takes. */
+    double slownessBySettings() {
+        return runsModel() ? slowness * speed.factor() : slowness;
+    }
+
+    /** Returns how long this entry's long prompts usually keep an engine busy; zero until one was sent there. */
+    double usualPromptSeconds() {
+        return usualPromptSeconds;
+    }
+
+    /** Returns whether the speed of an engine was learnt from enough answers. */
+    boolean speedKnown() {
+        return speed.known();
+    }
+
+    /** Returns what an answer of an engine takes beside its work. */
+    double fixedSeconds() {
+        return speed.fixedSeconds();
+    }
+
+    /** Notes that the server turned work away without running it. */
+    void rejected(PlacedWork work, long now) {
+        if (isPrompt(work)) {
+            window.rejected(now);
+        }
+    }
+
+    /** Notes how long the server took to take a computed prompt over and begin its answer. */
+    void tookOver(double seconds, long now) {
+        handOverSeconds += HAND_OVER_SHARE * (seconds - handOverSeconds);
+        handOverAt = now;
+    }
+
+    /**
+     * Returns how long taking a computed prompt over takes here, given what it takes elsewhere. An engine whose link has
+     * turned slow shows in nothing else; what it took is forgotten within seconds, so that it is tried again.
+     */
+    double handOverSeconds(double elsewhere, long now) {
+        if (handOverAt == Long.MIN_VALUE) {
+            return elsewhere;
+        }
+        return elsewhere + (handOverSeconds - elsewhere) * faded(now - handOverAt);
+    }
+
+    /**
+     * Returns whether one more prompt of this entry would not wait for long. An engine that no entry has work at has room,
+     * whatever was learnt from its queue before; kept from it, requests would wait while it is idle.
+     */
+    boolean hasRoom(PeerShare others, long now) {
+        boolean idle = window.empty() && !window.rejecting(now) && waitSeconds(others, now) < IDLE_SECONDS;
+        return idle || window.room(now);
+    }
+
     /** Returns this entry's own part of the load. */
     PeerShare ownShare() {
         return new PeerShare(unansweredSeconds, outstanding);
@@ -79,15 +155,40 @@
         outstanding++;
         unanswered.addLast(work);
         unansweredSeconds += work.workSeconds();
+        if (work.longPrompt()) {
+            window.placed();
+            double weight = usualPromptSeconds == 0 ? 1 : PROMPT_SHARE;
+            usualPromptSeconds += weight * (work.workSeconds() - usualPromptSeconds);
+        }
     }
 
     /** Notes the first byte of the answer to a piece of work. */
     void answerBegan(PlacedWork work, long now) {
         lastAnswerAt = now;
-        if (!answered(work)) {
+        if (!unanswered.contains(work)) {
             return;
         }
         double took = (now - work.atNanoseconds()) / NANOSECONDS;
+        if (isPrompt(work)) {
+            promptComputed(work, took, now);
+        } else if (work.kind() == WorkKind.PLAIN) {
+            plainAnswered(work, took);
+        }
+        answered(work);
+    }
+
+    /** What is left of an answer's time after its start and its own work was spent in the engine's queue. */
+    private void promptComputed(PlacedWork work, double took, long now) {
+        double waited = took - speed.fixedSeconds() - work.workSeconds();
+        if (work.longPrompt()) {
+            window.computed(work.atNanoseconds(), now, waited, work.toleratedSeconds());
+        }
+        SpeedEstimate.Correction correction = speed.observe(work.workSeconds(), took, work.alone());
+        double changed = correction.shared(OWN_SHARE).applied(slowness);
+        slowness = Math.clamp(changed, 1 / MOST_SLOWNESS, MOST_SLOWNESS);
+    }
+
+    private void plainAnswered(PlacedWork work, double took) {
         double expected = Math.max(SHORTEST_JUDGED_SECONDS, work.answerSeconds());
         double ratio = Math.clamp(took / expected, 1, MOST_SLOWNESS);
         slowness += LEARNING_SHARE * (ratio - slowness);
@@ -140,12 +241,22 @@
         return Math.max(0, (now - oldest.atNanoseconds()) / NANOSECONDS - oldest.answerSeconds());
     }
 
-    private boolean answered(PlacedWork work) {
+    private void answered(PlacedWork work) {
         if (!unanswered.remove(work)) {
-            return false;
+            return;
         }
         unansweredSeconds = unanswered.isEmpty() ? 0 : Math.max(0, unansweredSeconds - work.workSeconds());
-        return true;
+        if (work.longPrompt()) {
+            window.ended();
+        }
+    }
+
+    private boolean runsModel() {
+        return server.role() != EngineRole.WHOLE || cacheTokens > 0;
+    }
+
+    private static boolean isPrompt(PlacedWork work) {
+        return work.kind() == WorkKind.PROMPT_ONLY || work.kind() == WorkKind.WHOLE;
     }
 
     private static double faded(long ageNanoseconds) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
@@ -58,6 +58,17 @@
         this.time = time;
     }
 
+    /**
+     * Notes who has the right, so that it is known to be settled when an order becomes due. Looked at only then, an engine
+     * for answers that was lost stayed unreplaced for six seconds more, in which one engine answered everybody.
+     */
+    public void observe() throws StoreException {
+        Optional<StoredObject> record = store.read(key);
+        if (record.isPresent()) {
+            settled(record.get(), time.monotonicNanoseconds());
+        }
+    }
+
     /** Tries to get the right; returns the number to give orders under. */
     public Optional<Long> acquire() throws StoreException {
         granted = false;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -50,11 +50,12 @@
         peers.expire(PeerLoads.SILENCE.toNanos() + 1);
         assertEquals(peers.heardEntries(), 1);
 
-        peers.heard(new PeerReport("two", 1, 2, Map.of(), List.of(), true), PeerLoads.SILENCE.toNanos());
+        peers.heard(new PeerReport("two", 1, 2, Map.of(), List.of(), List.of(), true), PeerLoads.SILENCE.toNanos());
         assertEquals(peers.heardEntries(), 0);
     }
 
     private static PeerReport report(String entry, long start, long sequence, double seconds) {
-        return new PeerReport(entry, start, sequence, Map.of("server", new PeerShare(seconds, 1)), List.of(), false);
+        return new PeerReport(
+                entry, start, sequence, Map.of("server", new PeerShare(seconds, 1)), List.of(), List.of(), false);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -21,6 +21,11 @@
 public class PlacerTest {
     private static final long MILLISECOND = 1_000_000;
     private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final Duration OBJECTIVE = Duration.ofMillis(500);
+
+    /** Several such prompts are computed within the wait that the objective tolerates. */
+    private static final double PROMPT_SECONDS = 0.02;
+
     private static final EngineSpeed SPEED =
             new EngineSpeed(112_000, 0.003_41, 0.000_097, 0.25, 2048, 0.008, 2_300_000);
 
@@ -56,7 +61,7 @@
         Map<String, Integer> counts = new HashMap<>();
         for (int request = 0; request < 20; request++) {
             Placement.Whole chosen = (Placement.Whole) placer.choose(plainRequest(Set.of()), 0);
-            placer.placed(chosen.server(), chosen.promptSeconds(), 0);
+            placer.placed(chosen.server(), WorkKind.PLAIN, chosen.promptSeconds(), OBJECTIVE, 0);
             counts.merge(chosen.server().id(), 1, Integer::sum);
         }
 
@@ -70,7 +75,7 @@
     public void should_leave_a_server_alone_that_cannot_be_reached() {
         placer.changed(TestServers.plain("dead"), 0);
         placer.changed(TestServers.plain("live"), 0);
-        PlacedWork work = placer.placed(TestServers.plain("dead"), 0.02, 0);
+        PlacedWork work = placer.placed(TestServers.plain("dead"), WorkKind.PLAIN, 0.02, OBJECTIVE, 0);
         placer.unreachable(work, MILLISECOND);
         placer.ended(work);
 
@@ -79,7 +84,8 @@
         }
         Set<String> later = new HashSet<>();
         for (int choice = 0; choice < 200; choice++) {
-            PlacedWork ignored = placer.placed(TestServers.plain("live"), 0.02, 5000 * MILLISECOND);
+            PlacedWork ignored =
+                    placer.placed(TestServers.plain("live"), WorkKind.PLAIN, 0.02, OBJECTIVE, 5000 * MILLISECOND);
             later.add(whole(placer.choose(plainRequest(Set.of()), 5000 * MILLISECOND)));
             assertNotEquals(ignored, null);
         }
@@ -92,7 +98,7 @@
     @Test
     public void should_try_a_paused_server_where_all_are_paused() {
         placer.changed(TestServers.plain("only"), 0);
-        placer.unreachable(placer.placed(TestServers.plain("only"), 0.02, 0), 0);
+        placer.unreachable(placer.placed(TestServers.plain("only"), WorkKind.PLAIN, 0.02, OBJECTIVE, 0), 0);
 
         assertEquals(whole(placer.choose(plainRequest(Set.of()), MILLISECOND)), "only");
     }
@@ -104,7 +110,8 @@
     public void should_still_use_a_paused_engine_where_no_other_has_its_role() {
         placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
         placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
-        placer.unreachable(placer.placed(TestServers.engine("decode", EngineRole.DECODE), 0.02, 0), 0);
+        placer.unreachable(
+                placer.placed(TestServers.engine("decode", EngineRole.DECODE), WorkKind.WHOLE, 0.02, OBJECTIVE, 0), 0);
 
         assertEquals(decoder(prompt("subject")), "decode");
         assertFalse(placer.choose(generation(prompt("subject")), 0) instanceof Placement.Refused);
@@ -116,7 +123,7 @@
     public void should_avoid_a_server_that_owes_an_answer_for_long() {
         placer.changed(TestServers.plain("hanging"), 0);
         placer.changed(TestServers.plain("fine"), 0);
-        placer.placed(TestServers.plain("hanging"), 0.02, 0);
+        placer.placed(TestServers.plain("hanging"), WorkKind.PLAIN, 0.02, OBJECTIVE, 0);
 
         for (int choice = 0; choice < 20; choice++) {
             assertEquals(whole(placer.choose(plainRequest(Set.of()), 300 * MILLISECOND)), "fine");
@@ -167,7 +174,7 @@
         }
         Prompt prompt = prompt("subject");
         String home = whole(placer.choose(generation(prompt), 0));
-        peers.heard(new PeerReport("other", 1, 1, Map.of(home, new PeerShare(2.0, 9)), List.of(), false), 0);
+        peers.heard(new PeerReport("other", 1, 1, Map.of(home, new PeerShare(2.0, 9)), List.of(), List.of(), false), 0);
 
         assertNotEquals(whole(placer.choose(generation(prompt), 0)), home);
         peers.expire(PeerLoads.SILENCE.toNanos() + 1);
@@ -178,7 +185,8 @@
     public void should_compute_a_prompt_at_one_engine_and_answer_at_another() {
         placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
         placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
-        PlacedWork busy = placer.placed(TestServers.engine("decode", EngineRole.DECODE), 0.1, 0);
+        PlacedWork busy =
+                placer.placed(TestServers.engine("decode", EngineRole.DECODE), WorkKind.WHOLE, 0.1, OBJECTIVE, 0);
         placer.answerBegan(busy, 100 * MILLISECOND);
         Prompt longPrompt = new Prompt("m", 40_000, 10, List.of(new PromptPart("own", 40_000)));
 
@@ -216,24 +224,149 @@
     @Test
     public void should_refuse_at_once_what_cannot_begin_in_time() {
         placer.changed(TestServers.engine("engine", EngineRole.WHOLE), TestServers.CACHE_TOKENS);
-        peers.heard(new PeerReport("other", 1, 1, Map.of("engine", new PeerShare(8.0, 40)), List.of(), false), 0);
+        placer.speedHeard(new LearntSpeed(TestServers.MODEL_SERVICE, EngineRole.WHOLE, 1, 0.035));
+        peers.heard(
+                new PeerReport("other", 1, 1, Map.of("engine", new PeerShare(8.0, 40)), List.of(), List.of(), false),
+                0);
 
         Placement.Refused refused = (Placement.Refused) placer.choose(generation(prompt("subject")), 0);
 
         assertTrue(refused.comeBackAfter().compareTo(Duration.ofSeconds(2)) > 0, refused.toString());
     }
 
+    // An engine for answers has room, those for prompts are busy. A long prompt there is computed at half the speed
+    // between
+    // the tokens of all running answers, which then take seconds longer and miss their deadline.
+    @Test
+    public void should_keep_long_prompts_away_from_engines_for_answers() {
+        placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        placer.answerTold(TestServers.MODEL_SERVICE, Duration.ofSeconds(10), Duration.ofSeconds(15), 0);
+        fill("prefill", 3);
+
+        assertTrue(placer.choose(waiting(prompt("subject"), false), 0) instanceof Placement.Held);
+        placer.removed("prefill");
+        assertEquals(whole(placer.choose(waiting(prompt("subject"), false), 0)), "decode");
+    }
+
+    // Short drafts come while long prompts fill the engines for prompts. Behind them, a draft that takes a millisecond
+    // would
+    // begin half a second late.
+    @Test
+    public void should_answer_a_short_prompt_where_it_need_not_wait_for_long_ones() {
+        placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        fill("prefill", 3);
+        Prompt draft = new Prompt("m", 100, 5000, List.of(new PromptPart("own", 100)));
+
+        assertEquals(whole(placer.choose(waiting(draft, true), 0)), "decode");
+    }
+
+    // Engines compute one prompt in the time that a request may wait at all. By so few prompts an entry cannot learn
+    // how many
+    // it may send; requests would wait here for seconds while engines are idle.
+    @Test
+    public void should_leave_the_order_to_engines_that_take_long_for_each_prompt() {
+        placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        BackendServer prefill = TestServers.engine("prefill", EngineRole.PREFILL);
+        for (int prompt = 0; prompt < 3; prompt++) {
+            placer.placed(prefill, WorkKind.PROMPT_ONLY, 10 * PROMPT_SECONDS, OBJECTIVE, 0);
+        }
+
+        assertFalse(placer.choose(waiting(prompt("subject"), true), 0) instanceof Placement.Held);
+    }
+
+    // Others wait for room already. A request that came later, perhaps for the second time, would take the place that
+    // has
+    // just become free from one that can still be on time.
+    @Test
+    public void should_let_a_long_prompt_take_its_place_behind_those_that_wait() {
+        placer.changed(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+
+        PlacedWork before = placer.placed(
+                TestServers.engine("prefill", EngineRole.PREFILL), WorkKind.PROMPT_ONLY, PROMPT_SECONDS, OBJECTIVE, 0);
+        placer.ended(before);
+
+        assertTrue(placer.choose(waiting(prompt("subject"), true), 0) instanceof Placement.Held);
+        assertTrue(placer.choose(waiting(prompt("subject"), false), 0) instanceof Placement.Staged);
+    }
+
+    // One engine for prompts has crashed; it refuses connections at once and so never has a queue. With all others
+    // full,
+    // every request that waits would be sent there, lose a try, and be sent there again.
+    @Test
+    public void should_not_take_a_crashed_engine_for_one_with_room() {
+        placer.changed(TestServers.engine("crashed", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("full", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("decode", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        placer.answerTold(TestServers.MODEL_SERVICE, Duration.ofSeconds(10), Duration.ofSeconds(15), 0);
+        fill("full", 3);
+        PlacedWork failed = placer.placed(
+                TestServers.engine("crashed", EngineRole.PREFILL), WorkKind.PROMPT_ONLY, PROMPT_SECONDS, OBJECTIVE, 0);
+        placer.unreachable(failed, 0);
+        placer.ended(failed);
+
+        assertTrue(placer.choose(waiting(prompt("subject"), false), MILLISECOND) instanceof Placement.Held);
+    }
+
+    // The link of one engine for answers turns slow. It has no queue and no failures; only its answers begin a second
+    // late.
+    @Test
+    public void should_avoid_an_engine_that_takes_long_to_take_prompts_over() {
+        placer.changed(TestServers.engine("slow", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        placer.changed(TestServers.engine("quick", EngineRole.DECODE), TestServers.CACHE_TOKENS);
+        takesOver("slow", 1000);
+        takesOver("quick", 10);
+
+        assertEquals(decoder(prompt("subject")), "quick");
+    }
+
+    // A process has just started and knows no speeds but those of its settings. By them it would refuse callers whom
+    // engines that are many times quicker could serve.
+    @Test
+    public void should_refuse_nobody_by_a_speed_that_no_answer_has_confirmed() {
+        placer.changed(TestServers.engine("engine", EngineRole.WHOLE), TestServers.CACHE_TOKENS);
+        Prompt huge = new Prompt("m", 600_000, 10, List.of(new PromptPart("own", 600_000)));
+
+        assertEquals(whole(placer.choose(generation(huge), 0)), "engine");
+        placer.speedHeard(new LearntSpeed(TestServers.MODEL_SERVICE, EngineRole.WHOLE, 1, 0.035));
+        assertTrue(placer.choose(generation(huge), 0) instanceof Placement.Refused);
+    }
+
+    private void fill(String engine, int prompts) {
+        for (int prompt = 0; prompt < prompts; prompt++) {
+            placer.placed(
+                    TestServers.engine(engine, EngineRole.PREFILL), WorkKind.PROMPT_ONLY, PROMPT_SECONDS, OBJECTIVE, 0);
+        }
+    }
+
+    private void takesOver(String engine, long milliseconds) {
+        BackendServer server = TestServers.engine(engine, EngineRole.DECODE);
+        PlacedWork work = placer.placed(server, WorkKind.HAND_OVER, 0, OBJECTIVE, -milliseconds * MILLISECOND);
+        placer.answerBegan(work, 0);
+        placer.ended(work);
+    }
+
+    private static PlacementRequest waiting(Prompt prompt, boolean othersWait) {
+        return new PlacementRequest(
+                TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, OBJECTIVE, Set.of(), true, true, othersWait);
+    }
+
     private static Placer placer(PeerLoads peers, long seed) {
         PlacementSettings settings = new PlacementSettings(TestServers.DATA_CENTRE, SPEED, 0.42, 0.000_218);
         return new Placer(settings, peers, new Random(seed));
     }
 
     private static PlacementRequest plainRequest(Set<String> avoided) {
-        return new PlacementRequest(TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, avoided, true);
+        return new PlacementRequest(
+                TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, OBJECTIVE, avoided, true, false, false);
     }
 
     private static PlacementRequest generation(Prompt prompt) {
-        return new PlacementRequest(TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, Set.of(), true);
+        return new PlacementRequest(
+                TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, OBJECTIVE, Set.of(), true, false, false);
     }
 
     private static Prompt prompt(String subject) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/OrderRightTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/OrderRightTest.java
@@ -57,6 +57,31 @@
         assertFalse(right.holds());
     }
 
+    // The entry that gave the last order is gone, and an engine for answers is lost. Whoever comes next and has not
+    // looked at
+    // the record before must wait six seconds, in which one engine answers everybody.
+    @Test
+    public void should_pass_on_at_once_to_one_that_has_seen_the_record_stand() throws StoreException {
+        right("one").acquire();
+        OrderRight other = right("two");
+        other.observe();
+        time.advance(OrderRight.SETTLED);
+
+        assertEquals(other.acquire(), Optional.of(2L));
+    }
+
+    @Test
+    public void should_count_from_the_last_change_of_the_record() throws StoreException {
+        OrderRight first = right("one");
+        first.acquire();
+        OrderRight other = right("two");
+        other.observe();
+        time.advance(OrderRight.SETTLED);
+        first.acquire();
+
+        assertEquals(other.acquire(), Optional.empty());
+    }
+
     @Test
     public void should_not_pass_on_before_the_record_has_settled() throws StoreException {
         right("one").acquire();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -41,6 +41,7 @@
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.RequestTools;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.request.WaitingRequests;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.RoleKeeper;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
@@ -95,7 +96,12 @@
         this.state = new ServingState(time, random, settings.repeats(), log, settings.placement());
         this.connections = new BackendConnections(backendProtocol, eventLoop, time, state::connectionShare);
         RequestTools tools = new RequestTools(
-                state, connections, backendProtocol, eventLoop, new GatewayMetrics(registry, connections::opened));
+                state,
+                connections,
+                backendProtocol,
+                eventLoop,
+                new GatewayMetrics(registry, connections::opened),
+                new WaitingRequests(time, eventLoop));
         this.dispatcher = new RequestDispatcher(tools, callerProtocol, settings.mostBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
         this.peers = new PeerExchange(
@@ -194,7 +200,7 @@
     }
 
     private void tellPeers() {
-        peers.tell(state.ownShares(), state.takeUntoldPrompts(), stop.begun());
+        peers.tell(state.ownShares(), state.takeUntoldPrompts(), state.learntSpeeds(), stop.begun());
         eventLoop.schedule(this::tellPeers, peers.pause().toMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
 import org.aspenmoor.internal.serving.PlacedPrompt;
@@ -36,9 +38,31 @@
             }
             message.addPrompts(prompt);
         }
+        report.speeds()
+                .forEach(speed -> message.addSpeeds(PeerLoad.Speed.newBuilder()
+                        .setService(speed.service())
+                        .setRole(speed.role().ordinal())
+                        .setFactor((float) speed.factor())
+                        .setFixedSeconds((float) speed.fixedSeconds())));
         return message.build().toByteArray();
     }
 
+    private static List<LearntSpeed> readSpeeds(PeerLoad message) {
+        List<LearntSpeed> speeds = new ArrayList<>();
+        EngineRole[] roles = EngineRole.values();
+        for (PeerLoad.Speed speed : message.getSpeedsList()) {
+            boolean usable = Float.isFinite(speed.getFactor())
+                    && Float.isFinite(speed.getFixedSeconds())
+                    && speed.getRole() >= 0
+                    && speed.getRole() < roles.length;
+            if (usable) {
+                EngineRole role = roles[speed.getRole()];
+                speeds.add(new LearntSpeed(speed.getService(), role, speed.getFactor(), speed.getFixedSeconds()));
+            }
+        }
+        return speeds;
+    }
+
     private static List<PlacedPrompt> readPrompts(PeerLoad message) {
         List<PlacedPrompt> prompts = new ArrayList<>();
         for (PeerLoad.Prompt prompt : message.getPromptsList()) {
@@ -70,6 +94,7 @@
                     message.getSequence(),
                     shares,
                     readPrompts(message),
+                    readSpeeds(message),
                     message.getLeaving()));
         } catch (InvalidProtocolBufferException malformed) {
             return Optional.empty();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -20,6 +20,7 @@
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
 import org.aspenmoor.internal.serving.PlacedPrompt;
@@ -84,9 +85,10 @@
     }
 
     /** Sends a report to all others. */
-    public void tell(Map<String, PeerShare> shares, List<PlacedPrompt> prompts, boolean leaving) {
+    public void tell(
+            Map<String, PeerShare> shares, List<PlacedPrompt> prompts, List<LearntSpeed> speeds, boolean leaving) {
         sequence++;
-        byte[] datagram = PeerCodec.write(new PeerReport(entry, start, sequence, shares, prompts, leaving));
+        byte[] datagram = PeerCodec.write(new PeerReport(entry, start, sequence, shares, prompts, speeds, leaving));
         for (InetSocketAddress peer : peers.values()) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), peer));
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
+import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.PlacedWork;
@@ -18,14 +19,16 @@
     private static final int MOST_BODY_BYTES = 8192;
 
     private final ServedRequest request;
+    private final BackendProtocol protocol;
     private final Placement.Staged placement;
     private final PlacedWork work;
     private final StringBuilder body = new StringBuilder();
     private HttpResponseStatus status;
     private boolean rejected;
 
-    PrefillAttempt(ServedRequest request, Placement.Staged placement, PlacedWork work) {
+    PrefillAttempt(ServedRequest request, BackendProtocol protocol, Placement.Staged placement, PlacedWork work) {
         this.request = request;
+        this.protocol = protocol;
         this.placement = placement;
         this.work = work;
     }
@@ -47,7 +50,7 @@
     @Override
     public void complete() {
         boolean accepted = status.code() == HttpResponseStatus.OK.code();
-        Optional<String> handle = accepted ? request.handleIn(body.toString()) : Optional.empty();
+        Optional<String> handle = accepted ? protocol.readHandle(body.toString()) : Optional.empty();
         if (handle.isEmpty()) {
             AttemptEnd end = rejected ? AnswerAttempt.rejection(status) : new AttemptEnd.Failed();
             request.prefillEnded(placement, work, end, "status " + status.code() + ", no handle");
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -3,8 +3,12 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.CallerLink;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
@@ -21,9 +25,21 @@
     /** Callers of a process that has just started come back when it has probably read its configuration. */
     private static final Duration START_PAUSE = Duration.ofSeconds(1);
 
+    /**
+     * How long a request waits for a process that has just started. After a loss of power of all entries, callers find a
+     * port some tenths of a second before the configuration is read; refused there, most had no further try and got
+     * nothing, while those that wait are answered at once. Reading takes half a second; a store that is away takes longer.
+     */
+    private static final Duration LONGEST_START_WAIT = Duration.ofSeconds(1);
+
+    /** How often the requests that wait for the start are looked at. */
+    private static final long START_LOOK_MILLISECONDS = 20;
+
     private final RequestTools tools;
     private final CallerProtocol callers;
     private final long mostBodyBytes;
+    private final List<StartingRequest> starting = new ArrayList<>();
+    private Future<?> startLook;
     private long bodyBytes;
     private boolean stopping;
 
@@ -46,16 +62,52 @@
     @Override
     public ActiveRequest serve(IncomingRequest incoming, CallerLink link) {
         CallerRequest caller = callers.read(incoming.head());
-        Optional<ServingConfiguration> configuration = tools.state().configuration();
-        if (!tools.state().ready() || configuration.isEmpty()) {
-            return refuse(
-                    incoming,
-                    caller,
-                    link,
-                    RequestOutcome.NOT_RUN,
-                    LocalAnswers.notRun(
-                            "this entry has just started", tools.state().spread(START_PAUSE)));
+        return ready() ? serveNow(incoming, caller, link) : waitForStart(incoming, caller, link);
+    }
+
+    private boolean ready() {
+        return tools.state().ready() && tools.state().configuration().isPresent();
+    }
+
+    private ActiveRequest waitForStart(IncomingRequest incoming, CallerRequest caller, CallerLink link) {
+        Duration wait = caller.patience()
+                .filter(patience -> patience.compareTo(LONGEST_START_WAIT) < 0)
+                .orElse(LONGEST_START_WAIT);
+        StartingRequest waiting = new StartingRequest(
+                incoming.arrivedAt() + wait.toNanos(),
+                () -> serveNow(incoming, caller, link),
+                () -> refuse(
+                        incoming,
+                        caller,
+                        link,
+                        RequestOutcome.NOT_RUN,
+                        LocalAnswers.notRun(
+                                "this entry has just started", tools.state().spread(START_PAUSE))),
+                () -> incoming.body().release());
+        starting.add(waiting);
+        if (startLook == null) {
+            startLook = tools.eventLoop()
+                    .scheduleWithFixedDelay(
+                            this::lookAtStarting,
+                            START_LOOK_MILLISECONDS,
+                            START_LOOK_MILLISECONDS,
+                            TimeUnit.MILLISECONDS);
         }
+        return waiting;
+    }
+
+    private void lookAtStarting() {
+        long now = tools.state().time().monotonicNanoseconds();
+        boolean ready = ready();
+        starting.removeIf(each -> each.settled(ready, now));
+        if (starting.isEmpty()) {
+            startLook.cancel(false);
+            startLook = null;
+        }
+    }
+
+    private ActiveRequest serveNow(IncomingRequest incoming, CallerRequest caller, CallerLink link) {
+        Optional<ServingConfiguration> configuration = tools.state().configuration();
         Optional<Route> route = configuration.get().match(host(incoming), path(incoming));
         if (route.isEmpty()) {
             return refuse(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTools.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTools.java
@@ -12,10 +12,12 @@
  * @param protocol what backend servers understand
  * @param eventLoop the thread that all requests live on
  * @param metrics the counters
+ * @param lines the requests that wait for room at an engine
  */
 public record RequestTools(
         ServingState state,
         BackendConnections connections,
         BackendProtocol protocol,
         EventLoop eventLoop,
-        GatewayMetrics metrics) {}
+        GatewayMetrics metrics,
+        WaitingRequests lines) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.gateway.request;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.LogLine;
@@ -24,7 +25,15 @@
     private String server = "";
     private String reason = "";
     private double expectedSeconds;
+    private String promptServer = "";
+    private long waitedFrom;
+    private long departedAt;
+    private long promptReadyAt;
+    private long answerAskedAt;
     private long firstByteAt;
+    private long lastEventAt;
+    private long longestPause;
+    private int events;
 
     RequestTrace(
             CallerRequest caller,
@@ -50,6 +59,41 @@
         server = to.id();
     }
 
+    void waits(long now) {
+        waitedFrom = waitedFrom == 0 ? now : waitedFrom;
+    }
+
+    void departed(long now) {
+        departedAt = now;
+    }
+
+    /** Returns how long the answer has been told: from its first event to its last. */
+    Duration told() {
+        return Duration.ofNanos(lastEventAt - firstByteAt);
+    }
+
+    long lastEventAt() {
+        return lastEventAt;
+    }
+
+    void answerAsked(long now) {
+        answerAskedAt = now;
+    }
+
+    void promptReady(BackendServer by, long now) {
+        promptServer = by.id();
+        promptReadyAt = now;
+    }
+
+    /** Notes an event of a stream, whose pace tells a slow engine from a long answer. */
+    void event(long now) {
+        if (events > 0) {
+            longestPause = Math.max(longestPause, now - lastEventAt);
+        }
+        lastEventAt = now;
+        events++;
+    }
+
     void because(String newReason) {
         reason = newReason;
     }
@@ -100,14 +144,29 @@
                 .with("way", way)
                 .with("promptTokens", caller.prompt().map(Prompt::promptTokens).orElse(0))
                 .with("sharedTokens", caller.prompt().map(Prompt::sharedTokens).orElse(0))
+                .with(
+                        "mostTokens",
+                        caller.prompt().map(Prompt::mostOutputTokens).orElse(0))
                 .with("expectedMs", Math.round(expectedSeconds * MILLISECONDS))
-                .with("firstByteMs", firstByteAt == 0 ? -1 : milliseconds(firstByteAt))
+                .with("heldFromMs", sinceArrival(waitedFrom))
+                .with("departedMs", sinceArrival(departedAt))
+                .with("promptServer", promptServer)
+                .with("promptReadyMs", sinceArrival(promptReadyAt))
+                .with("answerAskedMs", sinceArrival(answerAskedAt))
+                .with("firstByteMs", sinceArrival(firstByteAt))
+                .with("events", events)
+                .with("longestPauseMs", TimeUnit.NANOSECONDS.toMillis(longestPause))
                 .with("afterMs", milliseconds(now))
                 .with("allowedMs", milliseconds(deadline))
                 .with("reason", reason)
                 .write();
     }
 
+    /** Returns the milliseconds from the arrival to a step that may never have come; -1 where it has not. */
+    private long sinceArrival(long at) {
+        return at == 0 ? -1 : milliseconds(at);
+    }
+
     private long milliseconds(long at) {
         return TimeUnit.NANOSECONDS.toMillis(at - arrivedAt);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -7,9 +7,9 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.aspenmoor.internal.gateway.backend.Exchange;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.CallerLink;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
@@ -28,7 +28,10 @@
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
 import org.aspenmoor.internal.serving.RepeatRule;
+import org.aspenmoor.internal.serving.RequestTimes;
 import org.aspenmoor.internal.serving.Route;
+import org.aspenmoor.internal.serving.WaitingLine;
+import org.aspenmoor.internal.serving.WorkKind;
 
 /**
  * One request of a caller on its way: placed, sent, perhaps repeated, answered exactly once. Confined to the event loop.
@@ -37,9 +40,6 @@
     /** A caller that is refused for want of time or servers comes back no sooner; below it, it only meets the same. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
 
-    /** An attempt whose answer has not begun after this many objectives is looked at, and given up if its server is silent. */
-    private static final int STALLED_OBJECTIVES = 2;
-
     /** Engines at which a prompt may be computed ahead of its answer; with more the time is better spent on the answer. */
     private static final int MOST_STAGED_TRIES = 2;
 
@@ -50,17 +50,19 @@
     private final CallerStream stream;
     private final Route route;
     private final String service;
-    private final long deadline;
+    private final RequestTimes times;
     private final RequestTrace trace;
     private final AttemptAccount account;
+    private final CurrentAttempt current;
+    private final RepeatPermit permit;
     private final StallWatch stallWatch;
     private final Set<String> avoided = new HashSet<>();
     private Optional<ComputedPrompt> unfetched = Optional.empty();
-    private Exchange exchange;
     private AnswerAttempt attempt;
-    private PlacedWork openWork;
     private Future<?> deadlineTimer;
     private int failedStages;
+    private long departedAt;
+    private final boolean mayWait;
     private boolean over;
 
     ServedRequest(
@@ -79,21 +81,37 @@
         this.route = route;
         this.service = service;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
-        this.stallWatch = new StallWatch(tools, this::stalled);
-        Duration patience = caller.patience()
-                .filter(time -> time.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
-        this.deadline = incoming.arrivedAt() + patience.toNanos();
-        this.trace = new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), deadline);
+        this.current = new CurrentAttempt(tools, service, route.objective());
+        this.stallWatch = new StallWatch(tools, route.objective(), this::stalled);
+        this.times = new RequestTimes(incoming.arrivedAt(), caller.patience(), route);
+        this.mayWait = caller.prompt().isPresent();
+        this.trace =
+                new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), times.deadline());
+        this.permit = new RepeatPermit(tools, service, account, trace);
     }
 
     void start() {
         tools.state().requested(service);
-        long left = Math.max(0, deadline - now());
+        long left = Math.max(0, times.deadline() - now());
         deadlineTimer = tools.eventLoop().schedule(this::deadlineReached, left, TimeUnit.NANOSECONDS);
         place();
     }
 
+    /** Goes on after waiting for room at an engine. */
+    void goOn() {
+        place(wanted(false));
+    }
+
+    /** Ends without having run: its turn cannot come before its deadline. */
+    void giveUp(Duration comeBackAfter) {
+        trace.because("no engine has room before the deadline");
+        conclude(account.conclusion(), comeBackAfter);
+    }
+
+    String service() {
+        return service;
+    }
+
     @Override
     public void callerLeft() {
         if (over) {
@@ -104,21 +122,26 @@
 
     @Override
     public void writabilityChanged() {
-        if (exchange != null) {
-            exchange.read(link.writable());
-        }
+        current.read(link.writable());
     }
 
     private void place() {
-        switch (tools.state().placer().choose(wanted(), now())) {
+        place(wanted(tools.lines().anyFor(service)));
+    }
+
+    private void place(PlacementRequest wanted) {
+        switch (tools.state().placer().choose(wanted, now())) {
             case Placement.Whole whole -> {
                 trace.placed("whole", whole.expectedSeconds());
-                send(whole.server(), whole.promptSeconds(), Optional.empty(), whole.holder());
+                departed();
+                WorkKind kind = caller.prompt().isPresent() ? WorkKind.WHOLE : WorkKind.PLAIN;
+                send(whole.server(), kind, whole.promptSeconds(), Optional.empty(), whole.holder());
             }
             case Placement.Staged staged -> {
                 trace.placed("staged", staged.expectedSeconds());
                 prefill(staged);
             }
+            case Placement.Held held -> waitForRoom();
             case Placement.Refused refused -> {
                 trace.because(refused.reason());
                 conclude(account.conclusion(), refused.comeBackAfter());
@@ -126,63 +149,70 @@
         }
     }
 
-    private PlacementRequest wanted() {
-        long callerLeaves = incoming.arrivedAt() + route.longestSilence().toNanos();
-        Duration left = Duration.ofNanos(Math.min(deadline, callerLeaves) - now());
-        return new PlacementRequest(service, caller.prompt(), left, avoided, failedStages < MOST_STAGED_TRIES);
+    private void waitForRoom() {
+        trace.waits(now());
+        tools.lines().add(new WaitingLine.Waiting<>(this, incoming.arrivedAt(), times.aimAt(), wantedBy()));
+    }
+
+    private long wantedBy() {
+        return times.wantedBy(stream.begun() ? OptionalLong.of(trace.lastEventAt()) : OptionalLong.empty());
+    }
+
+    private PlacementRequest wanted(boolean othersWait) {
+        Duration left = Duration.ofNanos(wantedBy() - now());
+        boolean mayStage = failedStages < MOST_STAGED_TRIES;
+        return new PlacementRequest(
+                service, caller.prompt(), left, route.objective(), avoided, mayStage, mayWait, othersWait);
     }
 
     private void prefill(Placement.Staged staged) {
-        PlacedWork work = begin(staged.prefill(), staged.promptSeconds());
+        departed();
+        trace.sentTo(staged.prefill());
+        PlacedWork work = current.begin(staged.prefill(), WorkKind.PROMPT_ONLY, staged.promptSeconds());
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(staged.prefill(), prompt, now()));
         FullHttpRequest message = message(staged.prefill(), WantedWork.PROMPT_ONLY, Optional.empty(), staged.holder());
-        PrefillAttempt prefill = new PrefillAttempt(this, staged, work);
-        stallWatch.watch(prefill, stallPatience(work));
-        setExchange(tools.connections().send(staged.prefill(), caller.id(), message, prefill));
+        PrefillAttempt prefill = new PrefillAttempt(this, tools.protocol(), staged, work);
+        stallWatch.watch(prefill);
+        current.sent(work, tools.connections().send(staged.prefill(), caller.id(), message, prefill));
+    }
+
+    private void departed() {
+        if (caller.prompt().isPresent()) {
+            departedAt = now();
+            trace.departed(departedAt);
+            tools.lines().departed(service, times.aimAt(), departedAt);
+        }
     }
 
     private void send(
-            BackendServer server, double promptSeconds, Optional<CacheSource> source, Optional<BackendServer> holder) {
+            BackendServer server,
+            WorkKind kind,
+            double promptSeconds,
+            Optional<CacheSource> source,
+            Optional<BackendServer> holder) {
         account.began();
+        trace.answerAsked(now());
         avoided.add(server.id());
-        PlacedWork work = begin(server, promptSeconds);
+        trace.sentTo(server);
+        PlacedWork work = current.begin(server, kind, promptSeconds);
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt, now()));
         attempt = new AnswerAttempt(this, work, route.streamed());
         FullHttpRequest message = message(server, WantedWork.ANSWER, source, holder);
         if (route.repeatRule() == RepeatRule.AT_MOST_ONCE || route.mostBackends() == 1) {
             stallWatch.cancel();
         } else {
-            stallWatch.watch(attempt, stallPatience(work));
+            stallWatch.watch(attempt);
         }
-        setExchange(tools.connections().send(server, caller.id(), message, attempt));
-    }
-
-    /** An exchange may end while it is being sent; then it is not the current one any more. */
-    private void setExchange(Exchange sent) {
-        if (!over && openWork != null) {
-            exchange = sent;
-        }
-    }
-
-    private PlacedWork begin(BackendServer server, double promptSeconds) {
-        trace.sentTo(server);
-        openWork = tools.state().placer().placed(server, promptSeconds, now());
-        return openWork;
+        current.sent(work, tools.connections().send(server, caller.id(), message, attempt));
     }
 
     private FullHttpRequest message(
             BackendServer server, WantedWork work, Optional<CacheSource> source, Optional<BackendServer> holder) {
-        Duration left = Duration.ofNanos(Math.max(0, deadline - now()));
+        Duration left = Duration.ofNanos(Math.max(0, times.deadline() - now()));
         Delivery delivery = new Delivery(server.id(), left, route.priority(), work, source, holder, stream.lastEvent());
         return OutgoingMessage.request(incoming, tools.protocol(), delivery);
     }
 
-    /** Where a long queue is expected, an entry with few requests there may see no answer of the engine for its length. */
-    private Duration stallPatience(PlacedWork work) {
-        Duration queue = Duration.ofNanos((long) (2 * work.answerSeconds() * 1e9));
-        return route.objective().multipliedBy(STALLED_OBJECTIVES).plus(queue);
-    }
-
     private void stalled(WatchedAttempt watched) {
         if (over) {
             return;
@@ -191,12 +221,12 @@
             case AnswerAttempt answer
             when account.attempts() < route.mostBackends() -> {
                 answer.release();
-                cancelExchange();
+                current.cancel();
                 attemptEnded(answer.work(), new AttemptEnd.Lost(), "no answer began in time");
             }
             case AnswerAttempt last -> trace.because("the server is silent, and there is no other to ask");
             case PrefillAttempt prefill -> {
-                cancelExchange();
+                current.cancel();
                 prefill.stalled();
             }
         }
@@ -206,21 +236,18 @@
         facts.load().ifPresent(load -> tools.state().placer().reported(work, load, now()));
     }
 
-    Optional<String> handleIn(String body) {
-        return tools.protocol().readHandle(body);
-    }
-
     void prefilled(Placement.Staged placement, PlacedWork work, CacheSource source) {
         tools.state().placer().answerBegan(work, now());
-        endWork(work);
+        current.end(work);
         if (over) {
             return;
         }
         account.promptComputed();
+        trace.promptReady(placement.prefill(), now());
         ComputedPrompt computed = new ComputedPrompt(placement.prefill(), source);
         unfetched = Optional.of(computed);
         tools.metrics().attempted(service, "prefilled");
-        if (!granted()) {
+        if (!permit.granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
         }
@@ -228,19 +255,19 @@
     }
 
     private void handOver(ComputedPrompt computed) {
-        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(), computed.engine(), now());
+        Optional<BackendServer> decoder = tools.state().placer().chooseDecoder(wanted(false), computed.engine(), now());
         if (decoder.isEmpty()) {
             trace.because("no engine that may answer is known");
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
         }
-        send(decoder.get(), 0, Optional.of(computed.source()), Optional.empty());
+        send(decoder.get(), WorkKind.HAND_OVER, 0, Optional.of(computed.source()), Optional.empty());
     }
 
     /** A computed prompt is only a help: where none came about, one engine does both parts. */
     void prefillEnded(Placement.Staged placement, PlacedWork work, AttemptEnd end, String reason) {
         tools.state().attemptEnded(work, end);
-        endWork(work);
+        current.end(work);
         if (over) {
             return;
         }
@@ -250,7 +277,7 @@
         trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
         avoided.add(placement.prefill().id());
         failedStages++;
-        if (!granted()) {
+        if (!permit.granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
         }
@@ -262,19 +289,22 @@
         unfetched = Optional.empty();
         if (!stream.begun()) {
             trace.firstByte(now());
+            tools.lines().answered(service, departedAt, now());
             tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
         }
     }
 
     void eventCame(HttpResponse head, ByteBuf event) {
         stream.pass(head, event);
-        if (!link.writable() && exchange != null) {
-            exchange.read(false);
+        trace.event(now());
+        tools.state().placer().answerTold(service, trace.told(), times.allowed(), now());
+        if (!link.writable()) {
+            current.read(false);
         }
     }
 
     void streamComplete(PlacedWork work, boolean begun) {
-        endWork(work);
+        current.end(work);
         if (!stream.begun()) {
             attemptEndedAfterWork(new AttemptEnd.Lost(), begun ? "no event came" : "the stream was empty");
             return;
@@ -284,7 +314,7 @@
     }
 
     void answerComplete(PlacedWork work, HttpResponse head, ByteBuf body) {
-        endWork(work);
+        current.end(work);
         if (stream.begun()) {
             // A stream was to be continued and this is no stream; written now, it would stand in the middle of the
             // draft.
@@ -302,11 +332,11 @@
     void failureCame(PlacedWork work, HttpResponse head, ByteBuf body, AnswerFacts facts) {
         AttemptEnd end = new AttemptEnd.Failed();
         tools.state().attemptEnded(work, end);
-        endWork(work);
+        current.end(work);
         NextStep next = account.ended(end);
         trace.because("the server failed with status " + head.status().code());
         tools.metrics().attempted(service, "failed");
-        if (next == NextStep.REPEAT && !stream.begun() && timeForAnother() && granted()) {
+        if (next == NextStep.REPEAT && !stream.begun() && timeForAnother() && permit.granted()) {
             body.release();
             place();
             return;
@@ -322,7 +352,7 @@
 
     void attemptEnded(PlacedWork work, AttemptEnd end, String reason) {
         tools.state().attemptEnded(work, end);
-        endWork(work);
+        current.end(work);
         attemptEndedAfterWork(end, reason);
     }
 
@@ -334,7 +364,7 @@
         tools.metrics().attempted(service, end.getClass().getSimpleName());
         NextStep next = account.ended(end);
         trace.attemptEnded(tools.state().log(), end, next);
-        if (next == NextStep.REPEAT && timeForAnother() && granted()) {
+        if (next == NextStep.REPEAT && timeForAnother() && permit.granted()) {
             tryElsewhere(end);
         } else {
             conclude(next == NextStep.REPEAT ? account.conclusion() : next, SHORTEST_PAUSE);
@@ -359,19 +389,7 @@
     }
 
     private boolean timeForAnother() {
-        return deadline - now() > 0;
-    }
-
-    private boolean granted() {
-        if (!account.nextIsRepeat()) {
-            return true;
-        }
-        boolean granted = tools.state().takeRepeat(service);
-        tools.metrics().repeated(service, granted);
-        if (!granted) {
-            trace.because("the budget of repeats is used up; " + trace.reason());
-        }
-        return granted;
+        return times.deadline() - now() > 0;
     }
 
     private void deadlineReached() {
@@ -401,31 +419,13 @@
         link.answer(LocalAnswers.unknown(trace.reason(), !timeForAnother()));
     }
 
-    private void endWork(PlacedWork work) {
-        tools.state().placer().ended(work);
-        if (work == openWork) {
-            openWork = null;
-            exchange = null;
-        }
-    }
-
-    private void cancelExchange() {
-        if (exchange != null) {
-            exchange.cancel();
-            exchange = null;
-        }
-    }
-
     /** Ends everything that belongs to the request; its answer is sent right after, if its caller is still there. */
     private void finish(RequestOutcome outcome) {
         over = true;
+        tools.lines().remove(this);
         deadlineTimer.cancel(false);
         stallWatch.cancel();
-        cancelExchange();
-        if (openWork != null) {
-            tools.state().placer().ended(openWork);
-            openWork = null;
-        }
+        current.abandon();
         if (attempt != null) {
             attempt.release();
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -17,6 +17,7 @@
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.GenerationTraits;
+import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerLoads;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
@@ -144,6 +145,12 @@
     public void peerHeard(PeerReport report, long now) {
         peers.heard(report, now);
         report.prompts().forEach(prompt -> placer.promptPlacedByPeer(prompt, now));
+        report.speeds().forEach(placer::speedHeard);
+    }
+
+    /** Returns how fast this entry has found the engines, for the other entries. */
+    public List<LearntSpeed> learntSpeeds() {
+        return placer.learntSpeeds();
     }
 
     /** Forgets entries that have been silent for too long. */
@@ -255,9 +262,7 @@
         switch (end) {
             case AttemptEnd.NeverSent neverSent -> placer.unreachable(work, now);
             case AttemptEnd.Misdirected misdirected -> placer.unreachable(work, now);
-            case AttemptEnd.NotExecuted notExecuted -> {
-                // A server that is full or leaving is not broken; its load tells the rest.
-            }
+            case AttemptEnd.NotExecuted notExecuted -> placer.rejected(work, now);
             case AttemptEnd.Lost lost -> placer.failed(work, now);
             case AttemptEnd.Failed failed -> placer.failed(work, now);
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
@@ -12,17 +12,35 @@
  * deadline, though another engine would have answered them.
  */
 final class StallWatch {
+    /** An attempt whose answer has not begun after this many objectives is looked at, and given up if its server is silent. */
+    private static final int STALLED_OBJECTIVES = 2;
+
+    /** By how much a queue may be longer than expected. */
+    private static final double QUEUE_MARGIN = 2;
+
+    private static final double NANOSECONDS = 1e9;
+
     private final RequestTools tools;
+    private final Duration objective;
     private final Consumer<WatchedAttempt> stalled;
     private Future<?> timer;
 
-    StallWatch(RequestTools tools, Consumer<WatchedAttempt> stalled) {
+    StallWatch(RequestTools tools, Duration objective, Consumer<WatchedAttempt> stalled) {
         this.tools = tools;
+        this.objective = objective;
         this.stalled = stalled;
     }
 
-    /** Watches an attempt instead of the one before. */
-    void watch(WatchedAttempt attempt, Duration patience) {
+    /**
+     * Watches an attempt instead of the one before. Where a long queue is expected, an entry with few requests there may
+     * see no answer of the engine for its length.
+     */
+    void watch(WatchedAttempt attempt) {
+        Duration queue = Duration.ofNanos((long) (QUEUE_MARGIN * attempt.work().answerSeconds() * NANOSECONDS));
+        watch(attempt, objective.multipliedBy(STALLED_OBJECTIVES).plus(queue));
+    }
+
+    private void watch(WatchedAttempt attempt, Duration patience) {
         cancel();
         timer = tools.eventLoop().schedule(() -> check(attempt, patience), patience.toNanos(), TimeUnit.NANOSECONDS);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
@@ -32,6 +32,9 @@
     /** After so many looks an entry acts though another one should have; that one may be cut off from the store. */
     private static final int LOOKS_IN_ANOTHERS_PLACE = 4;
 
+    /** Looks between two observations of who may give orders: about the time for which its record must stand unchanged. */
+    private static final int LOOKS_BETWEEN_OBSERVATIONS = 6;
+
     /** An engine answers such a call within milliseconds. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
@@ -46,6 +49,7 @@
     private final DecisionLog log;
     private final RoleBalance balance = new RoleBalance();
     private int deviations;
+    private int looksUnobserved = LOOKS_BETWEEN_OBSERVATIONS;
 
     public RoleKeeper(
             String holder,
@@ -95,6 +99,21 @@
             }
         }
         deviations = 0;
+        observeRight(snapshot.first());
+    }
+
+    /** Only the entry whose turn it would be looks, and seldom: each look is a call to the store. */
+    private void observeRight(boolean first) throws InterruptedException {
+        looksUnobserved++;
+        if (!first || looksUnobserved < LOOKS_BETWEEN_OBSERVATIONS) {
+            return;
+        }
+        looksUnobserved = 0;
+        try {
+            right.observe();
+        } catch (StoreException away) {
+            log.notable("order-right-unknown").with("reason", away.problem()).write();
+        }
     }
 
     private void order(List<RoleMove> moves) throws InterruptedException {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -17,7 +17,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
 import org.aspenmoor.internal.serving.PlacedPrompt;
@@ -35,6 +37,9 @@
     private static final List<PlacedPrompt> PROMPTS =
             List.of(new PlacedPrompt("server", List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410))));
 
+    private static final List<LearntSpeed> SPEEDS =
+            List.of(new LearntSpeed("drafting", EngineRole.DECODE, 0.25, 0.015625));
+
     private NioEventLoopGroup group;
     private DecisionLog log;
 
@@ -54,7 +59,7 @@
 
     @Test
     public void should_write_and_read_a_report() {
-        PeerReport report = new PeerReport("entry-1", 7, 9, SHARES, PROMPTS, false);
+        PeerReport report = new PeerReport("entry-1", 7, 9, SHARES, PROMPTS, SPEEDS, false);
 
         assertEquals(PeerCodec.read(PeerCodec.write(report)), Optional.of(report));
     }
@@ -73,14 +78,16 @@
         PeerExchange old = exchange("old", heardByOld);
         PeerExchange young = exchange("young", heardByNew);
         group.next().submit(() -> young.know(Map.of("old", old.address()))).sync();
-        group.next().submit(() -> young.tell(SHARES, PROMPTS, false)).sync();
+        group.next().submit(() -> young.tell(SHARES, PROMPTS, SPEEDS, false)).sync();
 
         PeerReport heard = heardByOld.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
         assertEquals(heard.entry(), "young");
         assertEquals(heard.shares(), SHARES);
         assertEquals(heard.prompts(), PROMPTS);
 
-        group.next().submit(() -> old.tell(Map.of(), List.of(), true)).sync();
+        group.next()
+                .submit(() -> old.tell(Map.of(), List.of(), List.of(), true))
+                .sync();
         assertTrue(heardByNew.poll(PATIENCE_SECONDS, TimeUnit.SECONDS).leaving());
     }
 
@@ -89,7 +96,7 @@
         BlockingQueue<PeerReport> heard = new LinkedBlockingQueue<>();
         PeerExchange exchange = exchange("one", heard);
         byte[] garbage = "no report".getBytes(StandardCharsets.UTF_8);
-        byte[] report = PeerCodec.write(new PeerReport("two", 1, 1, SHARES, List.of(), false));
+        byte[] report = PeerCodec.write(new PeerReport("two", 1, 1, SHARES, List.of(), List.of(), false));
         try (DatagramSocket stranger = new DatagramSocket()) {
             stranger.send(new DatagramPacket(garbage, garbage.length, exchange.address()));
             stranger.send(new DatagramPacket(report, report.length, exchange.address()));
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -35,6 +35,7 @@
     entry_ = "";
     shares_ = java.util.Collections.emptyList();
     prompts_ = java.util.Collections.emptyList();
+    speeds_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1726,6 +1727,811 @@
 
   }
 
+  public interface SpeedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Speed)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <pre>
+     * The number of the role as the product's engine roles are counted.
+     * </pre>
+     *
+     * <code>uint32 role = 2;</code>
+     * @return The role.
+     */
+    int getRole();
+
+    /**
+     * <pre>
+     * How many times longer than the settings say work takes.
+     * </pre>
+     *
+     * <code>float factor = 3;</code>
+     * @return The factor.
+     */
+    float getFactor();
+
+    /**
+     * <pre>
+     * What an answer takes beside its work.
+     * </pre>
+     *
+     * <code>float fixed_seconds = 4;</code>
+     * @return The fixedSeconds.
+     */
+    float getFixedSeconds();
+  }
+  /**
+   * <pre>
+   * How fast the sender has found the engines of one service with one role; one that has just started goes by it.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Speed}
+   */
+  public static final class Speed extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Speed)
+      SpeedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Speed");
+    }
+    // Use Speed.newBuilder() to construct.
+    private Speed(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Speed() {
+      service_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Speed.class, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ROLE_FIELD_NUMBER = 2;
+    private int role_ = 0;
+    /**
+     * <pre>
+     * The number of the role as the product's engine roles are counted.
+     * </pre>
+     *
+     * <code>uint32 role = 2;</code>
+     * @return The role.
+     */
+    @java.lang.Override
+    public int getRole() {
+      return role_;
+    }
+
+    public static final int FACTOR_FIELD_NUMBER = 3;
+    private float factor_ = 0F;
+    /**
+     * <pre>
+     * How many times longer than the settings say work takes.
+     * </pre>
+     *
+     * <code>float factor = 3;</code>
+     * @return The factor.
+     */
+    @java.lang.Override
+    public float getFactor() {
+      return factor_;
+    }
+
+    public static final int FIXED_SECONDS_FIELD_NUMBER = 4;
+    private float fixedSeconds_ = 0F;
+    /**
+     * <pre>
+     * What an answer takes beside its work.
+     * </pre>
+     *
+     * <code>float fixed_seconds = 4;</code>
+     * @return The fixedSeconds.
+     */
+    @java.lang.Override
+    public float getFixedSeconds() {
+      return fixedSeconds_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (role_ != 0) {
+        output.writeUInt32(2, role_);
+      }
+      if (java.lang.Float.floatToRawIntBits(factor_) != 0) {
+        output.writeFloat(3, factor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedSeconds_) != 0) {
+        output.writeFloat(4, fixedSeconds_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (role_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, role_);
+      }
+      if (java.lang.Float.floatToRawIntBits(factor_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, factor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedSeconds_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(4, fixedSeconds_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Speed)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Speed other = (org.aspenmoor.internal.wire.v1.PeerLoad.Speed) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (getRole()
+          != other.getRole()) return false;
+      if (java.lang.Float.floatToIntBits(getFactor())
+          != java.lang.Float.floatToIntBits(
+              other.getFactor())) return false;
+      if (java.lang.Float.floatToIntBits(getFixedSeconds())
+          != java.lang.Float.floatToIntBits(
+              other.getFixedSeconds())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + ROLE_FIELD_NUMBER;
+      hash = (53 * hash) + getRole();
+      hash = (37 * hash) + FACTOR_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getFactor());
+      hash = (37 * hash) + FIXED_SECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getFixedSeconds());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Speed prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * How fast the sender has found the engines of one service with one role; one that has just started goes by it.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Speed}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Speed)
+        org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Speed.class, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Speed.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        role_ = 0;
+        factor_ = 0F;
+        fixedSeconds_ = 0F;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Speed build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Speed buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed result = new org.aspenmoor.internal.wire.v1.PeerLoad.Speed(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Speed result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.role_ = role_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.factor_ = factor_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.fixedSeconds_ = fixedSeconds_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Speed) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Speed)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Speed other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRole() != 0) {
+          setRole(other.getRole());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getFactor()) != 0) {
+          setFactor(other.getFactor());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getFixedSeconds()) != 0) {
+          setFixedSeconds(other.getFixedSeconds());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                role_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 29: {
+                factor_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 37: {
+                fixedSeconds_ = input.readFloat();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 37
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int role_ ;
+      /**
+       * <pre>
+       * The number of the role as the product's engine roles are counted.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @return The role.
+       */
+      @java.lang.Override
+      public int getRole() {
+        return role_;
+      }
+      /**
+       * <pre>
+       * The number of the role as the product's engine roles are counted.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @param value The role to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRole(int value) {
+
+        role_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of the role as the product's engine roles are counted.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRole() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        role_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private float factor_ ;
+      /**
+       * <pre>
+       * How many times longer than the settings say work takes.
+       * </pre>
+       *
+       * <code>float factor = 3;</code>
+       * @return The factor.
+       */
+      @java.lang.Override
+      public float getFactor() {
+        return factor_;
+      }
+      /**
+       * <pre>
+       * How many times longer than the settings say work takes.
+       * </pre>
+       *
+       * <code>float factor = 3;</code>
+       * @param value The factor to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFactor(float value) {
+
+        factor_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How many times longer than the settings say work takes.
+       * </pre>
+       *
+       * <code>float factor = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFactor() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        factor_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float fixedSeconds_ ;
+      /**
+       * <pre>
+       * What an answer takes beside its work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 4;</code>
+       * @return The fixedSeconds.
+       */
+      @java.lang.Override
+      public float getFixedSeconds() {
+        return fixedSeconds_;
+      }
+      /**
+       * <pre>
+       * What an answer takes beside its work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 4;</code>
+       * @param value The fixedSeconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFixedSeconds(float value) {
+
+        fixedSeconds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * What an answer takes beside its work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFixedSeconds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        fixedSeconds_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Speed)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Speed)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Speed DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Speed();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Speed getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Speed>
+        PARSER = new com.google.protobuf.AbstractParser<Speed>() {
+      @java.lang.Override
+      public Speed parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Speed> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Speed> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object entry_ = "";
@@ -1908,6 +2714,47 @@
     return leaving_;
   }
 
+  public static final int SPEEDS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+      getSpeedsOrBuilderList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public int getSpeedsCount() {
+    return speeds_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+    return speeds_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+      int index) {
+    return speeds_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1940,6 +2787,9 @@
     for (int i = 0; i < prompts_.size(); i++) {
       output.writeMessage(6, prompts_.get(i));
     }
+    for (int i = 0; i < speeds_.size(); i++) {
+      output.writeMessage(7, speeds_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1977,6 +2827,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = speeds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(speeds_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -2013,6 +2872,8 @@
         .equals(other.getPromptsList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getSpeedsList()
+        .equals(other.getSpeedsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -2043,6 +2904,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getSpeedsCount() > 0) {
+      hash = (37 * hash) + SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeedsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -2196,6 +3061,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       leaving_ = false;
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+      } else {
+        speeds_ = null;
+        speedsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -2247,6 +3119,15 @@
       } else {
         result.prompts_ = promptsBuilder_.build();
       }
+      if (speedsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          speeds_ = java.util.Collections.unmodifiableList(speeds_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.speeds_ = speeds_;
+      } else {
+        result.speeds_ = speedsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
@@ -2343,6 +3224,32 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (speedsBuilder_ == null) {
+        if (!other.speeds_.isEmpty()) {
+          if (speeds_.isEmpty()) {
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureSpeedsIsMutable();
+            speeds_.addAll(other.speeds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.speeds_.isEmpty()) {
+          if (speedsBuilder_.isEmpty()) {
+            speedsBuilder_.dispose();
+            speedsBuilder_ = null;
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            speedsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSpeedsFieldBuilder() : null;
+          } else {
+            speedsBuilder_.addAllMessages(other.speeds_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2413,6 +3320,19 @@
               }
               break;
             } // case 50
+            case 58: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Speed m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Speed.parser(),
+                      extensionRegistry);
+              if (speedsBuilder_ == null) {
+                ensureSpeedsIsMutable();
+                speeds_.add(m);
+              } else {
+                speedsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3162,6 +4082,240 @@
       return this;
     }
 
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_ =
+      java.util.Collections.emptyList();
+    private void ensureSpeedsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        speeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Speed>(speeds_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> speedsBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
+      if (speedsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(speeds_);
+      } else {
+        return speedsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public int getSpeedsCount() {
+      if (speedsBuilder_ == null) {
+        return speeds_.size();
+      } else {
+        return speedsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);
+      } else {
+        return speedsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.set(index, value);
+        onChanged();
+      } else {
+        speedsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(value);
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(index, value);
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addAllSpeeds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Speed> values) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, speeds_);
+        onChanged();
+      } else {
+        speedsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder clearSpeeds() {
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        speedsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder removeSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.remove(index);
+        onChanged();
+      } else {
+        speedsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder getSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+        int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);  } else {
+        return speedsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+         getSpeedsOrBuilderList() {
+      if (speedsBuilder_ != null) {
+        return speedsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(speeds_);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder() {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder> 
+         getSpeedsBuilderList() {
+      return internalGetSpeedsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+        internalGetSpeedsFieldBuilder() {
+      if (speedsBuilder_ == null) {
+        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder>(
+                speeds_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        speeds_ = null;
+      }
+      return speedsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -115,4 +115,28 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> 
+      getSpeedsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  int getSpeedsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+      getSpeedsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+      int index);
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Speed_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -50,16 +55,20 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\270\002\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\272\003\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
       "\0132\".aspenmoor.wire.v1.PeerLoad.Prompt\022\017\n" +
-      "\007leaving\030\005 \001(\010\032J\n\005Share\022\016\n\006server\030\001 \001(\t\022" +
-      "\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n\010requ" +
-      "ests\030\003 \001(\r\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005" +
-      "parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\rB\"\n\036org.aspen" +
-      "moor.internal.wire.v1P\001b\006proto3"
+      "\007leaving\030\005 \001(\010\0221\n\006speeds\030\007 \003(\0132!.aspenmo" +
+      "or.wire.v1.PeerLoad.Speed\032J\n\005Share\022\016\n\006se" +
+      "rver\030\001 \001(\t\022\037\n\027unanswered_microseconds\030\002 " +
+      "\001(\r\022\020\n\010requests\030\003 \001(\r\0327\n\006Prompt\022\016\n\006serve" +
+      "r\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M" +
+      "\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016" +
+      "\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002B\"\n" +
+      "\036org.aspenmoor.internal.wire.v1P\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -70,7 +79,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
@@ -83,6 +92,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor,
         new java.lang.String[] { "Server", "Parts", "Tokens", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(2);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Speed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Speed_descriptor,
+        new java.lang.String[] { "Service", "Role", "Factor", "FixedSeconds", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
