--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -329,9 +329,8 @@
         ServerBelief decode = leastBusyDecoder(usable, prompt.promptTokens(), settings.dataCentre(), now);
         boolean stages = request.mayStage() && decode != null && usable.stream().anyMatch(each -> computes(each, now));
         boolean paced = request.mayWait() && Pacing.possible(request, usable);
-        boolean direct = paced
-                && decode != null
-                && !Pacing.isLong(decode, costs.at(decode).seconds());
+        boolean direct =
+                decode != null && !Pacing.isLong(decode, costs.at(decode).seconds());
         boolean apart = paced && stages && longAnswers.underWay(request.service(), now);
         Placement best = new Placement.Refused("no engine that may answer is known", NO_SERVER_PAUSE);
         double bestSeconds = Double.MAX_VALUE;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -48,7 +48,9 @@
     private int outstanding;
     private double unansweredSeconds;
     private SpeedEstimate speed;
+    /** At the speed of the settings, so that a process that has just started need not learn it with the speed. */
     private double usualPromptSeconds;
+
     private double handOverSeconds;
     private long handOverAt = Long.MIN_VALUE;
     private double slowness = 1;
@@ -100,7 +102,7 @@
 
     /** Returns how long this entry's long prompts usually keep an engine busy; zero until one was sent there. */
     double usualPromptSeconds() {
-        return usualPromptSeconds;
+        return usualPromptSeconds * slownessBySettings();
     }
 
     /** Returns whether the speed of an engine was learnt from enough answers. */
@@ -158,7 +160,7 @@
         if (work.longPrompt()) {
             window.placed();
             double weight = usualPromptSeconds == 0 ? 1 : PROMPT_SHARE;
-            usualPromptSeconds += weight * (work.workSeconds() - usualPromptSeconds);
+            usualPromptSeconds += weight * (work.workSeconds() / slownessBySettings() - usualPromptSeconds);
         }
     }
 
