--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Pacing.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Pacing.java
@@ -27,6 +27,14 @@
         return objective.toNanos() / NANOSECONDS * TOLERATED_SHARE;
     }
 
+    /**
+     * Returns how many times longer than the settings say an engine takes. Where entries keep queues short it is the engine's
+     * learnt speed; else the delay of its answers, without which entries send on to queues that none of them knows.
+     */
+    static double slowness(ServerBelief engine, boolean paced) {
+        return paced ? engine.slownessBySettings() : engine.delaySlowness();
+    }
+
     /** Returns whether a prompt keeps an engine busy for so long that it holds others up. */
     static boolean isLong(ServerBelief belief, double workSeconds) {
         return workSeconds > LIGHT_SHARE * belief.fixedSeconds();
@@ -37,8 +45,8 @@
      * waits how many it may send, and does a short queue keep an engine busy. Where one prompt takes as long as the whole
      * wait, each entry sends too few to learn in time: requests waited here for seconds while engines stood idle.
      */
-    static boolean possible(PlacementRequest request, List<ServerBelief> usable) {
-        double tolerated = toleratedSeconds(request.objective());
+    static boolean possible(Duration objective, List<ServerBelief> usable) {
+        double tolerated = toleratedSeconds(objective);
         double usual = usable.stream()
                 .filter(each -> each.server().role() != EngineRole.DECODE)
                 .mapToDouble(ServerBelief::usualPromptSeconds)
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
@@ -6,6 +6,7 @@
     private final WorkKind kind;
     private final long atNanoseconds;
     private final double workSeconds;
+    private final double speedSeconds;
     private final double answerSeconds;
     private final double toleratedSeconds;
     private final boolean longPrompt;
@@ -16,6 +17,7 @@
             WorkKind kind,
             long atNanoseconds,
             double workSeconds,
+            double speedSeconds,
             double answerSeconds,
             double toleratedSeconds,
             boolean longPrompt,
@@ -24,6 +26,7 @@
         this.kind = kind;
         this.atNanoseconds = atNanoseconds;
         this.workSeconds = workSeconds;
+        this.speedSeconds = speedSeconds;
         this.answerSeconds = answerSeconds;
         this.toleratedSeconds = toleratedSeconds;
         this.longPrompt = longPrompt;
@@ -62,6 +65,11 @@
         return workSeconds;
     }
 
+    /** Returns how long the work takes at the learnt speed. */
+    double speedSeconds() {
+        return speedSeconds;
+    }
+
     /** Returns when the answer was expected to begin, with what waits before it. */
     public double answerSeconds() {
         return answerSeconds;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -41,6 +41,8 @@
     /** What one request of a plain service is expected to take, in seconds; only ranks servers. */
     private static final double PLAIN_WORK_SECONDS = 0.02;
 
+    /** Added to a staged placement until hand-overs are learnt, in seconds: a second request's way and the transfer's price. */
+    private static final double STAGED_SECONDS = 0.035;
     /** The fixed part of an answer until answers are seen, in seconds: scheduling, first step and the way. */
     private static final double FIRST_TOKEN_SECONDS = 0.035;
 
@@ -142,17 +144,16 @@
         ServerBelief belief = beliefs.get(server.id());
         if (belief == null) {
             double answer = workSeconds + FIRST_TOKEN_SECONDS;
-            return new PlacedWork(server.id(), kind, now, workSeconds, answer, tolerated, false, false);
+            return new PlacedWork(server.id(), kind, now, workSeconds, workSeconds, answer, tolerated, false, false);
         }
-        double start = switch (kind) {
-            case PLAIN -> FIRST_TOKEN_SECONDS;
-            case PROMPT_ONLY, WHOLE -> belief.fixedSeconds();
-            case HAND_OVER -> speeds.handOverSeconds(server.service());
-        };
+        boolean paced = Pacing.possible(objective, engines(server.service()));
+        double speedSeconds = workSeconds / Pacing.slowness(belief, paced) * belief.slownessBySettings();
+        double start = startSeconds(belief, kind, paced);
         double answer = waitSeconds(belief, now) + workSeconds + start;
-        boolean longPrompt = kind != WorkKind.PLAIN && Pacing.isLong(belief, workSeconds);
+        boolean longPrompt = kind != WorkKind.PLAIN && Pacing.isLong(belief, speedSeconds);
         boolean alone = belief.requests(peers.on(server.id()), now) < LEAST_REQUESTS;
-        PlacedWork work = new PlacedWork(server.id(), kind, now, workSeconds, answer, tolerated, longPrompt, alone);
+        PlacedWork work =
+                new PlacedWork(server.id(), kind, now, workSeconds, speedSeconds, answer, tolerated, longPrompt, alone);
         belief.placed(work);
         return work;
     }
@@ -319,16 +320,39 @@
                 best.server(), Optional.empty(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
     }
 
+    private double startSeconds(ServerBelief belief, WorkKind kind, boolean paced) {
+        if (!paced) {
+            return FIRST_TOKEN_SECONDS;
+        }
+        return switch (kind) {
+            case PLAIN -> FIRST_TOKEN_SECONDS;
+            case PROMPT_ONLY, WHOLE -> belief.fixedSeconds();
+            case HAND_OVER -> speeds.handOverSeconds(belief.server().service());
+        };
+    }
+
+    private List<ServerBelief> engines(String service) {
+        return beliefs.values().stream()
+                .filter(each -> each.server().service().equals(service))
+                .toList();
+    }
+
+    private double handOverSeconds(PlacementRequest request, Prompt prompt, boolean paced) {
+        return paced
+                ? speeds.handOverSeconds(request.service())
+                : STAGED_SECONDS + settings.speed().handOverSeconds(prompt.promptTokens());
+    }
+
     private static boolean computes(ServerBelief belief, long now) {
         return belief.server().role() == EngineRole.PREFILL && !belief.health().paused(now);
     }
 
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
         boolean full = false;
-        PromptCosts costs = new PromptCosts(settings, prompt, usable, now);
         ServerBelief decode = leastBusyDecoder(usable, prompt.promptTokens(), settings.dataCentre(), now);
         boolean stages = request.mayStage() && decode != null && usable.stream().anyMatch(each -> computes(each, now));
-        boolean paced = request.mayWait() && Pacing.possible(request, usable);
+        boolean paced = Pacing.possible(request.objective(), usable);
+        PromptCosts costs = new PromptCosts(settings, prompt, usable, paced, now);
         boolean direct =
                 decode != null && !Pacing.isLong(decode, costs.at(decode).seconds());
         boolean apart = paced && stages && longAnswers.underWay(request.service(), now);
@@ -347,13 +371,14 @@
             boolean noRoom = request.othersWait()
                     || !belief.hasRoom(peers.on(belief.server().id()), now)
                     || (stages && belief.health().paused(now));
-            if (paced && longPrompt && noRoom) {
+            if (paced && request.mayWait() && longPrompt && noRoom) {
                 full = true;
                 continue;
             }
-            double begins = waitSeconds(belief, now) + work.seconds() + belief.fixedSeconds();
+            double start = paced ? belief.fixedSeconds() : FIRST_TOKEN_SECONDS;
+            double begins = waitSeconds(belief, now) + work.seconds() + start;
             double answer =
-                    staged ? begins + speeds.handOverSeconds(request.service()) + waitSeconds(decode, now) : begins;
+                    staged ? begins + handOverSeconds(request, prompt, paced) + waitSeconds(decode, now) : begins;
             double seconds = answer + penaltySeconds(belief, now) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptCosts.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptCosts.java
@@ -23,13 +23,19 @@
 
     private final PlacementSettings settings;
     private final Prompt prompt;
+    private final boolean paced;
     private final ServerBelief home;
     private final Optional<HeldPrompt> held;
 
-    /** Makes the costs of a prompt at engines, of which there is one at least. */
-    PromptCosts(PlacementSettings settings, Prompt prompt, List<ServerBelief> engines, long now) {
+    /**
+     * Makes the costs of a prompt at engines, of which there is one at least.
+     *
+     * @param paced whether entries keep the engines' queues short, so that their own speed is what counts
+     */
+    PromptCosts(PlacementSettings settings, Prompt prompt, List<ServerBelief> engines, boolean paced, long now) {
         this.settings = settings;
         this.prompt = prompt;
+        this.paced = paced;
         this.home = home(engines);
         this.held = held(engines, now);
     }
@@ -73,7 +79,7 @@
         double computed = prompt.promptTokens() - cached;
         double megapairs = computed * (cached + computed / 2) / PAIRS_OF_MEGAPAIR;
         double seconds = settings.speed().prefillSeconds(computed) + megapairs * settings.secondsPerMegapair();
-        return seconds * engine.slownessBySettings() / prefillShare(engine.server());
+        return seconds * Pacing.slowness(engine, paced) / prefillShare(engine.server());
     }
 
     private double prefillShare(BackendServer server) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -54,6 +54,7 @@
     private double handOverSeconds;
     private long handOverAt = Long.MIN_VALUE;
     private double slowness = 1;
+    private double delaySlowness = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
 
     /** Makes a belief; the speed is what is known of all servers of the service with the same role. */
@@ -70,6 +71,7 @@
         if (server != null && server.role() != newer.role()) {
             health.roleChanged();
             slowness = 1;
+            delaySlowness = 1;
         }
         speed = newSpeed;
         server = newer;
@@ -100,6 +102,14 @@
         return runsModel() ? slowness * speed.factor() : slowness;
     }
 
+    /**
+     * Returns how many times longer than expected answers begin here, with whatever they wait for. Where engines order their
+     * queues themselves, this is what tells of the work that nobody has reported.
+     */
+    double delaySlowness() {
+        return delaySlowness;
+    }
+
     /** Returns how long this entry's long prompts usually keep an engine busy; zero until one was sent there. */
     double usualPromptSeconds() {
         return usualPromptSeconds * slownessBySettings();
@@ -160,7 +170,7 @@
         if (work.longPrompt()) {
             window.placed();
             double weight = usualPromptSeconds == 0 ? 1 : PROMPT_SHARE;
-            usualPromptSeconds += weight * (work.workSeconds() / slownessBySettings() - usualPromptSeconds);
+            usualPromptSeconds += weight * (work.speedSeconds() / slownessBySettings() - usualPromptSeconds);
         }
     }
 
@@ -181,19 +191,24 @@
 
     /** What is left of an answer's time after its start and its own work was spent in the engine's queue. */
     private void promptComputed(PlacedWork work, double took, long now) {
-        double waited = took - speed.fixedSeconds() - work.workSeconds();
+        double waited = took - speed.fixedSeconds() - work.speedSeconds();
         if (work.longPrompt()) {
             window.computed(work.atNanoseconds(), now, waited, work.toleratedSeconds());
         }
-        SpeedEstimate.Correction correction = speed.observe(work.workSeconds(), took, work.alone());
+        SpeedEstimate.Correction correction = speed.observe(work.speedSeconds(), took, work.alone());
+        delaySlowness = delayed(delaySlowness, work, took);
         double changed = correction.shared(OWN_SHARE).applied(slowness);
         slowness = Math.clamp(changed, 1 / MOST_SLOWNESS, MOST_SLOWNESS);
     }
 
     private void plainAnswered(PlacedWork work, double took) {
+        slowness = delayed(slowness, work, took);
+    }
+
+    private static double delayed(double before, PlacedWork work, double took) {
         double expected = Math.max(SHORTEST_JUDGED_SECONDS, work.answerSeconds());
         double ratio = Math.clamp(took / expected, 1, MOST_SLOWNESS);
-        slowness += LEARNING_SHARE * (ratio - slowness);
+        return before + LEARNING_SHARE * (ratio - before);
     }
 
     void ended(PlacedWork work) {
