Rereading the change: a plain request's placement no longer looks through the engines; a comment says when its figure holds

A plain server's attempt asked whether its service's prompts are paced, which no plain request uses; behaviour is the same. STAGED_SECONDS holds where queues are not paced, not until hand-overs are learnt.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -41,8 +41,9 @@
     /** What one request of a plain service is expected to take, in seconds; only ranks servers. */
     private static final double PLAIN_WORK_SECONDS = 0.02;
 
-    /** Added to a staged placement until hand-overs are learnt, in seconds: a second request's way and the transfer's price. */
+    /** Added to a staged placement where queues are not paced, in seconds: a second request's way and the transfer's price. */
     private static final double STAGED_SECONDS = 0.035;
+
     /** The fixed part of an answer until answers are seen, in seconds: scheduling, first step and the way. */
     private static final double FIRST_TOKEN_SECONDS = 0.035;
 
@@ -146,7 +147,7 @@
             double answer = workSeconds + FIRST_TOKEN_SECONDS;
             return new PlacedWork(server.id(), kind, now, workSeconds, workSeconds, answer, tolerated, false, false);
         }
-        boolean paced = Pacing.possible(objective, engines(server.service()));
+        boolean paced = kind != WorkKind.PLAIN && Pacing.possible(objective, engines(server.service()));
         double speedSeconds = workSeconds / Pacing.slowness(belief, paced) * belief.slownessBySettings();
         double start = startSeconds(belief, kind, paced);
         double answer = waitSeconds(belief, now) + workSeconds + start;
@@ -205,10 +206,7 @@
         }
     }
 
-    /**
-     * Notes how long an answer has been told so far, out of the time that the request was allowed; to be told with each
-     * event or at its end.
-     */
+    /** Notes how long an answer has been told so far, out of the time that its request was allowed. */
     public void answerTold(String service, Duration told, Duration allowed, long now) {
         longAnswers.told(service, told, allowed, now);
     }
