A replay of a customer's load through the classes that serve

Change: bin/replay plays Placer, WaitingLine, PromptWindow, LongAnswers, RoleBalance, learnt speeds and peers' reports in as many entries as a customer has, on a model of the engines, with a manual clock and seeds; loads and figures come from files.

--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/Customer.java
@@ -0,0 +1,21 @@
+package org.aspenmoor.internal.bench.replay.customer;
+
+import java.util.List;
+
+/**
+ * One customer's deployment.
+ *
+ * @param name its name
+ * @param entries how many entries take requests
+ * @param dataCentres over how many data centres entries and engines are spread
+ * @param engines its engines
+ * @param kinds what its callers ask for
+ * @param days the loads to replay
+ */
+public record Customer(
+        String name, int entries, int dataCentres, EngineFigures engines, List<ServedKind> kinds, List<LoadDay> days) {
+    /** Returns the same customer with another number of entries and engines that work so many times as fast. */
+    public Customer changed(int otherEntries, double engineSpeed) {
+        return new Customer(name, otherEntries, dataCentres, engines.faster(engineSpeed), kinds, days);
+    }
+}
--- /dev/null
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/report/ReplayTable.java
@@ -0,0 +1,62 @@
+package org.aspenmoor.internal.bench.replay.report;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import org.aspenmoor.internal.bench.replay.run.DayResult;
+import org.aspenmoor.internal.bench.replay.run.KindResult;
+
+/** Prints replayed days: means over the seeds, a line for the day and one for each kind. */
+public final class ReplayTable {
+    private final PrintStream out;
+
+    public ReplayTable(PrintStream out) {
+        this.out = out;
+    }
+
+    /** Prints the heading. */
+    public void heading() {
+        out.printf("%-34s %6s %6s %6s %6s %6s %8s%n", "day", "earned", "served", "nines", "window", "kind", "refused");
+    }
+
+    /** Prints one day's results of all seeds. */
+    public void print(String label, List<DayResult> results) {
+        out.printf(
+                Locale.ROOT,
+                "%-34s %6.3f %6.3f %6.3f %6.3f %6.3f %7.2fs%n",
+                label,
+                mean(results, DayResult::earned),
+                mean(results, DayResult::served),
+                mean(results, DayResult::nines),
+                mean(results, DayResult::worstWindows),
+                mean(results, DayResult::worstKind),
+                mean(results, DayResult::refusedAfter));
+    }
+
+    /** Prints the kinds of one day's results. */
+    public void printKinds(List<DayResult> results) {
+        for (int index = 0; index < results.getFirst().kinds().size(); index++) {
+            int kind = index;
+            out.printf(
+                    Locale.ROOT,
+                    "    %-22s asked %6.0f earned %.3f on time %.3f served %.3f refused %.3f failed %.3f largest %.3f%n",
+                    results.getFirst().kinds().get(kind).kind(),
+                    mean(results, result -> result.kinds().get(kind).asked()),
+                    kindMean(results, kind, KindResult::earned),
+                    kindMean(results, kind, KindResult::onTime),
+                    kindMean(results, kind, KindResult::served),
+                    kindMean(results, kind, KindResult::refused),
+                    kindMean(results, kind, KindResult::failed),
+                    kindMean(results, kind, KindResult::largestServed));
+        }
+    }
+
+    private static double kindMean(List<DayResult> results, int kind, ToDoubleFunction<KindResult> value) {
+        return mean(results, result -> value.applyAsDouble(result.kinds().get(kind)));
+    }
+
+    private static double mean(List<DayResult> results, ToDoubleFunction<DayResult> value) {
+        return results.stream().mapToDouble(value).average().orElse(0);
+    }
+}
