Short prompts go before long ones in the line of an entry

Cause: under a burst the line went by arrival. The tenth of the prompts that is longest takes over a third of the computing; each makes several callers behind it late or refused. Change: a request lets those go first that came up to fifty times its own computing later (a hundred times, among late ones). ServedRequest's dealings with the line moved to LinePlace.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
@@ -84,7 +84,11 @@
             }
             case Placement.Held held ->
                 entry.wait(new WaitingLine.Waiting<>(
-                        this, arrivedAt, ask.askedAt() + ask.kind().objective().toNanos(), ask.deadlineAt()));
+                        this,
+                        held.promptSeconds(),
+                        arrivedAt,
+                        ask.askedAt() + ask.kind().objective().toNanos(),
+                        ask.deadlineAt()));
             case Placement.Refused refused -> refuse(refused.comeBackAfter());
         }
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -41,8 +41,12 @@
         }
     }
 
-    /** Each engine has as many prompts as it should; the request waits at this entry until one has room. */
-    record Held() implements Placement {}
+    /**
+     * Each engine has as many prompts as it should; the request waits at this entry until one has room.
+     *
+     * @param promptSeconds how long the engine that needs least for it should compute
+     */
+    record Held(double promptSeconds) implements Placement {}
 
     /**
      * No server can answer in time, or there is none.
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -347,6 +347,7 @@
 
     private Placement generation(PlacementRequest request, Prompt prompt, List<ServerBelief> usable, long now) {
         boolean full = false;
+        double leastSeconds = Double.MAX_VALUE;
         ServerBelief decode = leastBusyDecoder(usable, prompt.promptTokens(), settings.dataCentre(), now);
         boolean stages = request.mayStage() && decode != null && usable.stream().anyMatch(each -> computes(each, now));
         boolean paced = Pacing.possible(request.objective(), usable);
@@ -371,6 +372,7 @@
                     || (stages && belief.health().paused(now));
             if (paced && request.mayWait() && longPrompt && noRoom) {
                 full = true;
+                leastSeconds = Math.min(leastSeconds, work.seconds());
                 continue;
             }
             double start = paced ? belief.fixedSeconds() : FIRST_TOKEN_SECONDS;
@@ -385,7 +387,7 @@
                         : new Placement.Whole(belief.server(), work.holder(), work.seconds(), answer);
             }
         }
-        return full && best instanceof Placement.Refused ? new Placement.Held() : best;
+        return full && best instanceof Placement.Refused ? new Placement.Held(leastSeconds) : best;
     }
 
     private double waitSeconds(ServerBelief belief, long now) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequestTimes.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequestTimes.java
@@ -32,6 +32,11 @@
         this.aimAt = arrivedAt + route.objective().minus(gone).toNanos();
     }
 
+    /** Returns when the request arrived. */
+    public long arrivedAt() {
+        return arrivedAt;
+    }
+
     /** Returns until when the request may be kept waiting for its end. */
     public long deadline() {
         return deadline;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
@@ -12,8 +12,8 @@
  *
  * <p>The load it answers: for some seconds, one and a half to three times as many prompts come as engines can compute.
  * First come first served makes all of them late by a little, and those of the seconds after as well. Here as many as can
- * be on time wait in the order of their arrival and go first; the others go in the order of their deadlines whenever
- * there is room left. Who has no chance by the line's own pace is refused at once, and may come back when the burst is over.
+ * be on time go first, the others whenever there is room left; among either, short prompts go before long ones that came
+ * a little earlier, so that more callers are served. Who has no chance by the line's own pace is refused at once, and may come back when the burst is over.
  *
  * @param <T> a request
  */
@@ -35,6 +35,16 @@
      */
     private static final double LATE_SHARE = 1.0;
 
+    /**
+     * A request lets those go first that came up to so many times its own computing later. With none, prompts that take a
+     * third of the engines' time for a tenth of the callers go before several others each; with far more, the largest
+     * would never go while a burst lasts.
+     */
+    private static final double WORK_WEIGHT = 50;
+
+    /** The same for requests that are late already, counted from their deadlines. */
+    private static final double LATE_WORK_WEIGHT = 100;
+
     private final List<Waiting<T>> waiting = new ArrayList<>();
     private final DepartureRate lateDepartures = new DepartureRate();
     private double usualSeconds = FIRST_USUAL_SECONDS;
@@ -83,8 +93,8 @@
     public Optional<Waiting<T>> next(long now) {
         Optional<Waiting<T>> next = waiting.stream()
                 .filter(each -> inTime(each.aimAt(), now))
-                .min(byTime(Waiting::arrivedAt))
-                .or(() -> waiting.stream().min(byTime(Waiting::deadlineAt)));
+                .min(byTime(WaitingLine::turn))
+                .or(() -> waiting.stream().min(byTime(WaitingLine::lateTurn)));
         next.ifPresent(waiting::remove);
         return next;
     }
@@ -92,7 +102,7 @@
     /** Takes those out of the line that cannot be answered before their deadline at the pace of the line. */
     public List<T> takeHopeless(long now) {
         List<Waiting<T>> late = late(now);
-        late.sort(byTime(Waiting::deadlineAt));
+        late.sort(byTime(WaitingLine::lateTurn));
         double secondsEachLate = secondsEach / LATE_SHARE;
         double lately = lateDepartures.perSecond(now);
         if (lately > 0) {
@@ -121,7 +131,7 @@
     private List<Waiting<T>> late(long now) {
         List<Waiting<T>> late = new ArrayList<>();
         int ahead = 0;
-        waiting.sort(byTime(Waiting::arrivedAt));
+        waiting.sort(byTime(WaitingLine::turn));
         for (Waiting<T> each : waiting) {
             if (inTime(each.aimAt(), now + (long) (ahead * secondsEach * NANOSECONDS))) {
                 ahead++;
@@ -132,6 +142,14 @@
         return late;
     }
 
+    private static long turn(Waiting<?> each) {
+        return each.arrivedAt() + (long) (WORK_WEIGHT * each.promptSeconds() * NANOSECONDS);
+    }
+
+    private static long lateTurn(Waiting<?> each) {
+        return each.deadlineAt() + (long) (LATE_WORK_WEIGHT * each.promptSeconds() * NANOSECONDS);
+    }
+
     private boolean inTime(long at, long now) {
         return (at - now) / NANOSECONDS >= usualSeconds;
     }
@@ -144,9 +162,10 @@
      * One request that waits; times are in nanoseconds of the steady clock.
      *
      * @param request the request
+     * @param promptSeconds how long an engine computes its prompt
      * @param arrivedAt when it came
      * @param aimAt until when its answer must begin to be on time
      * @param deadlineAt until when its answer must begin at all
      */
-    public record Waiting<T>(T request, long arrivedAt, long aimAt, long deadlineAt) {}
+    public record Waiting<T>(T request, double promptSeconds, long arrivedAt, long aimAt, long deadlineAt) {}
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/WaitingLineTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/WaitingLineTest.java
@@ -42,8 +42,8 @@
 
     @Test
     public void should_send_late_ones_in_the_order_of_their_deadlines() {
-        line.add(new WaitingLine.Waiting<>(1, 0, 0, 900 * MILLISECOND));
-        line.add(new WaitingLine.Waiting<>(2, 0, 0, 800 * MILLISECOND));
+        line.add(new WaitingLine.Waiting<>(1, 0.01, 0, 0, 900 * MILLISECOND));
+        line.add(new WaitingLine.Waiting<>(2, 0.01, 0, 0, 800 * MILLISECOND));
 
         assertEquals(next(400), 2);
         assertEquals(next(400), 1);
@@ -52,8 +52,8 @@
     // What cannot be answered before its deadline only keeps its caller waiting for a refusal that is certain already.
     @Test
     public void should_give_up_at_once_what_cannot_be_answered_before_its_deadline() {
-        line.add(new WaitingLine.Waiting<>(1, 0, 0, 50 * MILLISECOND));
-        line.add(new WaitingLine.Waiting<>(2, 0, 0, 500 * MILLISECOND));
+        line.add(new WaitingLine.Waiting<>(1, 0.01, 0, 0, 50 * MILLISECOND));
+        line.add(new WaitingLine.Waiting<>(2, 0.01, 0, 0, 500 * MILLISECOND));
 
         assertEquals(line.takeHopeless(10 * MILLISECOND), List.of(1));
         assertEquals(line.size(), 1);
@@ -109,7 +109,11 @@
 
     private static WaitingLine.Waiting<Integer> waiting(int request, long arrived, long aim) {
         return new WaitingLine.Waiting<>(
-                request, arrived * MILLISECOND, aim * MILLISECOND, (arrived + DEADLINE_MILLISECONDS) * MILLISECOND);
+                request,
+                0.01,
+                arrived * MILLISECOND,
+                aim * MILLISECOND,
+                (arrived + DEADLINE_MILLISECONDS) * MILLISECOND);
     }
 
     /** Requests that come at random, more of them in the burst, and engines that take one every so often. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -30,7 +30,6 @@
 import org.aspenmoor.internal.serving.RepeatRule;
 import org.aspenmoor.internal.serving.RequestTimes;
 import org.aspenmoor.internal.serving.Route;
-import org.aspenmoor.internal.serving.WaitingLine;
 import org.aspenmoor.internal.serving.WorkKind;
 
 /**
@@ -52,6 +51,7 @@
     private final String service;
     private final RequestTimes times;
     private final RequestTrace trace;
+    private final LinePlace line;
     private final AttemptAccount account;
     private final CurrentAttempt current;
     private final RepeatPermit permit;
@@ -62,7 +62,6 @@
     private Future<?> deadlineTimer;
     private int failedStages;
     private int promptRank;
-    private long departedAt;
     private final boolean mayWait;
     private boolean over;
 
@@ -88,6 +87,7 @@
         this.mayWait = caller.prompt().isPresent();
         this.trace =
                 new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), times.deadline());
+        this.line = new LinePlace(tools, this, times, trace);
         this.permit = new RepeatPermit(tools, service, account, trace);
     }
 
@@ -142,7 +142,7 @@
                 trace.placed("staged", staged.expectedSeconds());
                 prefill(staged);
             }
-            case Placement.Held held -> waitForRoom();
+            case Placement.Held held -> line.take(held, wantedBy());
             case Placement.Refused refused -> {
                 trace.because(refused.reason());
                 conclude(account.conclusion(), refused.comeBackAfter());
@@ -150,11 +150,6 @@
         }
     }
 
-    private void waitForRoom() {
-        trace.waits(now());
-        tools.lines().add(new WaitingLine.Waiting<>(this, incoming.arrivedAt(), times.aimAt(), wantedBy()));
-    }
-
     private long wantedBy() {
         return times.wantedBy(stream.begun() ? OptionalLong.of(trace.lastEventAt()) : OptionalLong.empty());
     }
@@ -180,9 +175,7 @@
 
     private void departed() {
         if (caller.prompt().isPresent()) {
-            departedAt = now();
-            trace.departed(departedAt);
-            tools.lines().departed(service, times.aimAt(), departedAt);
+            line.departed();
         }
     }
 
@@ -292,7 +285,7 @@
         unfetched = Optional.empty();
         if (!stream.begun()) {
             trace.firstByte(now());
-            tools.lines().answered(service, departedAt, now());
+            line.answered();
             tools.metrics().firstByte(service, (now() - incoming.arrivedAt()) / 1e9);
         }
     }
