Changes of servers gather at the store before an entry asks for them again

Change: after a call that told of changes of servers the next waits for 0.35 of the time for which a leaving server still takes requests, and a call waits at the store for 0.6 of the time in which its silence must be noticed. The store keeps what happens meanwhile. Both come from the platform's bounds; watchSeconds went from the settings. Ruled out: stale reads for the servers (a tenth of the price), which may be seconds old where a leaving engine must be known in two.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param peers where it hears other entries
  * @param store the store's address
  * @param watchTime how long one call for changes may wait at the store
+ * @param serverChangePause how long changes of servers may gather at the store before they are asked for
  * @param grace how long after SIGTERM the process is left alone
  * @param mostBodyBytes how many bytes of request bodies may be held at once
  * @param placement what placements go by
@@ -30,6 +31,7 @@
         InetSocketAddress peers,
         URI store,
         Duration watchTime,
+        Duration serverChangePause,
         Duration grace,
         int mostBodyBytes,
         PlacementSettings placement,
@@ -56,6 +58,7 @@
                 peers,
                 otherStore,
                 watchTime,
+                serverChangePause,
                 grace,
                 mostBodyBytes,
                 placement,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -19,8 +19,19 @@
     /** A sixth of the memory of the smallest host that entries run on. */
     private static final int USUAL_BODY_MEBIBYTES = 48;
 
-    /** Half of the time in which a change must be in force, so that a watch gone silent is noticed in time. */
-    private static final Duration USUAL_WATCH_TIME = Duration.ofSeconds(1);
+    /** After this time a connection that has gone silent counts as no excuse any more. */
+    private static final int USUAL_SILENCE_MILLISECONDS = 2000;
+
+    /** A call for changes that waits for so much of that time leaves enough to notice its silence and to ask again. */
+    private static final double WATCH_SHARE = 0.6;
+
+    /** For so long a leaving server still takes requests. */
+    private static final int USUAL_LEAVING_MILLISECONDS = 2000;
+
+    /** With so much of that time spent at the store, a late answer and a request under way still fit into the rest. */
+    private static final double SERVER_PAUSE_SHARE = 0.35;
+
+    private static final int MOST_MILLISECONDS = 3_600_000;
 
     private static final Duration USUAL_GRACE = Duration.ofSeconds(8);
     private static final Duration USUAL_REPEAT_WINDOW = Duration.ofSeconds(10);
@@ -55,7 +66,8 @@
                 readAddress(reader, "administration"),
                 readAddress(reader, "peers"),
                 reader.requiredHttpUrl("store"),
-                reader.seconds("watchSeconds", LEAST_SECONDS, MOST_SECONDS, USUAL_WATCH_TIME),
+                share(reader, "silenceMilliseconds", USUAL_SILENCE_MILLISECONDS, WATCH_SHARE),
+                share(reader, "leavingMilliseconds", USUAL_LEAVING_MILLISECONDS, SERVER_PAUSE_SHARE),
                 reader.seconds("graceSeconds", 1, MOST_SECONDS, USUAL_GRACE),
                 reader.integer("mostBodyMebibytes", 1, MOST_BODY_MEBIBYTES, USUAL_BODY_MEBIBYTES) * MEBIBYTE,
                 new PlacementSettings(
@@ -70,6 +82,10 @@
                         reader.integer("assumedEntries", 1, MOST_ENTRIES, USUAL_ENTRIES)));
     }
 
+    private static Duration share(FieldReader reader, String name, int usual, double share) {
+        return Duration.ofMillis((long) (reader.integer(name, 1, MOST_MILLISECONDS, usual) * share));
+    }
+
     private InetSocketAddress readAddress(FieldReader reader, String name) {
         String text = reader.requiredText(name);
         int colon = text.lastIndexOf(':');
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -70,6 +70,7 @@
                 free,
                 URI.create("http://127.0.0.1/"),
                 Duration.ofSeconds(1),
+                Duration.ofMillis(100),
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
                 placement,
