Queues at engines are limited by the objective, not by the deadline

Cause: where engines order their queues themselves, a prompt was taken as long as its answer would begin before the deadline. Change: QueueLimit refuses at once what would wait for more than one and a half objectives, less half of its own work (nothing waits: taken; an answer that has begun: goes on). Who is refused is told to come back when what waits now is done.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
@@ -59,6 +59,7 @@
                 Optional.of(ask.prompt()),
                 Duration.ofNanos(ask.deadlineAt() - now()),
                 ask.kind().objective(),
+                events > 0,
                 avoided,
                 mayStage,
                 !entry.without(Mechanism.WAITING),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placement.java
@@ -11,9 +11,15 @@
      * @param server the server
      * @param holder an engine that probably keeps the shared beginning of the prompt, for the server to fetch it from
      * @param promptSeconds how long it should work before its answer begins
+     * @param queueSeconds how long the request should wait at the server before that
      * @param expectedSeconds when the answer should begin, counted from now
      */
-    record Whole(BackendServer server, Optional<BackendServer> holder, double promptSeconds, double expectedSeconds)
+    record Whole(
+            BackendServer server,
+            Optional<BackendServer> holder,
+            double promptSeconds,
+            double queueSeconds,
+            double expectedSeconds)
             implements Placement {}
 
     /**
@@ -22,6 +28,7 @@
      * @param prefill the first
      * @param holder an engine that probably keeps the shared beginning of the prompt, for the first to fetch it from
      * @param promptSeconds how long the first should compute
+     * @param queueSeconds how long the request should wait at the first before that
      * @param expectedSeconds when the answer should begin, counted from now
      * @param ordered whether who goes first was decided at the entry, so that the first engine need not go by ranks: there,
      *     short prompts of a less urgent kind waited for 0.3 to 1.8 s behind long ones
@@ -30,6 +37,7 @@
             BackendServer prefill,
             Optional<BackendServer> holder,
             double promptSeconds,
+            double queueSeconds,
             double expectedSeconds,
             boolean ordered)
             implements Placement {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
@@ -11,6 +11,7 @@
  * @param prompt its prompt; empty where no model is asked
  * @param timeLeft until nobody waits for the answer any more
  * @param objective within which its answer is on time
+ * @param answerBegun whether its caller has got a part of the answer already
  * @param avoided servers that were tried already
  * @param mayStage whether its prompt may be computed elsewhere
  * @param mayWait whether it may wait here for room at an engine
@@ -21,6 +22,7 @@
         Optional<Prompt> prompt,
         Duration timeLeft,
         Duration objective,
+        boolean answerBegun,
         Set<String> avoided,
         boolean mayStage,
         boolean mayWait,
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -113,7 +113,7 @@
                 ? generation(request, request.prompt().get(), usable, now)
                 : plain(usable, now);
         boolean unknown = request.prompt().isPresent() && !speedKnown(best);
-        return unknown ? best : withinTime(best, request.timeLeft());
+        return unknown ? best : QueueLimit.applied(best, request);
     }
 
     private boolean speedKnown(Placement placement) {
@@ -314,8 +314,9 @@
                 bestSeconds = seconds;
             }
         }
+        double queue = waitSeconds(best, now);
         return new Placement.Whole(
-                best.server(), Optional.empty(), PLAIN_WORK_SECONDS, waitSeconds(best, now) + PLAIN_WORK_SECONDS);
+                best.server(), Optional.empty(), PLAIN_WORK_SECONDS, queue, queue + PLAIN_WORK_SECONDS);
     }
 
     private double startSeconds(ServerBelief belief, WorkKind kind, boolean paced) {
@@ -376,15 +377,16 @@
                 continue;
             }
             double start = paced ? belief.fixedSeconds() : FIRST_TOKEN_SECONDS;
-            double begins = waitSeconds(belief, now) + work.seconds() + start;
+            double queue = waitSeconds(belief, now);
+            double begins = queue + work.seconds() + start;
             double answer =
                     staged ? begins + handOverSeconds(request, prompt, paced) + waitSeconds(decode, now) : begins;
             double seconds = answer + penaltySeconds(belief, now) + harmShare(belief, now) * work.seconds();
             if (seconds < bestSeconds) {
                 bestSeconds = seconds;
                 best = staged
-                        ? new Placement.Staged(belief.server(), work.holder(), work.seconds(), answer, paced)
-                        : new Placement.Whole(belief.server(), work.holder(), work.seconds(), answer);
+                        ? new Placement.Staged(belief.server(), work.holder(), work.seconds(), queue, answer, paced)
+                        : new Placement.Whole(belief.server(), work.holder(), work.seconds(), queue, answer);
             }
         }
         return full && best instanceof Placement.Refused ? new Placement.Held(leastSeconds) : best;
@@ -431,20 +433,4 @@
         }
         return best;
     }
-
-    private static Placement withinTime(Placement best, Duration timeLeft) {
-        double expected = switch (best) {
-            case Placement.Whole whole -> whole.expectedSeconds();
-            case Placement.Staged staged -> staged.expectedSeconds();
-            case Placement.Held held -> 0;
-            case Placement.Refused refused -> 0;
-        };
-        double left = timeLeft.toNanos() / NANOSECONDS;
-        if (expected <= left) {
-            return best;
-        }
-        Duration comeBack = Duration.ofNanos((long) ((expected - left) * NANOSECONDS));
-        return new Placement.Refused(
-                String.format("the answer would begin in %.2f s and %.2f s are left", expected, left), comeBack);
-    }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -351,7 +351,15 @@
 
     private static PlacementRequest waiting(Prompt prompt, boolean othersWait) {
         return new PlacementRequest(
-                TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, OBJECTIVE, Set.of(), true, true, othersWait);
+                TestServers.MODEL_SERVICE,
+                Optional.of(prompt),
+                PATIENCE,
+                OBJECTIVE,
+                false,
+                Set.of(),
+                true,
+                true,
+                othersWait);
     }
 
     private static Placer placer(PeerLoads peers, long seed) {
@@ -361,12 +369,20 @@
 
     private static PlacementRequest plainRequest(Set<String> avoided) {
         return new PlacementRequest(
-                TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, OBJECTIVE, avoided, true, false, false);
+                TestServers.PLAIN_SERVICE, Optional.empty(), PATIENCE, OBJECTIVE, false, avoided, true, false, false);
     }
 
     private static PlacementRequest generation(Prompt prompt) {
         return new PlacementRequest(
-                TestServers.MODEL_SERVICE, Optional.of(prompt), PATIENCE, OBJECTIVE, Set.of(), true, false, false);
+                TestServers.MODEL_SERVICE,
+                Optional.of(prompt),
+                PATIENCE,
+                OBJECTIVE,
+                false,
+                Set.of(),
+                true,
+                false,
+                false);
     }
 
     private static Prompt prompt(String subject) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -158,7 +158,15 @@
         Duration left = Duration.ofNanos(wantedBy() - now());
         boolean mayStage = failedStages < MOST_STAGED_TRIES;
         return new PlacementRequest(
-                service, caller.prompt(), left, route.objective(), avoided, mayStage, mayWait, othersWait);
+                service,
+                caller.prompt(),
+                left,
+                route.objective(),
+                stream.begun(),
+                avoided,
+                mayStage,
+                mayWait,
+                othersWait);
     }
 
     private void prefill(Placement.Staged staged) {
