A request is served once all that its connection holds has been read

Cause: an entry that is short of processor time, after a restart, finds requests in its sockets whose callers have closed behind them. Change: a connection is read to its end before its request is served, and one whose caller has closed is dropped and logged. Test: should_not_send_a_request_on_whose_caller_left_while_the_entry_was_busy, which failed before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -239,12 +239,27 @@
         }
     }
 
+    /**
+     * Serves the request once all has been read that the connection holds. An entry that was short of processor time finds
+     * requests whose callers have closed long ago; served at once, before the close behind them is read, a server would
+     * work on them for nobody.
+     */
     private void start() {
         IncomingRequest request = new IncomingRequest(head, body, headArrivedAt);
         head = null;
         body = null;
         receiving = false;
         serving = true;
+        channel.eventLoop().execute(() -> serve(request));
+    }
+
+    private void serve(IncomingRequest request) {
+        if (!channel.isActive()) {
+            service.release(reserved);
+            reserved = 0;
+            service.drop(request);
+            return;
+        }
         ActiveRequest begun = service.serve(request, this);
         if (serving) {
             active = begun;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -1,10 +1,12 @@
 package org.aspenmoor.internal.gateway.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -21,6 +23,9 @@
     private static final int CHUNK_BYTES = 16_384;
     private static final int BACKLOG = 1024;
 
+    /** Reads of one connection in a row, so that none keeps the others waiting. */
+    private static final int MOST_READS = 16;
+
     private final RequestService service;
     private final TimeSource time;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -39,6 +44,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -78,6 +84,13 @@
         return connections.stream().filter(CallerConnection::serving).count();
     }
 
+    /** By default a read that fills no buffer is the last for now, and a close behind it shows only after the next wait. */
+    private static RecvByteBufAllocator readToTheEnd() {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MOST_READS);
+        return allocator.respectMaybeMoreData(false);
+    }
+
     private void accept(Channel channel) {
         CallerConnection connection = new CallerConnection(channel, service, time);
         connections.add(connection);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/RequestService.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/RequestService.java
@@ -7,6 +7,9 @@
     /** Begins to serve a request. It may be answered before this returns. */
     ActiveRequest serve(IncomingRequest request, CallerLink link);
 
+    /** Drops a request whose caller had left before it could be served. */
+    void drop(IncomingRequest request);
+
     /** Returns what callers' connections may do now. */
     ConnectionLimits limits();
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -130,6 +130,11 @@
         return request;
     }
 
+    @Override
+    public void drop(IncomingRequest incoming) {
+        end(incoming, callers.read(incoming.head()), RequestOutcome.CALLER_LEFT);
+    }
+
     @Override
     public ConnectionLimits limits() {
         return tools.state().configuration().map(ServingConfiguration::limits).orElse(ConnectionLimits.usual());
@@ -160,6 +165,13 @@
             CallerLink link,
             RequestOutcome outcome,
             FullHttpResponse answer) {
+        end(incoming, caller, outcome);
+        link.answer(answer);
+        return new EndedRequest();
+    }
+
+    /** Ends a request that went nowhere. */
+    private void end(IncomingRequest incoming, CallerRequest caller, RequestOutcome outcome) {
         incoming.body().release();
         tools.metrics().ended("", outcome);
         tools.state()
@@ -176,8 +188,6 @@
                                 .map(ServingConfiguration::version)
                                 .orElse(-1L))
                 .write();
-        link.answer(answer);
-        return new EndedRequest();
     }
 
     private static String host(IncomingRequest incoming) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -19,16 +19,16 @@
     /** A sixth of the memory of the smallest host that entries run on. */
     private static final int USUAL_BODY_MEBIBYTES = 48;
 
-    /** After this time a connection that has gone silent counts as no excuse any more. */
+    /** Within this time a connection to the store that has gone silent must be noticed. */
     private static final int USUAL_SILENCE_MILLISECONDS = 2000;
 
-    /** A call for changes that waits for so much of that time leaves enough to notice its silence and to ask again. */
+    /** Part of that time for which a call for changes waits; the rest is for giving it up and asking again. */
     private static final double WATCH_SHARE = 0.6;
 
-    /** For so long a leaving server still takes requests. */
+    /** For this time a leaving server still takes requests. */
     private static final int USUAL_LEAVING_MILLISECONDS = 2000;
 
-    /** With so much of that time spent at the store, a late answer and a request under way still fit into the rest. */
+    /** Part of that time for which changes gather at the store; a late answer and a request under way fit into the rest. */
     private static final double SERVER_PAUSE_SHARE = 0.35;
 
     private static final int MOST_MILLISECONDS = 3_600_000;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -57,6 +57,7 @@
     private final List<ScriptedBackend> backends = new ArrayList<>();
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final Gateway gateway;
+    private final TestProtocols protocols = new TestProtocols();
 
     public TestGateway() throws AspenmoorException {
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -79,7 +80,6 @@
         DecisionLog log =
                 new DecisionLog(time, "entry-under-test", new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
-        TestProtocols protocols = new TestProtocols();
         this.gateway = new Gateway(settings, protocols, protocols, time, new Random(1), log);
         gateway.start(store, StoreSettings.defaults(), new Decoder());
     }
@@ -189,6 +189,10 @@
         }
     }
 
+    public TestProtocols protocols() {
+        return protocols;
+    }
+
     public Gateway gateway() {
         return gateway;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
@@ -35,8 +36,28 @@
     public static final String AFTER = "Test-After";
     public static final String PROMPT = "Test-Prompt";
 
+    /** A request with this header keeps the entry busy until it is released. */
+    public static final String BUSY = "Test-Busy";
+
+    private final Semaphore busy = new Semaphore(0);
+    private final Semaphore released = new Semaphore(0);
+
+    /** Waits until a request keeps the entry busy. */
+    public void awaitBusy() {
+        busy.acquireUninterruptibly();
+    }
+
+    /** Lets the entry go on. */
+    public void release() {
+        released.release();
+    }
+
     @Override
     public CallerRequest read(HttpRequest head) {
+        if (head.headers().contains(BUSY)) {
+            busy.release();
+            released.acquireUninterruptibly();
+        }
         Optional<Duration> patience = Optional.ofNullable(head.headers().get("Test-Patience-Ms"))
                 .map(text -> Duration.ofMillis(Long.parseLong(text)));
         Optional<Prompt> prompt = Optional.ofNullable(head.headers().get(PROMPT))
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
@@ -272,6 +272,34 @@
         assertTrue(gateway.awaitLogged("CALLER_LEFT").contains("\"request\":\"r1\""));
     }
 
+    // All entries have just been restarted and are short of processor time. Callers give up and close while their
+    // requests
+    // lie unread; half a second later servers work on them for nobody, and the callers who are still there wait behind.
+    @Test
+    public void should_not_send_a_request_on_whose_caller_left_while_the_entry_was_busy() throws Exception {
+        ScriptedBackend backend = backend("one", PlainRequestTest::answer);
+        gateway.publish();
+        try (TestCaller busy = gateway.caller()) {
+            TestCaller leaving = gateway.caller();
+            leaving.send(read("r1"));
+            leaving.answer();
+            busy.send(HttpText.head(
+                    "GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r2", TestProtocols.BUSY + ": yes"));
+            gateway.protocols().awaitBusy();
+            leaving.send(read("r3"));
+            leaving.close();
+            gateway.protocols().release();
+
+            assertEquals(busy.answer().line(), "HTTP/1.1 200 OK");
+        }
+        assertTrue(gateway.awaitLogged("\"request\":\"r3\"").contains("CALLER_LEFT"));
+        assertEquals(
+                backend.received().stream()
+                        .filter(request -> request.header("Test-Id").orElse("").equals("r3"))
+                        .count(),
+                0);
+    }
+
     @Test
     public void should_answer_in_time_for_a_server_that_does_not() throws Exception {
         ScriptedBackend backend = backend("one", request -> Reply.of(""));
