--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/QueueLimit.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/QueueLimit.java
@@ -11,10 +11,10 @@
  * busy, those who are taken are served on time, and the others hear so while they can still come back.
  */
 final class QueueLimit {
-    /** A queue of so many objectives; with one, engines idle after a burst while refused callers are away. */
+    /** The longest queue, in objectives. With one, engines idle after a burst while refused callers are away. */
     private static final double MOST_OBJECTIVES = 1.5;
 
-    /** So much of its own work a prompt may wait less: the largest queue only where few others would wait behind them. */
+    /** Part of its own work by which a prompt may wait less: a long one queues only where few would wait behind it. */
     private static final double OWN_WORK_SHARE = 0.5;
 
     private static final double NANOSECONDS = 1e9;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
@@ -13,7 +13,8 @@
  * <p>The load it answers: for some seconds, one and a half to three times as many prompts come as engines can compute.
  * First come first served makes all of them late by a little, and those of the seconds after as well. Here as many as can
  * be on time go first, the others whenever there is room left; among either, short prompts go before long ones that came
- * a little earlier, so that more callers are served. Who has no chance by the line's own pace is refused at once, and may come back when the burst is over.
+ * a little earlier, so that more callers are served. Who has no chance by the line's own pace is refused at once, and may
+ * come back when the burst is over.
  *
  * @param <T> a request
  */
@@ -36,9 +37,9 @@
     private static final double LATE_SHARE = 1.0;
 
     /**
-     * A request lets those go first that came up to so many times its own computing later. With none, prompts that take a
-     * third of the engines' time for a tenth of the callers go before several others each; with far more, the largest
-     * would never go while a burst lasts.
+     * A request lets others go first that came up to so many times its own computing later. Without it, the longest tenth
+     * of the prompts, which takes a third of the engines' time, makes several callers late for each one that it serves;
+     * with far more, the longest would never go while a burst lasts.
      */
     private static final double WORK_WEIGHT = 50;
 
@@ -142,10 +143,12 @@
         return late;
     }
 
+    /** Returns the moment by which a request that can be on time is ordered among its like. */
     private static long turn(Waiting<?> each) {
         return each.arrivedAt() + (long) (WORK_WEIGHT * each.promptSeconds() * NANOSECONDS);
     }
 
+    /** Returns the moment by which a late request is ordered among its like. */
     private static long lateTurn(Waiting<?> each) {
         return each.deadlineAt() + (long) (LATE_WORK_WEIGHT * each.promptSeconds() * NANOSECONDS);
     }
