Rereading the replay: names and comments say what they hold

One queue serves all jobs of an engine, so it is named for them; each mechanism that can be switched off says what it is; a constant for what stood as a number.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/ReplayMain.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/ReplayMain.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.bench.replay;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
@@ -38,7 +39,7 @@
 
     private void run() throws AspenmoorException {
         table.heading();
-        for (var file : options.customers()) {
+        for (Path file : options.customers()) {
             Customer read = new CustomerReader().read(file);
             for (double speed : options.engineSpeeds()) {
                 Customer customer = read.changed(options.entries().orElse(read.entries()), speed);
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/PromptQueue.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/JobQueue.java
@@ -5,7 +5,7 @@
 import java.util.PriorityQueue;
 
 /** Jobs that wait at an engine, by rank and then by their order. */
-final class PromptQueue {
+final class JobQueue {
     private final PriorityQueue<EngineJob> jobs = new PriorityQueue<>(EngineJob.BY_RANK);
 
     void add(EngineJob job) {
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/ModelEngine.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/ModelEngine.java
@@ -20,8 +20,8 @@
     private final EngineFigures figures;
     private final double slowness;
     private final KeptParts kept = new KeptParts();
-    private final PromptQueue prompts = new PromptQueue();
-    private final PromptQueue arriving = new PromptQueue();
+    private final JobQueue prompts = new JobQueue();
+    private final JobQueue arriving = new JobQueue();
     private final AnswerBatch batch;
     private BackendServer server;
     private Optional<EngineJob> computing = Optional.empty();
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Mechanism.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Mechanism.java
@@ -5,12 +5,19 @@
 
 /** What can be switched off to see what it is worth. */
 public enum Mechanism {
+    /** What entries tell each other of the work that they have at engines. */
     PEER_LOADS("peer-loads"),
+    /** What they tell of the prompts that they have placed. */
     PEER_PROMPTS("peer-prompts"),
+    /** What they tell of the speeds that they have learnt. */
     PEER_SPEEDS("peer-speeds"),
+    /** Computed parts of a prompt come from the engine that keeps them. */
     FETCHES("fetches"),
+    /** One engine computes a prompt, another generates the answer. */
     STAGING("staging"),
+    /** Prompts wait at the entry until an engine has room. */
     WAITING("waiting"),
+    /** Engines change their role after a loss. */
     ROLE_MOVES("role-moves");
 
     private final String label;
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
@@ -48,6 +48,9 @@
     private static final double ROLE_LOOK_SECONDS = 2;
     private static final double AFTER_SECONDS = 20;
 
+    /** Part of its usual rate at which a kind that is not asked for is looked at again. */
+    private static final double LEAST_RATE_SHARE = 0.05;
+
     /** Entries get uneven shares of the callers; the last has this many times the first one's. */
     private static final double ENTRY_SHARE_SPREAD = 1.6;
 
@@ -149,8 +152,7 @@
             return;
         }
         double rate = day.perSecond(kind, loop.nowSeconds());
-        double busiest = Math.max(rate, kind.perSecond() / 20);
-        double pause = -Math.log(1 - random.nextDouble()) / busiest;
+        double pause = -Math.log(1 - random.nextDouble()) / Math.max(rate, kind.perSecond() * LEAST_RATE_SHARE);
         loop.after(pause, () -> {
             if (loop.nowSeconds() < day.seconds() && rate > 0) {
                 CallerAsk ask = generator.draw(kind, loop.now());
