Rereading the change: one loop moves the line in the entry and in the replay; what nothing read goes

The loop that gives up, sends on and stops where there is no room stood in WaitingRequests and again in the replay, which is meant to play the very code that serves; it is WaitingLine.move now. A part of 1.0 that divided nothing, a window's size and a flag of refused requests that nobody read, and a constant named for its value went.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Callers.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Callers.java
@@ -11,7 +11,7 @@
     void complete(CallerAsk ask);
 
     /** It was refused without having run. */
-    void refused(CallerAsk ask, Duration comeBackAfter, boolean offered);
+    void refused(CallerAsk ask, Duration comeBackAfter);
 
     /** It may have run and got nothing whole. */
     void failed(CallerAsk ask);
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/DayTally.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/DayTally.java
@@ -18,7 +18,10 @@
     private static final double LEAST_UNSERVED = 0.001;
     private static final int WINDOW_SECONDS = 3;
     private static final int WORST_WINDOWS = 2;
-    private static final int TENTH = 10;
+
+    /** A window with fewer callers says nothing. */
+    private static final int LEAST_CALLERS = 10;
+
     private static final int LARGE_PART = 10;
     private static final int SMALLER_PART = 30;
     private static final double NANOSECONDS = 1e9;
@@ -114,7 +117,7 @@
     private double worstWindows() {
         Map<Integer, List<AskOutcome>> windows = by(outcome -> second(outcome) / WINDOW_SECONDS);
         return windows.values().stream()
-                .filter(each -> each.size() >= TENTH)
+                .filter(each -> each.size() >= LEAST_CALLERS)
                 .mapToDouble(this::earned)
                 .sorted()
                 .limit(WORST_WINDOWS)
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
@@ -30,7 +30,6 @@
     private int events;
     private long departedAt;
     private long firstEventAt;
-    private boolean offered;
     private boolean over;
 
     EntryRequest(ReplayEntry entry, CallerAsk ask) {
@@ -101,7 +100,6 @@
 
     private void send(
             BackendServer server, WorkKind kind, double promptSeconds, int rank, Optional<ModelEngine> holder) {
-        offered = true;
         if (kind != WorkKind.PROMPT_ONLY) {
             tries++;
             avoided.add(server.id());
@@ -197,7 +195,7 @@
         over = true;
         entry.line().remove(this);
         Duration pause = comeBackAfter.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : comeBackAfter;
-        entry.callers().refused(ask, entry.spread(pause), offered);
+        entry.callers().refused(ask, entry.spread(pause));
     }
 
     private void fail() {
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -1,7 +1,6 @@
 package org.aspenmoor.internal.bench.replay.run;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +23,6 @@
     /** How often the line is looked at while nothing ends. */
     private static final double LOOK_SECONDS = 0.01;
 
-    private static final double NANOSECONDS = 1e9;
-
     private final String name;
     private final EventLoop loop;
     private final Map<String, ModelEngine> engines;
@@ -165,13 +162,7 @@
             return;
         }
         moving = true;
-        Duration comeBackAfter = Duration.ofNanos((long) (line.drainSeconds() * NANOSECONDS));
-        new ArrayList<>(line.takeHopeless(loop.now())).forEach(request -> request.giveUp(comeBackAfter));
-        int before = line.size() + 1;
-        while (line.size() > 0 && line.size() < before) {
-            before = line.size();
-            line.next(loop.now()).ifPresent(waiting -> waiting.request().goOn());
-        }
+        line.move(loop::now, EntryRequest::giveUp, EntryRequest::goOn);
         moving = false;
     }
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
@@ -224,7 +224,7 @@
     }
 
     @Override
-    public void refused(CallerAsk ask, Duration comeBackAfter, boolean offered) {
+    public void refused(CallerAsk ask, Duration comeBackAfter) {
         AskOutcome outcome = outcomes.get(ask);
         long left = ask.deadlineAt() - loop.now();
         if (outcome.tries() >= TRIES || left <= 0) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptWindow.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptWindow.java
@@ -37,11 +37,6 @@
     private long pausedUntil = Long.MIN_VALUE;
     private long rejectingUntil = Long.MIN_VALUE;
 
-    /** Returns how many prompts may be at the engine. */
-    double size() {
-        return window;
-    }
-
     boolean room(long now) {
         return prompts + 1 <= window || (prompts == 0 && now >= pausedUntil);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitingLine.java
@@ -1,9 +1,13 @@
 package org.aspenmoor.internal.serving;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 
 /**
@@ -30,12 +34,6 @@
     /** Weight of one more departure in the pace of the line: a burst brings that many within a second. */
     private static final double PACE_SHARE = 0.1;
 
-    /**
-     * Part of all departures that late requests may count on, however few of them left lately: at the begin of a burst none
-     * has, and most bursts are over before their deadlines.
-     */
-    private static final double LATE_SHARE = 1.0;
-
     /**
      * A request lets others go first that came up to so many times its own computing later. Without it, the longest tenth
      * of the prompts, which takes a third of the engines' time, makes several callers late for each one that it serves;
@@ -104,7 +102,10 @@
     public List<T> takeHopeless(long now) {
         List<Waiting<T>> late = late(now);
         late.sort(byTime(WaitingLine::lateTurn));
-        double secondsEachLate = secondsEach / LATE_SHARE;
+        // At the begin of a burst no late one has left yet, and most bursts are over before their deadlines: so late
+        // ones
+        // may count on all departures, or on more where more of them left lately.
+        double secondsEachLate = secondsEach;
         double lately = lateDepartures.perSecond(now);
         if (lately > 0) {
             secondsEachLate = Math.min(secondsEachLate, 1 / lately);
@@ -123,8 +124,26 @@
         return hopeless;
     }
 
+    /**
+     * Gives up those that have no chance, and sends others on as long as there is room. Whoever is sent on and finds none
+     * comes back into the line.
+     *
+     * @param clock the steady clock, in nanoseconds
+     * @param giveUp told of each that is given up, and after how long it may come back
+     * @param sendOn told of each whose turn it is
+     */
+    public void move(LongSupplier clock, BiConsumer<T, Duration> giveUp, Consumer<T> sendOn) {
+        Duration comeBackAfter = Duration.ofNanos((long) (drainSeconds() * NANOSECONDS));
+        takeHopeless(clock.getAsLong()).forEach(request -> giveUp.accept(request, comeBackAfter));
+        int before = size() + 1;
+        while (size() > 0 && size() < before) {
+            before = size();
+            next(clock.getAsLong()).ifPresent(turn -> sendOn.accept(turn.request()));
+        }
+    }
+
     /** Returns after how long the line is probably empty. */
-    public double drainSeconds() {
+    double drainSeconds() {
         return waiting.size() * secondsEach;
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/WaitingRequests.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/WaitingRequests.java
@@ -2,11 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.serving.WaitingLine;
 import org.aspenmoor.internal.time.TimeSource;
@@ -66,7 +64,7 @@
         }
         moving = true;
         try {
-            move(line);
+            line.move(time::monotonicNanoseconds, ServedRequest::giveUp, ServedRequest::goOn);
         } finally {
             moving = false;
         }
@@ -80,17 +78,6 @@
         }
     }
 
-    private void move(WaitingLine<ServedRequest> line) {
-        Duration comeBackAfter = Duration.ofNanos((long) (line.drainSeconds() * NANOSECONDS));
-        line.takeHopeless(time.monotonicNanoseconds()).forEach(request -> request.giveUp(comeBackAfter));
-        int before = line.size() + 1;
-        while (line.size() > 0 && line.size() < before) {
-            before = line.size();
-            Optional<WaitingLine.Waiting<ServedRequest>> next = line.next(time.monotonicNanoseconds());
-            next.ifPresent(waiting -> waiting.request().goOn());
-        }
-    }
-
     private WaitingLine<ServedRequest> line(String service) {
         return lines.computeIfAbsent(service, name -> new WaitingLine<>());
     }
