--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/Customer.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/Customer.java
@@ -18,4 +18,9 @@
     public Customer changed(int otherEntries, double engineSpeed) {
         return new Customer(name, otherEntries, dataCentres, engines.faster(engineSpeed), kinds, days);
     }
+
+    /** Returns the same customer with engines that differ in speed: by engine in turn, how many times longer one takes. */
+    public Customer withSlownesses(List<Double> slownesses) {
+        return new Customer(name, entries, dataCentres, engines.withSlownesses(slownesses), kinds, days);
+    }
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/EngineFigures.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/EngineFigures.java
@@ -62,6 +62,27 @@
                 slownesses);
     }
 
+    /** Returns the figures of engines that differ in speed as given. */
+    EngineFigures withSlownesses(List<Double> otherSlownesses) {
+        return new EngineFigures(
+                count,
+                slots,
+                queue,
+                cacheTokens,
+                stepSeconds,
+                stepSecondsPerSequence,
+                stepSecondsPerThousandTokens,
+                promptTokensPerSecond,
+                secondsPerMegapair,
+                firstSeconds,
+                tokensPerEvent,
+                chunkTokens,
+                transferSeconds,
+                transferTokensPerSecond,
+                roleChangeSeconds,
+                otherSlownesses);
+    }
+
     /** Returns how long computing so many tokens behind so many kept ones takes. */
     public double promptSeconds(double computed, double kept) {
         double megapairs = computed * (kept + computed / 2) / PAIRS_OF_MEGAPAIR;
--- /dev/null
+++ b/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/replay/LongAnswersReplayTest.java
@@ -0,0 +1,68 @@
+package org.aspenmoor.internal.bench.replay;
+
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.bench.replay.customer.Customer;
+import org.aspenmoor.internal.bench.replay.customer.CustomerReader;
+import org.aspenmoor.internal.bench.replay.customer.LoadDay;
+import org.aspenmoor.internal.bench.replay.run.DayResult;
+import org.aspenmoor.internal.bench.replay.run.KindResult;
+import org.aspenmoor.internal.bench.replay.run.Mechanism;
+import org.aspenmoor.internal.bench.replay.run.ReplayRun;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class LongAnswersReplayTest {
+    /** The users ask that the largest tenth of a kind is served half as often as the whole kind at least. */
+    private static final double LEAST_PART_OF_ALL = 0.5;
+
+    private static final long SEEDS = 6;
+
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {{"calm"}, {"drafts-first"}, {"swinging"}};
+    }
+
+    // Guards against long answers cut at their deadline because few engines answer and one of those is slow.
+    @Test(dataProvider = "loads", groups = "known-red")
+    public void should_serve_the_longest_answers_half_as_often_as_all_where_one_engine_is_slow(String day)
+            throws AspenmoorException {
+        List<KindResult> drafts = LongStream.rangeClosed(1, SEEDS)
+                .mapToObj(seed -> drafts(day, seed))
+                .toList();
+        double largest =
+                drafts.stream().mapToDouble(KindResult::largestServed).average().orElseThrow();
+        double all = drafts.stream().mapToDouble(KindResult::served).average().orElseThrow();
+
+        assertTrue(largest >= LEAST_PART_OF_ALL * all, "of the largest tenth " + largest + ", of all " + all);
+    }
+
+    private static KindResult drafts(String dayName, long seed) {
+        Customer customer = customer();
+        LoadDay day = customer.days().stream()
+                .filter(each -> each.name().equals(dayName))
+                .findFirst()
+                .orElseThrow();
+        DayResult result = new ReplayRun(customer, day, seed, EnumSet.noneOf(Mechanism.class)).play();
+        return result.kinds().stream()
+                .filter(kind -> kind.kind().equals("draft"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns a customer whose engines answer slowly by turns; the second is one of those that begin with answers. */
+    private static Customer customer() {
+        try {
+            return new CustomerReader()
+                    .read(Path.of("customers", "norrvik.json"))
+                    .withSlownesses(List.of(1.0, 1.3, 1.0));
+        } catch (AspenmoorException unreadable) {
+            throw new IllegalStateException(unreadable);
+        }
+    }
+}
