An engine's pace and load stand in the log line of a request, in the metrics and in the reports among entries

Each entry now measures the pauses between events by engine; entries tell each other with their reports, so the pace is that of all. The line of a request names requests and pace at its engine when the answer was asked for and when it ended; /metrics has both by server, the state dump too. Nothing is decided by it yet.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/AttemptAnswers.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/AttemptAnswers.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.bench.replay.run;
 
+import java.time.Duration;
 import org.aspenmoor.internal.bench.policy.engine.EventLoop;
 import org.aspenmoor.internal.bench.replay.engine.EngineAnswers;
 import org.aspenmoor.internal.bench.replay.engine.EngineJob;
@@ -17,6 +18,7 @@
     private final WorkKind kind;
     private final PlacedWork work;
     private EngineJob job;
+    private long lastEventAt;
     private boolean begun;
     private boolean over;
 
@@ -44,9 +46,13 @@
     @Override
     public void event() {
         later(() -> {
-            if (!begun) {
+            if (begun) {
+                Duration pause = Duration.ofNanos(loop().now() - lastEventAt);
+                entry.placer().eventTold(work, pause, loop().now());
+            } else {
                 began();
             }
+            lastEventAt = loop().now();
             request.event();
         });
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -76,7 +76,7 @@
                 name,
                 0,
                 reports,
-                without(Mechanism.PEER_LOADS) ? Map.of() : placer.ownShares(),
+                without(Mechanism.PEER_LOADS) ? Map.of() : placer.ownShares(loop.now()),
                 without(Mechanism.PEER_PROMPTS) ? List.of() : prompts,
                 without(Mechanism.PEER_SPEEDS) ? List.of() : speeds,
                 false);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -206,6 +206,20 @@
         }
     }
 
+    /** Notes an event of an answer that came so long after the one before it. */
+    public void eventTold(PlacedWork work, Duration pause, long now) {
+        ServerBelief belief = beliefs.get(work.server());
+        if (belief != null) {
+            belief.eventTold(pause.toNanos() / NANOSECONDS, now);
+        }
+    }
+
+    /** Returns what runs at a server. */
+    public EngineLoad load(String server, long now) {
+        ServerBelief belief = beliefs.get(server);
+        return belief == null ? EngineLoad.UNKNOWN : belief.load(peers.on(server), now);
+    }
+
     /** Notes how long an answer has been told so far, out of the time that its request was allowed. */
     public void answerTold(String service, Duration told, Duration allowed, long now) {
         longAnswers.told(service, told, allowed, now);
@@ -220,10 +234,10 @@
     }
 
     /** Returns this entry's own part of the load, for the other entries; servers without any are left out. */
-    public Map<String, PeerShare> ownShares() {
+    public Map<String, PeerShare> ownShares(long now) {
         Map<String, PeerShare> shares = new HashMap<>();
         beliefs.forEach((id, belief) -> {
-            PeerShare share = belief.ownShare();
+            PeerShare share = belief.ownShare(now);
             if (share.requests() > 0) {
                 shares.put(id, share);
             }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -37,6 +37,7 @@
 
     private final ServerHealth health = new ServerHealth();
     private final CacheBelief cache = new CacheBelief();
+    private final PaceMeter pace = new PaceMeter();
     private final PromptWindow window = new PromptWindow();
     private final Deque<PlacedWork> unanswered = new ArrayDeque<>();
     private BackendServer server;
@@ -125,6 +126,17 @@
         return speed.fixedSeconds();
     }
 
+    /** Notes an event of an answer that came so long after the one before it. */
+    void eventTold(double pauseSeconds, long now) {
+        pace.event(pauseSeconds, now);
+    }
+
+    /** Returns what runs at the server, given what the other entries have there. */
+    EngineLoad load(PeerShare others, long now) {
+        return new EngineLoad(
+                requests(others, now), pace.seen(now).plus(others.pace()).secondsPerEvent());
+    }
+
     /** Notes that the server turned work away without running it. */
     void rejected(PlacedWork work, long now) {
         if (isPrompt(work)) {
@@ -159,8 +171,8 @@
     }
 
     /** Returns this entry's own part of the load. */
-    PeerShare ownShare() {
-        return new PeerShare(unansweredSeconds, outstanding);
+    PeerShare ownShare(long now) {
+        return new PeerShare(unansweredSeconds, outstanding, pace.seen(now));
     }
 
     void placed(PlacedWork work) {
@@ -241,7 +253,7 @@
         return new ServerSummary(
                 server,
                 waitSeconds(others, now),
-                requests(others, now),
+                load(others, now),
                 outstanding,
                 slowness,
                 health.failureShare(),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -5,7 +5,7 @@
  *
  * @param server the server as it registered itself
  * @param waitSeconds how long a new request probably waits there
- * @param requests requests there, of all entries
+ * @param load what runs there
  * @param ownRequests requests there of this entry
  * @param slowness how many times longer than expected it takes
  * @param failureShare part of its last answers that were failures
@@ -15,7 +15,7 @@
 public record ServerSummary(
         BackendServer server,
         double waitSeconds,
-        double requests,
+        EngineLoad load,
         int ownRequests,
         double slowness,
         double failureShare,
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -20,7 +20,7 @@
         peers.heard(report("one", 1, 1, 0.5), 0);
         peers.heard(report("two", 1, 1, 0.25), 0);
 
-        assertEquals(peers.on("server"), new PeerShare(0.75, 2));
+        assertEquals(peers.on("server"), new PeerShare(0.75, 2, EventPace.NONE));
         assertEquals(peers.on("another"), PeerShare.NONE);
     }
 
@@ -31,7 +31,7 @@
         peers.heard(report("one", 1, 2, 0.5), 0);
         peers.heard(report("one", 1, 1, 9), 0);
 
-        assertEquals(peers.on("server"), new PeerShare(0.5, 1));
+        assertEquals(peers.on("server"), new PeerShare(0.5, 1, EventPace.NONE));
     }
 
     // An entry is killed and starts again: its numbers begin anew, and the work of its earlier start is gone.
@@ -40,7 +40,7 @@
         peers.heard(report("one", 1, 700, 5), 0);
         peers.heard(report("one", 2, 1, 0.5), 0);
 
-        assertEquals(peers.on("server"), new PeerShare(0.5, 1));
+        assertEquals(peers.on("server"), new PeerShare(0.5, 1, EventPace.NONE));
     }
 
     @Test
@@ -56,6 +56,12 @@
 
     private static PeerReport report(String entry, long start, long sequence, double seconds) {
         return new PeerReport(
-                entry, start, sequence, Map.of("server", new PeerShare(seconds, 1)), List.of(), List.of(), false);
+                entry,
+                start,
+                sequence,
+                Map.of("server", new PeerShare(seconds, 1, EventPace.NONE)),
+                List.of(),
+                List.of(),
+                false);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacerTest.java
@@ -174,7 +174,16 @@
         }
         Prompt prompt = prompt("subject");
         String home = whole(placer.choose(generation(prompt), 0));
-        peers.heard(new PeerReport("other", 1, 1, Map.of(home, new PeerShare(2.0, 9)), List.of(), List.of(), false), 0);
+        peers.heard(
+                new PeerReport(
+                        "other",
+                        1,
+                        1,
+                        Map.of(home, new PeerShare(2.0, 9, EventPace.NONE)),
+                        List.of(),
+                        List.of(),
+                        false),
+                0);
 
         assertNotEquals(whole(placer.choose(generation(prompt), 0)), home);
         peers.expire(PeerLoads.SILENCE.toNanos() + 1);
@@ -226,7 +235,14 @@
         placer.changed(TestServers.engine("engine", EngineRole.WHOLE), TestServers.CACHE_TOKENS);
         placer.speedHeard(new LearntSpeed(TestServers.MODEL_SERVICE, EngineRole.WHOLE, 1, 0.035));
         peers.heard(
-                new PeerReport("other", 1, 1, Map.of("engine", new PeerShare(8.0, 40)), List.of(), List.of(), false),
+                new PeerReport(
+                        "other",
+                        1,
+                        1,
+                        Map.of("engine", new PeerShare(8.0, 40, EventPace.NONE)),
+                        List.of(),
+                        List.of(),
+                        false),
                 0);
 
         Placement.Refused refused = (Placement.Refused) placer.choose(generation(prompt("subject")), 0);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -100,7 +100,7 @@
                 connections,
                 backendProtocol,
                 eventLoop,
-                new GatewayMetrics(registry, connections::opened),
+                new GatewayMetrics(registry, connections::opened, state::servers),
                 new WaitingRequests(time, eventLoop));
         this.dispatcher = new RequestDispatcher(tools, callerProtocol, settings.mostBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -60,7 +60,8 @@
         node.put("state", lowerCase(server.state()));
         node.put("role", lowerCase(server.role()));
         node.put("waitMilliseconds", Math.round(summary.waitSeconds() * MILLISECONDS));
-        node.put("requests", Math.round(summary.requests()));
+        node.put("requests", Math.round(summary.load().requests()));
+        summary.load().secondsPerEvent().ifPresent(pace -> node.put("millisecondsPerEvent", pace * MILLISECONDS));
         node.put("ownRequests", summary.ownRequests());
         node.put("slowness", summary.slowness());
         node.put("failureShare", summary.failureShare());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerCodec.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.EventPace;
 import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
@@ -30,7 +31,9 @@
                 .forEach((server, share) -> message.addShares(PeerLoad.Share.newBuilder()
                         .setServer(server)
                         .setUnansweredMicroseconds((int) (share.unansweredSeconds() * MICROSECONDS))
-                        .setRequests(share.requests())));
+                        .setRequests(share.requests())
+                        .setPaceEvents((float) share.pace().events())
+                        .setPaceSeconds((float) share.pace().seconds())));
         for (PlacedPrompt placed : report.prompts()) {
             PeerLoad.Prompt.Builder prompt = PeerLoad.Prompt.newBuilder().setServer(placed.server());
             for (PromptPart part : placed.parts()) {
@@ -47,6 +50,14 @@
         return message.build().toByteArray();
     }
 
+    private static EventPace readPace(PeerLoad.Share share) {
+        boolean usable = Float.isFinite(share.getPaceEvents())
+                && Float.isFinite(share.getPaceSeconds())
+                && share.getPaceEvents() >= 0
+                && share.getPaceSeconds() >= 0;
+        return usable ? new EventPace(share.getPaceEvents(), share.getPaceSeconds()) : EventPace.NONE;
+    }
+
     private static List<LearntSpeed> readSpeeds(PeerLoad message) {
         List<LearntSpeed> speeds = new ArrayList<>();
         EngineRole[] roles = EngineRole.values();
@@ -86,7 +97,7 @@
             Map<String, PeerShare> shares = new HashMap<>();
             for (PeerLoad.Share share : message.getSharesList()) {
                 double seconds = Integer.toUnsignedLong(share.getUnansweredMicroseconds()) / MICROSECONDS;
-                shares.put(share.getServer(), new PeerShare(seconds, share.getRequests()));
+                shares.put(share.getServer(), new PeerShare(seconds, share.getRequests(), readPace(share)));
             }
             return Optional.of(new PeerReport(
                     message.getEntry(),
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -2,9 +2,13 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.aspenmoor.internal.serving.ServerSummary;
 
 /** What an entry counts about requests. */
 public final class GatewayMetrics {
@@ -17,8 +21,10 @@
      * Registers the metrics.
      *
      * @param connectionsOpened how many connections to backend servers were opened
+     * @param servers what is believed of each backend server
      */
-    public GatewayMetrics(PrometheusRegistry registry, LongSupplier connectionsOpened) {
+    public GatewayMetrics(
+            PrometheusRegistry registry, LongSupplier connectionsOpened, Supplier<List<ServerSummary>> servers) {
         this.requests = Counter.builder()
                 .name("aspenmoor_requests_total")
                 .help("Requests by service and outcome.")
@@ -45,6 +51,26 @@
                 .help("Connections to backend servers that were opened.")
                 .callback(callback -> callback.call((double) connectionsOpened.getAsLong()))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_requests")
+                .help("Requests at a backend server, of all entries, by server and role.")
+                .labelNames("server", "role")
+                .callback(callback -> servers.get()
+                        .forEach(each -> callback.call(
+                                each.load().requests(),
+                                each.server().id(),
+                                each.server().role().name())))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_event_seconds")
+                .help("Seconds from one event of an answer to the next, of all entries, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(each -> each.load()
+                                .secondsPerEvent()
+                                .ifPresent(pace ->
+                                        callback.call(pace, each.server().id()))))
+                .register(registry);
     }
 
     void ended(String service, RequestOutcome outcome) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -1,12 +1,14 @@
 package org.aspenmoor.internal.gateway.request;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.LogLine;
 import org.aspenmoor.internal.gateway.protocol.CallerRequest;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.EngineLoad;
 import org.aspenmoor.internal.serving.NextStep;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.Route;
@@ -30,10 +32,12 @@
     private long departedAt;
     private long promptReadyAt;
     private long answerAskedAt;
+    private EngineLoad loadWhenAsked = EngineLoad.UNKNOWN;
     private long firstByteAt;
     private long lastEventAt;
     private long longestPause;
     private int events;
+    private int eventsOfAttempt;
 
     RequestTrace(
             CallerRequest caller,
@@ -76,7 +80,10 @@
         return lastEventAt;
     }
 
-    void answerAsked(long now) {
+    /** Notes that an engine is asked for the answer, at which so much runs already. */
+    void answerAsked(EngineLoad there, long now) {
+        loadWhenAsked = there;
+        eventsOfAttempt = 0;
         answerAskedAt = now;
     }
 
@@ -85,13 +92,16 @@
         promptReadyAt = now;
     }
 
-    /** Notes an event of a stream, whose pace tells a slow engine from a long answer. */
-    void event(long now) {
+    /** Notes an event of a stream; returns how long after the one before it came, where both came from one engine. */
+    Optional<Duration> event(long now) {
+        long pause = now - lastEventAt;
         if (events > 0) {
-            longestPause = Math.max(longestPause, now - lastEventAt);
+            longestPause = Math.max(longestPause, pause);
         }
         lastEventAt = now;
         events++;
+        eventsOfAttempt++;
+        return eventsOfAttempt > 1 ? Optional.of(Duration.ofNanos(pause)) : Optional.empty();
     }
 
     void because(String newReason) {
@@ -132,8 +142,8 @@
                 .write();
     }
 
-    /** Writes all of it. */
-    void write(LogLine line, RequestOutcome outcome, int attempts, long now) {
+    /** Writes all of it, with what runs at the last server now. */
+    void write(LogLine line, RequestOutcome outcome, int attempts, EngineLoad there, long now) {
         line.with("request", caller.id())
                 .with("outcome", outcome.name())
                 .with("route", route.name())
@@ -154,6 +164,10 @@
                 .with("promptReadyMs", sinceArrival(promptReadyAt))
                 .with("answerAskedMs", sinceArrival(answerAskedAt))
                 .with("firstByteMs", sinceArrival(firstByteAt))
+                .with("askedRequests", Math.round(loadWhenAsked.requests()))
+                .with("askedPaceMs", paceMilliseconds(loadWhenAsked))
+                .with("endRequests", Math.round(there.requests()))
+                .with("endPaceMs", paceMilliseconds(there))
                 .with("events", events)
                 .with("longestPauseMs", TimeUnit.NANOSECONDS.toMillis(longestPause))
                 .with("afterMs", milliseconds(now))
@@ -162,6 +176,13 @@
                 .write();
     }
 
+    /** Returns an engine's milliseconds from one event to the next; -1 where no answer shows it. */
+    private static long paceMilliseconds(EngineLoad load) {
+        return load.secondsPerEvent()
+                .map(seconds -> Math.round(seconds * MILLISECONDS))
+                .orElse(-1L);
+    }
+
     /** Returns the milliseconds from the arrival to a step that may never have come; -1 where it has not. */
     private long sinceArrival(long at) {
         return at == 0 ? -1 : milliseconds(at);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -194,7 +194,7 @@
             Optional<CacheSource> source,
             Optional<BackendServer> holder) {
         account.began();
-        trace.answerAsked(now());
+        trace.answerAsked(tools.state().placer().load(server.id(), now()), now());
         avoided.add(server.id());
         trace.sentTo(server);
         PlacedWork work = current.begin(server, kind, promptSeconds);
@@ -300,7 +300,7 @@
 
     void eventCame(HttpResponse head, ByteBuf event) {
         stream.pass(head, event);
-        trace.event(now());
+        trace.event(now()).ifPresent(pause -> tools.state().placer().eventTold(attempt.work(), pause, now()));
         tools.state().placer().answerTold(service, trace.told(), times.allowed(), now());
         if (!link.writable()) {
             current.read(false);
@@ -435,7 +435,7 @@
         LogLine line = outcome == RequestOutcome.ANSWERED
                 ? tools.state().log().usual("request-ended")
                 : tools.state().log().notable("request-ended");
-        trace.write(line, outcome, account.attempts(), now());
+        trace.write(line, outcome, account.attempts(), tools.state().placer().load(trace.server(), now()), now());
     }
 
     /** A computed prompt that nobody fetches would keep an engine's memory until its handle lapses. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -160,7 +160,7 @@
 
     /** Returns this entry's own part of the load. */
     public Map<String, PeerShare> ownShares() {
-        return placer.ownShares();
+        return placer.ownShares(time.monotonicNanoseconds());
     }
 
     /** Returns the prompts that this entry has placed since it was last asked. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.serving.EventPace;
 import org.aspenmoor.internal.serving.LearntSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PeerShare;
@@ -33,7 +34,8 @@
 
 public class PeerExchangeTest {
     private static final long PATIENCE_SECONDS = 20;
-    private static final Map<String, PeerShare> SHARES = Map.of("server", new PeerShare(0.25, 3));
+    private static final Map<String, PeerShare> SHARES =
+            Map.of("server", new PeerShare(0.25, 3, new EventPace(2, 0.125)));
     private static final List<PlacedPrompt> PROMPTS =
             List.of(new PlacedPrompt("server", List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410))));
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -87,6 +87,22 @@
      * @return The requests.
      */
     int getRequests();
+
+    /**
+     * <pre>
+     * The events of answers from there that were lately seen, older ones counting for less, and the pauses before them.
+     * </pre>
+     *
+     * <code>float pace_events = 4;</code>
+     * @return The paceEvents.
+     */
+    float getPaceEvents();
+
+    /**
+     * <code>float pace_seconds = 5;</code>
+     * @return The paceSeconds.
+     */
+    float getPaceSeconds();
   }
   /**
    * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Share}
@@ -196,6 +212,32 @@
       return requests_;
     }
 
+    public static final int PACE_EVENTS_FIELD_NUMBER = 4;
+    private float paceEvents_ = 0F;
+    /**
+     * <pre>
+     * The events of answers from there that were lately seen, older ones counting for less, and the pauses before them.
+     * </pre>
+     *
+     * <code>float pace_events = 4;</code>
+     * @return The paceEvents.
+     */
+    @java.lang.Override
+    public float getPaceEvents() {
+      return paceEvents_;
+    }
+
+    public static final int PACE_SECONDS_FIELD_NUMBER = 5;
+    private float paceSeconds_ = 0F;
+    /**
+     * <code>float pace_seconds = 5;</code>
+     * @return The paceSeconds.
+     */
+    @java.lang.Override
+    public float getPaceSeconds() {
+      return paceSeconds_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -219,6 +261,12 @@
       if (requests_ != 0) {
         output.writeUInt32(3, requests_);
       }
+      if (java.lang.Float.floatToRawIntBits(paceEvents_) != 0) {
+        output.writeFloat(4, paceEvents_);
+      }
+      if (java.lang.Float.floatToRawIntBits(paceSeconds_) != 0) {
+        output.writeFloat(5, paceSeconds_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -234,6 +282,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, requests_);
       }
+      if (java.lang.Float.floatToRawIntBits(paceEvents_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(4, paceEvents_);
+      }
+      if (java.lang.Float.floatToRawIntBits(paceSeconds_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(5, paceSeconds_);
+      }
       return size;
     }
     @java.lang.Override
@@ -264,6 +320,12 @@
           != other.getUnansweredMicroseconds()) return false;
       if (getRequests()
           != other.getRequests()) return false;
+      if (java.lang.Float.floatToIntBits(getPaceEvents())
+          != java.lang.Float.floatToIntBits(
+              other.getPaceEvents())) return false;
+      if (java.lang.Float.floatToIntBits(getPaceSeconds())
+          != java.lang.Float.floatToIntBits(
+              other.getPaceSeconds())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -281,6 +343,12 @@
       hash = (53 * hash) + getUnansweredMicroseconds();
       hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
       hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + PACE_EVENTS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getPaceEvents());
+      hash = (37 * hash) + PACE_SECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getPaceSeconds());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -415,6 +483,8 @@
         server_ = "";
         unansweredMicroseconds_ = 0;
         requests_ = 0;
+        paceEvents_ = 0F;
+        paceSeconds_ = 0F;
         return this;
       }
 
@@ -457,6 +527,12 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.requests_ = requests_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.paceEvents_ = paceEvents_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.paceSeconds_ = paceSeconds_;
+        }
       }
 
       @java.lang.Override
@@ -482,6 +558,12 @@
         if (other.getRequests() != 0) {
           setRequests(other.getRequests());
         }
+        if (java.lang.Float.floatToRawIntBits(other.getPaceEvents()) != 0) {
+          setPaceEvents(other.getPaceEvents());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getPaceSeconds()) != 0) {
+          setPaceSeconds(other.getPaceSeconds());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -521,6 +603,16 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 37: {
+                paceEvents_ = input.readFloat();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 37
+              case 45: {
+                paceSeconds_ = input.readFloat();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 45
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -686,6 +778,82 @@
         return this;
       }
 
+      private float paceEvents_ ;
+      /**
+       * <pre>
+       * The events of answers from there that were lately seen, older ones counting for less, and the pauses before them.
+       * </pre>
+       *
+       * <code>float pace_events = 4;</code>
+       * @return The paceEvents.
+       */
+      @java.lang.Override
+      public float getPaceEvents() {
+        return paceEvents_;
+      }
+      /**
+       * <pre>
+       * The events of answers from there that were lately seen, older ones counting for less, and the pauses before them.
+       * </pre>
+       *
+       * <code>float pace_events = 4;</code>
+       * @param value The paceEvents to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPaceEvents(float value) {
+
+        paceEvents_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The events of answers from there that were lately seen, older ones counting for less, and the pauses before them.
+       * </pre>
+       *
+       * <code>float pace_events = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPaceEvents() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        paceEvents_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float paceSeconds_ ;
+      /**
+       * <code>float pace_seconds = 5;</code>
+       * @return The paceSeconds.
+       */
+      @java.lang.Override
+      public float getPaceSeconds() {
+        return paceSeconds_;
+      }
+      /**
+       * <code>float pace_seconds = 5;</code>
+       * @param value The paceSeconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPaceSeconds(float value) {
+
+        paceSeconds_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>float pace_seconds = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPaceSeconds() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        paceSeconds_ = 0F;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Share)
     }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -55,20 +55,21 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\272\003\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\345\003\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
       "\0132\".aspenmoor.wire.v1.PeerLoad.Prompt\022\017\n" +
       "\007leaving\030\005 \001(\010\0221\n\006speeds\030\007 \003(\0132!.aspenmo" +
-      "or.wire.v1.PeerLoad.Speed\032J\n\005Share\022\016\n\006se" +
+      "or.wire.v1.PeerLoad.Speed\032u\n\005Share\022\016\n\006se" +
       "rver\030\001 \001(\t\022\037\n\027unanswered_microseconds\030\002 " +
-      "\001(\r\022\020\n\010requests\030\003 \001(\r\0327\n\006Prompt\022\016\n\006serve" +
-      "r\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M" +
-      "\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016" +
-      "\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002B\"\n" +
-      "\036org.aspenmoor.internal.wire.v1P\001b\006proto" +
-      "3"
+      "\001(\r\022\020\n\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001" +
+      "(\002\022\024\n\014pace_seconds\030\005 \001(\002\0327\n\006Prompt\022\016\n\006se" +
+      "rver\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(" +
+      "\r\032M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(" +
+      "\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002" +
+      "B\"\n\036org.aspenmoor.internal.wire.v1P\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -85,7 +86,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor,
-        new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", });
+        new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", "PaceEvents", "PaceSeconds", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(1);
     internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable = new
