A slow engine is exchanged and goes back before prompts wait

Cause: a lent engine went back only once prompts waited; then its answers have to leave and its role to change.

Prompts are remembered for a second and a half again. An engine is lent where one of those that answer is notably slower than the others, or where all are too slow; a slow one goes back as soon as the others bear its answers, half of an event's time being there without load; others go back when prompts no longer leave half of their engines' time free.

LongAnswersReplayTest passes.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptPressure.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptPressure.java
@@ -9,8 +9,8 @@
 final class PromptPressure {
     private static final double NANOSECONDS = 1e9;
 
-    /** About the last three seconds count, so that a lull between two bursts does not. */
-    private static final double MEMORY_SECONDS = 3;
+    /** About the last second and a half counts: a lull between two bursts does not, and a burst does at once. */
+    private static final double MEMORY_SECONDS = 1.5;
 
     /** With less of their time taken, one engine less of four still has a third of its time free. */
     private static final double EASY_LOAD = 0.5;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/LoadFollower.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/LoadFollower.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.DoubleStream;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.EngineState;
@@ -16,17 +17,26 @@
  * <p>The load it answers: for ten seconds and more many long answers come and few prompts, then the reverse. The engines
  * for answers then tell each answer so slowly that the longest are cut at their deadline, while engines for prompts stand
  * idle. Engines differ in speed: the quickest goes to the answers, the slowest goes back, so that a slow one does not stay
- * with work that needs a quick one.
+ * with work that needs a quick one. A slow one is exchanged as soon as prompts allow, before they come again.
  */
 public final class LoadFollower {
     /** Answers that come at more than this part of the pace that they need become too slow with a few more beside them. */
     private static final double CROWDED_SHARE = 0.8;
 
+    /**
+     * With more than this part of the pace that they need, answers are cut for want of an engine that went back. A little too
+     * slow is borne: an engine that goes back only when prompts wait is seconds late for them.
+     */
+    private static final double BEARABLE_SHARE = 1.2;
+
+    /** Part of the time between two events that grows with the answers at an engine; the rest is there with few of them too. */
+    private static final double LOAD_SHARE = 0.5;
+
     /** Looks after a change until the next: the engine has to be there and to have an effect. */
     private static final int LEAST_LOOKS = 3;
 
-    /** Engines whose pace differs by less are taken for equally quick. */
-    private static final double NOTABLY_SLOWER = 1.1;
+    /** Engines whose pace differs by less are taken for equally quick; with even loads the rest is the engine's own. */
+    private static final double NOTABLY_SLOWER = 1.15;
 
     private int looksSinceChange = LEAST_LOOKS;
 
@@ -47,34 +57,48 @@
         int usual = RoleBalance.wantedDecoders(answering.size() + computing.size());
         double needed = service.neededPace().get();
         boolean lend = answering.size() >= usual && answering.size() < computing.size();
-        if (lend && tooSlow(answering, needed) && service.prompts() == PromptLoad.EASY) {
+        if (lend && service.prompts() == PromptLoad.EASY && tooSlow(answering, needed)) {
             return quickest(computing);
         }
         boolean takeBack = answering.size() > usual && mayTake(service.prompts(), answering, needed);
         return takeBack ? slowest(answering) : Optional.empty();
     }
 
-    /** One slow engine is enough: as many of the longest answers are told there as elsewhere. */
+    /** One slow engine is too slow before all are: as many of the longest answers are told there as elsewhere. */
     private static boolean tooSlow(List<EngineState> answering, double needed) {
-        return answering.stream().anyMatch(engine -> ownPace(engine) > CROWDED_SHARE * needed);
+        double slowest = slowestPace(answering);
+        return quickestPace(answering) > needed || (slowest > CROWDED_SHARE * needed && uneven(answering));
     }
 
-    /** The answers of an engine that leaves them are told by the others, at a pace that grows by no more than their share. */
+    /** The answers of an engine that leaves them are told by the others, at a pace that grows by a part of their share. */
     private static boolean mayTake(PromptLoad prompts, List<EngineState> answering, double needed) {
-        double paceWithout = pace(answering) * answering.size() / (answering.size() - 1);
+        double grown = 1 + LOAD_SHARE / (answering.size() - 1);
+        double paceWithout = paces(answering).average().orElse(0) * grown;
+        boolean bearable = paceWithout < BEARABLE_SHARE * needed;
         return switch (prompts) {
             case PRESSED -> true;
-            case USUAL -> paceWithout < CROWDED_SHARE * needed;
-            case EASY -> false;
+            case USUAL -> bearable;
+            case EASY -> bearable && uneven(answering);
         };
     }
 
-    private static double pace(List<EngineState> engines) {
+    private static boolean uneven(List<EngineState> answering) {
+        return slowestPace(answering) > NOTABLY_SLOWER * quickestPace(answering);
+    }
+
+    private static double slowestPace(List<EngineState> engines) {
+        return paces(engines).max().orElse(0);
+    }
+
+    private static double quickestPace(List<EngineState> engines) {
+        return paces(engines).min().orElse(0);
+    }
+
+    /** Engines that answer nobody yet show none. */
+    private static DoubleStream paces(List<EngineState> engines) {
         return engines.stream()
                 .flatMap(engine -> engine.load().secondsPerEvent().stream())
-                .mapToDouble(Double::doubleValue)
-                .average()
-                .orElse(0);
+                .mapToDouble(Double::doubleValue);
     }
 
     private static Optional<RoleMove> quickest(List<EngineState> engines) {
@@ -87,12 +111,11 @@
         List<EngineState> byPace = new ArrayList<>(engines);
         byPace.sort(Comparator.comparingDouble(LoadFollower::ownPace).thenComparing(LoadFollower::id));
         EngineState slowest = byPace.getLast();
-        boolean alike = ownPace(slowest) < NOTABLY_SLOWER * ownPace(byPace.getFirst());
-        EngineState chosen = alike
-                ? engines.stream()
+        EngineState chosen = uneven(engines)
+                ? slowest
+                : engines.stream()
                         .min(Comparator.comparingDouble(engine -> engine.load().requests()))
-                        .orElse(slowest)
-                : slowest;
+                        .orElse(slowest);
         return Optional.of(new RoleMove(chosen.server(), EngineRole.PREFILL));
     }
 
