--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/EntryRequest.java
@@ -136,7 +136,7 @@
         events++;
         entry.placer().answerTold(ReplayRun.SERVICE, told(), Duration.ofNanos(ask.deadlineAt() - arrivedAt), now());
         entry.callers().event(ask);
-        if (entry.leavesAnswers(work)) {
+        if (entry.placer().answerLeaves(work, now())) {
             goOnElsewhere();
         }
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -14,7 +14,6 @@
 import org.aspenmoor.internal.serving.PeerLoads;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacedPrompt;
-import org.aspenmoor.internal.serving.PlacedWork;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.Placer;
 import org.aspenmoor.internal.serving.RoleChange;
@@ -26,9 +25,6 @@
     /** How often the line is looked at while nothing ends. */
     private static final double LOOK_SECONDS = 0.01;
 
-    /** Events that an answer tells on average before it leaves an engine that changes its role. */
-    private static final int EVENTS_BEFORE_LEAVING = 8;
-
     private final String name;
     private final EventLoop loop;
     private final Map<String, ModelEngine> engines;
@@ -75,11 +71,6 @@
         placer.roleChanging(change, loop.now());
     }
 
-    /** Returns whether an answer should now go on elsewhere, since its engine is about to answer nobody. */
-    boolean leavesAnswers(PlacedWork work) {
-        return placer.leavesAnswers(work, loop.now()) && random.nextInt(EVENTS_BEFORE_LEAVING) == 0;
-    }
-
     void forget(String server) {
         placer.removed(server);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -23,6 +23,9 @@
     /** Fewer requests at a server than this are none: what its answers told of its load fades, and never quite to zero. */
     private static final double LEAST_REQUESTS = 0.5;
 
+    /** Events that an answer tells on average before it leaves an engine that changes its role. */
+    private static final int EVENTS_BEFORE_LEAVING = 8;
+
     /** Prompts kept for the next report, which so stays one datagram; more are only a lost hint. */
     private static final int MOST_UNTOLD_PROMPTS = 24;
 
@@ -204,8 +207,17 @@
         return belief != null && belief.changing(now);
     }
 
+    /**
+     * Returns whether an answer should go on elsewhere now, since its engine is about to answer nobody; to be asked at each
+     * event. Answers leave one by one: all at once they would be read in at the other engines one after the other, and pause
+     * for too long.
+     */
+    public boolean answerLeaves(PlacedWork work, long now) {
+        return leavesAnswers(work, now) && random.nextInt(EVENTS_BEFORE_LEAVING) == 0;
+    }
+
     /** Returns whether the answers of an engine should go on at another one. */
-    public boolean leavesAnswers(PlacedWork work, long now) {
+    boolean leavesAnswers(PlacedWork work, long now) {
         ServerBelief belief = beliefs.get(work.server());
         return belief != null && belief.leavesAnswers(now);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -286,7 +286,7 @@
         if (!link.writable()) {
             current.read(false);
         }
-        if (tools.state().leavesAnswers(attempt.work())) {
+        if (tools.state().placer().answerLeaves(attempt.work(), now())) {
             goOnElsewhere();
         }
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -41,9 +41,6 @@
     /** Traffic pauses for fractions of a second; after some seconds without any, a change of role disturbs nobody. */
     private static final Duration IDLE_AFTER = Duration.ofSeconds(4);
 
-    /** Events that an answer tells on average before it leaves an engine that changes its role. */
-    private static final int EVENTS_BEFORE_LEAVING = 8;
-
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
@@ -177,14 +174,6 @@
         modelServices().forEach(service -> placer.samplePressure(service, waiting.test(service), now));
     }
 
-    /**
-     * Returns whether an answer should go on elsewhere now, since its engine is about to answer nobody. Answers leave one by
-     * one: all at once they would be read in at the other engines one after the other, and pause for too long.
-     */
-    boolean leavesAnswers(PlacedWork work) {
-        return placer.leavesAnswers(work, time.monotonicNanoseconds()) && random.nextInt(EVENTS_BEFORE_LEAVING) == 0;
-    }
-
     /** Returns how fast this entry has found the engines, for the other entries. */
     public List<LearntSpeed> learntSpeeds() {
         return placer.learntSpeeds();
