A server's end is told from a broken connection, with the requests that it had

Until now a break, an empty stream and an answer without signature were all `Lost`, and no line said which arrivals are the same request. Now whoever sees a connection break before its answer is whole asks the server for another connection; one that takes none has ended, and `server-ended` names the request, its digest over method, host, path, credentials and body, how long ago the server was asked and for how long it had answered. Nothing of the logic changes. An entry makes one short connection for each break, and digests only the requests of broken connections. ServedRequest gave the servers it tried and the prompt not yet fetched to types of their own.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacedWork.java
@@ -56,7 +56,8 @@
         return server;
     }
 
-    long atNanoseconds() {
+    /** Returns when the attempt began, on the monotonic clock. */
+    public long atNanoseconds() {
         return atNanoseconds;
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -21,6 +21,7 @@
     private final TimeSource time;
     private final Map<String, ServerConnections> byServer = new HashMap<>();
     private final ToIntFunction<String> mostOpen;
+    private final ServerProbes probes;
     private long openedBefore;
 
     /**
@@ -34,6 +35,7 @@
         this.protocol = protocol;
         this.eventLoop = eventLoop;
         this.time = time;
+        this.probes = new ServerProbes(eventLoop);
     }
 
     /** Sends a request, of which it takes over the reference. */
@@ -43,6 +45,11 @@
         return exchange;
     }
 
+    /** Runs the action if the server, which broke a connection, takes no new one. */
+    public void ifEnded(BackendServer server, Runnable action) {
+        probes.ifEnded(server, action);
+    }
+
     /** Closes idle connections to a server that is gone. */
     public void forget(String server) {
         ServerConnections connections = byServer.remove(server);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnections.java
@@ -20,7 +20,7 @@
      * A server in the same region answers a connection request within a few milliseconds. One that is gone never does;
      * the operating system would try for seconds, longer than callers wait.
      */
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 250;
+    static final int CONNECT_TIMEOUT_MILLISECONDS = 250;
 
     private static final int MOST_INITIAL_LINE = 8192;
     private static final int MOST_HEADER_BYTES = 65_536;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -5,10 +5,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
 import org.aspenmoor.internal.serving.AttemptEnd;
+import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.PlacedWork;
 
 /**
@@ -22,6 +24,7 @@
     private static final int MOST_KEPT_BYTES = 8 * 1024 * 1024;
 
     private final ServedRequest request;
+    private final BackendServer server;
     private final PlacedWork work;
     private final boolean streamed;
     private final ByteBuf kept = Unpooled.buffer();
@@ -29,10 +32,12 @@
     private HttpResponse head;
     private AnswerFacts facts;
     private boolean begun;
+    private long begunAt;
     private boolean over;
 
-    AnswerAttempt(ServedRequest request, PlacedWork work, boolean streamed) {
+    AnswerAttempt(ServedRequest request, BackendServer server, PlacedWork work, boolean streamed) {
         this.request = request;
+        this.server = server;
         this.work = work;
         this.streamed = streamed;
     }
@@ -81,6 +86,9 @@
 
     @Override
     public void broken(String reason) {
+        if (!over) {
+            request.serverEnds().connectionBroke(server, work, told());
+        }
         ended(new AttemptEnd.Lost(), reason);
     }
 
@@ -121,9 +129,15 @@
         }
     }
 
+    /** Returns how long the answer has been told. */
+    private Duration told() {
+        return begun ? Duration.ofNanos(request.now() - begunAt) : Duration.ZERO;
+    }
+
     private void noteBegin() {
         if (!begun) {
             begun = true;
+            begunAt = request.now();
             request.answerBegan(work);
         }
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -15,6 +15,7 @@
     private final Counter requests;
     private final Counter attempts;
     private final Counter repeats;
+    private final Counter serverEnds;
     private final Histogram firstByteSeconds;
 
     /**
@@ -40,6 +41,12 @@
                 .help("Repeated arrivals asked of the shared budget, by service and whether it granted them.")
                 .labelNames("service", "granted")
                 .register(registry);
+        this.serverEnds = Counter.builder()
+                .name("aspenmoor_requests_at_server_end_total")
+                .help(
+                        "Requests that a backend server had when it ended, by service and whether it had said that it leaves.")
+                .labelNames("service", "planned")
+                .register(registry);
         this.firstByteSeconds = Histogram.builder()
                 .name("aspenmoor_first_byte_seconds")
                 .help("From a request's arrival to the first byte of its answer.")
@@ -85,6 +92,10 @@
         repeats.labelValues(service, Boolean.toString(granted)).inc();
     }
 
+    void serverEnded(String service, boolean planned) {
+        serverEnds.labelValues(service, Boolean.toString(planned)).inc();
+    }
+
     void firstByte(String service, double seconds) {
         firstByteSeconds.labelValues(service).observe(seconds);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
 import org.aspenmoor.internal.gateway.protocol.AnswerFacts;
@@ -83,6 +84,7 @@
 
     @Override
     public void broken(String reason) {
+        request.serverEnds().connectionBroke(placement.prefill(), work, Duration.ZERO);
         request.prefillEnded(placement, work, new AttemptEnd.Lost(), reason);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -1,7 +1,6 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
@@ -108,7 +107,7 @@
 
     private ActiveRequest serveNow(IncomingRequest incoming, CallerRequest caller, CallerLink link) {
         Optional<ServingConfiguration> configuration = tools.state().configuration();
-        Optional<Route> route = configuration.get().match(host(incoming), path(incoming));
+        Optional<Route> route = configuration.get().match(incoming.host(), incoming.path());
         if (route.isEmpty()) {
             return refuse(
                     incoming,
@@ -179,8 +178,8 @@
                 .notable("request-ended")
                 .with("request", caller.id())
                 .with("outcome", outcome.name())
-                .with("host", host(incoming))
-                .with("path", path(incoming))
+                .with("host", incoming.host())
+                .with("path", incoming.path())
                 .with(
                         "configuration",
                         tools.state()
@@ -189,16 +188,4 @@
                                 .orElse(-1L))
                 .write();
     }
-
-    private static String host(IncomingRequest incoming) {
-        String host = incoming.head().headers().get(HttpHeaderNames.HOST, "");
-        int port = host.lastIndexOf(':');
-        return port < 0 ? host : host.substring(0, port);
-    }
-
-    private static String path(IncomingRequest incoming) {
-        String uri = incoming.head().uri();
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -5,9 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.CallerLink;
@@ -36,9 +34,6 @@
     /** A caller that is refused for want of time or servers comes back no sooner; below it, it only meets the same. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
 
-    /** Engines at which a prompt may be computed ahead of its answer; with more the time is better spent on the answer. */
-    private static final int MOST_STAGED_TRIES = 2;
-
     private final RequestTools tools;
     private final IncomingRequest incoming;
     private final CallerRequest caller;
@@ -55,11 +50,11 @@
     private final CurrentAttempt current;
     private final RepeatPermit permit;
     private final StallWatch stallWatch;
-    private final Set<String> avoided = new HashSet<>();
-    private Optional<ComputedPrompt> unfetched = Optional.empty();
+    private final ServerEnds serverEnds;
+    private final UnfetchedPrompt unfetched;
+    private final TriedServers tried = new TriedServers();
     private AnswerAttempt attempt;
     private Future<?> deadlineTimer;
-    private int failedStages;
     private boolean over;
 
     ServedRequest(
@@ -87,6 +82,8 @@
         this.progress = new AnswerProgress(tools.state().placer(), service, caller.prompt(), trace);
         this.line = new LinePlace(tools, this, times, trace);
         this.permit = new RepeatPermit(tools, service, account, trace);
+        this.unfetched = new UnfetchedPrompt(tools, caller.id());
+        this.serverEnds = new ServerEnds(tools, caller.id(), incoming);
     }
 
     void start() {
@@ -153,15 +150,14 @@
 
     private PlacementRequest wanted(boolean othersWait) {
         Duration left = Duration.ofNanos(times.wantedBy(trace.lastEvent()) - now());
-        boolean mayStage = failedStages < MOST_STAGED_TRIES;
         return new PlacementRequest(
                 service,
                 caller.prompt(),
                 left,
                 route.objective(),
                 stream.begun(),
-                avoided,
-                mayStage,
+                tried.identities(),
+                tried.mayStage(),
                 caller.prompt().isPresent(),
                 othersWait);
     }
@@ -185,11 +181,11 @@
             Optional<BackendServer> holder) {
         account.began();
         trace.answerAsked(tools.state().placer().load(server.id(), now()), now());
-        avoided.add(server.id());
+        tried.add(server);
         trace.sentTo(server);
         PlacedWork work = current.begin(server, kind, promptSeconds);
         caller.prompt().ifPresent(prompt -> tools.state().placer().promptPlaced(server, prompt, now()));
-        attempt = new AnswerAttempt(this, work, route.streamed());
+        attempt = new AnswerAttempt(this, server, work, route.streamed());
         FullHttpRequest message = messages.answer(server, source, holder, stream.lastEvent(), now());
         if (route.repeatRule() == RepeatRule.AT_MOST_ONCE || route.mostBackends() == 1) {
             stallWatch.cancel();
@@ -199,6 +195,10 @@
         current.sent(work, tools.connections().send(server, caller.id(), message, attempt));
     }
 
+    ServerEnds serverEnds() {
+        return serverEnds;
+    }
+
     private void stalled(WatchedAttempt watched) {
         if (over) {
             return;
@@ -231,7 +231,7 @@
         account.promptComputed();
         trace.promptReady(placement.prefill(), now());
         ComputedPrompt computed = new ComputedPrompt(placement.prefill(), source);
-        unfetched = Optional.of(computed);
+        unfetched.computed(computed);
         tools.metrics().attempted(service, "prefilled");
         if (!permit.granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
@@ -261,8 +261,7 @@
         tools.metrics().attempted(service, "prefill-failed");
         trace.because("prefill at " + placement.prefill().id() + ": " + reason);
         trace.prefillFailed(tools.state().log(), placement.prefill(), reason);
-        avoided.add(placement.prefill().id());
-        failedStages++;
+        tried.stageFailed(placement.prefill());
         if (!permit.granted()) {
             conclude(account.conclusion(), SHORTEST_PAUSE);
             return;
@@ -272,7 +271,7 @@
 
     void answerBegan(PlacedWork work) {
         tools.state().placer().answerBegan(work, now());
-        unfetched = Optional.empty();
+        unfetched.fetched();
         if (!stream.begun()) {
             trace.firstByte(now());
             line.answered();
@@ -381,14 +380,14 @@
      */
     private void tryElsewhere(AttemptEnd end) {
         boolean untouched = end instanceof AttemptEnd.Misdirected || end instanceof AttemptEnd.NeverSent;
-        if (untouched && unfetched.isPresent()) {
-            handOver(unfetched.get());
+        if (untouched && unfetched.prompt().isPresent()) {
+            handOver(unfetched.prompt().get());
             return;
         }
         if (end instanceof AttemptEnd.NotExecuted) {
-            unfetched.ifPresent(computed -> avoided.add(computed.engine().id()));
+            unfetched.prompt().ifPresent(computed -> tried.add(computed.engine()));
         }
-        freeUnfetched();
+        unfetched.free();
         place();
     }
 
@@ -429,7 +428,7 @@
         if (attempt != null) {
             attempt.release();
         }
-        freeUnfetched();
+        unfetched.free();
         incoming.body().release();
         tools.metrics().ended(service, outcome);
         LogLine line = outcome == RequestOutcome.ANSWERED
@@ -438,13 +437,7 @@
         trace.write(line, outcome, account.attempts(), tools.state().placer().load(trace.server(), now()), now());
     }
 
-    /** A computed prompt that nobody fetches would keep an engine's memory until its handle lapses. */
-    private void freeUnfetched() {
-        unfetched.ifPresent(prompt -> prompt.free(tools, caller.id()));
-        unfetched = Optional.empty();
-    }
-
-    private long now() {
+    long now() {
         return tools.state().time().monotonicNanoseconds();
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -17,6 +17,7 @@
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.EventLength;
 import org.aspenmoor.internal.serving.GenerationTraits;
 import org.aspenmoor.internal.serving.LearntSpeed;
@@ -306,6 +307,14 @@
         }
     }
 
+    /** Returns whether a start of a server is registered and has not said that it leaves. */
+    boolean takesWork(BackendServer server) {
+        return directory
+                .find(server.id())
+                .filter(known -> known.sameStart(server) && known.state() == BackendState.READY)
+                .isPresent();
+    }
+
     TimeSource time() {
         return time;
     }
