Failing tests: a request that ends its servers reaches one after the other

Ten of ten arrivals end a server each, at one entry and at two, where three and a few more are allowed; a prompt is computed for each; after a restart it goes on.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
@@ -24,6 +24,8 @@
     private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
     private final BlockingQueue<ReceivedRequest> arrivals = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private volatile boolean ended;
 
     public ScriptedBackend(Script script) throws IOException {
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -49,15 +51,30 @@
         present(closed.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** Returns whether a request has ended this server. */
+    public boolean ended() {
+        return ended;
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
     }
 
+    /** Takes no connection any more and breaks all that are open, as a process that crashes does. */
+    private void crash() throws IOException {
+        ended = true;
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
                 Socket socket = listener.accept();
+                connections.add(socket);
                 Thread.ofPlatform().daemon().name("scripted-connection").start(() -> serve(socket));
             }
         } catch (IOException ended) {
@@ -74,6 +91,10 @@
                 received.add(request);
                 arrivals.add(request);
                 Reply reply = script.replyTo(request);
+                if (reply.crashes()) {
+                    crash();
+                    return;
+                }
                 output.write(reply.bytes().getBytes(StandardCharsets.UTF_8));
                 output.flush();
                 if (reply.later().isPresent()) {
@@ -118,18 +139,23 @@
      * @param bytes what is written
      * @param later what is written some time after them
      * @param closes whether the connection is closed after all of it
+     * @param crashes whether the server ends instead
      */
-    public record Reply(String bytes, Optional<LaterPart> later, boolean closes) {
+    public record Reply(String bytes, Optional<LaterPart> later, boolean closes, boolean crashes) {
         public static Reply of(String bytes) {
-            return new Reply(bytes, Optional.empty(), false);
+            return new Reply(bytes, Optional.empty(), false, false);
         }
 
         public static Reply inParts(String bytes, LaterPart later) {
-            return new Reply(bytes, Optional.of(later), false);
+            return new Reply(bytes, Optional.of(later), false, false);
         }
 
         public static Reply thenClose(String bytes) {
-            return new Reply(bytes, Optional.empty(), true);
+            return new Reply(bytes, Optional.empty(), true, false);
+        }
+
+        public static Reply crash() {
+            return new Reply("", Optional.empty(), true, true);
         }
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -9,11 +9,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.Gateway;
@@ -51,9 +51,9 @@
     /** Only bounds how long a failing test takes; nothing is judged by it. */
     private static final Duration PATIENCE = Duration.ofSeconds(60);
 
-    private final InMemoryObjectStore store = new InMemoryObjectStore();
-    private final Map<String, ServingConfiguration> configurations = new HashMap<>();
-    private final Map<String, BackendServer> servers = new HashMap<>();
+    private final InMemoryObjectStore store;
+    private final Map<String, ServingConfiguration> configurations;
+    private final Map<String, BackendServer> servers;
     private final List<Route> routes = new ArrayList<>();
     private final List<ServiceTraits> services = new ArrayList<>();
     private final List<ScriptedBackend> backends = new ArrayList<>();
@@ -62,10 +62,22 @@
     private final TestProtocols protocols = new TestProtocols();
 
     public TestGateway() throws AspenmoorException {
+        this("entry-under-test", new InMemoryObjectStore(), new ConcurrentHashMap<>(), new ConcurrentHashMap<>());
+    }
+
+    private TestGateway(
+            String process,
+            InMemoryObjectStore store,
+            Map<String, ServingConfiguration> configurations,
+            Map<String, BackendServer> servers)
+            throws AspenmoorException {
+        this.store = store;
+        this.configurations = configurations;
+        this.servers = servers;
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         PlacementSettings placement = new PlacementSettings(HERE, EngineSpeed.usual(), 0.5, 0);
         GatewaySettings settings = new GatewaySettings(
-                "entry-under-test",
+                process,
                 free,
                 free,
                 "/ready",
@@ -79,13 +91,19 @@
                 placement,
                 new RepeatSettings(1, 100, Duration.ofSeconds(10), 1));
         SystemTimeSource time = new SystemTimeSource();
-        DecisionLog log =
-                new DecisionLog(time, "entry-under-test", new PrintStream(logged, true, StandardCharsets.UTF_8));
+        DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         this.gateway = new Gateway(settings, protocols, protocols, time, new Random(1), log);
         gateway.start(store, StoreSettings.defaults(), new Decoder());
     }
 
+    /** Starts another entry of the same fleet, and returns once it serves requests. */
+    public TestGateway another(String process) throws AspenmoorException, IOException {
+        TestGateway other = new TestGateway(process, store, configurations, servers);
+        other.awaitReady();
+        return other;
+    }
+
     /** Adds a route to a service; it is in force after {@link #publish}. */
     public TestGateway route(String path, RepeatRule rule, boolean streamed, int mostBackends, String service) {
         routes.add(new Route(
@@ -151,6 +169,10 @@
         ServingConfiguration configuration = new ServingConfiguration(7, routes, services, ConnectionLimits.usual());
         configurations.put("main", configuration);
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
+        awaitReady();
+    }
+
+    private void awaitReady() throws IOException {
         // Servers that were registered after the first listing come one by one, perhaps after the entry is ready.
         for (long begun = System.nanoTime(); System.nanoTime() - begun < PATIENCE.toNanos(); ) {
             boolean ready =
@@ -213,15 +235,22 @@
 
     /** Waits until a line of the log contains the text. */
     public String awaitLogged(String text) throws IOException {
+        return awaitLogged(text, 1);
+    }
+
+    /** Waits until so many lines of the log contain the text; returns the last of them. */
+    public String awaitLogged(String text, int times) throws IOException {
         for (long begun = System.nanoTime(); System.nanoTime() - begun < PATIENCE.toNanos(); ) {
-            for (String line : logged.toString(StandardCharsets.UTF_8).lines().toList()) {
-                if (line.contains(text)) {
-                    return line;
-                }
+            List<String> found = logged.toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.contains(text))
+                    .toList();
+            if (found.size() >= times) {
+                return found.get(times - 1);
             }
             statusOf(gateway.readinessAddress().getPort(), "/ready");
         }
-        throw new IOException("Nothing was logged with: " + text + "; all that was:\n" + logged);
+        throw new IOException("Not logged " + times + " times: " + text + "; all that was:\n" + logged);
     }
 
     @Override
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalRequestTest.java
@@ -0,0 +1,192 @@
+package org.aspenmoorusage.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestGateway;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.RepeatRule;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class FatalRequestTest {
+    private static final String PLAIN = "registry";
+    private static final String MODEL = "model";
+    private static final String FATAL_BODY = "fatal";
+    private static final String SERVER_ENDED = "\"event\":\"server-ended\"";
+
+    private static final int SERVERS = 10;
+    private static final int ARRIVALS = 10;
+
+    /** After so many ends a request is kept from all servers. */
+    private static final int MOST_ENDS = 3;
+
+    /** What may still run until all entries have heard of the last end. */
+    private static final int MOST_RUNS_AFTER = 3;
+
+    private final List<ScriptedBackend> servers = new ArrayList<>();
+    private final List<TestGateway> others = new ArrayList<>();
+    private TestGateway gateway;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        gateway = new TestGateway();
+        gateway.route("/book/", RepeatRule.AT_MOST_ONCE, false, 1, PLAIN);
+        gateway.route("/read/", RepeatRule.REPEATABLE, false, 2, PLAIN);
+        gateway.route("/draft/", RepeatRule.RESUMABLE, true, 2, MODEL);
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        servers.clear();
+        for (TestGateway other : others) {
+            other.close();
+        }
+        others.clear();
+        gateway.close();
+    }
+
+    // Guards against a request that ends server after server because each of its arrivals is taken for a new one.
+    @Test(groups = "known-red")
+    public void should_keep_a_request_from_servers_once_it_has_ended_three() throws Exception {
+        plainServers();
+
+        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
+            call(gateway, "/book/a", FATAL_BODY, arrival);
+            gateway.awaitLogged(SERVER_ENDED, endedServers());
+        }
+
+        assertEquals(endedServers(), MOST_ENDS);
+        assertTrue(call(gateway, "/book/a", FATAL_BODY, ARRIVALS).line().contains(" 503 "));
+    }
+
+    // Guards against one arrival that is tried at server after server though the request has ended others before.
+    @Test(groups = "known-red")
+    public void should_count_the_ends_of_repeats_within_one_arrival() throws Exception {
+        plainServers();
+
+        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
+            call(gateway, "/read/a", FATAL_BODY, arrival);
+            gateway.awaitLogged(SERVER_ENDED, endedServers());
+        }
+
+        assertEquals(endedServers(), MOST_ENDS);
+    }
+
+    // Guards against a request that ends a full number of servers at each entry that its caller turns to.
+    @Test(groups = "known-red")
+    public void should_count_ends_over_all_entries() throws Exception {
+        plainServers();
+        TestGateway second = another("second-entry");
+
+        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
+            TestGateway entry = arrival % 2 == 0 ? gateway : second;
+            call(entry, "/book/a", FATAL_BODY, arrival);
+        }
+
+        assertTrue(endedServers() <= MOST_ENDS + MOST_RUNS_AFTER, "ended: " + endedServers());
+    }
+
+    // Guards against entries that forget, when all of them are restarted, which requests end servers.
+    @Test(groups = "known-red")
+    public void should_remember_the_request_after_all_entries_were_restarted() throws Exception {
+        plainServers();
+        for (int arrival = 0; arrival < MOST_ENDS; arrival++) {
+            call(gateway, "/book/a", FATAL_BODY, arrival);
+            gateway.awaitLogged(SERVER_ENDED, arrival + 1);
+        }
+        gateway.awaitLogged("\"event\":\"fatal-request-stored\"");
+        gateway.close();
+        TestGateway restarted = another("entry-under-test");
+
+        assertTrue(call(restarted, "/book/a", FATAL_BODY, ARRIVALS).line().contains(" 503 "));
+        assertEquals(endedServers(), MOST_ENDS);
+    }
+
+    // Guards against a request for a model whose prompt is computed again and again though its answer ends each engine.
+    @Test(groups = "known-red")
+    public void should_keep_a_request_from_engines_for_prompts_too() throws Exception {
+        List<ScriptedBackend> prompts = new ArrayList<>();
+        for (int number = 0; number < 2; number++) {
+            prompts.add(gateway.backend(
+                    "prompts-" + number, MODEL, EngineRole.PREFILL, TestGateway.HERE, FatalRequestTest::computed));
+        }
+        for (int number = 0; number < SERVERS; number++) {
+            servers.add(gateway.backend(
+                    "answers-" + number, MODEL, EngineRole.DECODE, TestGateway.HERE, FatalRequestTest::answer));
+        }
+        gateway.publish();
+
+        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
+            call(gateway, "/draft/a", FATAL_BODY, arrival);
+            gateway.awaitLogged(SERVER_ENDED, endedServers());
+        }
+
+        assertEquals(endedServers(), MOST_ENDS);
+        long computed = prompts.stream()
+                .flatMap(engine -> engine.received().stream())
+                .filter(request -> request.line().startsWith("POST"))
+                .count();
+        assertTrue(computed <= MOST_ENDS, "prompts computed: " + computed);
+    }
+
+    private void plainServers() throws AspenmoorException, IOException {
+        for (int number = 0; number < SERVERS; number++) {
+            servers.add(gateway.backend("server-" + number, PLAIN, FatalRequestTest::answer));
+        }
+        gateway.publish();
+    }
+
+    private TestGateway another(String process) throws AspenmoorException, IOException {
+        TestGateway started = gateway.another(process);
+        others.add(started);
+        return started;
+    }
+
+    private int endedServers() {
+        return (int) servers.stream().filter(ScriptedBackend::ended).count();
+    }
+
+    private static ReceivedRequest call(TestGateway entry, String path, String body, int arrival) throws IOException {
+        try (TestCaller caller = entry.caller()) {
+            caller.send(HttpText.head(
+                            "POST " + path + " HTTP/1.1",
+                            "Host: house.example",
+                            "Test-Id: r" + arrival,
+                            path.startsWith("/draft/") ? TestProtocols.PROMPT + ": 4000" : "X-Plain: yes",
+                            "Content-Length: " + body.length())
+                    + body);
+            return caller.answer();
+        }
+    }
+
+    private static Reply answer(ReceivedRequest request) {
+        return request.body().equals(FATAL_BODY)
+                ? Reply.crash()
+                : Reply.of(HttpText.head(
+                                "HTTP/1.1 200 OK",
+                                "Test-Id: " + request.header(TestProtocols.ID).orElse(""),
+                                "Test-Signed: by one",
+                                "Content-Length: 2")
+                        + "ok");
+    }
+
+    private static Reply computed(ReceivedRequest request) {
+        return Reply.of(HttpText.head(
+                        "HTTP/1.1 200 OK",
+                        "Test-Id: " + request.header(TestProtocols.ID).orElse(""),
+                        "Content-Length: 6")
+                + "handle");
+    }
+}
