--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/InMemoryObjectStore.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/InMemoryObjectStore.java
@@ -13,10 +13,43 @@
  * <p>Watches hear of a change on the thread that made it, after it took effect.
  */
 public final class InMemoryObjectStore implements ObjectStore {
+    /** Versions of different generations differ. */
+    private static final long VERSIONS_OF_A_GENERATION = 1_000_000_000_000L;
+
     private final Object lock = new Object();
     private final Map<ObjectKey, StoredObject> objects = new LinkedHashMap<>();
     private final List<Subscription> subscriptions = new CopyOnWriteArrayList<>();
     private long lastVersion;
+    private long generation;
+
+    @Override
+    public long generation() {
+        synchronized (lock) {
+            return generation;
+        }
+    }
+
+    /** Returns a copy of all objects, from which the store can come back later. */
+    public List<StoredObject> copy() {
+        synchronized (lock) {
+            return List.copyOf(objects.values());
+        }
+    }
+
+    /** Comes back from an older copy: what was written since is gone, the generation rises, and all watches end. */
+    public void comeBackFrom(List<StoredObject> copy) {
+        synchronized (lock) {
+            generation++;
+            objects.clear();
+            lastVersion = generation * VERSIONS_OF_A_GENERATION;
+            copy.forEach(object -> put(object.key(), object.value()));
+        }
+        StoreUnavailableException cause = new StoreUnavailableException(
+                "The store has come back from an older copy.", "memory", "List the objects again.");
+        List<Subscription> ended = List.copyOf(subscriptions);
+        subscriptions.removeAll(ended);
+        ended.forEach(subscription -> subscription.listener.ended(cause));
+    }
 
     @Override
     public Optional<StoredObject> read(ObjectKey key) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectStore.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectStore.java
@@ -10,6 +10,14 @@
  * counts against the store's budget.
  */
 public interface ObjectStore {
+    /**
+     * Returns the generation of the store's history, as far as its answers have told. It rises where the store came back
+     * from an older copy; versions of objects differ between generations. Zero for stores that never do.
+     */
+    default long generation() {
+        return 0;
+    }
+
     /** Reads one object; empty where there is none. */
     Optional<StoredObject> read(ObjectKey key) throws StoreException;
 
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HttpObjectStore.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HttpObjectStore.java
@@ -33,11 +33,11 @@
     private final StoreCalls calls;
 
     public HttpObjectStore(URI base, TimeSource time, RandomGenerator random, StoreSettings settings) {
-        this(base, settings, new StoreCalls(time, random, settings));
+        this(base, settings, new StoreCalls(time, random, settings, StoreGeneration.none()));
     }
 
     HttpObjectStore(URI base, TimeSource time, RandomGenerator random, StoreSettings settings, Pauser pauser) {
-        this(base, settings, new StoreCalls(time, random, settings, pauser));
+        this(base, settings, new StoreCalls(time, random, settings, StoreGeneration.none(), pauser));
     }
 
     private HttpObjectStore(URI base, StoreSettings settings, StoreCalls calls) {
@@ -53,7 +53,7 @@
 
     @Override
     public Optional<StoredObject> read(ObjectKey key) throws StoreException {
-        Optional<String> body = calls.read(paths.object(key));
+        Optional<String> body = calls.read(paths.object(key)).map(StoreReply::body);
         if (body.isEmpty()) {
             return Optional.empty();
         }
@@ -99,7 +99,7 @@
                     calls.transport().open(uri);
             if (response.statusCode() != OK) {
                 response.body().subscribe(new DiscardingSubscriber());
-                StoreAnswer answer = new StoreAnswer(response.statusCode(), "", StoreTransport.retryAfter(response));
+                StoreAnswer answer = new StoreAnswer(response.statusCode(), "", StoreTransport.retryAfter(response), 0);
                 throw StoreAnswers.toWatch(answer, uri.toString());
             }
             HttpStoreWatch watch = new HttpStoreWatch(kind, uri, settings.watchSilence(), listener, calls.counters());
@@ -112,7 +112,7 @@
     }
 
     private StoreListing listAt(URI uri, ObjectKind kind) throws StoreException {
-        Optional<String> body = calls.read(uri);
+        Optional<String> body = calls.read(uri).map(StoreReply::body);
         if (body.isEmpty()) {
             throw new StoreMalformedException(
                     "The store does not know this kind of object.", uri.toString(), "Check the store's address.");
@@ -121,7 +121,7 @@
     }
 
     private StoredObject write(String method, URI uri, ObjectKey key, String body) throws StoreException {
-        String answer = calls.write(method, uri, key.toString(), body);
+        String answer = calls.write(method, uri, key.toString(), body).body();
         return ObjectCodec.read(key.kind(), key.toString(), answer);
     }
 
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreAnswer.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreAnswer.java
@@ -8,5 +8,6 @@
  * @param status the HTTP status
  * @param body the whole body
  * @param retryAfter how long the store asks to wait; zero where it says nothing
+ * @param generation the generation of the store's history that the answer belongs to
  */
-record StoreAnswer(int status, String body, Duration retryAfter) {}
+record StoreAnswer(int status, String body, Duration retryAfter, long generation) {}
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreAnswers.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreAnswers.java
@@ -22,10 +22,10 @@
 
     private StoreAnswers() {}
 
-    /** Returns the body of an answer to a read; empty where the object is not there. */
-    static Optional<String> toRead(StoreAnswer answer, String place) throws StoreException {
+    /** Returns what an answer to a read says; empty where the object is not there. */
+    static Optional<StoreReply> toRead(StoreAnswer answer, String place) throws StoreException {
         if (succeeded(answer)) {
-            return Optional.of(answer.body());
+            return Optional.of(new StoreReply(answer.body(), answer.generation()));
         }
         if (answer.status() == NOT_FOUND) {
             return Optional.empty();
@@ -36,10 +36,10 @@
         throw refused(answer, place);
     }
 
-    /** Returns the body of an answer to a write that took effect. */
-    static String toWrite(StoreAnswer answer, String place) throws StoreException {
+    /** Returns what an answer to a write that took effect says. */
+    static StoreReply toWrite(StoreAnswer answer, String place) throws StoreException {
         if (succeeded(answer)) {
-            return answer.body();
+            return new StoreReply(answer.body(), answer.generation());
         }
         if (answer.status() == CONFLICT || answer.status() == NOT_FOUND || answer.status() == GONE) {
             throw new StoreConflictException(
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreCalls.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreCalls.java
@@ -23,24 +23,31 @@
     private final Pauser pauser;
     private final StoreTransport transport;
     private final CallBudget budget;
+    private final StoreGeneration generation;
     private final Backoff backoff;
     private final CallCounters counters = new CallCounters();
 
-    public StoreCalls(TimeSource time, RandomGenerator random, StoreSettings settings) {
-        this(time, random, settings, duration -> LockSupport.parkNanos(duration.toNanos()));
+    public StoreCalls(TimeSource time, RandomGenerator random, StoreSettings settings, StoreGeneration generation) {
+        this(time, random, settings, generation, duration -> LockSupport.parkNanos(duration.toNanos()));
     }
 
-    StoreCalls(TimeSource time, RandomGenerator random, StoreSettings settings, Pauser pauser) {
+    StoreCalls(
+            TimeSource time,
+            RandomGenerator random,
+            StoreSettings settings,
+            StoreGeneration generation,
+            Pauser pauser) {
+        this.generation = generation;
         this.time = time;
         this.settings = settings;
         this.pauser = pauser;
-        this.transport = new StoreTransport(settings);
+        this.transport = new StoreTransport(settings, generation);
         this.budget = new CallBudget(time, settings.callsPerSecond(), settings.mostCallsAtOnce());
         this.backoff = new Backoff(random, settings.firstBackoff(), settings.mostBackoff());
     }
 
     /** Reads, repeating while the store is away; empty where there is no such object. */
-    public Optional<String> read(URI uri) throws StoreException {
+    public Optional<StoreReply> read(URI uri) throws StoreException {
         long deadline = time.monotonicNanoseconds() + settings.readDeadline().toNanos();
         for (int attempt = 0; ; attempt++) {
             try {
@@ -59,12 +66,12 @@
     }
 
     /** Makes one call that the store may leave waiting for up to the given time before it answers. */
-    public Optional<String> poll(URI uri, Duration waiting) throws StoreException {
+    public Optional<StoreReply> poll(URI uri, Duration waiting) throws StoreException {
         return readOnce(uri, waiting.plus(settings.callTimeout()));
     }
 
-    /** Sends a write once and returns the body of its answer. */
-    public String write(String method, URI uri, String place, String body) throws StoreException {
+    /** Sends a write once and returns its answer. */
+    public StoreReply write(String method, URI uri, String place, String body) throws StoreException {
         try {
             budget.take(place);
             counters.writeSent();
@@ -75,6 +82,11 @@
         }
     }
 
+    /** Returns the highest generation of the store's history that an answer has named. */
+    public long generation() {
+        return generation.current();
+    }
+
     /** Returns how many calls were made. */
     public CallCounts counts() {
         return counters.counts();
@@ -92,7 +104,7 @@
         return transport;
     }
 
-    private Optional<String> readOnce(URI uri, Duration timeout) throws StoreException {
+    private Optional<StoreReply> readOnce(URI uri, Duration timeout) throws StoreException {
         try {
             budget.take(uri.toString());
             counters.readSent();
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreTransport.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/StoreTransport.java
@@ -31,8 +31,10 @@
 
     private final HttpClient client;
     private final StoreSettings settings;
+    private final StoreGeneration generation;
 
-    StoreTransport(StoreSettings settings) {
+    StoreTransport(StoreSettings settings, StoreGeneration generation) {
+        this.generation = generation;
         this.settings = settings;
         this.client = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
@@ -65,7 +67,14 @@
         CompletableFuture<HttpResponse<String>> pending =
                 client.sendAsync(request, HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
         HttpResponse<String> response = await(pending, request.uri(), writes, timeout);
-        return new StoreAnswer(response.statusCode(), response.body(), retryAfter(response));
+        return new StoreAnswer(response.statusCode(), response.body(), retryAfter(response), observe(response));
+    }
+
+    private long observe(HttpResponse<?> response) {
+        String header = generation.header();
+        return header.isEmpty()
+                ? generation.current()
+                : generation.observe(response.headers().firstValue(header));
     }
 
     // The client's own request timeout ends with the head of the answer; a store that stalls in the middle of a body
