A right to give orders is void once the store has come back older, and numbers never go back

Two entries could give an engine orders within one window: the record of the holder is lost with the store's last seconds, and who found no record took number 1 at once; its engine may refuse it, having seen higher ones. Now a missing record settles like one just written, a right holds in its generation only, and numbers of a generation lie above all earlier ones, so that nobody has to remember them.

So that roles are given within ten seconds of the very first start, entries look at the record at their first look.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
@@ -21,6 +21,10 @@
  * within a short window after it wrote the record, and whoever takes it over must have seen the record unchanged for
  * longer than that window and the engines' own pause between holders together. No clock is compared with another's.
  *
+ * <p>A store that comes back from an older copy may have lost the record of a holder that still gives orders. So a record
+ * that is missing settles like one that was just written, a right from an earlier generation of the store's history is
+ * void, and numbers begin higher in each generation, whoever remembers the last.
+ *
  * <p>Used by one thread only; its calls block.
  */
 public final class OrderRight {
@@ -39,12 +43,18 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String HOLDER = "holder";
     private static final String TERM = "term";
+    private static final String MISSING = "missing in generation ";
+
+    /** More than are given out in years, one every few seconds; still whole numbers in any JSON. */
+    private static final long TERMS_OF_A_GENERATION = 1L << 32;
 
     private final ObjectStore store;
     private final ObjectKey key;
     private final String holder;
     private final TimeSource time;
     private String seenVersion = "";
+    private long highestTerm;
+    private long grantedGeneration;
     private long seenAt;
     private String ownVersion = "";
     private long grantedAt;
@@ -63,10 +73,7 @@
      * for answers that was lost stayed unreplaced for six seconds more, in which one engine answered everybody.
      */
     public void observe() throws StoreException {
-        Optional<StoredObject> record = store.read(key);
-        if (record.isPresent()) {
-            settled(record.get(), time.monotonicNanoseconds());
-        }
+        settled(store.read(key), time.monotonicNanoseconds());
     }
 
     /** Tries to get the right; returns the number to give orders under. */
@@ -75,8 +82,9 @@
         long asked = time.monotonicNanoseconds();
         long askedTimeOfDay = time.timeOfDay().toEpochMilli();
         Optional<StoredObject> record = store.read(key);
-        long term = record.isPresent() ? termOf(record.get()) + 1 : 1;
-        if (record.isPresent() && !settled(record.get(), asked)) {
+        long generation = store.generation();
+        long term = nextTerm(record, generation);
+        if (!settled(record, asked)) {
             return Optional.empty();
         }
         try {
@@ -90,7 +98,12 @@
             // Another process has just written; its window comes first.
             return Optional.empty();
         }
+        if (store.generation() != generation) {
+            return Optional.empty();
+        }
         granted = true;
+        highestTerm = term;
+        grantedGeneration = generation;
         grantedAt = asked;
         grantedAtTimeOfDay = askedTimeOfDay;
         return Optional.of(term);
@@ -102,15 +115,24 @@
         long elapsedByDay = Duration.ofMillis(time.timeOfDay().toEpochMilli() - grantedAtTimeOfDay)
                 .toNanos();
         boolean suspended = Math.abs(elapsedByDay - elapsed) > SUSPENDED.toNanos();
-        return granted && elapsed < WINDOW.toNanos() && !suspended;
+        boolean sameGeneration = store.generation() == grantedGeneration;
+        return granted && sameGeneration && elapsed < WINDOW.toNanos() && !suspended;
+    }
+
+    /** Numbers of a later generation lie above all those of earlier ones, which the store may have forgotten. */
+    private long nextTerm(Optional<StoredObject> record, long generation) throws StoreMalformedException {
+        long recorded = record.isPresent() ? termOf(record.get()) : 0;
+        highestTerm = Math.max(Math.max(highestTerm, recorded), generation * TERMS_OF_A_GENERATION);
+        return highestTerm + 1;
     }
 
-    private boolean settled(StoredObject record, long now) {
-        if (record.version().equals(ownVersion)) {
+    private boolean settled(Optional<StoredObject> record, long now) {
+        String version = record.map(StoredObject::version).orElse(MISSING + store.generation());
+        if (version.equals(ownVersion)) {
             return true;
         }
-        if (!record.version().equals(seenVersion)) {
-            seenVersion = record.version();
+        if (!version.equals(seenVersion)) {
+            seenVersion = version;
             seenAt = now;
             return false;
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleKeeper.java
@@ -98,6 +98,7 @@
     /** Looks once and orders what is due. */
     void look() throws InterruptedException {
         FleetSnapshot snapshot = fleet.get();
+        observeRight(snapshot.first());
         for (ServiceLoad service : snapshot.services()) {
             List<RoleMove> moves = balance.moves(service.servers(), snapshot.idle());
             if (!moves.isEmpty()) {
@@ -113,7 +114,6 @@
         if (snapshot.first() && !snapshot.idle()) {
             followLoad(snapshot.services());
         }
-        observeRight(snapshot.first());
     }
 
     private void followLoad(List<ServiceLoad> services) throws InterruptedException {
