An entry registers again where the store has lost its registration

An entry that had started within the seconds that the store lost was unknown to the others for good: it registered once and never looked again. The list of all entries that it reads every ten seconds shows now whether its own is there. The test failed before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -19,7 +19,8 @@
  * Registers this entry in the store and reads where the others are; a duty of its own thread.
  *
  * <p>Registrations say where an entry would be heard, not that it lives: that shows in its reports. So they need no
- * renewal, and one left behind by a host that is gone costs a datagram now and then.
+ * renewal, and one left behind by a host that is gone costs a datagram now and then. The store may lose one with its last
+ * seconds; then the list shows that it is missing.
  */
 public final class PeerDirectory {
     /** Entries that start tell the others themselves, so the list only mends what datagrams missed. */
@@ -33,7 +34,6 @@
     private final InetSocketAddress address;
     private final Consumer<Map<String, InetSocketAddress>> listener;
     private final DependencyLog entries;
-    private boolean registered;
 
     public PeerDirectory(
             ObjectStore store,
@@ -66,14 +66,10 @@
     /** Does what is due and returns the pause after it. */
     Duration step() {
         try {
-            if (!registered) {
+            Map<String, InetSocketAddress> addresses = addresses();
+            if (!address.equals(addresses.get(key.name()))) {
                 register();
-                registered = true;
-            }
-            Map<String, InetSocketAddress> addresses = new HashMap<>();
-            for (StoredObject object : store.list(ObjectKind.ENTRY_REGISTRATION).objects()) {
-                PeerAddress.read(object)
-                        .ifPresent(peer -> addresses.put(object.key().name(), peer));
+                addresses.put(key.name(), address);
             }
             entries.back();
             listener.accept(addresses);
@@ -84,6 +80,15 @@
         }
     }
 
+    private Map<String, InetSocketAddress> addresses() throws StoreException {
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        for (StoredObject object : store.list(ObjectKind.ENTRY_REGISTRATION).objects()) {
+            PeerAddress.read(object)
+                    .ifPresent(peer -> addresses.put(object.key().name(), peer));
+        }
+        return addresses;
+    }
+
     // A write whose answer was lost may still be carried out; reading first on the next step settles it.
     private void register() throws StoreException {
         String value = PeerAddress.write(address);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -137,6 +137,21 @@
         assertEquals(store.list(ObjectKind.ENTRY_REGISTRATION).objects().size(), 2);
     }
 
+    // Guards against an entry that no other ever hears of, since the store has lost its registration with its last
+    // seconds.
+    @Test
+    public void should_register_itself_again_where_the_store_has_lost_it() throws Exception {
+        InMemoryObjectStore store = new InMemoryObjectStore();
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 7001);
+        PeerDirectory directory = new PeerDirectory(store, "one", address, heard -> {}, log);
+        directory.step();
+        store.comeBackFrom(List.of());
+
+        directory.step();
+
+        assertEquals(store.list(ObjectKind.ENTRY_REGISTRATION).objects().size(), 1);
+    }
+
     private PeerExchange exchange(String entry, BlockingQueue<PeerReport> heard) throws Exception {
         PeerExchange exchange = new PeerExchange(entry, new SystemTimeSource(), group.next(), log, heard::add);
         exchange.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
