Servers that a store come back older has lost are kept for a while, and none is believed ready again that leaves

A server that registered within the lost seconds is missing in the next list and was dropped at once, until it wrote again two seconds later; one that had said it leaves stood there as ready, and got work that is cut when it ends. Now what is missing after a rise of the generation is doubted for the time in which servers write again, and a start that has said it leaves stays leaving (server-not-believed). One that left wholly within the lost seconds stands there again until its registration lapses; requests to it meet a refused connection or another server, and go on elsewhere. Metric: aspenmoor_store_generation.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendServer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendServer.java
@@ -25,6 +25,11 @@
         int slots,
         BackendState state,
         EngineRole role) {
+    /** Returns the same start as one that takes no new work. */
+    BackendServer leaving() {
+        return new BackendServer(id, startedAt, service, host, port, dataCentre, slots, BackendState.DRAINING, role);
+    }
+
     /** Returns whether the other is the same start at the same address, so that its connections stay good. */
     public boolean sameStart(BackendServer other) {
         return id.equals(other.id)
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackendDirectoryTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackendDirectoryTest.java
@@ -73,4 +73,26 @@
 
         assertTrue(directory.removed("one", 7 * SECOND));
     }
+
+    // Guards against servers that are dropped although they live, since the store has lost their registrations.
+    @Test
+    public void should_keep_servers_for_a_while_that_are_missing_where_the_store_came_back_older() {
+        directory.changed(TestServers.plain("one"));
+        directory.cameBackOlder(SECOND);
+
+        assertFalse(directory.removed("one", SECOND));
+        assertEquals(directory.expire(2 * SECOND), List.of());
+        assertEquals(directory.expire(3 * SECOND), List.of("one"));
+    }
+
+    // Guards against work that is sent to a server which leaves, since the store tells its state from before.
+    @Test
+    public void should_not_believe_that_a_server_is_ready_again_which_has_said_that_it_leaves() {
+        BackendServer server = TestServers.plain("one");
+        directory.changed(server);
+        directory.changed(server.leaving());
+
+        assertEquals(directory.changed(server).state(), BackendState.DRAINING);
+        assertEquals(directory.find("one").orElseThrow().state(), BackendState.DRAINING);
+    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
@@ -131,11 +132,16 @@
                 store,
                 storeSettings,
                 ObjectKind.BACKEND_SERVER,
-                new ServerListener(decoder, state, connections, eventLoop, time, log));
+                new ServerListener(decoder, state, connections, eventLoop, time, log, store::generation));
         FatalRequestKeeper keeper =
                 new FatalRequestKeeper(store, fatalRequests, state::fatalRequestsKnown, eventLoop, time, random, log);
         follow(store, storeSettings, ObjectKind.FATAL_REQUEST, keeper);
         keeper.start();
+        GaugeWithCallback.builder()
+                .name("aspenmoor_store_generation")
+                .help("Generation of the store's history; rises where the store came back from an older copy.")
+                .callback(callback -> callback.call((double) store.generation()))
+                .register(registry);
         readinessAddress = new PlainHttpServer(Map.of(settings.readinessPath(), this::readiness))
                 .start(group, settings.readiness());
         administrationAddress = new PlainHttpServer(Map.of("/metrics", this::metrics, "/state", this::stateDump))
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerListener.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.gateway.membership;
 
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.DependencyLog;
@@ -21,14 +22,23 @@
     private final TimeSource time;
     private final DecisionLog log;
     private final DependencyLog registrations;
+    private final LongSupplier generation;
+    private long knownGeneration;
+    private boolean synchronisedBefore;
 
+    /**
+     * Makes a listener.
+     *
+     * @param generation the generation of the store's history
+     */
     public ServerListener(
             RegistrationDecoder decoder,
             ServingState state,
             BackendConnections connections,
             Executor eventLoop,
             TimeSource time,
-            DecisionLog log) {
+            DecisionLog log,
+            LongSupplier generation) {
         this.decoder = decoder;
         this.state = state;
         this.connections = connections;
@@ -36,6 +46,7 @@
         this.time = time;
         this.log = log;
         this.registrations = new DependencyLog(log, "servers");
+        this.generation = generation;
     }
 
     @Override
@@ -62,6 +73,8 @@
     @Override
     public void synchronised() {
         registrations.back();
+        noteGeneration();
+        synchronisedBefore = true;
         eventLoop.execute(() -> state.serversSynchronised(time.monotonicNanoseconds()));
     }
 
@@ -71,8 +84,19 @@
         eventLoop.execute(() -> state.serversInterrupted(time.monotonicNanoseconds()));
     }
 
+    /** A server may be missing because the store has lost its last seconds, and not because it has left. */
+    private void noteGeneration() {
+        long now = generation.getAsLong();
+        boolean rose = synchronisedBefore && now > knownGeneration;
+        knownGeneration = now;
+        if (rose) {
+            eventLoop.execute(() -> state.storeCameBackOlder(time.monotonicNanoseconds()));
+        }
+    }
+
     private void remove(StoredObject object) {
         String id = object.key().name();
+        noteGeneration();
         eventLoop.execute(() -> {
             if (state.serverMissing(id, time.monotonicNanoseconds())) {
                 connections.forget(id);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -97,9 +97,16 @@
     }
 
     /** Takes a server's registration in. */
-    public void serverChanged(BackendServer server) {
-        Optional<BackendServer> before = directory.find(server.id());
-        directory.changed(server);
+    public void serverChanged(BackendServer told) {
+        Optional<BackendServer> before = directory.find(told.id());
+        BackendServer server = directory.changed(told);
+        if (server.state() != told.state()) {
+            log.notable("server-not-believed")
+                    .with("server", told.id())
+                    .with("told", told.state().name())
+                    .with("reason", "this start has said that it leaves")
+                    .write();
+        }
         placer.changed(server, cacheTokens(server));
         if (before.isEmpty() || !before.get().equals(server)) {
             log.notable("server-known")
@@ -124,6 +131,11 @@
         return gone;
     }
 
+    /** Notes that the store has come back from an older copy, in which servers may be missing that live. */
+    public void storeCameBackOlder(long now) {
+        directory.cameBackOlder(now);
+    }
+
     /** Notes that the list of servers may miss changes from now on. */
     public void serversInterrupted(long now) {
         directory.interrupted(now);
