Streams of an engine that goes quiet go on elsewhere before their callers leave

Cause: an attempt was watched for silence only until its answer began. Now a stream that may be resumed is watched to its end: quiet for two fifths of the time after which callers leave, at a server that has told this entry nothing else meanwhile, it counts as lost and is resumed.

Test: should_go_on_elsewhere_where_an_engine_goes_quiet_within_an_answer.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Placer.java
@@ -308,6 +308,12 @@
         return belief == null || belief.lastAnswerAt() < work.atNanoseconds();
     }
 
+    /** Returns whether the server of an attempt has told this entry nothing of any answer since a moment. */
+    public boolean nothingHeardSince(PlacedWork work, long since) {
+        ServerBelief belief = beliefs.get(work.server());
+        return belief == null || belief.lastHeardAt() <= since;
+    }
+
     /** Notes that an attempt is over, in whatever way. */
     public void ended(PlacedWork work) {
         ServerBelief belief = beliefs.get(work.server());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBelief.java
@@ -61,6 +61,7 @@
     private double slowness = 1;
     private double delaySlowness = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
+    private long lastEventAt = Long.MIN_VALUE;
     private long changingSince = Long.MIN_VALUE;
     private EngineRole changingTo = EngineRole.WHOLE;
 
@@ -100,6 +101,11 @@
         return lastAnswerAt;
     }
 
+    /** Returns when the server last told this entry anything of an answer. */
+    long lastHeardAt() {
+        return Math.max(lastAnswerAt, lastEventAt);
+    }
+
     /** Returns how many times longer than the others with its role the server takes. */
     double slowness() {
         return slowness;
@@ -157,6 +163,7 @@
 
     /** Notes an event of an answer that came so long after the one before it. */
     void eventTold(double pauseSeconds, long now) {
+        lastEventAt = now;
         pace.event(pauseSeconds, now);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -33,6 +33,7 @@
     private AnswerFacts facts;
     private boolean begun;
     private long begunAt;
+    private long heardAt;
     private boolean over;
 
     AnswerAttempt(ServedRequest request, BackendServer server, PlacedWork work, boolean streamed) {
@@ -102,6 +103,16 @@
         return work;
     }
 
+    /** Returns whether events of a stream have come, of which the caller waits for the next. */
+    boolean telling() {
+        return begun && streams();
+    }
+
+    /** Returns when the last event came. */
+    long heardAt() {
+        return heardAt;
+    }
+
     /** Drops what is held; the exchange was cancelled. */
     void release() {
         if (!over) {
@@ -121,6 +132,7 @@
 
     private void passEventsOn() {
         for (Optional<ByteBuf> event = events.next(); event.isPresent(); event = events.next()) {
+            heardAt = request.now();
             noteBegin();
             request.eventCame(head, event.get());
             if (over) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -75,7 +75,7 @@
         this.service = service;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
         this.current = new CurrentAttempt(tools, service, route.objective());
-        this.stallWatch = new StallWatch(tools, route.objective(), this::stalled);
+        this.stallWatch = new StallWatch(tools, route, this::stalled);
         this.times = new RequestTimes(incoming.arrivedAt(), caller.patience(), route);
         this.trace =
                 new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), times.deadline());
@@ -206,7 +206,8 @@
             when account.attempts() < route.mostBackends() -> {
                 answer.release();
                 current.cancel();
-                attemptEnded(answer.work(), new AttemptEnd.Lost(), "no answer began in time");
+                String reason = answer.begun() ? "the server went quiet" : "no answer began in time";
+                attemptEnded(answer.work(), new AttemptEnd.Lost(), reason);
             }
             case AnswerAttempt last -> trace.because("the server is silent, and there is no other to ask");
             case PrefillAttempt prefill -> {
@@ -274,6 +275,7 @@
     void answerBegan(PlacedWork work) {
         tools.state().placer().answerBegan(work, now());
         unfetched.fetched();
+        stallWatch.begun(attempt);
         if (!stream.begun()) {
             trace.firstByte(now());
             line.answered();
@@ -313,7 +315,7 @@
             attemptEndedAfterWork(new AttemptEnd.Lost(), begun ? "no event came" : "the stream was empty");
             return;
         }
-        caller.prompt().ifPresent(prompt -> tools.state().placer().answerWhole(service, prompt, trace.events()));
+        progress.whole();
         finish(RequestOutcome.ANSWERED);
         link.end();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.aspenmoor.internal.serving.Route;
 
 /**
  * Notices that the server of a request has stalled. Confined to the event loop.
@@ -18,16 +19,25 @@
     /** By how much a queue may be longer than expected. */
     private static final double QUEUE_MARGIN = 2;
 
+    /**
+     * How long a stream may be quiet at a server that tells others nothing either, in percent of the silence after which
+     * callers leave; the rest is for another engine to go on.
+     */
+    private static final int QUIET_PERCENT = 40;
+
     private static final double NANOSECONDS = 1e9;
 
     private final RequestTools tools;
     private final Duration objective;
+    private final Duration tellingPatience;
     private final Consumer<WatchedAttempt> stalled;
     private Future<?> timer;
 
-    StallWatch(RequestTools tools, Duration objective, Consumer<WatchedAttempt> stalled) {
+    StallWatch(RequestTools tools, Route route, Consumer<WatchedAttempt> stalled) {
         this.tools = tools;
-        this.objective = objective;
+        this.objective = route.objective();
+        this.tellingPatience =
+                route.longestSilence().multipliedBy(QUIET_PERCENT).dividedBy(100);
         this.stalled = stalled;
     }
 
@@ -45,6 +55,14 @@
         timer = tools.eventLoop().schedule(() -> check(attempt, patience), patience.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    /** Notes that the answer of the watched attempt, if it is one, has begun to be told. */
+    void begun(AnswerAttempt answer) {
+        boolean watching = timer != null && !timer.isDone();
+        if (watching && answer.telling()) {
+            watch(answer, tellingPatience);
+        }
+    }
+
     void cancel() {
         if (timer != null) {
             timer.cancel(false);
@@ -52,6 +70,10 @@
     }
 
     private void check(WatchedAttempt attempt, Duration patience) {
+        if (attempt instanceof AnswerAttempt answer && answer.telling()) {
+            checkTelling(answer);
+            return;
+        }
         if (attempt.begun()) {
             return;
         }
@@ -62,4 +84,16 @@
         }
         stalled.accept(attempt);
     }
+
+    /** An engine that goes dark breaks no connection: callers would leave, though another engine could go on. */
+    private void checkTelling(AnswerAttempt answer) {
+        long now = tools.state().time().monotonicNanoseconds();
+        long quietFrom = now - tellingPatience.toNanos();
+        boolean quiet = answer.heardAt() <= quietFrom;
+        if (quiet && tools.state().placer().nothingHeardSince(answer.work(), quietFrom)) {
+            stalled.accept(answer);
+            return;
+        }
+        watch(answer, quiet ? tellingPatience : Duration.ofNanos(answer.heardAt() - quietFrom));
+    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -106,6 +106,12 @@
 
     /** Adds a route to a service; it is in force after {@link #publish}. */
     public TestGateway route(String path, RepeatRule rule, boolean streamed, int mostBackends, String service) {
+        return route(path, rule, streamed, mostBackends, service, TIMEOUT);
+    }
+
+    /** Adds a route whose callers leave after a silence; it is in force after {@link #publish}. */
+    public TestGateway route(
+            String path, RepeatRule rule, boolean streamed, int mostBackends, String service, Duration silence) {
         routes.add(new Route(
                 "route-" + path,
                 HOST,
@@ -114,7 +120,7 @@
                 streamed,
                 TIMEOUT,
                 Duration.ofSeconds(2),
-                TIMEOUT,
+                silence,
                 mostBackends,
                 0,
                 List.of(new RouteTarget(service, 1))));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalRequestTest.java
@@ -62,10 +62,7 @@
     public void should_keep_a_request_from_servers_once_it_has_ended_three() throws Exception {
         plainServers();
 
-        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/book/a", FATAL_BODY, arrival);
-            gateway.awaitLogged(SERVER_ENDED, endedServers());
-        }
+        arriveAgainAndAgain("/book/a");
 
         assertTrue(endedServers() <= MOST_ENDS, "ended: " + endedServers());
         assertTrue(call(gateway, "/book/a", FATAL_BODY, ARRIVALS).line().contains(" 503 "));
@@ -76,10 +73,7 @@
     public void should_count_the_ends_of_repeats_within_one_arrival() throws Exception {
         plainServers();
 
-        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/read/a", FATAL_BODY, arrival);
-            gateway.awaitLogged(SERVER_ENDED, endedServers());
-        }
+        arriveAgainAndAgain("/read/a");
 
         assertTrue(endedServers() <= MOST_ENDS, "ended: " + endedServers());
     }
@@ -102,10 +96,7 @@
     @Test
     public void should_remember_the_request_after_all_entries_were_restarted() throws Exception {
         plainServers();
-        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/book/a", FATAL_BODY, arrival);
-            gateway.awaitLogged(SERVER_ENDED, endedServers());
-        }
+        arriveAgainAndAgain("/book/a");
         gateway.awaitLogged("\"event\":\"fatal-request-stored\"");
         gateway.close();
         TestGateway restarted = another("entry-under-test");
@@ -131,10 +122,7 @@
         }
         gateway.publish();
 
-        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/draft/a", FATAL_BODY, arrival);
-            gateway.awaitLogged(SERVER_ENDED, endedServers());
-        }
+        arriveAgainAndAgain("/draft/a");
 
         assertTrue(endedServers() <= MOST_ENDS, "ended: " + endedServers());
         long computed = prompts.stream()
@@ -148,10 +136,7 @@
     @Test
     public void should_tell_the_caller_that_it_has_not_run_and_when_to_come_back() throws Exception {
         plainServers();
-        for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/book/a", FATAL_BODY, arrival);
-            gateway.awaitLogged(SERVER_ENDED, endedServers());
-        }
+        arriveAgainAndAgain("/book/a");
 
         ReceivedRequest refusal = call(gateway, "/book/a", FATAL_BODY, ARRIVALS);
 
@@ -179,12 +164,17 @@
     @Test
     public void should_serve_other_requests_beside_a_fatal_one() throws Exception {
         plainServers();
+        arriveAgainAndAgain("/book/a");
+
+        assertTrue(call(gateway, "/book/a", "another", ARRIVALS).line().contains(" 200 "));
+    }
+
+    /** Lets the fatal request come so many times, each time after the end that it caused before has been noticed. */
+    private void arriveAgainAndAgain(String path) throws IOException {
         for (int arrival = 0; arrival < ARRIVALS; arrival++) {
-            call(gateway, "/book/a", FATAL_BODY, arrival);
+            call(gateway, path, FATAL_BODY, arrival);
             gateway.awaitLogged(SERVER_ENDED, endedServers());
         }
-
-        assertTrue(call(gateway, "/book/a", "another", ARRIVALS).line().contains(" 200 "));
     }
 
     private void plainServers() throws AspenmoorException, IOException {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -6,6 +6,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -120,6 +121,24 @@
         assertEquals(posts(first).size() + posts(second).size(), 2);
     }
 
+    // Guards against callers who leave in the middle of an answer because its engine has gone dark.
+    @Test
+    public void should_go_on_elsewhere_where_an_engine_goes_quiet_within_an_answer() throws Exception {
+        gateway.route("/quiet/", RepeatRule.RESUMABLE, true, 2, SERVICE, Duration.ofSeconds(1));
+        CountDownLatch never = new CountDownLatch(1);
+        Script quietUnlessResumed = request -> request.header(TestProtocols.AFTER)
+                .map(after -> Reply.of(HEAD + event(2) + event(3) + HttpText.END_OF_CHUNKS))
+                .orElseGet(() -> Reply.inParts(HEAD + event(1), new LaterPart(never, "")));
+        backend("one", EngineRole.WHOLE, quietUnlessResumed);
+        backend("two", EngineRole.WHOLE, quietUnlessResumed);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(stream("/quiet/"));
+
+            assertEquals(caller.answer().body(), text(1) + text(2) + text(3));
+        }
+    }
+
     // A stream breaks, and the engine that should go on answers with a plain page instead. Written into the open
     // stream, the
     // page would stand in the middle of the caller's draft.
