A server whose port closes a moment after its connections is seen to have ended

Traced by the kept log: its connection broke at 42.345, no server-ended followed, so the probe was taken. A port that is closed while a thread waits at it stays open until that thread has woken, which under load is after its connections have closed. A real process can die so too, and an end that is missed costs one more server. Now a connection that is taken is tried a second time, once the first has broken or after 100 ms; one that is taken again belongs to a server that lives, also where it resets what is beyond its limit. The stand-in closes its port for good before its connections, as a crash mostly does; the tests' bounds are the same.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -35,7 +35,7 @@
         this.protocol = protocol;
         this.eventLoop = eventLoop;
         this.time = time;
-        this.probes = new ServerProbes(eventLoop);
+        this.probes = new ServerProbes(eventLoop, ServerProbes.SECOND_LOOK);
     }
 
     /** Sends a request, of which it takes over the reference. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
@@ -63,13 +63,26 @@
 
     /** Takes no connection any more and breaks all that are open, as a process that crashes does. */
     private void crash() throws IOException {
-        ended = true;
+        int port = port();
         listener.close();
+        while (takesConnections(port)) {
+            Thread.onSpinWait();
+        }
+        ended = true;
         for (Socket connection : connections) {
             connection.close();
         }
     }
 
+    /** A port that is closed while a thread waits at it stays open until that thread has woken. */
+    private static boolean takesConnections(int port) {
+        try (Socket probe = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return probe.isConnected();
+        } catch (IOException refused) {
+            return false;
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
