A stream whose caller takes nothing is not taken for one of a quiet engine

Now silence counts only while the entry reads, from the last moment in which it did not. No test of its own: it would have to wait for time to pass.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -75,7 +75,7 @@
         this.service = service;
         this.account = new AttemptAccount(route.repeatRule(), route.mostBackends());
         this.current = new CurrentAttempt(tools, service, route.objective());
-        this.stallWatch = new StallWatch(tools, route, this::stalled);
+        this.stallWatch = new StallWatch(tools, route, link::writable, this::stalled);
         this.times = new RequestTimes(incoming.arrivedAt(), caller.patience(), route);
         this.trace =
                 new RequestTrace(caller, route, service, configurationVersion, incoming.arrivedAt(), times.deadline());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallWatch.java
@@ -3,6 +3,7 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.aspenmoor.internal.serving.Route;
 
@@ -30,11 +31,20 @@
     private final RequestTools tools;
     private final Duration objective;
     private final Duration tellingPatience;
+    private final BooleanSupplier reading;
     private final Consumer<WatchedAttempt> stalled;
     private Future<?> timer;
+    private long unreadAt = Long.MIN_VALUE;
 
-    StallWatch(RequestTools tools, Route route, Consumer<WatchedAttempt> stalled) {
+    /**
+     * Makes a watch.
+     *
+     * @param reading whether what the server tells is read; not while the caller takes nothing
+     * @param stalled hears of an attempt whose server has stalled
+     */
+    StallWatch(RequestTools tools, Route route, BooleanSupplier reading, Consumer<WatchedAttempt> stalled) {
         this.tools = tools;
+        this.reading = reading;
         this.objective = route.objective();
         this.tellingPatience =
                 route.longestSilence().multipliedBy(QUIET_PERCENT).dividedBy(100);
@@ -85,15 +95,23 @@
         stalled.accept(attempt);
     }
 
-    /** An engine that goes dark breaks no connection: callers would leave, though another engine could go on. */
+    /**
+     * An engine that goes dark breaks no connection: callers would leave, though another engine could go on. One whose
+     * answer this entry itself has stopped to read, since the caller takes nothing, is not dark.
+     */
     private void checkTelling(AnswerAttempt answer) {
         long now = tools.state().time().monotonicNanoseconds();
+        unreadAt = reading.getAsBoolean() ? unreadAt : now;
+        long heardAt = Math.max(answer.heardAt(), unreadAt);
         long quietFrom = now - tellingPatience.toNanos();
-        boolean quiet = answer.heardAt() <= quietFrom;
-        if (quiet && tools.state().placer().nothingHeardSince(answer.work(), quietFrom)) {
+        if (heardAt > quietFrom) {
+            watch(answer, Duration.ofNanos(heardAt - quietFrom));
+            return;
+        }
+        if (tools.state().placer().nothingHeardSince(answer.work(), quietFrom)) {
             stalled.accept(answer);
             return;
         }
-        watch(answer, quiet ? tellingPatience : Duration.ofNanos(answer.heardAt() - quietFrom));
+        watch(answer, tellingPatience);
     }
 }
