--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/OrderRight.java
@@ -73,7 +73,7 @@
      * for answers that was lost stayed unreplaced for six seconds more, in which one engine answered everybody.
      */
     public void observe() throws StoreException {
-        settled(store.read(key), time.monotonicNanoseconds());
+        settled(versionOf(store.read(key)), time.monotonicNanoseconds());
     }
 
     /** Tries to get the right; returns the number to give orders under. */
@@ -84,7 +84,7 @@
         Optional<StoredObject> record = store.read(key);
         long generation = store.generation();
         long term = nextTerm(record, generation);
-        if (!settled(record, asked)) {
+        if (!settled(versionOf(record), asked)) {
             return Optional.empty();
         }
         try {
@@ -126,8 +126,12 @@
         return highestTerm + 1;
     }
 
-    private boolean settled(Optional<StoredObject> record, long now) {
-        String version = record.map(StoredObject::version).orElse(MISSING + store.generation());
+    /** Returns a record's version; a missing one has a version too, since it has to settle like another. */
+    private String versionOf(Optional<StoredObject> record) {
+        return record.map(StoredObject::version).orElse(MISSING + store.generation());
+    }
+
+    private boolean settled(String version, long now) {
         if (version.equals(ownVersion)) {
             return true;
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -46,7 +46,7 @@
     }
 
     /** Tells the listener whether a server that broke a connection has ended. */
-    public void whenProbed(BackendServer server, ServerProbes.Listener listener) {
+    public void probe(BackendServer server, ServerProbes.Listener listener) {
         probes.probe(server, listener);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerEnds.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerEnds.java
@@ -79,7 +79,7 @@
         Duration asked = Duration.ofNanos(tools.state().time().monotonicNanoseconds() - work.atNanoseconds());
         BrokenRun run = new BrokenRun(request, digest(), server, asked, told);
         unconfirmed++;
-        tools.connections().whenProbed(server, ended -> probed(run, ended));
+        tools.connections().probe(server, ended -> probed(run, ended));
     }
 
     private Verdict verdict() {
