Serve callers of organisations by their keys

The configuration's organisations are decoded once into a KeyRegistry. RequestAuthorisation looks the key up for each request, and again before each send: after waiting, before a retry, between prefill and handoff. A key that was removed meanwhile ends the request with 401 if it cannot have run. The adapter replaces the key by the organisation's name on every send. The organisation's priority precedes that of the route. An answer that runs is not moved to another engine once its key is gone, which would cut it.

ServedRequest is split: AttemptSender sends, SendCheck decides whether it may, FinalAnswer writes what no server answered.

Ruled out: taking the first of two organisations that have the same key; it would charge one for the requests of the other, so such a key is refused and counted in the log.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Route.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/Route.java
@@ -16,6 +16,7 @@
  * @param callerIdleTimeout time without any data after which callers leave; at least the timeout if they do not
  * @param maxBackends how many backend servers may run one request
  * @param priority the priority among kinds of request; 0 is the highest
+ * @param open whether requests need no key, even if the configuration has organisations
  * @param targets the services that requests are routed to; more than one if traffic is split
  */
 public record Route(
@@ -29,6 +30,7 @@
         Duration callerIdleTimeout,
         int maxBackends,
         int priority,
+        boolean open,
         List<RouteTarget> targets) {
     public Route {
         targets = List.copyOf(targets);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.organisation.KeyRegistry;
 
 /** One version of the operator's configuration of routes and services; immutable. */
 public final class ServingConfiguration {
@@ -14,12 +15,14 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, ServiceTraits> services = new HashMap<>();
     private final ConnectionLimits limits;
+    private final KeyRegistry keys;
     private final int routeCount;
 
     public ServingConfiguration(
-            long version, List<Route> routes, List<ServiceTraits> services, ConnectionLimits limits) {
+            long version, List<Route> routes, List<ServiceTraits> services, ConnectionLimits limits, KeyRegistry keys) {
         this.version = version;
         this.limits = limits;
+        this.keys = keys;
         this.routeCount = routes.size();
         for (Route route : routes) {
             routesByHost
@@ -45,6 +48,11 @@
         return limits;
     }
 
+    /** Returns the keys of the organisations. */
+    public KeyRegistry keys() {
+        return keys;
+    }
+
     public int routeCount() {
         return routeCount;
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RequestDeadlinesTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RequestDeadlinesTest.java
@@ -21,6 +21,7 @@
             Duration.ofSeconds(2),
             2,
             0,
+            false,
             List.of(new RouteTarget("model", 1)));
 
     @Test
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/ServingConfigurationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/ServingConfigurationTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.aspenmoor.internal.organisation.KeyRegistry;
 import org.testng.annotations.Test;
 
 public class ServingConfigurationTest {
@@ -12,7 +13,8 @@
             3,
             List.of(route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")),
             List.of(),
-            ConnectionLimits.defaults());
+            ConnectionLimits.defaults(),
+            KeyRegistry.notConfigured());
 
     @Test
     public void should_match_the_longest_prefix_of_the_host() {
@@ -41,6 +43,7 @@
                 Duration.ofSeconds(1),
                 1,
                 0,
+                false,
                 List.of(new RouteTarget("many", 90), new RouteTarget("none", 0), new RouteTarget("few", 10)));
 
         assertEquals(split.serviceFor(0.0), "many");
@@ -61,6 +64,7 @@
                 Duration.ofSeconds(1),
                 1,
                 0,
+                false,
                 List.of(new RouteTarget("service", 1)));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/LocalAnswers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/LocalAnswers.java
@@ -13,6 +13,9 @@
 
 /** Answers that an entry generates itself, without a backend server. */
 public final class LocalAnswers {
+    /** The scheme in which keys are sent, in the form that RFC 6750 defines. */
+    private static final String KEY_SCHEME = "Bearer";
+
     private static final double MILLISECONDS_PER_SECOND = 1000.0;
 
     private LocalAnswers() {}
@@ -35,6 +38,13 @@
         return answer;
     }
 
+    /** Returns the refusal of a request without a valid key; the reason must not contain the key. */
+    public static FullHttpResponse unauthorised(String reason) {
+        FullHttpResponse answer = of(HttpResponseStatus.UNAUTHORIZED, "The request has not run: " + reason + ".");
+        answer.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, KEY_SCHEME);
+        return answer;
+    }
+
     /** Returns the failure of a request that may have run: 504 if its deadline has passed, otherwise 502. */
     public static FullHttpResponse outcomeUnknown(String reason, boolean deadlinePassed) {
         HttpResponseStatus status =
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/CallerHeaders.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/CallerHeaders.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.organisation.PresentedKey;
 import org.aspenmoor.internal.serving.Prompt;
 
 /**
@@ -9,6 +10,7 @@
  *
  * @param requestId identifies the request; an empty string if the caller sent no identifier
  * @param maxWait how long the caller waits for the answer, from the time it sent the request; empty if not stated
+ * @param key the key by which the caller's organisation is recognised
  * @param prompt the description of the request's prompt; empty if not stated or incomplete
  */
-public record CallerHeaders(String requestId, Optional<Duration> maxWait, Optional<Prompt> prompt) {}
+public record CallerHeaders(String requestId, Optional<Duration> maxWait, PresentedKey key, Optional<Prompt> prompt) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/DispatchParameters.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/DispatchParameters.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.organisation.Authorisation;
 import org.aspenmoor.internal.serving.BackendServer;
 
 /**
@@ -10,6 +11,8 @@
  * @param serverId the identity of the intended server; a server with another identity rejects the request
  * @param remainingTime how long the server may work on the request
  * @param priority the priority of the request; 0 is the highest
+ * @param authorisation whether the caller's key is withheld from the server, and the organisation that is stated
+ *     instead
  * @param work the part of the request that the server executes
  * @param cacheSource the location of the prompt's cache, if another engine has prefilled the prompt
  * @param cacheHolder an engine that probably has the shared prefix of the prompt in its cache
@@ -19,6 +22,7 @@
         String serverId,
         Duration remainingTime,
         int priority,
+        Authorisation authorisation,
         RequestedWork work,
         Optional<CacheSource> cacheSource,
         Optional<BackendServer> cacheHolder,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptMessages.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptMessages.java
@@ -17,12 +17,19 @@
     private final IncomingRequest incoming;
     private final BackendProtocol protocol;
     private final Route route;
+    private final RequestAuthorisation authorisation;
     private final long deadline;
 
-    AttemptMessages(IncomingRequest incoming, BackendProtocol protocol, Route route, long deadline) {
+    AttemptMessages(
+            IncomingRequest incoming,
+            BackendProtocol protocol,
+            Route route,
+            RequestAuthorisation authorisation,
+            long deadline) {
         this.incoming = incoming;
         this.protocol = protocol;
         this.route = route;
+        this.authorisation = authorisation;
         this.deadline = deadline;
     }
 
@@ -31,7 +38,8 @@
         return buildMessage(new DispatchParameters(
                 placement.prefill().id(),
                 remaining(now),
-                placement.promptPriority(route.priority()),
+                placement.promptPriority(priority()),
+                authorisation.current(),
                 RequestedWork.PROMPT_ONLY,
                 Optional.empty(),
                 placement.cacheHolder(),
@@ -54,13 +62,18 @@
         return buildMessage(new DispatchParameters(
                 server.id(),
                 remaining(now),
-                route.priority(),
+                priority(),
+                authorisation.current(),
                 RequestedWork.ANSWER,
                 cacheSource,
                 cacheHolder,
                 lastEventId));
     }
 
+    private int priority() {
+        return authorisation.current().priority(route.priority());
+    }
+
     private FullHttpRequest buildMessage(DispatchParameters parameters) {
         return OutgoingMessage.request(incoming, protocol, parameters);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -15,6 +15,7 @@
 import org.aspenmoor.internal.gateway.caller.RequestService;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
+import org.aspenmoor.internal.organisation.Authorisation;
 import org.aspenmoor.internal.serving.ConnectionLimits;
 import org.aspenmoor.internal.serving.Route;
 import org.aspenmoor.internal.serving.ServingConfiguration;
@@ -118,6 +119,15 @@
                     RequestOutcome.NO_ROUTE,
                     LocalAnswers.of(HttpResponseStatus.NOT_FOUND, "No route matches this host and path."));
         }
+        RequestAuthorisation authorisation = new RequestAuthorisation(context.state(), route.get(), caller.key());
+        if (authorisation.renew() instanceof Authorisation.Denied denied) {
+            return refuse(
+                    incoming,
+                    caller,
+                    writer,
+                    RequestOutcome.UNAUTHORISED,
+                    LocalAnswers.unauthorised(denied.reason().text()));
+        }
         String service = route.get().serviceFor(context.state().random().nextDouble());
         ServedRequest request = new ServedRequest(
                 context,
@@ -125,6 +135,7 @@
                 caller,
                 writer,
                 route.get(),
+                authorisation,
                 service,
                 configuration.get().version());
         request.start();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestOutcome.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestOutcome.java
@@ -15,5 +15,7 @@
     /** The caller closed its connection before the answer was complete. */
     CALLER_LEFT,
     /** No route matched the request. */
-    NO_ROUTE
+    NO_ROUTE,
+    /** The request did not run, because it contained no valid key. */
+    UNAUTHORISED
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -20,6 +20,7 @@
 
     private final CallerHeaders caller;
     private final Route route;
+    private final RequestAuthorisation authorisation;
     private final String service;
     private final long configurationVersion;
     private final long arrivedAt;
@@ -43,12 +44,14 @@
     RequestTrace(
             CallerHeaders caller,
             Route route,
+            RequestAuthorisation authorisation,
             String service,
             long configurationVersion,
             long arrivedAt,
             long deadline) {
         this.caller = caller;
         this.route = route;
+        this.authorisation = authorisation;
         this.service = service;
         this.configurationVersion = configurationVersion;
         this.arrivedAt = arrivedAt;
@@ -149,11 +152,17 @@
     }
 
     /** Logs the complete trace, with the current load of the last server. */
-    void write(LogLine logLine, RequestOutcome outcome, int attempts, EngineLoad currentLoad, long now) {
+    void logEnded(ServingState state, RequestOutcome outcome, int attempts) {
+        LogLine logLine = outcome == RequestOutcome.ANSWERED
+                ? state.log().routine("request-ended")
+                : state.log().notable("request-ended");
+        long now = state.time().monotonicNanos();
+        EngineLoad currentLoad = state.placement().load(server, now);
         logLine.with("request", caller.requestId())
                 .with("outcome", outcome.name())
                 .with("route", route.name())
                 .with("configuration", configurationVersion)
+                .with("organisation", authorisation.organisationName())
                 .with("service", service)
                 .with("server", server)
                 .with("attempts", attempts)
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
@@ -0,0 +1,31 @@
+package org.aspenmoor.internal.gateway.request;
+
+import java.util.Optional;
+import org.aspenmoor.internal.organisation.Authorisation;
+
+/** Checks immediately before each send whether a request may still be sent to a server. */
+final class SendCheck {
+    private final RequestAuthorisation authorisation;
+    private final FatalRequestCheck fatalCheck;
+    private final RequestTrace trace;
+
+    SendCheck(RequestAuthorisation authorisation, FatalRequestCheck fatalCheck, RequestTrace trace) {
+        this.authorisation = authorisation;
+        this.fatalCheck = fatalCheck;
+        this.trace = trace;
+    }
+
+    /** Returns why the request must not be sent, and records the reason; empty if it may be sent. */
+    Optional<SendRefusal> refusal() {
+        if (authorisation.renew() instanceof Authorisation.Denied denied) {
+            trace.setReason(denied.reason().text());
+            return Optional.of(new SendRefusal.KeyRemoved(denied.reason()));
+        }
+        return fatalCheck.checkQuarantine().map(SendRefusal.Quarantined::new);
+    }
+
+    /** Returns whether the caller's key is still valid. */
+    boolean keyValid() {
+        return !(authorisation.renew() instanceof Authorisation.Denied);
+    }
+}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendRefusal.java
@@ -0,0 +1,13 @@
+package org.aspenmoor.internal.gateway.request;
+
+import java.time.Duration;
+import org.aspenmoor.internal.organisation.Authorisation;
+
+/** Why a request that was accepted must not be sent to a server any more. */
+sealed interface SendRefusal {
+    /** The caller's key has been removed from the configuration. */
+    record KeyRemoved(Authorisation.Reason reason) implements SendRefusal {}
+
+    /** The request terminates the servers that run it; it may be retried after the delay. */
+    record Quarantined(Duration retryDelay) implements SendRefusal {}
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -1,7 +1,6 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
@@ -10,8 +9,6 @@
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
-import org.aspenmoor.internal.gateway.caller.LocalAnswers;
-import org.aspenmoor.internal.gateway.log.LogLine;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
@@ -23,15 +20,11 @@
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
 import org.aspenmoor.internal.serving.RequestDeadlines;
-import org.aspenmoor.internal.serving.RetryRule;
 import org.aspenmoor.internal.serving.Route;
 import org.aspenmoor.internal.serving.WorkKind;
 
 /** Serves one caller's request with one or more attempts and exactly one answer. Confined to the event loop. */
 final class ServedRequest implements ActiveRequest {
-    /** Minimum retry delay of a refused caller; a lack of time or of servers usually outlasts a shorter delay. */
-    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
-
     private final ServingContext context;
     private final IncomingRequest incoming;
     private final CallerHeaders caller;
@@ -41,7 +34,7 @@
     private final String service;
     private final RequestDeadlines deadlines;
     private final RequestTrace trace;
-    private final AttemptMessages messages;
+    private final AttemptSender sender;
     private final AnswerProgress answerProgress;
     private final QueueTracker queue;
     private final AttemptTracker attempts;
@@ -49,6 +42,8 @@
     private final RetryPermit permit;
     private final StallDetector stallDetector;
     private final FatalRequestCheck fatalCheck;
+    private final SendCheck sendCheck;
+    private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
     private final TriedServers triedServers = new TriedServers();
     private final PlacementRequestFactory placements;
@@ -62,6 +57,7 @@
             CallerHeaders caller,
             AnswerWriter writer,
             Route route,
+            RequestAuthorisation authorisation,
             String service,
             long configurationVersion) {
         this.context = context;
@@ -76,14 +72,32 @@
         this.stallDetector = new StallDetector(context, route, writer::writable, this::stalled);
         this.deadlines = new RequestDeadlines(incoming.receivedAtNanos(), caller.maxWait(), route);
         this.trace = new RequestTrace(
-                caller, route, service, configurationVersion, incoming.receivedAtNanos(), deadlines.deadline());
-        this.messages = new AttemptMessages(incoming, context.protocol(), route, deadlines.deadline());
+                caller,
+                route,
+                authorisation,
+                service,
+                configurationVersion,
+                incoming.receivedAtNanos(),
+                deadlines.deadline());
         this.answerProgress = new AnswerProgress(context.state().placement(), service, caller.prompt(), trace);
         this.queue = new QueueTracker(context, this, deadlines, trace);
         this.placements = new PlacementRequestFactory(service, caller, route, deadlines, trace, stream, triedServers);
         this.permit = new RetryPermit(context, service, attempts, trace);
+        this.sender = new AttemptSender(
+                context,
+                this,
+                caller,
+                route,
+                stream,
+                new AttemptMessages(incoming, context.protocol(), route, authorisation, deadlines.deadline()),
+                currentAttempt,
+                stallDetector,
+                triedServers,
+                trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller.requestId(), service, incoming, trace);
+        this.sendCheck = new SendCheck(authorisation, fatalCheck, trace);
+        this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
     void start() {
@@ -127,7 +141,7 @@
     }
 
     private void assignServer(PlacementRequest placementRequest) {
-        if (refusedByQuarantine()) {
+        if (refusedBeforeSend()) {
             return;
         }
         switch (context.state().placement().choose(placementRequest, now())) {
@@ -137,11 +151,12 @@
                 if (kind == WorkKind.WHOLE) {
                     queue.dispatched();
                 }
-                send(single.server(), kind, single.promptSeconds(), Optional.empty(), single.cacheHolder());
+                sender.send(single.server(), kind, single.promptSeconds(), Optional.empty(), single.cacheHolder());
             }
             case Placement.Disaggregated disaggregated -> {
                 trace.placementChosen("staged", disaggregated.answerStartSeconds());
-                prefill(disaggregated);
+                queue.dispatched();
+                sender.sendPrefill(disaggregated);
             }
             case Placement.Queued queued -> queue.enqueue(queued, deadlines.callerWaitsUntil(trace.lastEventTime()));
             case Placement.Refused refused -> {
@@ -151,47 +166,30 @@
         }
     }
 
-    /** Refuses the request if it is in quarantine; returns whether it is. */
-    private boolean refusedByQuarantine() {
-        Optional<Duration> remaining = fatalCheck.checkQuarantine();
-        remaining.ifPresent(retryDelay -> conclude(attempts.stepWithoutRetry(), retryDelay));
-        return remaining.isPresent();
+    /** Refuses the request if it must not be sent any more; returns whether it was refused. */
+    private boolean refusedBeforeSend() {
+        Optional<SendRefusal> refusal = sendCheck.refusal();
+        refusal.ifPresent(this::refuse);
+        return refusal.isPresent();
     }
 
-    private void prefill(Placement.Disaggregated placement) {
-        queue.dispatched();
-        trace.sentTo(placement.prefill());
-        AssignedWork work = currentAttempt.begin(placement.prefill(), WorkKind.PROMPT_ONLY, placement.promptSeconds());
-        caller.prompt()
-                .ifPresent(prompt -> context.state().placement().promptAssigned(placement.prefill(), prompt, now()));
-        FullHttpRequest message = messages.prefillRequest(placement, stream.lastEventId(), now());
-        PrefillAttempt attempt = new PrefillAttempt(this, context.protocol(), placement, work);
-        stallDetector.watch(attempt);
-        currentAttempt.setExchange(
-                work, context.connections().send(placement.prefill(), caller.requestId(), message, attempt));
+    private void refuse(SendRefusal refusal) {
+        switch (refusal) {
+            case SendRefusal.Quarantined quarantined -> conclude(attempts.stepWithoutRetry(), quarantined.retryDelay());
+            case SendRefusal.KeyRemoved removed
+            when stream.begun() || attempts.mayHaveRun() ->
+                conclude(NextStep.REPORT_UNKNOWN, FinalAnswer.MIN_RETRY_DELAY);
+            case SendRefusal.KeyRemoved removed -> {
+                finish(RequestOutcome.UNAUTHORISED);
+                finalAnswer.sendUnauthorised(removed.reason());
+            }
+        }
     }
 
-    private void send(
-            BackendServer server,
-            WorkKind kind,
-            double promptSeconds,
-            Optional<CacheSource> cacheSource,
-            Optional<BackendServer> cacheHolder) {
+    /** Records an attempt before it is sent, since sending may fail at once and lead to the next attempt. */
+    void attemptStarting(AnswerAttempt attempt) {
         attempts.attemptStarted();
-        trace.answerRequested(context.state().placement().load(server.id(), now()), now());
-        triedServers.add(server);
-        trace.sentTo(server);
-        AssignedWork work = currentAttempt.begin(server, kind, promptSeconds);
-        caller.prompt().ifPresent(prompt -> context.state().placement().promptAssigned(server, prompt, now()));
-        answerAttempt = new AnswerAttempt(this, server, work, route.streamed());
-        FullHttpRequest message = messages.answerRequest(server, cacheSource, cacheHolder, stream.lastEventId(), now());
-        if (route.retryRule() == RetryRule.AT_MOST_ONCE || route.maxBackends() == 1) {
-            stallDetector.cancel();
-        } else {
-            stallDetector.watch(answerAttempt);
-        }
-        currentAttempt.setExchange(
-                work, context.connections().send(server, caller.requestId(), message, answerAttempt));
+        answerAttempt = attempt;
     }
 
     FatalRequestCheck fatalCheck() {
@@ -234,14 +232,14 @@
         pendingHandoff.begin(prefilled);
         context.metrics().attemptEnded(service, "prefilled");
         if (!permit.tryAcquire()) {
-            conclude(attempts.stepWithoutRetry(), MIN_RETRY_DELAY);
+            conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         handOff(prefilled);
     }
 
     private void handOff(PrefilledPrompt prefilled) {
-        if (refusedByQuarantine()) {
+        if (refusedBeforeSend()) {
             return;
         }
         Optional<BackendServer> decodeEngine = context.state()
@@ -249,10 +247,10 @@
                 .chooseDecodeEngine(placements.create(false, now()), prefilled.engine(), now());
         if (decodeEngine.isEmpty()) {
             trace.setReason("no engine is available to generate the answer");
-            conclude(attempts.stepWithoutRetry(), MIN_RETRY_DELAY);
+            conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
-        send(decodeEngine.get(), WorkKind.HANDOFF, 0, Optional.of(prefilled.source()), Optional.empty());
+        sender.send(decodeEngine.get(), WorkKind.HANDOFF, 0, Optional.of(prefilled.source()), Optional.empty());
     }
 
     /** Handles a failed prefill, which is optional: without it, a single engine does both prefill and decode. */
@@ -268,7 +266,7 @@
         trace.logPrefillFailed(context.state().log(), placement.prefill(), reason);
         triedServers.prefillFailed(placement.prefill());
         if (!permit.tryAcquire()) {
-            conclude(attempts.stepWithoutRetry(), MIN_RETRY_DELAY);
+            conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         assignServer();
@@ -298,7 +296,8 @@
 
     /** Continues the answer after its last event at another engine if allowed; otherwise the current one goes on. */
     private void continueElsewhere() {
-        if (!attempts.mayResumeElsewhere() || !context.state().tryTakeRetry(service)) {
+        boolean allowed = attempts.mayResumeElsewhere() && sendCheck.keyValid();
+        if (!allowed || !context.state().tryTakeRetry(service)) {
             return;
         }
         AssignedWork interrupted = answerAttempt.work();
@@ -328,7 +327,7 @@
             // The server that was to continue the stream sent another answer, which would corrupt the caller's stream.
             body.release();
             trace.setReason("the resume request got status " + head.status().code());
-            conclude(NextStep.REPORT_UNKNOWN, MIN_RETRY_DELAY);
+            conclude(NextStep.REPORT_UNKNOWN, FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         finish(RequestOutcome.ANSWERED);
@@ -350,7 +349,7 @@
         }
         if (stream.begun() || !metadata.signed() || AnswerAttempt.impliesNoRun(head.status())) {
             body.release();
-            conclude(NextStep.REPORT_UNKNOWN, MIN_RETRY_DELAY);
+            conclude(NextStep.REPORT_UNKNOWN, FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         finish(RequestOutcome.FAILURE_PASSED_ON);
@@ -374,7 +373,7 @@
         if (next == NextStep.REPEAT && deadlines.deadline() > now() && fatalCheck.mayRetry() && permit.tryAcquire()) {
             retryElsewhere(end);
         } else {
-            conclude(next == NextStep.REPEAT ? attempts.stepWithoutRetry() : next, MIN_RETRY_DELAY);
+            conclude(next == NextStep.REPEAT ? attempts.stepWithoutRetry() : next, FinalAnswer.MIN_RETRY_DELAY);
         }
     }
 
@@ -398,7 +397,7 @@
             return;
         }
         trace.setReason("the deadline was reached; " + trace.reason());
-        conclude(attempts.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, MIN_RETRY_DELAY);
+        conclude(attempts.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, FinalAnswer.MIN_RETRY_DELAY);
     }
 
     private void conclude(NextStep step, Duration retryDelay) {
@@ -412,13 +411,11 @@
         }
         if (step == NextStep.REFUSE) {
             finish(RequestOutcome.NOT_RUN);
-            Duration delay = retryDelay.compareTo(MIN_RETRY_DELAY) < 0 ? MIN_RETRY_DELAY : retryDelay;
-            writer.sendAnswer(
-                    LocalAnswers.notRun(trace.reason(), context.state().withJitter(delay)));
+            finalAnswer.sendNotRun(retryDelay);
             return;
         }
         finish(RequestOutcome.UNKNOWN);
-        writer.sendAnswer(LocalAnswers.outcomeUnknown(trace.reason(), deadlines.deadline() <= now()));
+        finalAnswer.sendUnknown();
     }
 
     /** Releases all resources of the request and logs its outcome; the answer, if any, is to be sent afterwards. */
@@ -437,11 +434,7 @@
         pendingHandoff.release();
         incoming.body().release();
         context.metrics().requestEnded(service, outcome);
-        LogLine line = outcome == RequestOutcome.ANSWERED
-                ? context.state().log().routine("request-ended")
-                : context.state().log().notable("request-ended");
-        trace.write(
-                line, outcome, attempts.attempts(), context.state().placement().load(trace.server(), now()), now());
+        trace.logEnded(context.state(), outcome, attempts.attempts());
     }
 
     long now() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -93,6 +93,9 @@
                 .with("version", newer.version())
                 .with("before", configuration.map(ServingConfiguration::version).orElse(-1L))
                 .with("routes", newer.routeCount())
+                .with("organisations", newer.keys().organisationCount())
+                .with("keys", newer.keys().keyCount())
+                .with("keysOfSeveralOrganisations", newer.keys().sharedKeyCount())
                 .write();
         configuration = Optional.of(newer);
         directory.servers().forEach(server -> placementPolicy.serverChanged(server, cacheTokens(server)));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -9,10 +9,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.engine.EngineRole;
@@ -22,6 +24,8 @@
 import org.aspenmoor.internal.gateway.peers.ReportSender;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
+import org.aspenmoor.internal.organisation.KeyRegistry;
+import org.aspenmoor.internal.organisation.OrganisationKeys;
 import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
@@ -55,11 +59,14 @@
     private final Map<String, ServingConfiguration> configurations;
     private final Map<String, BackendServer> servers;
     private final List<Route> routes = new ArrayList<>();
+    private final Set<String> openRoutes = new HashSet<>();
     private final List<ServiceTraits> services = new ArrayList<>();
     private final List<ScriptedBackend> backends = new ArrayList<>();
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final Gateway gateway;
     private final TestProtocols protocols = new TestProtocols();
+    private KeyRegistry keys = KeyRegistry.notConfigured();
+    private int configurationVersion = 6;
 
     public TestGateway() throws AspenmoorException {
         this("entry-under-test", new InMemoryObjectStore(), new ConcurrentHashMap<>(), new ConcurrentHashMap<>());
@@ -123,10 +130,23 @@
                 maxStreamPause,
                 maxBackends,
                 0,
+                openRoutes.contains(path),
                 List.of(new RouteTarget(service, 1))));
         return this;
     }
 
+    /** Adds a route that needs no key; it applies after {@link #publish}. */
+    public TestGateway openRoute(String path, String service) {
+        openRoutes.add(path);
+        return route(path, RetryRule.AT_MOST_ONCE, false, 1, service);
+    }
+
+    /** Sets the organisations and their keys; they apply after {@link #publish}. */
+    public TestGateway organisations(List<OrganisationKeys> organisations) {
+        keys = KeyRegistry.of(organisations);
+        return this;
+    }
+
     /** Limits the connections that one server of a plain service accepts; it applies after {@link #publish}. */
     public TestGateway connectionLimit(String service, int maxConnections) {
         services.add(new ServiceTraits(service, maxConnections, Optional.empty()));
@@ -172,12 +192,27 @@
     /** Publishes the routes and waits until requests are served. */
     public void publish() throws StoreException, IOException {
         services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000))));
-        ServingConfiguration configuration = new ServingConfiguration(7, routes, services, ConnectionLimits.defaults());
-        configurations.put("main", configuration);
+        putConfiguration();
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
         awaitReady();
     }
 
+    /** Replaces the organisations and their keys; returns when the change is in force. */
+    public void changeOrganisations(List<OrganisationKeys> organisations) throws StoreException, IOException {
+        organisations(organisations);
+        putConfiguration();
+        ObjectKey key = new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main");
+        store.update(store.read(key).orElseThrow(), "{\"version\":" + configurationVersion + "}");
+        awaitLogged("\"version\":" + configurationVersion);
+    }
+
+    private void putConfiguration() {
+        configurationVersion++;
+        configurations.put(
+                "main",
+                new ServingConfiguration(configurationVersion, routes, services, ConnectionLimits.defaults(), keys));
+    }
+
     private void awaitReady() throws IOException {
         // Servers that are registered after the first listing arrive one by one, possibly after the entry is ready.
         for (long startNanos = System.nanoTime(); System.nanoTime() - startNanos < MAX_WAIT.toNanos(); ) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -21,6 +21,8 @@
 import org.aspenmoor.internal.gateway.protocol.EngineReport;
 import org.aspenmoor.internal.gateway.protocol.RequestedWork;
 import org.aspenmoor.internal.gateway.protocol.RoleOrder;
+import org.aspenmoor.internal.organisation.ApiKey;
+import org.aspenmoor.internal.organisation.PresentedKey;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
 
@@ -35,6 +37,9 @@
     public static final String CACHE_SOURCE = "Test-Source";
     public static final String LAST_EVENT = "Test-After";
     public static final String PROMPT = "Test-Prompt";
+    public static final String KEY = "Test-Key";
+    public static final String ORGANISATION = "Test-Organisation";
+    public static final String PRIORITY = "Test-Priority";
 
     /** A request with this header blocks the entry's event loop until {@link #release()} is called. */
     public static final String BLOCK = "Test-Busy";
@@ -67,13 +72,19 @@
                         10,
                         Optional.empty(),
                         List.of(new PromptPart("own", Integer.parseInt(tokens)))));
-        return new CallerHeaders(head.headers().get(REQUEST_ID, ""), maxWait, prompt);
+        PresentedKey key = Optional.ofNullable(head.headers().get(KEY))
+                .<PresentedKey>map(secret -> new PresentedKey.Given(new ApiKey(secret)))
+                .orElse(new PresentedKey.Missing());
+        return new CallerHeaders(head.headers().get(REQUEST_ID, ""), maxWait, key, prompt);
     }
 
     @Override
     public void writeHeaders(HttpHeaders headers, DispatchParameters parameters) {
         headers.set(SERVER, parameters.serverId());
         headers.set(REMAINING_TIME, parameters.remainingTime().toMillis());
+        headers.remove(KEY);
+        parameters.authorisation().servedFor().ifPresent(caller -> headers.set(ORGANISATION, caller.name()));
+        headers.set(PRIORITY, parameters.priority());
         if (parameters.work() == RequestedWork.PROMPT_ONLY) {
             headers.set(WORK, "prompt");
         }
