--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -90,6 +90,7 @@
                 placementPolicy.eventSizes(),
                 List.of(),
                 List.of(),
+                Optional.empty(),
                 false);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.aspenmoor.internal.duty.DutyStatus;
 
 /**
  * The load that the other entries have put on the backend servers, according to their latest reports. Confined to one
@@ -68,6 +71,14 @@
         return reports.keySet().stream().allMatch(other -> other.compareTo(entry) > 0);
     }
 
+    /** Returns what the other active entries state about duties, by entry name. */
+    public SortedMap<String, DutyStatus> dutyStatuses() {
+        SortedMap<String, DutyStatus> statuses = new TreeMap<>();
+        reports.forEach(
+                (entry, received) -> received.report().duties().ifPresent(status -> statuses.put(entry, status)));
+        return statuses;
+    }
+
     /** Returns how many other entries are currently reporting. */
     public int activePeers() {
         return reports.size();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 
 /**
@@ -16,6 +18,7 @@
  * @param eventSizes the event sizes it has measured
  * @param roleChanges role changes that it has ordered and that are in progress
  * @param serverTerminations the servers that terminated while they had a request
+ * @param duties its part in the duties that one entry performs for all; empty if there are none
  * @param stopping whether the sender is stopping
  */
 public record PeerReport(
@@ -28,6 +31,7 @@
         List<EventSize> eventSizes,
         List<RoleChange> roleChanges,
         List<ServerTermination> serverTerminations,
+        Optional<DutyStatus> duties,
         boolean stopping) {
     public PeerReport {
         loads = Map.copyOf(loads);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/DelayedGenerationStore.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/duty/DelayedGenerationStore.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.serving.roles;
+package org.aspenmoor.internal.duty;
 
 import java.util.List;
 import java.util.Optional;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/OrderLeaseStoreRestoreTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/duty/DutyLeaseStoreRestoreTest.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.serving.roles;
+package org.aspenmoor.internal.duty;
 
 import static org.testng.Assert.assertTrue;
 
@@ -18,7 +18,7 @@
 import org.testng.annotations.Test;
 
 /** Simulates the order lease, with several seeds, on a store that is restored from older copies. */
-public class OrderLeaseStoreRestoreTest {
+public class DutyLeaseStoreRestoreTest {
     private static final ObjectKey KEY = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
     private static final Duration MIN_PAUSE_BETWEEN_HOLDERS = Duration.ofSeconds(3);
     private static final int SEEDS = Integer.getInteger("aspenmoor.seeds", 20);
@@ -42,14 +42,15 @@
         ManualTimeSource time = new ManualTimeSource();
         InMemoryObjectStore store = new InMemoryObjectStore();
         Deque<List<StoredObject>> copies = new ArrayDeque<>();
-        List<OrderLease> leases = new ArrayList<>();
+        List<DutyLease> leases = new ArrayList<>();
         for (int number = 0; number < 3; number++) {
-            leases.add(new OrderLease(new DelayedGenerationStore(store), KEY, "entry-" + number, time));
+            leases.add(new DutyLease(
+                    new DelayedGenerationStore(store), KEY, "entry-" + number, MIN_PAUSE_BETWEEN_HOLDERS, time));
         }
         int grants = 0;
         long lastFencingNumber = 0;
         long lastOrderAt = Long.MIN_VALUE / 2;
-        OrderLease lastHolder = null;
+        DutyLease lastHolder = null;
         long[] fencingNumbers = new long[leases.size()];
         for (int step = 0; step < STEPS; step++) {
             time.advance(Duration.ofMillis(random.nextInt(400)));
@@ -63,9 +64,16 @@
             }
             int index = random.nextInt(leases.size());
             if (random.nextInt(300) == 0) {
-                leases.set(index, new OrderLease(new DelayedGenerationStore(store), KEY, "restarted-" + step, time));
+                leases.set(
+                        index,
+                        new DutyLease(
+                                new DelayedGenerationStore(store),
+                                KEY,
+                                "restarted-" + step,
+                                MIN_PAUSE_BETWEEN_HOLDERS,
+                                time));
             }
-            OrderLease lease = leases.get(index);
+            DutyLease lease = leases.get(index);
             if (random.nextInt(3) == 0) {
                 Optional<Long> number = lease.acquire();
                 grants += number.isPresent() ? 1 : 0;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/OrderLeaseTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/duty/DutyLeaseTest.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.serving.roles;
+package org.aspenmoor.internal.duty;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -20,9 +20,10 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public class OrderLeaseTest {
+public class DutyLeaseTest {
     private static final ObjectKey KEY = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
     private static final Duration MIN_PAUSE_BETWEEN_HOLDERS = Duration.ofSeconds(3);
+    private static final Duration TAKEOVER_DELAY = Duration.ofSeconds(6);
 
     private InMemoryObjectStore store;
     private ManualTimeSource time;
@@ -37,10 +38,10 @@
     // of them.
     @Test
     public void should_grant_the_lease_when_the_record_has_been_missing_for_the_takeover_delay() throws StoreException {
-        OrderLease lease = lease("one");
+        DutyLease lease = lease("one");
 
         assertEquals(lease.acquire(), Optional.empty());
-        time.advance(OrderLease.TAKEOVER_DELAY.minusMillis(1));
+        time.advance(TAKEOVER_DELAY.minusMillis(1));
         assertEquals(lease.acquire(), Optional.empty());
         time.advance(Duration.ofMillis(1));
         assertEquals(lease.acquire(), Optional.of(1L));
@@ -49,15 +50,15 @@
 
     @Test
     public void should_grant_the_lease_at_once_when_the_last_holder_requests_it() throws StoreException {
-        OrderLease lease = grantedLease("one");
+        DutyLease lease = grantedLease("one");
 
         assertEquals(lease.acquire(), Optional.of(2L));
     }
 
     @Test
     public void should_expire_when_its_validity_has_passed() throws StoreException {
-        OrderLease lease = grantedLease("one");
-        time.advance(OrderLease.VALIDITY);
+        DutyLease lease = grantedLease("one");
+        time.advance(DutyLease.VALIDITY);
 
         assertFalse(lease.isHeld());
     }
@@ -67,19 +68,19 @@
     @Test
     public void should_grant_the_lease_at_once_when_the_record_was_observed_unchanged() throws StoreException {
         grantedLease("one");
-        OrderLease other = lease("two");
+        DutyLease other = lease("two");
         other.observe();
-        time.advance(OrderLease.TAKEOVER_DELAY);
+        time.advance(TAKEOVER_DELAY);
 
         assertEquals(other.acquire(), Optional.of(2L));
     }
 
     @Test
     public void should_restart_the_takeover_delay_when_the_record_changes() throws StoreException {
-        OrderLease first = grantedLease("one");
-        OrderLease other = lease("two");
+        DutyLease first = grantedLease("one");
+        DutyLease other = lease("two");
         other.observe();
-        time.advance(OrderLease.TAKEOVER_DELAY);
+        time.advance(TAKEOVER_DELAY);
         first.acquire();
 
         assertEquals(other.acquire(), Optional.empty());
@@ -88,10 +89,10 @@
     @Test
     public void should_not_grant_the_lease_when_the_takeover_delay_has_not_passed() throws StoreException {
         grantedLease("one");
-        OrderLease other = lease("two");
+        DutyLease other = lease("two");
 
         assertEquals(other.acquire(), Optional.empty());
-        time.advance(OrderLease.TAKEOVER_DELAY.minusMillis(1));
+        time.advance(TAKEOVER_DELAY.minusMillis(1));
         assertEquals(other.acquire(), Optional.empty());
         time.advance(Duration.ofMillis(1));
         assertEquals(other.acquire(), Optional.of(2L));
@@ -102,9 +103,9 @@
     @Test
     public void should_not_be_held_when_the_monotonic_clock_missed_a_suspension() throws StoreException {
         SuspendedTimeSource suspended = new SuspendedTimeSource();
-        OrderLease lease = new OrderLease(store, KEY, "one", suspended);
+        DutyLease lease = new DutyLease(store, KEY, "one", MIN_PAUSE_BETWEEN_HOLDERS, suspended);
         lease.observe();
-        suspended.running = OrderLease.TAKEOVER_DELAY;
+        suspended.running = TAKEOVER_DELAY;
         lease.acquire();
         assertTrue(lease.isHeld());
         suspended.suspended = Duration.ofSeconds(30);
@@ -117,17 +118,17 @@
     @Test
     public void should_keep_holders_apart_when_the_schedule_is_random() throws StoreException {
         Random random = new Random(11);
-        List<OrderLease> leases = new ArrayList<>(List.of(lease("one"), lease("two"), lease("three")));
+        List<DutyLease> leases = new ArrayList<>(List.of(lease("one"), lease("two"), lease("three")));
         long lastFencingNumber = 0;
         long lastOrderAt = 0;
-        OrderLease lastHolder = null;
+        DutyLease lastHolder = null;
         for (int step = 0; step < 200_000; step++) {
             time.advance(Duration.ofMillis(random.nextInt(400)));
             int index = random.nextInt(leases.size());
             if (random.nextInt(500) == 0) {
                 leases.set(index, lease("restarted-" + step));
             }
-            OrderLease lease = leases.get(index);
+            DutyLease lease = leases.get(index);
             if (random.nextInt(4) == 0) {
                 Optional<Long> fencingNumber = lease.acquire();
                 assertTrue(fencingNumber.isEmpty() || fencingNumber.get() > lastFencingNumber);
@@ -148,7 +149,7 @@
     @Test
     public void should_not_be_held_when_the_store_was_restored_from_an_older_copy() throws StoreException {
         List<StoredObject> copy = store.snapshot();
-        OrderLease lease = grantedLease("one");
+        DutyLease lease = grantedLease("one");
         store.restoreFrom(copy);
 
         assertFalse(lease.isHeld());
@@ -160,28 +161,28 @@
     public void should_issue_higher_fencing_numbers_when_the_store_has_lost_earlier_ones() throws StoreException {
         List<StoredObject> copy = store.snapshot();
         long lastFencingNumber = 0;
-        OrderLease lease = grantedLease("one");
+        DutyLease lease = grantedLease("one");
         for (int order = 0; order < 100; order++) {
             lastFencingNumber = lease.acquire().orElseThrow();
         }
         store.restoreFrom(copy);
-        OrderLease successor = lease("stranger");
+        DutyLease successor = lease("stranger");
         successor.observe();
-        time.advance(OrderLease.TAKEOVER_DELAY);
+        time.advance(TAKEOVER_DELAY);
 
         assertTrue(successor.acquire().orElseThrow() > lastFencingNumber);
     }
 
-    private OrderLease grantedLease(String holder) throws StoreException {
-        OrderLease lease = lease(holder);
+    private DutyLease grantedLease(String holder) throws StoreException {
+        DutyLease lease = lease(holder);
         lease.observe();
-        time.advance(OrderLease.TAKEOVER_DELAY);
+        time.advance(TAKEOVER_DELAY);
         assertTrue(lease.acquire().isPresent());
         return lease;
     }
 
-    private OrderLease lease(String holder) {
-        return new OrderLease(store, KEY, holder, time);
+    private DutyLease lease(String holder) {
+        return new DutyLease(store, KEY, holder, MIN_PAUSE_BETWEEN_HOLDERS, time);
     }
 
     private static final class SuspendedTimeSource implements TimeSource {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -52,7 +53,18 @@
         assertEquals(peers.activePeers(), 1);
 
         peers.receive(
-                new PeerReport("two", 1, 2, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), true),
+                new PeerReport(
+                        "two",
+                        1,
+                        2,
+                        Map.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        Optional.empty(),
+                        true),
                 PeerLoads.REPORT_TIMEOUT.toNanos());
         assertEquals(peers.activePeers(), 0);
     }
@@ -68,6 +80,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                Optional.empty(),
                 false);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
@@ -186,6 +186,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        Optional.empty(),
                         false),
                 0);
 
@@ -251,6 +252,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        Optional.empty(),
                         false),
                 0);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.duty.DutyLease;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
@@ -37,8 +39,10 @@
 import org.aspenmoor.internal.gateway.membership.ServerRegistrationListener;
 import org.aspenmoor.internal.gateway.peers.PeerDirectory;
 import org.aspenmoor.internal.gateway.peers.PeerExchange;
+import org.aspenmoor.internal.gateway.peers.PeerListener;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
+import org.aspenmoor.internal.gateway.protocol.DutyProtocol;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestSynchroniser;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.request.GatewayMetrics;
@@ -48,11 +52,15 @@
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.RoleCoordinator;
+import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.gateway.usage.DutyClient;
+import org.aspenmoor.internal.gateway.usage.UsageLog;
+import org.aspenmoor.internal.gateway.usage.UsageTracker;
+import org.aspenmoor.internal.gateway.usage.UsageWorker;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
-import org.aspenmoor.internal.serving.roles.OrderLease;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -60,17 +68,24 @@
 import org.aspenmoor.internal.store.client.StoreSettings;
 import org.aspenmoor.internal.store.client.WatchedCollection;
 import org.aspenmoor.internal.time.TimeSource;
+import org.aspenmoor.internal.usage.EntryUsage;
+import org.aspenmoor.internal.usage.UsageDuty;
+import org.aspenmoor.internal.usage.UsageWindows;
 
 /** An entry process: one event loop that serves all requests, and a thread for each collection watched in the store. */
 public final class Gateway {
     /** Interval of the periodic check of timeouts, unconfirmed servers and a graceful stop. */
     private static final long CHECK_INTERVAL_MILLISECONDS = 100;
 
+    /** Interval at which counts of usage are sent; an entry that is killed loses what it counted since the last time. */
+    private static final long USAGE_INTERVAL_MILLISECONDS = 500;
+
     private final GatewaySettings settings;
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
     private final BackendProtocol backendProtocol;
+    private final DutyProtocol dutyProtocol;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -78,6 +93,7 @@
     private final BackendConnections connections;
     private final WaitQueues waitQueues;
     private final FatalRequestTracker fatalRequests;
+    private final Optional<UsageTracker> usage;
     private final RequestDispatcher dispatcher;
     private final CallerServer callers;
     private final GracefulStop gracefulStop;
@@ -93,6 +109,7 @@
             GatewaySettings settings,
             CallerProtocol callerProtocol,
             BackendProtocol backendProtocol,
+            DutyProtocol dutyProtocol,
             TimeSource time,
             RandomGenerator random,
             DecisionLog log) {
@@ -101,10 +118,12 @@
         this.random = random;
         this.log = log;
         this.backendProtocol = backendProtocol;
+        this.dutyProtocol = dutyProtocol;
         this.state = new ServingState(time, random, settings.retries(), log, settings.placement());
         this.connections = new BackendConnections(backendProtocol, eventLoop, time, state::maxConnectionsPerServer);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests = new FatalRequestTracker(time, log);
+        this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
         ServingContext context = new ServingContext(
                 state,
                 connections,
@@ -113,11 +132,12 @@
                 new GatewayMetrics(
                         registry, connections::openedTotal, state::serverSummaries, fatalRequests::quarantinedCount),
                 waitQueues,
+                usage,
                 fatalRequests);
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
-        this.peers = new PeerExchange(settings.process(), time, eventLoop, log, this::receivePeerReport);
-        this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), stopped::countDown);
+        this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
+        this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
         this.stateDump = new StateDump(settings.process(), state, callers, connections, gracefulStop, fatalRequests);
     }
 
@@ -157,6 +177,7 @@
                         log)
                 .start();
         eventLoop.execute(this::reportToPeers);
+        usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
         callersAddress = callers.start(group, settings.callers());
         eventLoop.scheduleWithFixedDelay(
@@ -213,7 +234,7 @@
 
     private void startRoleManagement(ObjectStore store) {
         ObjectKey key = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
-        OrderLease orderLease = new OrderLease(store, key, settings.process(), time);
+        DutyLease orderLease = new DutyLease(store, key, settings.process(), settings.pauseBetweenHolders(), time);
         Supplier<FleetSnapshot> fleetSnapshot =
                 () -> CompletableFuture.supplyAsync(() -> state.fleetSnapshot(settings.process()), eventLoop)
                         .join();
@@ -230,9 +251,44 @@
                 .start();
     }
 
-    private void receivePeerReport(PeerReport report) {
-        state.peerReported(report, time.monotonicNanos());
-        fatalRequests.terminationsReported(report.serverTerminations(), report.entry());
+    private UsageTracker createUsageTracker(DutySettings duties) {
+        return new UsageTracker(
+                settings.process(),
+                new UsageWindows(duties.usageWindow()),
+                this::mayPerformDuties,
+                state::dutyStatuses,
+                time);
+    }
+
+    private boolean mayPerformDuties() {
+        return state.ready() && state.reachesStore() && !gracefulStop.begun();
+    }
+
+    private void startUsageDuty(ObjectStore store, UsageTracker tracker) {
+        DutySettings duties = settings.duties().orElseThrow();
+        ObjectKey key = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "usage");
+        DutyLease lease = new DutyLease(store, key, settings.process(), settings.pauseBetweenHolders(), time);
+        UsageDuty duty = new UsageDuty(
+                lease,
+                store,
+                new DutyClient(duties.receiver(), dutyProtocol, settings.process(), eventLoop),
+                new UsageWindows(duties.usageWindow()),
+                new UsageLog(log, registry, tracker.trueTime()),
+                time,
+                tracker.firstWindow());
+        new UsageWorker(tracker, duty, eventLoop, log).start();
+        eventLoop.scheduleWithFixedDelay(
+                this::sendUsage, USAGE_INTERVAL_MILLISECONDS, USAGE_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    private void sendUsage() {
+        usage.ifPresent(tracker -> peers.sendUsage(tracker.unsettledUsage(), tracker.collectors()));
+    }
+
+    /** Hands the last counts over before the process ends. */
+    private void finishStop() {
+        sendUsage();
+        stopped.countDown();
     }
 
     private void reportToPeers() {
@@ -243,6 +299,7 @@
                 state.eventSizes(),
                 state.pendingRoleChanges(),
                 fatalRequests.takeNextReport(),
+                usage.map(UsageTracker::status),
                 gracefulStop.begun());
         eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -303,4 +360,19 @@
         answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         return answer;
     }
+
+    private final class PeerMessages implements PeerListener {
+        @Override
+        public void reportReceived(PeerReport report) {
+            state.peerReported(report, time.monotonicNanos());
+            fatalRequests.terminationsReported(report.serverTerminations(), report.entry());
+            usage.ifPresent(
+                    tracker -> report.duties().ifPresent(status -> tracker.peerReported(report.entry(), status)));
+        }
+
+        @Override
+        public void usageReceived(EntryUsage counts) {
+            usage.ifPresent(tracker -> tracker.usageReceived(counts));
+        }
+    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.gateway.peers;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -11,13 +12,14 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.aspenmoor.AspenmoorException;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.AssignedPrompt;
@@ -28,6 +30,8 @@
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 import org.aspenmoor.internal.time.TimeSource;
+import org.aspenmoor.internal.usage.EntryUsage;
+import org.aspenmoor.internal.wire.v1.PeerLoad;
 
 /**
  * Reports this entry's part of the load to the other entries and receives their reports. Confined to the event
@@ -45,15 +49,14 @@
     private final String entry;
     private final EventLoop eventLoop;
     private final DecisionLog log;
-    private final Consumer<PeerReport> listener;
+    private final PeerListener listener;
     private final Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
     private final long startedAtMillis;
     private Channel channel;
     private long sequence;
     private boolean logSuppressed;
 
-    public PeerExchange(
-            String entry, TimeSource time, EventLoop eventLoop, DecisionLog log, Consumer<PeerReport> listener) {
+    public PeerExchange(String entry, TimeSource time, EventLoop eventLoop, DecisionLog log, PeerListener listener) {
         this.entry = entry;
         this.eventLoop = eventLoop;
         this.log = log;
@@ -96,6 +99,7 @@
             List<EventSize> eventSizes,
             List<RoleChange> roleChanges,
             List<ServerTermination> terminations,
+            Optional<DutyStatus> duties,
             boolean leaving) {
         sequence++;
         byte[] datagram = PeerReportCodec.serialise(new PeerReport(
@@ -108,6 +112,7 @@
                 eventSizes,
                 roleChanges,
                 terminations,
+                duties,
                 leaving));
         for (InetSocketAddress peer : peers.values()) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), peer));
@@ -115,6 +120,19 @@
         channel.flush();
     }
 
+    /** Sends the counts of this entry to some of the other entries. */
+    public void sendUsage(List<EntryUsage> usages, Collection<String> receivers) {
+        for (byte[] datagram : UsageCodec.serialise(usages)) {
+            for (String receiver : receivers) {
+                InetSocketAddress address = peers.get(receiver);
+                if (address != null) {
+                    channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
+                }
+            }
+        }
+        channel.flush();
+    }
+
     private void logUnreadable(String reason) {
         if (!logSuppressed) {
             logSuppressed = true;
@@ -125,8 +143,15 @@
 
     private final class ReportHandler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            Optional<PeerReport> report = PeerReportCodec.parse(ByteBufUtil.getBytes(packet.content()));
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet)
+                throws InvalidProtocolBufferException {
+            PeerLoad message = PeerLoad.parseFrom(ByteBufUtil.getBytes(packet.content()));
+            List<EntryUsage> usages = UsageCodec.parse(message);
+            if (!usages.isEmpty()) {
+                usages.forEach(listener::usageReceived);
+                return;
+            }
+            Optional<PeerReport> report = PeerReportCodec.parse(message);
             if (report.isEmpty()) {
                 logUnreadable("a datagram from " + packet.sender() + " is not a report");
                 return;
@@ -138,7 +163,7 @@
             // An entry that has just started reports to the entries it found, so they learn of it before their next
             // listing.
             peers.putIfAbsent(sender, packet.sender());
-            listener.accept(report.get());
+            listener.reportReceived(report.get());
         }
 
         @Override
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -1,13 +1,13 @@
 package org.aspenmoor.internal.gateway.peers;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.AssignedPrompt;
 import org.aspenmoor.internal.serving.EntryLoad;
@@ -63,9 +63,31 @@
                         .setServer(change.server())
                         .setRole(change.role().ordinal())));
         report.serverTerminations().forEach(termination -> message.addEnds(serialise(termination)));
+        report.duties().ifPresent(status -> message.setDuty(serialise(status)));
         return message.build().toByteArray();
     }
 
+    private static PeerLoad.Duty serialise(DutyStatus status) {
+        return PeerLoad.Duty.newBuilder()
+                .setEligible(status.eligible())
+                .setCollectsUsage(status.collectsUsage())
+                .setSettledUsageWindow(status.settledUsageWindow())
+                .setWallClockMilliseconds(status.wallClockMillis())
+                .build();
+    }
+
+    private static Optional<DutyStatus> parseDuties(PeerLoad message) {
+        if (!message.hasDuty()) {
+            return Optional.empty();
+        }
+        PeerLoad.Duty duty = message.getDuty();
+        return Optional.of(new DutyStatus(
+                duty.getEligible(),
+                duty.getCollectsUsage(),
+                duty.getSettledUsageWindow(),
+                duty.getWallClockMilliseconds()));
+    }
+
     private static PeerLoad.End serialise(ServerTermination termination) {
         return PeerLoad.End.newBuilder()
                 .setRequest(ByteString.copyFrom(termination.request().bytes()))
@@ -144,31 +166,27 @@
         return prompts;
     }
 
-    /** Parses a datagram; empty if it is not a report, since any process can send to the port. */
-    static Optional<PeerReport> parse(byte[] datagram) {
-        try {
-            PeerLoad message = PeerLoad.parseFrom(datagram);
-            if (message.getEntry().isEmpty()) {
-                return Optional.empty();
-            }
-            Map<String, EntryLoad> loads = new HashMap<>();
-            for (PeerLoad.Share share : message.getSharesList()) {
-                double seconds = Integer.toUnsignedLong(share.getUnansweredMicroseconds()) / MICROS_PER_SECOND;
-                loads.put(share.getServer(), new EntryLoad(seconds, share.getRequests(), parseEventIntervals(share)));
-            }
-            return Optional.of(new PeerReport(
-                    message.getEntry(),
-                    message.getStart(),
-                    message.getSequence(),
-                    loads,
-                    parsePrompts(message),
-                    parseSpeeds(message),
-                    parseEventSizes(message),
-                    parseRoleChanges(message),
-                    parseTerminations(message),
-                    message.getLeaving()));
-        } catch (InvalidProtocolBufferException malformed) {
+    /** Parses a message; empty if it is not a report of load. */
+    static Optional<PeerReport> parse(PeerLoad message) {
+        if (message.getEntry().isEmpty()) {
             return Optional.empty();
         }
+        Map<String, EntryLoad> loads = new HashMap<>();
+        for (PeerLoad.Share share : message.getSharesList()) {
+            double seconds = Integer.toUnsignedLong(share.getUnansweredMicroseconds()) / MICROS_PER_SECOND;
+            loads.put(share.getServer(), new EntryLoad(seconds, share.getRequests(), parseEventIntervals(share)));
+        }
+        return Optional.of(new PeerReport(
+                message.getEntry(),
+                message.getStart(),
+                message.getSequence(),
+                loads,
+                parsePrompts(message),
+                parseSpeeds(message),
+                parseEventSizes(message),
+                parseRoleChanges(message),
+                parseTerminations(message),
+                parseDuties(message),
+                message.getLeaving()));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -43,6 +43,7 @@
     private final StallDetector stallDetector;
     private final FatalRequestCheck fatalCheck;
     private final SendCheck sendCheck;
+    private final RequestUsage usage;
     private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
     private final TriedServers triedServers = new TriedServers();
@@ -97,6 +98,7 @@
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller.requestId(), service, incoming, trace);
         this.sendCheck = new SendCheck(authorisation, fatalCheck, trace);
+        this.usage = new RequestUsage(context, authorisation, route);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
@@ -275,6 +277,7 @@
     void answerBegan(AssignedWork work) {
         context.state().placement().answerStarted(work, now());
         pendingHandoff.completed();
+        usage.began(work);
         stallDetector.answerBegan(answerAttempt);
         if (!stream.begun()) {
             trace.firstByteReceived(now());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
@@ -1,9 +1,11 @@
 package org.aspenmoor.internal.gateway.request;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
+import org.aspenmoor.internal.gateway.usage.UsageTracker;
 
 /**
  * The objects that all requests share.
@@ -14,6 +16,7 @@
  * @param eventLoop the thread on which all requests are handled
  * @param metrics the request metrics
  * @param waitQueues the requests that wait for capacity at an engine
+ * @param usage counts the requests of organisations; empty if usage is not reported
  * @param fatalRequests the requests that terminate the servers that run them
  */
 public record ServingContext(
@@ -23,4 +26,5 @@
         EventLoop eventLoop,
         GatewayMetrics metrics,
         WaitQueues waitQueues,
+        Optional<UsageTracker> usage,
         FatalRequestTracker fatalRequests) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
@@ -57,6 +59,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private RetrySettings retrySettings;
     private boolean serverListKnown;
+    private boolean storeReached;
     private boolean fatalRequestsLoaded;
     private long lastRequestAt;
 
@@ -149,12 +152,14 @@
     /** Records that the server list may miss changes from now on. */
     public void serverListInterrupted(long now) {
         directory.watchInterrupted(now);
+        storeReached = false;
     }
 
     /** Records that the server list is complete. */
     public void serverListSynchronised(long now) {
         directory.watchSynchronised(now);
         serverListKnown = true;
+        storeReached = true;
     }
 
     /** Records that the fatal requests listed in the store have been loaded. */
@@ -256,6 +261,16 @@
         return configuration.isPresent() && serverListKnown && fatalRequestsLoaded;
     }
 
+    /** Returns whether the watch of the server list works, so that calls to the store probably work too. */
+    public boolean reachesStore() {
+        return storeReached;
+    }
+
+    /** Returns what the other active entries state about duties, by entry name. */
+    public SortedMap<String, DutyStatus> dutyStatuses() {
+        return peers.dutyStatuses();
+    }
+
     /** Returns the number of other entries whose reports are received. */
     public int peerCount() {
         return peers.activePeers();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.aspenmoor.internal.duty.DutyLease;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
@@ -22,7 +23,6 @@
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.roles.LoadBasedRolePolicy;
-import org.aspenmoor.internal.serving.roles.OrderLease;
 import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 import org.aspenmoor.internal.serving.roles.RoleRatioPolicy;
 import org.aspenmoor.internal.store.StoreException;
@@ -59,7 +59,7 @@
     private final String holder;
     private final Supplier<FleetSnapshot> snapshots;
     private final Consumer<RoleChange> onAccepted;
-    private final OrderLease lease;
+    private final DutyLease lease;
     private final BackendConnections connections;
     private final BackendProtocol protocol;
     private final EventLoop eventLoop;
@@ -73,7 +73,7 @@
             String holder,
             Supplier<FleetSnapshot> snapshots,
             Consumer<RoleChange> onAccepted,
-            OrderLease lease,
+            DutyLease lease,
             BackendConnections connections,
             BackendProtocol protocol,
             EventLoop eventLoop,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Optional;
 import org.aspenmoor.internal.serving.PlacementSettings;
 
 /**
@@ -20,6 +21,8 @@
  * @param gracePeriod how long after SIGTERM the process may run before it is killed
  * @param maxBodyBytes the maximum total size of the request bodies held in memory, in bytes
  * @param placement the settings for the placement of requests
+ * @param pauseBetweenHolders the time that receivers of orders and reports require between the calls of two entries
+ * @param duties the duties that one entry performs for all; empty if there are none
  * @param retries the limits on retries of requests
  */
 public record GatewaySettings(
@@ -35,9 +38,12 @@
         Duration gracePeriod,
         int maxBodyBytes,
         PlacementSettings placement,
+        Duration pauseBetweenHolders,
+        Optional<DutySettings> duties,
         RetrySettings retries) {
     /**
-     * Returns whether the other settings have the same process name and addresses, which only change with a restart.
+     * Returns whether the other settings have the same process name, addresses and duties, which only change with a
+     * restart.
      */
     public boolean sameAddresses(GatewaySettings other) {
         return process.equals(other.process)
@@ -46,6 +52,7 @@
                 && readinessPath.equals(other.readinessPath)
                 && administration.equals(other.administration)
                 && peers.equals(other.peers)
+                && duties.equals(other.duties)
                 && store.equals(other.store);
     }
 
@@ -64,6 +71,8 @@
                 gracePeriod,
                 maxBodyBytes,
                 placement,
+                pauseBetweenHolders,
+                duties,
                 retries);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -36,6 +36,9 @@
 
     private static final int MAX_MILLISECONDS = 3_600_000;
 
+    private static final int DEFAULT_HOLDER_PAUSE_MILLISECONDS = 3000;
+    private static final String USAGE_DUTY = "usage";
+    private static final Duration DEFAULT_USAGE_WINDOW = Duration.ofSeconds(5);
     private static final Duration DEFAULT_GRACE_PERIOD = Duration.ofSeconds(8);
     private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofSeconds(10);
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -80,6 +83,9 @@
                         EngineSpeedReader.read(reader),
                         reader.decimal("ownPromptShare", MIN_OWN_PROMPT_FRACTION, 1, DEFAULT_OWN_PROMPT_FRACTION),
                         reader.decimal("secondsPerMegapair", 0, 1, 0)),
+                Duration.ofMillis(reader.integer(
+                        "holderPauseMilliseconds", 1, MAX_MILLISECONDS, DEFAULT_HOLDER_PAUSE_MILLISECONDS)),
+                reader.object("duties").map(this::readDuties),
                 new RetrySettings(
                         reader.decimal("repeatRatio", 0, 1, DEFAULT_RETRY_RATIO),
                         reader.decimal("repeatSlack", 0, MAX_RETRY_SLACK, 0),
@@ -87,6 +93,14 @@
                         reader.integer("assumedEntries", 1, MAX_ASSUMED_ENTRIES, DEFAULT_ASSUMED_ENTRIES)));
     }
 
+    /** Duties with other names are ignored; the platform may know more than an entry performs. */
+    private DutySettings readDuties(FieldReader reader) {
+        return new DutySettings(
+                readAddress(reader, "address"),
+                reader.texts("names").contains(USAGE_DUTY),
+                reader.seconds("usageWindowSeconds", 1, MAX_SECONDS, DEFAULT_USAGE_WINDOW));
+    }
+
     private static Duration fractionOf(FieldReader reader, String name, int defaultMilliseconds, double fraction) {
         return Duration.ofMillis((long) (reader.integer(name, 1, MAX_MILLISECONDS, defaultMilliseconds) * fraction));
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -18,6 +18,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.AssignedPrompt;
@@ -34,6 +37,9 @@
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.time.SystemTimeSource;
+import org.aspenmoor.internal.usage.EntryUsage;
+import org.aspenmoor.internal.usage.UsageLedger;
+import org.aspenmoor.internal.wire.v1.PeerLoad;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -56,6 +62,9 @@
             Duration.ofMillis(250),
             true));
 
+    private static final Optional<DutyStatus> DUTIES =
+            Optional.of(new DutyStatus(true, false, 353_445_120L, 1_786_504_654_297L));
+
     private NioEventLoopGroup group;
     private DecisionLog log;
 
@@ -74,17 +83,16 @@
     }
 
     @Test
-    public void should_restore_a_report_when_parsing_its_serialised_form() {
+    public void should_restore_a_report_when_parsing_its_serialised_form() throws Exception {
         PeerReport report =
-                new PeerReport("entry-1", 7, 9, SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, false);
+                new PeerReport("entry-1", 7, 9, SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, DUTIES, false);
 
-        assertEquals(PeerReportCodec.parse(PeerReportCodec.serialise(report)), Optional.of(report));
+        assertEquals(PeerReportCodec.parse(PeerLoad.parseFrom(PeerReportCodec.serialise(report))), Optional.of(report));
     }
 
     @Test
-    public void should_return_empty_when_the_datagram_is_not_a_report() {
-        assertEquals(PeerReportCodec.parse(new byte[] {1, 2, 3}), Optional.empty());
-        assertEquals(PeerReportCodec.parse(new byte[0]), Optional.empty());
+    public void should_return_empty_when_the_message_is_not_a_report() {
+        assertEquals(PeerReportCodec.parse(PeerLoad.getDefaultInstance()), Optional.empty());
     }
 
     // An entry that has just started is not yet known to the others. It sends them a report, and they reply to its
@@ -99,7 +107,8 @@
                 .submit(() -> newEntry.replacePeers(Map.of("old", oldEntry.address())))
                 .sync();
         group.next()
-                .submit(() -> newEntry.sendReport(SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, false))
+                .submit(() ->
+                        newEntry.sendReport(SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, DUTIES, false))
                 .sync();
 
         PeerReport received = receivedByOld.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
@@ -108,8 +117,8 @@
         assertEquals(received.prompts(), PROMPTS);
 
         group.next()
-                .submit(() ->
-                        oldEntry.sendReport(Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), true))
+                .submit(() -> oldEntry.sendReport(
+                        Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), Optional.empty(), true))
                 .sync();
         assertTrue(receivedByNew.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS).stopping());
     }
@@ -119,8 +128,8 @@
         BlockingQueue<PeerReport> received = new LinkedBlockingQueue<>();
         PeerExchange exchange = exchange("one", received);
         byte[] garbage = "no report".getBytes(StandardCharsets.UTF_8);
-        byte[] report = PeerReportCodec.serialise(
-                new PeerReport("two", 1, 1, SHARES, List.of(), List.of(), List.of(), List.of(), List.of(), false));
+        byte[] report = PeerReportCodec.serialise(new PeerReport(
+                "two", 1, 1, SHARES, List.of(), List.of(), List.of(), List.of(), List.of(), Optional.empty(), false));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(garbage, garbage.length, exchange.address()));
             socket.send(new DatagramPacket(report, report.length, exchange.address()));
@@ -129,6 +138,30 @@
         assertEquals(received.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS).entry(), "two");
     }
 
+    @Test
+    public void should_send_all_counts_of_many_organisations_in_several_datagrams() throws Exception {
+        BlockingQueue<EntryUsage> usages = new LinkedBlockingQueue<>();
+        PeerExchange collector = exchange("collector", new LinkedBlockingQueue<>(), usages);
+        PeerExchange sender = exchange("sender", new LinkedBlockingQueue<>());
+        Map<String, Long> counts = IntStream.range(0, 150)
+                .boxed()
+                .collect(Collectors.toMap(number -> "organisation-" + number, number -> (long) number + 1));
+        group.next()
+                .submit(() -> {
+                    sender.replacePeers(Map.of("collector", collector.address()));
+                    sender.sendUsage(List.of(new EntryUsage("sender", 5, 70, true, counts)), List.of("collector", "x"));
+                })
+                .sync();
+
+        UsageLedger ledger = new UsageLedger();
+        while (ledger.totals(70).size() < counts.size()) {
+            ledger.add(usages.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+
+        assertEquals(ledger.totals(70), counts);
+        assertTrue(ledger.complete(70, List.of("sender")));
+    }
+
     @Test
     public void should_register_once_and_list_the_others_when_refreshed_repeatedly() throws Exception {
         InMemoryObjectStore store = new InMemoryObjectStore();
@@ -162,8 +195,27 @@
     }
 
     private PeerExchange exchange(String entry, BlockingQueue<PeerReport> received) throws Exception {
-        PeerExchange exchange = new PeerExchange(entry, new SystemTimeSource(), group.next(), log, received::add);
+        return exchange(entry, received, new LinkedBlockingQueue<>());
+    }
+
+    private PeerExchange exchange(String entry, BlockingQueue<PeerReport> received, BlockingQueue<EntryUsage> usages)
+            throws Exception {
+        PeerExchange exchange = new PeerExchange(
+                entry, new SystemTimeSource(), group.next(), log, new QueueingListener(received, usages));
         exchange.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         return exchange;
     }
+
+    private record QueueingListener(BlockingQueue<PeerReport> reports, BlockingQueue<EntryUsage> usages)
+            implements PeerListener {
+        @Override
+        public void reportReceived(PeerReport report) {
+            reports.add(report);
+        }
+
+        @Override
+        public void usageReceived(EntryUsage usage) {
+            usages.add(usage);
+        }
+    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.store.StoredObject;
@@ -18,7 +19,17 @@
     public static void sendRoleChange(StoredObject registration, RoleChange change) throws IOException {
         InetSocketAddress address = PeerAddressCodec.parse(registration).orElseThrow();
         byte[] report = PeerReportCodec.serialise(new PeerReport(
-                "another-entry", 1, 1, Map.of(), List.of(), List.of(), List.of(), List.of(change), List.of(), false));
+                "another-entry",
+                1,
+                1,
+                Map.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(change),
+                List.of(),
+                Optional.empty(),
+                false));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(report, report.length, address));
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -22,6 +22,7 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
 import org.aspenmoor.internal.gateway.peers.ReportSender;
+import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
 import org.aspenmoor.internal.organisation.KeyRegistry;
@@ -69,14 +70,25 @@
     private int configurationVersion = 6;
 
     public TestGateway() throws AspenmoorException {
-        this("entry-under-test", new InMemoryObjectStore(), new ConcurrentHashMap<>(), new ConcurrentHashMap<>());
+        this(Optional.empty());
+    }
+
+    /** Starts a gateway that performs duties. */
+    public TestGateway(Optional<DutySettings> duties) throws AspenmoorException {
+        this(
+                "entry-under-test",
+                new InMemoryObjectStore(),
+                new ConcurrentHashMap<>(),
+                new ConcurrentHashMap<>(),
+                duties);
     }
 
     private TestGateway(
             String process,
             InMemoryObjectStore store,
             Map<String, ServingConfiguration> configurations,
-            Map<String, BackendServer> servers)
+            Map<String, BackendServer> servers,
+            Optional<DutySettings> duties)
             throws AspenmoorException {
         this.store = store;
         this.configurations = configurations;
@@ -96,17 +108,19 @@
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
                 placement,
+                Duration.ofSeconds(3),
+                duties,
                 new RetrySettings(1, 100, Duration.ofSeconds(10), 1));
         SystemTimeSource time = new SystemTimeSource();
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
-        this.gateway = new Gateway(settings, protocols, protocols, time, new Random(1), log);
+        this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), log);
         gateway.start(store, StoreSettings.defaults(), new Decoder());
     }
 
     /** Starts another entry for the same backend servers, and returns when it is ready. */
     public TestGateway startAnother(String process) throws AspenmoorException, IOException {
-        TestGateway other = new TestGateway(process, store, configurations, servers);
+        TestGateway other = new TestGateway(process, store, configurations, servers, Optional.empty());
         other.awaitReady();
         return other;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -1,5 +1,7 @@
 package org.aspenmoor.internal.gateway.standin;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -7,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +21,7 @@
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
 import org.aspenmoor.internal.gateway.protocol.DispatchParameters;
+import org.aspenmoor.internal.gateway.protocol.DutyProtocol;
 import org.aspenmoor.internal.gateway.protocol.EngineReport;
 import org.aspenmoor.internal.gateway.protocol.RequestedWork;
 import org.aspenmoor.internal.gateway.protocol.RoleOrder;
@@ -25,9 +29,10 @@
 import org.aspenmoor.internal.organisation.PresentedKey;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
+import org.aspenmoor.internal.usage.UsageReport;
 
 /** A minimal set of headers with the values that a gateway needs. */
-public final class TestProtocols implements CallerProtocol, BackendProtocol {
+public final class TestProtocols implements CallerProtocol, BackendProtocol, DutyProtocol {
     public static final String REQUEST_ID = "Test-Id";
     public static final String SIGNED = "Test-Signed";
     public static final String NOT_EXECUTED = "Test-Not-Run";
@@ -127,6 +132,19 @@
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/order");
     }
 
+    /** The path names the window, the holder and the fencing number; the body is the text of the counts. */
+    @Override
+    public FullHttpRequest createUsageRequest(UsageReport report, String holder, long fencingNumber) {
+        ByteBuf body = Unpooled.copiedBuffer(report.counts().toString(), StandardCharsets.UTF_8);
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.POST,
+                "/usage/" + report.window() + "/" + holder + "/" + fencingNumber,
+                body);
+        request.headers().set("Host", "platform").setInt("Content-Length", body.readableBytes());
+        return request;
+    }
+
     @Override
     public FullHttpRequest createCacheListRequest(String server) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/cache");
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -4822,6 +4822,2593 @@
 
   }
 
+  public interface DutyOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Duty)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>bool eligible = 1;</code>
+     * @return The eligible.
+     */
+    boolean getEligible();
+
+    /**
+     * <code>bool collects_usage = 2;</code>
+     * @return The collectsUsage.
+     */
+    boolean getCollectsUsage();
+
+    /**
+     * <code>sint64 settled_usage_window = 3;</code>
+     * @return The settledUsageWindow.
+     */
+    long getSettledUsageWindow();
+
+    /**
+     * <pre>
+     * The sender's wall clock, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 wall_clock_milliseconds = 4;</code>
+     * @return The wallClockMilliseconds.
+     */
+    long getWallClockMilliseconds();
+  }
+  /**
+   * <pre>
+   * The sender's part in the duties that one entry performs for all; absent if there are none.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Duty}
+   */
+  public static final class Duty extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Duty)
+      DutyOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Duty");
+    }
+    // Use Duty.newBuilder() to construct.
+    private Duty(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Duty() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Duty.class, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder.class);
+    }
+
+    public static final int ELIGIBLE_FIELD_NUMBER = 1;
+    private boolean eligible_ = false;
+    /**
+     * <code>bool eligible = 1;</code>
+     * @return The eligible.
+     */
+    @java.lang.Override
+    public boolean getEligible() {
+      return eligible_;
+    }
+
+    public static final int COLLECTS_USAGE_FIELD_NUMBER = 2;
+    private boolean collectsUsage_ = false;
+    /**
+     * <code>bool collects_usage = 2;</code>
+     * @return The collectsUsage.
+     */
+    @java.lang.Override
+    public boolean getCollectsUsage() {
+      return collectsUsage_;
+    }
+
+    public static final int SETTLED_USAGE_WINDOW_FIELD_NUMBER = 3;
+    private long settledUsageWindow_ = 0L;
+    /**
+     * <code>sint64 settled_usage_window = 3;</code>
+     * @return The settledUsageWindow.
+     */
+    @java.lang.Override
+    public long getSettledUsageWindow() {
+      return settledUsageWindow_;
+    }
+
+    public static final int WALL_CLOCK_MILLISECONDS_FIELD_NUMBER = 4;
+    private long wallClockMilliseconds_ = 0L;
+    /**
+     * <pre>
+     * The sender's wall clock, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 wall_clock_milliseconds = 4;</code>
+     * @return The wallClockMilliseconds.
+     */
+    @java.lang.Override
+    public long getWallClockMilliseconds() {
+      return wallClockMilliseconds_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (eligible_ != false) {
+        output.writeBool(1, eligible_);
+      }
+      if (collectsUsage_ != false) {
+        output.writeBool(2, collectsUsage_);
+      }
+      if (settledUsageWindow_ != 0L) {
+        output.writeSInt64(3, settledUsageWindow_);
+      }
+      if (wallClockMilliseconds_ != 0L) {
+        output.writeFixed64(4, wallClockMilliseconds_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (eligible_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, eligible_);
+      }
+      if (collectsUsage_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, collectsUsage_);
+      }
+      if (settledUsageWindow_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(3, settledUsageWindow_);
+      }
+      if (wallClockMilliseconds_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(4, wallClockMilliseconds_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Duty)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Duty other = (org.aspenmoor.internal.wire.v1.PeerLoad.Duty) obj;
+
+      if (getEligible()
+          != other.getEligible()) return false;
+      if (getCollectsUsage()
+          != other.getCollectsUsage()) return false;
+      if (getSettledUsageWindow()
+          != other.getSettledUsageWindow()) return false;
+      if (getWallClockMilliseconds()
+          != other.getWallClockMilliseconds()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ELIGIBLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getEligible());
+      hash = (37 * hash) + COLLECTS_USAGE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getCollectsUsage());
+      hash = (37 * hash) + SETTLED_USAGE_WINDOW_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSettledUsageWindow());
+      hash = (37 * hash) + WALL_CLOCK_MILLISECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getWallClockMilliseconds());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Duty prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The sender's part in the duties that one entry performs for all; absent if there are none.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Duty}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Duty)
+        org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Duty.class, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Duty.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        eligible_ = false;
+        collectsUsage_ = false;
+        settledUsageWindow_ = 0L;
+        wallClockMilliseconds_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Duty build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Duty buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty result = new org.aspenmoor.internal.wire.v1.PeerLoad.Duty(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Duty result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.eligible_ = eligible_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.collectsUsage_ = collectsUsage_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.settledUsageWindow_ = settledUsageWindow_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.wallClockMilliseconds_ = wallClockMilliseconds_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Duty) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Duty)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Duty other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) return this;
+        if (other.getEligible() != false) {
+          setEligible(other.getEligible());
+        }
+        if (other.getCollectsUsage() != false) {
+          setCollectsUsage(other.getCollectsUsage());
+        }
+        if (other.getSettledUsageWindow() != 0L) {
+          setSettledUsageWindow(other.getSettledUsageWindow());
+        }
+        if (other.getWallClockMilliseconds() != 0L) {
+          setWallClockMilliseconds(other.getWallClockMilliseconds());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                eligible_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                collectsUsage_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                settledUsageWindow_ = input.readSInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 33: {
+                wallClockMilliseconds_ = input.readFixed64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean eligible_ ;
+      /**
+       * <code>bool eligible = 1;</code>
+       * @return The eligible.
+       */
+      @java.lang.Override
+      public boolean getEligible() {
+        return eligible_;
+      }
+      /**
+       * <code>bool eligible = 1;</code>
+       * @param value The eligible to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEligible(boolean value) {
+
+        eligible_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool eligible = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEligible() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        eligible_ = false;
+        onChanged();
+        return this;
+      }
+
+      private boolean collectsUsage_ ;
+      /**
+       * <code>bool collects_usage = 2;</code>
+       * @return The collectsUsage.
+       */
+      @java.lang.Override
+      public boolean getCollectsUsage() {
+        return collectsUsage_;
+      }
+      /**
+       * <code>bool collects_usage = 2;</code>
+       * @param value The collectsUsage to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCollectsUsage(boolean value) {
+
+        collectsUsage_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool collects_usage = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCollectsUsage() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        collectsUsage_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long settledUsageWindow_ ;
+      /**
+       * <code>sint64 settled_usage_window = 3;</code>
+       * @return The settledUsageWindow.
+       */
+      @java.lang.Override
+      public long getSettledUsageWindow() {
+        return settledUsageWindow_;
+      }
+      /**
+       * <code>sint64 settled_usage_window = 3;</code>
+       * @param value The settledUsageWindow to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSettledUsageWindow(long value) {
+
+        settledUsageWindow_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>sint64 settled_usage_window = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSettledUsageWindow() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        settledUsageWindow_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long wallClockMilliseconds_ ;
+      /**
+       * <pre>
+       * The sender's wall clock, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 wall_clock_milliseconds = 4;</code>
+       * @return The wallClockMilliseconds.
+       */
+      @java.lang.Override
+      public long getWallClockMilliseconds() {
+        return wallClockMilliseconds_;
+      }
+      /**
+       * <pre>
+       * The sender's wall clock, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 wall_clock_milliseconds = 4;</code>
+       * @param value The wallClockMilliseconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWallClockMilliseconds(long value) {
+
+        wallClockMilliseconds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The sender's wall clock, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 wall_clock_milliseconds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWallClockMilliseconds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        wallClockMilliseconds_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Duty)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Duty)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Duty DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Duty();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Duty>
+        PARSER = new com.google.protobuf.AbstractParser<Duty>() {
+      @java.lang.Override
+      public Duty parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Duty> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Duty> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface UsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Usage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    java.lang.String getEntry();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    com.google.protobuf.ByteString
+        getEntryBytes();
+
+    /**
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
+    long getStart();
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> 
+        getWindowsList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getWindows(int index);
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    int getWindowsCount();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder> 
+        getWindowsOrBuilderList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder getWindowsOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Counts of requests by organisation, sent only to the entries that collect them. A datagram with counts has no other
+   * content; its field "entry" is empty, so that it is not taken for a report of load.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Usage}
+   */
+  public static final class Usage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Usage)
+      UsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Usage");
+    }
+    // Use Usage.newBuilder() to construct.
+    private Usage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Usage() {
+      entry_ = "";
+      windows_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Usage.class, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder.class);
+    }
+
+    public interface WindowOrBuilder extends
+        // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Usage.Window)
+        com.google.protobuf.MessageOrBuilder {
+
+      /**
+       * <code>sint64 number = 1;</code>
+       * @return The number.
+       */
+      long getNumber();
+
+      /**
+       * <code>bool complete = 2;</code>
+       * @return The complete.
+       */
+      boolean getComplete();
+
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @return A list containing the organisations.
+       */
+      java.util.List<java.lang.String>
+          getOrganisationsList();
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @return The count of organisations.
+       */
+      int getOrganisationsCount();
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @param index The index of the element to return.
+       * @return The organisations at the given index.
+       */
+      java.lang.String getOrganisations(int index);
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the organisations at the given index.
+       */
+      com.google.protobuf.ByteString
+          getOrganisationsBytes(int index);
+
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @return A list containing the counts.
+       */
+      java.util.List<java.lang.Long> getCountsList();
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @return The count of counts.
+       */
+      int getCountsCount();
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @param index The index of the element to return.
+       * @return The counts at the given index.
+       */
+      long getCounts(int index);
+    }
+    /**
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Usage.Window}
+     */
+    public static final class Window extends
+        com.google.protobuf.GeneratedMessage implements
+        // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Usage.Window)
+        WindowOrBuilder {
+    private static final long serialVersionUID = 0L;
+      static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+          /* major= */ 4,
+          /* minor= */ 36,
+          /* patch= */ 2,
+          /* suffix= */ "",
+          "Window");
+      }
+      // Use Window.newBuilder() to construct.
+      private Window(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+      }
+      private Window() {
+        organisations_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        counts_ = emptyLongList();
+      }
+
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.class, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder.class);
+      }
+
+      public static final int NUMBER_FIELD_NUMBER = 1;
+      private long number_ = 0L;
+      /**
+       * <code>sint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+
+      public static final int COMPLETE_FIELD_NUMBER = 2;
+      private boolean complete_ = false;
+      /**
+       * <code>bool complete = 2;</code>
+       * @return The complete.
+       */
+      @java.lang.Override
+      public boolean getComplete() {
+        return complete_;
+      }
+
+      public static final int ORGANISATIONS_FIELD_NUMBER = 3;
+      @SuppressWarnings("serial")
+      private com.google.protobuf.LazyStringArrayList organisations_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @return A list containing the organisations.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getOrganisationsList() {
+        return organisations_;
+      }
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @return The count of organisations.
+       */
+      public int getOrganisationsCount() {
+        return organisations_.size();
+      }
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @param index The index of the element to return.
+       * @return The organisations at the given index.
+       */
+      public java.lang.String getOrganisations(int index) {
+        return organisations_.get(index);
+      }
+      /**
+       * <code>repeated string organisations = 3;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the organisations at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getOrganisationsBytes(int index) {
+        return organisations_.getByteString(index);
+      }
+
+      public static final int COUNTS_FIELD_NUMBER = 4;
+      @SuppressWarnings("serial")
+      private com.google.protobuf.Internal.LongList counts_ =
+          emptyLongList();
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @return A list containing the counts.
+       */
+      @java.lang.Override
+      public java.util.List<java.lang.Long>
+          getCountsList() {
+        return counts_;
+      }
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @return The count of counts.
+       */
+      public int getCountsCount() {
+        return counts_.size();
+      }
+      /**
+       * <code>repeated uint64 counts = 4;</code>
+       * @param index The index of the element to return.
+       * @return The counts at the given index.
+       */
+      public long getCounts(int index) {
+        return counts_.getLong(index);
+      }
+      private int countsMemoizedSerializedSize = -1;
+
+      private byte memoizedIsInitialized = -1;
+      @java.lang.Override
+      public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+      }
+
+      @java.lang.Override
+      public void writeTo(com.google.protobuf.CodedOutputStream output)
+                          throws java.io.IOException {
+        getSerializedSize();
+        if (number_ != 0L) {
+          output.writeSInt64(1, number_);
+        }
+        if (complete_ != false) {
+          output.writeBool(2, complete_);
+        }
+        for (int i = 0; i < organisations_.size(); i++) {
+          com.google.protobuf.GeneratedMessage.writeString(output, 3, organisations_.getRaw(i));
+        }
+        if (getCountsList().size() > 0) {
+          output.writeUInt32NoTag(34);
+          output.writeUInt32NoTag(countsMemoizedSerializedSize);
+        }
+        for (int i = 0; i < counts_.size(); i++) {
+          output.writeUInt64NoTag(counts_.getLong(i));
+        }
+        getUnknownFields().writeTo(output);
+      }
+      private int computeSerializedSize_0() {
+        int size = 0;
+        if (number_ != 0L) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeSInt64Size(1, number_);
+        }
+        if (complete_ != false) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeBoolSize(2, complete_);
+        }
+        {
+          int dataSize = 0;
+          for (int i = 0; i < organisations_.size(); i++) {
+            dataSize += computeStringSizeNoTag(organisations_.getRaw(i));
+          }
+          size += dataSize;
+          size += 1 * getOrganisationsList().size();
+        }
+        {
+          int dataSize = 0;
+          for (int i = 0; i < counts_.size(); i++) {
+            dataSize += com.google.protobuf.CodedOutputStream
+              .computeUInt64SizeNoTag(counts_.getLong(i));
+          }
+          size += dataSize;
+          if (!getCountsList().isEmpty()) {
+            size += 1;
+            size += com.google.protobuf.CodedOutputStream
+                .computeInt32SizeNoTag(dataSize);
+          }
+          countsMemoizedSerializedSize = dataSize;
+        }
+        return size;
+      }
+      @java.lang.Override
+      public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        size += computeSerializedSize_0();
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+      }
+
+      @java.lang.Override
+      public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+         return true;
+        }
+        if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window)) {
+          return super.equals(obj);
+        }
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window other = (org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window) obj;
+
+        if (getNumber()
+            != other.getNumber()) return false;
+        if (getComplete()
+            != other.getComplete()) return false;
+        if (!getOrganisationsList()
+            .equals(other.getOrganisationsList())) return false;
+        if (!getCountsList()
+            .equals(other.getCountsList())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+      }
+
+      @java.lang.Override
+      public int hashCode() {
+        if (memoizedHashCode != 0) {
+          return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getNumber());
+        hash = (37 * hash) + COMPLETE_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+            getComplete());
+        if (getOrganisationsCount() > 0) {
+          hash = (37 * hash) + ORGANISATIONS_FIELD_NUMBER;
+          hash = (53 * hash) + getOrganisationsList().hashCode();
+        }
+        if (getCountsCount() > 0) {
+          hash = (37 * hash) + COUNTS_FIELD_NUMBER;
+          hash = (53 * hash) + getCountsList().hashCode();
+        }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          java.nio.ByteBuffer data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          java.nio.ByteBuffer data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          com.google.protobuf.ByteString data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          com.google.protobuf.ByteString data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(byte[] data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          byte[] data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseDelimitedFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseDelimitedFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          com.google.protobuf.CodedInputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window parseFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      @java.lang.Override
+      public Builder newBuilderForType() { return newBuilder(); }
+      public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+      }
+      public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+      }
+      @java.lang.Override
+      public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE
+            ? new Builder() : new Builder().mergeFrom(this);
+      }
+
+      @java.lang.Override
+      protected Builder newBuilderForType(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+      }
+      /**
+       * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Usage.Window}
+       */
+      public static final class Builder extends
+          com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+          // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Usage.Window)
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor
+            getDescriptor() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_fieldAccessorTable
+              .ensureFieldAccessorsInitialized(
+                  org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.class, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder.class);
+        }
+
+        // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.newBuilder()
+        private Builder() {
+
+        }
+
+        private Builder(
+            com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+          super(parent);
+
+        }
+        @java.lang.Override
+        public Builder clear() {
+          super.clear();
+          bitField0_ = 0;
+          number_ = 0L;
+          complete_ = false;
+          organisations_ =
+              com.google.protobuf.LazyStringArrayList.emptyList();
+          counts_ = emptyLongList();
+          return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor
+            getDescriptorForType() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getDefaultInstanceForType() {
+          return org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window build() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window result = buildPartial();
+          if (!result.isInitialized()) {
+            throw newUninitializedMessageException(result);
+          }
+          return result;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window buildPartial() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window result = new org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window(this);
+          if (bitField0_ != 0) { buildPartial0(result); }
+          onBuilt();
+          return result;
+        }
+
+        private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window result) {
+          int from_bitField0_ = bitField0_;
+          if (((from_bitField0_ & 0x00000001) != 0)) {
+            result.number_ = number_;
+          }
+          if (((from_bitField0_ & 0x00000002) != 0)) {
+            result.complete_ = complete_;
+          }
+          if (((from_bitField0_ & 0x00000004) != 0)) {
+            organisations_.makeImmutable();
+            result.organisations_ = organisations_;
+          }
+          if (((from_bitField0_ & 0x00000008) != 0)) {
+            counts_.makeImmutable();
+            result.counts_ = counts_;
+          }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+          if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window) {
+            return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window)other);
+          } else {
+            super.mergeFrom(other);
+            return this;
+          }
+        }
+
+        public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window other) {
+          if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.getDefaultInstance()) return this;
+          if (other.getNumber() != 0L) {
+            setNumber(other.getNumber());
+          }
+          if (other.getComplete() != false) {
+            setComplete(other.getComplete());
+          }
+          if (!other.organisations_.isEmpty()) {
+            if (organisations_.isEmpty()) {
+              organisations_ = other.organisations_;
+              bitField0_ |= 0x00000004;
+            } else {
+              ensureOrganisationsIsMutable();
+              organisations_.addAll(other.organisations_);
+            }
+            onChanged();
+          }
+          if (!other.counts_.isEmpty()) {
+            if (counts_.isEmpty()) {
+              counts_ = other.counts_;
+              counts_.makeImmutable();
+              bitField0_ |= 0x00000008;
+            } else {
+              ensureCountsIsMutable();
+              counts_.addAll(other.counts_);
+            }
+            onChanged();
+          }
+          this.mergeUnknownFields(other.getUnknownFields());
+          onChanged();
+          return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+          return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+          java.util.Objects.requireNonNull(extensionRegistry);
+          try {
+            boolean done = false;
+            while (!done) {
+              int tag = input.readTag();
+              switch (tag) {
+                case 0:
+                  done = true;
+                  break;
+                case 8: {
+                  number_ = input.readSInt64();
+                  bitField0_ |= 0x00000001;
+                  break;
+                } // case 8
+                case 16: {
+                  complete_ = input.readBool();
+                  bitField0_ |= 0x00000002;
+                  break;
+                } // case 16
+                case 26: {
+                  ensureOrganisationsIsMutable();
+                  organisations_.add(input.readStringRequireUtf8());
+                  break;
+                } // case 26
+                case 32: {
+                  long v = input.readUInt64();
+                  ensureCountsIsMutable();
+                  counts_.addLong(v);
+                  break;
+                } // case 32
+                case 34: {
+                  int length = input.readRawVarint32();
+                  int limit = input.pushLimit(length);
+                  ensureCountsIsMutable();
+                  while (input.getBytesUntilLimit() > 0) {
+                    counts_.addLong(input.readUInt64());
+                  }
+                  input.popLimit(limit);
+                  break;
+                } // case 34
+                default: {
+                  if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                    done = true; // was an endgroup tag
+                  }
+                  break;
+                } // default:
+              } // switch (tag)
+            } // while (!done)
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.unwrapIOException();
+          } finally {
+            onChanged();
+          } // finally
+          return this;
+        }
+        private int bitField0_;
+
+        private long number_ ;
+        /**
+         * <code>sint64 number = 1;</code>
+         * @return The number.
+         */
+        @java.lang.Override
+        public long getNumber() {
+          return number_;
+        }
+        /**
+         * <code>sint64 number = 1;</code>
+         * @param value The number to set.
+         * @return This builder for chaining.
+         */
+        public Builder setNumber(long value) {
+
+          number_ = value;
+          bitField0_ |= 0x00000001;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>sint64 number = 1;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearNumber() {
+          bitField0_ = (bitField0_ & ~0x00000001);
+          number_ = 0L;
+          onChanged();
+          return this;
+        }
+
+        private boolean complete_ ;
+        /**
+         * <code>bool complete = 2;</code>
+         * @return The complete.
+         */
+        @java.lang.Override
+        public boolean getComplete() {
+          return complete_;
+        }
+        /**
+         * <code>bool complete = 2;</code>
+         * @param value The complete to set.
+         * @return This builder for chaining.
+         */
+        public Builder setComplete(boolean value) {
+
+          complete_ = value;
+          bitField0_ |= 0x00000002;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>bool complete = 2;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearComplete() {
+          bitField0_ = (bitField0_ & ~0x00000002);
+          complete_ = false;
+          onChanged();
+          return this;
+        }
+
+        private com.google.protobuf.LazyStringArrayList organisations_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        private void ensureOrganisationsIsMutable() {
+          if (!organisations_.isModifiable()) {
+            organisations_ = new com.google.protobuf.LazyStringArrayList(organisations_);
+          }
+          bitField0_ |= 0x00000004;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @return A list containing the organisations.
+         */
+        public com.google.protobuf.ProtocolStringList
+            getOrganisationsList() {
+          organisations_.makeImmutable();
+          return organisations_;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @return The count of organisations.
+         */
+        public int getOrganisationsCount() {
+          return organisations_.size();
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param index The index of the element to return.
+         * @return The organisations at the given index.
+         */
+        public java.lang.String getOrganisations(int index) {
+          return organisations_.get(index);
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param index The index of the value to return.
+         * @return The bytes of the organisations at the given index.
+         */
+        public com.google.protobuf.ByteString
+            getOrganisationsBytes(int index) {
+          return organisations_.getByteString(index);
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param index The index to set the value at.
+         * @param value The organisations to set.
+         * @return This builder for chaining.
+         */
+        public Builder setOrganisations(
+            int index, java.lang.String value) {
+          java.util.Objects.requireNonNull(value);
+          ensureOrganisationsIsMutable();
+          organisations_.set(index, value);
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param value The organisations to add.
+         * @return This builder for chaining.
+         */
+        public Builder addOrganisations(
+            java.lang.String value) {
+          java.util.Objects.requireNonNull(value);
+          ensureOrganisationsIsMutable();
+          organisations_.add(value);
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param values The organisations to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllOrganisations(
+            java.lang.Iterable<java.lang.String> values) {
+          ensureOrganisationsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, organisations_);
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearOrganisations() {
+          organisations_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated string organisations = 3;</code>
+         * @param value The bytes of the organisations to add.
+         * @return This builder for chaining.
+         */
+        public Builder addOrganisationsBytes(
+            com.google.protobuf.ByteString value) {
+          java.util.Objects.requireNonNull(value);
+          checkByteStringIsUtf8(value);
+          ensureOrganisationsIsMutable();
+          organisations_.add(value);
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+
+        private com.google.protobuf.Internal.LongList counts_ = emptyLongList();
+        private void ensureCountsIsMutable() {
+          if (!counts_.isModifiable()) {
+            counts_ = makeMutableCopy(counts_);
+          }
+          bitField0_ |= 0x00000008;
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @return A list containing the counts.
+         */
+        public java.util.List<java.lang.Long>
+            getCountsList() {
+          counts_.makeImmutable();
+          return counts_;
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @return The count of counts.
+         */
+        public int getCountsCount() {
+          return counts_.size();
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @param index The index of the element to return.
+         * @return The counts at the given index.
+         */
+        public long getCounts(int index) {
+          return counts_.getLong(index);
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @param index The index to set the value at.
+         * @param value The counts to set.
+         * @return This builder for chaining.
+         */
+        public Builder setCounts(
+            int index, long value) {
+
+          ensureCountsIsMutable();
+          counts_.setLong(index, value);
+          bitField0_ |= 0x00000008;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @param value The counts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addCounts(long value) {
+
+          ensureCountsIsMutable();
+          counts_.addLong(value);
+          bitField0_ |= 0x00000008;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @param values The counts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllCounts(
+            java.lang.Iterable<? extends java.lang.Long> values) {
+          ensureCountsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, counts_);
+          bitField0_ |= 0x00000008;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>repeated uint64 counts = 4;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearCounts() {
+          counts_ = emptyLongList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+          return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Usage.Window)
+      }
+
+      // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Usage.Window)
+      private static final org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window DEFAULT_INSTANCE;
+      static {
+        DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window();
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+      }
+
+      private static final com.google.protobuf.Parser<Window>
+          PARSER = new com.google.protobuf.AbstractParser<Window>() {
+        @java.lang.Override
+        public Window parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
+
+      public static com.google.protobuf.Parser<Window> parser() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Parser<Window> getParserForType() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+      }
+
+    }
+
+    public static final int ENTRY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    @java.lang.Override
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int START_FIELD_NUMBER = 2;
+    private long start_ = 0L;
+    /**
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
+    @java.lang.Override
+    public long getStart() {
+      return start_;
+    }
+
+    public static final int WINDOWS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> windows_;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> getWindowsList() {
+      return windows_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder> 
+        getWindowsOrBuilderList() {
+      return windows_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    @java.lang.Override
+    public int getWindowsCount() {
+      return windows_.size();
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getWindows(int index) {
+      return windows_.get(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder getWindowsOrBuilder(
+        int index) {
+      return windows_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+      }
+      if (start_ != 0L) {
+        output.writeFixed64(2, start_);
+      }
+      for (int i = 0; i < windows_.size(); i++) {
+        output.writeMessage(3, windows_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+      }
+      if (start_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, start_);
+      }
+
+          {
+            final int count = windows_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(windows_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Usage)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Usage other = (org.aspenmoor.internal.wire.v1.PeerLoad.Usage) obj;
+
+      if (!getEntry()
+          .equals(other.getEntry())) return false;
+      if (getStart()
+          != other.getStart()) return false;
+      if (!getWindowsList()
+          .equals(other.getWindowsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+      hash = (53 * hash) + getEntry().hashCode();
+      hash = (37 * hash) + START_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStart());
+      if (getWindowsCount() > 0) {
+        hash = (37 * hash) + WINDOWS_FIELD_NUMBER;
+        hash = (53 * hash) + getWindowsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Usage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Counts of requests by organisation, sent only to the entries that collect them. A datagram with counts has no other
+     * content; its field "entry" is empty, so that it is not taken for a report of load.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Usage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Usage)
+        org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Usage.class, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Usage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        entry_ = "";
+        start_ = 0L;
+        if (windowsBuilder_ == null) {
+          windows_ = java.util.Collections.emptyList();
+        } else {
+          windows_ = null;
+          windowsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage result = new org.aspenmoor.internal.wire.v1.PeerLoad.Usage(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad.Usage result) {
+        if (windowsBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            windows_ = java.util.Collections.unmodifiableList(windows_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.windows_ = windows_;
+        } else {
+          result.windows_ = windowsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Usage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.entry_ = entry_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.start_ = start_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Usage) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Usage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Usage other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) return this;
+        if (!other.getEntry().isEmpty()) {
+          entry_ = other.entry_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getStart() != 0L) {
+          setStart(other.getStart());
+        }
+        if (windowsBuilder_ == null) {
+          if (!other.windows_.isEmpty()) {
+            if (windows_.isEmpty()) {
+              windows_ = other.windows_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureWindowsIsMutable();
+              windows_.addAll(other.windows_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.windows_.isEmpty()) {
+            if (windowsBuilder_.isEmpty()) {
+              windowsBuilder_.dispose();
+              windowsBuilder_ = null;
+              windows_ = other.windows_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              windowsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWindowsFieldBuilder() : null;
+            } else {
+              windowsBuilder_.addAllMessages(other.windows_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                entry_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                start_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 26: {
+                org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window m =
+                    input.readMessage(
+                        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.parser(),
+                        extensionRegistry);
+                if (windowsBuilder_ == null) {
+                  ensureWindowsIsMutable();
+                  windows_.add(m);
+                } else {
+                  windowsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object entry_ = "";
+      /**
+       * <code>string entry = 1;</code>
+       * @return The entry.
+       */
+      public java.lang.String getEntry() {
+        java.lang.Object ref = entry_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          entry_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return The bytes for entry.
+       */
+      public com.google.protobuf.ByteString
+          getEntryBytes() {
+        java.lang.Object ref = entry_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          entry_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntry(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntry() {
+        entry_ = getDefaultInstance().getEntry();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The bytes for entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long start_ ;
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @return The start.
+       */
+      @java.lang.Override
+      public long getStart() {
+        return start_;
+      }
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @param value The start to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStart(long value) {
+
+        start_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStart() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        start_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> windows_ =
+        java.util.Collections.emptyList();
+      private void ensureWindowsIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          windows_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window>(windows_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder> windowsBuilder_;
+
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> getWindowsList() {
+        if (windowsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(windows_);
+        } else {
+          return windowsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public int getWindowsCount() {
+        if (windowsBuilder_ == null) {
+          return windows_.size();
+        } else {
+          return windowsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window getWindows(int index) {
+        if (windowsBuilder_ == null) {
+          return windows_.get(index);
+        } else {
+          return windowsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder setWindows(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window value) {
+        if (windowsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWindowsIsMutable();
+          windows_.set(index, value);
+          onChanged();
+        } else {
+          windowsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder setWindows(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder builderForValue) {
+        if (windowsBuilder_ == null) {
+          ensureWindowsIsMutable();
+          windows_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          windowsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder addWindows(org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window value) {
+        if (windowsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWindowsIsMutable();
+          windows_.add(value);
+          onChanged();
+        } else {
+          windowsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder addWindows(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window value) {
+        if (windowsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWindowsIsMutable();
+          windows_.add(index, value);
+          onChanged();
+        } else {
+          windowsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder addWindows(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder builderForValue) {
+        if (windowsBuilder_ == null) {
+          ensureWindowsIsMutable();
+          windows_.add(builderForValue.build());
+          onChanged();
+        } else {
+          windowsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder addWindows(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder builderForValue) {
+        if (windowsBuilder_ == null) {
+          ensureWindowsIsMutable();
+          windows_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          windowsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder addAllWindows(
+          java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window> values) {
+        if (windowsBuilder_ == null) {
+          ensureWindowsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, windows_);
+          onChanged();
+        } else {
+          windowsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder clearWindows() {
+        if (windowsBuilder_ == null) {
+          windows_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          windowsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public Builder removeWindows(int index) {
+        if (windowsBuilder_ == null) {
+          ensureWindowsIsMutable();
+          windows_.remove(index);
+          onChanged();
+        } else {
+          windowsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder getWindowsBuilder(
+          int index) {
+        return internalGetWindowsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder getWindowsOrBuilder(
+          int index) {
+        if (windowsBuilder_ == null) {
+          return windows_.get(index);  } else {
+          return windowsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder> 
+           getWindowsOrBuilderList() {
+        if (windowsBuilder_ != null) {
+          return windowsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(windows_);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder addWindowsBuilder() {
+        return internalGetWindowsFieldBuilder().addBuilder(
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder addWindowsBuilder(
+          int index) {
+        return internalGetWindowsFieldBuilder().addBuilder(
+            index, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Usage.Window windows = 3;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder> 
+           getWindowsBuilderList() {
+        return internalGetWindowsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder> 
+          internalGetWindowsFieldBuilder() {
+        if (windowsBuilder_ == null) {
+          windowsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Window.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.WindowOrBuilder>(
+                  windows_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          windows_ = null;
+        }
+        return windowsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Usage)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Usage)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Usage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Usage();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Usage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Usage>
+        PARSER = new com.google.protobuf.AbstractParser<Usage>() {
+      @java.lang.Override
+      public Usage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Usage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Usage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private int bitField0_;
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object entry_ = "";
@@ -5174,6 +7761,58 @@
     return ends_.get(index);
   }
 
+  public static final int DUTY_FIELD_NUMBER = 11;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return Whether the duty field is set.
+   */
+  @java.lang.Override
+  public boolean hasDuty() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return The duty.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 12;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return Whether the usage field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsage() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return The usage.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -5218,6 +7857,12 @@
     for (int i = 0; i < ends_.size(); i++) {
       output.writeMessage(10, ends_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(12, getUsage());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -5291,6 +7936,14 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getUsage());
+    }
     return size;
   }
   @java.lang.Override
@@ -5335,6 +7988,16 @@
         .equals(other.getLengthsList())) return false;
     if (!getEndsList()
         .equals(other.getEndsList())) return false;
+    if (hasDuty() != other.hasDuty()) return false;
+    if (hasDuty()) {
+      if (!getDuty()
+          .equals(other.getDuty())) return false;
+    }
+    if (hasUsage() != other.hasUsage()) return false;
+    if (hasUsage()) {
+      if (!getUsage()
+          .equals(other.getUsage())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -5381,6 +8044,14 @@
       hash = (37 * hash) + ENDS_FIELD_NUMBER;
       hash = (53 * hash) + getEndsList().hashCode();
     }
+    if (hasDuty()) {
+      hash = (37 * hash) + DUTY_FIELD_NUMBER;
+      hash = (53 * hash) + getDuty().hashCode();
+    }
+    if (hasUsage()) {
+      hash = (37 * hash) + USAGE_FIELD_NUMBER;
+      hash = (53 * hash) + getUsage().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -5504,13 +8175,26 @@
 
     // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetSharesFieldBuilder();
+        internalGetPromptsFieldBuilder();
+        internalGetSpeedsFieldBuilder();
+        internalGetChangesFieldBuilder();
+        internalGetLengthsFieldBuilder();
+        internalGetEndsFieldBuilder();
+        internalGetDutyFieldBuilder();
+        internalGetUsageFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -5562,6 +8246,16 @@
         endsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
+      }
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
+      }
       return this;
     }
 
@@ -5665,6 +8359,20 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.leaving_ = leaving_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.duty_ = dutyBuilder_ == null
+            ? duty_
+            : dutyBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.usage_ = usageBuilder_ == null
+            ? usage_
+            : usageBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -5849,6 +8557,12 @@
           }
         }
       }
+      if (other.hasDuty()) {
+        mergeDuty(other.getDuty());
+      }
+      if (other.hasUsage()) {
+        mergeUsage(other.getUsage());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -5971,6 +8685,20 @@
               }
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetDutyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetUsageFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7677,6 +10405,244 @@
       return endsBuilder_;
     }
 
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> dutyBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return Whether the duty field is set.
+     */
+    public boolean hasDuty() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return The duty.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+      if (dutyBuilder_ == null) {
+        return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+      } else {
+        return dutyBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public Builder setDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        duty_ = value;
+      } else {
+        dutyBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public Builder setDuty(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder builderForValue) {
+      if (dutyBuilder_ == null) {
+        duty_ = builderForValue.build();
+      } else {
+        dutyBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public Builder mergeDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          duty_ != null &&
+          duty_ != org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) {
+          getDutyBuilder().mergeFrom(value);
+        } else {
+          duty_ = value;
+        }
+      } else {
+        dutyBuilder_.mergeFrom(value);
+      }
+      if (duty_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public Builder clearDuty() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder getDutyBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetDutyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+      if (dutyBuilder_ != null) {
+        return dutyBuilder_.getMessageOrBuilder();
+      } else {
+        return duty_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> 
+        internalGetDutyFieldBuilder() {
+      if (dutyBuilder_ == null) {
+        dutyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder>(
+                getDuty(),
+                getParentForChildren(),
+                isClean());
+        duty_ = null;
+      }
+      return dutyBuilder_;
+    }
+
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> usageBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return Whether the usage field is set.
+     */
+    public boolean hasUsage() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return The usage.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+      if (usageBuilder_ == null) {
+        return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+      } else {
+        return usageBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public Builder setUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        usage_ = value;
+      } else {
+        usageBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public Builder setUsage(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        usage_ = builderForValue.build();
+      } else {
+        usageBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public Builder mergeUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          usage_ != null &&
+          usage_ != org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) {
+          getUsageBuilder().mergeFrom(value);
+        } else {
+          usage_ = value;
+        }
+      } else {
+        usageBuilder_.mergeFrom(value);
+      }
+      if (usage_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public Builder clearUsage() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder getUsageBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetUsageFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+      if (usageBuilder_ != null) {
+        return usageBuilder_.getMessageOrBuilder();
+      } else {
+        return usage_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> 
+        internalGetUsageFieldBuilder() {
+      if (usageBuilder_ == null) {
+        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder>(
+                getUsage(),
+                getParentForChildren(),
+                isClean());
+        usage_ = null;
+      }
+      return usageBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -217,4 +217,34 @@
    */
   org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
       int index);
+
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return Whether the duty field is set.
+   */
+  boolean hasDuty();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return The duty.
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder();
+
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return Whether the usage field is set.
+   */
+  boolean hasUsage();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return The usage.
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder();
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -61,6 +61,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_End_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Duty_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Usage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -70,7 +85,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\302\006\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\313\t\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -80,19 +95,29 @@
       "(\0132\".aspenmoor.wire.v1.PeerLoad.Change\0228" +
       "\n\007lengths\030\t \003(\0132\'.aspenmoor.wire.v1.Peer" +
       "Load.EventLength\022-\n\004ends\030\n \003(\0132\037.aspenmo" +
-      "or.wire.v1.PeerLoad.End\032u\n\005Share\022\016\n\006serv" +
-      "er\030\001 \001(\t\022\037\n\027unanswered_microseconds\030\002 \001(" +
-      "\r\022\020\n\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002" +
-      "\022\024\n\014pace_seconds\030\005 \001(\002\0327\n\006Prompt\022\016\n\006serv" +
-      "er\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032" +
-      "M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022" +
-      "\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002\032&" +
-      "\n\006Change\022\016\n\006server\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\032." +
-      "\n\013EventLength\022\017\n\007service\030\001 \001(\t\022\016\n\006tokens" +
-      "\030\002 \001(\002\032e\n\003End\022\017\n\007request\030\001 \001(\014\022\016\n\006server" +
-      "\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\006\022\030\n\020age_millis" +
-      "econds\030\004 \001(\r\022\017\n\007excused\030\005 \001(\010B\"\n\036org.asp" +
-      "enmoor.internal.wire.v1P\001b\006proto3"
+      "or.wire.v1.PeerLoad.End\022.\n\004duty\030\013 \001(\0132 ." +
+      "aspenmoor.wire.v1.PeerLoad.Duty\0220\n\005usage" +
+      "\030\014 \001(\0132!.aspenmoor.wire.v1.PeerLoad.Usag" +
+      "e\032u\n\005Share\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered" +
+      "_microseconds\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\022\023\n" +
+      "\013pace_events\030\004 \001(\002\022\024\n\014pace_seconds\030\005 \001(\002" +
+      "\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003(" +
+      "\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001 " +
+      "\001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfix" +
+      "ed_seconds\030\004 \001(\002\032&\n\006Change\022\016\n\006server\030\001 \001" +
+      "(\t\022\014\n\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007reque" +
+      "st\030\001 \001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_at\030\003" +
+      " \001(\006\022\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007excuse" +
+      "d\030\005 \001(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016col" +
+      "lects_usage\030\002 \001(\010\022\034\n\024settled_usage_windo" +
+      "w\030\003 \001(\022\022\037\n\027wall_clock_milliseconds\030\004 \001(\006" +
+      "\032\263\001\n\005Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006" +
+      "\0229\n\007windows\030\003 \003(\0132(.aspenmoor.wire.v1.Pe" +
+      "erLoad.Usage.Window\032Q\n\006Window\022\016\n\006number\030" +
+      "\001 \001(\022\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisations" +
+      "\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004B\"\n\036org.aspenmoor." +
+      "internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -103,7 +128,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
@@ -140,6 +165,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_End_descriptor,
         new java.lang.String[] { "Request", "Server", "StartedAt", "AgeMilliseconds", "Excused", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(6);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Duty_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Duty_descriptor,
+        new java.lang.String[] { "Eligible", "CollectsUsage", "SettledUsageWindow", "WallClockMilliseconds", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(7);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor,
+        new java.lang.String[] { "Entry", "Start", "Windows", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_Usage_descriptor.getNestedType(0);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Usage_Window_descriptor,
+        new java.lang.String[] { "Number", "Complete", "Organisations", "Counts", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
