--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReaderTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReaderTest.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.gateway.settings;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -37,6 +38,31 @@
         assertEquals(settings.retries().window(), Duration.ofSeconds(10));
     }
 
+    @Test
+    public void should_read_duties_and_ignore_those_that_an_entry_does_not_perform() throws AspenmoorException {
+        GatewaySettings settings = new GatewaySettingsReader()
+                .read("entry.json", withDuties("\"names\": [\"usage\", \"other\"], \"usageWindowSeconds\": 7"));
+
+        DutySettings duties = settings.duties().orElseThrow();
+        assertTrue(duties.usage());
+        assertEquals(duties.usageWindow(), Duration.ofSeconds(7));
+        assertEquals(duties.receiver().getPort(), 8005);
+        assertFalse(new GatewaySettingsReader()
+                .read("entry.json", withDuties("\"names\": [\"other\"]"))
+                .duties()
+                .orElseThrow()
+                .usage());
+        assertTrue(new GatewaySettingsReader()
+                .read("entry.json", MINIMAL_SETTINGS)
+                .duties()
+                .isEmpty());
+    }
+
+    private static String withDuties(String fields) {
+        return MINIMAL_SETTINGS.replace(
+                "\"entry-1\"", "\"entry-1\", \"duties\": {\"address\": \"127.0.0.1:8005\", " + fields + "}");
+    }
+
     @Test
     public void should_report_all_mistakes_with_locations_when_several_settings_are_wrong() {
         String invalid = MINIMAL_SETTINGS
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/DutyClientTest.java
@@ -0,0 +1,106 @@
+package org.aspenmoor.internal.gateway.usage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.Latches;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.usage.UsageReceiver;
+import org.aspenmoor.internal.usage.UsageReport;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class DutyClientTest {
+    private static final UsageReport REPORT = new UsageReport(7, new TreeMap<>(Map.of("house", 3L)));
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private NioEventLoopGroup group;
+
+    @BeforeMethod
+    public void start() {
+        group = new NioEventLoopGroup(1);
+    }
+
+    @AfterMethod
+    public void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void should_report_accepted_when_the_receiver_answers_with_success() throws Exception {
+        try (ScriptedBackend receiver = receiver("HTTP/1.1 200 OK")) {
+            assertEquals(client(receiver.port()).send(REPORT, 12, TIMEOUT), new UsageReceiver.Result.Accepted());
+
+            assertEquals(receiver.received().getFirst().line(), "POST /usage/7/entry-1/12 HTTP/1.1");
+            assertEquals(receiver.received().getFirst().body(), "{house=3}");
+        }
+    }
+
+    @Test
+    public void should_report_failure_with_the_status_when_the_receiver_refuses() throws Exception {
+        try (ScriptedBackend receiver = receiver("HTTP/1.1 429 Too Many Requests")) {
+            assertEquals(
+                    client(receiver.port()).send(REPORT, 12, TIMEOUT), new UsageReceiver.Result.Failed("status 429"));
+        }
+    }
+
+    // The receiver takes the report and its answer is lost. It must count as not accepted, so that it is sent again.
+    @Test
+    public void should_report_failure_when_the_connection_closes_without_an_answer() throws Exception {
+        try (ScriptedBackend receiver = new ScriptedBackend(request -> Reply.thenClose(""))) {
+            assertTrue(client(receiver.port()).send(REPORT, 12, TIMEOUT) instanceof UsageReceiver.Result.Failed);
+        }
+    }
+
+    // A call that is held up must not arrive after the lease of its sender has expired, so its connection is reset.
+    @Test
+    public void should_withdraw_the_call_when_there_is_no_answer_in_time() throws Exception {
+        CountDownLatch testOver = new CountDownLatch(1);
+        try (ScriptedBackend receiver = new ScriptedBackend(request -> {
+            Latches.await(testOver);
+            return Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: 100000") + "x".repeat(100_000));
+        })) {
+            UsageReceiver.Result result = client(receiver.port()).send(REPORT, 12, Duration.ofMillis(50));
+            testOver.countDown();
+
+            assertTrue(result instanceof UsageReceiver.Result.Failed);
+            receiver.awaitClose();
+        }
+    }
+
+    @Test
+    public void should_report_failure_when_nobody_listens() throws Exception {
+        int port;
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = closed.getLocalPort();
+        }
+
+        assertTrue(client(port).send(REPORT, 12, TIMEOUT) instanceof UsageReceiver.Result.Failed);
+    }
+
+    private static ScriptedBackend receiver(String statusLine) throws IOException {
+        return new ScriptedBackend(request -> Reply.of(HttpText.head(statusLine, "Content-Length: 0")));
+    }
+
+    private DutyClient client(int port) {
+        return new DutyClient(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                new TestProtocols(),
+                "entry-1",
+                group.next());
+    }
+}
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/SimulatedDutyEntry.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/SimulatedDutyEntry.java
@@ -22,14 +22,13 @@
     private static final ObjectKey KEY = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "usage");
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(1500);
 
-    final String name;
-    final SimulatedDutyStore store;
-    final UsageTracker tracker;
-    final UsageDuty duty;
-    long wallErrorMillis;
-    long frozenNanos;
-    long frozenUntilNanos;
-    boolean running;
+    private final String name;
+    private final UsageTracker tracker;
+    private final UsageDuty duty;
+    private long wallErrorMillis;
+    private long suspendedNanos;
+    private long frozenUntilNanos;
+    private boolean acting;
     private final UsageSimulation simulation;
     private final Map<String, DutyStatus> statuses = new HashMap<>();
     private final Map<String, Long> statusesReceivedAt = new HashMap<>();
@@ -38,7 +37,7 @@
         this.name = name;
         this.simulation = simulation;
         this.wallErrorMillis = wallErrorMillis;
-        this.store = new SimulatedDutyStore(simulation, this);
+        SimulatedDutyStore store = new SimulatedDutyStore(simulation, this);
         UsageWindows windows = new UsageWindows(UsageSimulation.WINDOW);
         this.tracker = new UsageTracker(name, windows, () -> !simulation.cutFromStore(this), this::activePeers, this);
         this.duty = new UsageDuty(
@@ -66,13 +65,47 @@
         tracker.dutyAdvanced(duty.holder(), duty.settled());
     }
 
-    boolean frozen() {
-        return simulation.nowNanos() < frozenUntilNanos;
+    String name() {
+        return name;
+    }
+
+    UsageTracker tracker() {
+        return tracker;
+    }
+
+    long wallErrorMillis() {
+        return wallErrorMillis;
+    }
+
+    void setWallErrorMillis(long newWallErrorMillis) {
+        wallErrorMillis = newWallErrorMillis;
+    }
+
+    void freeze(Duration duration) {
+        frozenUntilNanos = simulation.nowNanos() + duration.toNanos();
+    }
+
+    /** Records that the monotonic clock did not run for a time that has passed. */
+    void clockStoodStill(Duration duration) {
+        suspendedNanos += duration.toNanos();
+    }
+
+    /** Returns whether the entry can act now: it is neither frozen nor in the middle of an action. */
+    boolean beginAction() {
+        if (acting || simulation.nowNanos() < frozenUntilNanos) {
+            return false;
+        }
+        acting = true;
+        return true;
+    }
+
+    void endAction() {
+        acting = false;
     }
 
     @Override
     public long monotonicNanos() {
-        return simulation.nowNanos() - frozenNanos;
+        return simulation.nowNanos() - suspendedNanos;
     }
 
     @Override
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/UsageSimulation.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/UsageSimulation.java
@@ -77,7 +77,7 @@
     }
 
     /** Runs with faults, and then without any until all windows should be settled. */
-    void run(Duration withFaults, Duration withoutFaults) throws InterruptedException {
+    void run(Duration withFaults, Duration withoutFaults) {
         runFor(withFaults);
         faults = false;
         storeDown = false;
@@ -140,14 +140,15 @@
         if (faults && options.kills() && !inCall && random.nextInt(80) == 0) {
             inCall = true;
             int ticks = random.nextInt(100);
-            entry.frozenUntilNanos =
-                    nowNanos() + Duration.ofMillis(ticks * TICK_MILLIS).toNanos();
+            Duration pause = Duration.ofMillis(ticks * TICK_MILLIS);
             boolean suspended = random.nextBoolean();
+            entry.freeze(pause);
             for (int passed = 0; passed < ticks; passed++) {
                 advanceTick();
             }
-            entry.frozenNanos +=
-                    suspended ? Duration.ofMillis(ticks * TICK_MILLIS).toNanos() : 0;
+            if (suspended) {
+                entry.clockStoodStill(pause);
+            }
             inCall = false;
         }
     }
@@ -157,12 +158,12 @@
         if (receiverDown) {
             return new UsageReceiver.Result.Failed("no answer within " + timeout);
         }
-        receiver.accept(report, entry.name, number, nowNanos());
+        receiver.accept(report, entry.name(), number, nowNanos());
         step(entry);
         return lost ? new UsageReceiver.Result.Failed("the answer was lost") : new UsageReceiver.Result.Accepted();
     }
 
-    private void runFor(Duration duration) throws InterruptedException {
+    private void runFor(Duration duration) {
         long end = tick + duration.toMillis() / TICK_MILLIS;
         while (tick < end) {
             advanceTick();
@@ -174,34 +175,35 @@
         injectFaults();
         for (int index = 0; index < ENTRIES; index++) {
             SimulatedDutyEntry entry = entries.get(index);
-            if (restartAtTick.getOrDefault(index, 0L) > tick || entry.frozen() || entry.running) {
+            if (restartAtTick.getOrDefault(index, 0L) > tick) {
                 continue;
             }
             if (restartAtTick.remove(index) != null) {
-                entry = new SimulatedDutyEntry(entry.name, this, entry.wallErrorMillis);
+                entry = new SimulatedDutyEntry(entry.name(), this, entry.wallErrorMillis());
                 entries.set(index, entry);
             }
-            try {
-                entry.running = true;
+            if (entry.beginAction()) {
                 act(entry, index);
-            } catch (KilledException killed) {
-                restartAtTick.put(index, tick + 5 + random.nextInt(30));
-            } catch (InterruptedException interrupted) {
-                Thread.currentThread().interrupt();
-            } finally {
-                entry.running = false;
             }
         }
     }
 
-    private void act(SimulatedDutyEntry entry, int index) throws InterruptedException {
-        countRequests(entry);
-        if ((tick + index) % STATUS_TICKS == 0) {
-            sendToOthers(entry);
-        }
-        if ((tick + index) % USAGE_TICKS == 0) {
-            sendUsage(entry);
-            entry.advanceDuty();
+    private void act(SimulatedDutyEntry entry, int index) {
+        try {
+            countRequests(entry);
+            if ((tick + index) % STATUS_TICKS == 0) {
+                sendToOthers(entry);
+            }
+            if ((tick + index) % USAGE_TICKS == 0) {
+                sendUsage(entry);
+                entry.advanceDuty();
+            }
+        } catch (KilledException killed) {
+            restartAtTick.put(index, tick + 5 + random.nextInt(30));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } finally {
+            entry.endAction();
         }
     }
 
@@ -210,7 +212,7 @@
         long halfTickNanos = Duration.ofMillis(TICK_MILLIS / 2).toNanos();
         int requests = random.nextInt(3);
         for (int number = 0; number < requests; number++) {
-            entry.tracker.requestBegan("organisation-" + random.nextInt(4), entry.monotonicNanos() + halfTickNanos);
+            entry.tracker().requestBegan("organisation-" + random.nextInt(4), entry.monotonicNanos() + halfTickNanos);
             truth.merge((trueMillis() + TICK_MILLIS / 2) / WINDOW.toMillis(), 1L, Long::sum);
         }
     }
@@ -218,15 +220,15 @@
     private void sendToOthers(SimulatedDutyEntry sender) {
         for (SimulatedDutyEntry other : entries) {
             if (other != sender && !messageLost()) {
-                other.receive(sender.name, sender.tracker.status());
+                other.receive(sender.name(), sender.tracker().status());
             }
         }
     }
 
     private void sendUsage(SimulatedDutyEntry sender) {
-        List<EntryUsage> usages = sender.tracker.unsettledUsage();
+        List<EntryUsage> usages = sender.tracker().unsettledUsage();
         for (SimulatedDutyEntry other : entries) {
-            if (sender.tracker.collectors().contains(other.name) && !messageLost()) {
+            if (sender.tracker().collectors().contains(other.name()) && !messageLost()) {
                 usages.forEach(other::receive);
             }
         }
@@ -249,7 +251,7 @@
             cutEntry = random.nextInt(2 * ENTRIES) - ENTRIES;
         }
         if (options.clockJumps() && random.nextInt(100) == 0) {
-            entries.get(random.nextInt(ENTRIES / 2)).wallErrorMillis = random.nextLong(20_000) - 10_000;
+            entries.get(random.nextInt(ENTRIES / 2)).setWallErrorMillis(random.nextLong(20_000) - 10_000);
         }
         if (options.rewinds()) {
             rewindStore();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/UsageSimulationTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/UsageSimulationTest.java
@@ -16,7 +16,7 @@
     private static final Duration WITHOUT_FAULTS = Duration.ofMinutes(1);
 
     @Test
-    public void should_report_every_window_exactly_when_only_messages_are_lost() throws InterruptedException {
+    public void should_report_every_window_exactly_when_only_messages_are_lost() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             UsageSimulation simulation = run(seed, new UsageSimulation.Options(false, false, false, false));
 
@@ -26,7 +26,7 @@
 
     // The clocks of a minority jump by up to ten seconds; requests must not be counted in other windows.
     @Test
-    public void should_report_every_window_when_the_clocks_of_a_minority_jump() throws InterruptedException {
+    public void should_report_every_window_when_the_clocks_of_a_minority_jump() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             UsageSimulation simulation = run(seed, new UsageSimulation.Options(false, false, false, true));
 
@@ -37,8 +37,7 @@
     // Entries are killed and suspended between any two steps. Another one must report what they had decided, unchanged,
     // and every window; what a killed entry has not sent yet is the only loss.
     @Test
-    public void should_report_every_window_once_when_entries_are_killed_between_any_two_steps()
-            throws InterruptedException {
+    public void should_report_every_window_once_when_entries_are_killed_between_any_two_steps() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             UsageSimulation simulation = run(seed, new UsageSimulation.Options(true, false, false, false));
 
@@ -49,7 +48,7 @@
 
     // Store and receiver fail, responses are lost, and writes take effect late. No window may get two counts.
     @Test
-    public void should_never_report_two_counts_when_store_and_receiver_fail() throws InterruptedException {
+    public void should_never_report_two_counts_when_store_and_receiver_fail() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             UsageSimulation simulation = run(seed, new UsageSimulation.Options(true, true, false, true));
 
@@ -59,8 +58,7 @@
 
     // The store comes back without its latest writes, which may have been a decision whose report has arrived.
     @Test
-    public void should_never_report_two_counts_when_the_store_is_restored_from_older_copies()
-            throws InterruptedException {
+    public void should_never_report_two_counts_when_the_store_is_restored_from_older_copies() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             UsageSimulation simulation = run(seed, new UsageSimulation.Options(true, true, true, true));
 
@@ -68,7 +66,7 @@
         }
     }
 
-    private static UsageSimulation run(long seed, UsageSimulation.Options options) throws InterruptedException {
+    private static UsageSimulation run(long seed, UsageSimulation.Options options) {
         UsageSimulation simulation = new UsageSimulation(seed, options);
         simulation.run(WITH_FAULTS, WITHOUT_FAULTS);
         return simulation;
