Wait for the counts of entries that are not heard any more; show organisations and usage in metrics and the state dump

An entry that is cut off from all others and still reaches the store would have decided a window at once with its own counts only. It now waits for entries that counted the window before, for six seconds.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageLedger.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageLedger.java
@@ -50,6 +50,11 @@
         return windows.getOrDefault(window, new WindowCounts()).completeEntries.containsAll(entries);
     }
 
+    /** Returns the entries that have counted a window completely. */
+    public Set<String> completeEntries(long window) {
+        return Set.copyOf(windows.getOrDefault(window, new WindowCounts()).completeEntries);
+    }
+
     /** Returns whether any entry has reported on a window. */
     public boolean known(long window) {
         return windows.containsKey(window);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -138,7 +138,8 @@
         this.callers = new CallerServer(dispatcher, time);
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
-        this.stateDump = new StateDump(settings.process(), state, callers, connections, gracefulStop, fatalRequests);
+        this.stateDump =
+                new StateDump(settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage);
     }
 
     /** Opens the ports and starts watching the store. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -4,10 +4,13 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Locale;
+import java.util.Optional;
+import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.ServerSummary;
 import org.aspenmoor.internal.serving.ServingConfiguration;
@@ -22,6 +25,7 @@
     private final BackendConnections connections;
     private final GracefulStop gracefulStop;
     private final FatalRequestTracker fatalRequests;
+    private final Optional<UsageTracker> usage;
 
     StateDump(
             String process,
@@ -29,13 +33,15 @@
             CallerServer callers,
             BackendConnections connections,
             GracefulStop gracefulStop,
-            FatalRequestTracker fatalRequests) {
+            FatalRequestTracker fatalRequests,
+            Optional<UsageTracker> usage) {
         this.process = process;
         this.state = state;
         this.callers = callers;
         this.connections = connections;
         this.gracefulStop = gracefulStop;
         this.fatalRequests = fatalRequests;
+        this.usage = usage;
     }
 
     ObjectNode create() {
@@ -51,11 +57,25 @@
         dump.put("requests", callers.servedRequests());
         dump.put("connectionsOpened", connections.openedTotal());
         dump.put("quarantinedRequests", fatalRequests.quarantinedCount());
+        dump.put(
+                "organisations",
+                state.configuration()
+                        .map(known -> known.keys().organisationCount())
+                        .orElse(0));
+        usage.ifPresent(tracker -> writeUsage(tracker, dump.putObject("usage")));
         ArrayNode servers = dump.putArray("servers");
         state.serverSummaries().forEach(server -> writeServer(server, servers.addObject()));
         return dump;
     }
 
+    private static void writeUsage(UsageTracker tracker, ObjectNode node) {
+        DutyStatus status = tracker.status();
+        node.put("mayReport", status.eligible());
+        node.put("reports", status.collectsUsage());
+        node.put("settledWindow", status.settledUsageWindow());
+        node.put("clockErrorMilliseconds", tracker.trueTime().ownErrorMillis());
+    }
+
     private static void writeServer(ServerSummary summary, ObjectNode node) {
         BackendServer server = summary.server();
         node.put("id", server.id());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -13,7 +13,12 @@
 
 /** The request metrics of an entry. */
 public final class GatewayMetrics {
+    /** More organisations share one value of the label. */
+    private static final int MAX_ORGANISATIONS = 100;
+
     private final Counter requests;
+    private final Counter organisationRequests;
+    private final BoundedLabels organisations = new BoundedLabels(MAX_ORGANISATIONS);
     private final Counter attempts;
     private final Counter retries;
     private final Counter serverTerminations;
@@ -37,6 +42,12 @@
                 .help("Requests by service and outcome.")
                 .labelNames("service", "outcome")
                 .register(registry);
+        this.organisationRequests = Counter.builder()
+                .name("aspenmoor_organisation_requests_total")
+                .help(
+                        "Requests by organisation and outcome; the first hundred organisations by name, the others together.")
+                .labelNames("organisation", "outcome")
+                .register(registry);
         this.attempts = Counter.builder()
                 .name("aspenmoor_attempts_total")
                 .help("Attempts at backend servers, by service and how they ended.")
@@ -104,6 +115,12 @@
         requests.labelValues(service, outcome.name()).inc();
     }
 
+    void organisationRequestEnded(String organisation, RequestOutcome outcome) {
+        organisationRequests
+                .labelValues(organisations.valueFor(organisation), outcome.name())
+                .inc();
+    }
+
     void attemptEnded(String service, String end) {
         attempts.labelValues(service, end).inc();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -127,6 +127,11 @@
         return server;
     }
 
+    /** Returns the name of the organisation that the request is served for; empty if there is none. */
+    String organisation() {
+        return authorisation.organisationName();
+    }
+
     String reason() {
         return reason;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -437,6 +437,7 @@
         pendingHandoff.release();
         incoming.body().release();
         context.metrics().requestEnded(service, outcome);
+        context.metrics().organisationRequestEnded(trace.organisation(), outcome);
         trace.logEnded(context.state(), outcome, attempts.attempts());
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/UsageTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/UsageTracker.java
@@ -31,9 +31,15 @@
     /** Answers to requests that began to run shortly before the end of a window arrive within this time. */
     private static final Duration SETTLING_TIME = Duration.ofMillis(400);
 
-    /** How long after the end of a window the counts of entries that report nothing are waited for. */
+    /** How long after the end of a window the counts of entries that send none are waited for. */
     private static final Duration MAX_WAIT_FOR_COUNTS = Duration.ofSeconds(3);
 
+    /**
+     * The same for entries that counted the window before and are not heard any more. They may go on counting while
+     * this entry is cut off from them, and the window would be decided without their counts.
+     */
+    private static final Duration MAX_WAIT_FOR_SILENT_ENTRIES = Duration.ofSeconds(6);
+
     /** Number of entries, the first in order, that receive all counts besides the one that performs the duty. */
     private static final int STANDBY_COLLECTORS = 2;
 
@@ -173,11 +179,22 @@
         return windows.at(trueTime.currentMillis());
     }
 
-    /** Returns the last window whose counts are complete, or have been waited for long enough. */
+    /** Returns the last window up to which counts are complete, or have been waited for long enough. */
     private long lastDue(Set<String> activePeers) {
         long now = trueTime.currentMillis();
-        long last = windows.at(now - SETTLING_TIME.toMillis()) - 1;
-        boolean waitedLongEnough = now >= windows.endMillis(last) + MAX_WAIT_FOR_COUNTS.toMillis();
-        return waitedLongEnough || ledger.complete(last, activePeers) ? last : last - 1;
+        long lastEnded = windows.at(now - SETTLING_TIME.toMillis()) - 1;
+        long due = windows.at(now - MAX_WAIT_FOR_SILENT_ENTRIES.toMillis()) - 1;
+        while (due < lastEnded && isDue(due + 1, activePeers, now)) {
+            due++;
+        }
+        return due;
+    }
+
+    private boolean isDue(long window, Set<String> activePeers, long now) {
+        if (!ledger.complete(window, ledger.completeEntries(window - 1))) {
+            return false;
+        }
+        return ledger.complete(window, activePeers)
+                || now >= windows.endMillis(window) + MAX_WAIT_FOR_COUNTS.toMillis();
     }
 }
