--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/CapacityMain.java
@@ -50,9 +50,11 @@
         processor.measure();
         RoutingSlopes routing = new RoutingSlopes(meter);
         routing.measure();
+        KeySlopes keys = new KeySlopes(meter);
+        keys.measure();
         new DisseminationSlopes(meter).measure();
         System.out.println("capacity: measured " + meter.slopes().size() + " slopes, check sum "
-                + (processor.consumed() + routing.consumed()) + ".");
+                + (processor.consumed() + routing.consumed() + keys.consumed()) + ".");
         return meter.slopes();
     }
 
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/capacity/SlopeName.java
@@ -8,6 +8,7 @@
     HEAP_PER_ENGINE_VIEW("heap of an engine in the router, reported"),
     HEAP_PER_INDEXED_PIECE("heap of a cache piece in the prefix index"),
     HEAP_PER_STREAM("heap of an answer being put together at an entry, with its request out"),
+    HEAP_PER_KEY("heap of a key of an organisation, three keys each"),
     HEAP_PER_LINK("heap of both ends of an open link"),
     ENCODE_CHUNK("processor time to encode a chunk frame"),
     DECODE_CHUNK("processor time to decode a chunk frame"),
@@ -23,6 +24,8 @@
     APPLY_DOCUMENT("processor time to take an update and decode its frame"),
     COMPARE_EQUAL("processor time of both sides to compare equal tables, frames included"),
     COMPARE_ONE_CHANGE("processor time of both sides to find and fetch one changed document of 3,500"),
+    APPLY_KEY("processor time to apply a configuration, per key"),
+    LOOK_UP_KEY("processor time to look up the key of a request among 10,000, half of them unknown"),
     VIEW_CHANGE("processor time to work out an entry's neighbours, per entry of the data centre"),
     SUBSET_CHANGE("processor time to choose the subset of a group of 8 agents, per entry of the data centre");
 
