Clean up after reading the change once more

- DutyLease.observe() returned the record's content, which nobody used, and failed on a record that cannot be read; it only notes the version again, as OrderLease did.
- UsageWindows.startMillis and a flag of TrueTimeEstimator were not needed; one estimate was computed twice.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/duty/DutyLease.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/duty/DutyLease.java
@@ -91,13 +91,10 @@
 
     /**
      * Reads the record so that the time since its last change is known when the lease is needed. If it were read only
-     * then, the duty of a terminated holder would be left undone for the takeover delay. Returns the record's content;
-     * empty if there is none.
+     * then, the duty of a terminated holder would be left undone for the takeover delay.
      */
-    public Optional<String> observe() throws StoreException {
-        Optional<StoredObject> record = store.read(key);
-        mayAcquire(versionOf(record), time.monotonicNanos());
-        return record.isPresent() ? Optional.of(contentOf(record.get())) : Optional.empty();
+    public void observe() throws StoreException {
+        mayAcquire(versionOf(store.read(key)), time.monotonicNanos());
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/time/TrueTimeEstimator.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/time/TrueTimeEstimator.java
@@ -8,7 +8,7 @@
 
 /**
  * Estimates the true time from the wall clocks of several hosts, some of which are wrong or jump by seconds. Confined to
- * one thread; {@code now} is the monotonic clock in nanoseconds.
+ * one thread.
  *
  * <p>Each source gives the difference between its wall clock and the monotonic clock of this process. The median of
  * these differences is right as long as more than half of the clocks are.
@@ -31,7 +31,6 @@
     private final TimeSource clocks;
     private final Map<String, Sample> samples = new HashMap<>();
     private long lastOwnOffset;
-    private boolean ownOffsetKnown;
     private boolean suspensionPossible;
     private int changedSources;
     private int unchangedSources;
@@ -41,7 +40,8 @@
 
     public TrueTimeEstimator(TimeSource clocks) {
         this.clocks = clocks;
-        this.lastEstimate = ownOffset();
+        this.lastOwnOffset = ownOffset();
+        this.lastEstimate = lastOwnOffset;
     }
 
     /** Records what another host's wall clock showed when its message was sent. */
@@ -110,7 +110,7 @@
 
     private void detectJump() {
         long offset = ownOffset();
-        if (ownOffsetKnown && Math.abs(offset - lastOwnOffset) > JUMP_MILLIS) {
+        if (Math.abs(offset - lastOwnOffset) > JUMP_MILLIS) {
             jumps++;
             suspensionPossible = true;
             changedSources = 0;
@@ -118,7 +118,6 @@
             jumpedAt = clocks.monotonicNanos();
         }
         lastOwnOffset = offset;
-        ownOffsetKnown = true;
     }
 
     private long ownOffset() {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageLedger.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageLedger.java
@@ -24,7 +24,7 @@
     /** Adds what an entry has counted; the entry may be this one. */
     public void add(EntryUsage usage) {
         WindowCounts window = windows.computeIfAbsent(usage.window(), unseen -> new WindowCounts());
-        Map<String, Long> counts = window.byProcess.computeIfAbsent(
+        Map<String, Long> counts = window.byIncarnation.computeIfAbsent(
                 new EntryIncarnation(usage.entry(), usage.incarnation()), unseen -> new HashMap<>());
         usage.counts().forEach((organisation, count) -> counts.merge(organisation, count, Math::max));
         if (usage.complete()) {
@@ -39,7 +39,7 @@
     public SortedMap<String, Long> totals(long window) {
         SortedMap<String, Long> totals = new TreeMap<>();
         WindowCounts known = windows.getOrDefault(window, new WindowCounts());
-        for (Map<String, Long> counts : known.byProcess.values()) {
+        for (Map<String, Long> counts : known.byIncarnation.values()) {
             counts.forEach((organisation, count) -> totals.merge(organisation, count, Long::sum));
         }
         return totals;
@@ -65,7 +65,7 @@
 
     /** The counts of one window. */
     private static final class WindowCounts {
-        private final Map<EntryIncarnation, Map<String, Long>> byProcess = new HashMap<>();
+        private final Map<EntryIncarnation, Map<String, Long>> byIncarnation = new HashMap<>();
         private final Set<String> completeEntries = new HashSet<>();
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageSnapshot.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageSnapshot.java
@@ -11,7 +11,8 @@
  * @param otherEligible the number of other eligible entries
  * @param settledByPeers the highest window that a peer states to be settled; all up to it need no further action
  * @param lastDue the last window that can be decided now
- * @param totals the counts of the windows that can be decided, by window; windows that nobody has counted are absent
+ * @param totals the counts of the windows that can be decided and are not settled, by window; windows that nobody has
+ *     counted are absent
  */
 public record UsageSnapshot(
         long nowMillis,
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageWindows.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/usage/UsageWindows.java
@@ -13,13 +13,8 @@
         return Math.floorDiv(millis, length.toMillis());
     }
 
-    /** Returns when a window starts, in milliseconds since 1970. */
-    public long startMillis(long window) {
-        return window * length.toMillis();
-    }
-
     /** Returns when a window has ended, in milliseconds since 1970. */
     public long endMillis(long window) {
-        return startMillis(window + 1);
+        return (window + 1) * length.toMillis();
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/UsageTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/UsageTracker.java
@@ -1,7 +1,6 @@
 package org.aspenmoor.internal.gateway.usage;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +8,7 @@
 import java.util.SortedMap;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.time.TimeSource;
@@ -110,25 +110,20 @@
 
     /** Returns this entry's counts of all windows that are not settled. */
     public List<EntryUsage> unsettledUsage() {
-        long current = currentWindow();
+        long now = trueTime.currentMillis();
+        long current = windows.at(now);
         long first = Math.max(Math.max(settled + 1, firstWindow), current - UsageLedger.MAX_WINDOWS);
-        long lastComplete = windows.at(trueTime.currentMillis() - SETTLING_TIME.toMillis()) - 1;
+        long lastComplete = windows.at(now - SETTLING_TIME.toMillis()) - 1;
         return counter.usage(first, current, lastComplete);
     }
 
     /** Returns the entries that this entry's counts are sent to. */
     public Set<String> collectors() {
-        Set<String> collectors = new TreeSet<>();
-        List<String> inOrder = new ArrayList<>();
-        peers.get().forEach((peer, status) -> {
-            if (status.collectsUsage()) {
-                collectors.add(peer);
-            }
-            if (status.eligible()) {
-                inOrder.add(peer);
-            }
-        });
-        collectors.addAll(inOrder.subList(0, Math.min(STANDBY_COLLECTORS, inOrder.size())));
+        SortedMap<String, DutyStatus> statuses = peers.get();
+        Set<String> collectors = new TreeSet<>(namesOf(statuses, DutyStatus::collectsUsage));
+        namesOf(statuses, DutyStatus::eligible).stream()
+                .limit(STANDBY_COLLECTORS)
+                .forEach(collectors::add);
         return collectors;
     }
 
@@ -141,15 +136,12 @@
     public UsageSnapshot snapshot() {
         unsettledUsage().forEach(ledger::add);
         SortedMap<String, DutyStatus> statuses = peers.get();
-        List<String> otherEligible = statuses.entrySet().stream()
-                .filter(peer -> peer.getValue().eligible())
-                .map(Map.Entry::getKey)
-                .toList();
+        List<String> otherEligible = namesOf(statuses, DutyStatus::eligible);
         int rank = (int)
                 otherEligible.stream().filter(peer -> peer.compareTo(entry) < 0).count();
         long lastDue = lastDue(statuses.keySet());
         Map<Long, UsageReport> totals = new HashMap<>();
-        for (long window = lastDue - UsageLedger.MAX_WINDOWS + 1; window <= lastDue; window++) {
+        for (long window = Math.max(settled, lastDue - UsageLedger.MAX_WINDOWS) + 1; window <= lastDue; window++) {
             if (ledger.known(window)) {
                 totals.put(window, new UsageReport(window, ledger.totals(window)));
             }
@@ -175,6 +167,14 @@
         return trueTime;
     }
 
+    /** Returns the names of the peers whose status has a property, in order. */
+    private static List<String> namesOf(SortedMap<String, DutyStatus> statuses, Predicate<DutyStatus> property) {
+        return statuses.entrySet().stream()
+                .filter(peer -> property.test(peer.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     private long currentWindow() {
         return windows.at(trueTime.currentMillis());
     }
