--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/CustomerReader.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/customer/CustomerReader.java
@@ -131,12 +131,15 @@
             day.objects("swings").forEach(swing -> changes.addAll(readSwings(swing)));
             List<EngineOutage> outages = new ArrayList<>();
             day.objects("losses").forEach(outage -> outages.add(readOutage(outage)));
+            List<StoreOutage> storeOutages = new ArrayList<>();
+            day.objects("storeCuts").forEach(outage -> storeOutages.add(readStoreOutage(outage)));
             days.add(new LoadDay(
                     day.requiredText("name"),
                     day.decimal("seconds", 1, MAX_SECONDS, 34),
                     day.decimal("load", 0, MAX_VALUE, 1),
                     changes,
-                    outages));
+                    outages,
+                    storeOutages));
             day.rejectUnknownFields();
         }
         return days;
@@ -181,4 +184,13 @@
         reader.rejectUnknownFields();
         return outage;
     }
+
+    private static StoreOutage readStoreOutage(FieldReader reader) {
+        StoreOutage outage = new StoreOutage(
+                reader.integer("entry", 0, MAX_COUNT, 0),
+                reader.decimal("fromSeconds", 0, MAX_VALUE, 0),
+                reader.decimal("seconds", 0, MAX_VALUE, MAX_SECONDS));
+        reader.rejectUnknownFields();
+        return outage;
+    }
 }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -17,8 +17,9 @@
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
-import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.WaitQueue;
+import org.aspenmoor.internal.serving.roles.LoadBasedRolePolicy;
+import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 
 /** An entry of the replay: the scheduling decisions of a real entry, without network input and output. */
 final class ReplayEntry {
@@ -34,6 +35,8 @@
     private final PeerLoads peerLoads = new PeerLoads();
     private final PlacementPolicy placementPolicy;
     private final WaitQueue<ReplayRequest> queue = new WaitQueue<>();
+    private final LoadBasedRolePolicy rolePolicy = new LoadBasedRolePolicy();
+    private boolean storeReached = true;
     private long reportCount;
     private long jobCount;
     private boolean checkScheduled;
@@ -101,6 +104,34 @@
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
     }
 
+    String name() {
+        return name;
+    }
+
+    /** Records whether this entry reaches the store. */
+    void setStoreReached(boolean reached) {
+        storeReached = reached;
+    }
+
+    boolean storeReached() {
+        return storeReached;
+    }
+
+    /** Returns whether this entry has to order role changes. */
+    boolean responsibleForOrders() {
+        return peerLoads.isFirstByName(name);
+    }
+
+    /** Returns the load-based role change that is due, if any. */
+    Optional<PlannedRoleChange> nextRoleChange() {
+        return rolePolicy.nextChange(placementPolicy.serviceLoad(ReplayRun.SERVICE, loop.now()));
+    }
+
+    /** Records that an engine has accepted an order of this entry. */
+    void roleChangeAccepted() {
+        rolePolicy.changeAccepted();
+    }
+
     /** Returns the number of queued requests. */
     int queuedRequests() {
         return queue.size();
@@ -110,10 +141,6 @@
         return loop;
     }
 
-    ServiceLoad serviceLoad() {
-        return placementPolicy.serviceLoad(ReplayRun.SERVICE, loop.now());
-    }
-
     PlacementPolicy placementPolicy() {
         return placementPolicy;
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.bench.replay.customer.EngineOutage;
 import org.aspenmoor.internal.bench.replay.customer.LoadDay;
 import org.aspenmoor.internal.bench.replay.customer.RequestProfile;
+import org.aspenmoor.internal.bench.replay.customer.StoreOutage;
 import org.aspenmoor.internal.bench.replay.engine.SimulatedEngine;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
@@ -22,7 +23,6 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
-import org.aspenmoor.internal.serving.roles.LoadBasedRolePolicy;
 import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 import org.aspenmoor.internal.serving.roles.RoleRatioPolicy;
 
@@ -75,7 +75,7 @@
     private final List<CallerTracker> trackersByArrival = new ArrayList<>();
     private final List<DayPoint> points = new ArrayList<>();
     private final RoleRatioPolicy roleBalance = new RoleRatioPolicy();
-    private final LoadBasedRolePolicy loadFollower = new LoadBasedRolePolicy();
+    private final SimulatedOrderLease orderLease = new SimulatedOrderLease();
 
     public ReplayRun(Customer customer, LoadDay day, long seed, Set<Mechanism> disabled) {
         this.customer = customer;
@@ -104,6 +104,7 @@
         customer.kinds().forEach(kind -> loop.after(START_SECONDS, () -> scheduleNextRequest(kind)));
         entries.forEach(entry -> loop.after(random.nextDouble() * REPORT_INTERVAL_SECONDS, () -> report(entry)));
         day.outages().forEach(outage -> loop.after(outage.startSeconds(), () -> startOutage(outage)));
+        day.storeOutages().forEach(this::scheduleStoreOutage);
         loop.after(ROLE_CHECK_SECONDS, this::checkRoles);
         loop.after(1, this::recordPoint);
         loop.runUntil(day.lengthSeconds() + DRAIN_SECONDS);
@@ -202,29 +203,46 @@
         loop.after(outage.durationSeconds() + MEMBERSHIP_LAG_SECONDS, this::updateEntries);
     }
 
+    private void scheduleStoreOutage(StoreOutage outage) {
+        ReplayEntry entry = entries.get(outage.entry());
+        loop.after(outage.startSeconds(), () -> entry.setStoreReached(false));
+        loop.after(outage.startSeconds() + outage.durationSeconds(), () -> entry.setStoreReached(true));
+    }
+
     private void checkRoles() {
         List<BackendServer> upServers = engines.values().stream()
                 .filter(SimulatedEngine::isUp)
                 .map(SimulatedEngine::server)
                 .toList();
         if (!disabled.contains(Mechanism.ROLE_MOVES)) {
-            List<PlannedRoleChange> moves = roleBalance.plannedChanges(upServers, false);
-            moves.forEach(this::orderRoleChange);
-            if (moves.isEmpty() && !disabled.contains(Mechanism.LOAD_FOLLOWING)) {
-                loadFollower.nextChange(entries.getFirst().serviceLoad()).ifPresent(move -> {
-                    orderRoleChange(move);
-                    loadFollower.changeAccepted();
-                });
-            }
+            entries.stream()
+                    .filter(ReplayEntry::responsibleForOrders)
+                    .findFirst()
+                    .ifPresent(entry -> orderRoleChanges(entry, upServers));
         }
         updateEntries();
         loop.after(ROLE_CHECK_SECONDS, this::checkRoles);
     }
 
-    private void orderRoleChange(PlannedRoleChange move) {
+    private void orderRoleChanges(ReplayEntry entry, List<BackendServer> servers) {
+        List<PlannedRoleChange> moves = roleBalance.plannedChanges(servers, false);
+        moves.forEach(move -> orderRoleChange(entry, move));
+        if (moves.isEmpty() && !disabled.contains(Mechanism.LOAD_FOLLOWING)) {
+            entry.nextRoleChange()
+                    .filter(move -> orderRoleChange(entry, move))
+                    .ifPresent(move -> entry.roleChangeAccepted());
+        }
+    }
+
+    /** Sends an order if the entry can get the lease for it; returns whether it was sent. */
+    private boolean orderRoleChange(ReplayEntry entry, PlannedRoleChange move) {
+        if (!entry.storeReached() || !orderLease.tryAcquire(entry.name(), loop.nowSeconds())) {
+            return false;
+        }
         RoleChange change = new RoleChange(move.server().id(), move.role());
         engines.get(change.server()).changeRole(change.role());
-        entries.forEach(entry -> loop.after(REPORT_INTERVAL_SECONDS, () -> entry.roleChangeOrdered(change)));
+        entries.forEach(other -> loop.after(REPORT_INTERVAL_SECONDS, () -> other.roleChangeOrdered(change)));
+        return true;
     }
 
     private void recordPoint() {
--- a/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/replay/LongAnswersReplayTest.java
+++ b/aspenmoor-bench/src/test/java/org/aspenmoor/internal/bench/replay/LongAnswersReplayTest.java
@@ -30,8 +30,17 @@
 
     // Guards against long answers being cut at their deadline because few engines decode and one of them is slow.
     @Test(dataProvider = "days")
-    public void should_serve_longest_answers_at_least_half_as_often_as_all_when_one_engine_is_slow(String day)
-            throws AspenmoorException {
+    public void should_serve_longest_answers_at_least_half_as_often_as_all_when_one_engine_is_slow(String day) {
+        assertLongestAnswersServed(day);
+    }
+
+    // Guards against roles that stay as they are because the entry that orders changes cannot reach the store.
+    @Test(groups = "known-red")
+    public void should_serve_longest_answers_when_the_ordering_entry_cannot_reach_the_store() {
+        assertLongestAnswersServed("store-cut");
+    }
+
+    private static void assertLongestAnswersServed(String day) {
         List<KindResult> drafts = LongStream.rangeClosed(1, SEEDS)
                 .mapToObj(seed -> replayDrafts(day, seed))
                 .toList();
