Accept callers as soon as an entry starts, before it reads its configuration

All entries lose power at 34.0 s; the longest answers are the ones that are there then. 76 callers of drafts come back two seconds later to go on where their answers stopped, with one retry each. Cause: an entry opened its port for callers last, 0.6 to 1.2 s of simulated time after its process had started; a connection that is refused uses up the retry. Requests that come before the configuration is known are held for it anyway, for a second at most. Why this works: the port opens first, so the connection is taken and the request waits until the entry is ready.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -145,6 +145,9 @@
     /** Opens the ports and starts watching the store. */
     public void start(ObjectStore store, StoreSettings storeSettings, RegistrationDecoder decoder)
             throws AspenmoorException {
+        // After all entries have stopped at once, callers return before an entry has read its configuration. A refused
+        // connection uses up a caller's retry; an accepted request waits until this entry is ready.
+        callersAddress = callers.start(group, settings.callers());
         watch(
                 store,
                 storeSettings,
@@ -180,7 +183,6 @@
         eventLoop.execute(this::reportToPeers);
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
-        callersAddress = callers.start(group, settings.callers());
         eventLoop.scheduleWithFixedDelay(
                 this::runPeriodicChecks,
                 CHECK_INTERVAL_MILLISECONDS,
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ObservedStore.java
@@ -0,0 +1,59 @@
+package org.aspenmoor.internal.gateway.standin;
+
+import java.util.List;
+import java.util.Optional;
+import org.aspenmoor.internal.store.ObjectKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
+import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.store.StoreListing;
+import org.aspenmoor.internal.store.StoreWatch;
+import org.aspenmoor.internal.store.StoreWatchListener;
+import org.aspenmoor.internal.store.StoredObject;
+
+/** Runs an action before each listing of a store. */
+public final class ObservedStore implements ObjectStore {
+    private final ObjectStore store;
+    private final Runnable beforeListing;
+
+    public ObservedStore(ObjectStore store, Runnable beforeListing) {
+        this.store = store;
+        this.beforeListing = beforeListing;
+    }
+
+    @Override
+    public Optional<StoredObject> read(ObjectKey key) throws StoreException {
+        return store.read(key);
+    }
+
+    @Override
+    public StoreListing list(ObjectKind kind) throws StoreException {
+        beforeListing.run();
+        return store.list(kind);
+    }
+
+    @Override
+    public List<StoredObject> list(ObjectKind kind, String namespace) throws StoreException {
+        return store.list(kind, namespace);
+    }
+
+    @Override
+    public StoredObject create(ObjectKey key, String value) throws StoreException {
+        return store.create(key, value);
+    }
+
+    @Override
+    public StoredObject update(StoredObject read, String value) throws StoreException {
+        return store.update(read, value);
+    }
+
+    @Override
+    public void delete(StoredObject read) throws StoreException {
+        store.delete(read);
+    }
+
+    @Override
+    public StoreWatch watch(ObjectKind kind, String fromVersion, StoreWatchListener listener) throws StoreException {
+        return store.watch(kind, fromVersion, listener);
+    }
+}
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -16,6 +16,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.Gateway;
@@ -42,6 +43,7 @@
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.store.client.StoreSettings;
@@ -83,6 +85,18 @@
                 duties);
     }
 
+    /** Starts a gateway that listens for callers at a given address and whose calls to the store are observed. */
+    public TestGateway(InetSocketAddress callers, UnaryOperator<ObjectStore> observer) throws AspenmoorException {
+        this(
+                "entry-under-test",
+                new InMemoryObjectStore(),
+                new ConcurrentHashMap<>(),
+                new ConcurrentHashMap<>(),
+                Optional.empty(),
+                callers,
+                observer);
+    }
+
     private TestGateway(
             String process,
             InMemoryObjectStore store,
@@ -90,14 +104,26 @@
             Map<String, BackendServer> servers,
             Optional<DutySettings> duties)
             throws AspenmoorException {
+        this(process, store, configurations, servers, duties, anyFreePort(), UnaryOperator.identity());
+    }
+
+    private TestGateway(
+            String process,
+            InMemoryObjectStore store,
+            Map<String, ServingConfiguration> configurations,
+            Map<String, BackendServer> servers,
+            Optional<DutySettings> duties,
+            InetSocketAddress callers,
+            UnaryOperator<ObjectStore> observer)
+            throws AspenmoorException {
         this.store = store;
         this.configurations = configurations;
         this.servers = servers;
-        InetSocketAddress anyFreePort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        InetSocketAddress anyFreePort = anyFreePort();
         PlacementSettings placement = new PlacementSettings(LOCAL_DATA_CENTRE, EngineSpeed.defaults(), 0.5, 0);
         GatewaySettings settings = new GatewaySettings(
                 process,
-                anyFreePort,
+                callers,
                 anyFreePort,
                 "/ready",
                 anyFreePort,
@@ -115,7 +141,11 @@
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), log);
-        gateway.start(store, StoreSettings.defaults(), new Decoder());
+        gateway.start(observer.apply(store), StoreSettings.defaults(), new Decoder());
+    }
+
+    private static InetSocketAddress anyFreePort() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
     /** Starts another entry for the same backend servers, and returns when it is ready. */
