--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -19,6 +19,7 @@
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.WaitQueue;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.roles.LoadBasedRolePolicy;
 import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 
@@ -58,7 +59,7 @@
         this.disabled = disabled;
         this.callerListener = callerListener;
         this.random = random;
-        this.placementPolicy = new PlacementPolicy(settings, peerLoads, random);
+        this.placementPolicy = new PlacementPolicy(settings, peerLoads, new ServerLimits(), random);
     }
 
     /** Serves an attempt of a caller. */
@@ -95,6 +96,7 @@
                 placementPolicy.eventSizes(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 orderStanding(),
                 false);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
@@ -52,7 +52,8 @@
         return serverWasIdle;
     }
 
-    String server() {
+    /** Returns the id of the server. */
+    public String server() {
         return server;
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.duty.OrderStanding;
+import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 
 /**
@@ -19,6 +20,7 @@
  * @param eventSizes the event sizes it has measured
  * @param roleChanges role changes that it has ordered and that are in progress
  * @param serverTerminations the servers that terminated while they had a request
+ * @param limits the limits that servers have stated, as far as it knows
  * @param duties its part in the duties that one entry performs for all; empty if there are none
  * @param orderStanding what decides whether it gives orders to engines
  * @param stopping whether the sender is stopping
@@ -33,6 +35,7 @@
         List<EventSize> eventSizes,
         List<RoleChange> roleChanges,
         List<ServerTermination> serverTerminations,
+        List<StatedLimit> limits,
         Optional<DutyStatus> duties,
         OrderStanding orderStanding,
         boolean stopping) {
@@ -43,5 +46,6 @@
         eventSizes = List.copyOf(eventSizes);
         roleChanges = List.copyOf(roleChanges);
         serverTerminations = List.copyOf(serverTerminations);
+        limits = List.copyOf(limits);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
 
 /**
  * Chooses the backend server, or the pair of engines, whose answer is expected to start first. Confined to one thread;
@@ -43,11 +44,14 @@
     private final RequiredDecodeRate requiredDecodeRate = new RequiredDecodeRate();
     private final Map<String, PromptLoadMeter> promptLoadMeters = new HashMap<>();
     private final PeerLoads peerLoads;
+    private final ServerLimits limits;
     private final List<AssignedPrompt> unreportedPrompts = new ArrayList<>();
     private ServerRanking ranking;
 
-    public PlacementPolicy(PlacementSettings settings, PeerLoads peerLoads, RandomGenerator random) {
+    public PlacementPolicy(
+            PlacementSettings settings, PeerLoads peerLoads, ServerLimits limits, RandomGenerator random) {
         this.peerLoads = peerLoads;
+        this.limits = limits;
         this.random = random;
         reload(settings);
     }
@@ -63,6 +67,7 @@
      * @param cacheTokens the size of its cache in tokens; above zero if it runs a model
      */
     public void serverChanged(BackendServer server, int cacheTokens) {
+        limits.serverChanged(server);
         SpeedEstimate speed = speeds.estimateOf(server.service(), server.role());
         ServerEstimate known = estimates.get(server.id());
         if (known != null && known.server().sameIncarnation(server)) {
@@ -75,6 +80,7 @@
     /** Removes a server. */
     public void serverRemoved(String id) {
         estimates.remove(id);
+        limits.serverRemoved(id);
     }
 
     /** Chooses where a request runs. */
@@ -343,8 +349,10 @@
     /** Returns a summary of each server. */
     public List<ServerSummary> summaries(long now) {
         return estimates.values().stream()
-                .map(estimate ->
-                        estimate.summary(peerLoads.onServer(estimate.server().id()), now))
+                .map(estimate -> {
+                    String id = estimate.server().id();
+                    return estimate.summary(peerLoads.onServer(id), limits.requestsPerSecond(id), now);
+                })
                 .toList();
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
 
 /**
@@ -323,7 +324,7 @@
         return Math.max(queuedSeconds, overdueSeconds(now));
     }
 
-    ServerSummary summary(EntryLoad others, long now) {
+    ServerSummary summary(EntryLoad others, Optional<Double> requestLimit, long now) {
         return new ServerSummary(
                 server,
                 waitSeconds(others, now),
@@ -333,7 +334,8 @@
                 health.failureFraction(),
                 changingRole(now),
                 health.paused(now),
-                cache.tokens());
+                cache.tokens(),
+                requestLimit);
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -1,5 +1,7 @@
 package org.aspenmoor.internal.serving;
 
+import java.util.Optional;
+
 /**
  * What this entry knows or estimates about one backend server, for operators.
  *
@@ -12,6 +14,7 @@
  * @param changingRole whether it has been ordered to change its role
  * @param paused whether it gets no requests after failures
  * @param cachedTokens prompt tokens that it has probably cached
+ * @param requestLimit requests per second that it takes from all entries together; empty if it states no limit
  */
 public record ServerSummary(
         BackendServer server,
@@ -22,4 +25,5 @@
         double failureFraction,
         boolean changingRole,
         boolean paused,
-        int cachedTokens) {}
+        int cachedTokens,
+        Optional<Double> requestLimit) {}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
@@ -0,0 +1,73 @@
+package org.aspenmoor.internal.serving.limit;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The limit that one incarnation of a server has stated, as far as this entry knows. Confined to one thread; times are
+ * nanoseconds of the monotonic clock.
+ *
+ * <p>Answers overtake each other, and other entries report what they have heard. The statement in the answer to the
+ * request that was sent last counts, so that an older answer that arrives later does not restore a limit that has ended.
+ */
+public final class KnownLimit {
+    /** For how long the end of a limit is reported, so that each entry hears of it although reports get lost. */
+    private static final long END_REPORTED_NANOSECONDS = Duration.ofSeconds(5).toNanos();
+
+    private Optional<Double> requestsPerSecond = Optional.empty();
+    private long statedToRequestSentAt = Long.MIN_VALUE;
+    private long endedAt = Long.MIN_VALUE;
+    private boolean unreadableSeen;
+
+    /** Returns the limit; empty if there is none. */
+    public Optional<Double> requestsPerSecond() {
+        return requestsPerSecond;
+    }
+
+    /** Applies the statement in the answer to a request that was sent at the given time. */
+    public LimitUpdate apply(LimitStatement statement, long requestSentAt, long now) {
+        return switch (statement) {
+            case LimitStatement.Missing missing -> new LimitUpdate.Unchanged();
+            case LimitStatement.Unlimited unlimited -> replace(Optional.empty(), requestSentAt, now);
+            case LimitStatement.Limited limited ->
+                replace(Optional.of(limited.requestsPerSecond()), requestSentAt, now);
+            case LimitStatement.Unreadable unreadable -> recordUnreadable(unreadable);
+        };
+    }
+
+    /** Applies what another entry knows. */
+    public LimitUpdate applyReported(StatedLimit reported, long now) {
+        return replace(reported.requestsPerSecond(), now - reported.age().toNanos(), now);
+    }
+
+    /** Returns the time since the request was sent whose answer stated the limit; empty if there is nothing to report. */
+    public Optional<Duration> reportableAge(long now) {
+        boolean recentlyEnded = endedAt != Long.MIN_VALUE && now - endedAt < END_REPORTED_NANOSECONDS;
+        return requestsPerSecond.isPresent() || recentlyEnded
+                ? Optional.of(Duration.ofNanos(now - statedToRequestSentAt))
+                : Optional.empty();
+    }
+
+    private LimitUpdate replace(Optional<Double> stated, long requestSentAt, long now) {
+        if (requestSentAt <= statedToRequestSentAt) {
+            return new LimitUpdate.Unchanged();
+        }
+        statedToRequestSentAt = requestSentAt;
+        if (stated.equals(requestsPerSecond)) {
+            return new LimitUpdate.Unchanged();
+        }
+        if (stated.isEmpty()) {
+            endedAt = now;
+        }
+        requestsPerSecond = stated;
+        return new LimitUpdate.Changed(stated);
+    }
+
+    private LimitUpdate recordUnreadable(LimitStatement.Unreadable unreadable) {
+        if (unreadableSeen) {
+            return new LimitUpdate.Unchanged();
+        }
+        unreadableSeen = true;
+        return new LimitUpdate.FirstUnreadable(unreadable.text(), requestsPerSecond);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitUpdate.java
@@ -0,0 +1,24 @@
+package org.aspenmoor.internal.serving.limit;
+
+import java.util.Optional;
+
+/** What a statement about a server's limit has changed. */
+public sealed interface LimitUpdate {
+    /** Nothing has changed. */
+    record Unchanged() implements LimitUpdate {}
+
+    /**
+     * The limit has changed.
+     *
+     * @param requestsPerSecond the new limit; empty if there is none any more
+     */
+    record Changed(Optional<Double> requestsPerSecond) implements LimitUpdate {}
+
+    /**
+     * The server has for the first time stated something that is not a limit.
+     *
+     * @param text what it states
+     * @param requestsPerSecond the limit that still holds; empty if there is none
+     */
+    record FirstUnreadable(String text, Optional<Double> requestsPerSecond) implements LimitUpdate {}
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -64,6 +64,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         new OrderStanding("two", true, 0),
                         true),
@@ -82,6 +83,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 new OrderStanding(entry, true, 0),
                 false);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
@@ -16,6 +16,7 @@
 import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -187,6 +188,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         new OrderStanding("another", true, 0),
                         false),
@@ -254,6 +256,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         new OrderStanding("another", true, 0),
                         false),
@@ -389,7 +392,7 @@
 
     private static PlacementPolicy policy(PeerLoads peerLoads, long seed) {
         PlacementSettings settings = new PlacementSettings(TestServers.DATA_CENTRE, SPEED, 0.42, 0.000_218);
-        return new PlacementPolicy(settings, peerLoads, new Random(seed));
+        return new PlacementPolicy(settings, peerLoads, new ServerLimits(), new Random(seed));
     }
 
     private static PlacementRequest plainRequest(Set<String> excludedServers) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -24,7 +25,8 @@
 
     @BeforeMethod
     public void createPolicy() {
-        policy = new PlacementPolicy(new PlacementSettings("here", SPEED, 0.42, 0), new PeerLoads(), new Random(1));
+        policy = new PlacementPolicy(
+                new PlacementSettings("here", SPEED, 0.42, 0), new PeerLoads(), new ServerLimits(), new Random(1));
         policy.serverChanged(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
         policy.serverChanged(TestServers.engine("leaving", EngineRole.DECODE), TestServers.CACHE_TOKENS);
         policy.serverChanged(TestServers.engine("staying", EngineRole.DECODE), TestServers.CACHE_TOKENS);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -312,6 +312,7 @@
                 state.eventSizes(),
                 state.pendingRoleChanges(),
                 fatalRequests.takeNextReport(),
+                state.statedLimits(),
                 usage.map(UsageTracker::status),
                 state.orderStanding(settings.process()),
                 gracefulStop.begun());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -96,6 +96,7 @@
         node.put("changing", summary.changingRole());
         node.put("paused", summary.paused());
         node.put("cachedTokens", summary.cachedTokens());
+        summary.requestLimit().ifPresent(limit -> node.put("requestsPerSecondLimit", limit));
     }
 
     private static String lowerCase(Enum<?> constant) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -29,6 +29,7 @@
 import org.aspenmoor.internal.serving.LearnedSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.usage.EntryUsage;
@@ -100,6 +101,7 @@
             List<EventSize> eventSizes,
             List<RoleChange> roleChanges,
             List<ServerTermination> terminations,
+            List<StatedLimit> limits,
             Optional<DutyStatus> duties,
             OrderStanding orderStanding,
             boolean leaving) {
@@ -114,6 +116,7 @@
                 eventSizes,
                 roleChanges,
                 terminations,
+                limits,
                 duties,
                 orderStanding,
                 leaving));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -18,6 +18,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
@@ -66,10 +67,36 @@
                         .setServer(change.server())
                         .setRole(change.role().ordinal())));
         report.serverTerminations().forEach(termination -> message.addEnds(serialise(termination)));
+        report.limits().forEach(limit -> message.addLimits(serialise(limit)));
         report.duties().ifPresent(status -> message.setDuty(serialise(status)));
         return message.build().toByteArray();
     }
 
+    private static PeerLoad.Limit serialise(StatedLimit limit) {
+        PeerLoad.Limit.Builder message = PeerLoad.Limit.newBuilder()
+                .setServer(limit.server())
+                .setStartedAt(limit.startedAt())
+                .setAgeMilliseconds((int) limit.age().toMillis());
+        limit.requestsPerSecond().ifPresent(message::setRequestsPerSecond);
+        return message.build();
+    }
+
+    private static List<StatedLimit> parseLimits(PeerLoad message) {
+        List<StatedLimit> limits = new ArrayList<>();
+        for (PeerLoad.Limit limit : message.getLimitsList()) {
+            Optional<Double> requestsPerSecond =
+                    limit.hasRequestsPerSecond() ? Optional.of(limit.getRequestsPerSecond()) : Optional.empty();
+            boolean usable = requestsPerSecond
+                    .filter(rate -> !Double.isFinite(rate) || rate < 0)
+                    .isEmpty();
+            if (usable) {
+                Duration age = Duration.ofMillis(Integer.toUnsignedLong(limit.getAgeMilliseconds()));
+                limits.add(new StatedLimit(limit.getServer(), limit.getStartedAt(), requestsPerSecond, age));
+            }
+        }
+        return limits;
+    }
+
     private static PeerLoad.Duty serialise(DutyStatus status) {
         return PeerLoad.Duty.newBuilder()
                 .setEligible(status.eligible())
@@ -189,6 +216,7 @@
                 parseEventSizes(message),
                 parseRoleChanges(message),
                 parseTerminations(message),
+                parseLimits(message),
                 parseDuties(message),
                 new OrderStanding(message.getEntry(), !message.getStoreUnreachable(), message.getOrderFencingNumber()),
                 message.getLeaving()));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.serving.ReportedLoad;
+import org.aspenmoor.internal.serving.limit.LimitStatement;
 
 /**
  * Metadata that a backend server sends in the head of an answer.
@@ -11,6 +12,7 @@
  * @param signed whether the answer carries the server's signature
  * @param notExecuted whether the server states that it has not executed the request and will not execute it
  * @param load the load that the server reports
+ * @param limit what the server states about the requests that it takes from all entries together
  * @param idleTimeout how long the server keeps an idle connection open
  */
 public record AnswerMetadata(
@@ -18,4 +20,5 @@
         boolean signed,
         boolean notExecuted,
         Optional<ReportedLoad> load,
+        LimitStatement limit,
         Optional<Duration> idleTimeout) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -99,6 +99,15 @@
                                 summary.server().id(),
                                 summary.server().role().name())))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_request_limit")
+                .help("Requests per second that a backend server takes from all entries together, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> summary.requestLimit()
+                                .ifPresent(limit ->
+                                        callback.call(limit, summary.server().id()))))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_event_seconds")
                 .help("Seconds from one event of an answer to the next, of all entries, by server.")
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -39,6 +39,9 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.limit.LimitStatement;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
+import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The state of one entry process: configuration, servers, peers and retry budgets. Confined to the event loop. */
@@ -52,9 +55,11 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
+    private final LimitLog limitLog;
     private final BackendDirectory directory = new BackendDirectory();
     private final PlacementPolicy placementPolicy;
     private final PeerLoads peers;
+    private final ServerLimits limits = new ServerLimits();
     private final Set<String> listedIncarnations = new HashSet<>();
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
@@ -77,8 +82,9 @@
         this.retrySettings = retrySettings;
         this.lastRequestAt = time.monotonicNanos() - IDLE_AFTER.toNanos();
         this.log = log;
+        this.limitLog = new LimitLog(log);
         this.peers = new PeerLoads();
-        this.placementPolicy = new PlacementPolicy(placementSettings, peers, random);
+        this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
     }
 
     /** Applies changed settings. */
@@ -190,6 +196,8 @@
         report.speeds().forEach(placementPolicy::speedReceived);
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
+        report.limits()
+                .forEach(limit -> limitLog.reported(limit.server(), report.entry(), limits.reported(limit, now)));
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -227,6 +235,11 @@
         return placementPolicy.eventSizes();
     }
 
+    /** Returns the limits of servers, to be reported to the other entries. */
+    public List<StatedLimit> statedLimits() {
+        return limits.toReport(time.monotonicNanos());
+    }
+
     /** Removes entries whose last report is too old. */
     public void expirePeers(long now) {
         peers.expire(now);
@@ -370,6 +383,12 @@
         }
     }
 
+    /** Records what the answer to an attempt states about its server's limit. */
+    void limitStated(AssignedWork work, LimitStatement statement) {
+        limitLog.stated(
+                work.server(), limits.stated(work.server(), statement, work.startedAtNanos(), time.monotonicNanos()));
+    }
+
     /** Returns whether this incarnation of the server is registered as ready. */
     boolean acceptsWork(BackendServer server) {
         return directory
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -32,6 +32,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
@@ -63,6 +64,10 @@
             Duration.ofMillis(250),
             true));
 
+    private static final List<StatedLimit> LIMITS = List.of(
+            new StatedLimit("limited", 1_786_504_654_297L, Optional.of(5.5), Duration.ofMillis(40)),
+            new StatedLimit("free", 1_786_504_654_298L, Optional.empty(), Duration.ofMillis(900)));
+
     private static final Optional<DutyStatus> DUTIES =
             Optional.of(new DutyStatus(true, false, 353_445_120L, 1_786_504_654_297L));
 
@@ -88,7 +93,19 @@
     @Test
     public void should_restore_a_report_when_parsing_its_serialised_form() throws Exception {
         PeerReport report = new PeerReport(
-                "entry-1", 7, 9, SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, DUTIES, STANDING, false);
+                "entry-1",
+                7,
+                9,
+                SHARES,
+                PROMPTS,
+                SPEEDS,
+                LENGTHS,
+                CHANGES,
+                TERMINATIONS,
+                LIMITS,
+                DUTIES,
+                STANDING,
+                false);
 
         assertEquals(PeerReportCodec.parse(PeerLoad.parseFrom(PeerReportCodec.serialise(report))), Optional.of(report));
     }
@@ -111,7 +128,7 @@
                 .sync();
         group.next()
                 .submit(() -> newEntry.sendReport(
-                        SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, DUTIES, STANDING, false))
+                        SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, LIMITS, DUTIES, STANDING, false))
                 .sync();
 
         PeerReport received = receivedByOld.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
@@ -127,6 +144,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         STANDING,
                         true))
@@ -149,6 +167,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 new OrderStanding("two", true, 0),
                 false));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -29,6 +29,7 @@
 import org.aspenmoor.internal.organisation.PresentedKey;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
+import org.aspenmoor.internal.serving.limit.LimitStatement;
 import org.aspenmoor.internal.usage.UsageReport;
 
 /** A minimal set of headers with the values that a gateway needs. */
@@ -104,6 +105,7 @@
                 head.headers().contains(SIGNED),
                 head.headers().contains(NOT_EXECUTED),
                 Optional.empty(),
+                new LimitStatement.Unlimited(),
                 Optional.empty());
     }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -39,6 +39,7 @@
     changes_ = java.util.Collections.emptyList();
     lengths_ = java.util.Collections.emptyList();
     ends_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -7408,6 +7409,852 @@
 
   }
 
+  public interface LimitOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Limit)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    long getStartedAt();
+
+    /**
+     * <pre>
+     * Absent if the server has stated that there is no limit any more.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 3;</code>
+     * @return Whether the requestsPerSecond field is set.
+     */
+    boolean hasRequestsPerSecond();
+    /**
+     * <pre>
+     * Absent if the server has stated that there is no limit any more.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 3;</code>
+     * @return The requestsPerSecond.
+     */
+    double getRequestsPerSecond();
+
+    /**
+     * <pre>
+     * Time since the request was sent whose answer stated it.
+     * </pre>
+     *
+     * <code>uint32 age_milliseconds = 4;</code>
+     * @return The ageMilliseconds.
+     */
+    int getAgeMilliseconds();
+  }
+  /**
+   * <pre>
+   * The limit that a server has stated for the requests of all entries together.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Limit}
+   */
+  public static final class Limit extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Limit)
+      LimitOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Limit");
+    }
+    // Use Limit.newBuilder() to construct.
+    private Limit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Limit() {
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Limit.class, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int STARTED_AT_FIELD_NUMBER = 2;
+    private long startedAt_ = 0L;
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    @java.lang.Override
+    public long getStartedAt() {
+      return startedAt_;
+    }
+
+    public static final int REQUESTS_PER_SECOND_FIELD_NUMBER = 3;
+    private double requestsPerSecond_ = 0D;
+    /**
+     * <pre>
+     * Absent if the server has stated that there is no limit any more.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 3;</code>
+     * @return Whether the requestsPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasRequestsPerSecond() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the server has stated that there is no limit any more.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 3;</code>
+     * @return The requestsPerSecond.
+     */
+    @java.lang.Override
+    public double getRequestsPerSecond() {
+      return requestsPerSecond_;
+    }
+
+    public static final int AGE_MILLISECONDS_FIELD_NUMBER = 4;
+    private int ageMilliseconds_ = 0;
+    /**
+     * <pre>
+     * Time since the request was sent whose answer stated it.
+     * </pre>
+     *
+     * <code>uint32 age_milliseconds = 4;</code>
+     * @return The ageMilliseconds.
+     */
+    @java.lang.Override
+    public int getAgeMilliseconds() {
+      return ageMilliseconds_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      if (startedAt_ != 0L) {
+        output.writeFixed64(2, startedAt_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeDouble(3, requestsPerSecond_);
+      }
+      if (ageMilliseconds_ != 0) {
+        output.writeUInt32(4, ageMilliseconds_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      if (startedAt_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, startedAt_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(3, requestsPerSecond_);
+      }
+      if (ageMilliseconds_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, ageMilliseconds_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Limit)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Limit other = (org.aspenmoor.internal.wire.v1.PeerLoad.Limit) obj;
+
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getStartedAt()
+          != other.getStartedAt()) return false;
+      if (hasRequestsPerSecond() != other.hasRequestsPerSecond()) return false;
+      if (hasRequestsPerSecond()) {
+        if (java.lang.Double.doubleToLongBits(getRequestsPerSecond())
+            != java.lang.Double.doubleToLongBits(
+                other.getRequestsPerSecond())) return false;
+      }
+      if (getAgeMilliseconds()
+          != other.getAgeMilliseconds()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + STARTED_AT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartedAt());
+      if (hasRequestsPerSecond()) {
+        hash = (37 * hash) + REQUESTS_PER_SECOND_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            java.lang.Double.doubleToLongBits(getRequestsPerSecond()));
+      }
+      hash = (37 * hash) + AGE_MILLISECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMilliseconds();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Limit prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The limit that a server has stated for the requests of all entries together.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Limit}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Limit)
+        org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Limit.class, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Limit.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        startedAt_ = 0L;
+        requestsPerSecond_ = 0D;
+        ageMilliseconds_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Limit build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Limit buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit result = new org.aspenmoor.internal.wire.v1.PeerLoad.Limit(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Limit result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.startedAt_ = startedAt_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.requestsPerSecond_ = requestsPerSecond_;
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMilliseconds_ = ageMilliseconds_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Limit) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Limit)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Limit other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getStartedAt() != 0L) {
+          setStartedAt(other.getStartedAt());
+        }
+        if (other.hasRequestsPerSecond()) {
+          setRequestsPerSecond(other.getRequestsPerSecond());
+        }
+        if (other.getAgeMilliseconds() != 0) {
+          setAgeMilliseconds(other.getAgeMilliseconds());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                startedAt_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 25: {
+                requestsPerSecond_ = input.readDouble();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 32: {
+                ageMilliseconds_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long startedAt_ ;
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return The startedAt.
+       */
+      @java.lang.Override
+      public long getStartedAt() {
+        return startedAt_;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @param value The startedAt to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartedAt(long value) {
+
+        startedAt_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartedAt() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startedAt_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private double requestsPerSecond_ ;
+      /**
+       * <pre>
+       * Absent if the server has stated that there is no limit any more.
+       * </pre>
+       *
+       * <code>optional double requests_per_second = 3;</code>
+       * @return Whether the requestsPerSecond field is set.
+       */
+      @java.lang.Override
+      public boolean hasRequestsPerSecond() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if the server has stated that there is no limit any more.
+       * </pre>
+       *
+       * <code>optional double requests_per_second = 3;</code>
+       * @return The requestsPerSecond.
+       */
+      @java.lang.Override
+      public double getRequestsPerSecond() {
+        return requestsPerSecond_;
+      }
+      /**
+       * <pre>
+       * Absent if the server has stated that there is no limit any more.
+       * </pre>
+       *
+       * <code>optional double requests_per_second = 3;</code>
+       * @param value The requestsPerSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestsPerSecond(double value) {
+
+        requestsPerSecond_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the server has stated that there is no limit any more.
+       * </pre>
+       *
+       * <code>optional double requests_per_second = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequestsPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        requestsPerSecond_ = 0D;
+        onChanged();
+        return this;
+      }
+
+      private int ageMilliseconds_ ;
+      /**
+       * <pre>
+       * Time since the request was sent whose answer stated it.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @return The ageMilliseconds.
+       */
+      @java.lang.Override
+      public int getAgeMilliseconds() {
+        return ageMilliseconds_;
+      }
+      /**
+       * <pre>
+       * Time since the request was sent whose answer stated it.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @param value The ageMilliseconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMilliseconds(int value) {
+
+        ageMilliseconds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the request was sent whose answer stated it.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMilliseconds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMilliseconds_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Limit)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Limit)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Limit DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Limit();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Limit getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Limit>
+        PARSER = new com.google.protobuf.AbstractParser<Limit>() {
+      @java.lang.Override
+      public Limit parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Limit> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Limit> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   private int bitField0_;
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
@@ -7844,6 +8691,47 @@
     return orderFencingNumber_;
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -7897,6 +8785,9 @@
     if (storeUnreachable_ != false) {
       output.writeBool(13, storeUnreachable_);
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(14, limits_.get(i));
+    }
     if (orderFencingNumber_ != 0L) {
       output.writeInt64(15, orderFencingNumber_);
     }
@@ -7985,6 +8876,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, storeUnreachable_);
     }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     if (orderFencingNumber_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(15, orderFencingNumber_);
@@ -8047,6 +8947,8 @@
         != other.getStoreUnreachable()) return false;
     if (getOrderFencingNumber()
         != other.getOrderFencingNumber()) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -8107,6 +9009,10 @@
     hash = (37 * hash) + ORDER_FENCING_NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOrderFencingNumber());
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -8249,6 +9155,7 @@
         internalGetEndsFieldBuilder();
         internalGetDutyFieldBuilder();
         internalGetUsageFieldBuilder();
+        internalGetLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -8313,6 +9220,13 @@
       }
       storeUnreachable_ = false;
       orderFencingNumber_ = 0L;
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
       return this;
     }
 
@@ -8400,6 +9314,15 @@
       } else {
         result.ends_ = endsBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
@@ -8632,6 +9555,32 @@
       if (other.getOrderFencingNumber() != 0L) {
         setOrderFencingNumber(other.getOrderFencingNumber());
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -8773,6 +9722,19 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Limit m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Limit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
             case 120: {
               orderFencingNumber_ = input.readInt64();
               bitField0_ |= 0x00002000;
@@ -10813,6 +11775,240 @@
       return this;
     }
 
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        limits_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Limit>(limits_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder addLimits(org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder addLimits(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Limit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -268,4 +268,28 @@
    * @return The orderFencingNumber.
    */
   long getOrderFencingNumber();
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> 
+      getLimitsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
