--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -0,0 +1,282 @@
+package org.aspenmoor.internal.serving.limit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.aspenmoor.internal.duty.OrderStanding;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.serving.AssignedWork;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.Placement;
+import org.aspenmoor.internal.serving.PlacementPolicy;
+import org.aspenmoor.internal.serving.PlacementRequest;
+import org.aspenmoor.internal.serving.PlacementSettings;
+import org.aspenmoor.internal.serving.WorkKind;
+
+/**
+ * Entries that place requests on plain servers, some of which state a limit for a while. Reports among the entries get
+ * lost and late; entries are killed and suspended. Seeded, with a manual clock; times are in nanoseconds.
+ */
+final class LimitSimulation {
+    static final long MILLISECOND = Duration.ofMillis(1).toNanos();
+    static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private static final String SERVICE = "plain";
+    private static final Duration OBJECTIVE = Duration.ofMillis(150);
+    private static final long NETWORK = MILLISECOND;
+    private static final long WORK = 25 * MILLISECOND;
+    private static final int MAX_CALLER_ATTEMPTS = 2;
+
+    private final LimitScenario scenario;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private long now = SECOND;
+    private long eventCount;
+    private int asked;
+    private int served;
+
+    LimitSimulation(LimitScenario scenario, long seed) {
+        this.scenario = scenario;
+        this.random = new SplittableRandom(seed);
+        for (int index = 0; index < scenario.servers(); index++) {
+            servers.add(server(index, 1));
+        }
+        for (int index = 0; index < scenario.entries(); index++) {
+            entries.add(new Entry("entry-" + (char) ('A' + index)));
+        }
+    }
+
+    /** Plays the scenario. */
+    LimitSimulation run() {
+        entries.forEach(Entry::start);
+        scheduleArrival();
+        scenario.suspended().forEach(entry -> {
+            at(scenario.faultAt(), () -> entries.get(entry).suspended = true);
+            at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).suspended = false);
+        });
+        scenario.killed().forEach(entry -> {
+            at(scenario.faultAt(), () -> entries.get(entry).alive = false);
+            at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).start());
+        });
+        while (!events.isEmpty() && events.peek().at() < scenario.until()) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+        return this;
+    }
+
+    /** Returns the most requests that a server got within four seconds from entries that it had told of its limit. */
+    int mostInFourSeconds(String server) {
+        List<Long> counted = arrivals.stream()
+                .filter(arrival -> arrival.server().equals(server) && arrival.countsForLimit())
+                .map(Arrival::at)
+                .filter(at -> at < scenario.limitUntil())
+                .toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < counted.size(); last++) {
+            while (counted.get(last) - counted.get(first) > 4 * SECOND) {
+                first++;
+            }
+            if (counted.get(last) >= scenario.limitFrom() + 3 * SECOND) {
+                most = Math.max(most, last - first + 1);
+            }
+        }
+        return most;
+    }
+
+    /** Returns the requests a second that a server got in a span, from all entries. */
+    double perSecond(String server, long from, long until) {
+        long count = arrivals.stream()
+                .filter(arrival -> arrival.server().equals(server) && arrival.at() >= from && arrival.at() < until)
+                .count();
+        return count * (double) SECOND / (until - from);
+    }
+
+    /** Returns the part of the callers that were served. */
+    double servedFraction() {
+        return (double) served / asked;
+    }
+
+    static String serverId(int index) {
+        return "server-" + index;
+    }
+
+    private BackendServer server(int index, long startedAt) {
+        return new BackendServer(
+                serverId(index),
+                startedAt,
+                SERVICE,
+                "127.0.0.1",
+                index,
+                "here",
+                6,
+                BackendState.READY,
+                EngineRole.WHOLE);
+    }
+
+    private void scheduleArrival() {
+        double seconds = -Math.log(1 - random.nextDouble()) / scenario.callersPerSecond();
+        at(now + (long) (seconds * SECOND), () -> {
+            asked++;
+            callAt(pickEntry(), 1);
+            scheduleArrival();
+        });
+    }
+
+    private Entry pickEntry() {
+        double position = Math.pow(random.nextDouble(), scenario.skew());
+        return entries.get((int) (position * entries.size()));
+    }
+
+    private void callAt(Entry entry, int attempt) {
+        if (!entry.alive || entry.suspended) {
+            return;
+        }
+        PlacementRequest request = new PlacementRequest(
+                SERVICE, Optional.empty(), Duration.ofSeconds(2), OBJECTIVE, false, Set.of(), false, false, false);
+        switch (entry.policy.choose(request, now)) {
+            case Placement.SingleServer single -> entry.send(single);
+            case Placement.Refused refused -> {
+                if (attempt < MAX_CALLER_ATTEMPTS) {
+                    at(now + refused.retryAfter().toNanos(), () -> callAt(pickEntry(), attempt + 1));
+                }
+            }
+            case Placement.Disaggregated disaggregated ->
+                throw new IllegalStateException("a plain service has no prompts");
+            case Placement.Queued queued -> throw new IllegalStateException("a plain request does not queue");
+        }
+    }
+
+    private LimitStatement statement(String server, long at) {
+        boolean limited =
+                scenario.limited().contains(server) && at >= scenario.limitFrom() && at < scenario.limitUntil();
+        return limited ? new LimitStatement.Limited(scenario.limit()) : new LimitStatement.Unlimited();
+    }
+
+    private void at(long time, Runnable action) {
+        events.add(new Event(time, eventCount++, action));
+    }
+
+    private record Event(long at, long number, Runnable action) {}
+
+    private record Arrival(String server, long at, boolean countsForLimit) {}
+
+    /** An entry; its state is new with each start. */
+    private final class Entry {
+        private final String name;
+        private final Map<String, Long> toldAt = new HashMap<>();
+        private PeerLoads peers;
+        private ServerLimits limits;
+        private PlacementPolicy policy;
+        private boolean alive;
+        private boolean suspended;
+        private long incarnation;
+        private long reports;
+
+        Entry(String name) {
+            this.name = name;
+        }
+
+        void start() {
+            alive = true;
+            incarnation++;
+            toldAt.clear();
+            peers = new PeerLoads();
+            limits = new ServerLimits();
+            policy = new PlacementPolicy(
+                    new PlacementSettings("here", EngineSpeed.defaults(), 0.5, 0),
+                    peers,
+                    limits,
+                    new Random(random.nextLong()));
+            servers.forEach(server -> policy.serverChanged(server, 0));
+            long started = incarnation;
+            at(now + random.nextLong(100 * MILLISECOND), () -> report(started));
+        }
+
+        private void report(long reportingIncarnation) {
+            if (!alive || reportingIncarnation != incarnation) {
+                return;
+            }
+            if (!suspended) {
+                reports++;
+                PeerReport report = new PeerReport(
+                        name,
+                        incarnation,
+                        reports,
+                        policy.ownLoads(now),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        limits.toReport(now),
+                        Optional.empty(),
+                        new OrderStanding(name, true, 0),
+                        false);
+                entries.stream().filter(other -> other != this).forEach(other -> deliver(report, other));
+                peers.expire(now);
+            }
+            long interval = Math.max(100, 10L * (entries.size() - 1)) * MILLISECOND;
+            at(now + interval, () -> report(reportingIncarnation));
+        }
+
+        private void deliver(PeerReport report, Entry receiver) {
+            if (random.nextDouble() < scenario.lostReports()) {
+                return;
+            }
+            boolean late = random.nextDouble() < scenario.lostReports();
+            long delay = NETWORK + (late ? random.nextLong(300 * MILLISECOND) : 0);
+            at(now + delay, () -> {
+                if (receiver.alive && !receiver.suspended) {
+                    receiver.peers.receive(report, now);
+                    report.limits().forEach(limit -> receiver.limits.reported(limit, now));
+                }
+            });
+        }
+
+        private void send(Placement.SingleServer placement) {
+            BackendServer server = placement.server();
+            AssignedWork work =
+                    policy.attemptStarted(server, WorkKind.PLAIN, placement.promptSeconds(), OBJECTIVE, now);
+            long told = toldAt.getOrDefault(server.id(), Long.MAX_VALUE);
+            long arrivesAt = now + NETWORK;
+            boolean counts = told != Long.MAX_VALUE && told + SECOND / 2 <= arrivesAt;
+            arrivals.add(new Arrival(server.id(), arrivesAt, counts));
+            long sendingIncarnation = incarnation;
+            LimitStatement statement = statement(server.id(), arrivesAt + WORK);
+            at(arrivesAt + WORK + NETWORK, () -> {
+                if (alive && !suspended && incarnation == sendingIncarnation) {
+                    answered(work, statement);
+                }
+            });
+        }
+
+        private void answered(AssignedWork work, LimitStatement statement) {
+            served++;
+            limits.stated(work.server(), statement, work.startedAtNanos(), now);
+            policy.answerStarted(work, now);
+            policy.attemptEnded(work);
+            if (statement instanceof LimitStatement.Limited) {
+                toldAt.putIfAbsent(work.server(), now);
+            }
+        }
+    }
+}
