Share the limit that a server states among all entries

What callers saw: a server that had stated a limit of 5.3 requests a second got 44 and 51 within 4 s from entries that it had told; 37 are allowed. Cause: no entry read the limit, and an entry that followed it alone would have been one of eight to do so. Why this works: entries report their demand with the limit, ten times a second, and each calculates the same shares from the claims. A share is a bucket of one request that starts with less than one. On a large fleet the buckets alone would sum past what a server tolerates (34 of 35 for a limit of 5), so only as many entries have a share as it tolerates, those with the most demand. An entry that hears of no other takes the share of one among the assumed number. A server whose share is used up is left out of every choice; if no other can answer, the request is refused at once with the time until the next one. Calls that are no attempts (reports, orders, lists of caches, freed caches) count too.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.bench.policy.engine.EventLoop;
 import org.aspenmoor.internal.bench.replay.engine.EngineJob;
@@ -59,7 +60,11 @@
         this.disabled = disabled;
         this.callerListener = callerListener;
         this.random = random;
-        this.placementPolicy = new PlacementPolicy(settings, peerLoads, new ServerLimits(), random);
+        this.placementPolicy = new PlacementPolicy(
+                settings,
+                peerLoads,
+                new ServerLimits(() -> peerLoads.activePeers() + 1, new SplittableRandom(0)),
+                random);
     }
 
     /** Serves an attempt of a caller. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -45,6 +45,7 @@
     private final Map<String, PromptLoadMeter> promptLoadMeters = new HashMap<>();
     private final PeerLoads peerLoads;
     private final ServerLimits limits;
+    private final LimitFilter limitFilter;
     private final List<AssignedPrompt> unreportedPrompts = new ArrayList<>();
     private ServerRanking ranking;
 
@@ -52,6 +53,7 @@
             PlacementSettings settings, PeerLoads peerLoads, ServerLimits limits, RandomGenerator random) {
         this.peerLoads = peerLoads;
         this.limits = limits;
+        this.limitFilter = new LimitFilter(limits);
         this.random = random;
         reload(settings);
     }
@@ -85,15 +87,17 @@
 
     /** Chooses where a request runs. */
     public Placement choose(PlacementRequest request, long now) {
-        List<ServerEstimate> usable = usableServers(request, now);
+        List<ServerEstimate> available = availableServers(request, now);
+        List<ServerEstimate> usable = limitFilter.withinLimits(available, now);
         if (usable.isEmpty()) {
-            return new Placement.Refused(
-                    "no backend server of service " + request.service() + " is available",
-                    ServerRanking.NO_SERVER_RETRY_AFTER);
+            return limitFilter.refuse(request.service(), available, now);
         }
         Placement best = request.prompt().isPresent()
                 ? ranking.chooseEngines(request, request.prompt().get(), usable, now)
                 : ranking.choosePlainServer(usable, now);
+        if (best instanceof Placement.Refused && usable.size() < available.size()) {
+            return limitFilter.refuse(request.service(), available, now);
+        }
         boolean speedUnknown = request.prompt().isPresent() && !speedKnown(best);
         return speedUnknown ? best : QueueLimit.applyTo(best, request);
     }
@@ -116,7 +120,8 @@
      */
     public Optional<BackendServer> chooseDecodeEngine(PlacementRequest request, BackendServer prefill, long now) {
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
-        return ranking.leastBusyDecodeEngine(usableServers(request, now), tokens, prefill.dataCentre(), now)
+        List<ServerEstimate> usable = limitFilter.withinLimits(availableServers(request, now), now);
+        return ranking.leastBusyDecodeEngine(usable, tokens, prefill.dataCentre(), now)
                 .map(ServerEstimate::server);
     }
 
@@ -128,6 +133,7 @@
      */
     public AssignedWork attemptStarted(
             BackendServer server, WorkKind kind, double workSeconds, Duration objective, long now) {
+        limits.sent(server.id(), now);
         double toleratedWaitSeconds = EntryQueueing.toleratedWaitSeconds(objective);
         ServerEstimate estimate = estimates.get(server.id());
         if (estimate == null) {
@@ -402,7 +408,7 @@
         }
     }
 
-    private List<ServerEstimate> usableServers(PlacementRequest request, long now) {
+    private List<ServerEstimate> availableServers(PlacementRequest request, long now) {
         List<ServerEstimate> usable = new ArrayList<>();
         for (ServerEstimate estimate : estimates.values()) {
             BackendServer server = estimate.server();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
@@ -1,23 +1,43 @@
 package org.aspenmoor.internal.serving.limit;
 
+import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.serving.BackendServer;
 
 /**
- * The limits that servers have stated for the requests of all entries together. Confined to one thread; times are
- * nanoseconds of the monotonic clock.
+ * The limits that servers have stated for the requests of all entries together, and this entry's shares of them.
+ * Confined to one thread; times are nanoseconds of the monotonic clock.
+ *
+ * <p>If each entry followed a limit by itself, a server that can take five requests a second would get five from each
+ * entry.
  */
 public final class ServerLimits {
+    private final IntSupplier entries;
+    private final RandomGenerator random;
     private final Map<String, LimitedServer> servers = new HashMap<>();
+    private final Map<String, DemandMeter> demands = new HashMap<>();
+
+    /**
+     * Creates an instance that knows no limit.
+     *
+     * @param entries returns how many entries share the limits
+     */
+    public ServerLimits(IntSupplier entries, RandomGenerator random) {
+        this.entries = entries;
+        this.random = random;
+    }
 
     /** Adds or updates a server. A new incarnation has stated nothing yet. */
     public void serverChanged(BackendServer server) {
         LimitedServer known = servers.get(server.id());
-        if (known == null || !known.server.sameIncarnation(server)) {
-            servers.put(server.id(), new LimitedServer(server));
+        if (known == null || !known.server().sameIncarnation(server)) {
+            servers.put(server.id(), new LimitedServer(server, random.nextLong()));
         }
     }
 
@@ -28,40 +48,89 @@
 
     /** Records what the answer to a request that was sent at the given time states about the limit of its server. */
     public LimitUpdate stated(String server, LimitStatement statement, long requestSentAt, long now) {
-        LimitedServer known = servers.get(server);
-        return known == null ? new LimitUpdate.Unchanged() : known.limit.apply(statement, requestSentAt, now);
+        return find(server)
+                .map(known -> started(known, known.limit().apply(statement, requestSentAt, now), now))
+                .orElseGet(LimitUpdate.Unchanged::new);
     }
 
-    /** Applies a limit that another entry reports. */
-    public LimitUpdate reported(StatedLimit reported, long now) {
-        LimitedServer known = servers.get(reported.server());
-        boolean sameIncarnation = known != null && known.server.startedAt() == reported.startedAt();
-        return sameIncarnation ? known.limit.applyReported(reported, now) : new LimitUpdate.Unchanged();
+    /** Applies what another entry reports of a server's limit. */
+    public LimitUpdate reported(String entry, StatedLimit reported, long now) {
+        Optional<LimitedServer> known =
+                find(reported.server()).filter(server -> server.server().startedAt() == reported.startedAt());
+        known.ifPresent(server -> server.claimReported(entry, reported, now));
+        return known.map(server -> started(server, server.limit().applyReported(reported, now), now))
+                .orElseGet(LimitUpdate.Unchanged::new);
     }
 
     /** Returns what to report to the other entries. */
     public List<StatedLimit> toReport(long now) {
         return servers.values().stream()
-                .flatMap(known -> known.toReport(now).stream())
+                .flatMap(known -> known.toReport(demand(known.server().service(), now), now).stream())
                 .toList();
     }
 
     /** Returns the requests per second that a server takes from all entries together; empty if it states no limit. */
     public Optional<Double> requestsPerSecond(String server) {
-        return Optional.ofNullable(servers.get(server)).flatMap(known -> known.limit.requestsPerSecond());
+        return find(server).flatMap(known -> known.limit().requestsPerSecond());
     }
 
-    private static final class LimitedServer {
-        private final BackendServer server;
-        private final KnownLimit limit = new KnownLimit();
+    /** Returns whether this entry may send a request to a server now. */
+    public boolean maySend(String server, long now) {
+        return find(server)
+                .flatMap(known -> known.limit().requestsPerSecond().map(limit -> {
+                    known.bucket().refill(share(known, limit, now), now);
+                    return known.bucket().maySend();
+                }))
+                .orElse(true);
+    }
 
-        LimitedServer(BackendServer server) {
-            this.server = server;
-        }
+    /** Records a request or another call that this entry sends to a server. */
+    public void sent(String server, long now) {
+        find(server).ifPresent(known -> {
+            demandMeter(known.server().service()).add(now);
+            known.limit().requestsPerSecond().ifPresent(limit -> {
+                known.bucket().refill(share(known, limit, now), now);
+                known.bucket().take();
+            });
+        });
+    }
+
+    /** Records a request that is refused because of limits. */
+    public void refused(String service, long now) {
+        demandMeter(service).add(now);
+    }
+
+    /** Returns the shortest time until this entry may send a request to one of the servers; empty if it may to none. */
+    public Optional<Duration> untilNext(Collection<String> ids, long now) {
+        return ids.stream()
+                .flatMap(id -> find(id).stream())
+                .flatMap(known -> known.limit().requestsPerSecond().stream()
+                        .flatMap(limit -> known.bucket().untilAvailable(share(known, limit, now)).stream()))
+                .min(Duration::compareTo);
+    }
 
-        Optional<StatedLimit> toReport(long now) {
-            return limit.reportableAge(now)
-                    .map(age -> new StatedLimit(server.id(), server.startedAt(), limit.requestsPerSecond(), age));
+    private LimitUpdate started(LimitedServer known, LimitUpdate update, long now) {
+        if (update instanceof LimitUpdate.Changed changed
+                && changed.requestsPerSecond().isPresent()) {
+            known.startBucket(random.nextDouble(), now);
         }
+        return update;
+    }
+
+    private double share(LimitedServer known, double limit, long now) {
+        ShareClaim own = known.claim(demand(known.server().service(), now));
+        return LimitShare.requestsPerSecond(limit, own, known.reportedClaims(now), entries.getAsInt());
+    }
+
+    private double demand(String service, long now) {
+        return demandMeter(service).perSecond(now);
+    }
+
+    private DemandMeter demandMeter(String service) {
+        return demands.computeIfAbsent(service, unseen -> new DemandMeter());
+    }
+
+    private Optional<LimitedServer> find(String server) {
+        return Optional.ofNullable(servers.get(server));
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/StatedLimit.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/StatedLimit.java
@@ -10,5 +10,7 @@
  * @param startedAt start time of its incarnation, in milliseconds since 1970
  * @param requestsPerSecond the limit; empty if the server has stated that there is none any more
  * @param age time since the request was sent whose answer stated it
+ * @param share what the entry claims of the limit
  */
-public record StatedLimit(String server, long startedAt, Optional<Double> requestsPerSecond, Duration age) {}
+public record StatedLimit(
+        String server, long startedAt, Optional<Double> requestsPerSecond, Duration age, ShareClaim share) {}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
@@ -392,7 +392,7 @@
 
     private static PlacementPolicy policy(PeerLoads peerLoads, long seed) {
         PlacementSettings settings = new PlacementSettings(TestServers.DATA_CENTRE, SPEED, 0.42, 0.000_218);
-        return new PlacementPolicy(settings, peerLoads, new ServerLimits(), new Random(seed));
+        return new PlacementPolicy(settings, peerLoads, new ServerLimits(() -> 1, new Random(1)), new Random(seed));
     }
 
     private static PlacementRequest plainRequest(Set<String> excludedServers) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
@@ -26,7 +26,10 @@
     @BeforeMethod
     public void createPolicy() {
         policy = new PlacementPolicy(
-                new PlacementSettings("here", SPEED, 0.42, 0), new PeerLoads(), new ServerLimits(), new Random(1));
+                new PlacementSettings("here", SPEED, 0.42, 0),
+                new PeerLoads(),
+                new ServerLimits(() -> 1, new Random(1)),
+                new Random(1));
         policy.serverChanged(TestServers.engine("prefill", EngineRole.PREFILL), TestServers.CACHE_TOKENS);
         policy.serverChanged(TestServers.engine("leaving", EngineRole.DECODE), TestServers.CACHE_TOKENS);
         policy.serverChanged(TestServers.engine("staying", EngineRole.DECODE), TestServers.CACHE_TOKENS);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
@@ -78,6 +78,6 @@
     }
 
     private static StatedLimit reported(Optional<Double> requestsPerSecond, Duration age) {
-        return new StatedLimit("server", 1, requestsPerSecond, age);
+        return new StatedLimit("server", 1, requestsPerSecond, age, new ShareClaim(1, 0, 1));
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitScenario.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitScenario.java
@@ -44,7 +44,7 @@
                 limit,
                 5 * SECOND,
                 30 * SECOND,
-                36 * SECOND,
+                42 * SECOND,
                 90,
                 1,
                 0,
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -39,6 +39,9 @@
     private static final long WORK = 25 * MILLISECOND;
     private static final int MAX_CALLER_ATTEMPTS = 2;
 
+    /** Number of entries that an entry assumes while it hears of no other. */
+    private static final int ASSUMED_ENTRIES = 16;
+
     private final LimitScenario scenario;
     private final SplittableRandom random;
     private final PriorityQueue<Event> events =
@@ -200,7 +203,9 @@
             incarnation++;
             toldAt.clear();
             peers = new PeerLoads();
-            limits = new ServerLimits();
+            limits = new ServerLimits(
+                    () -> peers.activePeers() == 0 ? ASSUMED_ENTRIES : peers.activePeers() + 1,
+                    new Random(random.nextLong()));
             policy = new PlacementPolicy(
                     new PlacementSettings("here", EngineSpeed.defaults(), 0.5, 0),
                     peers,
@@ -247,7 +252,7 @@
             at(now + delay, () -> {
                 if (receiver.alive && !receiver.suspended) {
                     receiver.peers.receive(report, now);
-                    report.limits().forEach(limit -> receiver.limits.reported(limit, now));
+                    report.limits().forEach(limit -> receiver.limits.reported(name, limit, now));
                 }
             });
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -120,7 +120,8 @@
         this.backendProtocol = backendProtocol;
         this.dutyProtocol = dutyProtocol;
         this.state = new ServingState(time, random, settings.retries(), log, settings.placement());
-        this.connections = new BackendConnections(backendProtocol, eventLoop, time, state::maxConnectionsPerServer);
+        this.connections = new BackendConnections(
+                backendProtocol, eventLoop, time, state::maxConnectionsPerServer, state::callSent);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests = new FatalRequestTracker(time, log);
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
@@ -343,7 +344,7 @@
             }
             state.cacheListingReceived(engine, backendProtocol.readCacheList(cacheList.body()), time.monotonicNanos());
         });
-        connections.send(engine, "", backendProtocol.createCacheListRequest(engine.id()), collector);
+        connections.call(engine, backendProtocol.createCacheListRequest(engine.id()), collector);
     }
 
     private FullHttpResponse readinessAnswer() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.serving.BackendServer;
@@ -23,6 +24,7 @@
     private final Map<String, ServerConnectionPool> poolsByServer = new HashMap<>();
     private final ToIntFunction<String> maxOpenByService;
     private final ServerProbes probes;
+    private final Consumer<BackendServer> callListener;
     private long openedByRemovedPools;
 
     /**
@@ -30,9 +32,15 @@
      *
      * @param maxOpenByService returns the maximum number of open connections to one server, given the name of its
      *     service
+     * @param callListener notified of each call that is not an attempt of a request
      */
     public BackendConnections(
-            BackendProtocol protocol, EventLoop eventLoop, TimeSource time, ToIntFunction<String> maxOpenByService) {
+            BackendProtocol protocol,
+            EventLoop eventLoop,
+            TimeSource time,
+            ToIntFunction<String> maxOpenByService,
+            Consumer<BackendServer> callListener) {
+        this.callListener = callListener;
         this.maxOpenByService = maxOpenByService;
         this.protocol = protocol;
         this.eventLoop = eventLoop;
@@ -47,6 +55,12 @@
         return exchange;
     }
 
+    /** Sends a call that is not an attempt of a request, and takes ownership of its buffer. */
+    public void call(BackendServer server, FullHttpRequest call, ExchangeListener listener) {
+        callListener.accept(server);
+        send(server, "", call, listener);
+    }
+
     /** Checks whether a server whose connection broke has terminated, and notifies the listener of the result. */
     public void probe(BackendServer server, ServerProbes.Listener listener) {
         probes.probe(server, listener);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -18,6 +18,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.limit.ShareClaim;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
@@ -76,7 +77,10 @@
         PeerLoad.Limit.Builder message = PeerLoad.Limit.newBuilder()
                 .setServer(limit.server())
                 .setStartedAt(limit.startedAt())
-                .setAgeMilliseconds((int) limit.age().toMillis());
+                .setAgeMilliseconds((int) limit.age().toMillis())
+                .setDemand((float) limit.share().demand())
+                .setDemandClass(limit.share().demandClass())
+                .setTieBreak(limit.share().tieBreak());
         limit.requestsPerSecond().ifPresent(message::setRequestsPerSecond);
         return message.build();
     }
@@ -91,7 +95,8 @@
                     .isEmpty();
             if (usable) {
                 Duration age = Duration.ofMillis(Integer.toUnsignedLong(limit.getAgeMilliseconds()));
-                limits.add(new StatedLimit(limit.getServer(), limit.getStartedAt(), requestsPerSecond, age));
+                ShareClaim share = new ShareClaim(limit.getDemand(), limit.getDemandClass(), limit.getTieBreak());
+                limits.add(new StatedLimit(limit.getServer(), limit.getStartedAt(), requestsPerSecond, age, share));
             }
         }
         return limits;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefilledPrompt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefilledPrompt.java
@@ -18,6 +18,6 @@
                 .with("request", requestId)
                 .with("server", engine.id())
                 .write();
-        context.connections().send(engine, "", context.protocol().release(source), new IgnoringExchangeListener());
+        context.connections().call(engine, context.protocol().release(source), new IgnoringExchangeListener());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -59,7 +59,7 @@
     private final BackendDirectory directory = new BackendDirectory();
     private final PlacementPolicy placementPolicy;
     private final PeerLoads peers;
-    private final ServerLimits limits = new ServerLimits();
+    private final ServerLimits limits;
     private final Set<String> listedIncarnations = new HashSet<>();
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
@@ -84,6 +84,7 @@
         this.log = log;
         this.limitLog = new LimitLog(log);
         this.peers = new PeerLoads();
+        this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
     }
 
@@ -197,7 +198,8 @@
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
         report.limits()
-                .forEach(limit -> limitLog.reported(limit.server(), report.entry(), limits.reported(limit, now)));
+                .forEach(limit ->
+                        limitLog.reported(limit.server(), report.entry(), limits.reported(report.entry(), limit, now)));
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -235,6 +237,11 @@
         return placementPolicy.eventSizes();
     }
 
+    /** Records a call to a server that is not an attempt of a request; it counts for the server's limit. */
+    public void callSent(BackendServer server) {
+        limits.sent(server.id(), time.monotonicNanos());
+    }
+
     /** Returns the limits of servers, to be reported to the other entries. */
     public List<StatedLimit> statedLimits() {
         return limits.toReport(time.monotonicNanos());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
@@ -243,7 +243,7 @@
     private AnswerCollector.Answer call(BackendServer server, FullHttpRequest request)
             throws InterruptedException, ExecutionException, TimeoutException {
         AnswerCollector response = new AnswerCollector();
-        eventLoop.execute(() -> connections.send(server, "", request, response));
+        eventLoop.execute(() -> connections.call(server, request, response));
         return response.future().get(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -32,6 +32,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.limit.ShareClaim;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
@@ -65,8 +66,10 @@
             true));
 
     private static final List<StatedLimit> LIMITS = List.of(
-            new StatedLimit("limited", 1_786_504_654_297L, Optional.of(5.5), Duration.ofMillis(40)),
-            new StatedLimit("free", 1_786_504_654_298L, Optional.empty(), Duration.ofMillis(900)));
+            new StatedLimit(
+                    "limited", 1_786_504_654_297L, Optional.of(5.5), Duration.ofMillis(40), new ShareClaim(2.5, 1, -7)),
+            new StatedLimit(
+                    "free", 1_786_504_654_298L, Optional.empty(), Duration.ofMillis(900), new ShareClaim(0.5, -1, 8)));
 
     private static final Optional<DutyStatus> DUTIES =
             Optional.of(new DutyStatus(true, false, 353_445_120L, 1_786_504_654_297L));
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -7463,6 +7463,36 @@
      * @return The ageMilliseconds.
      */
     int getAgeMilliseconds();
+
+    /**
+     * <pre>
+     * The requests per second that the sender has for the server's service; shares of the limit are proportional to it.
+     * </pre>
+     *
+     * <code>float demand = 5;</code>
+     * @return The demand.
+     */
+    float getDemand();
+
+    /**
+     * <pre>
+     * The order of magnitude of the demand; entries with the highest have a share if not all can have one.
+     * </pre>
+     *
+     * <code>sint32 demand_class = 6;</code>
+     * @return The demandClass.
+     */
+    int getDemandClass();
+
+    /**
+     * <pre>
+     * Orders entries with demand of the same class; drawn at random by the sender for this server.
+     * </pre>
+     *
+     * <code>sfixed64 tie_break = 7;</code>
+     * @return The tieBreak.
+     */
+    long getTieBreak();
   }
   /**
    * <pre>
@@ -7608,6 +7638,51 @@
       return ageMilliseconds_;
     }
 
+    public static final int DEMAND_FIELD_NUMBER = 5;
+    private float demand_ = 0F;
+    /**
+     * <pre>
+     * The requests per second that the sender has for the server's service; shares of the limit are proportional to it.
+     * </pre>
+     *
+     * <code>float demand = 5;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public float getDemand() {
+      return demand_;
+    }
+
+    public static final int DEMAND_CLASS_FIELD_NUMBER = 6;
+    private int demandClass_ = 0;
+    /**
+     * <pre>
+     * The order of magnitude of the demand; entries with the highest have a share if not all can have one.
+     * </pre>
+     *
+     * <code>sint32 demand_class = 6;</code>
+     * @return The demandClass.
+     */
+    @java.lang.Override
+    public int getDemandClass() {
+      return demandClass_;
+    }
+
+    public static final int TIE_BREAK_FIELD_NUMBER = 7;
+    private long tieBreak_ = 0L;
+    /**
+     * <pre>
+     * Orders entries with demand of the same class; drawn at random by the sender for this server.
+     * </pre>
+     *
+     * <code>sfixed64 tie_break = 7;</code>
+     * @return The tieBreak.
+     */
+    @java.lang.Override
+    public long getTieBreak() {
+      return tieBreak_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -7634,6 +7709,15 @@
       if (ageMilliseconds_ != 0) {
         output.writeUInt32(4, ageMilliseconds_);
       }
+      if (java.lang.Float.floatToRawIntBits(demand_) != 0) {
+        output.writeFloat(5, demand_);
+      }
+      if (demandClass_ != 0) {
+        output.writeSInt32(6, demandClass_);
+      }
+      if (tieBreak_ != 0L) {
+        output.writeSFixed64(7, tieBreak_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -7653,6 +7737,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(4, ageMilliseconds_);
       }
+      if (java.lang.Float.floatToRawIntBits(demand_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(5, demand_);
+      }
+      if (demandClass_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt32Size(6, demandClass_);
+      }
+      if (tieBreak_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSFixed64Size(7, tieBreak_);
+      }
       return size;
     }
     @java.lang.Override
@@ -7689,6 +7785,13 @@
       }
       if (getAgeMilliseconds()
           != other.getAgeMilliseconds()) return false;
+      if (java.lang.Float.floatToIntBits(getDemand())
+          != java.lang.Float.floatToIntBits(
+              other.getDemand())) return false;
+      if (getDemandClass()
+          != other.getDemandClass()) return false;
+      if (getTieBreak()
+          != other.getTieBreak()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7712,6 +7815,14 @@
       }
       hash = (37 * hash) + AGE_MILLISECONDS_FIELD_NUMBER;
       hash = (53 * hash) + getAgeMilliseconds();
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getDemand());
+      hash = (37 * hash) + DEMAND_CLASS_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandClass();
+      hash = (37 * hash) + TIE_BREAK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTieBreak());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7851,6 +7962,9 @@
         startedAt_ = 0L;
         requestsPerSecond_ = 0D;
         ageMilliseconds_ = 0;
+        demand_ = 0F;
+        demandClass_ = 0;
+        tieBreak_ = 0L;
         return this;
       }
 
@@ -7898,6 +8012,15 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.ageMilliseconds_ = ageMilliseconds_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.demand_ = demand_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.demandClass_ = demandClass_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.tieBreak_ = tieBreak_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -7927,6 +8050,15 @@
         if (other.getAgeMilliseconds() != 0) {
           setAgeMilliseconds(other.getAgeMilliseconds());
         }
+        if (java.lang.Float.floatToRawIntBits(other.getDemand()) != 0) {
+          setDemand(other.getDemand());
+        }
+        if (other.getDemandClass() != 0) {
+          setDemandClass(other.getDemandClass());
+        }
+        if (other.getTieBreak() != 0L) {
+          setTieBreak(other.getTieBreak());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7971,6 +8103,21 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 45: {
+                demand_ = input.readFloat();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 45
+              case 48: {
+                demandClass_ = input.readSInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 57: {
+                tieBreak_ = input.readSFixed64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 57
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8204,6 +8351,138 @@
         return this;
       }
 
+      private float demand_ ;
+      /**
+       * <pre>
+       * The requests per second that the sender has for the server's service; shares of the limit are proportional to it.
+       * </pre>
+       *
+       * <code>float demand = 5;</code>
+       * @return The demand.
+       */
+      @java.lang.Override
+      public float getDemand() {
+        return demand_;
+      }
+      /**
+       * <pre>
+       * The requests per second that the sender has for the server's service; shares of the limit are proportional to it.
+       * </pre>
+       *
+       * <code>float demand = 5;</code>
+       * @param value The demand to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDemand(float value) {
+
+        demand_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The requests per second that the sender has for the server's service; shares of the limit are proportional to it.
+       * </pre>
+       *
+       * <code>float demand = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDemand() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        demand_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int demandClass_ ;
+      /**
+       * <pre>
+       * The order of magnitude of the demand; entries with the highest have a share if not all can have one.
+       * </pre>
+       *
+       * <code>sint32 demand_class = 6;</code>
+       * @return The demandClass.
+       */
+      @java.lang.Override
+      public int getDemandClass() {
+        return demandClass_;
+      }
+      /**
+       * <pre>
+       * The order of magnitude of the demand; entries with the highest have a share if not all can have one.
+       * </pre>
+       *
+       * <code>sint32 demand_class = 6;</code>
+       * @param value The demandClass to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDemandClass(int value) {
+
+        demandClass_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The order of magnitude of the demand; entries with the highest have a share if not all can have one.
+       * </pre>
+       *
+       * <code>sint32 demand_class = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDemandClass() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        demandClass_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long tieBreak_ ;
+      /**
+       * <pre>
+       * Orders entries with demand of the same class; drawn at random by the sender for this server.
+       * </pre>
+       *
+       * <code>sfixed64 tie_break = 7;</code>
+       * @return The tieBreak.
+       */
+      @java.lang.Override
+      public long getTieBreak() {
+        return tieBreak_;
+      }
+      /**
+       * <pre>
+       * Orders entries with demand of the same class; drawn at random by the sender for this server.
+       * </pre>
+       *
+       * <code>sfixed64 tie_break = 7;</code>
+       * @param value The tieBreak to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTieBreak(long value) {
+
+        tieBreak_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Orders entries with demand of the same class; drawn at random by the sender for this server.
+       * </pre>
+       *
+       * <code>sfixed64 tie_break = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTieBreak() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        tieBreak_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Limit)
     }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -90,7 +90,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\270\013\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\362\013\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -124,11 +124,13 @@
       "\003 \003(\0132(.aspenmoor.wire.v1.PeerLoad.Usage" +
       ".Window\032Q\n\006Window\022\016\n\006number\030\001 \001(\022\022\020\n\010com" +
       "plete\030\002 \001(\010\022\025\n\rorganisations\030\003 \003(\t\022\016\n\006co" +
-      "unts\030\004 \003(\004\032\177\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\ns" +
-      "tarted_at\030\002 \001(\006\022 \n\023requests_per_second\030\003" +
-      " \001(\001H\000\210\001\001\022\030\n\020age_milliseconds\030\004 \001(\rB\026\n\024_" +
-      "requests_per_secondB\"\n\036org.aspenmoor.int" +
-      "ernal.wire.v1P\001b\006proto3"
+      "unts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\n" +
+      "started_at\030\002 \001(\006\022 \n\023requests_per_second\030" +
+      "\003 \001(\001H\000\210\001\001\022\030\n\020age_milliseconds\030\004 \001(\r\022\016\n\006" +
+      "demand\030\005 \001(\002\022\024\n\014demand_class\030\006 \001(\021\022\021\n\tti" +
+      "e_break\030\007 \001(\020B\026\n\024_requests_per_secondB\"\n" +
+      "\036org.aspenmoor.internal.wire.v1P\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -199,7 +201,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_Limit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor,
-        new java.lang.String[] { "Server", "StartedAt", "RequestsPerSecond", "AgeMilliseconds", });
+        new java.lang.String[] { "Server", "StartedAt", "RequestsPerSecond", "AgeMilliseconds", "Demand", "DemandClass", "TieBreak", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
