Leave engines with a low limit out of the balance of roles

An engine whose limit is below an even part of what its service gets does not count in the balance of roles, and is neither lent to the answers nor exchanged for its speed. Another engine takes over after two checks, as after the loss of one.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EngineState.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EngineState.java
@@ -7,5 +7,7 @@
  * @param load its load
  * @param slowdown how many times longer it takes than the other engines with its role
  * @param changingRole whether it has been ordered to change its role
+ * @param restricted whether it states a limit below an even part of the requests
  */
-public record EngineState(BackendServer server, EngineLoad load, double slowdown, boolean changingRole) {}
+public record EngineState(
+        BackendServer server, EngineLoad load, double slowdown, boolean changingRole, boolean restricted) {}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -288,7 +288,10 @@
     /** Returns the state of the engines of a service and the load on them. */
     public ServiceLoad serviceLoad(String service, long now) {
         List<EngineState> engines = estimatesOf(service).stream()
-                .map(each -> each.state(peerLoads.onServer(each.server().id()), now))
+                .map(each -> {
+                    String id = each.server().id();
+                    return each.state(peerLoads.onServer(id), limits.restricts(id, now), now);
+                })
                 .toList();
         return new ServiceLoad(
                 service,
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -186,8 +186,8 @@
         return changingRole(now) && targetRole == EngineRole.PREFILL;
     }
 
-    EngineState state(EntryLoad others, long now) {
-        return new EngineState(server, load(others, now), slowdown, changingRole(now));
+    EngineState state(EntryLoad others, boolean restricted, long now) {
+        return new EngineState(server, load(others, now), slowdown, changingRole(now), restricted);
     }
 
     /** Records an event of an answer and the interval since the previous event. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServiceLoad.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServiceLoad.java
@@ -18,8 +18,14 @@
         engines = List.copyOf(engines);
     }
 
-    /** Returns the engines as they registered themselves. */
-    public List<BackendServer> servers() {
-        return engines.stream().map(EngineState::server).toList();
+    /**
+     * Returns the engines that take an even part of the requests, as they registered themselves. If the others counted
+     * too, the answers of a service could depend on engines that take a few requests a second.
+     */
+    public List<BackendServer> unrestrictedServers() {
+        return engines.stream()
+                .filter(engine -> !engine.restricted())
+                .map(EngineState::server)
+                .toList();
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
@@ -74,6 +74,25 @@
         return find(server).flatMap(known -> known.limit().requestsPerSecond());
     }
 
+    /** Returns whether a server states a limit below an even part of what all entries send to its service. */
+    public boolean restricts(String server, long now) {
+        return find(server)
+                .flatMap(known -> known.limit()
+                        .requestsPerSecond()
+                        .map(limit -> limit < evenPart(known.server().service(), known, now)))
+                .orElse(false);
+    }
+
+    private double evenPart(String service, LimitedServer known, long now) {
+        double reported = known.reportedClaims(now).stream()
+                .mapToDouble(ShareClaim::demand)
+                .sum();
+        long serversOfService = servers.values().stream()
+                .filter(each -> each.server().service().equals(service))
+                .count();
+        return (demand(service, now) + reported) / serversOfService;
+    }
+
     /** Returns whether this entry may send a request to a server now. */
     public boolean maySend(String server, long now) {
         return find(server)
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicy.java
@@ -154,8 +154,9 @@
 
     private static List<EngineState> readyEngines(EngineRole role, ServiceLoad service) {
         return service.engines().stream()
-                .filter(engine ->
-                        engine.server().role() == role && engine.server().state() == BackendState.READY)
+                .filter(engine -> engine.server().role() == role
+                        && engine.server().state() == BackendState.READY
+                        && !engine.restricted())
                 .toList();
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicyTest.java
@@ -192,7 +192,7 @@
     @Test
     public void should_change_nothing_when_another_engine_is_changing() {
         EngineState changing =
-                new EngineState(server("d", EngineRole.PREFILL), new EngineLoad(0, Optional.empty()), 1, true);
+                new EngineState(server("d", EngineRole.PREFILL), new EngineLoad(0, Optional.empty()), 1, true, false);
         ServiceLoad load = load(
                 PromptLoad.EASY,
                 decodeEngine("a", 0.08),
@@ -204,6 +204,48 @@
         assertEquals(policy.nextChange(load), Optional.empty());
     }
 
+    // Guards against an engine that takes a few requests a second and is lent to the answers for its speed.
+    @Test
+    public void should_not_reassign_an_engine_whose_limit_keeps_it_from_an_even_part() {
+        EngineState restricted =
+                new EngineState(server("c", EngineRole.PREFILL), new EngineLoad(1, Optional.empty()), 0.8, false, true);
+        ServiceLoad load = load(
+                PromptLoad.EASY,
+                decodeEngine("a", 0.09),
+                decodeEngine("b", 0.09),
+                restricted,
+                fastPrefillEngine("d"),
+                fastPrefillEngine("e"),
+                fastPrefillEngine("f"));
+
+        assertEquals(
+                policy.nextChange(load),
+                Optional.of(new PlannedRoleChange(server("d", EngineRole.PREFILL), EngineRole.DECODE)));
+    }
+
+    // Guards against answers that depend on one engine because the others that answer take a few requests a second.
+    @Test
+    public void should_replace_decode_engines_whose_limits_keep_them_from_an_even_part() {
+        EngineState limited =
+                new EngineState(server("b", EngineRole.DECODE), new EngineLoad(5, Optional.empty()), 1, false, true);
+        EngineState alsoLimited =
+                new EngineState(server("c", EngineRole.DECODE), new EngineLoad(5, Optional.empty()), 1, false, true);
+        ServiceLoad load = load(
+                PromptLoad.USUAL,
+                decodeEngine("a", 0.05),
+                limited,
+                alsoLimited,
+                fastPrefillEngine("d"),
+                fastPrefillEngine("e"),
+                fastPrefillEngine("f"),
+                fastPrefillEngine("g"),
+                fastPrefillEngine("h"));
+
+        assertEquals(
+                new RoleRatioPolicy().plannedChanges(load.unrestrictedServers(), false),
+                List.of(new PlannedRoleChange(server("d", EngineRole.PREFILL), EngineRole.DECODE)));
+    }
+
     /**
      * Returns three decode engines with the same event interval, where the target is two, and three prefill
      * engines.
@@ -225,15 +267,16 @@
     }
 
     private static EngineState decodeEngine(String id, double eventSeconds) {
-        return new EngineState(server(id, EngineRole.DECODE), new EngineLoad(30, Optional.of(eventSeconds)), 1, false);
+        return new EngineState(
+                server(id, EngineRole.DECODE), new EngineLoad(30, Optional.of(eventSeconds)), 1, false, false);
     }
 
     private static EngineState fastPrefillEngine(String id) {
-        return new EngineState(server(id, EngineRole.PREFILL), new EngineLoad(1, Optional.empty()), 0.9, false);
+        return new EngineState(server(id, EngineRole.PREFILL), new EngineLoad(1, Optional.empty()), 0.9, false, false);
     }
 
     private static EngineState slowPrefillEngine(String id) {
-        return new EngineState(server(id, EngineRole.PREFILL), new EngineLoad(1, Optional.empty()), 1.2, false);
+        return new EngineState(server(id, EngineRole.PREFILL), new EngineLoad(1, Optional.empty()), 1.2, false, false);
     }
 
     private static BackendServer server(String id, EngineRole role) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
@@ -109,7 +109,8 @@
         boolean responsible = snapshot.orderDuty() == OrderDuty.RESPONSIBLE;
         observeLease(snapshot.orderDuty());
         for (ServiceLoad service : snapshot.services()) {
-            List<PlannedRoleChange> changes = ratioPolicy.plannedChanges(service.servers(), snapshot.idle());
+            List<PlannedRoleChange> changes =
+                    ratioPolicy.plannedChanges(service.unrestrictedServers(), snapshot.idle());
             if (!changes.isEmpty()) {
                 consecutiveDeviations++;
                 boolean mayOrder = responsible || consecutiveDeviations >= MIN_DEVIATIONS_IF_NOT_RESPONSIBLE;
