Let long answers continue at an engine that completes them in time

Cause: an answer stays where it was placed, whatever becomes of its engine and of the others. Why this works: at each event an answer is drawn with one in eight, and goes on elsewhere if its engine's pace leaves too little time for what it may still have, and another engine's pace, reckoned up for the answers that it has, leaves enough. A move counts as a retry, and at most half of the budget serves moves.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Mechanism.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/Mechanism.java
@@ -20,7 +20,9 @@
     /** Engines change their role after an engine is lost; without it, no role changes at all are ordered. */
     ROLE_MOVES("role-moves"),
     /** Engines change their role with the load of long answers. */
-    LOAD_FOLLOWING("load-following");
+    LOAD_FOLLOWING("load-following"),
+    /** Answers that their engine will not complete in time continue at another one. */
+    RESCUES("rescues");
 
     private final String label;
 
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import org.aspenmoor.internal.bench.replay.engine.EngineJob;
 import org.aspenmoor.internal.bench.replay.engine.SimulatedEngine;
+import org.aspenmoor.internal.serving.AnswerInProgress;
+import org.aspenmoor.internal.serving.AnswerMoves;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.Placement;
@@ -157,7 +159,11 @@
                 .answerStreaming(
                         ReplayRun.SERVICE, streamedTime(), Duration.ofNanos(request.deadlineAt() - arrivedAt), now());
         entry.callerListener().eventReceived(request);
-        if (entry.placementPolicy().shouldMoveAnswer(work, now())) {
+        AnswerMoves moves = entry.placementPolicy().answerMoves();
+        double secondsLeft = (request.deadlineAt() - now()) / NANOSECONDS;
+        AnswerInProgress answer = new AnswerInProgress(request.prompt(), receivedEvents, secondsLeft);
+        boolean rescue = !entry.isDisabled(Mechanism.RESCUES) && moves.shouldBeRescued(work, answer, now());
+        if (rescue || moves.shouldLeave(work, now())) {
             resumeOnOtherServer();
         }
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -29,9 +29,6 @@
      */
     private static final double MIN_BUSY_REQUESTS = 0.5;
 
-    /** Average number of events after which an answer moves away from an engine that changes its role. */
-    private static final int MEAN_EVENTS_BEFORE_MOVE = 8;
-
     /**
      * Limit that keeps a report within one datagram; the other entries only lack a hint about the prompts beyond it.
      */
@@ -47,6 +44,7 @@
     private final ServerLimits limits;
     private final LimitFilter limitFilter;
     private final List<AssignedPrompt> unreportedPrompts = new ArrayList<>();
+    private final AnswerMoves answerMoves;
     private ServerRanking ranking;
 
     public PlacementPolicy(
@@ -55,6 +53,7 @@
         this.limits = limits;
         this.limitFilter = new LimitFilter(limits);
         this.random = random;
+        this.answerMoves = new AnswerMoves(estimates, peerLoads, limits, requiredDecodeRate, random);
         reload(settings);
     }
 
@@ -258,19 +257,9 @@
         return estimate != null && estimate.changingRole(now);
     }
 
-    /**
-     * Returns whether an answer should move to another engine now because its engine will stop decoding; to be called
-     * at each event. Answers move one by one at random: if all moved at once, the other engines would have to prefill
-     * them one after the other, and their streams would stall for too long.
-     */
-    public boolean shouldMoveAnswer(AssignedWork work, long now) {
-        return mustMoveAnswers(work, now) && random.nextInt(MEAN_EVENTS_BEFORE_MOVE) == 0;
-    }
-
-    /** Returns whether the answers of an engine have to move to another engine. */
-    boolean mustMoveAnswers(AssignedWork work, long now) {
-        ServerEstimate estimate = estimates.get(work.server());
-        return estimate != null && estimate.mustMoveAnswers(now);
+    /** Returns the decisions about answers that continue at another engine. */
+    public AnswerMoves answerMoves() {
+        return answerMoves;
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequiredDecodeRate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequiredDecodeRate.java
@@ -22,6 +22,9 @@
     /** A single answer counts as at most this many times longer or shorter than estimated. */
     private static final double MAX_RATIO = 4;
 
+    /** An answer may be this many times longer than stated; one that is longer still may have any length. */
+    private static final double LENGTH_MARGIN = 1.5;
+
     /** Answers with fewer events are too short to estimate the tokens per event. */
     private static final int MIN_EVENTS = 5;
 
@@ -58,6 +61,21 @@
         return known ? Optional.of(answers.tokensPerEvent / tokensPerSecond) : Optional.empty();
     }
 
+    /**
+     * Returns how many events an answer will have at the most; empty if too few answers have been seen or no length was
+     * stated.
+     *
+     * @param events how many events it has already
+     */
+    Optional<Double> expectedEvents(String service, Prompt prompt, int events) {
+        ServiceAnswers answers = answersOf(service);
+        double longest = prompt.maxOutputTokens() / answers.tokensPerEvent;
+        return prompt.expectedOutputTokens()
+                .filter(tokens -> answers.known())
+                .map(tokens -> LENGTH_MARGIN * tokens / answers.tokensPerEvent)
+                .map(likely -> events < likely ? Math.min(likely, longest) : longest);
+    }
+
     /** Returns the event sizes that are based on enough answers to be reported to other entries. */
     List<EventSize> learnedEventSizes() {
         List<EventSize> sizes = new ArrayList<>();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RetryAllowance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RetryAllowance.java
@@ -19,6 +19,7 @@
      */
     static final double SAFETY_FACTOR = 0.6;
 
+    private static final double OPTIONAL_FRACTION = 0.5;
     private static final int BUCKETS = 10;
 
     private final TimeSource time;
@@ -57,8 +58,22 @@
      * @param entries how many entries share the slack
      */
     public boolean tryTakeRetry(int entries) {
+        return tryTake(entries, 1);
+    }
+
+    /**
+     * Takes one retry for a request that might succeed without it. Only half of the allowance serves such requests, so
+     * that it lasts for those that have failed.
+     *
+     * @param entries how many entries share the slack
+     */
+    public boolean tryTakeOptionalRetry(int entries) {
+        return tryTake(entries, OPTIONAL_FRACTION);
+    }
+
+    private boolean tryTake(int entries, double fraction) {
         advance();
-        double maxRetries = SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
+        double maxRetries = fraction * SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
         if (sum(retries) + 1 > maxRetries) {
             return false;
         }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RetryAllowanceTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RetryAllowanceTest.java
@@ -69,6 +69,19 @@
         assertTrue(retries > 0.1 * requestsInTenSeconds, "retries: " + retries);
     }
 
+    // Guards against retries that might not be needed and leave none for requests that have failed.
+    @Test
+    public void should_leave_half_of_the_allowance_to_failed_requests() {
+        RetryAllowance allowance = new RetryAllowance(time, 0, 100, WINDOW);
+        int optional = 0;
+        while (allowance.tryTakeOptionalRetry(1)) {
+            optional++;
+        }
+
+        assertEquals(optional, 30);
+        assertEquals(granted(allowance, 1), 30);
+    }
+
     private static int granted(RetryAllowance allowance, int entries) {
         int granted = 0;
         while (allowance.tryTakeRetry(entries)) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
@@ -78,8 +78,8 @@
         policy.roleChangeOrdered(new RoleChange("leaving", EngineRole.PREFILL), SECOND);
         policy.roleChangeOrdered(new RoleChange("prefill", EngineRole.DECODE), SECOND);
 
-        assertTrue(policy.mustMoveAnswers(decodeWork, SECOND));
-        assertFalse(policy.mustMoveAnswers(prefillWork, SECOND));
+        assertTrue(policy.answerMoves().mustLeave(decodeWork, SECOND));
+        assertFalse(policy.answerMoves().mustLeave(prefillWork, SECOND));
     }
 
     private String decodeEngine(long now) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -43,6 +43,7 @@
     private final StallDetector stallDetector;
     private final FatalRequestCheck fatalCheck;
     private final SendCheck sendCheck;
+    private final AnswerRelocation relocation;
     private final RequestUsage usage;
     private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
@@ -98,6 +99,7 @@
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller.requestId(), service, incoming, trace);
         this.sendCheck = new SendCheck(authorisation, fatalCheck, trace);
+        this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
         this.usage = new RequestUsage(context, authorisation, route);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
@@ -294,24 +296,18 @@
         if (!writer.writable()) {
             currentAttempt.setReading(false);
         }
-        if (context.state().placement().shouldMoveAnswer(answerAttempt.work(), now())) {
-            continueElsewhere();
-        }
+        relocation.reasonToMove(answerAttempt.work()).ifPresent(this::continueElsewhere);
     }
 
-    /** Continues the answer after its last event at another engine if allowed; otherwise the current one goes on. */
-    private void continueElsewhere() {
-        boolean allowed = attempts.mayResumeElsewhere() && sendCheck.keyValid();
-        if (!allowed || !context.state().tryTakeRetry(service)) {
-            return;
-        }
+    /** Continues the answer after its last event at another engine. */
+    private void continueElsewhere(String reason) {
         AssignedWork interrupted = answerAttempt.work();
         answerAttempt.release();
         currentAttempt.cancel();
         currentAttempt.end(interrupted);
         attempts.attemptEnded(new AttemptEnd.Lost());
         context.metrics().attemptEnded(service, "moved");
-        trace.setReason("the engine changes its role, so its answer continues elsewhere");
+        trace.setReason(reason);
         assignServer();
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -378,6 +378,11 @@
         return retryAllowance(service).tryTakeRetry(entryCount());
     }
 
+    /** Takes a retry for a request that might succeed without it; returns whether the budget allowed it. */
+    boolean tryTakeOptionalRetry(String service) {
+        return retryAllowance(service).tryTakeOptionalRetry(entryCount());
+    }
+
     /** Updates the estimate of a server from the end of an attempt. */
     void attemptEnded(AssignedWork work, AttemptEnd end) {
         long now = time.monotonicNanos();
