--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -46,6 +46,7 @@
     public static final String KEY = "Test-Key";
     public static final String ORGANISATION = "Test-Organisation";
     public static final String PRIORITY = "Test-Priority";
+    public static final String LIMIT = "Test-Limit";
 
     /** A request with this header blocks the entry's event loop until {@link #release()} is called. */
     public static final String BLOCK = "Test-Busy";
@@ -105,10 +106,16 @@
                 head.headers().contains(SIGNED),
                 head.headers().contains(NOT_EXECUTED),
                 Optional.empty(),
-                new LimitStatement.Unlimited(),
+                readLimit(head),
                 Optional.empty());
     }
 
+    private static LimitStatement readLimit(HttpResponse head) {
+        return Optional.ofNullable(head.headers().get(LIMIT))
+                .<LimitStatement>map(limit -> new LimitStatement.Limited(Double.parseDouble(limit)))
+                .orElse(new LimitStatement.Unlimited());
+    }
+
     @Override
     public Optional<String> readCacheHandle(String body) {
         return body.isBlank() ? Optional.empty() : Optional.of(body.strip());
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
@@ -0,0 +1,93 @@
+package org.aspenmoorusage.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestGateway;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.RetryRule;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ServerLimitTest {
+    private static final String SERVICE = "registry";
+    private static final int REQUESTS = 20;
+    private static final String NO_LIMIT = "";
+    private static final String LOW_LIMIT = "0.001";
+
+    private TestGateway gateway;
+
+    @BeforeMethod
+    public void setUp() throws Exception {
+        gateway = new TestGateway();
+        gateway.route("/read/", RetryRule.REPEATABLE, false, 2, SERVICE);
+    }
+
+    @AfterMethod
+    public void tearDown() throws IOException {
+        gateway.close();
+    }
+
+    // Guards against a server that gets as many requests after it has stated a limit as before.
+    @Test
+    public void should_place_requests_elsewhere_when_a_server_states_a_limit() throws Exception {
+        ScriptedBackend limited = gateway.backend("limited", SERVICE, request -> answer(request, LOW_LIMIT));
+        ScriptedBackend free = gateway.backend("free", SERVICE, request -> answer(request, NO_LIMIT));
+        gateway.publish();
+        int sent = 0;
+        while (limited.received().isEmpty()) {
+            assertTrue(call(++sent).line().contains(" 200 "));
+        }
+
+        for (int request = 0; request < REQUESTS; request++) {
+            assertTrue(call(++sent).line().contains(" 200 "));
+        }
+
+        int atLimited = limited.received().size();
+        assertTrue(atLimited <= REQUESTS / 4, "the limited server got " + atLimited);
+        assertEquals(atLimited + free.received().size(), sent);
+        assertTrue(gateway.metrics().contains("aspenmoor_server_request_limit{server=\"limited\"} 0.001"));
+        assertTrue(gateway.state().contains("requestsPerSecondLimit"));
+    }
+
+    // Guards against a caller who waits for a server that takes no more requests.
+    @Test
+    public void should_refuse_at_once_with_a_time_to_retry_when_the_limits_of_all_servers_are_used_up()
+            throws Exception {
+        gateway.backend("limited", SERVICE, request -> answer(request, LOW_LIMIT));
+        gateway.publish();
+        int sent = 1;
+        ReceivedRequest refused = call(sent);
+        while (refused.line().contains(" 200 ") && sent < REQUESTS) {
+            refused = call(++sent);
+        }
+
+        assertTrue(refused.line().contains(" 503 "), refused.line());
+        assertTrue(refused.header("Retry-After").isPresent());
+        assertTrue(gateway.awaitLogged("are used up").contains("NOT_RUN"));
+    }
+
+    private ReceivedRequest call(int number) throws IOException {
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r" + number));
+            return caller.readAnswer();
+        }
+    }
+
+    private static Reply answer(ReceivedRequest request, String limit) {
+        return Reply.of(HttpText.head(
+                        "HTTP/1.1 200 OK",
+                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
+                        "Test-Signed: by one",
+                        limit.equals(NO_LIMIT) ? "X-Limit: none" : TestProtocols.LIMIT + ": " + limit,
+                        "Content-Length: 2")
+                + "ok");
+    }
+}
