Keep a share of a limit when the limit changes

Found by reading: a server that states a slightly different limit in each answer got twice as many requests, 172 in 20 s at 5.1 a second, since each change began the share anew with half a request on average. A share now begins only where a limit does; a changed one goes on with what is left.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
@@ -37,7 +37,7 @@
         return bucket;
     }
 
-    /** Starts with a part of a request when a limit begins or changes. */
+    /** Starts with a part of a request when a limit begins. */
     void startBucket(double available, long now) {
         bucket = new ShareBucket(available, now);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.serving.BackendServer;
@@ -49,7 +50,7 @@
     /** Records what the answer to a request that was sent at the given time states about the limit of its server. */
     public LimitUpdate stated(String server, LimitStatement statement, long requestSentAt, long now) {
         return find(server)
-                .map(known -> started(known, known.limit().apply(statement, requestSentAt, now), now))
+                .map(known -> update(known, limit -> limit.apply(statement, requestSentAt, now), now))
                 .orElseGet(LimitUpdate.Unchanged::new);
     }
 
@@ -58,7 +59,7 @@
         Optional<LimitedServer> known =
                 find(reported.server()).filter(server -> server.server().startedAt() == reported.startedAt());
         known.ifPresent(server -> server.claimReported(entry, reported, now));
-        return known.map(server -> started(server, server.limit().applyReported(reported, now), now))
+        return known.map(server -> update(server, limit -> limit.applyReported(reported, now), now))
                 .orElseGet(LimitUpdate.Unchanged::new);
     }
 
@@ -128,9 +129,14 @@
                 .min(Duration::compareTo);
     }
 
-    private LimitUpdate started(LimitedServer known, LimitUpdate update, long now) {
-        if (update instanceof LimitUpdate.Changed changed
-                && changed.requestsPerSecond().isPresent()) {
+    /**
+     * Applies an update and starts this entry's share if a limit begins. A limit that only changes goes on with what
+     * is left of the share; a server that changes its limit often would get more than it takes.
+     */
+    private LimitUpdate update(LimitedServer known, Function<KnownLimit, LimitUpdate> statement, long now) {
+        boolean limitedBefore = known.limit().requestsPerSecond().isPresent();
+        LimitUpdate update = statement.apply(known.limit());
+        if (!limitedBefore && known.limit().requestsPerSecond().isPresent()) {
             known.startBucket(random.nextDouble(), now);
         }
         return update;
