Do not take the echo of a statement about a limit for a newer one

Found by reading the change once more. An entry that hears its own statement back from another one took it for newer by the time that the reports were under way. Where reports are late, entries could keep a limit alive that its server had ended: the answer without a limit, to a request sent before, counted as older. KnownLimitTest failed before. A report of what is known already now changes nothing.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
@@ -35,8 +35,14 @@
         };
     }
 
-    /** Applies what another entry knows. */
+    /**
+     * Applies what another entry knows. If it knows the same, nothing changes: the report seems younger by the time it
+     * was under way, and entries that repeat a statement to each other would take it for newer than its end.
+     */
     public LimitUpdate applyReported(StatedLimit reported, long now) {
+        if (reported.requestsPerSecond().equals(requestsPerSecond)) {
+            return new LimitUpdate.Unchanged();
+        }
         return replace(reported.requestsPerSecond(), now - reported.age().toNanos(), now);
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
@@ -65,6 +65,17 @@
         assertEquals(limit.requestsPerSecond(), Optional.of(2.0));
     }
 
+    // Guards against a limit that entries keep alive by reporting it to each other after its server has ended it.
+    @Test
+    public void should_not_take_the_echo_of_a_statement_for_a_newer_one() {
+        limit.apply(new LimitStatement.Limited(5), 1 * SECOND, 2 * SECOND);
+        limit.applyReported(reported(Optional.of(5.0), Duration.ofSeconds(1)), 5 * SECOND);
+
+        limit.apply(new LimitStatement.Unlimited(), 3 * SECOND, 6 * SECOND);
+
+        assertEquals(limit.requestsPerSecond(), Optional.empty());
+    }
+
     @Test
     public void should_be_reported_while_it_holds_and_for_a_while_after_its_end() {
         assertEquals(limit.reportableAge(1 * SECOND), Optional.empty());
