Read what servers state about themselves where every answer passes

Statements were read in attempts at callers' requests only: those in answers to reports, orders and lists of caches were dropped, and a statement was taken by the server's id alone. BackendConnection now hands each head to one observer together with the incarnation that the connection belongs to. An answer with status 421 states nothing: it comes from another server at the address. No change of placement. Gateway tests pass; the new test was not run against the earlier code.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -121,7 +121,7 @@
         this.dutyProtocol = dutyProtocol;
         this.state = new ServingState(time, random, settings.retries(), log, settings.placement());
         this.connections = new BackendConnections(
-                backendProtocol, eventLoop, time, state::maxConnectionsPerServer, state::callSent);
+                backendProtocol, eventLoop, time, state::maxConnectionsPerServer, state.serverObserver());
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests = new FatalRequestTracker(time, log);
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -41,6 +42,7 @@
     private boolean connectionFailed;
     private Duration idleTimeout = DEFAULT_IDLE_TIMEOUT;
     private long idleSinceNanos;
+    private long sentAtNanos;
 
     BackendConnection(Channel channel, BackendProtocol protocol, ServerConnectionPool pool) {
         this.channel = channel;
@@ -54,6 +56,7 @@
         headReceived = false;
         answerComplete = false;
         requestWritten = false;
+        sentAtNanos = pool.nowNanos();
         exchange.attach(this);
         channel.writeAndFlush(exchange.request()).addListener(writeResult -> {
             requestWritten = writeResult.isSuccess();
@@ -143,6 +146,10 @@
         reusable &= HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         metadata.idleTimeout().ifPresent(timeout -> idleTimeout = timeout.minus(IDLE_TIMEOUT_MARGIN));
+        // An answer that denies being the intended server comes from another one, which may run at the same address.
+        if (head.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            pool.answerReceived(metadata, sentAtNanos);
+        }
         currentExchange.listener().headReceived(head, metadata);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.serving.BackendServer;
@@ -24,7 +23,7 @@
     private final Map<String, ServerConnectionPool> poolsByServer = new HashMap<>();
     private final ToIntFunction<String> maxOpenByService;
     private final ServerProbes probes;
-    private final Consumer<BackendServer> callListener;
+    private final ServerObserver observer;
     private long openedByRemovedPools;
 
     /**
@@ -32,15 +31,15 @@
      *
      * @param maxOpenByService returns the maximum number of open connections to one server, given the name of its
      *     service
-     * @param callListener notified of each call that is not an attempt of a request
+     * @param observer notified of what concerns the servers
      */
     public BackendConnections(
             BackendProtocol protocol,
             EventLoop eventLoop,
             TimeSource time,
             ToIntFunction<String> maxOpenByService,
-            Consumer<BackendServer> callListener) {
-        this.callListener = callListener;
+            ServerObserver observer) {
+        this.observer = observer;
         this.maxOpenByService = maxOpenByService;
         this.protocol = protocol;
         this.eventLoop = eventLoop;
@@ -57,7 +56,7 @@
 
     /** Sends a call that is not an attempt of a request, and takes ownership of its buffer. */
     public void call(BackendServer server, FullHttpRequest call, ExchangeListener listener) {
-        callListener.accept(server);
+        observer.callSent(server);
         send(server, "", call, listener);
     }
 
@@ -94,7 +93,7 @@
             return existing;
         }
         remove(server.id());
-        ServerConnectionPool created = new ServerConnectionPool(server, protocol, eventLoop, time);
+        ServerConnectionPool created = new ServerConnectionPool(server, protocol, eventLoop, time, observer);
         poolsByServer.put(server.id(), created);
         return created;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.time.TimeSource;
@@ -30,16 +31,23 @@
     private final BackendProtocol protocol;
     private final EventLoop eventLoop;
     private final TimeSource time;
+    private final ServerObserver observer;
     private final Deque<BackendConnection> idleConnections = new ArrayDeque<>();
     private int openCount;
     private long openedTotal;
     private boolean retired;
 
-    ServerConnectionPool(BackendServer server, BackendProtocol protocol, EventLoop eventLoop, TimeSource time) {
+    ServerConnectionPool(
+            BackendServer server,
+            BackendProtocol protocol,
+            EventLoop eventLoop,
+            TimeSource time,
+            ServerObserver observer) {
         this.server = server;
         this.protocol = protocol;
         this.eventLoop = eventLoop;
         this.time = time;
+        this.observer = observer;
     }
 
     boolean connectsTo(BackendServer other) {
@@ -74,6 +82,10 @@
         idleConnections.remove(connection);
     }
 
+    void answerReceived(AnswerMetadata metadata, long sentAt) {
+        observer.answerReceived(server, metadata, sentAt);
+    }
+
     long nowNanos() {
         return time.monotonicNanos();
     }
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerObserver.java
@@ -0,0 +1,17 @@
+package org.aspenmoor.internal.gateway.backend;
+
+import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
+import org.aspenmoor.internal.serving.BackendServer;
+
+/** Notified of the traffic with backend servers that concerns the server rather than a request. */
+public interface ServerObserver {
+    /** A call that is not an attempt of a request is sent to a server. */
+    void callSent(BackendServer server);
+
+    /**
+     * The head of an answer from a server has been received, to an attempt or to any other call.
+     *
+     * @param sentAt when the request was sent, in nanoseconds of the monotonic clock
+     */
+    void answerReceived(BackendServer server, AnswerMetadata metadata, long sentAt);
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -220,9 +220,8 @@
         }
     }
 
-    /** Records the load and the limit that a server states with an answer. */
+    /** Records the load that a server reports with an answer. */
     void loadReported(AssignedWork work, AnswerMetadata metadata) {
-        context.state().limitStated(work, metadata.limit());
         metadata.load().ifPresent(load -> context.state().placement().loadReported(work, load, now()));
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.duty.OrderStanding;
+import org.aspenmoor.internal.gateway.backend.ServerObserver;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderDuty;
@@ -39,7 +40,6 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
-import org.aspenmoor.internal.serving.limit.LimitStatement;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.time.TimeSource;
@@ -55,11 +55,11 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
-    private final LimitLog limitLog;
     private final BackendDirectory directory = new BackendDirectory();
     private final PlacementPolicy placementPolicy;
     private final PeerLoads peers;
     private final ServerLimits limits;
+    private final ServerStatements statements;
     private final Set<String> listedIncarnations = new HashSet<>();
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
@@ -82,10 +82,10 @@
         this.retrySettings = retrySettings;
         this.lastRequestAt = time.monotonicNanos() - IDLE_AFTER.toNanos();
         this.log = log;
-        this.limitLog = new LimitLog(log);
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
+        this.statements = new ServerStatements(directory, limits, time, log);
     }
 
     /** Applies changed settings. */
@@ -197,9 +197,7 @@
         report.speeds().forEach(placementPolicy::speedReceived);
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
-        report.limits()
-                .forEach(limit ->
-                        limitLog.reported(limit.server(), report.entry(), limits.reported(report.entry(), limit, now)));
+        statements.reported(report, now);
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -237,9 +235,9 @@
         return placementPolicy.eventSizes();
     }
 
-    /** Records a call to a server that is not an attempt of a request; it counts for the server's limit. */
-    public void callSent(BackendServer server) {
-        limits.sent(server.id(), time.monotonicNanos());
+    /** Returns what receives the statements of servers about themselves. */
+    public ServerObserver serverObserver() {
+        return statements;
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
@@ -395,12 +393,6 @@
         }
     }
 
-    /** Records what the answer to an attempt states about its server's limit. */
-    void limitStated(AssignedWork work, LimitStatement statement) {
-        limitLog.stated(
-                work.server(), limits.stated(work.server(), statement, work.startedAtNanos(), time.monotonicNanos()));
-    }
-
     /** Returns whether this incarnation of the server is registered as ready. */
     boolean acceptsWork(BackendServer server) {
         return directory
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
@@ -1,6 +1,7 @@
 package org.aspenmoorusage.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -74,6 +75,27 @@
         assertTrue(gateway.awaitLogged("are used up").contains("NOT_RUN"));
     }
 
+    // Guards against the statement of a server that runs at the address of another one, whose id it does not have.
+    @Test
+    public void should_ignore_the_limit_in_an_answer_of_another_server_at_the_address() throws Exception {
+        ScriptedBackend other = gateway.backend(
+                "gone",
+                SERVICE,
+                request -> Reply.of(HttpText.head(
+                        "HTTP/1.1 421 Misdirected",
+                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
+                        TestProtocols.LIMIT + ": " + LOW_LIMIT,
+                        "Content-Length: 0")));
+        gateway.backend("free", SERVICE, request -> answer(request, NO_LIMIT));
+        gateway.publish();
+        int sent = 0;
+        while (other.received().isEmpty()) {
+            assertTrue(call(++sent).line().contains(" 200 "));
+        }
+
+        assertFalse(gateway.state().contains("requestsPerSecondLimit"));
+    }
+
     private ReceivedRequest call(int number) throws IOException {
         try (TestCaller caller = gateway.caller()) {
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r" + number));
