Show when a server announces in an answer that it is draining

New: events server-drain-announced (with the entry that reported it) and server-drain-unreadable, aspenmoor_server_draining, drainAnnounced in the state dump. Where requests go is unchanged.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendDirectory.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendDirectory.java
@@ -41,6 +41,7 @@
 
     private final Map<String, BackendServer> servers = new LinkedHashMap<>();
     private final Set<ServerIncarnation> draining = new LinkedHashSet<>();
+    private final Set<ServerIncarnation> announced = new LinkedHashSet<>();
     private final Map<String, Long> unconfirmedUntil = new LinkedHashMap<>();
     private long interruptedAt = Long.MIN_VALUE;
     private boolean interrupted;
@@ -61,6 +62,18 @@
         return known;
     }
 
+    /** Records that an incarnation has announced in an answer that it is draining; returns whether that was unknown. */
+    public boolean drainAnnounced(ServerIncarnation incarnation) {
+        boolean known = draining.contains(incarnation) || !announced.add(incarnation);
+        limitSize(announced);
+        return !known;
+    }
+
+    /** Returns whether an incarnation has announced in an answer, to this entry or another one, that it is draining. */
+    public boolean hasAnnouncedDrain(ServerIncarnation incarnation) {
+        return announced.contains(incarnation);
+    }
+
     /** Records that the store was restored from an older copy; missing registrations may be written again. */
     public void storeRolledBack(long now) {
         graceUntil = Math.max(graceUntil, now + REREGISTRATION_TIME.toNanos());
@@ -114,8 +127,12 @@
 
     private void rememberDraining(ServerIncarnation incarnation) {
         draining.add(incarnation);
-        if (draining.size() > MAX_DRAINING) {
-            draining.remove(draining.iterator().next());
+        limitSize(draining);
+    }
+
+    private static void limitSize(Set<ServerIncarnation> incarnations) {
+        if (incarnations.size() > MAX_DRAINING) {
+            incarnations.remove(incarnations.iterator().next());
         }
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -64,7 +64,11 @@
                         .orElse(0));
         usage.ifPresent(tracker -> writeUsage(tracker, dump.putObject("usage")));
         ArrayNode servers = dump.putArray("servers");
-        state.serverSummaries().forEach(server -> writeServer(server, servers.addObject()));
+        state.serverSummaries().forEach(summary -> {
+            ObjectNode server = servers.addObject();
+            writeServer(summary, server);
+            server.put("drainAnnounced", state.hasAnnouncedDrain(summary.server()));
+        });
         return dump;
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.ReportedLoad;
 import org.aspenmoor.internal.serving.limit.LimitStatement;
 
@@ -13,6 +14,7 @@
  * @param notExecuted whether the server states that it has not executed the request and will not execute it
  * @param load the load that the server reports
  * @param limit what the server states about the requests that it takes from all entries together
+ * @param drain what the server states about whether it is draining
  * @param idleTimeout how long the server keeps an idle connection open
  */
 public record AnswerMetadata(
@@ -21,4 +23,5 @@
         boolean notExecuted,
         Optional<ReportedLoad> load,
         LimitStatement limit,
+        DrainStatement drain,
         Optional<Duration> idleTimeout) {}
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/DrainLog.java
@@ -0,0 +1,45 @@
+package org.aspenmoor.internal.gateway.request;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.DrainStatement;
+import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
+
+/** Logs what becomes known of servers that announce in their answers that they are draining. */
+final class DrainLog {
+    /** Far more servers than state something unreadable at the same time. */
+    private static final int MAX_UNREADABLE = 64;
+
+    private final DecisionLog log;
+    private final Set<ServerIncarnation> unreadable = new LinkedHashSet<>();
+
+    DrainLog(DecisionLog log) {
+        this.log = log;
+    }
+
+    /**
+     * Logs that a server has announced that it is draining.
+     *
+     * @param reportedBy the entry that has reported it; empty if the server told this entry
+     */
+    void announced(ServerIncarnation server, String reportedBy) {
+        log.notable("server-drain-announced")
+                .with("server", server.serverId())
+                .with("startedAt", server.startedAt())
+                .with("reportedBy", reportedBy)
+                .write();
+    }
+
+    /** Logs a statement that is not understood; once for each incarnation, since each of its answers may have it. */
+    void unreadable(BackendServer server, DrainStatement.Unreadable statement) {
+        if (unreadable.size() >= MAX_UNREADABLE || !unreadable.add(ServerIncarnation.of(server))) {
+            return;
+        }
+        log.notable("server-drain-unreadable")
+                .with("server", server.id())
+                .with("stated", statement.text())
+                .write();
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.ServerSummary;
 
 /** The request metrics of an entry. */
@@ -99,6 +100,15 @@
                                 summary.server().id(),
                                 summary.server().role().name())))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_draining")
+                .help("Whether a backend server is known to be draining (1) or not (0), by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> callback.call(
+                                summary.server().state() == BackendState.DRAINING ? 1 : 0,
+                                summary.server().id())))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_request_limit")
                 .help("Requests per second that a backend server takes from all entries together, by server.")
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -5,8 +5,10 @@
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
+import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.time.TimeSource;
 
 /**
@@ -18,12 +20,14 @@
     private final ServerLimits limits;
     private final TimeSource time;
     private final LimitLog limitLog;
+    private final DrainLog drainLog;
 
     ServerStatements(BackendDirectory directory, ServerLimits limits, TimeSource time, DecisionLog log) {
         this.directory = directory;
         this.limits = limits;
         this.time = time;
         this.limitLog = new LimitLog(log);
+        this.drainLog = new DrainLog(log);
     }
 
     @Override
@@ -37,6 +41,21 @@
             return;
         }
         limitLog.stated(server.id(), limits.stated(server.id(), metadata.limit(), sentAt, time.monotonicNanos()));
+        drainStated(server, metadata.drain());
+    }
+
+    private void drainStated(BackendServer server, DrainStatement statement) {
+        switch (statement) {
+            case DrainStatement.Missing missing -> {}
+            case DrainStatement.Draining draining -> drainAnnounced(ServerIncarnation.of(server), "");
+            case DrainStatement.Unreadable unreadable -> drainLog.unreadable(server, unreadable);
+        }
+    }
+
+    private void drainAnnounced(ServerIncarnation incarnation, String reportedBy) {
+        if (directory.drainAnnounced(incarnation)) {
+            drainLog.announced(incarnation, reportedBy);
+        }
     }
 
     /** Applies what another entry reports. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -42,6 +42,7 @@
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
+import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The state of one entry process: configuration, servers, peers and retry budgets. Confined to the event loop. */
@@ -312,6 +313,11 @@
         return placementPolicy.summaries(time.monotonicNanos());
     }
 
+    /** Returns whether a server has announced in an answer, to this entry or another one, that it is draining. */
+    public boolean hasAnnouncedDrain(BackendServer server) {
+        return directory.hasAnnouncedDrain(ServerIncarnation.of(server));
+    }
+
     /** Returns the configuration in force. */
     public Optional<ServingConfiguration> configuration() {
         return configuration;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -233,6 +233,16 @@
         return this;
     }
 
+    /** Registers a new incarnation of a plain server under the same id; returns when the gateway knows it. */
+    public void restartServer(String id, String service, int port, long startedAt) throws StoreException, IOException {
+        BackendServer server = new BackendServer(
+                id, startedAt, service, "127.0.0.1", port, LOCAL_DATA_CENTRE, 4, BackendState.READY, EngineRole.WHOLE);
+        servers.put(id, server);
+        ObjectKey key = new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id);
+        store.update(store.read(key).orElseThrow(), "{\"startedAt\":" + startedAt + "}");
+        awaitLogged("\"startedAt\":" + startedAt);
+    }
+
     /** Publishes the routes and waits until requests are served. */
     public void publish() throws StoreException, IOException {
         services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000))));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -27,6 +27,7 @@
 import org.aspenmoor.internal.gateway.protocol.RoleOrder;
 import org.aspenmoor.internal.organisation.ApiKey;
 import org.aspenmoor.internal.organisation.PresentedKey;
+import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.limit.LimitStatement;
@@ -47,6 +48,7 @@
     public static final String ORGANISATION = "Test-Organisation";
     public static final String PRIORITY = "Test-Priority";
     public static final String LIMIT = "Test-Limit";
+    public static final String DRAINING = "Test-Draining";
 
     /** A request with this header blocks the entry's event loop until {@link #release()} is called. */
     public static final String BLOCK = "Test-Busy";
@@ -107,6 +109,7 @@
                 head.headers().contains(NOT_EXECUTED),
                 Optional.empty(),
                 readLimit(head),
+                head.headers().contains(DRAINING) ? new DrainStatement.Draining() : new DrainStatement.Missing(),
                 Optional.empty());
     }
 
