--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -102,6 +102,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 orderStanding(),
                 false);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendDirectory.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendDirectory.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,7 +42,7 @@
 
     private final Map<String, BackendServer> servers = new LinkedHashMap<>();
     private final Set<ServerIncarnation> draining = new LinkedHashSet<>();
-    private final Set<ServerIncarnation> announced = new LinkedHashSet<>();
+    private final Set<String> registeredAsReady = new HashSet<>();
     private final Map<String, Long> unconfirmedUntil = new LinkedHashMap<>();
     private long interruptedAt = Long.MIN_VALUE;
     private boolean interrupted;
@@ -58,20 +59,39 @@
             rememberDraining(ServerIncarnation.of(server));
         }
         servers.put(server.id(), known);
+        if (server.state() == BackendState.READY) {
+            registeredAsReady.add(server.id());
+        } else {
+            registeredAsReady.remove(server.id());
+        }
         unconfirmedUntil.remove(server.id());
         return known;
     }
 
-    /** Records that an incarnation has announced in an answer that it is draining; returns whether that was unknown. */
+    /**
+     * Records that an incarnation has announced in an answer, to this entry or another one, that it is draining.
+     * Returns whether that was unknown. The incarnation need not be registered yet.
+     */
     public boolean drainAnnounced(ServerIncarnation incarnation) {
-        boolean known = draining.contains(incarnation) || !announced.add(incarnation);
-        limitSize(announced);
-        return !known;
+        boolean unknown = !draining.contains(incarnation);
+        rememberDraining(incarnation);
+        servers.computeIfPresent(
+                incarnation.serverId(),
+                (id, server) -> ServerIncarnation.of(server).equals(incarnation) ? server.asDraining() : server);
+        return unknown;
     }
 
-    /** Returns whether an incarnation has announced in an answer, to this entry or another one, that it is draining. */
-    public boolean hasAnnouncedDrain(ServerIncarnation incarnation) {
-        return announced.contains(incarnation);
+    /** Returns the servers that have announced that they are draining while their registrations say otherwise. */
+    public List<ServerIncarnation> unregisteredDrains() {
+        return servers.values().stream()
+                .filter(this::drainsUnregistered)
+                .map(ServerIncarnation::of)
+                .toList();
+    }
+
+    /** Returns whether a server has announced that it is draining while its registration says otherwise. */
+    public boolean drainsUnregistered(BackendServer server) {
+        return server.state() == BackendState.DRAINING && registeredAsReady.contains(server.id());
     }
 
     /** Records that the store was restored from an older copy; missing registrations may be written again. */
@@ -90,7 +110,7 @@
             unconfirmedUntil.put(id, until);
             return false;
         }
-        servers.remove(id);
+        remove(id);
         return true;
     }
 
@@ -120,19 +140,20 @@
         });
         for (String id : expired) {
             unconfirmedUntil.remove(id);
-            servers.remove(id);
+            remove(id);
         }
         return expired;
     }
 
-    private void rememberDraining(ServerIncarnation incarnation) {
-        draining.add(incarnation);
-        limitSize(draining);
+    private void remove(String id) {
+        servers.remove(id);
+        registeredAsReady.remove(id);
     }
 
-    private static void limitSize(Set<ServerIncarnation> incarnations) {
-        if (incarnations.size() > MAX_DRAINING) {
-            incarnations.remove(incarnations.iterator().next());
+    private void rememberDraining(ServerIncarnation incarnation) {
+        draining.add(incarnation);
+        if (draining.size() > MAX_DRAINING) {
+            draining.remove(draining.iterator().next());
         }
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -6,6 +6,7 @@
 import org.aspenmoor.internal.duty.DutyStatus;
 import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
+import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 
 /**
@@ -21,6 +22,8 @@
  * @param roleChanges role changes that it has ordered and that are in progress
  * @param serverTerminations the servers that terminated while they had a request
  * @param limits the limits that servers have stated, as far as it knows
+ * @param drainingServers the servers that have announced that they are draining, while their registrations say
+ *     otherwise
  * @param duties its part in the duties that one entry performs for all; empty if there are none
  * @param orderStanding what decides whether it gives orders to engines
  * @param stopping whether the sender is stopping
@@ -36,6 +39,7 @@
         List<RoleChange> roleChanges,
         List<ServerTermination> serverTerminations,
         List<StatedLimit> limits,
+        List<ServerIncarnation> drainingServers,
         Optional<DutyStatus> duties,
         OrderStanding orderStanding,
         boolean stopping) {
@@ -47,5 +51,6 @@
         roleChanges = List.copyOf(roleChanges);
         serverTerminations = List.copyOf(serverTerminations);
         limits = List.copyOf(limits);
+        drainingServers = List.copyOf(drainingServers);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -269,7 +269,9 @@
      */
     public void samplePromptLoad(String service, boolean requestsWaiting, long now) {
         int prefillEngines = (int) estimatesOf(service).stream()
-                .filter(each -> each.server().role() == EngineRole.PREFILL && !each.changingRole(now))
+                .filter(each -> each.server().role() == EngineRole.PREFILL
+                        && each.server().state() == BackendState.READY
+                        && !each.changingRole(now))
                 .count();
         promptLoadMeter(service).sample(peerLoads.activePeers() + 1, prefillEngines, requestsWaiting, now);
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackendDirectoryTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackendDirectoryTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -95,4 +96,53 @@
         assertEquals(directory.registrationChanged(server).state(), BackendState.DRAINING);
         assertEquals(directory.find("one").orElseThrow().state(), BackendState.DRAINING);
     }
+
+    // Guards against a server that gets requests until the store learns what it has announced in its answers.
+    @Test
+    public void should_drain_a_server_that_announces_it_although_it_is_registered_as_ready() {
+        BackendServer server = TestServers.plain("one");
+        directory.registrationChanged(server);
+
+        assertTrue(directory.drainAnnounced(ServerIncarnation.of(server)));
+        assertFalse(directory.drainAnnounced(ServerIncarnation.of(server)));
+
+        assertEquals(directory.find("one").orElseThrow().state(), BackendState.DRAINING);
+        assertEquals(directory.registrationChanged(server).state(), BackendState.DRAINING);
+        assertEquals(directory.unregisteredDrains(), List.of(ServerIncarnation.of(server)));
+    }
+
+    // Guards against an entry that starts while the store is away and then believes the outdated registration.
+    @Test
+    public void should_remember_an_announcement_that_arrives_before_the_registration() {
+        BackendServer server = TestServers.plain("one");
+        directory.drainAnnounced(ServerIncarnation.of(server));
+
+        assertEquals(directory.registrationChanged(server).state(), BackendState.DRAINING);
+        assertTrue(directory.drainsUnregistered(directory.find("one").orElseThrow()));
+    }
+
+    // Guards against entries that go on telling each other of a server that has left.
+    @Test
+    public void should_report_an_announcement_no_longer_when_the_store_knows_it() {
+        BackendServer server = TestServers.plain("one");
+        directory.registrationChanged(server);
+        directory.drainAnnounced(ServerIncarnation.of(server));
+        directory.registrationChanged(TestServers.draining("one"));
+        assertEquals(directory.unregisteredDrains(), List.of());
+
+        directory.registrationRemoved("one", 0);
+        directory.drainAnnounced(ServerIncarnation.of(server));
+        assertEquals(directory.unregisteredDrains(), List.of());
+    }
+
+    // Guards against a new process that is given up because an earlier one with its id was draining.
+    @Test
+    public void should_not_drain_another_incarnation_than_the_one_that_announced_it() {
+        BackendServer server = TestServers.plain("one");
+        directory.registrationChanged(server);
+
+        directory.drainAnnounced(new ServerIncarnation("one", server.startedAt() + 1));
+
+        assertEquals(directory.find("one").orElseThrow().state(), BackendState.READY);
+    }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -65,6 +65,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         new OrderStanding("two", true, 0),
                         true),
@@ -84,6 +85,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 new OrderStanding(entry, true, 0),
                 false);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -233,6 +233,7 @@
                         List.of(),
                         List.of(),
                         limits.toReport(now),
+                        List.of(),
                         Optional.empty(),
                         new OrderStanding(name, true, 0),
                         false);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -306,7 +306,15 @@
     }
 
     private void reportToPeers() {
-        peers.sendReport(
+        peers.sendReport(this::createReport);
+        eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private PeerReport createReport(String entry, long incarnation, long sequence) {
+        return new PeerReport(
+                entry,
+                incarnation,
+                sequence,
                 state.ownLoads(),
                 state.takeUnreportedPrompts(),
                 state.learnedSpeeds(),
@@ -314,10 +322,10 @@
                 state.pendingRoleChanges(),
                 fatalRequests.takeNextReport(),
                 state.statedLimits(),
+                state.unregisteredDrains(),
                 usage.map(UsageTracker::status),
-                state.orderStanding(settings.process()),
+                state.orderStanding(entry),
                 gracefulStop.begun());
-        eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void runPeriodicChecks() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -67,7 +67,7 @@
         state.serverSummaries().forEach(summary -> {
             ObjectNode server = servers.addObject();
             writeServer(summary, server);
-            server.put("drainAnnounced", state.hasAnnouncedDrain(summary.server()));
+            server.put("drainAnnounced", state.drainsUnregistered(summary.server()));
         });
         return dump;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -19,18 +19,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.AspenmoorException;
-import org.aspenmoor.internal.duty.DutyStatus;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
-import org.aspenmoor.internal.serving.AssignedPrompt;
-import org.aspenmoor.internal.serving.EntryLoad;
-import org.aspenmoor.internal.serving.EventSize;
-import org.aspenmoor.internal.serving.LearnedSpeed;
 import org.aspenmoor.internal.serving.PeerReport;
-import org.aspenmoor.internal.serving.RoleChange;
-import org.aspenmoor.internal.serving.limit.StatedLimit;
-import org.aspenmoor.internal.serving.quarantine.ServerTermination;
 import org.aspenmoor.internal.time.TimeSource;
 import org.aspenmoor.internal.usage.EntryUsage;
 import org.aspenmoor.internal.wire.v1.PeerLoad;
@@ -93,33 +84,10 @@
         return scaledInterval.compareTo(MIN_REPORT_INTERVAL) > 0 ? scaledInterval : MIN_REPORT_INTERVAL;
     }
 
-    /** Sends a report to all other entries. */
-    public void sendReport(
-            Map<String, EntryLoad> loads,
-            List<AssignedPrompt> prompts,
-            List<LearnedSpeed> speeds,
-            List<EventSize> eventSizes,
-            List<RoleChange> roleChanges,
-            List<ServerTermination> terminations,
-            List<StatedLimit> limits,
-            Optional<DutyStatus> duties,
-            OrderStanding orderStanding,
-            boolean leaving) {
+    /** Sends the next report of this entry to all other entries. */
+    public void sendReport(ReportSource source) {
         sequence++;
-        byte[] datagram = PeerReportCodec.serialise(new PeerReport(
-                entry,
-                startedAtMillis,
-                sequence,
-                loads,
-                prompts,
-                speeds,
-                eventSizes,
-                roleChanges,
-                terminations,
-                limits,
-                duties,
-                orderStanding,
-                leaving));
+        byte[] datagram = PeerReportCodec.serialise(source.createReport(entry, startedAtMillis, sequence));
         for (InetSocketAddress peer : peers.values()) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), peer));
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -69,6 +69,7 @@
                         .setRole(change.role().ordinal())));
         report.serverTerminations().forEach(termination -> message.addEnds(serialise(termination)));
         report.limits().forEach(limit -> message.addLimits(serialise(limit)));
+        report.drainingServers().forEach(server -> message.addDraining(serialise(server)));
         report.duties().ifPresent(status -> message.setDuty(serialise(status)));
         return message.build().toByteArray();
     }
@@ -102,6 +103,19 @@
         return limits;
     }
 
+    private static PeerLoad.Draining serialise(ServerIncarnation server) {
+        return PeerLoad.Draining.newBuilder()
+                .setServer(server.serverId())
+                .setStartedAt(server.startedAt())
+                .build();
+    }
+
+    private static List<ServerIncarnation> parseDrainingServers(PeerLoad message) {
+        return message.getDrainingList().stream()
+                .map(server -> new ServerIncarnation(server.getServer(), server.getStartedAt()))
+                .toList();
+    }
+
     private static PeerLoad.Duty serialise(DutyStatus status) {
         return PeerLoad.Duty.newBuilder()
                 .setEligible(status.eligible())
@@ -222,6 +236,7 @@
                 parseRoleChanges(message),
                 parseTerminations(message),
                 parseLimits(message),
+                parseDrainingServers(message),
                 parseDuties(message),
                 new OrderStanding(message.getEntry(), !message.getStoreUnreachable(), message.getOrderFencingNumber()),
                 message.getLeaving()));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.gateway.request;
 
+import java.util.function.Consumer;
 import org.aspenmoor.internal.gateway.backend.ServerObserver;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
@@ -19,13 +20,25 @@
     private final BackendDirectory directory;
     private final ServerLimits limits;
     private final TimeSource time;
+    private final Consumer<BackendServer> changeListener;
     private final LimitLog limitLog;
     private final DrainLog drainLog;
 
-    ServerStatements(BackendDirectory directory, ServerLimits limits, TimeSource time, DecisionLog log) {
+    /**
+     * Creates an instance.
+     *
+     * @param changeListener notified of each server that is draining from now on
+     */
+    ServerStatements(
+            BackendDirectory directory,
+            ServerLimits limits,
+            TimeSource time,
+            Consumer<BackendServer> changeListener,
+            DecisionLog log) {
         this.directory = directory;
         this.limits = limits;
         this.time = time;
+        this.changeListener = changeListener;
         this.limitLog = new LimitLog(log);
         this.drainLog = new DrainLog(log);
     }
@@ -55,6 +68,7 @@
     private void drainAnnounced(ServerIncarnation incarnation, String reportedBy) {
         if (directory.drainAnnounced(incarnation)) {
             drainLog.announced(incarnation, reportedBy);
+            directory.find(incarnation.serverId()).ifPresent(changeListener);
         }
     }
 
@@ -63,6 +77,7 @@
         report.limits()
                 .forEach(limit ->
                         limitLog.reported(limit.server(), report.entry(), limits.reported(report.entry(), limit, now)));
+        report.drainingServers().forEach(server -> drainAnnounced(server, report.entry()));
     }
 
     /** Returns whether this incarnation is the one that is registered; another one may have its id by now. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -86,7 +86,8 @@
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
-        this.statements = new ServerStatements(directory, limits, time, log);
+        this.statements = new ServerStatements(
+                directory, limits, time, server -> placementPolicy.serverChanged(server, cacheTokens(server)), log);
     }
 
     /** Applies changed settings. */
@@ -313,9 +314,17 @@
         return placementPolicy.summaries(time.monotonicNanos());
     }
 
-    /** Returns whether a server has announced in an answer, to this entry or another one, that it is draining. */
-    public boolean hasAnnouncedDrain(BackendServer server) {
-        return directory.hasAnnouncedDrain(ServerIncarnation.of(server));
+    /** Returns whether a server has announced that it is draining while its registration says otherwise. */
+    public boolean drainsUnregistered(BackendServer server) {
+        return directory.drainsUnregistered(server);
+    }
+
+    /**
+     * Returns the servers that have announced that they are draining while their registrations say otherwise, to be
+     * reported to the other entries.
+     */
+    public List<ServerIncarnation> unregisteredDrains() {
+        return directory.unregisteredDrains();
     }
 
     /** Returns the configuration in force. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -65,6 +65,8 @@
             Duration.ofMillis(250),
             true));
 
+    private static final List<ServerIncarnation> DRAINING =
+            List.of(new ServerIncarnation("draining", 1_700_000_000_000L));
     private static final List<StatedLimit> LIMITS = List.of(
             new StatedLimit(
                     "limited", 1_786_504_654_297L, Optional.of(5.5), Duration.ofMillis(40), new ShareClaim(2.5, 1, -7)),
@@ -95,20 +97,7 @@
 
     @Test
     public void should_restore_a_report_when_parsing_its_serialised_form() throws Exception {
-        PeerReport report = new PeerReport(
-                "entry-1",
-                7,
-                9,
-                SHARES,
-                PROMPTS,
-                SPEEDS,
-                LENGTHS,
-                CHANGES,
-                TERMINATIONS,
-                LIMITS,
-                DUTIES,
-                STANDING,
-                false);
+        PeerReport report = fullReport("entry-1", 7, 9);
 
         assertEquals(PeerReportCodec.parse(PeerLoad.parseFrom(PeerReportCodec.serialise(report))), Optional.of(report));
     }
@@ -130,8 +119,7 @@
                 .submit(() -> newEntry.replacePeers(Map.of("old", oldEntry.address())))
                 .sync();
         group.next()
-                .submit(() -> newEntry.sendReport(
-                        SHARES, PROMPTS, SPEEDS, LENGTHS, CHANGES, TERMINATIONS, LIMITS, DUTIES, STANDING, false))
+                .submit(() -> newEntry.sendReport(PeerExchangeTest::fullReport))
                 .sync();
 
         PeerReport received = receivedByOld.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
@@ -140,21 +128,47 @@
         assertEquals(received.prompts(), PROMPTS);
 
         group.next()
-                .submit(() -> oldEntry.sendReport(
-                        Map.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        Optional.empty(),
-                        STANDING,
-                        true))
+                .submit(() -> oldEntry.sendReport(PeerExchangeTest::lastReport))
                 .sync();
         assertTrue(receivedByNew.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS).stopping());
     }
 
+    private static PeerReport fullReport(String entry, long incarnation, long sequence) {
+        return new PeerReport(
+                entry,
+                incarnation,
+                sequence,
+                SHARES,
+                PROMPTS,
+                SPEEDS,
+                LENGTHS,
+                CHANGES,
+                TERMINATIONS,
+                LIMITS,
+                DRAINING,
+                DUTIES,
+                STANDING,
+                false);
+    }
+
+    private static PeerReport lastReport(String entry, long incarnation, long sequence) {
+        return new PeerReport(
+                entry,
+                incarnation,
+                sequence,
+                Map.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Optional.empty(),
+                STANDING,
+                true);
+    }
+
     @Test
     public void should_continue_when_a_datagram_is_not_a_report() throws Exception {
         BlockingQueue<PeerReport> received = new LinkedBlockingQueue<>();
@@ -171,6 +185,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 Optional.empty(),
                 new OrderStanding("two", true, 0),
                 false));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
@@ -68,6 +68,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         Optional.empty(),
                         standing,
                         false),
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerDrainTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerDrainTest.java
@@ -51,7 +51,7 @@
     }
 
     // Guards against a server that gets requests after it has announced to this entry that it is draining.
-    @Test(groups = "known-red")
+    @Test
     public void should_send_a_server_nothing_more_when_it_has_announced_that_it_is_draining() throws Exception {
         ScriptedBackend leaving = gateway.backend("leaving", SERVICE, request -> plainAnswer(request, true));
         gateway.backend("staying", SERVICE, request -> plainAnswer(request, false));
@@ -69,7 +69,7 @@
     }
 
     // Guards against the answer to a prompt computed elsewhere that is asked of a server that is draining.
-    @Test(groups = "known-red")
+    @Test
     public void should_place_the_answer_to_a_computed_prompt_elsewhere_when_an_engine_is_draining() throws Exception {
         gateway.backend("prompts", MODEL, EngineRole.PREFILL, TestGateway.LOCAL_DATA_CENTRE, ServerDrainTest::prefill);
         ScriptedBackend leaving = gateway.backend(
@@ -90,7 +90,7 @@
     }
 
     // Guards against callers who are kept waiting for a service that is leaving as a whole.
-    @Test(groups = "known-red")
+    @Test
     public void should_refuse_at_once_when_all_servers_of_a_service_are_draining() throws Exception {
         ScriptedBackend leaving = gateway.backend("leaving", SERVICE, request -> plainAnswer(request, true));
         gateway.publish();
@@ -104,7 +104,7 @@
     }
 
     // Guards against an answer without the announcement that brings a draining server back.
-    @Test(groups = "known-red")
+    @Test
     public void should_not_return_to_a_draining_server_when_a_later_answer_does_not_say_so() throws Exception {
         ScriptedBackend leaving = gateway.backend(
                 "leaving",
@@ -119,7 +119,7 @@
     }
 
     // Guards against an entry that sends requests to a draining server because only others were told.
-    @Test(groups = "known-red")
+    @Test
     public void should_send_a_server_nothing_when_another_entry_reports_that_it_is_draining() throws Exception {
         ScriptedBackend leaving = gateway.backend("leaving", SERVICE, request -> plainAnswer(request, true));
         gateway.publish();
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -40,6 +40,7 @@
     lengths_ = java.util.Collections.emptyList();
     ends_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
+    draining_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -8534,6 +8535,624 @@
 
   }
 
+  public interface DrainingOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Draining)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    long getStartedAt();
+  }
+  /**
+   * <pre>
+   * A server that has announced in an answer that it is draining, while its registration says that it is ready.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Draining}
+   */
+  public static final class Draining extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Draining)
+      DrainingOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Draining");
+    }
+    // Use Draining.newBuilder() to construct.
+    private Draining(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Draining() {
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Draining.class, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder.class);
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int STARTED_AT_FIELD_NUMBER = 2;
+    private long startedAt_ = 0L;
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    @java.lang.Override
+    public long getStartedAt() {
+      return startedAt_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      if (startedAt_ != 0L) {
+        output.writeFixed64(2, startedAt_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      if (startedAt_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, startedAt_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Draining)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Draining other = (org.aspenmoor.internal.wire.v1.PeerLoad.Draining) obj;
+
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getStartedAt()
+          != other.getStartedAt()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + STARTED_AT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartedAt());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Draining prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A server that has announced in an answer that it is draining, while its registration says that it is ready.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Draining}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Draining)
+        org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Draining.class, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Draining.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        startedAt_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Draining build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Draining buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining result = new org.aspenmoor.internal.wire.v1.PeerLoad.Draining(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Draining result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.startedAt_ = startedAt_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Draining) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Draining)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Draining other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getStartedAt() != 0L) {
+          setStartedAt(other.getStartedAt());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                startedAt_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long startedAt_ ;
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return The startedAt.
+       */
+      @java.lang.Override
+      public long getStartedAt() {
+        return startedAt_;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @param value The startedAt to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartedAt(long value) {
+
+        startedAt_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartedAt() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startedAt_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Draining)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Draining)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Draining DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Draining();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Draining>
+        PARSER = new com.google.protobuf.AbstractParser<Draining>() {
+      @java.lang.Override
+      public Draining parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Draining> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Draining> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   private int bitField0_;
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
@@ -9011,6 +9630,47 @@
     return limits_.get(index);
   }
 
+  public static final int DRAINING_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+      getDrainingOrBuilderList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public int getDrainingCount() {
+    return draining_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+    return draining_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+      int index) {
+    return draining_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -9070,6 +9730,9 @@
     if (orderFencingNumber_ != 0L) {
       output.writeInt64(15, orderFencingNumber_);
     }
+    for (int i = 0; i < draining_.size(); i++) {
+      output.writeMessage(16, draining_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -9168,6 +9831,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(15, orderFencingNumber_);
     }
+
+        {
+          final int count = draining_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(draining_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -9228,6 +9900,8 @@
         != other.getOrderFencingNumber()) return false;
     if (!getLimitsList()
         .equals(other.getLimitsList())) return false;
+    if (!getDrainingList()
+        .equals(other.getDrainingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -9292,6 +9966,10 @@
       hash = (37 * hash) + LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getLimitsList().hashCode();
     }
+    if (getDrainingCount() > 0) {
+      hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+      hash = (53 * hash) + getDrainingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -9435,6 +10113,7 @@
         internalGetDutyFieldBuilder();
         internalGetUsageFieldBuilder();
         internalGetLimitsFieldBuilder();
+        internalGetDrainingFieldBuilder();
       }
     }
     @java.lang.Override
@@ -9506,6 +10185,13 @@
         limitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00004000);
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+      } else {
+        draining_ = null;
+        drainingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
       return this;
     }
 
@@ -9602,6 +10288,15 @@
       } else {
         result.limits_ = limitsBuilder_.build();
       }
+      if (drainingBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          draining_ = java.util.Collections.unmodifiableList(draining_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.draining_ = draining_;
+      } else {
+        result.draining_ = drainingBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
@@ -9860,6 +10555,32 @@
           }
         }
       }
+      if (drainingBuilder_ == null) {
+        if (!other.draining_.isEmpty()) {
+          if (draining_.isEmpty()) {
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureDrainingIsMutable();
+            draining_.addAll(other.draining_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.draining_.isEmpty()) {
+          if (drainingBuilder_.isEmpty()) {
+            drainingBuilder_.dispose();
+            drainingBuilder_ = null;
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            drainingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDrainingFieldBuilder() : null;
+          } else {
+            drainingBuilder_.addAllMessages(other.draining_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -10019,6 +10740,19 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 120
+            case 130: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Draining m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Draining.parser(),
+                      extensionRegistry);
+              if (drainingBuilder_ == null) {
+                ensureDrainingIsMutable();
+                draining_.add(m);
+              } else {
+                drainingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -12288,6 +13022,240 @@
       return limitsBuilder_;
     }
 
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_ =
+      java.util.Collections.emptyList();
+    private void ensureDrainingIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        draining_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Draining>(draining_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> drainingBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+      if (drainingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(draining_);
+      } else {
+        return drainingBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public int getDrainingCount() {
+      if (drainingBuilder_ == null) {
+        return draining_.size();
+      } else {
+        return drainingBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);
+      } else {
+        return drainingBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDrainingIsMutable();
+        draining_.set(index, value);
+        onChanged();
+      } else {
+        drainingBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        drainingBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDrainingIsMutable();
+        draining_.add(value);
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDrainingIsMutable();
+        draining_.add(index, value);
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(builderForValue.build());
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addAllDraining(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Draining> values) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, draining_);
+        onChanged();
+      } else {
+        drainingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder clearDraining() {
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        drainingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder removeDraining(int index) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.remove(index);
+        onChanged();
+      } else {
+        drainingBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder getDrainingBuilder(
+        int index) {
+      return internalGetDrainingFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+        int index) {
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);  } else {
+        return drainingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+         getDrainingOrBuilderList() {
+      if (drainingBuilder_ != null) {
+        return drainingBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(draining_);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder() {
+      return internalGetDrainingFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder(
+        int index) {
+      return internalGetDrainingFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder> 
+         getDrainingBuilderList() {
+      return internalGetDrainingFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+        internalGetDrainingFieldBuilder() {
+      if (drainingBuilder_ == null) {
+        drainingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder>(
+                draining_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        draining_ = null;
+      }
+      return drainingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -292,4 +292,28 @@
    */
   org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> 
+      getDrainingList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  int getDrainingCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+      getDrainingOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+      int index);
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Limit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Draining_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -90,7 +95,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\362\013\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\332\014\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -105,32 +110,34 @@
       "\030\014 \001(\0132!.aspenmoor.wire.v1.PeerLoad.Usag" +
       "e\022\031\n\021store_unreachable\030\r \001(\010\022\034\n\024order_fe" +
       "ncing_number\030\017 \001(\003\0221\n\006limits\030\016 \003(\0132!.asp" +
-      "enmoor.wire.v1.PeerLoad.Limit\032u\n\005Share\022\016" +
-      "\n\006server\030\001 \001(\t\022\037\n\027unanswered_microsecond" +
-      "s\030\002 \001(\r\022\020\n\010requests\030\003 \001(\r\022\023\n\013pace_events" +
-      "\030\004 \001(\002\022\024\n\014pace_seconds\030\005 \001(\002\0327\n\006Prompt\022\016" +
-      "\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030" +
-      "\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030" +
-      "\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004" +
-      " \001(\002\032&\n\006Change\022\016\n\006server\030\001 \001(\t\022\014\n\004role\030\002" +
-      " \001(\r\032.\n\013EventLength\022\017\n\007service\030\001 \001(\t\022\016\n\006" +
-      "tokens\030\002 \001(\002\032e\n\003End\022\017\n\007request\030\001 \001(\014\022\016\n\006" +
-      "server\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\006\022\030\n\020age_" +
-      "milliseconds\030\004 \001(\r\022\017\n\007excused\030\005 \001(\010\032o\n\004D" +
-      "uty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016collects_usage\030" +
-      "\002 \001(\010\022\034\n\024settled_usage_window\030\003 \001(\022\022\037\n\027w" +
-      "all_clock_milliseconds\030\004 \001(\006\032\263\001\n\005Usage\022\r" +
-      "\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007windows\030" +
-      "\003 \003(\0132(.aspenmoor.wire.v1.PeerLoad.Usage" +
-      ".Window\032Q\n\006Window\022\016\n\006number\030\001 \001(\022\022\020\n\010com" +
-      "plete\030\002 \001(\010\022\025\n\rorganisations\030\003 \003(\t\022\016\n\006co" +
-      "unts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\n" +
-      "started_at\030\002 \001(\006\022 \n\023requests_per_second\030" +
-      "\003 \001(\001H\000\210\001\001\022\030\n\020age_milliseconds\030\004 \001(\r\022\016\n\006" +
-      "demand\030\005 \001(\002\022\024\n\014demand_class\030\006 \001(\021\022\021\n\tti" +
-      "e_break\030\007 \001(\020B\026\n\024_requests_per_secondB\"\n" +
-      "\036org.aspenmoor.internal.wire.v1P\001b\006proto" +
-      "3"
+      "enmoor.wire.v1.PeerLoad.Limit\0226\n\010drainin" +
+      "g\030\020 \003(\0132$.aspenmoor.wire.v1.PeerLoad.Dra" +
+      "ining\032u\n\005Share\022\016\n\006server\030\001 \001(\t\022\037\n\027unansw" +
+      "ered_microseconds\030\002 \001(\r\022\020\n\010requests\030\003 \001(" +
+      "\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014pace_seconds\030\005" +
+      " \001(\002\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030" +
+      "\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n" +
+      "\rfixed_seconds\030\004 \001(\002\032&\n\006Change\022\016\n\006server" +
+      "\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007s" +
+      "ervice\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007r" +
+      "equest\030\001 \001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_" +
+      "at\030\003 \001(\006\022\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007ex" +
+      "cused\030\005 \001(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n" +
+      "\016collects_usage\030\002 \001(\010\022\034\n\024settled_usage_w" +
+      "indow\030\003 \001(\022\022\037\n\027wall_clock_milliseconds\030\004" +
+      " \001(\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002" +
+      " \001(\006\0229\n\007windows\030\003 \003(\0132(.aspenmoor.wire.v" +
+      "1.PeerLoad.Usage.Window\032Q\n\006Window\022\016\n\006num" +
+      "ber\030\001 \001(\022\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisat" +
+      "ions\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006" +
+      "server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023requ" +
+      "ests_per_second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_millis" +
+      "econds\030\004 \001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_c" +
+      "lass\030\006 \001(\021\022\021\n\ttie_break\030\007 \001(\020B\026\n\024_reques" +
+      "ts_per_second\032.\n\010Draining\022\016\n\006server\030\001 \001(" +
+      "\t\022\022\n\nstarted_at\030\002 \001(\006B\"\n\036org.aspenmoor.i" +
+      "nternal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -141,7 +148,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
@@ -202,6 +209,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Limit_descriptor,
         new java.lang.String[] { "Server", "StartedAt", "RequestsPerSecond", "AgeMilliseconds", "Demand", "DemandClass", "TieBreak", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(9);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Draining_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor,
+        new java.lang.String[] { "Server", "StartedAt", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
