Show when a server asks this entry for a pause

New: events server-backoff and server-backoff-unreadable, aspenmoor_server_backoff_seconds, backoffMilliseconds in the state dump. Where requests go is unchanged.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -402,6 +402,12 @@
         }
     }
 
+    /** Records that a server wants no requests from this entry for a while; returns whether the pause begins now. */
+    public boolean backoffRequested(String server, Duration pause, long now) {
+        ServerEstimate estimate = estimates.get(server);
+        return estimate != null && estimate.backoff().requested(pause, now);
+    }
+
     private List<ServerEstimate> availableServers(PlacementRequest request, long now) {
         List<ServerEstimate> usable = new ArrayList<>();
         for (ServerEstimate estimate : estimates.values()) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -53,6 +53,7 @@
             Duration.ofSeconds(20).toNanos();
 
     private final ServerHealth health = new ServerHealth();
+    private final ServerBackoff backoff = new ServerBackoff();
     private final CacheEstimate cache = new CacheEstimate();
     private final EventIntervalMeter eventIntervalMeter = new EventIntervalMeter();
     private final PromptWindow promptWindow = new PromptWindow();
@@ -120,6 +121,10 @@
         return health;
     }
 
+    ServerBackoff backoff() {
+        return backoff;
+    }
+
     CacheEstimate cache() {
         return cache;
     }
@@ -335,6 +340,7 @@
                 changingRole(now),
                 health.paused(now),
                 cache.tokens(),
+                backoff.remaining(now),
                 requestLimit);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.serving;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -14,6 +15,7 @@
  * @param changingRole whether it has been ordered to change its role
  * @param paused whether it gets no requests after failures
  * @param cachedTokens prompt tokens that it has probably cached
+ * @param backoff for how long it wants no requests from this entry; zero if it has not asked for a pause
  * @param requestLimit requests per second that it takes from all entries together; empty if it states no limit
  */
 public record ServerSummary(
@@ -26,4 +28,5 @@
         boolean changingRole,
         boolean paused,
         int cachedTokens,
+        Duration backoff,
         Optional<Double> requestLimit) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -100,6 +100,7 @@
         node.put("changing", summary.changingRole());
         node.put("paused", summary.paused());
         node.put("cachedTokens", summary.cachedTokens());
+        node.put("backoffMilliseconds", summary.backoff().toMillis());
         summary.requestLimit().ifPresent(limit -> node.put("requestsPerSecondLimit", limit));
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.BackoffStatement;
 import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.ReportedLoad;
 import org.aspenmoor.internal.serving.limit.LimitStatement;
@@ -15,6 +16,7 @@
  * @param load the load that the server reports
  * @param limit what the server states about the requests that it takes from all entries together
  * @param drain what the server states about whether it is draining
+ * @param backoff whether the server wants no requests from this entry for a while
  * @param idleTimeout how long the server keeps an idle connection open
  */
 public record AnswerMetadata(
@@ -24,4 +26,5 @@
         Optional<ReportedLoad> load,
         LimitStatement limit,
         DrainStatement drain,
+        BackoffStatement backoff,
         Optional<Duration> idleTimeout) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerRelocation.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerRelocation.java
@@ -46,14 +46,14 @@
         long now = context.state().time().monotonicNanos();
         AnswerMoves moves = context.state().placement().answerMoves();
         if (moves.shouldLeave(work, now)) {
-            return granted(context.state()::tryTakeRetry, "the engine changes its role");
+            return granted(context.state().retryBudgets()::tryTakeRetry, "the engine changes its role");
         }
         double secondsLeft = (deadlines.deadline() - now) / NANOSECONDS_PER_SECOND;
         return caller.prompt()
                 .map(prompt -> new AnswerInProgress(prompt, trace.events(), secondsLeft))
                 .filter(answer -> moves.shouldBeRescued(work, answer, now))
                 .flatMap(answer -> granted(
-                        context.state()::tryTakeOptionalRetry,
+                        context.state().retryBudgets()::tryTakeOptionalRetry,
                         "the engine is too slow to complete the answer in time"));
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/DrainLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/DrainLog.java
@@ -1,7 +1,5 @@
 package org.aspenmoor.internal.gateway.request;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.DrainStatement;
@@ -9,11 +7,8 @@
 
 /** Logs what becomes known of servers that announce in their answers that they are draining. */
 final class DrainLog {
-    /** Far more servers than state something unreadable at the same time. */
-    private static final int MAX_UNREADABLE = 64;
-
     private final DecisionLog log;
-    private final Set<ServerIncarnation> unreadable = new LinkedHashSet<>();
+    private final OncePerIncarnation unreadable = new OncePerIncarnation();
 
     DrainLog(DecisionLog log) {
         this.log = log;
@@ -34,7 +29,7 @@
 
     /** Logs a statement that is not understood; once for each incarnation, since each of its answers may have it. */
     void unreadable(BackendServer server, DrainStatement.Unreadable statement) {
-        if (unreadable.size() >= MAX_UNREADABLE || !unreadable.add(ServerIncarnation.of(server))) {
+        if (!unreadable.first(server)) {
             return;
         }
         log.notable("server-drain-unreadable")
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -17,6 +17,8 @@
     /** More organisations share one value of the label. */
     private static final int MAX_ORGANISATIONS = 100;
 
+    private static final double MILLISECONDS_PER_SECOND = 1000;
+
     private final Counter requests;
     private final Counter organisationRequests;
     private final BoundedLabels organisations = new BoundedLabels(MAX_ORGANISATIONS);
@@ -109,6 +111,16 @@
                                 summary.server().state() == BackendState.DRAINING ? 1 : 0,
                                 summary.server().id())))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_backoff_seconds")
+                .help("Seconds for which a backend server wants no requests from this entry, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get().stream()
+                        .filter(summary -> summary.backoff().isPositive())
+                        .forEach(summary -> callback.call(
+                                summary.backoff().toMillis() / MILLISECONDS_PER_SECOND,
+                                summary.server().id())))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_request_limit")
                 .help("Requests per second that a backend server takes from all entries together, by server.")
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -21,7 +21,7 @@
         if (!attempts.nextIsRetry()) {
             return true;
         }
-        boolean granted = context.state().tryTakeRetry(service);
+        boolean granted = context.state().retryBudgets().tryTakeRetry(service);
         context.metrics().retryRequested(service, granted);
         if (!granted) {
             trace.setReason("the retry budget of the service is used up; " + trace.reason());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -6,8 +6,10 @@
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackoffStatement;
 import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.time.TimeSource;
@@ -19,10 +21,12 @@
 final class ServerStatements implements ServerObserver {
     private final BackendDirectory directory;
     private final ServerLimits limits;
+    private final PlacementPolicy placement;
     private final TimeSource time;
     private final Consumer<BackendServer> changeListener;
     private final LimitLog limitLog;
     private final DrainLog drainLog;
+    private final BackoffLog backoffLog;
 
     /**
      * Creates an instance.
@@ -32,15 +36,18 @@
     ServerStatements(
             BackendDirectory directory,
             ServerLimits limits,
+            PlacementPolicy placement,
             TimeSource time,
             Consumer<BackendServer> changeListener,
             DecisionLog log) {
         this.directory = directory;
         this.limits = limits;
+        this.placement = placement;
         this.time = time;
         this.changeListener = changeListener;
         this.limitLog = new LimitLog(log);
         this.drainLog = new DrainLog(log);
+        this.backoffLog = new BackoffLog(log);
     }
 
     @Override
@@ -55,6 +62,19 @@
         }
         limitLog.stated(server.id(), limits.stated(server.id(), metadata.limit(), sentAt, time.monotonicNanos()));
         drainStated(server, metadata.drain());
+        backoffStated(server, metadata.backoff());
+    }
+
+    private void backoffStated(BackendServer server, BackoffStatement statement) {
+        switch (statement) {
+            case BackoffStatement.Missing missing -> {}
+            case BackoffStatement.Requested requested -> {
+                if (placement.backoffRequested(server.id(), requested.pause(), time.monotonicNanos())) {
+                    backoffLog.begun(server, requested);
+                }
+            }
+            case BackoffStatement.Unreadable unreadable -> backoffLog.unreadable(server, unreadable);
+        }
     }
 
     private void drainStated(BackendServer server, DrainStatement statement) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -34,7 +34,6 @@
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.PromptPart;
-import org.aspenmoor.internal.serving.RetryAllowance;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.ServerSummary;
 import org.aspenmoor.internal.serving.ServiceLoad;
@@ -63,9 +62,8 @@
     private final ServerStatements statements;
     private final Set<String> listedIncarnations = new HashSet<>();
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
-    private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
+    private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
-    private RetrySettings retrySettings;
     private boolean serverListKnown;
     private boolean storeReached;
     private long lastOrderFencingNumber;
@@ -80,22 +78,24 @@
             PlacementSettings placementSettings) {
         this.time = time;
         this.random = random;
-        this.retrySettings = retrySettings;
+        this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
         this.lastRequestAt = time.monotonicNanos() - IDLE_AFTER.toNanos();
         this.log = log;
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
         this.statements = new ServerStatements(
-                directory, limits, time, server -> placementPolicy.serverChanged(server, cacheTokens(server)), log);
+                directory,
+                limits,
+                placementPolicy,
+                time,
+                server -> placementPolicy.serverChanged(server, cacheTokens(server)),
+                log);
     }
 
     /** Applies changed settings. */
     public void reload(RetrySettings newRetrySettings, PlacementSettings placementSettings) {
-        if (!newRetrySettings.equals(retrySettings)) {
-            retrySettings = newRetrySettings;
-            retryAllowances.clear();
-        }
+        retryBudgets.reload(newRetrySettings);
         placementPolicy.reload(placementSettings);
     }
 
@@ -268,7 +268,7 @@
      */
     public int entryCount() {
         int peerCount = peers.activePeers();
-        return peerCount == 0 ? retrySettings.assumedEntries() : peerCount + 1;
+        return peerCount == 0 ? retryBudgets.assumedEntries() : peerCount + 1;
     }
 
     /** Returns the maximum number of connections that this entry may have open to one server of a service. */
@@ -383,17 +383,11 @@
     /** Records a request for a service, which adds a fraction of a retry to the service's retry budget. */
     void requestArrived(String service) {
         lastRequestAt = time.monotonicNanos();
-        retryAllowance(service).recordRequest();
-    }
-
-    /** Takes a retry from the service's retry budget; returns whether the budget allowed it. */
-    boolean tryTakeRetry(String service) {
-        return retryAllowance(service).tryTakeRetry(entryCount());
+        retryBudgets.recordRequest(service);
     }
 
-    /** Takes a retry for a request that might succeed without it; returns whether the budget allowed it. */
-    boolean tryTakeOptionalRetry(String service) {
-        return retryAllowance(service).tryTakeOptionalRetry(entryCount());
+    RetryBudgets retryBudgets() {
+        return retryBudgets;
     }
 
     /** Updates the estimate of a server from the end of an attempt. */
@@ -433,12 +427,6 @@
         return delay.plusNanos((long) (delay.toNanos() * random.nextDouble() / 2));
     }
 
-    private RetryAllowance retryAllowance(String service) {
-        return retryAllowances.computeIfAbsent(
-                service,
-                name -> new RetryAllowance(time, retrySettings.ratio(), retrySettings.slack(), retrySettings.window()));
-    }
-
     private int cacheTokens(BackendServer server) {
         return configuration
                 .flatMap(known -> known.service(server.service()))
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -27,6 +27,7 @@
 import org.aspenmoor.internal.gateway.protocol.RoleOrder;
 import org.aspenmoor.internal.organisation.ApiKey;
 import org.aspenmoor.internal.organisation.PresentedKey;
+import org.aspenmoor.internal.serving.BackoffStatement;
 import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
@@ -49,6 +50,7 @@
     public static final String PRIORITY = "Test-Priority";
     public static final String LIMIT = "Test-Limit";
     public static final String DRAINING = "Test-Draining";
+    public static final String BACKOFF_MILLISECONDS = "Test-Backoff-Ms";
 
     /** A request with this header blocks the entry's event loop until {@link #release()} is called. */
     public static final String BLOCK = "Test-Busy";
@@ -110,9 +112,16 @@
                 Optional.empty(),
                 readLimit(head),
                 head.headers().contains(DRAINING) ? new DrainStatement.Draining() : new DrainStatement.Missing(),
+                readBackoff(head),
                 Optional.empty());
     }
 
+    private static BackoffStatement readBackoff(HttpResponse head) {
+        return Optional.ofNullable(head.headers().get(BACKOFF_MILLISECONDS))
+                .<BackoffStatement>map(text -> new BackoffStatement.Requested(Duration.ofMillis(Long.parseLong(text))))
+                .orElse(new BackoffStatement.Missing());
+    }
+
     private static LimitStatement readLimit(HttpResponse head) {
         return Optional.ofNullable(head.headers().get(LIMIT))
                 .<LimitStatement>map(limit -> new LimitStatement.Limited(Double.parseDouble(limit)))
