Return to a server step by step after the pause that it asked for

A server that is full asks many entries for a pause at nearly the same time. They all come back when it ends, with all they have, while their requests fill the other servers, which ask for pauses in turn: a service at half of its load goes on turning callers away for seconds after what began it is over. An entry returns with one request without an answer, slow start up to half of what it had there, then additive increase; it returns up to a tenth of the pause later at random; ten seconds without a pause end it. A server that never asks for a pause is not limited.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -45,7 +45,7 @@
     private final SendFilter sendFilter;
     private final List<AssignedPrompt> unreportedPrompts = new ArrayList<>();
     private final AnswerMoves answerMoves;
-    private final ServerBackoffs backoffs = new ServerBackoffs(estimates);
+    private final ServerBackoffs backoffs;
     private ServerRanking ranking;
 
     public PlacementPolicy(
@@ -55,6 +55,7 @@
         this.sendFilter = new SendFilter(limits);
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
+        this.backoffs = new ServerBackoffs(estimates, random);
         reload(settings);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
@@ -22,7 +22,7 @@
     /** Returns whether this entry may send a request to a server now. */
     boolean maySend(ServerEstimate estimate, long now) {
         return estimate.server().state() == BackendState.READY
-                && !estimate.backoff().active(now)
+                && estimate.backoffHasRoom(now)
                 && limits.maySend(estimate.server().id(), now);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -125,6 +125,16 @@
         return backoff;
     }
 
+    /** Records that the server wants no requests for a while; returns whether it was not paused before. */
+    boolean backoffRequested(Duration pause, double randomPart, long now) {
+        return backoff.requested(pause, unanswered.size(), randomPart, now);
+    }
+
+    /** Returns whether the server has asked for no pause, or this entry's return after it has room for a request. */
+    boolean backoffHasRoom(long now) {
+        return backoff.hasRoom(unanswered.size(), now);
+    }
+
     CacheEstimate cache() {
         return cache;
     }
@@ -265,6 +275,7 @@
     /** Records the first byte of the answer to an attempt. */
     void answerStarted(AssignedWork work, long now) {
         lastAnswerAt = now;
+        backoff.answered(now);
         if (!unanswered.contains(work)) {
             return;
         }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/SimulatedServer.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/SimulatedServer.java
@@ -31,6 +31,7 @@
     private final Map<Integer, List<Pause>> pauses = new HashMap<>();
     private final Map<Integer, Long> toldOfDrainAt = new HashMap<>();
     private final List<Long> arrivals = new ArrayList<>();
+    private final List<Long> turnedAwayAt = new ArrayList<>();
     private int mostWithinPause;
     private int afterDrain;
 
@@ -64,6 +65,7 @@
         }
         boolean full = ends.size() >= SLOTS + MAX_QUEUED;
         if (full || (sheds && stating)) {
+            turnedAwayAt.add(now);
             pauses.computeIfAbsent(entry, first -> new ArrayList<>()).add(new Pause(now, now + pause.toNanos()));
             return new Answer(now, Optional.of(pause), drains && stating);
         }
@@ -94,6 +96,12 @@
         return afterDrain;
     }
 
+    /** Returns how many requests were turned away in a span. */
+    int turnedAway(long from, long until) {
+        return (int)
+                turnedAwayAt.stream().filter(at -> at >= from && at < until).count();
+    }
+
     /** Returns the requests that arrived in a span. */
     int arrivals(long from, long until) {
         return (int) arrivals.stream().filter(at -> at >= from && at < until).count();
