Take one retry, not two, for a staged request whose prompt was turned away

Cause: after the first engine turned the prompt away, one retry was taken for the prompt at the second engine, which is no arrival beyond the first by the users' rules, and one more for the answer. The same for answers that move to another engine by two steps. RetryPermit now counts what was granted against what has arrived: a retry that was granted for a prompt that does not count is still there for the answer.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
@@ -86,9 +86,12 @@
         return attemptOpen || possibleRuns > 0;
     }
 
-    /** Returns whether the next attempt would be a retry that has to be granted by the shared retry allowance. */
-    public boolean nextIsRetry() {
-        return arrivals > 0;
+    /**
+     * Returns how many retries the shared retry allowance has to have granted in all before the next attempt; zero if it
+     * would be the first.
+     */
+    public int requiredRetries() {
+        return arrivals;
     }
 
     /** Returns whether another engine may continue the answer of the open attempt. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptTrackerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/AttemptTrackerTest.java
@@ -50,11 +50,11 @@
     public void should_count_all_but_the_first_computed_prompt_as_retries() {
         AttemptTracker tracker = new AttemptTracker(RetryRule.AT_MOST_ONCE, 1);
         tracker.promptComputed();
-        assertFalse(tracker.nextIsRetry());
+        assertEquals(tracker.requiredRetries(), 0);
 
         tracker.attemptStarted();
         tracker.attemptEnded(new AttemptEnd.Misdirected());
-        assertTrue(tracker.nextIsRetry());
+        assertEquals(tracker.requiredRetries(), 1);
         assertFalse(tracker.mayHaveRun());
     }
 
@@ -65,8 +65,8 @@
         AttemptTracker rejected = new AttemptTracker(RetryRule.AT_MOST_ONCE, 1);
         rejected.promptFailed(new AttemptEnd.NotExecuted());
 
-        assertFalse(neverSent.nextIsRetry());
-        assertTrue(rejected.nextIsRetry());
+        assertEquals(neverSent.requiredRetries(), 0);
+        assertEquals(rejected.requiredRetries(), 1);
         assertFalse(rejected.mayHaveRun());
     }
 
@@ -92,10 +92,10 @@
         AttemptTracker tracker = new AttemptTracker(RetryRule.AT_MOST_ONCE, 1);
         tracker.attemptStarted();
         tracker.attemptEnded(new AttemptEnd.NeverSent());
-        assertFalse(tracker.nextIsRetry());
+        assertEquals(tracker.requiredRetries(), 0);
         tracker.attemptStarted();
         tracker.attemptEnded(new AttemptEnd.NotExecuted());
-        assertTrue(tracker.nextIsRetry());
+        assertEquals(tracker.requiredRetries(), 1);
     }
 
     @Test
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -8,6 +8,7 @@
     private final String service;
     private final AttemptTracker attempts;
     private final RequestTrace trace;
+    private int grantedRetries;
 
     RetryPermit(ServingContext context, String service, AttemptTracker attempts, RequestTrace trace) {
         this.context = context;
@@ -16,9 +17,17 @@
         this.trace = trace;
     }
 
-    /** Returns whether the next attempt is allowed; the first attempt of a request always is. */
+    /** Records a retry of this request that was taken from the budget elsewhere. */
+    void recordGranted() {
+        grantedRetries++;
+    }
+
+    /**
+     * Returns whether the next attempt is allowed; the first attempt of a request always is. A retry that was granted for
+     * an attempt that did not count, such as the first prompt that an engine computes, is still there for the next one.
+     */
     boolean tryAcquire() {
-        if (!attempts.nextIsRetry()) {
+        if (grantedRetries >= attempts.requiredRetries()) {
             return true;
         }
         boolean granted = context.state().retryBudgets().tryTakeRetry(service);
@@ -26,6 +35,7 @@
         if (!granted) {
             trace.setReason("the retry budget of the service is used up; " + trace.reason());
         }
+        grantedRetries += granted ? 1 : 0;
         return granted;
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -307,6 +307,7 @@
         currentAttempt.cancel();
         currentAttempt.end(interrupted);
         attempts.attemptEnded(new AttemptEnd.Lost());
+        permit.recordGranted();
         context.metrics().attemptEnded(service, "moved");
         trace.setReason(reason);
         assignServer();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerBackoffTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerBackoffTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
@@ -126,6 +127,27 @@
         assertTrue(requestsOfCallers(shedding) <= 1, "the engine got " + requestsOfCallers(shedding));
     }
 
+    // Guards against callers who are refused because a prompt that was turned away used up the retry budget twice.
+    @Test
+    public void should_take_one_retry_when_a_prompt_is_turned_away_and_computed_elsewhere() throws Exception {
+        AtomicBoolean turnedAway = new AtomicBoolean();
+        ScriptedBackend.Script first =
+                request -> request.line().startsWith("POST") && turnedAway.compareAndSet(false, true)
+                        ? turnAway(request)
+                        : prefill(request);
+        engine("prompts", EngineRole.PREFILL, first);
+        engine("prompts-too", EngineRole.PREFILL, first);
+        engine("answers", EngineRole.DECODE, ServerBackoffTest::stream);
+        gateway.publish();
+
+        assertTrue(draft(1).line().contains(" 200 "));
+
+        assertTrue(turnedAway.get());
+        assertTrue(
+                gateway.metrics().contains("aspenmoor_repeats_total{granted=\"true\",service=\"model\"} 1.0"),
+                gateway.metrics());
+    }
+
     private ScriptedBackend engine(String id, EngineRole role, ScriptedBackend.Script script) throws Exception {
         return gateway.backend(id, MODEL, role, TestGateway.LOCAL_DATA_CENTRE, script);
     }
