--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -88,7 +88,7 @@
 
     PeerReport nextReport() {
         reportCount++;
-        List<AssignedPrompt> prompts = placementPolicy.takeUnreportedPrompts();
+        List<AssignedPrompt> prompts = placementPolicy.promptAssignments().takeUnreported();
         List<LearnedSpeed> speeds = placementPolicy.learnedSpeeds();
         placementPolicy.samplePromptLoad(ReplayRun.SERVICE, queue.size() > 0, loop.now());
         return new PeerReport(
@@ -110,7 +110,7 @@
 
     void receive(PeerReport report) {
         peerLoads.receive(report, loop.now());
-        report.prompts().forEach(prompt -> placementPolicy.promptAssignedByPeer(prompt, loop.now()));
+        report.prompts().forEach(prompt -> placementPolicy.promptAssignments().assignedByPeer(prompt, loop.now()));
         report.speeds().forEach(placementPolicy::speedReceived);
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
     }
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
@@ -124,7 +124,7 @@
         }
         AssignedWork work = entry.placementPolicy()
                 .attemptStarted(server, workKind, promptSeconds, request.kind().objective(), now());
-        entry.placementPolicy().promptAssigned(server, request.prompt(), now());
+        entry.placementPolicy().promptAssignments().assigned(server, request.prompt(), now());
         EntryAttempt attempt = new EntryAttempt(this, entry, server, workKind, work);
         EngineJob job = new EngineJob(
                 request.prompt(),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -29,11 +29,6 @@
      */
     private static final double MIN_BUSY_REQUESTS = 0.5;
 
-    /**
-     * Limit that keeps a report within one datagram; the other entries only lack a hint about the prompts beyond it.
-     */
-    private static final int MAX_UNREPORTED_PROMPTS = 24;
-
     private final RandomGenerator random;
     private final Map<String, ServerEstimate> estimates = new LinkedHashMap<>();
     private final EngineSpeeds speeds = new EngineSpeeds();
@@ -43,7 +38,7 @@
     private final PeerLoads peerLoads;
     private final ServerLimits limits;
     private final SendFilter sendFilter;
-    private final List<AssignedPrompt> unreportedPrompts = new ArrayList<>();
+    private final PromptAssignments promptAssignments;
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
     private ServerRanking ranking;
@@ -56,6 +51,7 @@
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
         this.backoffs = new ServerBackoffs(estimates, random);
+        this.promptAssignments = new PromptAssignments(estimates, peerLoads);
         reload(settings);
     }
 
@@ -180,39 +176,6 @@
         return work;
     }
 
-    /** Records that this entry has assigned a prompt to an engine, which will cache it. */
-    public void promptAssigned(BackendServer server, Prompt prompt, long now) {
-        AssignedPrompt assigned = new AssignedPrompt(server.id(), prompt.parts());
-        promptAssignedByPeer(assigned, now);
-        if (unreportedPrompts.size() < MAX_UNREPORTED_PROMPTS) {
-            unreportedPrompts.add(assigned);
-        }
-    }
-
-    /** Records that another entry has assigned a prompt to an engine. */
-    public void promptAssignedByPeer(AssignedPrompt assigned, long now) {
-        ServerEstimate estimate = estimates.get(assigned.server());
-        if (estimate != null) {
-            long computedAt = now + (long) (ranking.waitSeconds(estimate, now) * NANOSECONDS_PER_SECOND);
-            estimate.cache().promptAssigned(assigned.parts(), computedAt);
-        }
-    }
-
-    /** Records the prompt parts that an engine reported as cached. */
-    public void cacheReported(String server, List<PromptPart> parts, long now) {
-        ServerEstimate estimate = estimates.get(server);
-        if (estimate != null) {
-            estimate.cache().promptAssigned(parts, now);
-        }
-    }
-
-    /** Returns the prompts that this entry has assigned since the last call. */
-    public List<AssignedPrompt> takeUnreportedPrompts() {
-        List<AssignedPrompt> taken = List.copyOf(unreportedPrompts);
-        unreportedPrompts.clear();
-        return taken;
-    }
-
     /** Records the first byte of an answer. */
     public void answerStarted(AssignedWork work, long now) {
         ServerEstimate estimate = estimates.get(work.server());
@@ -264,6 +227,11 @@
         return estimate != null && estimate.changingRole(now);
     }
 
+    /** Returns what is known of the prompts that engines have been assigned and cache. */
+    public PromptAssignments promptAssignments() {
+        return promptAssignments;
+    }
+
     /** Returns the pauses that servers have asked this entry for. */
     public ServerBackoffs backoffs() {
         return backoffs;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -2,12 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -23,6 +21,7 @@
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementRequest;
 import org.aspenmoor.internal.serving.PlacementSettings;
+import org.aspenmoor.internal.serving.SimulatedTime;
 import org.aspenmoor.internal.serving.WorkKind;
 
 /**
@@ -44,13 +43,10 @@
 
     private final LimitScenario scenario;
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private final SimulatedTime time = new SimulatedTime(SECOND);
     private final List<BackendServer> servers = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
-    private long now = SECOND;
-    private long eventCount;
     private int asked;
     private int served;
 
@@ -70,18 +66,14 @@
         entries.forEach(Entry::start);
         scheduleArrival();
         scenario.suspended().forEach(entry -> {
-            at(scenario.faultAt(), () -> entries.get(entry).suspended = true);
-            at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).suspended = false);
+            time.at(scenario.faultAt(), () -> entries.get(entry).suspended = true);
+            time.at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).suspended = false);
         });
         scenario.killed().forEach(entry -> {
-            at(scenario.faultAt(), () -> entries.get(entry).alive = false);
-            at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).start());
+            time.at(scenario.faultAt(), () -> entries.get(entry).alive = false);
+            time.at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).start());
         });
-        while (!events.isEmpty() && events.peek().at() < scenario.until()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
-        }
+        time.runUntil(scenario.until());
         return this;
     }
 
@@ -137,7 +129,7 @@
 
     private void scheduleArrival() {
         double seconds = -Math.log(1 - random.nextDouble()) / scenario.callersPerSecond();
-        at(now + (long) (seconds * SECOND), () -> {
+        time.at(time.now() + (long) (seconds * SECOND), () -> {
             asked++;
             callAt(pickEntry(), 1);
             scheduleArrival();
@@ -155,11 +147,11 @@
         }
         PlacementRequest request = new PlacementRequest(
                 SERVICE, Optional.empty(), Duration.ofSeconds(2), OBJECTIVE, false, Set.of(), false, false, false);
-        switch (entry.policy.choose(request, now)) {
+        switch (entry.policy.choose(request, time.now())) {
             case Placement.SingleServer single -> entry.send(single);
             case Placement.Refused refused -> {
                 if (attempt < MAX_CALLER_ATTEMPTS) {
-                    at(now + refused.retryAfter().toNanos(), () -> callAt(pickEntry(), attempt + 1));
+                    time.at(time.now() + refused.retryAfter().toNanos(), () -> callAt(pickEntry(), attempt + 1));
                 }
             }
             case Placement.Disaggregated disaggregated ->
@@ -174,12 +166,6 @@
         return limited ? new LimitStatement.Limited(scenario.limit()) : new LimitStatement.Unlimited();
     }
 
-    private void at(long time, Runnable action) {
-        events.add(new Event(time, eventCount++, action));
-    }
-
-    private record Event(long at, long number, Runnable action) {}
-
     private record Arrival(String server, long at, boolean countsForLimit) {}
 
     /** An entry; its state is new with each start. */
@@ -213,7 +199,7 @@
                     new Random(random.nextLong()));
             servers.forEach(server -> policy.serverChanged(server, 0));
             long started = incarnation;
-            at(now + random.nextLong(100 * MILLISECOND), () -> report(started));
+            time.at(time.now() + random.nextLong(100 * MILLISECOND), () -> report(started));
         }
 
         private void report(long reportingIncarnation) {
@@ -226,22 +212,22 @@
                         name,
                         incarnation,
                         reports,
-                        policy.ownLoads(now),
+                        policy.ownLoads(time.now()),
                         List.of(),
                         List.of(),
                         List.of(),
                         List.of(),
                         List.of(),
-                        limits.toReport(now),
+                        limits.toReport(time.now()),
                         List.of(),
                         Optional.empty(),
                         new OrderStanding(name, true, 0),
                         false);
                 entries.stream().filter(other -> other != this).forEach(other -> deliver(report, other));
-                peers.expire(now);
+                peers.expire(time.now());
             }
             long interval = Math.max(100, 10L * (entries.size() - 1)) * MILLISECOND;
-            at(now + interval, () -> report(reportingIncarnation));
+            time.at(time.now() + interval, () -> report(reportingIncarnation));
         }
 
         private void deliver(PeerReport report, Entry receiver) {
@@ -250,10 +236,10 @@
             }
             boolean late = random.nextDouble() < scenario.lostReports();
             long delay = NETWORK + (late ? random.nextLong(300 * MILLISECOND) : 0);
-            at(now + delay, () -> {
+            time.at(time.now() + delay, () -> {
                 if (receiver.alive && !receiver.suspended) {
-                    receiver.peers.receive(report, now);
-                    report.limits().forEach(limit -> receiver.limits.reported(name, limit, now));
+                    receiver.peers.receive(report, time.now());
+                    report.limits().forEach(limit -> receiver.limits.reported(name, limit, time.now()));
                 }
             });
         }
@@ -261,14 +247,14 @@
         private void send(Placement.SingleServer placement) {
             BackendServer server = placement.server();
             AssignedWork work =
-                    policy.attemptStarted(server, WorkKind.PLAIN, placement.promptSeconds(), OBJECTIVE, now);
+                    policy.attemptStarted(server, WorkKind.PLAIN, placement.promptSeconds(), OBJECTIVE, time.now());
             long told = toldAt.getOrDefault(server.id(), Long.MAX_VALUE);
-            long arrivesAt = now + NETWORK;
+            long arrivesAt = time.now() + NETWORK;
             boolean counts = told != Long.MAX_VALUE && told + SECOND / 2 <= arrivesAt;
             arrivals.add(new Arrival(server.id(), arrivesAt, counts));
             long sendingIncarnation = incarnation;
             LimitStatement statement = statement(server.id(), arrivesAt + WORK);
-            at(arrivesAt + WORK + NETWORK, () -> {
+            time.at(arrivesAt + WORK + NETWORK, () -> {
                 if (alive && !suspended && incarnation == sendingIncarnation) {
                     answered(work, statement);
                 }
@@ -277,11 +263,11 @@
 
         private void answered(AssignedWork work, LimitStatement statement) {
             served++;
-            limits.stated(work.server(), statement, work.startedAtNanos(), now);
-            policy.answerStarted(work, now);
+            limits.stated(work.server(), statement, work.startedAtNanos(), time.now());
+            policy.answerStarted(work, time.now());
             policy.attemptEnded(work);
             if (statement instanceof LimitStatement.Limited) {
-                toldAt.putIfAbsent(work.server(), now);
+                toldAt.putIfAbsent(work.server(), time.now());
             }
         }
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
@@ -91,7 +91,9 @@
     }
 
     private void assignPrompt(BackendServer server, long now) {
-        caller.prompt().ifPresent(prompt -> context.state().placement().promptAssigned(server, prompt, now));
+        caller.prompt()
+                .ifPresent(prompt ->
+                        context.state().placement().promptAssignments().assigned(server, prompt, now));
     }
 
     private long now() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -195,7 +195,7 @@
     /** Applies the report of another entry. */
     public void peerReported(PeerReport report, long now) {
         peers.receive(report, now);
-        report.prompts().forEach(prompt -> placementPolicy.promptAssignedByPeer(prompt, now));
+        report.prompts().forEach(prompt -> placementPolicy.promptAssignments().assignedByPeer(prompt, now));
         report.speeds().forEach(placementPolicy::speedReceived);
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
@@ -259,7 +259,7 @@
 
     /** Returns and clears the prompts that this entry has assigned to servers since the last call. */
     public List<AssignedPrompt> takeUnreportedPrompts() {
-        return placementPolicy.takeUnreportedPrompts();
+        return placementPolicy.promptAssignments().takeUnreported();
     }
 
     /**
@@ -357,7 +357,7 @@
 
     /** Records the prompt parts that an engine reports as cached. */
     public void cacheListingReceived(BackendServer engine, List<PromptPart> parts, long now) {
-        placementPolicy.cacheReported(engine.id(), parts, now);
+        placementPolicy.promptAssignments().cacheReported(engine.id(), parts, now);
         log.notable("cache-listed")
                 .with("server", engine.id())
                 .with("parts", parts.size())
