Let prompts wait at the entry for an engine that takes requests again one by one

While all engines for answers returned step by step from a pause, a caller whose request found them with one each was refused, and told that limits were used up. The prompt now waits in the queue of the entry, by the same order as others; a refusal names the pause, the return or the limit.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -87,18 +87,26 @@
         List<ServerEstimate> available = availableServers(request, now);
         List<ServerEstimate> usable = sendFilter.permitted(available, now);
         if (usable.isEmpty()) {
-            return sendFilter.refuse(request.service(), available, now);
+            return waitOrRefuse(request, available, now);
         }
         Placement best = request.prompt().isPresent()
                 ? ranking.chooseEngines(request, request.prompt().get(), usable, now)
                 : ranking.choosePlainServer(usable, now);
         if (best instanceof Placement.Refused && usable.size() < available.size()) {
-            return sendFilter.refuse(request.service(), available, now);
+            return waitOrRefuse(request, available, now);
         }
         boolean speedUnknown = request.prompt().isPresent() && !speedKnown(best);
         return speedUnknown ? best : QueueLimit.applyTo(best, request);
     }
 
+    /** A prompt waits at this entry for an engine that takes requests again one by one; all else is refused. */
+    private Placement waitOrRefuse(PlacementRequest request, List<ServerEstimate> available, long now) {
+        boolean queues = request.mayQueue() && request.prompt().isPresent() && sendFilter.anyReturning(available, now);
+        return queues
+                ? ranking.queue(request.prompt().get(), available, now)
+                : sendFilter.refuse(request.service(), available, now);
+    }
+
     private boolean speedKnown(Placement placement) {
         return switch (placement) {
             case Placement.SingleServer single ->
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
@@ -31,6 +31,17 @@
         return servers.stream().filter(estimate -> maySend(estimate, now)).toList();
     }
 
+    /** Returns whether a server that can answer takes requests of this entry again, if only one by one. */
+    boolean anyReturning(List<ServerEstimate> available, long now) {
+        return available.stream()
+                .filter(SendFilter::canAnswer)
+                .anyMatch(each -> each.backoff().returning(now));
+    }
+
+    private static boolean canAnswer(ServerEstimate estimate) {
+        return estimate.server().role() != EngineRole.PREFILL;
+    }
+
     /**
      * Refuses a request that none of the permitted servers can answer.
      *
@@ -43,19 +54,26 @@
         }
         limits.refused(service, now);
         Duration delay = untilPermitted(available, now);
-        boolean pauses = available.stream().anyMatch(each -> each.backoff().active(now));
-        String reason = pauses
-                ? String.format(
-                        "the backend servers of service %s that could answer want no requests from this entry for %.2f s",
-                        service, delay.toNanos() / NANOSECONDS_PER_SECOND)
-                : "the limits of the backend servers of service " + service + " are used up";
-        return new Placement.Refused(reason, delay);
+        return new Placement.Refused(reason(service, available, delay, now), delay);
+    }
+
+    private static String reason(String service, List<ServerEstimate> available, Duration delay, long now) {
+        if (available.stream().anyMatch(each -> each.backoff().active(now))) {
+            return String.format(
+                    "the backend servers of service %s that could answer want no requests from this entry for %.2f s",
+                    service, delay.toNanos() / NANOSECONDS_PER_SECOND);
+        }
+        if (available.stream().anyMatch(each -> each.backoff().returning(now))) {
+            return "the backend servers of service " + service + " have as many requests of this entry as they may have"
+                    + " so soon after their pauses";
+        }
+        return "the limits of the backend servers of service " + service + " are used up";
     }
 
     /** Returns the time until this entry may send a request to one of the servers that can answer it. */
     Duration untilPermitted(List<ServerEstimate> available, long now) {
         return available.stream()
-                .filter(each -> each.server().role() != EngineRole.PREFILL)
+                .filter(SendFilter::canAnswer)
                 .filter(each -> !maySend(each, now))
                 .flatMap(each -> untilPermitted(each, now).stream())
                 .min(Duration::compareTo)
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoff.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoff.java
@@ -46,6 +46,11 @@
         return now < pausedUntil;
     }
 
+    /** Returns whether the pause is over and this entry returns step by step. */
+    boolean returning(long now) {
+        return !active(now) && now < limitedUntil;
+    }
+
     /** Returns the time until the pause ends; zero if there is none. */
     Duration remaining(long now) {
         return active(now) ? Duration.ofNanos(pausedUntil - now) : Duration.ZERO;
@@ -53,12 +58,12 @@
 
     /** Returns whether this entry may send the server one more request, given those whose answer has not begun. */
     boolean hasRoom(int unanswered, long now) {
-        return now >= limitedUntil || (!active(now) && unanswered < window);
+        return now >= limitedUntil || (returning(now) && unanswered < window);
     }
 
     /** Records that an answer has begun. */
     void answered(long now) {
-        if (!active(now) && now < limitedUntil) {
+        if (returning(now)) {
             window += window < slowStartThreshold ? 1 : 1 / window;
         }
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -184,6 +184,15 @@
         return engineFull && best instanceof Placement.Refused ? new Placement.Queued(minPromptSeconds) : best;
     }
 
+    /** Returns a placement in the queue of this entry until one of the engines, of which there must be any, has room. */
+    Placement queue(Prompt prompt, List<ServerEstimate> engines, long now) {
+        PromptCosts costs = new PromptCosts(settings, prompt, engines, true, now);
+        return new Placement.Queued(engines.stream()
+                .mapToDouble(engine -> costs.workAt(engine).seconds())
+                .min()
+                .orElseThrow());
+    }
+
     /**
      * Returns how long a new request probably waits at a server, in seconds, given the load of the other entries there.
      */
