Keep a pause while its server's registration lapses and returns

The pause was kept with what an entry estimates of a server, which goes with its registration. A server that registers again within the pause, after an outage of the store or an unreadable registration, was sent requests at once. Pauses are now remembered by incarnation until they no longer limit anything. BackoffPlacementTest.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -73,7 +73,7 @@
             known.update(server, cacheTokens, speed);
             return;
         }
-        estimates.put(server.id(), new ServerEstimate(server, cacheTokens, speed));
+        estimates.put(server.id(), new ServerEstimate(server, cacheTokens, speed, backoffs.of(server)));
     }
 
     /** Removes a server. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -53,7 +53,7 @@
             Duration.ofSeconds(20).toNanos();
 
     private final ServerHealth health = new ServerHealth();
-    private final ServerBackoff backoff = new ServerBackoff();
+    private final ServerBackoff backoff;
     private final CacheEstimate cache = new CacheEstimate();
     private final EventIntervalMeter eventIntervalMeter = new EventIntervalMeter();
     private final PromptWindow promptWindow = new PromptWindow();
@@ -88,8 +88,10 @@
      * Creates an estimate.
      *
      * @param speed the speed of all servers of the service with the same role
+     * @param backoff the pauses that the server asks this entry for
      */
-    ServerEstimate(BackendServer server, int cacheTokens, SpeedEstimate speed) {
+    ServerEstimate(BackendServer server, int cacheTokens, SpeedEstimate speed, ServerBackoff backoff) {
+        this.backoff = backoff;
         update(server, cacheTokens, speed);
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
@@ -68,6 +68,21 @@
         assertTrue(policy.retryDelay(request(), SECOND).compareTo(Duration.ofSeconds(2)) >= 0);
     }
 
+    // Guards against a pause that is forgotten when a registration lapses and returns, and one that outlives its
+    // server.
+    @Test
+    public void should_keep_the_pause_of_an_incarnation_that_registers_again_and_not_of_the_next_one() {
+        BackendServer server = TestServers.engine("answers", EngineRole.DECODE);
+        policy.backoffs().requested("answers", Duration.ofSeconds(3), 0);
+
+        policy.serverRemoved("answers");
+        policy.serverChanged(server, TestServers.CACHE_TOKENS);
+        assertTrue(policy.backoffs().remaining("answers", SECOND).isPositive());
+
+        policy.serverChanged(TestServers.nextIncarnation(server), TestServers.CACHE_TOKENS);
+        assertEquals(policy.backoffs().remaining("answers", SECOND), Duration.ZERO);
+    }
+
     private static PlacementRequest request() {
         return new PlacementRequest(
                 TestServers.MODEL_SERVICE,
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
@@ -30,6 +30,20 @@
         return server(id, MODEL_SERVICE, ENGINE_SLOTS, BackendState.DRAINING, role);
     }
 
+    /** Returns the same server after a restart under its id. */
+    static BackendServer nextIncarnation(BackendServer server) {
+        return new BackendServer(
+                server.id(),
+                server.startedAt() + 1,
+                server.service(),
+                server.host(),
+                server.port(),
+                server.dataCentre(),
+                server.slots(),
+                server.state(),
+                server.role());
+    }
+
     private static BackendServer server(String id, String service, int slots, BackendState state, EngineRole role) {
         return new BackendServer(id, 1, service, "127.0.0.1", 1, DATA_CENTRE, slots, state, role);
     }
