Ask an engine that returns step by step for the answer to a computed prompt

Found by reading the change. For ten seconds after a pause, a computed prompt was given up if all engines for answers had as many requests as the return allows, though none of them wanted a pause any more. The prompt would have been computed in vain. Prompts are still not computed until an engine for answers has room.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -125,7 +125,7 @@
      */
     public Optional<BackendServer> chooseDecodeEngine(PlacementRequest request, BackendServer prefill, long now) {
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
-        List<ServerEstimate> usable = sendFilter.permitted(availableServers(request, now), now);
+        List<ServerEstimate> usable = sendFilter.permittedForComputedPrompt(availableServers(request, now), now);
         return ranking.leastBusyDecodeEngine(usable, tokens, prefill.dataCentre(), now)
                 .map(ServerEstimate::server);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
@@ -21,8 +21,12 @@
 
     /** Returns whether this entry may send a request to a server now. */
     boolean maySend(ServerEstimate estimate, long now) {
+        return estimate.backoffHasRoom(now) && acceptsRequests(estimate, now);
+    }
+
+    private boolean acceptsRequests(ServerEstimate estimate, long now) {
         return estimate.server().state() == BackendState.READY
-                && estimate.backoffHasRoom(now)
+                && !estimate.backoff().active(now)
                 && limits.maySend(estimate.server().id(), now);
     }
 
@@ -31,6 +35,20 @@
         return servers.stream().filter(estimate -> maySend(estimate, now)).toList();
     }
 
+    /**
+     * Returns the servers to which this entry may send the answer to a computed prompt now. If all are returning step by
+     * step and have their requests, they are asked all the same: the prompt would have been computed in vain, and the
+     * next ones are not computed until there is room.
+     */
+    List<ServerEstimate> permittedForComputedPrompt(List<ServerEstimate> servers, long now) {
+        List<ServerEstimate> permitted = permitted(servers, now);
+        return permitted.stream().anyMatch(SendFilter::canAnswer)
+                ? permitted
+                : servers.stream()
+                        .filter(estimate -> acceptsRequests(estimate, now))
+                        .toList();
+    }
+
     /** Returns whether a server that can answer takes requests of this entry again, if only one by one. */
     boolean anyReturning(List<ServerEstimate> available, long now) {
         return available.stream()
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoff.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoff.java
@@ -48,7 +48,12 @@
 
     /** Returns whether the pause is over and this entry returns step by step. */
     boolean returning(long now) {
-        return !active(now) && now < limitedUntil;
+        return limiting(now) && !active(now);
+    }
+
+    /** Returns whether the server is paused or this entry returns to it step by step. */
+    boolean limiting(long now) {
+        return now < limitedUntil;
     }
 
     /** Returns the time until the pause ends; zero if there is none. */
@@ -58,7 +63,7 @@
 
     /** Returns whether this entry may send the server one more request, given those whose answer has not begun. */
     boolean hasRoom(int unanswered, long now) {
-        return now >= limitedUntil || (returning(now) && unanswered < window);
+        return !limiting(now) || (returning(now) && unanswered < window);
     }
 
     /** Records that an answer has begun. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoffs.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerBackoffs.java
@@ -32,7 +32,7 @@
         if (estimate == null) {
             return false;
         }
-        remembered.values().removeIf(backoff -> backoff.hasRoom(Integer.MAX_VALUE, now));
+        remembered.values().removeIf(backoff -> !backoff.limiting(now));
         remembered.put(ServerIncarnation.of(estimate.server()), estimate.backoff());
         return estimate.backoffRequested(pause, random.nextDouble(), now);
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
@@ -68,6 +68,21 @@
         assertTrue(policy.retryDelay(request(), SECOND).compareTo(Duration.ofSeconds(2)) >= 0);
     }
 
+    // Guards against a computed prompt that is given up because the engines that return step by step have a request
+    // each.
+    @Test
+    public void should_ask_a_busy_engine_that_returns_step_by_step_for_the_answer_to_a_computed_prompt() {
+        BackendServer answers = TestServers.engine("answers", EngineRole.DECODE);
+        policy.backoffs().requested("answers", Duration.ofSeconds(1), 0);
+        long returned = 2 * SECOND;
+        policy.attemptStarted(answers, WorkKind.HANDOFF, 0, OBJECTIVE, returned);
+
+        Optional<BackendServer> chosen =
+                policy.chooseDecodeEngine(request(), TestServers.engine("prompts", EngineRole.PREFILL), returned);
+
+        assertEquals(chosen.map(BackendServer::id), Optional.of("answers"));
+    }
+
     // Guards against a pause that is forgotten when a registration lapses and returns, and one that outlives its
     // server.
     @Test
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulationTest.java
@@ -11,7 +11,7 @@
 import org.testng.annotations.Test;
 
 public class StatementSimulationTest {
-    private static final int SEEDS = 5;
+    private static final int SEEDS = Integer.getInteger("aspenmoor.seeds", 5);
     private static final double USUAL_LOAD = 300;
 
     /** Half of what the servers can process. */
