--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
@@ -0,0 +1,74 @@
+package org.aspenmoor.internal.gateway.backend;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.time.SystemTimeSource;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+public class BackendConnectionsTest {
+    private static final int MAX_WAIT_SECONDS = 20;
+    private static final String REFUSAL = "the server wants nothing from this entry for 2000 ms";
+    private static final BackendServer SERVER =
+            new BackendServer("paused", 1, "model", "127.0.0.1", 1, "here", 4, BackendState.READY, EngineRole.DECODE);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop eventLoop = group.next();
+
+    @AfterClass
+    public void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    // Guards against a report, an order or a list of a cache that is asked of a server that wants a pause.
+    @Test
+    public void should_not_send_a_call_to_a_server_that_wants_none() throws Exception {
+        RefusingObserver observer = new RefusingObserver();
+        BackendConnections connections =
+                new BackendConnections(new TestProtocols(), eventLoop, new SystemTimeSource(), service -> 1, observer);
+        FullHttpRequest report = new TestProtocols().createReportRequest(SERVER.id());
+        AnswerCollector collector = new AnswerCollector();
+
+        eventLoop.submit(() -> connections.call(SERVER, report, collector)).get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+
+        ExecutionException failure = expectThrows(
+                ExecutionException.class, () -> collector.future().get(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(failure.getMessage().contains(REFUSAL), failure.getMessage());
+        assertEquals(connections.openedTotal(), 0);
+        assertEquals(observer.callsSent, 0);
+        assertEquals(report.refCnt(), 0);
+    }
+
+    private static final class RefusingObserver implements ServerObserver {
+        private int callsSent;
+
+        @Override
+        public Optional<String> callRefusal(BackendServer server) {
+            return Optional.of(REFUSAL);
+        }
+
+        @Override
+        public void callSent(BackendServer server) {
+            callsSent++;
+        }
+
+        @Override
+        public void answerReceived(BackendServer server, AnswerMetadata metadata, long sentAt) {
+            throw new IllegalStateException("nothing was sent to " + server.id());
+        }
+    }
+}
