--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -301,6 +301,32 @@
         return new TestCaller(gateway.callersAddress().getPort());
     }
 
+    /** Sends a caller's GET request and returns the answer. */
+    public ReceivedRequest get(String path, String requestId) throws IOException {
+        return call(HttpText.head("GET " + path + " HTTP/1.1", "Host: " + HOST, requestIdLine(requestId)));
+    }
+
+    /** Sends a caller's request for a generation and returns the answer. */
+    public ReceivedRequest generate(String path, String requestId, int promptTokens) throws IOException {
+        return call(HttpText.head(
+                "POST " + path + " HTTP/1.1",
+                "Host: " + HOST,
+                requestIdLine(requestId),
+                TestProtocols.PROMPT + ": " + promptTokens,
+                "Content-Length: 0"));
+    }
+
+    private ReceivedRequest call(String request) throws IOException {
+        try (TestCaller caller = caller()) {
+            caller.send(request);
+            return caller.readAnswer();
+        }
+    }
+
+    private static String requestIdLine(String requestId) {
+        return TestProtocols.REQUEST_ID + ": " + requestId;
+    }
+
     /** Sends a GET request for a path for operators and returns the status line of the answer. */
     public String statusLine(int port, String path) throws IOException {
         try (TestCaller caller = new TestCaller(port)) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerBackoffTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerBackoffTest.java
@@ -12,7 +12,7 @@
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
-import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestAnswers;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -25,6 +25,7 @@
     private static final String SERVICE = "registry";
     private static final String MODEL = "model";
     private static final int REQUESTS = 30;
+    private static final int PROMPT_TOKENS = 4000;
     private static final String LONG_PAUSE_MILLISECONDS = "3600000";
 
     private TestGateway gateway;
@@ -165,22 +166,11 @@
     }
 
     private ReceivedRequest read(int number) throws IOException {
-        try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r" + number));
-            return caller.readAnswer();
-        }
+        return gateway.get("/read/a", "r" + number);
     }
 
     private ReceivedRequest draft(int number) throws IOException {
-        try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head(
-                    "POST /draft/a HTTP/1.1",
-                    "Host: house.example",
-                    "Test-Id: d" + number,
-                    TestProtocols.PROMPT + ": 4000",
-                    "Content-Length: 0"));
-            return caller.readAnswer();
-        }
+        return gateway.generate("/draft/a", "d" + number, PROMPT_TOKENS);
     }
 
     private static Reply turnAway(ReceivedRequest request) {
@@ -196,23 +186,14 @@
     }
 
     private static Reply plainAnswer(ReceivedRequest request) {
-        return answer(request, "ok");
+        return TestAnswers.ok(request, "ok");
     }
 
     private static Reply prefill(ReceivedRequest request) {
-        return answer(request, "h1");
+        return TestAnswers.ok(request, "h1");
     }
 
     private static Reply stream(ReceivedRequest request) {
-        return answer(request, "id: 1\ndata: x\n\n");
-    }
-
-    private static Reply answer(ReceivedRequest request, String body) {
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by one",
-                        "Content-Length: " + body.length())
-                + body);
+        return TestAnswers.ok(request, "id: 1\ndata: x\n\n");
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerDrainTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerDrainTest.java
@@ -5,13 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
-import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
-import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestAnswers;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -24,6 +24,7 @@
     private static final String SERVICE = "registry";
     private static final String MODEL = "model";
     private static final int REQUESTS = 30;
+    private static final int PROMPT_TOKENS = 4000;
 
     private TestGateway gateway;
 
@@ -157,55 +158,26 @@
     }
 
     private static ReceivedRequest read(TestGateway entry, int number) throws IOException {
-        try (TestCaller caller = entry.caller()) {
-            caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r" + number));
-            return caller.readAnswer();
-        }
+        return entry.get("/read/a", "r" + number);
     }
 
     private ReceivedRequest draft(int number) throws IOException {
-        try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head(
-                    "POST /draft/a HTTP/1.1",
-                    "Host: house.example",
-                    "Test-Id: d" + number,
-                    TestProtocols.PROMPT + ": 4000",
-                    "Content-Length: 0"));
-            return caller.readAnswer();
-        }
+        return gateway.generate("/draft/a", "d" + number, PROMPT_TOKENS);
     }
 
     private static Reply plainAnswer(ReceivedRequest request, boolean draining) {
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by one",
-                        drainHeader(draining),
-                        "Content-Length: 2")
-                + "ok");
+        return answer(request, "ok", draining);
     }
 
     private static Reply prefill(ReceivedRequest request) {
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Content-Length: 2")
-                + "h1");
+        return TestAnswers.ok(request, "h1");
     }
 
     private static Reply stream(ReceivedRequest request, boolean draining) {
-        String event = "id: 1\ndata: x\n\n";
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by one",
-                        drainHeader(draining),
-                        "Content-Type: text/event-stream",
-                        "Content-Length: " + event.length())
-                + event);
-    }
-
-    private static String drainHeader(boolean draining) {
-        return draining ? TestProtocols.DRAINING + ": yes" : "X-Draining: no";
+        return answer(request, "id: 1\ndata: x\n\n", draining);
+    }
+
+    private static Reply answer(ReceivedRequest request, String body, boolean draining) {
+        return TestAnswers.ok(request, body, draining ? List.of(TestProtocols.DRAINING + ": yes") : List.of());
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
@@ -5,11 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
-import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestAnswers;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -97,19 +98,11 @@
     }
 
     private ReceivedRequest call(int number) throws IOException {
-        try (TestCaller caller = gateway.caller()) {
-            caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r" + number));
-            return caller.readAnswer();
-        }
+        return gateway.get("/read/a", "r" + number);
     }
 
     private static Reply answer(ReceivedRequest request, String limit) {
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by one",
-                        limit.equals(NO_LIMIT) ? "X-Limit: none" : TestProtocols.LIMIT + ": " + limit,
-                        "Content-Length: 2")
-                + "ok");
+        List<String> headers = limit.equals(NO_LIMIT) ? List.of() : List.of(TestProtocols.LIMIT + ": " + limit);
+        return TestAnswers.ok(request, "ok", headers);
     }
 }
