Show the software versions of servers and answers, and which stream a caller takes up again

Now server-known, the state dump and aspenmoor_server_version name it; request-ended names the versions whose events an answer had, the request that a caller takes up again (Resumes) and its last event; aspenmoor_answers_of_several_versions_total counts mixed answers. A registration without a readable version names no server to use, as the protocol says of fields that are missing; other software means another incarnation.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/SimulatedEngine.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/SimulatedEngine.java
@@ -247,6 +247,7 @@
                 server.id(),
                 server.startedAt(),
                 server.service(),
+                server.softwareVersion(),
                 server.host(),
                 server.port(),
                 server.dataCentre(),
--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRun.java
@@ -24,6 +24,7 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 import org.aspenmoor.internal.serving.roles.RoleRatioPolicy;
 
@@ -144,6 +145,7 @@
                 "engine-" + index,
                 0,
                 SERVICE,
+                new SoftwareVersion("one"),
                 "127.0.0.1",
                 index,
                 dataCentre(index),
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/SimulatedServer.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/SimulatedServer.java
@@ -40,6 +40,7 @@
                 "server-" + index,
                 1,
                 TestServers.PLAIN_SERVICE,
+                TestServers.VERSION,
                 "127.0.0.1",
                 index,
                 TestServers.DATA_CENTRE,
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
@@ -7,6 +7,7 @@
     static final String PLAIN_SERVICE = "registry";
     static final String MODEL_SERVICE = "drafting";
     static final String DATA_CENTRE = "here";
+    static final SoftwareVersion VERSION = new SoftwareVersion("one");
     static final int CACHE_TOKENS = 700_000;
 
     private static final int PLAIN_SLOTS = 6;
@@ -36,6 +37,7 @@
                 server.id(),
                 server.startedAt() + 1,
                 server.service(),
+                server.softwareVersion(),
                 server.host(),
                 server.port(),
                 server.dataCentre(),
@@ -45,6 +47,6 @@
     }
 
     private static BackendServer server(String id, String service, int slots, BackendState state, EngineRole role) {
-        return new BackendServer(id, 1, service, "127.0.0.1", 1, DATA_CENTRE, slots, state, role);
+        return new BackendServer(id, 1, service, VERSION, "127.0.0.1", 1, DATA_CENTRE, slots, state, role);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -22,6 +22,7 @@
 import org.aspenmoor.internal.serving.PlacementRequest;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.SimulatedTime;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.serving.WorkKind;
 
 /**
@@ -119,6 +120,7 @@
                 serverId(index),
                 startedAt,
                 SERVICE,
+                new SoftwareVersion("one"),
                 "127.0.0.1",
                 index,
                 "here",
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/ServerLimitsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/ServerLimitsTest.java
@@ -9,6 +9,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -56,6 +57,15 @@
 
     private static BackendServer server(long startedAt) {
         return new BackendServer(
-                SERVER, startedAt, "service", "127.0.0.1", 1, "here", 6, BackendState.READY, EngineRole.WHOLE);
+                SERVER,
+                startedAt,
+                "service",
+                new SoftwareVersion("one"),
+                "127.0.0.1",
+                1,
+                "here",
+                6,
+                BackendState.READY,
+                EngineRole.WHOLE);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/LoadBasedRolePolicyTest.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.serving.EngineState;
 import org.aspenmoor.internal.serving.PromptLoad;
 import org.aspenmoor.internal.serving.ServiceLoad;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -280,6 +281,7 @@
     }
 
     private static BackendServer server(String id, EngineRole role) {
-        return new BackendServer(id, 1, "drafting", "127.0.0.1", 1, "a", 64, BackendState.READY, role);
+        return new BackendServer(
+                id, 1, "drafting", new SoftwareVersion("one"), "127.0.0.1", 1, "a", 64, BackendState.READY, role);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicyTest.java
@@ -8,6 +8,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.testng.annotations.Test;
 
 public class RoleRatioPolicyTest {
@@ -106,6 +107,7 @@
     }
 
     private static BackendServer engine(String id, EngineRole role, String dataCentre, BackendState state) {
-        return new BackendServer(id, 1, "drafting", "127.0.0.1", 1, dataCentre, 128, state, role);
+        return new BackendServer(
+                id, 1, "drafting", new SoftwareVersion("one"), "127.0.0.1", 1, dataCentre, 128, state, role);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -84,6 +84,7 @@
         BackendServer server = summary.server();
         node.put("id", server.id());
         node.put("service", server.service());
+        node.put("softwareVersion", server.softwareVersion().name());
         node.put("address", server.host() + ":" + server.port());
         node.put("dataCentre", server.dataCentre());
         node.put("state", lowerCase(server.state()));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -13,6 +13,7 @@
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackoffStatement;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 
 /**
  * One attempt to get the answer to a request from one backend server.
@@ -104,6 +105,11 @@
         return work;
     }
 
+    /** Returns the software version of the server. */
+    SoftwareVersion softwareVersion() {
+        return server.softwareVersion();
+    }
+
     /** Returns whether the answer is an event stream of which at least one event has arrived. */
     boolean midStream() {
         return begun && isStream();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerProgress.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerProgress.java
@@ -5,6 +5,7 @@
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.Prompt;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 
 /** Reports the progress of one request's answer to the placement policy, which estimates the load from it. */
 final class AnswerProgress {
@@ -29,10 +30,11 @@
      * Records an event of the answer.
      *
      * @param work the attempt that the event belongs to
+     * @param version the software version of its server
      * @param allowed the time limit of the request
      */
-    void eventReceived(AssignedWork work, Duration allowed, long now) {
-        trace.eventReceived(now).ifPresent(gap -> placementPolicy.eventReceived(work, gap, now));
+    void eventReceived(AssignedWork work, SoftwareVersion version, Duration allowed, long now) {
+        trace.eventReceived(version, now).ifPresent(gap -> placementPolicy.eventReceived(work, gap, now));
         placementPolicy.answerStreaming(service, trace.answerDuration(), allowed, now);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -9,7 +9,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.ServerSummary;
 
 /** The request metrics of an entry. */
@@ -17,8 +16,6 @@
     /** More organisations share one value of the label. */
     private static final int MAX_ORGANISATIONS = 100;
 
-    private static final double MILLISECONDS_PER_SECOND = 1000;
-
     private final Counter requests;
     private final Counter organisationRequests;
     private final BoundedLabels organisations = new BoundedLabels(MAX_ORGANISATIONS);
@@ -26,6 +23,7 @@
     private final Counter retries;
     private final Counter serverTerminations;
     private final Counter quarantinedArrivals;
+    private final Counter mixedAnswers;
     private final Histogram firstByteSeconds;
 
     /**
@@ -72,6 +70,11 @@
                 .help("Requests that were kept from servers because they end those that run them, by service.")
                 .labelNames("service")
                 .register(registry);
+        this.mixedAnswers = Counter.builder()
+                .name("aspenmoor_answers_of_several_versions_total")
+                .help("Answers with events of servers of several software versions, by service; each is a fault.")
+                .labelNames("service")
+                .register(registry);
         this.firstByteSeconds = Histogram.builder()
                 .name("aspenmoor_first_byte_seconds")
                 .help("From a request's arrival to the first byte of its answer.")
@@ -88,58 +91,7 @@
                 .help("Connections to backend servers that were opened.")
                 .callback(callback -> callback.call((double) connectionsOpened.getAsLong()))
                 .register(registry);
-        registerServerMetrics(registry, servers);
-    }
-
-    private static void registerServerMetrics(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_requests")
-                .help("Requests at a backend server, of all entries, by server and role.")
-                .labelNames("server", "role")
-                .callback(callback -> servers.get()
-                        .forEach(summary -> callback.call(
-                                summary.load().requests(),
-                                summary.server().id(),
-                                summary.server().role().name())))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_draining")
-                .help("Whether a backend server is known to be draining (1) or not (0), by server.")
-                .labelNames("server")
-                .callback(callback -> servers.get()
-                        .forEach(summary -> callback.call(
-                                summary.server().state() == BackendState.DRAINING ? 1 : 0,
-                                summary.server().id())))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_backoff_seconds")
-                .help("Seconds for which a backend server wants no requests from this entry, by server.")
-                .labelNames("server")
-                .callback(callback -> servers.get().stream()
-                        .filter(summary -> summary.backoff().isPositive())
-                        .forEach(summary -> callback.call(
-                                summary.backoff().toMillis() / MILLISECONDS_PER_SECOND,
-                                summary.server().id())))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_request_limit")
-                .help("Requests per second that a backend server takes from all entries together, by server.")
-                .labelNames("server")
-                .callback(callback -> servers.get()
-                        .forEach(summary -> summary.requestLimit()
-                                .ifPresent(limit ->
-                                        callback.call(limit, summary.server().id()))))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_event_seconds")
-                .help("Seconds from one event of an answer to the next, of all entries, by server.")
-                .labelNames("server")
-                .callback(callback -> servers.get()
-                        .forEach(summary -> summary.load()
-                                .secondsPerEvent()
-                                .ifPresent(seconds ->
-                                        callback.call(seconds, summary.server().id()))))
-                .register(registry);
+        ServerMetrics.register(registry, servers);
     }
 
     void requestEnded(String service, RequestOutcome outcome) {
@@ -168,6 +120,10 @@
         quarantinedArrivals.labelValues(service).inc();
     }
 
+    void versionsMixed(String service) {
+        mixedAnswers.labelValues(service).inc();
+    }
+
     void answerBegan(String service, double seconds) {
         firstByteSeconds.labelValues(service).observe(seconds);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -129,15 +129,14 @@
                     LocalAnswers.unauthorised(denied.reason().text()));
         }
         String service = route.get().serviceFor(context.state().random().nextDouble());
-        ServedRequest request = new ServedRequest(
-                context,
+        RoutedRequest routed = new RoutedRequest(
                 incoming,
                 caller,
-                writer,
                 route.get(),
                 authorisation,
                 service,
                 configuration.get().version());
+        ServedRequest request = new ServedRequest(context, routed, writer);
         request.start();
         return request;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -1,18 +1,22 @@
 package org.aspenmoor.internal.gateway.request;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.LogLine;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
+import org.aspenmoor.internal.gateway.protocol.Resumption;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.EngineLoad;
 import org.aspenmoor.internal.serving.NextStep;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.Route;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 
 /** Collects the decisions about one request, their reasons and its timing, and writes them to the decision log. */
 final class RequestTrace {
@@ -34,6 +38,7 @@
     private long dispatchedAt;
     private long prefillCompletedAt;
     private long answerRequestedAt;
+    private final Set<String> answerVersions = new LinkedHashSet<>();
     private EngineLoad loadAtRequest = EngineLoad.UNKNOWN;
     private long firstByteAt;
     private long lastEventAt;
@@ -41,20 +46,13 @@
     private int events;
     private int eventsOfAttempt;
 
-    RequestTrace(
-            CallerHeaders caller,
-            Route route,
-            RequestAuthorisation authorisation,
-            String service,
-            long configurationVersion,
-            long arrivedAt,
-            long deadline) {
-        this.caller = caller;
-        this.route = route;
-        this.authorisation = authorisation;
-        this.service = service;
-        this.configurationVersion = configurationVersion;
-        this.arrivedAt = arrivedAt;
+    RequestTrace(RoutedRequest request, long deadline) {
+        this.caller = request.caller();
+        this.route = request.route();
+        this.authorisation = request.authorisation();
+        this.service = request.service();
+        this.configurationVersion = request.configurationVersion();
+        this.arrivedAt = request.incoming().receivedAtNanos();
         this.deadline = deadline;
     }
 
@@ -97,8 +95,14 @@
         prefillCompletedAt = now;
     }
 
+    /** Returns whether events of servers of several software versions have been sent to the caller in this answer. */
+    boolean mixedVersions() {
+        return answerVersions.size() > 1;
+    }
+
     /** Records an event of a stream; returns the time since the previous event if both are from the same attempt. */
-    Optional<Duration> eventReceived(long now) {
+    Optional<Duration> eventReceived(SoftwareVersion version, long now) {
+        answerVersions.add(version.name());
         long gap = now - lastEventAt;
         if (events > 0) {
             longestGap = Math.max(longestGap, gap);
@@ -171,6 +175,13 @@
                 .with("service", service)
                 .with("server", server)
                 .with("attempts", attempts)
+                .with("softwareVersions", String.join(" ", answerVersions))
+                .with(
+                        "resumedRequest",
+                        caller.resumption().flatMap(Resumption::firstRequestId).orElse(""))
+                .with(
+                        "resumedAfterEvent",
+                        caller.resumption().flatMap(Resumption::lastEventId).orElse(""))
                 .with("way", placementType)
                 .with("promptTokens", caller.prompt().map(Prompt::promptTokens).orElse(0))
                 .with(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -27,11 +27,9 @@
 /** Serves one caller's request with one or more attempts and exactly one answer. Confined to the event loop. */
 final class ServedRequest implements ActiveRequest {
     private final ServingContext context;
-    private final IncomingRequest incoming;
-    private final CallerHeaders caller;
+    private final RoutedRequest request;
     private final AnswerWriter writer;
     private final CallerStream stream;
-    private final Route route;
     private final String service;
     private final RequestDeadlines deadlines;
     private final RequestTrace trace;
@@ -54,34 +52,21 @@
     private Future<?> deadlineTimer;
     private boolean finished;
 
-    ServedRequest(
-            ServingContext context,
-            IncomingRequest incoming,
-            CallerHeaders caller,
-            AnswerWriter writer,
-            Route route,
-            RequestAuthorisation authorisation,
-            String service,
-            long configurationVersion) {
+    ServedRequest(ServingContext context, RoutedRequest request, AnswerWriter writer) {
         this.context = context;
-        this.incoming = incoming;
-        this.caller = caller;
+        this.request = request;
         this.writer = writer;
+        this.service = request.service();
+        IncomingRequest incoming = request.incoming();
+        CallerHeaders caller = request.caller();
+        Route route = request.route();
+        RequestAuthorisation authorisation = request.authorisation();
         this.stream = new CallerStream(writer);
-        this.route = route;
-        this.service = service;
         this.attempts = new AttemptTracker(route.retryRule(), route.maxBackends());
         this.currentAttempt = new CurrentAttempt(context, service, route.objective());
         this.stallDetector = new StallDetector(context, route, writer::writable, this::stalled);
         this.deadlines = new RequestDeadlines(incoming.receivedAtNanos(), caller.maxWait(), route);
-        this.trace = new RequestTrace(
-                caller,
-                route,
-                authorisation,
-                service,
-                configurationVersion,
-                incoming.receivedAtNanos(),
-                deadlines.deadline());
+        this.trace = new RequestTrace(request, deadlines.deadline());
         this.answerProgress = new AnswerProgress(context.state().placement(), service, caller.prompt(), trace);
         this.queue = new QueueTracker(context, this, deadlines, trace);
         this.placements = new PlacementRequestFactory(service, caller, route, deadlines, trace, stream, triedServers);
@@ -107,7 +92,7 @@
 
     void start() {
         context.state().requestArrived(service);
-        answerProgress.expectWithin(route.timeout(), now());
+        answerProgress.expectWithin(request.route().timeout(), now());
         long remaining = Math.max(0, deadlines.deadline() - now());
         deadlineTimer = context.eventLoop().schedule(this::deadlineReached, remaining, TimeUnit.NANOSECONDS);
         assignServer();
@@ -152,7 +137,7 @@
         switch (context.state().placement().choose(placementRequest, now())) {
             case Placement.SingleServer single -> {
                 trace.placementChosen("whole", single.answerStartSeconds());
-                WorkKind kind = caller.prompt().isPresent() ? WorkKind.WHOLE : WorkKind.PLAIN;
+                WorkKind kind = request.caller().prompt().isPresent() ? WorkKind.WHOLE : WorkKind.PLAIN;
                 if (kind == WorkKind.WHOLE) {
                     queue.dispatched();
                 }
@@ -207,7 +192,7 @@
         }
         switch (watched) {
             case AnswerAttempt answer
-            when attempts.attempts() < route.maxBackends() -> {
+            when attempts.attempts() < request.route().maxBackends() -> {
                 answer.release();
                 currentAttempt.cancel();
                 String reason = answer.begun() ? "the answer stalled" : "no answer began within the stall limit";
@@ -287,13 +272,13 @@
         if (!stream.begun()) {
             trace.firstByteReceived(now());
             queue.answerBegan();
-            context.metrics().answerBegan(service, (now() - incoming.receivedAtNanos()) / 1e9);
+            context.metrics().answerBegan(service, (now() - request.incoming().receivedAtNanos()) / 1e9);
         }
     }
 
     void eventReceived(HttpResponse head, ByteBuf event) {
         stream.forward(head, event);
-        answerProgress.eventReceived(answerAttempt.work(), deadlines.allowed(), now());
+        answerProgress.eventReceived(answerAttempt.work(), answerAttempt.softwareVersion(), deadlines.allowed(), now());
         if (!writer.writable()) {
             currentAttempt.setReading(false);
         }
@@ -437,8 +422,11 @@
             answerAttempt.release();
         }
         pendingHandoff.release();
-        incoming.body().release();
+        request.incoming().body().release();
         context.metrics().requestEnded(service, outcome);
+        if (trace.mixedVersions()) {
+            context.metrics().versionsMixed(service);
+        }
         context.metrics().organisationRequestEnded(trace.organisation(), outcome);
         trace.logEnded(context.state(), outcome, attempts.attempts());
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -133,6 +133,7 @@
             log.notable("server-known")
                     .with("server", server.id())
                     .with("service", server.service())
+                    .with("softwareVersion", server.softwareVersion().name())
                     .with("address", server.host() + ":" + server.port())
                     .with("dataCentre", server.dataCentre())
                     .with("state", server.state().name())
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
@@ -16,6 +16,7 @@
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.time.SystemTimeSource;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
@@ -23,8 +24,17 @@
 public class BackendConnectionsTest {
     private static final int MAX_WAIT_SECONDS = 20;
     private static final String REFUSAL = "the server wants nothing from this entry for 2000 ms";
-    private static final BackendServer SERVER =
-            new BackendServer("paused", 1, "model", "127.0.0.1", 1, "here", 4, BackendState.READY, EngineRole.DECODE);
+    private static final BackendServer SERVER = new BackendServer(
+            "paused",
+            1,
+            "model",
+            new SoftwareVersion("one"),
+            "127.0.0.1",
+            1,
+            "here",
+            4,
+            BackendState.READY,
+            EngineRole.DECODE);
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/ServerProbesTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/ServerProbesTest.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -73,7 +74,16 @@
         EventLoop eventLoop = group.next();
         ServerProbes probes = new ServerProbes(eventLoop, secondAttemptDelay);
         BackendServer server = new BackendServer(
-                "server", 1, "service", "127.0.0.1", port, "here", 4, BackendState.READY, EngineRole.WHOLE);
+                "server",
+                1,
+                "service",
+                new SoftwareVersion("one"),
+                "127.0.0.1",
+                port,
+                "here",
+                4,
+                BackendState.READY,
+                EngineRole.WHOLE);
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         eventLoop.execute(() -> probes.probe(server, result::complete));
         return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -40,6 +40,7 @@
 import org.aspenmoor.internal.serving.RouteTarget;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -70,6 +71,7 @@
     private final TestProtocols protocols = new TestProtocols();
     private KeyRegistry keys = KeyRegistry.notConfigured();
     private int configurationVersion = 6;
+    private SoftwareVersion softwareVersion = new SoftwareVersion("one");
 
     public TestGateway() throws AspenmoorException {
         this(Optional.empty());
@@ -197,6 +199,12 @@
         return this;
     }
 
+    /** Sets the software version of the servers that are registered from now on. */
+    public TestGateway softwareVersion(String name) {
+        softwareVersion = new SoftwareVersion(name);
+        return this;
+    }
+
     /** Starts and registers a plain server that replies by a script; it is closed with the gateway. */
     public ScriptedBackend backend(String id, String service, ScriptedBackend.Script script)
             throws IOException, StoreException {
@@ -226,8 +234,8 @@
     /** Registers a server in a data centre; this entry runs in {@link #LOCAL_DATA_CENTRE}. */
     public TestGateway server(String id, String service, int port, EngineRole role, String dataCentre)
             throws StoreException {
-        BackendServer server =
-                new BackendServer(id, 1, service, "127.0.0.1", port, dataCentre, 4, BackendState.READY, role);
+        BackendServer server = new BackendServer(
+                id, 1, service, softwareVersion, "127.0.0.1", port, dataCentre, 4, BackendState.READY, role);
         servers.put(id, server);
         store.create(new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id), "{}");
         return this;
@@ -236,7 +244,16 @@
     /** Registers a new incarnation of a plain server under the same id; returns when the gateway knows it. */
     public void restartServer(String id, String service, int port, long startedAt) throws StoreException, IOException {
         BackendServer server = new BackendServer(
-                id, startedAt, service, "127.0.0.1", port, LOCAL_DATA_CENTRE, 4, BackendState.READY, EngineRole.WHOLE);
+                id,
+                startedAt,
+                service,
+                softwareVersion,
+                "127.0.0.1",
+                port,
+                LOCAL_DATA_CENTRE,
+                4,
+                BackendState.READY,
+                EngineRole.WHOLE);
         servers.put(id, server);
         ObjectKey key = new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id);
         store.update(store.read(key).orElseThrow(), "{\"startedAt\":" + startedAt + "}");
@@ -316,7 +333,8 @@
                 "Content-Length: 0"));
     }
 
-    private ReceivedRequest call(String request) throws IOException {
+    /** Sends a caller's request, head and body, on a connection of its own and returns the answer. */
+    public ReceivedRequest call(String request) throws IOException {
         try (TestCaller caller = caller()) {
             caller.send(request);
             return caller.readAnswer();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -24,6 +24,7 @@
 import org.aspenmoor.internal.gateway.protocol.DutyProtocol;
 import org.aspenmoor.internal.gateway.protocol.EngineReport;
 import org.aspenmoor.internal.gateway.protocol.RequestedWork;
+import org.aspenmoor.internal.gateway.protocol.Resumption;
 import org.aspenmoor.internal.gateway.protocol.RoleOrder;
 import org.aspenmoor.internal.organisation.ApiKey;
 import org.aspenmoor.internal.organisation.PresentedKey;
@@ -44,6 +45,7 @@
     public static final String WORK = "Test-Work";
     public static final String CACHE_SOURCE = "Test-Source";
     public static final String LAST_EVENT = "Test-After";
+    public static final String RESUMES = "Test-Resumes";
     public static final String PROMPT = "Test-Prompt";
     public static final String KEY = "Test-Key";
     public static final String ORGANISATION = "Test-Organisation";
@@ -86,7 +88,11 @@
         PresentedKey key = Optional.ofNullable(head.headers().get(KEY))
                 .<PresentedKey>map(secret -> new PresentedKey.Given(new ApiKey(secret)))
                 .orElse(new PresentedKey.Missing());
-        return new CallerHeaders(head.headers().get(REQUEST_ID, ""), maxWait, key, prompt);
+        Optional<String> firstRequestId = Optional.ofNullable(head.headers().get(RESUMES));
+        Optional<String> lastEventId = Optional.ofNullable(head.headers().get(LAST_EVENT));
+        Optional<Resumption> resumption =
+                firstRequestId.or(() -> lastEventId).map(stated -> new Resumption(firstRequestId, lastEventId));
+        return new CallerHeaders(head.headers().get(REQUEST_ID, ""), maxWait, key, prompt, resumption);
     }
 
     @Override
