Failing tests: streams go on at another software version

Five roads with real connections and engines of two versions, each event naming the version that wrote it: the engine breaks off; no engine of the version is left; the engine changes its role; the prompt of the continuation is computed again; the caller returns to another entry.

--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -0,0 +1,233 @@
+package org.aspenmoorusage.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.DelayedPart;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Script;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
+import org.aspenmoor.internal.gateway.standin.TestGateway;
+import org.aspenmoor.internal.gateway.standin.TestProtocols;
+import org.aspenmoor.internal.serving.RetryRule;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Streams of a service whose engines run two software versions; each event names the version that wrote it. */
+public class StreamVersionTest {
+    private static final String SERVICE = "model";
+    private static final String OLD = "old";
+    private static final String NEW = "new";
+    private static final int EVENTS = 30;
+
+    /** A blind choice among the engines would pass a test with a single stream every other time. */
+    private static final int STREAMS = 12;
+
+    private TestGateway gateway;
+
+    @BeforeMethod
+    public void setUp() throws Exception {
+        gateway = new TestGateway();
+        gateway.route("/resume/", RetryRule.RESUMABLE, true, 3, SERVICE);
+    }
+
+    @AfterMethod
+    public void tearDown() throws IOException {
+        gateway.close();
+    }
+
+    // Guards against the rest of a stream that an engine of another software version writes after a connection broke.
+    @Test(groups = "known-red")
+    public void should_continue_at_an_engine_of_the_same_version_when_a_stream_breaks() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, breaksOff(OLD));
+        engine("old-2", OLD, EngineRole.WHOLE, breaksOff(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, breaksOff(NEW));
+        engine("new-2", NEW, EngineRole.WHOLE, breaksOff(NEW));
+        gateway.publish();
+
+        for (int stream = 0; stream < STREAMS; stream++) {
+            assertOneVersion(answer(request("r" + stream)));
+        }
+    }
+
+    // Guards against a stream whose rest is written by the only engine that is left, which runs another version.
+    @Test(groups = "known-red")
+    public void should_break_off_when_a_stream_breaks_and_no_engine_of_its_version_is_left() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, breaksOff(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, breaksOff(NEW));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(request("r1"));
+
+            assertThrows(EOFException.class, caller::readAnswer);
+        }
+    }
+
+    // Guards against an answer that moves to another software version because its engine changes its role.
+    @Test(groups = "known-red")
+    public void should_stay_at_its_engine_when_only_engines_of_another_version_could_take_it_over() throws Exception {
+        CountDownLatch roleChanging = new CountDownLatch(1);
+        ScriptedBackend old = engine("old-1", OLD, EngineRole.WHOLE, pausesAfterFirstEvent(OLD, roleChanging));
+        ScriptedBackend other = engine("new-1", NEW, EngineRole.WHOLE, pausesAfterFirstEvent(NEW, roleChanging));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(request("r1"));
+            gateway.reportRoleChange(firstIsChosen(old, other) ? "old-1" : "new-1", EngineRole.PREFILL);
+            roleChanging.countDown();
+
+            assertOneVersion(caller.readAnswer().body());
+        }
+    }
+
+    // Guards against the record of the incident: the prompt of the continuation is computed at one engine, and the
+    // answer is requested from another one, of another version.
+    @Test(groups = "known-red")
+    public void should_hand_a_continuation_to_an_engine_of_the_same_version_when_its_prompt_is_computed_again()
+            throws Exception {
+        for (String version : List.of(OLD, NEW)) {
+            engine(version + "-prefill", version, EngineRole.PREFILL, request -> prefilled());
+            engine(version + "-near", version, EngineRole.DECODE, breaksOff(version));
+            gateway.backend(version + "-far", SERVICE, EngineRole.DECODE, "elsewhere", breaksOff(version));
+        }
+        gateway.publish();
+
+        assertOneVersion(answer(generation("r1")));
+    }
+
+    // Guards against a caller that takes a stream up at another entry, which does not know the version that began it.
+    @Test(groups = "known-red")
+    public void should_continue_at_the_version_that_began_when_the_caller_returns_to_another_entry() throws Exception {
+        for (String version : List.of(OLD, NEW)) {
+            engine(version + "-1", version, EngineRole.WHOLE, whole(version));
+            engine(version + "-2", version, EngineRole.WHOLE, whole(version));
+        }
+        gateway.publish();
+        try (TestGateway other = gateway.startAnother("entry-2")) {
+            for (int stream = 0; stream < STREAMS; stream++) {
+                String begun = answer(request("r" + stream));
+                String rest =
+                        other.call(resumed("again" + stream, "r" + stream, 1)).body();
+
+                assertOneVersion(eventText(begun, 0) + rest);
+            }
+        }
+    }
+
+    private static void assertOneVersion(String body) {
+        long old = body.lines().filter(line -> line.equals("data: " + OLD)).count();
+        long all = body.lines().filter(line -> line.startsWith("data: ")).count();
+        assertEquals(old == 0 || old == all, true, "events of two versions: " + body);
+    }
+
+    private static String eventText(String body, int index) {
+        return body.split("\n\n", -1)[index] + "\n\n";
+    }
+
+    private String answer(String request) throws IOException {
+        return gateway.call(request).body();
+    }
+
+    private ScriptedBackend engine(String id, String version, EngineRole role, Script script) throws Exception {
+        gateway.softwareVersion(version);
+        return gateway.backend(id, SERVICE, role, TestGateway.LOCAL_DATA_CENTRE, script);
+    }
+
+    /** Waits until one of the engines has received a caller's request; returns whether it is the first. */
+    private static boolean firstIsChosen(ScriptedBackend first, ScriptedBackend second) {
+        while (!hasRequest(first) && !hasRequest(second)) {
+            Thread.onSpinWait();
+        }
+        return hasRequest(first);
+    }
+
+    private static boolean hasRequest(ScriptedBackend engine) {
+        return engine.received().stream().anyMatch(request -> request.line().startsWith("POST"));
+    }
+
+    private static Script whole(String version) {
+        return posted(
+                request -> Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK));
+    }
+
+    /** Breaks off after the first event of a stream, and writes the rest of one that is resumed. */
+    private static Script breaksOff(String version) {
+        return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
+                ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
+                : Reply.thenClose(head(request) + events(version, 1, 1)));
+    }
+
+    private static Script pausesAfterFirstEvent(String version, CountDownLatch latch) {
+        return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
+                ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
+                : Reply.withDelayedPart(
+                        head(request) + events(version, 1, 1),
+                        new DelayedPart(latch, events(version, 2, EVENTS) + HttpText.LAST_CHUNK)));
+    }
+
+    /** Replies to posts by the script, and to all else, such as a query of the cache, with an empty page. */
+    private static Script posted(Function<ReceivedRequest, Reply> script) {
+        return request -> request.line().startsWith("POST")
+                ? script.apply(request)
+                : Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: 0"));
+    }
+
+    private static int first(ReceivedRequest request) {
+        return request.header(TestProtocols.LAST_EVENT)
+                .map(after -> Integer.parseInt(after) + 1)
+                .orElse(1);
+    }
+
+    private static Reply prefilled() {
+        return Reply.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+    }
+
+    private static String head(ReceivedRequest request) {
+        return HttpText.head(
+                "HTTP/1.1 200 OK",
+                TestProtocols.REQUEST_ID + ": "
+                        + request.header(TestProtocols.REQUEST_ID).orElse(""),
+                TestProtocols.SIGNED + ": by one",
+                "Transfer-Encoding: chunked");
+    }
+
+    private static String events(String version, int first, int last) {
+        StringBuilder text = new StringBuilder();
+        for (int event = first; event <= last; event++) {
+            text.append(HttpText.chunk("id: " + event + "\ndata: " + version + "\n\n"));
+        }
+        return text.toString();
+    }
+
+    private static String request(String id) {
+        return HttpText.head("POST /resume/a HTTP/1.1", "Host: house.example", "Test-Id: " + id, "Content-Length: 0");
+    }
+
+    private static String resumed(String id, String first, int lastEvent) {
+        return HttpText.head(
+                "POST /resume/a HTTP/1.1",
+                "Host: house.example",
+                "Test-Id: " + id,
+                TestProtocols.RESUMES + ": " + first,
+                TestProtocols.LAST_EVENT + ": " + lastEvent,
+                "Content-Length: 0");
+    }
+
+    private static String generation(String id) {
+        return HttpText.head(
+                "POST /resume/a HTTP/1.1",
+                "Host: house.example",
+                "Test-Id: " + id,
+                "Test-Prompt: 20000",
+                "Content-Length: 0");
+    }
+}
