Let the rest of a stream be written by the software version that has begun it

Cause: retry after a break, moved answers, the engine for a computed prompt and requests that leave the queue all chose among all engines of the service. Now the version of the first event is part of the placement request (VersionRequirement), which every road builds anew before it chooses; answers move within their version or not at all. If the only engine of the version has broken the stream off and is not paused, it is asked again; if none is left, the stream is broken off at once. A request for which only some engines will do does not wait in the queue of the entry, where it would keep back the others.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayRequest.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
+import org.aspenmoor.internal.serving.VersionRequirement;
 import org.aspenmoor.internal.serving.WaitQueue;
 import org.aspenmoor.internal.serving.WorkKind;
 
@@ -70,7 +71,8 @@
                 excludedServers,
                 mayDisaggregate,
                 !entry.isDisabled(Mechanism.WAITING),
-                othersQueued);
+                othersQueued,
+                new VersionRequirement.Any());
     }
 
     private void dispatch(boolean othersQueued) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AnswerMoves.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AnswerMoves.java
@@ -49,10 +49,17 @@
     }
 
     /**
-     * Returns whether an answer should move now because its engine will stop decoding; to be called at each event.
+     * Returns whether an answer should move now because its engine will stop decoding; to be called at each event. It
+     * stays if no other engine may write the rest: its engine completes the answers that it has before it stops.
      */
     public boolean shouldLeave(AssignedWork work, long now) {
-        return mustLeave(work, now) && isPicked();
+        return mustLeave(work, now) && isPicked() && canBeTakenOver(work, now);
+    }
+
+    private boolean canBeTakenOver(AssignedWork work, long now) {
+        ServerEstimate present = estimates.get(work.server());
+        return estimates.values().stream()
+                .anyMatch(other -> acceptsFrom(present, other, now) && SendFilter.canAnswer(other));
     }
 
     /** Returns whether the answers of an engine have to move to another engine. */
@@ -88,7 +95,7 @@
         }
         double allowedSeconds = MAX_TIME_FRACTION * (answer.secondsLeft() - MOVE_SECONDS);
         return estimates.values().stream()
-                .filter(other -> acceptsFrom(present, other, now))
+                .filter(other -> other.server().role() == EngineRole.DECODE && acceptsFrom(present, other, now))
                 .anyMatch(other ->
                         secondsPerEvent(load(other, now), presentLoad) * remainingEvents.get() < allowedSeconds);
     }
@@ -97,7 +104,7 @@
         BackendServer server = other.server();
         return other != present
                 && server.service().equals(present.server().service())
-                && server.role() == EngineRole.DECODE
+                && server.softwareVersion().equals(present.server().softwareVersion())
                 && !other.changingRole(now)
                 && !other.health().paused(now)
                 && sendFilter.maySend(other, now);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -1,7 +1,6 @@
 package org.aspenmoor.internal.serving;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +37,7 @@
     private final PeerLoads peerLoads;
     private final ServerLimits limits;
     private final SendFilter sendFilter;
+    private final AvailableServers availableServers;
     private final PromptAssignments promptAssignments;
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
@@ -48,6 +48,7 @@
         this.peerLoads = peerLoads;
         this.limits = limits;
         this.sendFilter = new SendFilter(limits);
+        this.availableServers = new AvailableServers(estimates);
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
         this.backoffs = new ServerBackoffs(estimates, random);
@@ -83,8 +84,9 @@
     }
 
     /** Chooses where a request runs. */
-    public Placement choose(PlacementRequest request, long now) {
-        List<ServerEstimate> available = availableServers(request, now);
+    public Placement choose(PlacementRequest asked, long now) {
+        PlacementRequest request = availableServers.withoutQueueingIfSelective(asked);
+        List<ServerEstimate> available = availableServers.forRequest(request, now);
         List<ServerEstimate> usable = sendFilter.permitted(available, now);
         if (usable.isEmpty()) {
             return waitOrRefuse(request, available, now);
@@ -104,7 +106,7 @@
         boolean queues = request.mayQueue() && request.prompt().isPresent() && sendFilter.anyReturning(available, now);
         return queues
                 ? ranking.queue(request.prompt().get(), available, now)
-                : sendFilter.refuse(request.service(), available, now);
+                : sendFilter.refuse(request, available, now);
     }
 
     private boolean speedKnown(Placement placement) {
@@ -125,14 +127,15 @@
      */
     public Optional<BackendServer> chooseDecodeEngine(PlacementRequest request, BackendServer prefill, long now) {
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
-        List<ServerEstimate> usable = sendFilter.permittedForComputedPrompt(availableServers(request, now), now);
+        List<ServerEstimate> usable =
+                sendFilter.permittedForComputedPrompt(availableServers.forRequest(request, now), now);
         return ranking.leastBusyDecodeEngine(usable, tokens, prefill.dataCentre(), now)
                 .map(ServerEstimate::server);
     }
 
     /** Returns the time after which a request may be retried that none of the servers that want requests can answer. */
     public Duration retryDelay(PlacementRequest request, long now) {
-        return sendFilter.untilPermitted(availableServers(request, now), now);
+        return sendFilter.untilPermitted(availableServers.forRequest(request, now), now);
     }
 
     /**
@@ -390,21 +393,6 @@
         }
     }
 
-    private List<ServerEstimate> availableServers(PlacementRequest request, long now) {
-        List<ServerEstimate> usable = new ArrayList<>();
-        for (ServerEstimate estimate : estimates.values()) {
-            BackendServer server = estimate.server();
-            boolean takesWork = server.service().equals(request.service())
-                    && server.state() == BackendState.READY
-                    && !estimate.changingRole(now)
-                    && !request.excludedServers().contains(server.id());
-            if (takesWork) {
-                usable.add(estimate);
-            }
-        }
-        return usable;
-    }
-
     private double fixedSeconds(ServerEstimate estimate, WorkKind kind, boolean queuedAtEntry) {
         if (!queuedAtEntry) {
             return ServerRanking.DEFAULT_FIXED_SECONDS;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementRequest.java
@@ -16,6 +16,7 @@
  * @param mayDisaggregate whether its prompt may be computed on another engine than its answer
  * @param mayQueue whether it may wait at this entry until an engine has room
  * @param othersQueued whether other requests are already queued, so that a long prompt has to be queued with them
+ * @param version which software versions may serve it
  */
 public record PlacementRequest(
         String service,
@@ -26,4 +27,20 @@
         Set<String> excludedServers,
         boolean mayDisaggregate,
         boolean mayQueue,
-        boolean othersQueued) {}
+        boolean othersQueued,
+        VersionRequirement version) {
+    /** Returns the same request without the possibility to wait at this entry. */
+    PlacementRequest withoutQueueing() {
+        return new PlacementRequest(
+                service,
+                prompt,
+                timeLeft,
+                objective,
+                answerStarted,
+                excludedServers,
+                mayDisaggregate,
+                false,
+                othersQueued,
+                version);
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
@@ -56,7 +56,8 @@
                 .anyMatch(each -> each.backoff().returning(now));
     }
 
-    private static boolean canAnswer(ServerEstimate estimate) {
+    /** Returns whether a server can generate an answer, and not only compute a prompt. */
+    static boolean canAnswer(ServerEstimate estimate) {
         return estimate.server().role() != EngineRole.PREFILL;
     }
 
@@ -65,16 +66,26 @@
      *
      * @param available the servers that could answer if they all took requests; may be empty
      */
-    Placement refuse(String service, List<ServerEstimate> available, long now) {
+    Placement refuse(PlacementRequest request, List<ServerEstimate> available, long now) {
+        String service = request.service();
         if (available.isEmpty()) {
-            return new Placement.Refused(
-                    "no backend server of service " + service + " is available", ServerRanking.NO_SERVER_RETRY_AFTER);
+            return new Placement.Refused(noneAvailable(request), ServerRanking.NO_SERVER_RETRY_AFTER);
         }
         limits.refused(service, now);
         Duration delay = untilPermitted(available, now);
         return new Placement.Refused(reason(service, available, delay, now), delay);
     }
 
+    private static String noneAvailable(PlacementRequest request) {
+        return switch (request.version()) {
+            case VersionRequirement.Any any -> "no backend server of service " + request.service() + " is available";
+            case VersionRequirement.Exactly exactly ->
+                "no backend server of service " + request.service() + " with software version "
+                        + exactly.version().name()
+                        + ", which has begun the stream, is available";
+        };
+    }
+
     private static String reason(String service, List<ServerEstimate> available, Duration delay, long now) {
         if (available.stream().anyMatch(each -> each.backoff().active(now))) {
             return String.format(
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/VersionRequirement.java
@@ -0,0 +1,23 @@
+package org.aspenmoor.internal.serving;
+
+/** Which software versions may serve a request. */
+public sealed interface VersionRequirement {
+    /** Any version may serve it. */
+    record Any() implements VersionRequirement {}
+
+    /**
+     * The rest of a stream: only the version that has written its beginning may go on. Servers do not check this; the
+     * events of another version do not fit the ones that the caller has.
+     *
+     * @param version the version that has written the first event
+     */
+    record Exactly(SoftwareVersion version) implements VersionRequirement {}
+
+    /** Returns whether servers of a version may serve the request. */
+    default boolean permits(SoftwareVersion candidate) {
+        return switch (this) {
+            case Any any -> true;
+            case Exactly exactly -> exactly.version().equals(candidate);
+        };
+    }
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/BackoffPlacementTest.java
@@ -108,6 +108,7 @@
                 Set.of(),
                 true,
                 true,
-                false);
+                false,
+                new VersionRequirement.Any());
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
@@ -389,7 +389,8 @@
                 Set.of(),
                 true,
                 true,
-                othersQueued);
+                othersQueued,
+                new VersionRequirement.Any());
     }
 
     private static PlacementPolicy policy(PeerLoads peerLoads, long seed) {
@@ -407,7 +408,8 @@
                 excludedServers,
                 true,
                 false,
-                false);
+                false,
+                new VersionRequirement.Any());
     }
 
     private static PlacementRequest generationRequest(Prompt prompt) {
@@ -420,7 +422,8 @@
                 Set.of(),
                 true,
                 false,
-                false);
+                false,
+                new VersionRequirement.Any());
     }
 
     private static Prompt prompt(String subject) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/QueueLimitTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/QueueLimitTest.java
@@ -73,6 +73,7 @@
                 Set.of(),
                 true,
                 true,
-                false);
+                false,
+                new VersionRequirement.Any());
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RoleChangePlacementTest.java
@@ -93,7 +93,8 @@
                 Set.of(),
                 true,
                 false,
-                false);
+                false,
+                new VersionRequirement.Any());
         BackendServer prefill = TestServers.engine("prefill", EngineRole.PREFILL);
         return policy.chooseDecodeEngine(request, prefill, now).orElseThrow().id();
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulation.java
@@ -199,7 +199,8 @@
                     call.tried(),
                     false,
                     false,
-                    false);
+                    false,
+                    new VersionRequirement.Any());
             switch (policy.choose(request, time.now())) {
                 case Placement.SingleServer single -> send(call, callerAttempt, single);
                 case Placement.Refused refused -> comeBack(call, callerAttempt, refused.retryAfter());
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/TestServers.java
@@ -27,6 +27,11 @@
         return server(id, MODEL_SERVICE, ENGINE_SLOTS, BackendState.READY, role);
     }
 
+    static BackendServer engine(String id, SoftwareVersion version, EngineRole role) {
+        return new BackendServer(
+                id, 1, MODEL_SERVICE, version, "127.0.0.1", 1, DATA_CENTRE, ENGINE_SLOTS, BackendState.READY, role);
+    }
+
     static BackendServer drainingEngine(String id, EngineRole role) {
         return server(id, MODEL_SERVICE, ENGINE_SLOTS, BackendState.DRAINING, role);
     }
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
@@ -0,0 +1,169 @@
+package org.aspenmoor.internal.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.routing.EngineSpeed;
+import org.aspenmoor.internal.serving.limit.ServerLimits;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Placement of requests and of the rest of streams on engines of two software versions. */
+public class VersionPlacementTest {
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final Duration OBJECTIVE = Duration.ofMillis(500);
+    private static final SoftwareVersion OLD = new SoftwareVersion("old");
+    private static final SoftwareVersion NEW = new SoftwareVersion("new");
+    private static final VersionRequirement REST_OF_OLD = new VersionRequirement.Exactly(OLD);
+    private static final Prompt PROMPT =
+            new Prompt("m", 20_000, 100, Optional.empty(), List.of(new PromptPart("own", 20_000)));
+
+    /** A choice without regard to the version would pass a single try every other time. */
+    private static final int TRIES = 50;
+
+    private PlacementPolicy policy;
+
+    @BeforeMethod
+    public void createPolicy() {
+        policy = new PlacementPolicy(
+                new PlacementSettings(TestServers.DATA_CENTRE, EngineSpeed.defaults(), 0.42, 0),
+                new PeerLoads(),
+                new ServerLimits(() -> 1, new Random(1)),
+                new Random(1));
+    }
+
+    @Test
+    public void should_place_the_rest_of_a_stream_on_a_server_of_its_version() {
+        add("old", OLD, EngineRole.DECODE);
+        add("new", NEW, EngineRole.DECODE);
+
+        for (int attempt = 0; attempt < TRIES; attempt++) {
+            assertEquals(chosen(policy.choose(request(REST_OF_OLD, Set.of()), SECOND)), "old");
+        }
+    }
+
+    // Guards against the rest of a stream that waits for, or is refused because of, engines that may not write it.
+    @Test
+    public void should_refuse_the_rest_of_a_stream_at_once_when_no_server_of_its_version_is_left() {
+        add("new", NEW, EngineRole.DECODE);
+        add("new-prefill", NEW, EngineRole.PREFILL);
+
+        assertTrue(policy.choose(request(REST_OF_OLD, Set.of()), SECOND) instanceof Placement.Refused);
+    }
+
+    // Guards against a prompt that is computed for a stream though no engine may generate the rest.
+    @Test
+    public void should_refuse_the_rest_of_a_stream_when_only_prefill_engines_of_its_version_are_left() {
+        add("old-prefill", OLD, EngineRole.PREFILL);
+        add("new", NEW, EngineRole.DECODE);
+
+        assertTrue(policy.choose(request(REST_OF_OLD, Set.of()), SECOND) instanceof Placement.Refused);
+    }
+
+    @Test
+    public void should_choose_a_decode_engine_of_the_version_when_the_prompt_of_the_rest_has_been_computed() {
+        add("old", OLD, EngineRole.DECODE);
+        add("new", NEW, EngineRole.DECODE);
+
+        for (int attempt = 0; attempt < TRIES; attempt++) {
+            Optional<BackendServer> engine = policy.chooseDecodeEngine(
+                    request(REST_OF_OLD, Set.of()), engine("prefill", OLD, EngineRole.PREFILL), SECOND);
+            assertEquals(engine.map(BackendServer::id), Optional.of("old"));
+        }
+    }
+
+    // Guards against a stream that is lost though the only engine of its version, which has broken it off, is alive.
+    @Test
+    public void should_ask_a_tried_server_again_when_no_other_one_may_write_the_rest() {
+        add("old", OLD, EngineRole.DECODE);
+        add("old-prefill", OLD, EngineRole.PREFILL);
+        add("new", NEW, EngineRole.DECODE);
+
+        PlacementRequest request = request(REST_OF_OLD, Set.of("old"));
+        Placement.Disaggregated placement = (Placement.Disaggregated) policy.choose(request, SECOND);
+        Optional<BackendServer> answering = policy.chooseDecodeEngine(request, placement.prefill(), SECOND);
+
+        assertEquals(placement.prefill().id(), "old-prefill");
+        assertEquals(answering.map(BackendServer::id), Optional.of("old"));
+    }
+
+    // Guards against a stream that waits for an engine that has just refused a connection.
+    @Test
+    public void should_not_ask_a_tried_server_again_when_it_was_unreachable() {
+        add("old", OLD, EngineRole.DECODE);
+        add("new", NEW, EngineRole.DECODE);
+        AssignedWork work =
+                policy.attemptStarted(engine("old", OLD, EngineRole.DECODE), WorkKind.WHOLE, 0.1, OBJECTIVE, SECOND);
+        policy.serverUnreachable(work, SECOND);
+
+        assertTrue(policy.choose(request(REST_OF_OLD, Set.of("old")), SECOND) instanceof Placement.Refused);
+    }
+
+    // Guards against a request that may run anywhere and is sent to the same server again.
+    @Test
+    public void should_not_ask_a_tried_server_again_when_any_version_will_do() {
+        add("old", OLD, EngineRole.DECODE);
+
+        assertTrue(
+                policy.choose(request(new VersionRequirement.Any(), Set.of("old")), SECOND)
+                        instanceof Placement.Refused);
+    }
+
+    // Guards against an answer that is broken off because its engine changes its role, when only engines of another
+    // version could take it over.
+    @Test
+    public void should_leave_an_answer_where_it_is_when_only_another_version_could_take_it_over() {
+        add("old", OLD, EngineRole.DECODE);
+        add("new", NEW, EngineRole.DECODE);
+        AssignedWork work =
+                policy.attemptStarted(engine("old", OLD, EngineRole.DECODE), WorkKind.WHOLE, 0.1, OBJECTIVE, SECOND);
+        policy.roleChangeOrdered(new RoleChange("old", EngineRole.PREFILL), SECOND);
+
+        assertFalse(movesWithin(TRIES, work));
+
+        add("old-too", OLD, EngineRole.DECODE);
+        assertTrue(movesWithin(TRIES, work));
+    }
+
+    private boolean movesWithin(int events, AssignedWork work) {
+        for (int event = 0; event < events; event++) {
+            if (policy.answerMoves().shouldLeave(work, SECOND)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void add(String id, SoftwareVersion version, EngineRole role) {
+        policy.serverChanged(engine(id, version, role), TestServers.CACHE_TOKENS);
+    }
+
+    private static BackendServer engine(String id, SoftwareVersion version, EngineRole role) {
+        return TestServers.engine(id, version, role);
+    }
+
+    private static String chosen(Placement placement) {
+        return ((Placement.SingleServer) placement).server().id();
+    }
+
+    private static PlacementRequest request(VersionRequirement version, Set<String> excluded) {
+        return new PlacementRequest(
+                TestServers.MODEL_SERVICE,
+                Optional.of(PROMPT),
+                Duration.ofSeconds(5),
+                OBJECTIVE,
+                true,
+                excluded,
+                true,
+                true,
+                false,
+                version);
+    }
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -23,6 +23,7 @@
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.SimulatedTime;
 import org.aspenmoor.internal.serving.SoftwareVersion;
+import org.aspenmoor.internal.serving.VersionRequirement;
 import org.aspenmoor.internal.serving.WorkKind;
 
 /**
@@ -148,7 +149,16 @@
             return;
         }
         PlacementRequest request = new PlacementRequest(
-                SERVICE, Optional.empty(), Duration.ofSeconds(2), OBJECTIVE, false, Set.of(), false, false, false);
+                SERVICE,
+                Optional.empty(),
+                Duration.ofSeconds(2),
+                OBJECTIVE,
+                false,
+                Set.of(),
+                false,
+                false,
+                false,
+                new VersionRequirement.Any());
         switch (entry.policy.choose(request, time.now())) {
             case Placement.SingleServer single -> entry.send(single);
             case Placement.Refused refused -> {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CallerStream.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CallerStream.java
@@ -6,26 +6,35 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
+import org.aspenmoor.internal.serving.SoftwareVersion;
+import org.aspenmoor.internal.serving.VersionRequirement;
 
 /**
  * The event stream sent to one caller; its events may come from several servers. Confined to the event loop.
  *
  * <p>The head is that of the first server. Only complete events are sent, so that another server can continue after the
- * last one.
+ * last one; only one of the software version that has written the first event may do so.
  */
 final class CallerStream {
     private final AnswerWriter writer;
     private Optional<String> lastEventId = Optional.empty();
+    private VersionRequirement versionRequirement = new VersionRequirement.Any();
     private boolean begun;
 
     CallerStream(AnswerWriter writer) {
         this.writer = writer;
     }
 
-    void forward(HttpResponse head, ByteBuf event) {
+    /**
+     * Sends an event to the caller.
+     *
+     * @param version the software version of the server that has written it
+     */
+    void forward(HttpResponse head, ByteBuf event, SoftwareVersion version) {
         Optional<String> eventId = EventSplitter.eventId(event);
         if (!begun) {
             begun = true;
+            versionRequirement = new VersionRequirement.Exactly(version);
             HttpResponse callerHead = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
             callerHead.headers().set(ForwardedHeaders.copy(head.headers()));
             writer.beginAnswer(callerHead);
@@ -41,6 +50,11 @@
         return begun;
     }
 
+    /** Returns which software versions may write the rest. */
+    VersionRequirement versionRequirement() {
+        return versionRequirement;
+    }
+
     /** Returns the id of the last event that has one. */
     Optional<String> lastEventId() {
         return lastEventId;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PlacementRequestFactory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PlacementRequestFactory.java
@@ -44,6 +44,7 @@
                 triedServers.ids(),
                 triedServers.mayPrefill(),
                 caller.prompt().isPresent(),
-                othersQueued);
+                othersQueued,
+                stream.versionRequirement());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -277,7 +277,7 @@
     }
 
     void eventReceived(HttpResponse head, ByteBuf event) {
-        stream.forward(head, event);
+        stream.forward(head, event, answerAttempt.softwareVersion());
         answerProgress.eventReceived(answerAttempt.work(), answerAttempt.softwareVersion(), deadlines.allowed(), now());
         if (!writer.writable()) {
             currentAttempt.setReading(false);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -47,7 +47,7 @@
     }
 
     // Guards against the rest of a stream that an engine of another software version writes after a connection broke.
-    @Test(groups = "known-red")
+    @Test
     public void should_continue_at_an_engine_of_the_same_version_when_a_stream_breaks() throws Exception {
         engine("old-1", OLD, EngineRole.WHOLE, breaksOff(OLD));
         engine("old-2", OLD, EngineRole.WHOLE, breaksOff(OLD));
@@ -61,20 +61,35 @@
     }
 
     // Guards against a stream whose rest is written by the only engine that is left, which runs another version.
-    @Test(groups = "known-red")
+    @Test
     public void should_break_off_when_a_stream_breaks_and_no_engine_of_its_version_is_left() throws Exception {
-        engine("old-1", OLD, EngineRole.WHOLE, breaksOff(OLD));
-        engine("new-1", NEW, EngineRole.WHOLE, breaksOff(NEW));
+        engine("old-1", OLD, EngineRole.WHOLE, drainsAndBreaksOff(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, drainsAndBreaksOff(NEW));
         gateway.publish();
         try (TestCaller caller = gateway.caller()) {
             caller.send(request("r1"));
 
             assertThrows(EOFException.class, caller::readAnswer);
         }
+        String line = gateway.awaitLogged("\"outcome\":\"CUT\"");
+        assertEquals(line.contains("which has begun the stream, is available"), true, line);
+    }
+
+    // Guards against a caller that loses the rest of a stream though the engine that began it is still there.
+    @Test
+    public void should_ask_the_same_engine_again_when_it_is_the_only_one_of_its_version() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, breaksOff(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, breaksOff(NEW));
+        gateway.publish();
+
+        String body = answer(request("r1"));
+
+        assertOneVersion(body);
+        assertEquals(body.contains("id: " + EVENTS), true, body);
     }
 
     // Guards against an answer that moves to another software version because its engine changes its role.
-    @Test(groups = "known-red")
+    @Test
     public void should_stay_at_its_engine_when_only_engines_of_another_version_could_take_it_over() throws Exception {
         CountDownLatch roleChanging = new CountDownLatch(1);
         ScriptedBackend old = engine("old-1", OLD, EngineRole.WHOLE, pausesAfterFirstEvent(OLD, roleChanging));
@@ -91,7 +106,7 @@
 
     // Guards against the record of the incident: the prompt of the continuation is computed at one engine, and the
     // answer is requested from another one, of another version.
-    @Test(groups = "known-red")
+    @Test
     public void should_hand_a_continuation_to_an_engine_of_the_same_version_when_its_prompt_is_computed_again()
             throws Exception {
         for (String version : List.of(OLD, NEW)) {
@@ -205,6 +220,16 @@
                 : Reply.thenClose(head(request) + events(version, 1, 1)));
     }
 
+    private static Script drainsAndBreaksOff(String version) {
+        return posted(request -> Reply.thenClose(HttpText.head(
+                        "HTTP/1.1 200 OK",
+                        TestProtocols.REQUEST_ID + ": r1",
+                        TestProtocols.SIGNED + ": by one",
+                        TestProtocols.DRAINING + ": 1",
+                        "Transfer-Encoding: chunked")
+                + events(version, 1, 1)));
+    }
+
     private static Script pausesAfterFirstEvent(String version, CountDownLatch latch) {
         return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
                 ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
