+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long number_ ;
+      /**
+       * <pre>
+       * The number of the question.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <pre>
+       * The number of the question.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of the question.
+       * </pre>
+       *
+       * <code>uint64 number = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private org.aspenmoor.internal.wire.v1.PeerLoad.Stream stream_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> streamBuilder_;
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       * @return Whether the stream field is set.
+       */
+      public boolean hasStream() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       * @return The stream.
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStream() {
+        if (streamBuilder_ == null) {
+          return stream_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance() : stream_;
+        } else {
+          return streamBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public Builder setStream(org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+        if (streamBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          stream_ = value;
+        } else {
+          streamBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public Builder setStream(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+        if (streamBuilder_ == null) {
+          stream_ = builderForValue.build();
+        } else {
+          streamBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public Builder mergeStream(org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+        if (streamBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0) &&
+            stream_ != null &&
+            stream_ != org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance()) {
+            getStreamBuilder().mergeFrom(value);
+          } else {
+            stream_ = value;
+          }
+        } else {
+          streamBuilder_.mergeFrom(value);
+        }
+        if (stream_ != null) {
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public Builder clearStream() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        stream_ = null;
+        if (streamBuilder_ != null) {
+          streamBuilder_.dispose();
+          streamBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder getStreamBuilder() {
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return internalGetStreamFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamOrBuilder() {
+        if (streamBuilder_ != null) {
+          return streamBuilder_.getMessageOrBuilder();
+        } else {
+          return stream_ == null ?
+              org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance() : stream_;
+        }
+      }
+      /**
+       * <pre>
+       * Absent if the sender does not know the stream.
+       * </pre>
+       *
+       * <code>.aspenmoor.wire.v1.PeerLoad.Stream stream = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+          internalGetStreamFieldBuilder() {
+        if (streamBuilder_ == null) {
+          streamBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder>(
+                  getStream(),
+                  getParentForChildren(),
+                  isClean());
+          stream_ = null;
+        }
+        return streamBuilder_;
+      }
+
+      private boolean contradictory_ ;
+      /**
+       * <pre>
+       * Two streams with different origins have the same key.
+       * </pre>
+       *
+       * <code>bool contradictory = 4;</code>
+       * @return The contradictory.
+       */
+      @java.lang.Override
+      public boolean getContradictory() {
+        return contradictory_;
+      }
+      /**
+       * <pre>
+       * Two streams with different origins have the same key.
+       * </pre>
+       *
+       * <code>bool contradictory = 4;</code>
+       * @param value The contradictory to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContradictory(boolean value) {
+
+        contradictory_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Two streams with different origins have the same key.
+       * </pre>
+       *
+       * <code>bool contradictory = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContradictory() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        contradictory_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_ =
+        java.util.Collections.emptyList();
+      private void ensureVersionsIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          versions_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Version>(versions_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> versionsBuilder_;
+
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
+        if (versionsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(versions_);
+        } else {
+          return versionsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public int getVersionsCount() {
+        if (versionsBuilder_ == null) {
+          return versions_.size();
+        } else {
+          return versionsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
+        if (versionsBuilder_ == null) {
+          return versions_.get(index);
+        } else {
+          return versionsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder setVersions(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+        if (versionsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVersionsIsMutable();
+          versions_.set(index, value);
+          onChanged();
+        } else {
+          versionsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder setVersions(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+        if (versionsBuilder_ == null) {
+          ensureVersionsIsMutable();
+          versions_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          versionsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder addVersions(org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+        if (versionsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVersionsIsMutable();
+          versions_.add(value);
+          onChanged();
+        } else {
+          versionsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder addVersions(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+        if (versionsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVersionsIsMutable();
+          versions_.add(index, value);
+          onChanged();
+        } else {
+          versionsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder addVersions(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+        if (versionsBuilder_ == null) {
+          ensureVersionsIsMutable();
+          versions_.add(builderForValue.build());
+          onChanged();
+        } else {
+          versionsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder addVersions(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+        if (versionsBuilder_ == null) {
+          ensureVersionsIsMutable();
+          versions_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          versionsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder addAllVersions(
+          java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Version> values) {
+        if (versionsBuilder_ == null) {
+          ensureVersionsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, versions_);
+          onChanged();
+        } else {
+          versionsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder clearVersions() {
+        if (versionsBuilder_ == null) {
+          versions_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          versionsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public Builder removeVersions(int index) {
+        if (versionsBuilder_ == null) {
+          ensureVersionsIsMutable();
+          versions_.remove(index);
+          onChanged();
+        } else {
+          versionsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder getVersionsBuilder(
+          int index) {
+        return internalGetVersionsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+          int index) {
+        if (versionsBuilder_ == null) {
+          return versions_.get(index);  } else {
+          return versionsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+           getVersionsOrBuilderList() {
+        if (versionsBuilder_ != null) {
+          return versionsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(versions_);
+        }
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder() {
+        return internalGetVersionsFieldBuilder().addBuilder(
+            org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder(
+          int index) {
+        return internalGetVersionsFieldBuilder().addBuilder(
+            index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * All versions of the service of the question.
+       * </pre>
+       *
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 5;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder> 
+           getVersionsBuilderList() {
+        return internalGetVersionsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+          internalGetVersionsFieldBuilder() {
+        if (versionsBuilder_ == null) {
+          versionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder>(
+                  versions_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          versions_ = null;
+        }
+        return versionsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Reply)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Reply)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Reply DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Reply();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Reply getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Reply>
+        PARSER = new com.google.protobuf.AbstractParser<Reply>() {
+      @java.lang.Override
+      public Reply parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Reply> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Reply> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private int bitField0_;
+  public static final int ENTRY_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object entry_ = "";
+  /**
+   * <code>string entry = 1;</code>
+   * @return The entry.
+   */
+  @java.lang.Override
+  public java.lang.String getEntry() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      entry_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string entry = 1;</code>
+   * @return The bytes for entry.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getEntryBytes() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      entry_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int START_FIELD_NUMBER = 2;
+  private long start_ = 0L;
+  /**
+   * <pre>
+   * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+   * with each incarnation.
+   * </pre>
+   *
+   * <code>fixed64 start = 2;</code>
+   * @return The start.
+   */
+  @java.lang.Override
+  public long getStart() {
+    return start_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
+  private long sequence_ = 0L;
+  /**
+   * <code>uint64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int SHARES_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
+    return shares_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+      getSharesOrBuilderList() {
+    return shares_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public int getSharesCount() {
+    return shares_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
+    return shares_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+      int index) {
+    return shares_.get(index);
+  }
+
+  public static final int PROMPTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_;
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+      getPromptsOrBuilderList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public int getPromptsCount() {
+    return prompts_.size();
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+    return prompts_.get(index);
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+      int index) {
+    return prompts_.get(index);
+  }
+
+  public static final int LEAVING_FIELD_NUMBER = 5;
+  private boolean leaving_ = false;
+  /**
+   * <pre>
+   * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+   * </pre>
+   *
+   * <code>bool leaving = 5;</code>
+   * @return The leaving.
+   */
+  @java.lang.Override
+  public boolean getLeaving() {
+    return leaving_;
+  }
+
+  public static final int SPEEDS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+      getSpeedsOrBuilderList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public int getSpeedsCount() {
+    return speeds_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+    return speeds_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+      int index) {
+    return speeds_.get(index);
+  }
+
+  public static final int CHANGES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+      getChangesOrBuilderList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public int getChangesCount() {
+    return changes_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
+    return changes_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
+      int index) {
+    return changes_.get(index);
+  }
+
+  public static final int LENGTHS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
+    return lengths_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+      getLengthsOrBuilderList() {
+    return lengths_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public int getLengthsCount() {
+    return lengths_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
+    return lengths_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
+      int index) {
+    return lengths_.get(index);
+  }
+
+  public static final int ENDS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
+    return ends_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+      getEndsOrBuilderList() {
+    return ends_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public int getEndsCount() {
+    return ends_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
+    return ends_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
+      int index) {
+    return ends_.get(index);
+  }
+
+  public static final int DUTY_FIELD_NUMBER = 11;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return Whether the duty field is set.
+   */
+  @java.lang.Override
+  public boolean hasDuty() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return The duty.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 12;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return Whether the usage field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsage() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return The usage.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+
+  public static final int STORE_UNREACHABLE_FIELD_NUMBER = 13;
+  private boolean storeUnreachable_ = false;
+  /**
+   * <pre>
+   * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+   * </pre>
+   *
+   * <code>bool store_unreachable = 13;</code>
+   * @return The storeUnreachable.
+   */
+  @java.lang.Override
+  public boolean getStoreUnreachable() {
+    return storeUnreachable_;
+  }
+
+  public static final int ORDER_FENCING_NUMBER_FIELD_NUMBER = 15;
+  private long orderFencingNumber_ = 0L;
+  /**
+   * <pre>
+   * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+   * highest one gives the orders.
+   * </pre>
+   *
+   * <code>int64 order_fencing_number = 15;</code>
+   * @return The orderFencingNumber.
+   */
+  @java.lang.Override
+  public long getOrderFencingNumber() {
+    return orderFencingNumber_;
+  }
+
+  public static final int LIMITS_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
+  public static final int DRAINING_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+      getDrainingOrBuilderList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public int getDrainingCount() {
+    return draining_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+    return draining_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+      int index) {
+    return draining_.get(index);
+  }
+
+  public static final int VERSIONS_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
+    return versions_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+      getVersionsOrBuilderList() {
+    return versions_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public int getVersionsCount() {
+    return versions_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
+    return versions_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+      int index) {
+    return versions_.get(index);
+  }
+
+  public static final int STREAMS_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_;
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
+    return streams_;
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+      getStreamsOrBuilderList() {
+    return streams_;
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public int getStreamsCount() {
+    return streams_.size();
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
+    return streams_.get(index);
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
+      int index) {
+    return streams_.get(index);
+  }
+
+  public static final int QUESTION_FIELD_NUMBER = 19;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return Whether the question field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuestion() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return The question.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
+    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
+    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+  }
+
+  public static final int REPLY_FIELD_NUMBER = 20;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return Whether the reply field is set.
+   */
+  @java.lang.Override
+  public boolean hasReply() {
+    return ((bitField0_ & 0x00000008) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return The reply.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
+    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
+    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+    }
+    if (start_ != 0L) {
+      output.writeFixed64(2, start_);
+    }
+    if (sequence_ != 0L) {
+      output.writeUInt64(3, sequence_);
+    }
+    for (int i = 0; i < shares_.size(); i++) {
+      output.writeMessage(4, shares_.get(i));
+    }
+    if (leaving_ != false) {
+      output.writeBool(5, leaving_);
+    }
+    for (int i = 0; i < prompts_.size(); i++) {
+      output.writeMessage(6, prompts_.get(i));
+    }
+    for (int i = 0; i < speeds_.size(); i++) {
+      output.writeMessage(7, speeds_.get(i));
+    }
+    for (int i = 0; i < changes_.size(); i++) {
+      output.writeMessage(8, changes_.get(i));
+    }
+    for (int i = 0; i < lengths_.size(); i++) {
+      output.writeMessage(9, lengths_.get(i));
+    }
+    for (int i = 0; i < ends_.size(); i++) {
+      output.writeMessage(10, ends_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(12, getUsage());
+    }
+    if (storeUnreachable_ != false) {
+      output.writeBool(13, storeUnreachable_);
+    }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(14, limits_.get(i));
+    }
+    if (orderFencingNumber_ != 0L) {
+      output.writeInt64(15, orderFencingNumber_);
+    }
+    for (int i = 0; i < draining_.size(); i++) {
+      output.writeMessage(16, draining_.get(i));
+    }
+    for (int i = 0; i < versions_.size(); i++) {
+      output.writeMessage(17, versions_.get(i));
+    }
+    for (int i = 0; i < streams_.size(); i++) {
+      output.writeMessage(18, streams_.get(i));
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(19, getQuestion());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      output.writeMessage(20, getReply());
+    }
+    getUnknownFields().writeTo(output);
+  }
+  private int computeSerializedSize_0() {
+    int size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+    }
+    if (start_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(2, start_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, sequence_);
+    }
+
+        {
+          final int count = shares_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(shares_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (leaving_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, leaving_);
+    }
+
+        {
+          final int count = prompts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(prompts_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = speeds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(speeds_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = changes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(changes_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = lengths_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(lengths_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = ends_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(ends_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getUsage());
+    }
+    if (storeUnreachable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, storeUnreachable_);
+    }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (orderFencingNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(15, orderFencingNumber_);
+    }
+
+        {
+          final int count = draining_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(draining_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = versions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(versions_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = streams_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(streams_.get(i));
+          }
+          size += 2 * count;
+        }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, getQuestion());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, getReply());
+    }
+    return size;
+  }
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    size += computeSerializedSize_0();
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad)) {
+      return super.equals(obj);
+    }
+    org.aspenmoor.internal.wire.v1.PeerLoad other = (org.aspenmoor.internal.wire.v1.PeerLoad) obj;
+
+    if (!getEntry()
+        .equals(other.getEntry())) return false;
+    if (getStart()
+        != other.getStart()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (!getSharesList()
+        .equals(other.getSharesList())) return false;
+    if (!getPromptsList()
+        .equals(other.getPromptsList())) return false;
+    if (getLeaving()
+        != other.getLeaving()) return false;
+    if (!getSpeedsList()
+        .equals(other.getSpeedsList())) return false;
+    if (!getChangesList()
+        .equals(other.getChangesList())) return false;
+    if (!getLengthsList()
+        .equals(other.getLengthsList())) return false;
+    if (!getEndsList()
+        .equals(other.getEndsList())) return false;
+    if (hasDuty() != other.hasDuty()) return false;
+    if (hasDuty()) {
+      if (!getDuty()
+          .equals(other.getDuty())) return false;
+    }
+    if (hasUsage() != other.hasUsage()) return false;
+    if (hasUsage()) {
+      if (!getUsage()
+          .equals(other.getUsage())) return false;
+    }
+    if (getStoreUnreachable()
+        != other.getStoreUnreachable()) return false;
+    if (getOrderFencingNumber()
+        != other.getOrderFencingNumber()) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
+    if (!getDrainingList()
+        .equals(other.getDrainingList())) return false;
+    if (!getVersionsList()
+        .equals(other.getVersionsList())) return false;
+    if (!getStreamsList()
+        .equals(other.getStreamsList())) return false;
+    if (hasQuestion() != other.hasQuestion()) return false;
+    if (hasQuestion()) {
+      if (!getQuestion()
+          .equals(other.getQuestion())) return false;
+    }
+    if (hasReply() != other.hasReply()) return false;
+    if (hasReply()) {
+      if (!getReply()
+          .equals(other.getReply())) return false;
+    }
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+    hash = (53 * hash) + getEntry().hashCode();
+    hash = (37 * hash) + START_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStart());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
+    if (getSharesCount() > 0) {
+      hash = (37 * hash) + SHARES_FIELD_NUMBER;
+      hash = (53 * hash) + getSharesList().hashCode();
+    }
+    if (getPromptsCount() > 0) {
+      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptsList().hashCode();
+    }
+    hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaving());
+    if (getSpeedsCount() > 0) {
+      hash = (37 * hash) + SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeedsList().hashCode();
+    }
+    if (getChangesCount() > 0) {
+      hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+      hash = (53 * hash) + getChangesList().hashCode();
+    }
+    if (getLengthsCount() > 0) {
+      hash = (37 * hash) + LENGTHS_FIELD_NUMBER;
+      hash = (53 * hash) + getLengthsList().hashCode();
+    }
+    if (getEndsCount() > 0) {
+      hash = (37 * hash) + ENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getEndsList().hashCode();
+    }
+    if (hasDuty()) {
+      hash = (37 * hash) + DUTY_FIELD_NUMBER;
+      hash = (53 * hash) + getDuty().hashCode();
+    }
+    if (hasUsage()) {
+      hash = (37 * hash) + USAGE_FIELD_NUMBER;
+      hash = (53 * hash) + getUsage().hashCode();
+    }
+    hash = (37 * hash) + STORE_UNREACHABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStoreUnreachable());
+    hash = (37 * hash) + ORDER_FENCING_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getOrderFencingNumber());
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
+    if (getDrainingCount() > 0) {
+      hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+      hash = (53 * hash) + getDrainingList().hashCode();
+    }
+    if (getVersionsCount() > 0) {
+      hash = (37 * hash) + VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getVersionsList().hashCode();
+    }
+    if (getStreamsCount() > 0) {
+      hash = (37 * hash) + STREAMS_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamsList().hashCode();
+    }
+    if (hasQuestion()) {
+      hash = (37 * hash) + QUESTION_FIELD_NUMBER;
+      hash = (53 * hash) + getQuestion().hashCode();
+    }
+    if (hasReply()) {
+      hash = (37 * hash) + REPLY_FIELD_NUMBER;
+      hash = (53 * hash) + getReply().hashCode();
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * <pre>
+   * The load that one entry's own requests put on backend servers; servers without such load are left out.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad)
+      org.aspenmoor.internal.wire.v1.PeerLoadOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.class, org.aspenmoor.internal.wire.v1.PeerLoad.Builder.class);
+    }
+
+    // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetSharesFieldBuilder();
+        internalGetPromptsFieldBuilder();
+        internalGetSpeedsFieldBuilder();
+        internalGetChangesFieldBuilder();
+        internalGetLengthsFieldBuilder();
+        internalGetEndsFieldBuilder();
+        internalGetDutyFieldBuilder();
+        internalGetUsageFieldBuilder();
+        internalGetLimitsFieldBuilder();
+        internalGetDrainingFieldBuilder();
+        internalGetVersionsFieldBuilder();
+        internalGetStreamsFieldBuilder();
+        internalGetQuestionFieldBuilder();
+        internalGetReplyFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      entry_ = "";
+      start_ = 0L;
+      sequence_ = 0L;
+      if (sharesBuilder_ == null) {
+        shares_ = java.util.Collections.emptyList();
+      } else {
+        shares_ = null;
+        sharesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+      } else {
+        prompts_ = null;
+        promptsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
+      leaving_ = false;
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+      } else {
+        speeds_ = null;
+        speedsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+      } else {
+        changes_ = null;
+        changesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (lengthsBuilder_ == null) {
+        lengths_ = java.util.Collections.emptyList();
+      } else {
+        lengths_ = null;
+        lengthsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (endsBuilder_ == null) {
+        ends_ = java.util.Collections.emptyList();
+      } else {
+        ends_ = null;
+        endsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
+      }
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
+      }
+      storeUnreachable_ = false;
+      orderFencingNumber_ = 0L;
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+      } else {
+        draining_ = null;
+        drainingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
+      if (versionsBuilder_ == null) {
+        versions_ = java.util.Collections.emptyList();
+      } else {
+        versions_ = null;
+        versionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+      } else {
+        streams_ = null;
+        streamsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
+      question_ = null;
+      if (questionBuilder_ != null) {
+        questionBuilder_.dispose();
+        questionBuilder_ = null;
+      }
+      reply_ = null;
+      if (replyBuilder_ != null) {
+        replyBuilder_.dispose();
+        replyBuilder_ = null;
+      }
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad getDefaultInstanceForType() {
+      return org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad build() {
+      org.aspenmoor.internal.wire.v1.PeerLoad result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad buildPartial() {
+      org.aspenmoor.internal.wire.v1.PeerLoad result = new org.aspenmoor.internal.wire.v1.PeerLoad(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad result) {
+      if (sharesBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          shares_ = java.util.Collections.unmodifiableList(shares_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.shares_ = shares_;
+      } else {
+        result.shares_ = sharesBuilder_.build();
+      }
+      if (promptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          prompts_ = java.util.Collections.unmodifiableList(prompts_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.prompts_ = prompts_;
+      } else {
+        result.prompts_ = promptsBuilder_.build();
+      }
+      if (speedsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          speeds_ = java.util.Collections.unmodifiableList(speeds_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.speeds_ = speeds_;
+      } else {
+        result.speeds_ = speedsBuilder_.build();
+      }
+      if (changesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          changes_ = java.util.Collections.unmodifiableList(changes_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.changes_ = changes_;
+      } else {
+        result.changes_ = changesBuilder_.build();
+      }
+      if (lengthsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          lengths_ = java.util.Collections.unmodifiableList(lengths_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.lengths_ = lengths_;
+      } else {
+        result.lengths_ = lengthsBuilder_.build();
+      }
+      if (endsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          ends_ = java.util.Collections.unmodifiableList(ends_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.ends_ = ends_;
+      } else {
+        result.ends_ = endsBuilder_.build();
+      }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
+      if (drainingBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          draining_ = java.util.Collections.unmodifiableList(draining_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.draining_ = draining_;
+      } else {
+        result.draining_ = drainingBuilder_.build();
+      }
+      if (versionsBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          versions_ = java.util.Collections.unmodifiableList(versions_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.versions_ = versions_;
+      } else {
+        result.versions_ = versionsBuilder_.build();
+      }
+      if (streamsBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          streams_ = java.util.Collections.unmodifiableList(streams_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.streams_ = streams_;
+      } else {
+        result.streams_ = streamsBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.entry_ = entry_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.start_ = start_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.leaving_ = leaving_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.duty_ = dutyBuilder_ == null
+            ? duty_
+            : dutyBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.usage_ = usageBuilder_ == null
+            ? usage_
+            : usageBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.storeUnreachable_ = storeUnreachable_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.orderFencingNumber_ = orderFencingNumber_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.question_ = questionBuilder_ == null
+            ? question_
+            : questionBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.reply_ = replyBuilder_ == null
+            ? reply_
+            : replyBuilder_.build();
+        to_bitField0_ |= 0x00000008;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad) {
+        return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad other) {
+      if (other == org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance()) return this;
+      if (!other.getEntry().isEmpty()) {
+        entry_ = other.entry_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.getStart() != 0L) {
+        setStart(other.getStart());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
+      if (sharesBuilder_ == null) {
+        if (!other.shares_.isEmpty()) {
+          if (shares_.isEmpty()) {
+            shares_ = other.shares_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureSharesIsMutable();
+            shares_.addAll(other.shares_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.shares_.isEmpty()) {
+          if (sharesBuilder_.isEmpty()) {
+            sharesBuilder_.dispose();
+            sharesBuilder_ = null;
+            shares_ = other.shares_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            sharesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSharesFieldBuilder() : null;
+          } else {
+            sharesBuilder_.addAllMessages(other.shares_);
+          }
+        }
+      }
+      if (promptsBuilder_ == null) {
+        if (!other.prompts_.isEmpty()) {
+          if (prompts_.isEmpty()) {
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensurePromptsIsMutable();
+            prompts_.addAll(other.prompts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.prompts_.isEmpty()) {
+          if (promptsBuilder_.isEmpty()) {
+            promptsBuilder_.dispose();
+            promptsBuilder_ = null;
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            promptsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPromptsFieldBuilder() : null;
+          } else {
+            promptsBuilder_.addAllMessages(other.prompts_);
+          }
+        }
+      }
+      if (other.getLeaving() != false) {
+        setLeaving(other.getLeaving());
+      }
+      if (speedsBuilder_ == null) {
+        if (!other.speeds_.isEmpty()) {
+          if (speeds_.isEmpty()) {
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureSpeedsIsMutable();
+            speeds_.addAll(other.speeds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.speeds_.isEmpty()) {
+          if (speedsBuilder_.isEmpty()) {
+            speedsBuilder_.dispose();
+            speedsBuilder_ = null;
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            speedsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSpeedsFieldBuilder() : null;
+          } else {
+            speedsBuilder_.addAllMessages(other.speeds_);
+          }
+        }
+      }
+      if (changesBuilder_ == null) {
+        if (!other.changes_.isEmpty()) {
+          if (changes_.isEmpty()) {
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureChangesIsMutable();
+            changes_.addAll(other.changes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.changes_.isEmpty()) {
+          if (changesBuilder_.isEmpty()) {
+            changesBuilder_.dispose();
+            changesBuilder_ = null;
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            changesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetChangesFieldBuilder() : null;
+          } else {
+            changesBuilder_.addAllMessages(other.changes_);
+          }
+        }
+      }
+      if (lengthsBuilder_ == null) {
+        if (!other.lengths_.isEmpty()) {
+          if (lengths_.isEmpty()) {
+            lengths_ = other.lengths_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLengthsIsMutable();
+            lengths_.addAll(other.lengths_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.lengths_.isEmpty()) {
+          if (lengthsBuilder_.isEmpty()) {
+            lengthsBuilder_.dispose();
+            lengthsBuilder_ = null;
+            lengths_ = other.lengths_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            lengthsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLengthsFieldBuilder() : null;
+          } else {
+            lengthsBuilder_.addAllMessages(other.lengths_);
+          }
+        }
+      }
+      if (endsBuilder_ == null) {
+        if (!other.ends_.isEmpty()) {
+          if (ends_.isEmpty()) {
+            ends_ = other.ends_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureEndsIsMutable();
+            ends_.addAll(other.ends_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.ends_.isEmpty()) {
+          if (endsBuilder_.isEmpty()) {
+            endsBuilder_.dispose();
+            endsBuilder_ = null;
+            ends_ = other.ends_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            endsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEndsFieldBuilder() : null;
+          } else {
+            endsBuilder_.addAllMessages(other.ends_);
+          }
+        }
+      }
+      if (other.hasDuty()) {
+        mergeDuty(other.getDuty());
+      }
+      if (other.hasUsage()) {
+        mergeUsage(other.getUsage());
+      }
+      if (other.getStoreUnreachable() != false) {
+        setStoreUnreachable(other.getStoreUnreachable());
+      }
+      if (other.getOrderFencingNumber() != 0L) {
+        setOrderFencingNumber(other.getOrderFencingNumber());
+      }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
+      if (drainingBuilder_ == null) {
+        if (!other.draining_.isEmpty()) {
+          if (draining_.isEmpty()) {
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureDrainingIsMutable();
+            draining_.addAll(other.draining_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.draining_.isEmpty()) {
+          if (drainingBuilder_.isEmpty()) {
+            drainingBuilder_.dispose();
+            drainingBuilder_ = null;
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            drainingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDrainingFieldBuilder() : null;
+          } else {
+            drainingBuilder_.addAllMessages(other.draining_);
+          }
+        }
+      }
+      if (versionsBuilder_ == null) {
+        if (!other.versions_.isEmpty()) {
+          if (versions_.isEmpty()) {
+            versions_ = other.versions_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensureVersionsIsMutable();
+            versions_.addAll(other.versions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.versions_.isEmpty()) {
+          if (versionsBuilder_.isEmpty()) {
+            versionsBuilder_.dispose();
+            versionsBuilder_ = null;
+            versions_ = other.versions_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            versionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetVersionsFieldBuilder() : null;
+          } else {
+            versionsBuilder_.addAllMessages(other.versions_);
+          }
+        }
+      }
+      if (streamsBuilder_ == null) {
+        if (!other.streams_.isEmpty()) {
+          if (streams_.isEmpty()) {
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureStreamsIsMutable();
+            streams_.addAll(other.streams_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.streams_.isEmpty()) {
+          if (streamsBuilder_.isEmpty()) {
+            streamsBuilder_.dispose();
+            streamsBuilder_ = null;
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            streamsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStreamsFieldBuilder() : null;
+          } else {
+            streamsBuilder_.addAllMessages(other.streams_);
+          }
+        }
+      }
+      if (other.hasQuestion()) {
+        mergeQuestion(other.getQuestion());
+      }
+      if (other.hasReply()) {
+        mergeReply(other.getReply());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      java.util.Objects.requireNonNull(extensionRegistry);
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              entry_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 17: {
+              start_ = input.readFixed64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 17
+            case 24: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Share m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Share.parser(),
+                      extensionRegistry);
+              if (sharesBuilder_ == null) {
+                ensureSharesIsMutable();
+                shares_.add(m);
+              } else {
+                sharesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 40: {
+              leaving_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 40
+            case 50: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.parser(),
+                      extensionRegistry);
+              if (promptsBuilder_ == null) {
+                ensurePromptsIsMutable();
+                prompts_.add(m);
+              } else {
+                promptsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
+            case 58: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Speed m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Speed.parser(),
+                      extensionRegistry);
+              if (speedsBuilder_ == null) {
+                ensureSpeedsIsMutable();
+                speeds_.add(m);
+              } else {
+                speedsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
+            case 66: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Change m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Change.parser(),
+                      extensionRegistry);
+              if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.add(m);
+              } else {
+                changesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.EventLength m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.parser(),
+                      extensionRegistry);
+              if (lengthsBuilder_ == null) {
+                ensureLengthsIsMutable();
+                lengths_.add(m);
+              } else {
+                lengthsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.End m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.End.parser(),
+                      extensionRegistry);
+              if (endsBuilder_ == null) {
+                ensureEndsIsMutable();
+                ends_.add(m);
+              } else {
+                endsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetDutyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetUsageFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
+            case 104: {
+              storeUnreachable_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 114: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Limit m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Limit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
+            case 120: {
+              orderFencingNumber_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 120
+            case 130: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Draining m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Draining.parser(),
+                      extensionRegistry);
+              if (drainingBuilder_ == null) {
+                ensureDrainingIsMutable();
+                draining_.add(m);
+              } else {
+                drainingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
+            case 138: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Version m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Version.parser(),
+                      extensionRegistry);
+              if (versionsBuilder_ == null) {
+                ensureVersionsIsMutable();
+                versions_.add(m);
+              } else {
+                versionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 138
+            case 146: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Stream m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Stream.parser(),
+                      extensionRegistry);
+              if (streamsBuilder_ == null) {
+                ensureStreamsIsMutable();
+                streams_.add(m);
+              } else {
+                streamsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetQuestionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 162
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
     }
-    if (getEndsCount() > 0) {
-      hash = (37 * hash) + ENDS_FIELD_NUMBER;
-      hash = (53 * hash) + getEndsList().hashCode();
+    private int bitField0_;
+
+    private java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
     }
-    if (hasDuty()) {
-      hash = (37 * hash) + DUTY_FIELD_NUMBER;
-      hash = (53 * hash) + getDuty().hashCode();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
-    if (hasUsage()) {
-      hash = (37 * hash) + USAGE_FIELD_NUMBER;
-      hash = (53 * hash) + getUsage().hashCode();
+    /**
+     * <code>string entry = 1;</code>
+     * @param value The entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntry(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      entry_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
     }
-    hash = (37 * hash) + STORE_UNREACHABLE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getStoreUnreachable());
-    hash = (37 * hash) + ORDER_FENCING_NUMBER_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getOrderFencingNumber());
-    if (getLimitsCount() > 0) {
-      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
-      hash = (53 * hash) + getLimitsList().hashCode();
+    /**
+     * <code>string entry = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntry() {
+      entry_ = getDefaultInstance().getEntry();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
     }
-    if (getDrainingCount() > 0) {
-      hash = (37 * hash) + DRAINING_FIELD_NUMBER;
-      hash = (53 * hash) + getDrainingList().hashCode();
+    /**
+     * <code>string entry = 1;</code>
+     * @param value The bytes for entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      entry_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
     }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static org.aspenmoor.internal.wire.v1.PeerLoad parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
 
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
+    private long start_ ;
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
+    @java.lang.Override
+    public long getStart() {
+      return start_;
+    }
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @param value The start to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStart(long value) {
 
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * The load that one entry's own requests put on backend servers; servers without such load are left out.
-   * </pre>
-   *
-   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad)
-      org.aspenmoor.internal.wire.v1.PeerLoadOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
+      start_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStart() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      start_ = 0L;
+      onChanged();
+      return this;
     }
 
+    private long sequence_ ;
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
     @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.aspenmoor.internal.wire.v1.PeerLoad.class, org.aspenmoor.internal.wire.v1.PeerLoad.Builder.class);
+    public long getSequence() {
+      return sequence_;
     }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
 
-    // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.newBuilder()
-    private Builder() {
-      maybeForceBuilderInitialization();
+      sequence_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      sequence_ = 0L;
+      onChanged();
+      return this;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-      maybeForceBuilderInitialization();
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_ =
+      java.util.Collections.emptyList();
+    private void ensureSharesIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        shares_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Share>(shares_);
+        bitField0_ |= 0x00000008;
+       }
     }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetSharesFieldBuilder();
-        internalGetPromptsFieldBuilder();
-        internalGetSpeedsFieldBuilder();
-        internalGetChangesFieldBuilder();
-        internalGetLengthsFieldBuilder();
-        internalGetEndsFieldBuilder();
-        internalGetDutyFieldBuilder();
-        internalGetUsageFieldBuilder();
-        internalGetLimitsFieldBuilder();
-        internalGetDrainingFieldBuilder();
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> sharesBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
+      if (sharesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(shares_);
+      } else {
+        return sharesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public int getSharesCount() {
+      if (sharesBuilder_ == null) {
+        return shares_.size();
+      } else {
+        return sharesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
+      if (sharesBuilder_ == null) {
+        return shares_.get(index);
+      } else {
+        return sharesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder setShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.set(index, value);
+        onChanged();
+      } else {
+        sharesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder setShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        sharesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.add(value);
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.add(index, value);
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.add(builderForValue.build());
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addAllShares(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Share> values) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, shares_);
+        onChanged();
+      } else {
+        sharesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder clearShares() {
+      if (sharesBuilder_ == null) {
+        shares_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        sharesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder removeShares(int index) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.remove(index);
+        onChanged();
+      } else {
+        sharesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder getSharesBuilder(
+        int index) {
+      return internalGetSharesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+        int index) {
+      if (sharesBuilder_ == null) {
+        return shares_.get(index);  } else {
+        return sharesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+         getSharesOrBuilderList() {
+      if (sharesBuilder_ != null) {
+        return sharesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(shares_);
       }
     }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      entry_ = "";
-      start_ = 0L;
-      sequence_ = 0L;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder() {
+      return internalGetSharesFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder(
+        int index) {
+      return internalGetSharesFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder> 
+         getSharesBuilderList() {
+      return internalGetSharesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+        internalGetSharesFieldBuilder() {
       if (sharesBuilder_ == null) {
-        shares_ = java.util.Collections.emptyList();
-      } else {
+        sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder>(
+                shares_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
         shares_ = null;
-        sharesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      return sharesBuilder_;
+    }
+
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        prompts_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt>(prompts_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> promptsBuilder_;
+
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
       if (promptsBuilder_ == null) {
-        prompts_ = java.util.Collections.emptyList();
-      } else {
-        prompts_ = null;
-        promptsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000010);
-      leaving_ = false;
-      if (speedsBuilder_ == null) {
-        speeds_ = java.util.Collections.emptyList();
+        return java.util.Collections.unmodifiableList(prompts_);
       } else {
-        speeds_ = null;
-        speedsBuilder_.clear();
+        return promptsBuilder_.getMessageList();
       }
-      bitField0_ = (bitField0_ & ~0x00000040);
-      if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public int getPromptsCount() {
+      if (promptsBuilder_ == null) {
+        return prompts_.size();
       } else {
-        changes_ = null;
-        changesBuilder_.clear();
+        return promptsBuilder_.getCount();
       }
-      bitField0_ = (bitField0_ & ~0x00000080);
-      if (lengthsBuilder_ == null) {
-        lengths_ = java.util.Collections.emptyList();
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);
       } else {
-        lengths_ = null;
-        lengthsBuilder_.clear();
+        return promptsBuilder_.getMessage(index);
       }
-      bitField0_ = (bitField0_ & ~0x00000100);
-      if (endsBuilder_ == null) {
-        ends_ = java.util.Collections.emptyList();
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.set(index, value);
+        onChanged();
       } else {
-        ends_ = null;
-        endsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000200);
-      duty_ = null;
-      if (dutyBuilder_ != null) {
-        dutyBuilder_.dispose();
-        dutyBuilder_ = null;
-      }
-      usage_ = null;
-      if (usageBuilder_ != null) {
-        usageBuilder_.dispose();
-        usageBuilder_ = null;
+        promptsBuilder_.setMessage(index, value);
       }
-      storeUnreachable_ = false;
-      orderFencingNumber_ = 0L;
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        limits_ = null;
-        limitsBuilder_.clear();
+        promptsBuilder_.setMessage(index, builderForValue.build());
       }
-      bitField0_ = (bitField0_ & ~0x00004000);
-      if (drainingBuilder_ == null) {
-        draining_ = java.util.Collections.emptyList();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(value);
+        onChanged();
       } else {
-        draining_ = null;
-        drainingBuilder_.clear();
+        promptsBuilder_.addMessage(value);
       }
-      bitField0_ = (bitField0_ & ~0x00008000);
       return this;
     }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
-    }
-
-    @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad getDefaultInstanceForType() {
-      return org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance();
-    }
-
-    @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad build() {
-      org.aspenmoor.internal.wire.v1.PeerLoad result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(index, value);
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(index, value);
       }
-      return result;
-    }
-
-    @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad buildPartial() {
-      org.aspenmoor.internal.wire.v1.PeerLoad result = new org.aspenmoor.internal.wire.v1.PeerLoad(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+      return this;
     }
-
-    private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad result) {
-      if (sharesBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          shares_ = java.util.Collections.unmodifiableList(shares_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.shares_ = shares_;
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.add(builderForValue.build());
+        onChanged();
       } else {
-        result.shares_ = sharesBuilder_.build();
+        promptsBuilder_.addMessage(builderForValue.build());
       }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
       if (promptsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
-          prompts_ = java.util.Collections.unmodifiableList(prompts_);
-          bitField0_ = (bitField0_ & ~0x00000010);
-        }
-        result.prompts_ = prompts_;
+        ensurePromptsIsMutable();
+        prompts_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        result.prompts_ = promptsBuilder_.build();
+        promptsBuilder_.addMessage(index, builderForValue.build());
       }
-      if (speedsBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
-          speeds_ = java.util.Collections.unmodifiableList(speeds_);
-          bitField0_ = (bitField0_ & ~0x00000040);
-        }
-        result.speeds_ = speeds_;
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addAllPrompts(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> values) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, prompts_);
+        onChanged();
       } else {
-        result.speeds_ = speedsBuilder_.build();
+        promptsBuilder_.addAllMessages(values);
       }
-      if (changesBuilder_ == null) {
-        if (((bitField0_ & 0x00000080) != 0)) {
-          changes_ = java.util.Collections.unmodifiableList(changes_);
-          bitField0_ = (bitField0_ & ~0x00000080);
-        }
-        result.changes_ = changes_;
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder clearPrompts() {
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
       } else {
-        result.changes_ = changesBuilder_.build();
+        promptsBuilder_.clear();
       }
-      if (lengthsBuilder_ == null) {
-        if (((bitField0_ & 0x00000100) != 0)) {
-          lengths_ = java.util.Collections.unmodifiableList(lengths_);
-          bitField0_ = (bitField0_ & ~0x00000100);
-        }
-        result.lengths_ = lengths_;
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder removePrompts(int index) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.remove(index);
+        onChanged();
       } else {
-        result.lengths_ = lengthsBuilder_.build();
+        promptsBuilder_.remove(index);
       }
-      if (endsBuilder_ == null) {
-        if (((bitField0_ & 0x00000200) != 0)) {
-          ends_ = java.util.Collections.unmodifiableList(ends_);
-          bitField0_ = (bitField0_ & ~0x00000200);
-        }
-        result.ends_ = ends_;
-      } else {
-        result.ends_ = endsBuilder_.build();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder getPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+        int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);  } else {
+        return promptsBuilder_.getMessageOrBuilder(index);
       }
-      if (limitsBuilder_ == null) {
-        if (((bitField0_ & 0x00004000) != 0)) {
-          limits_ = java.util.Collections.unmodifiableList(limits_);
-          bitField0_ = (bitField0_ & ~0x00004000);
-        }
-        result.limits_ = limits_;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+         getPromptsOrBuilderList() {
+      if (promptsBuilder_ != null) {
+        return promptsBuilder_.getMessageOrBuilderList();
       } else {
-        result.limits_ = limitsBuilder_.build();
+        return java.util.Collections.unmodifiableList(prompts_);
       }
-      if (drainingBuilder_ == null) {
-        if (((bitField0_ & 0x00008000) != 0)) {
-          draining_ = java.util.Collections.unmodifiableList(draining_);
-          bitField0_ = (bitField0_ & ~0x00008000);
-        }
-        result.draining_ = draining_;
-      } else {
-        result.draining_ = drainingBuilder_.build();
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder() {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder> 
+         getPromptsBuilderList() {
+      return internalGetPromptsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+        internalGetPromptsFieldBuilder() {
+      if (promptsBuilder_ == null) {
+        promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder>(
+                prompts_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        prompts_ = null;
       }
+      return promptsBuilder_;
     }
 
-    private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.entry_ = entry_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.start_ = start_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.sequence_ = sequence_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.leaving_ = leaving_;
-      }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.duty_ = dutyBuilder_ == null
-            ? duty_
-            : dutyBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.usage_ = usageBuilder_ == null
-            ? usage_
-            : usageBuilder_.build();
-        to_bitField0_ |= 0x00000002;
-      }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.storeUnreachable_ = storeUnreachable_;
-      }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
-        result.orderFencingNumber_ = orderFencingNumber_;
-      }
-      result.bitField0_ |= to_bitField0_;
+    private boolean leaving_ ;
+    /**
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+    /**
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(boolean value) {
+
+      leaving_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      leaving_ = false;
+      onChanged();
+      return this;
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad) {
-        return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_ =
+      java.util.Collections.emptyList();
+    private void ensureSpeedsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        speeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Speed>(speeds_);
+        bitField0_ |= 0x00000040;
+       }
     }
 
-    public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad other) {
-      if (other == org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance()) return this;
-      if (!other.getEntry().isEmpty()) {
-        entry_ = other.entry_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.getStart() != 0L) {
-        setStart(other.getStart());
-      }
-      if (other.getSequence() != 0L) {
-        setSequence(other.getSequence());
-      }
-      if (sharesBuilder_ == null) {
-        if (!other.shares_.isEmpty()) {
-          if (shares_.isEmpty()) {
-            shares_ = other.shares_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureSharesIsMutable();
-            shares_.addAll(other.shares_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.shares_.isEmpty()) {
-          if (sharesBuilder_.isEmpty()) {
-            sharesBuilder_.dispose();
-            sharesBuilder_ = null;
-            shares_ = other.shares_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            sharesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetSharesFieldBuilder() : null;
-          } else {
-            sharesBuilder_.addAllMessages(other.shares_);
-          }
-        }
-      }
-      if (promptsBuilder_ == null) {
-        if (!other.prompts_.isEmpty()) {
-          if (prompts_.isEmpty()) {
-            prompts_ = other.prompts_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-          } else {
-            ensurePromptsIsMutable();
-            prompts_.addAll(other.prompts_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.prompts_.isEmpty()) {
-          if (promptsBuilder_.isEmpty()) {
-            promptsBuilder_.dispose();
-            promptsBuilder_ = null;
-            prompts_ = other.prompts_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-            promptsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetPromptsFieldBuilder() : null;
-          } else {
-            promptsBuilder_.addAllMessages(other.prompts_);
-          }
-        }
-      }
-      if (other.getLeaving() != false) {
-        setLeaving(other.getLeaving());
-      }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> speedsBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
       if (speedsBuilder_ == null) {
-        if (!other.speeds_.isEmpty()) {
-          if (speeds_.isEmpty()) {
-            speeds_ = other.speeds_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-          } else {
-            ensureSpeedsIsMutable();
-            speeds_.addAll(other.speeds_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.speeds_.isEmpty()) {
-          if (speedsBuilder_.isEmpty()) {
-            speedsBuilder_.dispose();
-            speedsBuilder_ = null;
-            speeds_ = other.speeds_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-            speedsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetSpeedsFieldBuilder() : null;
-          } else {
-            speedsBuilder_.addAllMessages(other.speeds_);
-          }
-        }
-      }
-      if (changesBuilder_ == null) {
-        if (!other.changes_.isEmpty()) {
-          if (changes_.isEmpty()) {
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-          } else {
-            ensureChangesIsMutable();
-            changes_.addAll(other.changes_);
-          }
-          onChanged();
-        }
+        return java.util.Collections.unmodifiableList(speeds_);
       } else {
-        if (!other.changes_.isEmpty()) {
-          if (changesBuilder_.isEmpty()) {
-            changesBuilder_.dispose();
-            changesBuilder_ = null;
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-            changesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetChangesFieldBuilder() : null;
-          } else {
-            changesBuilder_.addAllMessages(other.changes_);
-          }
-        }
+        return speedsBuilder_.getMessageList();
       }
-      if (lengthsBuilder_ == null) {
-        if (!other.lengths_.isEmpty()) {
-          if (lengths_.isEmpty()) {
-            lengths_ = other.lengths_;
-            bitField0_ = (bitField0_ & ~0x00000100);
-          } else {
-            ensureLengthsIsMutable();
-            lengths_.addAll(other.lengths_);
-          }
-          onChanged();
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public int getSpeedsCount() {
+      if (speedsBuilder_ == null) {
+        return speeds_.size();
       } else {
-        if (!other.lengths_.isEmpty()) {
-          if (lengthsBuilder_.isEmpty()) {
-            lengthsBuilder_.dispose();
-            lengthsBuilder_ = null;
-            lengths_ = other.lengths_;
-            bitField0_ = (bitField0_ & ~0x00000100);
-            lengthsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLengthsFieldBuilder() : null;
-          } else {
-            lengthsBuilder_.addAllMessages(other.lengths_);
-          }
-        }
+        return speedsBuilder_.getCount();
       }
-      if (endsBuilder_ == null) {
-        if (!other.ends_.isEmpty()) {
-          if (ends_.isEmpty()) {
-            ends_ = other.ends_;
-            bitField0_ = (bitField0_ & ~0x00000200);
-          } else {
-            ensureEndsIsMutable();
-            ends_.addAll(other.ends_);
-          }
-          onChanged();
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);
       } else {
-        if (!other.ends_.isEmpty()) {
-          if (endsBuilder_.isEmpty()) {
-            endsBuilder_.dispose();
-            endsBuilder_ = null;
-            ends_ = other.ends_;
-            bitField0_ = (bitField0_ & ~0x00000200);
-            endsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetEndsFieldBuilder() : null;
-          } else {
-            endsBuilder_.addAllMessages(other.ends_);
-          }
-        }
-      }
-      if (other.hasDuty()) {
-        mergeDuty(other.getDuty());
-      }
-      if (other.hasUsage()) {
-        mergeUsage(other.getUsage());
-      }
-      if (other.getStoreUnreachable() != false) {
-        setStoreUnreachable(other.getStoreUnreachable());
-      }
-      if (other.getOrderFencingNumber() != 0L) {
-        setOrderFencingNumber(other.getOrderFencingNumber());
+        return speedsBuilder_.getMessage(index);
       }
-      if (limitsBuilder_ == null) {
-        if (!other.limits_.isEmpty()) {
-          if (limits_.isEmpty()) {
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00004000);
-          } else {
-            ensureLimitsIsMutable();
-            limits_.addAll(other.limits_);
-          }
-          onChanged();
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.set(index, value);
+        onChanged();
       } else {
-        if (!other.limits_.isEmpty()) {
-          if (limitsBuilder_.isEmpty()) {
-            limitsBuilder_.dispose();
-            limitsBuilder_ = null;
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00004000);
-            limitsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLimitsFieldBuilder() : null;
-          } else {
-            limitsBuilder_.addAllMessages(other.limits_);
-          }
-        }
+        speedsBuilder_.setMessage(index, value);
       }
-      if (drainingBuilder_ == null) {
-        if (!other.draining_.isEmpty()) {
-          if (draining_.isEmpty()) {
-            draining_ = other.draining_;
-            bitField0_ = (bitField0_ & ~0x00008000);
-          } else {
-            ensureDrainingIsMutable();
-            draining_.addAll(other.draining_);
-          }
-          onChanged();
-        }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        if (!other.draining_.isEmpty()) {
-          if (drainingBuilder_.isEmpty()) {
-            drainingBuilder_.dispose();
-            drainingBuilder_ = null;
-            draining_ = other.draining_;
-            bitField0_ = (bitField0_ & ~0x00008000);
-            drainingBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetDrainingFieldBuilder() : null;
-          } else {
-            drainingBuilder_.addAllMessages(other.draining_);
-          }
-        }
+        speedsBuilder_.setMessage(index, builderForValue.build());
       }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
       return this;
     }
-
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(value);
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(value);
+      }
+      return this;
     }
-
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      java.util.Objects.requireNonNull(extensionRegistry);
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              entry_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              start_ = input.readFixed64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 24: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 34: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Share m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Share.parser(),
-                      extensionRegistry);
-              if (sharesBuilder_ == null) {
-                ensureSharesIsMutable();
-                shares_.add(m);
-              } else {
-                sharesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 34
-            case 40: {
-              leaving_ = input.readBool();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 40
-            case 50: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.parser(),
-                      extensionRegistry);
-              if (promptsBuilder_ == null) {
-                ensurePromptsIsMutable();
-                prompts_.add(m);
-              } else {
-                promptsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 50
-            case 58: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Speed m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Speed.parser(),
-                      extensionRegistry);
-              if (speedsBuilder_ == null) {
-                ensureSpeedsIsMutable();
-                speeds_.add(m);
-              } else {
-                speedsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 58
-            case 66: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Change m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Change.parser(),
-                      extensionRegistry);
-              if (changesBuilder_ == null) {
-                ensureChangesIsMutable();
-                changes_.add(m);
-              } else {
-                changesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 66
-            case 74: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.EventLength m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.parser(),
-                      extensionRegistry);
-              if (lengthsBuilder_ == null) {
-                ensureLengthsIsMutable();
-                lengths_.add(m);
-              } else {
-                lengthsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 74
-            case 82: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.End m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.End.parser(),
-                      extensionRegistry);
-              if (endsBuilder_ == null) {
-                ensureEndsIsMutable();
-                ends_.add(m);
-              } else {
-                endsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 82
-            case 90: {
-              input.readMessage(
-                  internalGetDutyFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 90
-            case 98: {
-              input.readMessage(
-                  internalGetUsageFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 98
-            case 104: {
-              storeUnreachable_ = input.readBool();
-              bitField0_ |= 0x00001000;
-              break;
-            } // case 104
-            case 114: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Limit m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Limit.parser(),
-                      extensionRegistry);
-              if (limitsBuilder_ == null) {
-                ensureLimitsIsMutable();
-                limits_.add(m);
-              } else {
-                limitsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 114
-            case 120: {
-              orderFencingNumber_ = input.readInt64();
-              bitField0_ |= 0x00002000;
-              break;
-            } // case 120
-            case 130: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Draining m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Draining.parser(),
-                      extensionRegistry);
-              if (drainingBuilder_ == null) {
-                ensureDrainingIsMutable();
-                draining_.add(m);
-              } else {
-                drainingBuilder_.addMessage(m);
-              }
-              break;
-            } // case 130
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     */
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(index, value);
         onChanged();
-      } // finally
+      } else {
+        speedsBuilder_.addMessage(index, value);
+      }
       return this;
     }
-    private int bitField0_;
-
-    private java.lang.Object entry_ = "";
     /**
-     * <code>string entry = 1;</code>
-     * @return The entry.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public java.lang.String getEntry() {
-      java.lang.Object ref = entry_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        entry_ = s;
-        return s;
+    public Builder addSpeeds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(builderForValue.build());
+        onChanged();
       } else {
-        return (java.lang.String) ref;
+        speedsBuilder_.addMessage(builderForValue.build());
       }
+      return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @return The bytes for entry.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public com.google.protobuf.ByteString
-        getEntryBytes() {
-      java.lang.Object ref = entry_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        entry_ = b;
-        return b;
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        return (com.google.protobuf.ByteString) ref;
+        speedsBuilder_.addMessage(index, builderForValue.build());
       }
+      return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @param value The entry to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setEntry(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      entry_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
+    public Builder addAllSpeeds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Speed> values) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, speeds_);
+        onChanged();
+      } else {
+        speedsBuilder_.addAllMessages(values);
+      }
       return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder clearEntry() {
-      entry_ = getDefaultInstance().getEntry();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
+    public Builder clearSpeeds() {
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        speedsBuilder_.clear();
+      }
       return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @param value The bytes for entry to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setEntryBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      entry_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
+    public Builder removeSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.remove(index);
+        onChanged();
+      } else {
+        speedsBuilder_.remove(index);
+      }
       return this;
     }
-
-    private long start_ ;
     /**
-     * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
-     * </pre>
-     *
-     * <code>fixed64 start = 2;</code>
-     * @return The start.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    @java.lang.Override
-    public long getStart() {
-      return start_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder getSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
-     * </pre>
-     *
-     * <code>fixed64 start = 2;</code>
-     * @param value The start to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setStart(long value) {
-
-      start_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+        int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);  } else {
+        return speedsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
-     * </pre>
-     *
-     * <code>fixed64 start = 2;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder clearStart() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      start_ = 0L;
-      onChanged();
-      return this;
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+         getSpeedsOrBuilderList() {
+      if (speedsBuilder_ != null) {
+        return speedsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(speeds_);
+      }
     }
-
-    private long sequence_ ;
     /**
-     * <code>uint64 sequence = 3;</code>
-     * @return The sequence.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    @java.lang.Override
-    public long getSequence() {
-      return sequence_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder() {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
     }
     /**
-     * <code>uint64 sequence = 3;</code>
-     * @param value The sequence to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setSequence(long value) {
-
-      sequence_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
     }
     /**
-     * <code>uint64 sequence = 3;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder clearSequence() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      sequence_ = 0L;
-      onChanged();
-      return this;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder> 
+         getSpeedsBuilderList() {
+      return internalGetSpeedsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+        internalGetSpeedsFieldBuilder() {
+      if (speedsBuilder_ == null) {
+        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder>(
+                speeds_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        speeds_ = null;
+      }
+      return speedsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_ =
       java.util.Collections.emptyList();
-    private void ensureSharesIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        shares_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Share>(shares_);
-        bitField0_ |= 0x00000008;
+    private void ensureChangesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        changes_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Change>(changes_);
+        bitField0_ |= 0x00000080;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> sharesBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> changesBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
-      if (sharesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(shares_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
+      if (changesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(changes_);
       } else {
-        return sharesBuilder_.getMessageList();
+        return changesBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public int getSharesCount() {
-      if (sharesBuilder_ == null) {
-        return shares_.size();
+    public int getChangesCount() {
+      if (changesBuilder_ == null) {
+        return changes_.size();
       } else {
-        return sharesBuilder_.getCount();
+        return changesBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
-      if (sharesBuilder_ == null) {
-        return shares_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
+      if (changesBuilder_ == null) {
+        return changes_.get(index);
       } else {
-        return sharesBuilder_.getMessage(index);
+        return changesBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder setShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder setChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.set(index, value);
+        ensureChangesIsMutable();
+        changes_.set(index, value);
         onChanged();
       } else {
-        sharesBuilder_.setMessage(index, value);
+        changesBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder setShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.set(index, builderForValue.build());
+    public Builder setChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.set(index, builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.setMessage(index, builderForValue.build());
+        changesBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addShares(org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder addChanges(org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.add(value);
+        ensureChangesIsMutable();
+        changes_.add(value);
         onChanged();
       } else {
-        sharesBuilder_.addMessage(value);
+        changesBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder addChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.add(index, value);
+        ensureChangesIsMutable();
+        changes_.add(index, value);
         onChanged();
       } else {
-        sharesBuilder_.addMessage(index, value);
+        changesBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addShares(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.add(builderForValue.build());
+    public Builder addChanges(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.addMessage(builderForValue.build());
+        changesBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.add(index, builderForValue.build());
+    public Builder addChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(index, builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.addMessage(index, builderForValue.build());
+        changesBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addAllShares(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Share> values) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
+    public Builder addAllChanges(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Change> values) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, shares_);
+            values, changes_);
         onChanged();
       } else {
-        sharesBuilder_.addAllMessages(values);
+        changesBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder clearShares() {
-      if (sharesBuilder_ == null) {
-        shares_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+    public Builder clearChanges() {
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
       } else {
-        sharesBuilder_.clear();
+        changesBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder removeShares(int index) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.remove(index);
+    public Builder removeChanges(int index) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.remove(index);
         onChanged();
       } else {
-        sharesBuilder_.remove(index);
+        changesBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder getSharesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder getChangesBuilder(
         int index) {
-      return internalGetSharesFieldBuilder().getBuilder(index);
+      return internalGetChangesFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
         int index) {
-      if (sharesBuilder_ == null) {
-        return shares_.get(index);  } else {
-        return sharesBuilder_.getMessageOrBuilder(index);
+      if (changesBuilder_ == null) {
+        return changes_.get(index);  } else {
+        return changesBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
-         getSharesOrBuilderList() {
-      if (sharesBuilder_ != null) {
-        return sharesBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+         getChangesOrBuilderList() {
+      if (changesBuilder_ != null) {
+        return changesBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(shares_);
+        return java.util.Collections.unmodifiableList(changes_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder() {
-      return internalGetSharesFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder() {
+      return internalGetChangesFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder(
         int index) {
-      return internalGetSharesFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+      return internalGetChangesFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder> 
-         getSharesBuilderList() {
-      return internalGetSharesFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder> 
+         getChangesBuilderList() {
+      return internalGetChangesFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
-        internalGetSharesFieldBuilder() {
-      if (sharesBuilder_ == null) {
-        sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder>(
-                shares_,
-                ((bitField0_ & 0x00000008) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+        internalGetChangesFieldBuilder() {
+      if (changesBuilder_ == null) {
+        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder>(
+                changes_,
+                ((bitField0_ & 0x00000080) != 0),
                 getParentForChildren(),
                 isClean());
-        shares_ = null;
+        changes_ = null;
       }
-      return sharesBuilder_;
+      return changesBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_ =
       java.util.Collections.emptyList();
-    private void ensurePromptsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
-        prompts_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt>(prompts_);
-        bitField0_ |= 0x00000010;
+    private void ensureLengthsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        lengths_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength>(lengths_);
+        bitField0_ |= 0x00000100;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> promptsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> lengthsBuilder_;
 
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
-      if (promptsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(prompts_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
+      if (lengthsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(lengths_);
       } else {
-        return promptsBuilder_.getMessageList();
+        return lengthsBuilder_.getMessageList();
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public int getPromptsCount() {
-      if (promptsBuilder_ == null) {
-        return prompts_.size();
+    public int getLengthsCount() {
+      if (lengthsBuilder_ == null) {
+        return lengths_.size();
       } else {
-        return promptsBuilder_.getCount();
+        return lengthsBuilder_.getCount();
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
-      if (promptsBuilder_ == null) {
-        return prompts_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
+      if (lengthsBuilder_ == null) {
+        return lengths_.get(index);
       } else {
-        return promptsBuilder_.getMessage(index);
+        return lengthsBuilder_.getMessage(index);
       }
     }
-    /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder setPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder setLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.set(index, value);
+        ensureLengthsIsMutable();
+        lengths_.set(index, value);
         onChanged();
       } else {
-        promptsBuilder_.setMessage(index, value);
+        lengthsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder setPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.set(index, builderForValue.build());
+    public Builder setLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.set(index, builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.setMessage(index, builderForValue.build());
+        lengthsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addPrompts(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder addLengths(org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.add(value);
+        ensureLengthsIsMutable();
+        lengths_.add(value);
         onChanged();
       } else {
-        promptsBuilder_.addMessage(value);
+        lengthsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder addLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.add(index, value);
+        ensureLengthsIsMutable();
+        lengths_.add(index, value);
         onChanged();
       } else {
-        promptsBuilder_.addMessage(index, value);
+        lengthsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addPrompts(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.add(builderForValue.build());
+    public Builder addLengths(
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.add(builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.addMessage(builderForValue.build());
+        lengthsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.add(index, builderForValue.build());
+    public Builder addLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.add(index, builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.addMessage(index, builderForValue.build());
+        lengthsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addAllPrompts(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> values) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
+    public Builder addAllLengths(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> values) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, prompts_);
+            values, lengths_);
         onChanged();
       } else {
-        promptsBuilder_.addAllMessages(values);
+        lengthsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder clearPrompts() {
-      if (promptsBuilder_ == null) {
-        prompts_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+    public Builder clearLengths() {
+      if (lengthsBuilder_ == null) {
+        lengths_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
         onChanged();
       } else {
-        promptsBuilder_.clear();
+        lengthsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder removePrompts(int index) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.remove(index);
+    public Builder removeLengths(int index) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.remove(index);
         onChanged();
       } else {
-        promptsBuilder_.remove(index);
+        lengthsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder getPromptsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder getLengthsBuilder(
         int index) {
-      return internalGetPromptsFieldBuilder().getBuilder(index);
+      return internalGetLengthsFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
         int index) {
-      if (promptsBuilder_ == null) {
-        return prompts_.get(index);  } else {
-        return promptsBuilder_.getMessageOrBuilder(index);
+      if (lengthsBuilder_ == null) {
+        return lengths_.get(index);  } else {
+        return lengthsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
-         getPromptsOrBuilderList() {
-      if (promptsBuilder_ != null) {
-        return promptsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+         getLengthsOrBuilderList() {
+      if (lengthsBuilder_ != null) {
+        return lengthsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(prompts_);
-      }
-    }
-    /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder() {
-      return internalGetPromptsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder(
-        int index) {
-      return internalGetPromptsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-     */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder> 
-         getPromptsBuilderList() {
-      return internalGetPromptsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
-        internalGetPromptsFieldBuilder() {
-      if (promptsBuilder_ == null) {
-        promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder>(
-                prompts_,
-                ((bitField0_ & 0x00000010) != 0),
-                getParentForChildren(),
-                isClean());
-        prompts_ = null;
+        return java.util.Collections.unmodifiableList(lengths_);
       }
-      return promptsBuilder_;
     }
-
-    private boolean leaving_ ;
     /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @return The leaving.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    @java.lang.Override
-    public boolean getLeaving() {
-      return leaving_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder() {
+      return internalGetLengthsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @param value The leaving to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder setLeaving(boolean value) {
-
-      leaving_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder(
+        int index) {
+      return internalGetLengthsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder clearLeaving() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      leaving_ = false;
-      onChanged();
-      return this;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder> 
+         getLengthsBuilderList() {
+      return internalGetLengthsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+        internalGetLengthsFieldBuilder() {
+      if (lengthsBuilder_ == null) {
+        lengthsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder>(
+                lengths_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        lengths_ = null;
+      }
+      return lengthsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_ =
       java.util.Collections.emptyList();
-    private void ensureSpeedsIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
-        speeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Speed>(speeds_);
-        bitField0_ |= 0x00000040;
+    private void ensureEndsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        ends_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.End>(ends_);
+        bitField0_ |= 0x00000200;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> speedsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> endsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
-      if (speedsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(speeds_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
+      if (endsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(ends_);
       } else {
-        return speedsBuilder_.getMessageList();
+        return endsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public int getSpeedsCount() {
-      if (speedsBuilder_ == null) {
-        return speeds_.size();
+    public int getEndsCount() {
+      if (endsBuilder_ == null) {
+        return ends_.size();
       } else {
-        return speedsBuilder_.getCount();
+        return endsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
-      if (speedsBuilder_ == null) {
-        return speeds_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
+      if (endsBuilder_ == null) {
+        return ends_.get(index);
       } else {
-        return speedsBuilder_.getMessage(index);
+        return endsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder setSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder setEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.set(index, value);
+        ensureEndsIsMutable();
+        ends_.set(index, value);
         onChanged();
       } else {
-        speedsBuilder_.setMessage(index, value);
+        endsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder setSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.set(index, builderForValue.build());
+    public Builder setEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.set(index, builderForValue.build());
         onChanged();
       } else {
-        speedsBuilder_.setMessage(index, builderForValue.build());
+        endsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder addEnds(org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.add(value);
+        ensureEndsIsMutable();
+        ends_.add(value);
         onChanged();
       } else {
-        speedsBuilder_.addMessage(value);
+        endsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder addEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.add(index, value);
+        ensureEndsIsMutable();
+        ends_.add(index, value);
         onChanged();
       } else {
-        speedsBuilder_.addMessage(index, value);
+        endsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addSpeeds(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.add(builderForValue.build());
+    public Builder addEnds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.add(builderForValue.build());
         onChanged();
       } else {
-        speedsBuilder_.addMessage(builderForValue.build());
+        endsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.add(index, builderForValue.build());
+    public Builder addEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.add(index, builderForValue.build());
         onChanged();
       } else {
