-        speedsBuilder_.addMessage(index, builderForValue.build());
+        endsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addAllSpeeds(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Speed> values) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
+    public Builder addAllEnds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.End> values) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, speeds_);
+            values, ends_);
         onChanged();
       } else {
-        speedsBuilder_.addAllMessages(values);
+        endsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder clearSpeeds() {
-      if (speedsBuilder_ == null) {
-        speeds_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
+    public Builder clearEnds() {
+      if (endsBuilder_ == null) {
+        ends_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
         onChanged();
       } else {
-        speedsBuilder_.clear();
+        endsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder removeSpeeds(int index) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.remove(index);
+    public Builder removeEnds(int index) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.remove(index);
         onChanged();
       } else {
-        speedsBuilder_.remove(index);
+        endsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder getSpeedsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder getEndsBuilder(
         int index) {
-      return internalGetSpeedsFieldBuilder().getBuilder(index);
+      return internalGetEndsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
         int index) {
-      if (speedsBuilder_ == null) {
-        return speeds_.get(index);  } else {
-        return speedsBuilder_.getMessageOrBuilder(index);
+      if (endsBuilder_ == null) {
+        return ends_.get(index);  } else {
+        return endsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
-         getSpeedsOrBuilderList() {
-      if (speedsBuilder_ != null) {
-        return speedsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+         getEndsOrBuilderList() {
+      if (endsBuilder_ != null) {
+        return endsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(speeds_);
+        return java.util.Collections.unmodifiableList(ends_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder() {
-      return internalGetSpeedsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder() {
+      return internalGetEndsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder(
         int index) {
-      return internalGetSpeedsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+      return internalGetEndsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder> 
-         getSpeedsBuilderList() {
-      return internalGetSpeedsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder> 
+         getEndsBuilderList() {
+      return internalGetEndsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
-        internalGetSpeedsFieldBuilder() {
-      if (speedsBuilder_ == null) {
-        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder>(
-                speeds_,
-                ((bitField0_ & 0x00000040) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+        internalGetEndsFieldBuilder() {
+      if (endsBuilder_ == null) {
+        endsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder>(
+                ends_,
+                ((bitField0_ & 0x00000200) != 0),
                 getParentForChildren(),
                 isClean());
-        speeds_ = null;
+        ends_ = null;
       }
-      return speedsBuilder_;
+      return endsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_ =
-      java.util.Collections.emptyList();
-    private void ensureChangesIsMutable() {
-      if (!((bitField0_ & 0x00000080) != 0)) {
-        changes_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Change>(changes_);
-        bitField0_ |= 0x00000080;
-       }
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> dutyBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return Whether the duty field is set.
+     */
+    public boolean hasDuty() {
+      return ((bitField0_ & 0x00000400) != 0);
     }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> changesBuilder_;
-
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return The duty.
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
-      if (changesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(changes_);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+      if (dutyBuilder_ == null) {
+        return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
       } else {
-        return changesBuilder_.getMessageList();
+        return dutyBuilder_.getMessage();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public int getChangesCount() {
-      if (changesBuilder_ == null) {
-        return changes_.size();
+    public Builder setDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        duty_ = value;
       } else {
-        return changesBuilder_.getCount();
+        dutyBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);
+    public Builder setDuty(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder builderForValue) {
+      if (dutyBuilder_ == null) {
+        duty_ = builderForValue.build();
       } else {
-        return changesBuilder_.getMessage(index);
+        dutyBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder setChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.set(index, value);
-        onChanged();
+    public Builder mergeDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          duty_ != null &&
+          duty_ != org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) {
+          getDutyBuilder().mergeFrom(value);
+        } else {
+          duty_ = value;
+        }
       } else {
-        changesBuilder_.setMessage(index, value);
+        dutyBuilder_.mergeFrom(value);
+      }
+      if (duty_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder setChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        changesBuilder_.setMessage(index, builderForValue.build());
+    public Builder clearDuty() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder addChanges(org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.add(value);
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder getDutyBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetDutyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+      if (dutyBuilder_ != null) {
+        return dutyBuilder_.getMessageOrBuilder();
       } else {
-        changesBuilder_.addMessage(value);
+        return duty_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder addChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.add(index, value);
-        onChanged();
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> 
+        internalGetDutyFieldBuilder() {
+      if (dutyBuilder_ == null) {
+        dutyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder>(
+                getDuty(),
+                getParentForChildren(),
+                isClean());
+        duty_ = null;
+      }
+      return dutyBuilder_;
+    }
+
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> usageBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return Whether the usage field is set.
+     */
+    public boolean hasUsage() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return The usage.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+      if (usageBuilder_ == null) {
+        return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
       } else {
-        changesBuilder_.addMessage(index, value);
+        return usageBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addChanges(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(builderForValue.build());
-        onChanged();
+    public Builder setUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        usage_ = value;
       } else {
-        changesBuilder_.addMessage(builderForValue.build());
+        usageBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00000800;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(index, builderForValue.build());
-        onChanged();
+    public Builder setUsage(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        usage_ = builderForValue.build();
       } else {
-        changesBuilder_.addMessage(index, builderForValue.build());
+        usageBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00000800;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addAllChanges(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Change> values) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, changes_);
+    public Builder mergeUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          usage_ != null &&
+          usage_ != org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) {
+          getUsageBuilder().mergeFrom(value);
+        } else {
+          usage_ = value;
+        }
+      } else {
+        usageBuilder_.mergeFrom(value);
+      }
+      if (usage_ != null) {
+        bitField0_ |= 0x00000800;
         onChanged();
-      } else {
-        changesBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder clearChanges() {
-      if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000080);
-        onChanged();
-      } else {
-        changesBuilder_.clear();
+    public Builder clearUsage() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder removeChanges(int index) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.remove(index);
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder getUsageBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetUsageFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+      if (usageBuilder_ != null) {
+        return usageBuilder_.getMessageOrBuilder();
       } else {
-        changesBuilder_.remove(index);
+        return usage_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder getChangesBuilder(
-        int index) {
-      return internalGetChangesFieldBuilder().getBuilder(index);
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> 
+        internalGetUsageFieldBuilder() {
+      if (usageBuilder_ == null) {
+        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder>(
+                getUsage(),
+                getParentForChildren(),
+                isClean());
+        usage_ = null;
+      }
+      return usageBuilder_;
     }
+
+    private boolean storeUnreachable_ ;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @return The storeUnreachable.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
-        int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);  } else {
-        return changesBuilder_.getMessageOrBuilder(index);
-      }
+    @java.lang.Override
+    public boolean getStoreUnreachable() {
+      return storeUnreachable_;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @param value The storeUnreachable to set.
+     * @return This builder for chaining.
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
-         getChangesOrBuilderList() {
-      if (changesBuilder_ != null) {
-        return changesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(changes_);
-      }
+    public Builder setStoreUnreachable(boolean value) {
+
+      storeUnreachable_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @return This builder for chaining.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder() {
-      return internalGetChangesFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
+    public Builder clearStoreUnreachable() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      storeUnreachable_ = false;
+      onChanged();
+      return this;
     }
+
+    private long orderFencingNumber_ ;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @return The orderFencingNumber.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder(
-        int index) {
-      return internalGetChangesFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
+    @java.lang.Override
+    public long getOrderFencingNumber() {
+      return orderFencingNumber_;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @param value The orderFencingNumber to set.
+     * @return This builder for chaining.
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder> 
-         getChangesBuilderList() {
-      return internalGetChangesFieldBuilder().getBuilderList();
+    public Builder setOrderFencingNumber(long value) {
+
+      orderFencingNumber_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
     }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
-        internalGetChangesFieldBuilder() {
-      if (changesBuilder_ == null) {
-        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder>(
-                changes_,
-                ((bitField0_ & 0x00000080) != 0),
-                getParentForChildren(),
-                isClean());
-        changes_ = null;
-      }
-      return changesBuilder_;
+    /**
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrderFencingNumber() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      orderFencingNumber_ = 0L;
+      onChanged();
+      return this;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_ =
       java.util.Collections.emptyList();
-    private void ensureLengthsIsMutable() {
-      if (!((bitField0_ & 0x00000100) != 0)) {
-        lengths_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength>(lengths_);
-        bitField0_ |= 0x00000100;
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        limits_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Limit>(limits_);
+        bitField0_ |= 0x00004000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> lengthsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> limitsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
-      if (lengthsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(lengths_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
       } else {
-        return lengthsBuilder_.getMessageList();
+        return limitsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public int getLengthsCount() {
-      if (lengthsBuilder_ == null) {
-        return lengths_.size();
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
       } else {
-        return lengthsBuilder_.getCount();
+        return limitsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
-      if (lengthsBuilder_ == null) {
-        return lengths_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
       } else {
-        return lengthsBuilder_.getMessage(index);
+        return limitsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder setLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.set(index, value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
         onChanged();
       } else {
-        lengthsBuilder_.setMessage(index, value);
+        limitsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder setLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.set(index, builderForValue.build());
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
         onChanged();
       } else {
-        lengthsBuilder_.setMessage(index, builderForValue.build());
+        limitsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addLengths(org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
+    public Builder addLimits(org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.add(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
         onChanged();
       } else {
-        lengthsBuilder_.addMessage(value);
+        limitsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.add(index, value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
         onChanged();
       } else {
-        lengthsBuilder_.addMessage(index, value);
+        limitsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addLengths(
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.add(builderForValue.build());
+    public Builder addLimits(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
         onChanged();
       } else {
-        lengthsBuilder_.addMessage(builderForValue.build());
+        limitsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.add(index, builderForValue.build());
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
         onChanged();
       } else {
-        lengthsBuilder_.addMessage(index, builderForValue.build());
+        limitsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addAllLengths(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> values) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Limit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, lengths_);
+            values, limits_);
         onChanged();
       } else {
-        lengthsBuilder_.addAllMessages(values);
+        limitsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder clearLengths() {
-      if (lengthsBuilder_ == null) {
-        lengths_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000100);
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
         onChanged();
       } else {
-        lengthsBuilder_.clear();
+        limitsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder removeLengths(int index) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.remove(index);
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
         onChanged();
       } else {
-        lengthsBuilder_.remove(index);
+        limitsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder getLengthsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder getLimitsBuilder(
         int index) {
-      return internalGetLengthsFieldBuilder().getBuilder(index);
+      return internalGetLimitsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
         int index) {
-      if (lengthsBuilder_ == null) {
-        return lengths_.get(index);  } else {
-        return lengthsBuilder_.getMessageOrBuilder(index);
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
-         getLengthsOrBuilderList() {
-      if (lengthsBuilder_ != null) {
-        return lengthsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(lengths_);
+        return java.util.Collections.unmodifiableList(limits_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder() {
-      return internalGetLengthsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder(
         int index) {
-      return internalGetLengthsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder> 
-         getLengthsBuilderList() {
-      return internalGetLengthsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
-        internalGetLengthsFieldBuilder() {
-      if (lengthsBuilder_ == null) {
-        lengthsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder>(
-                lengths_,
-                ((bitField0_ & 0x00000100) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00004000) != 0),
                 getParentForChildren(),
                 isClean());
-        lengths_ = null;
+        limits_ = null;
       }
-      return lengthsBuilder_;
+      return limitsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_ =
       java.util.Collections.emptyList();
-    private void ensureEndsIsMutable() {
-      if (!((bitField0_ & 0x00000200) != 0)) {
-        ends_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.End>(ends_);
-        bitField0_ |= 0x00000200;
+    private void ensureDrainingIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        draining_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Draining>(draining_);
+        bitField0_ |= 0x00008000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> endsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> drainingBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
-      if (endsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(ends_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+      if (drainingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(draining_);
       } else {
-        return endsBuilder_.getMessageList();
+        return drainingBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public int getEndsCount() {
-      if (endsBuilder_ == null) {
-        return ends_.size();
+    public int getDrainingCount() {
+      if (drainingBuilder_ == null) {
+        return draining_.size();
       } else {
-        return endsBuilder_.getCount();
+        return drainingBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
-      if (endsBuilder_ == null) {
-        return ends_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);
       } else {
-        return endsBuilder_.getMessage(index);
+        return drainingBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder setEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.set(index, value);
+        ensureDrainingIsMutable();
+        draining_.set(index, value);
         onChanged();
       } else {
-        endsBuilder_.setMessage(index, value);
+        drainingBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder setEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.set(index, builderForValue.build());
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.set(index, builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.setMessage(index, builderForValue.build());
+        drainingBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder addEnds(org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder addDraining(org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.add(value);
+        ensureDrainingIsMutable();
+        draining_.add(value);
         onChanged();
       } else {
-        endsBuilder_.addMessage(value);
+        drainingBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder addEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.add(index, value);
+        ensureDrainingIsMutable();
+        draining_.add(index, value);
         onChanged();
       } else {
-        endsBuilder_.addMessage(index, value);
+        drainingBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder addEnds(
-        org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.add(builderForValue.build());
+    public Builder addDraining(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.addMessage(builderForValue.build());
+        drainingBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder addEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.add(index, builderForValue.build());
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(index, builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.addMessage(index, builderForValue.build());
+        drainingBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder addAllEnds(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.End> values) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
+    public Builder addAllDraining(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Draining> values) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, ends_);
+            values, draining_);
         onChanged();
       } else {
-        endsBuilder_.addAllMessages(values);
+        drainingBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder clearEnds() {
-      if (endsBuilder_ == null) {
-        ends_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000200);
+    public Builder clearDraining() {
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
         onChanged();
       } else {
-        endsBuilder_.clear();
+        drainingBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder removeEnds(int index) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.remove(index);
+    public Builder removeDraining(int index) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.remove(index);
         onChanged();
       } else {
-        endsBuilder_.remove(index);
+        drainingBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder getEndsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder getDrainingBuilder(
         int index) {
-      return internalGetEndsFieldBuilder().getBuilder(index);
+      return internalGetDrainingFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
         int index) {
-      if (endsBuilder_ == null) {
-        return ends_.get(index);  } else {
-        return endsBuilder_.getMessageOrBuilder(index);
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);  } else {
+        return drainingBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
-         getEndsOrBuilderList() {
-      if (endsBuilder_ != null) {
-        return endsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+         getDrainingOrBuilderList() {
+      if (drainingBuilder_ != null) {
+        return drainingBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(ends_);
+        return java.util.Collections.unmodifiableList(draining_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder() {
-      return internalGetEndsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder() {
+      return internalGetDrainingFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder(
         int index) {
-      return internalGetEndsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
+      return internalGetDrainingFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder> 
-         getEndsBuilderList() {
-      return internalGetEndsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder> 
+         getDrainingBuilderList() {
+      return internalGetDrainingFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
-        internalGetEndsFieldBuilder() {
-      if (endsBuilder_ == null) {
-        endsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder>(
-                ends_,
-                ((bitField0_ & 0x00000200) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+        internalGetDrainingFieldBuilder() {
+      if (drainingBuilder_ == null) {
+        drainingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder>(
+                draining_,
+                ((bitField0_ & 0x00008000) != 0),
                 getParentForChildren(),
                 isClean());
-        ends_ = null;
+        draining_ = null;
       }
-      return endsBuilder_;
+      return drainingBuilder_;
     }
 
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> dutyBuilder_;
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     * @return Whether the duty field is set.
-     */
-    public boolean hasDuty() {
-      return ((bitField0_ & 0x00000400) != 0);
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_ =
+      java.util.Collections.emptyList();
+    private void ensureVersionsIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        versions_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Version>(versions_);
+        bitField0_ |= 0x00010000;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> versionsBuilder_;
+
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     * @return The duty.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
-      if (dutyBuilder_ == null) {
-        return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
+      if (versionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(versions_);
       } else {
-        return dutyBuilder_.getMessage();
+        return versionsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
-      if (dutyBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        duty_ = value;
+    public int getVersionsCount() {
+      if (versionsBuilder_ == null) {
+        return versions_.size();
       } else {
-        dutyBuilder_.setMessage(value);
+        return versionsBuilder_.getCount();
       }
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setDuty(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder builderForValue) {
-      if (dutyBuilder_ == null) {
-        duty_ = builderForValue.build();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
+      if (versionsBuilder_ == null) {
+        return versions_.get(index);
       } else {
-        dutyBuilder_.setMessage(builderForValue.build());
+        return versionsBuilder_.getMessage(index);
       }
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder mergeDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
-      if (dutyBuilder_ == null) {
-        if (((bitField0_ & 0x00000400) != 0) &&
-          duty_ != null &&
-          duty_ != org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) {
-          getDutyBuilder().mergeFrom(value);
-        } else {
-          duty_ = value;
-        }
-      } else {
-        dutyBuilder_.mergeFrom(value);
-      }
-      if (duty_ != null) {
-        bitField0_ |= 0x00000400;
+    public Builder setVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureVersionsIsMutable();
+        versions_.set(index, value);
         onChanged();
-      }
-      return this;
-    }
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     */
-    public Builder clearDuty() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      duty_ = null;
-      if (dutyBuilder_ != null) {
-        dutyBuilder_.dispose();
-        dutyBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder getDutyBuilder() {
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return internalGetDutyFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
-      if (dutyBuilder_ != null) {
-        return dutyBuilder_.getMessageOrBuilder();
       } else {
-        return duty_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
-      }
-    }
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> 
-        internalGetDutyFieldBuilder() {
-      if (dutyBuilder_ == null) {
-        dutyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder>(
-                getDuty(),
-                getParentForChildren(),
-                isClean());
-        duty_ = null;
+        versionsBuilder_.setMessage(index, value);
       }
-      return dutyBuilder_;
-    }
-
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> usageBuilder_;
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-     * @return Whether the usage field is set.
-     */
-    public boolean hasUsage() {
-      return ((bitField0_ & 0x00000800) != 0);
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-     * @return The usage.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
-      if (usageBuilder_ == null) {
-        return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+    public Builder setVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        return usageBuilder_.getMessage();
+        versionsBuilder_.setMessage(index, builderForValue.build());
       }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
-      if (usageBuilder_ == null) {
+    public Builder addVersions(org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        usage_ = value;
+        ensureVersionsIsMutable();
+        versions_.add(value);
+        onChanged();
       } else {
-        usageBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000800;
-      onChanged();
+        versionsBuilder_.addMessage(value);
+      }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setUsage(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder builderForValue) {
-      if (usageBuilder_ == null) {
-        usage_ = builderForValue.build();
+    public Builder addVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureVersionsIsMutable();
+        versions_.add(index, value);
+        onChanged();
       } else {
-        usageBuilder_.setMessage(builderForValue.build());
+        versionsBuilder_.addMessage(index, value);
       }
-      bitField0_ |= 0x00000800;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder mergeUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
-      if (usageBuilder_ == null) {
-        if (((bitField0_ & 0x00000800) != 0) &&
-          usage_ != null &&
-          usage_ != org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) {
-          getUsageBuilder().mergeFrom(value);
-        } else {
-          usage_ = value;
-        }
-      } else {
-        usageBuilder_.mergeFrom(value);
-      }
-      if (usage_ != null) {
-        bitField0_ |= 0x00000800;
+    public Builder addVersions(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.add(builderForValue.build());
         onChanged();
+      } else {
+        versionsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearUsage() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      usage_ = null;
-      if (usageBuilder_ != null) {
-        usageBuilder_.dispose();
-        usageBuilder_ = null;
+    public Builder addVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        versionsBuilder_.addMessage(index, builderForValue.build());
       }
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder getUsageBuilder() {
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return internalGetUsageFieldBuilder().getBuilder();
+    public Builder addAllVersions(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Version> values) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, versions_);
+        onChanged();
+      } else {
+        versionsBuilder_.addAllMessages(values);
+      }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
-      if (usageBuilder_ != null) {
-        return usageBuilder_.getMessageOrBuilder();
+    public Builder clearVersions() {
+      if (versionsBuilder_ == null) {
+        versions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
       } else {
-        return usage_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+        versionsBuilder_.clear();
       }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> 
-        internalGetUsageFieldBuilder() {
-      if (usageBuilder_ == null) {
-        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder>(
-                getUsage(),
-                getParentForChildren(),
-                isClean());
-        usage_ = null;
+    public Builder removeVersions(int index) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.remove(index);
+        onChanged();
+      } else {
+        versionsBuilder_.remove(index);
       }
-      return usageBuilder_;
+      return this;
     }
-
-    private boolean storeUnreachable_ ;
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @return The storeUnreachable.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    @java.lang.Override
-    public boolean getStoreUnreachable() {
-      return storeUnreachable_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder getVersionsBuilder(
+        int index) {
+      return internalGetVersionsFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @param value The storeUnreachable to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setStoreUnreachable(boolean value) {
-
-      storeUnreachable_ = value;
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+        int index) {
+      if (versionsBuilder_ == null) {
+        return versions_.get(index);  } else {
+        return versionsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearStoreUnreachable() {
-      bitField0_ = (bitField0_ & ~0x00001000);
-      storeUnreachable_ = false;
-      onChanged();
-      return this;
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+         getVersionsOrBuilderList() {
+      if (versionsBuilder_ != null) {
+        return versionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(versions_);
+      }
     }
-
-    private long orderFencingNumber_ ;
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @return The orderFencingNumber.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    @java.lang.Override
-    public long getOrderFencingNumber() {
-      return orderFencingNumber_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder() {
+      return internalGetVersionsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @param value The orderFencingNumber to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setOrderFencingNumber(long value) {
-
-      orderFencingNumber_ = value;
-      bitField0_ |= 0x00002000;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder(
+        int index) {
+      return internalGetVersionsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearOrderFencingNumber() {
-      bitField0_ = (bitField0_ & ~0x00002000);
-      orderFencingNumber_ = 0L;
-      onChanged();
-      return this;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder> 
+         getVersionsBuilderList() {
+      return internalGetVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+        internalGetVersionsFieldBuilder() {
+      if (versionsBuilder_ == null) {
+        versionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder>(
+                versions_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        versions_ = null;
+      }
+      return versionsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_ =
       java.util.Collections.emptyList();
-    private void ensureLimitsIsMutable() {
-      if (!((bitField0_ & 0x00004000) != 0)) {
-        limits_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Limit>(limits_);
-        bitField0_ |= 0x00004000;
+    private void ensureStreamsIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        streams_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Stream>(streams_);
+        bitField0_ |= 0x00020000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> limitsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> streamsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
-      if (limitsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(limits_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
+      if (streamsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(streams_);
       } else {
-        return limitsBuilder_.getMessageList();
+        return streamsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public int getLimitsCount() {
-      if (limitsBuilder_ == null) {
-        return limits_.size();
+    public int getStreamsCount() {
+      if (streamsBuilder_ == null) {
+        return streams_.size();
       } else {
-        return limitsBuilder_.getCount();
+        return streamsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);
       } else {
-        return limitsBuilder_.getMessage(index);
+        return streamsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder setLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder setStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.set(index, value);
+        ensureStreamsIsMutable();
+        streams_.set(index, value);
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, value);
+        streamsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder setLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.set(index, builderForValue.build());
+    public Builder setStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.set(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, builderForValue.build());
+        streamsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStreams(org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(value);
+        ensureStreamsIsMutable();
+        streams_.add(value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(value);
+        streamsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(index, value);
+        ensureStreamsIsMutable();
+        streams_.add(index, value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, value);
+        streamsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(builderForValue.build());
+    public Builder addStreams(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(builderForValue.build());
+        streamsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(index, builderForValue.build());
+    public Builder addStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, builderForValue.build());
+        streamsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addAllLimits(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Limit> values) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
+    public Builder addAllStreams(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Stream> values) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, limits_);
+            values, streams_);
         onChanged();
       } else {
-        limitsBuilder_.addAllMessages(values);
+        streamsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder clearLimits() {
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00004000);
+    public Builder clearStreams() {
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
         onChanged();
       } else {
-        limitsBuilder_.clear();
+        streamsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder removeLimits(int index) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.remove(index);
+    public Builder removeStreams(int index) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.remove(index);
         onChanged();
       } else {
-        limitsBuilder_.remove(index);
+        streamsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder getLimitsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder getStreamsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().getBuilder(index);
+      return internalGetStreamsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
         int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);  } else {
-        return limitsBuilder_.getMessageOrBuilder(index);
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);  } else {
+        return streamsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
-         getLimitsOrBuilderList() {
-      if (limitsBuilder_ != null) {
-        return limitsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+         getStreamsOrBuilderList() {
+      if (streamsBuilder_ != null) {
+        return streamsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(limits_);
+        return java.util.Collections.unmodifiableList(streams_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder() {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder() {
+      return internalGetStreamsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+      return internalGetStreamsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder> 
-         getLimitsBuilderList() {
-      return internalGetLimitsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder> 
+         getStreamsBuilderList() {
+      return internalGetStreamsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
-        internalGetLimitsFieldBuilder() {
-      if (limitsBuilder_ == null) {
-        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder>(
-                limits_,
-                ((bitField0_ & 0x00004000) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+        internalGetStreamsFieldBuilder() {
+      if (streamsBuilder_ == null) {
+        streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder>(
+                streams_,
+                ((bitField0_ & 0x00020000) != 0),
                 getParentForChildren(),
                 isClean());
-        limits_ = null;
+        streams_ = null;
       }
-      return limitsBuilder_;
-    }
-
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_ =
-      java.util.Collections.emptyList();
-    private void ensureDrainingIsMutable() {
-      if (!((bitField0_ & 0x00008000) != 0)) {
-        draining_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Draining>(draining_);
-        bitField0_ |= 0x00008000;
-       }
+      return streamsBuilder_;
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> drainingBuilder_;
-
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> questionBuilder_;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * @return Whether the question field is set.
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
-      if (drainingBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(draining_);
-      } else {
-        return drainingBuilder_.getMessageList();
-      }
+    public boolean hasQuestion() {
+      return ((bitField0_ & 0x00040000) != 0);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * @return The question.
      */
-    public int getDrainingCount() {
-      if (drainingBuilder_ == null) {
-        return draining_.size();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
+      if (questionBuilder_ == null) {
+        return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
       } else {
-        return drainingBuilder_.getCount();
+        return questionBuilder_.getMessage();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
-      if (drainingBuilder_ == null) {
-        return draining_.get(index);
+    public Builder setQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
+      if (questionBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        question_ = value;
       } else {
-        return drainingBuilder_.getMessage(index);
+        questionBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder setDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.set(index, value);
-        onChanged();
+    public Builder setQuestion(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder builderForValue) {
+      if (questionBuilder_ == null) {
+        question_ = builderForValue.build();
       } else {
-        drainingBuilder_.setMessage(index, value);
+        questionBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00040000;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder setDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.set(index, builderForValue.build());
-        onChanged();
+    public Builder mergeQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
+      if (questionBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0) &&
+          question_ != null &&
+          question_ != org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance()) {
+          getQuestionBuilder().mergeFrom(value);
+        } else {
+          question_ = value;
+        }
       } else {
-        drainingBuilder_.setMessage(index, builderForValue.build());
+        questionBuilder_.mergeFrom(value);
+      }
+      if (question_ != null) {
+        bitField0_ |= 0x00040000;
+        onChanged();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.add(value);
-        onChanged();
-      } else {
-        drainingBuilder_.addMessage(value);
+    public Builder clearQuestion() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      question_ = null;
+      if (questionBuilder_ != null) {
+        questionBuilder_.dispose();
+        questionBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.add(index, value);
-        onChanged();
-      } else {
-        drainingBuilder_.addMessage(index, value);
-      }
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder getQuestionBuilder() {
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return internalGetQuestionFieldBuilder().getBuilder();
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.add(builderForValue.build());
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
+      if (questionBuilder_ != null) {
+        return questionBuilder_.getMessageOrBuilder();
       } else {
-        drainingBuilder_.addMessage(builderForValue.build());
+        return question_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        drainingBuilder_.addMessage(index, builderForValue.build());
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> 
+        internalGetQuestionFieldBuilder() {
+      if (questionBuilder_ == null) {
+        questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder>(
+                getQuestion(),
+                getParentForChildren(),
+                isClean());
+        question_ = null;
       }
-      return this;
+      return questionBuilder_;
     }
+
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> replyBuilder_;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * @return Whether the reply field is set.
      */
-    public Builder addAllDraining(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Draining> values) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, draining_);
-        onChanged();
-      } else {
-        drainingBuilder_.addAllMessages(values);
-      }
-      return this;
+    public boolean hasReply() {
+      return ((bitField0_ & 0x00080000) != 0);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * @return The reply.
      */
-    public Builder clearDraining() {
-      if (drainingBuilder_ == null) {
-        draining_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00008000);
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
+      if (replyBuilder_ == null) {
+        return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
       } else {
-        drainingBuilder_.clear();
+        return replyBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public Builder removeDraining(int index) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.remove(index);
-        onChanged();
+    public Builder setReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
+      if (replyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        reply_ = value;
       } else {
-        drainingBuilder_.remove(index);
+        replyBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00080000;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder getDrainingBuilder(
-        int index) {
-      return internalGetDrainingFieldBuilder().getBuilder(index);
+    public Builder setReply(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder builderForValue) {
+      if (replyBuilder_ == null) {
+        reply_ = builderForValue.build();
+      } else {
+        replyBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
-        int index) {
-      if (drainingBuilder_ == null) {
-        return draining_.get(index);  } else {
-        return drainingBuilder_.getMessageOrBuilder(index);
+    public Builder mergeReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
+      if (replyBuilder_ == null) {
+        if (((bitField0_ & 0x00080000) != 0) &&
+          reply_ != null &&
+          reply_ != org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance()) {
+          getReplyBuilder().mergeFrom(value);
+        } else {
+          reply_ = value;
+        }
+      } else {
+        replyBuilder_.mergeFrom(value);
       }
+      if (reply_ != null) {
+        bitField0_ |= 0x00080000;
+        onChanged();
+      }
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
-         getDrainingOrBuilderList() {
-      if (drainingBuilder_ != null) {
-        return drainingBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(draining_);
+    public Builder clearReply() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      reply_ = null;
+      if (replyBuilder_ != null) {
+        replyBuilder_.dispose();
+        replyBuilder_ = null;
       }
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder() {
-      return internalGetDrainingFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder getReplyBuilder() {
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return internalGetReplyFieldBuilder().getBuilder();
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder(
-        int index) {
-      return internalGetDrainingFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
+      if (replyBuilder_ != null) {
+        return replyBuilder_.getMessageOrBuilder();
+      } else {
+        return reply_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+      }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder> 
-         getDrainingBuilderList() {
-      return internalGetDrainingFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
-        internalGetDrainingFieldBuilder() {
-      if (drainingBuilder_ == null) {
-        drainingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder>(
-                draining_,
-                ((bitField0_ & 0x00008000) != 0),
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> 
+        internalGetReplyFieldBuilder() {
+      if (replyBuilder_ == null) {
+        replyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder>(
+                getReply(),
                 getParentForChildren(),
                 isClean());
-        draining_ = null;
+        reply_ = null;
       }
-      return drainingBuilder_;
+      return replyBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -316,4 +316,102 @@
    */
   org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> 
+      getVersionsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  int getVersionsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+      getVersionsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> 
+      getStreamsList();
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index);
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  int getStreamsCount();
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+      getStreamsOrBuilderList();
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
+      int index);
+
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return Whether the question field is set.
+   */
+  boolean hasQuestion();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return The question.
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder();
+
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return Whether the reply field is set.
+   */
+  boolean hasReply();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return The reply.
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder();
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -86,6 +86,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Draining_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Version_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Version_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Stream_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Stream_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Question_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Question_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Reply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Reply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -95,7 +115,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\332\014\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\244\021\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -112,32 +132,47 @@
       "ncing_number\030\017 \001(\003\0221\n\006limits\030\016 \003(\0132!.asp" +
       "enmoor.wire.v1.PeerLoad.Limit\0226\n\010drainin" +
       "g\030\020 \003(\0132$.aspenmoor.wire.v1.PeerLoad.Dra" +
-      "ining\032u\n\005Share\022\016\n\006server\030\001 \001(\t\022\037\n\027unansw" +
-      "ered_microseconds\030\002 \001(\r\022\020\n\010requests\030\003 \001(" +
-      "\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014pace_seconds\030\005" +
-      " \001(\002\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030" +
-      "\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n" +
-      "\rfixed_seconds\030\004 \001(\002\032&\n\006Change\022\016\n\006server" +
-      "\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007s" +
-      "ervice\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007r" +
-      "equest\030\001 \001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_" +
-      "at\030\003 \001(\006\022\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007ex" +
-      "cused\030\005 \001(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n" +
-      "\016collects_usage\030\002 \001(\010\022\034\n\024settled_usage_w" +
-      "indow\030\003 \001(\022\022\037\n\027wall_clock_milliseconds\030\004" +
-      " \001(\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002" +
-      " \001(\006\0229\n\007windows\030\003 \003(\0132(.aspenmoor.wire.v" +
-      "1.PeerLoad.Usage.Window\032Q\n\006Window\022\016\n\006num" +
-      "ber\030\001 \001(\022\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisat" +
-      "ions\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006" +
-      "server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023requ" +
-      "ests_per_second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_millis" +
-      "econds\030\004 \001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_c" +
-      "lass\030\006 \001(\021\022\021\n\ttie_break\030\007 \001(\020B\026\n\024_reques" +
-      "ts_per_second\032.\n\010Draining\022\016\n\006server\030\001 \001(" +
-      "\t\022\022\n\nstarted_at\030\002 \001(\006B\"\n\036org.aspenmoor.i" +
-      "nternal.wire.v1P\001b\006proto3"
+      "ining\0225\n\010versions\030\021 \003(\0132#.aspenmoor.wire" +
+      ".v1.PeerLoad.Version\0223\n\007streams\030\022 \003(\0132\"." +
+      "aspenmoor.wire.v1.PeerLoad.Stream\0226\n\010que" +
+      "stion\030\023 \001(\0132$.aspenmoor.wire.v1.PeerLoad" +
+      ".Question\0220\n\005reply\030\024 \001(\0132!.aspenmoor.wir" +
+      "e.v1.PeerLoad.Reply\032u\n\005Share\022\016\n\006server\030\001" +
+      " \001(\t\022\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n" +
+      "\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014" +
+      "pace_seconds\030\005 \001(\002\0327\n\006Prompt\022\016\n\006server\030\001" +
+      " \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005S" +
+      "peed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006f" +
+      "actor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002\032&\n\006Ch" +
+      "ange\022\016\n\006server\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013Ev" +
+      "entLength\022\017\n\007service\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
+      "(\002\032e\n\003End\022\017\n\007request\030\001 \001(\014\022\016\n\006server\030\002 \001" +
+      "(\t\022\022\n\nstarted_at\030\003 \001(\006\022\030\n\020age_millisecon" +
+      "ds\030\004 \001(\r\022\017\n\007excused\030\005 \001(\010\032o\n\004Duty\022\020\n\010eli" +
+      "gible\030\001 \001(\010\022\026\n\016collects_usage\030\002 \001(\010\022\034\n\024s" +
+      "ettled_usage_window\030\003 \001(\022\022\037\n\027wall_clock_" +
+      "milliseconds\030\004 \001(\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 " +
+      "\001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007windows\030\003 \003(\0132(.as" +
+      "penmoor.wire.v1.PeerLoad.Usage.Window\032Q\n" +
+      "\006Window\022\016\n\006number\030\001 \001(\022\022\020\n\010complete\030\002 \001(" +
+      "\010\022\025\n\rorganisations\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004" +
+      "\032\270\001\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at" +
+      "\030\002 \001(\006\022 \n\023requests_per_second\030\003 \001(\001H\000\210\001\001" +
+      "\022\030\n\020age_milliseconds\030\004 \001(\r\022\016\n\006demand\030\005 \001" +
+      "(\002\022\024\n\014demand_class\030\006 \001(\021\022\021\n\ttie_break\030\007 " +
+      "\001(\020B\026\n\024_requests_per_second\032.\n\010Draining\022" +
+      "\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\032E\n\007V" +
+      "ersion\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
+      "\022\030\n\020age_milliseconds\030\003 \001(\r\0327\n\006Stream\022\013\n\003" +
+      "key\030\001 \001(\014\022\017\n\007service\030\002 \001(\t\022\017\n\007version\030\003 " +
+      "\001(\t\032G\n\010Question\022\r\n\005entry\030\001 \001(\t\022\016\n\006number" +
+      "\030\002 \001(\004\022\013\n\003key\030\003 \001(\014\022\017\n\007service\030\004 \001(\t\032\250\001\n" +
+      "\005Reply\022\r\n\005entry\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\0222\n" +
+      "\006stream\030\003 \001(\0132\".aspenmoor.wire.v1.PeerLo" +
+      "ad.Stream\022\025\n\rcontradictory\030\004 \001(\010\0225\n\010vers" +
+      "ions\030\005 \003(\0132#.aspenmoor.wire.v1.PeerLoad." +
+      "VersionB\"\n\036org.aspenmoor.internal.wire.v" +
+      "1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -148,7 +183,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
@@ -215,6 +250,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Draining_descriptor,
         new java.lang.String[] { "Server", "StartedAt", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Version_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(10);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Version_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Version_descriptor,
+        new java.lang.String[] { "Service", "Version", "AgeMilliseconds", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Stream_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(11);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Stream_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Stream_descriptor,
+        new java.lang.String[] { "Key", "Service", "Version", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Question_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(12);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Question_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Question_descriptor,
+        new java.lang.String[] { "Entry", "Number", "Key", "Service", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Reply_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(13);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Reply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Reply_descriptor,
+        new java.lang.String[] { "Entry", "Number", "Stream", "Contradictory", "Versions", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
