--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamKey.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamKey.java
@@ -18,6 +18,11 @@
     /** Length of a key in bytes. */
     public static final int BYTES = 2 * Long.BYTES;
 
+    /** Returns the key of a stream whose caller does not state which one it is; no stream that has begun has it. */
+    public static StreamKey unstated(String organisation) {
+        return of(organisation, "");
+    }
+
     /**
      * Returns the key of a stream.
      *
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -188,23 +188,21 @@
     /**
      * Decides whether a stream that a caller takes up again may go on.
      *
-     * @param stream the stream; empty if the caller does not state which one it takes up
+     * @param stream the stream
      * @param services the services that may serve the request
      * @param listener receives the decision, possibly before this method returns
      * @return the inquiry that is open; empty if none is needed
      */
-    public Optional<OriginInquiry> resolve(
-            Optional<StreamKey> stream, List<String> services, Consumer<ResumeDecision> listener) {
+    public Optional<OriginInquiry> resolve(StreamKey stream, List<String> services, Consumer<ResumeDecision> listener) {
         long now = time.monotonicNanos();
-        OriginKnowledge knowledge = stream.map(key -> streams.find(key, now)).orElse(new OriginKnowledge.Unknown());
+        OriginKnowledge knowledge = streams.find(stream, now);
         boolean mustAsk = knowledge instanceof OriginKnowledge.Unknown
-                && stream.isPresent()
                 && !(noneMissed(now) && onlyVersion(services).isPresent());
         if (!mustAsk) {
             listener.accept(decide(knowledge, services, false));
             return Optional.empty();
         }
-        return Optional.of(ask(stream.get(), services, listener));
+        return Optional.of(ask(stream, services, listener));
     }
 
     private OriginInquiry ask(StreamKey stream, List<String> services, Consumer<ResumeDecision> listener) {
@@ -251,15 +249,21 @@
         if (inquiry.knowledge() instanceof OriginKnowledge.Known known) {
             remember(new KnownStream(inquiry.question().stream(), known.origin()));
         }
-        inquiry.end(decide(inquiry.knowledge(), inquiry.services(), inquiry.replied()));
+        boolean alone = network.registeredEntries().isEmpty();
+        inquiry.end(decide(inquiry.knowledge(), inquiry.services(), inquiry.replied() || alone));
     }
 
-    private ResumeDecision decide(OriginKnowledge knowledge, List<String> services, boolean replied) {
+    /**
+     * Decides by what is known now.
+     *
+     * @param othersHeard whether the other entries, if there are any, have told the versions that they know
+     */
+    private ResumeDecision decide(OriginKnowledge knowledge, List<String> services, boolean othersHeard) {
         return switch (knowledge) {
             case OriginKnowledge.Known known -> continueAt(known.origin(), services);
             case OriginKnowledge.Contradictory contradictory ->
                 new ResumeDecision.Refuse("two streams with the stated request id have begun at different versions");
-            case OriginKnowledge.Unknown unknown -> decideUnknown(services, replied);
+            case OriginKnowledge.Unknown unknown -> decideUnknown(services, othersHeard);
         };
     }
 
@@ -270,13 +274,13 @@
                         + ", which does not serve this route any more");
     }
 
-    private ResumeDecision decideUnknown(List<String> services, boolean replied) {
+    private ResumeDecision decideUnknown(List<String> services, boolean othersHeard) {
         Optional<StreamOrigin> only = onlyVersion(services);
         if (only.isEmpty()) {
             return new ResumeDecision.Refuse("it is not known which software version has begun the stream");
         }
         // Without the store and the other entries, another version may serve by now that this entry has not heard of.
-        return replied || listCurrent
+        return othersHeard || listCurrent
                 ? new ResumeDecision.Continue(only.get())
                 : new ResumeDecision.Refuse("it is not known which software version has begun the stream, since neither"
                         + " the store nor another entry can be reached");
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeScenario.java
@@ -0,0 +1,59 @@
+package org.aspenmoor.internal.serving.origin;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What happens to entries and engines while callers take up streams. Times are in nanoseconds from the start.
+ *
+ * @param entries number of entries
+ * @param versions the software version of each engine that serves at the start
+ * @param lostMessages part of the messages among entries that get lost, and as many of the others are late
+ * @param faults what happens, in any order
+ */
+record ResumeScenario(int entries, List<String> versions, double lostMessages, List<Fault> faults) {
+    static final long SECOND = Duration.ofSeconds(1).toNanos();
+    static final long END = 40 * SECOND;
+
+    static ResumeScenario of(int entries, String... versions) {
+        return new ResumeScenario(entries, List.of(versions), 0, List.of());
+    }
+
+    ResumeScenario losing(double part) {
+        return new ResumeScenario(entries, versions, part, faults);
+    }
+
+    ResumeScenario with(Fault... newFaults) {
+        return new ResumeScenario(entries, versions, lostMessages, List.of(newFaults));
+    }
+
+    ResumeScenario with(List<Fault> newFaults) {
+        return new ResumeScenario(entries, versions, lostMessages, newFaults);
+    }
+
+    /** Something that happens at a time, in seconds. */
+    sealed interface Fault {
+        double atSecond();
+    }
+
+    /** An entry is killed and starts again a second later. */
+    record EntryKilled(double atSecond, int entry) implements Fault {}
+
+    /** An entry stops after it was asked to, and starts again a second later. */
+    record EntryRestarted(double atSecond, int entry) implements Fault {}
+
+    /** An entry does nothing for some seconds. */
+    record EntrySuspended(double atSecond, int entry, double seconds) implements Fault {}
+
+    /** An entry reaches neither the other entries nor the store for some seconds. */
+    record EntryCut(double atSecond, int entry, double seconds) implements Fault {}
+
+    /** No entry reaches the store for some seconds. */
+    record StoreAway(double atSecond, double seconds) implements Fault {}
+
+    /** An engine crashes or leaves, and the streams that it writes break. */
+    record EngineGone(double atSecond, int engine) implements Fault {}
+
+    /** An engine starts. */
+    record EngineStarts(double atSecond, String version) implements Fault {}
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ResumedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ResumedRequest.java
@@ -50,8 +50,10 @@
      * @param services the services that may serve the request
      */
     void start(String organisation, List<String> services) {
-        Optional<StreamKey> stream =
-                caller.resumption().flatMap(Resumption::firstRequestId).map(id -> StreamKey.of(organisation, id));
+        StreamKey stream = caller.resumption()
+                .flatMap(Resumption::firstRequestId)
+                .map(id -> StreamKey.of(organisation, id))
+                .orElse(StreamKey.unstated(organisation));
         inquiry = context.origins().resolve(stream, services, decision -> {
             record(decision, services.getFirst());
             started = Optional.of(decided.apply(decision));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StreamStart.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StreamStart.java
@@ -1,7 +1,7 @@
 package org.aspenmoor.internal.gateway.request;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
 import org.aspenmoor.internal.gateway.protocol.Resumption;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -34,11 +34,10 @@
     private List<StreamKey> keys() {
         CallerHeaders caller = request.caller();
         String organisation = request.authorisation().organisationName();
-        List<StreamKey> keys = new ArrayList<>();
-        keys.add(StreamKey.of(organisation, caller.requestId()));
-        caller.resumption()
-                .flatMap(Resumption::firstRequestId)
-                .ifPresent(id -> keys.add(StreamKey.of(organisation, id)));
-        return keys;
+        Stream<String> named = caller.resumption().flatMap(Resumption::firstRequestId).stream();
+        return Stream.concat(Stream.of(caller.requestId()), named)
+                .filter(id -> !id.isEmpty())
+                .map(id -> StreamKey.of(organisation, id))
+                .toList();
     }
 }
