Begin streams that may be taken up again where several engines of a version can answer

A stream of a version with a single engine for answers can be continued nowhere if that engine fails. A new stream of a resumable route is placed with a penalty of 0.03 s on such an engine while another version can answer; the order of roles chooses engines so that the decode engines of a version are several or none, before it looks at data centres. With a single version nothing changes: every candidate has the same rank.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -126,10 +126,9 @@
      * terminates.
      */
     public Optional<BackendServer> chooseDecodeEngine(PlacementRequest request, BackendServer prefill, long now) {
-        int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
         List<ServerEstimate> usable =
                 sendFilter.permittedForComputedPrompt(availableServers.forRequest(request, now), now);
-        return ranking.leastBusyDecodeEngine(usable, tokens, prefill.dataCentre(), now)
+        return ranking.leastBusyDecodeEngine(request, usable, prefill.dataCentre(), now)
                 .map(ServerEstimate::server);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SendFilter.java
@@ -78,7 +78,8 @@
 
     private static String noneAvailable(PlacementRequest request) {
         return switch (request.version()) {
-            case VersionRequirement.Any any -> "no backend server of service " + request.service() + " is available";
+            case VersionRequirement.Any any -> noServerAvailable(request);
+            case VersionRequirement.PreferablyShared shared -> noServerAvailable(request);
             case VersionRequirement.Exactly exactly ->
                 "no backend server of service " + request.service() + " with software version "
                         + exactly.version().name()
@@ -86,6 +87,10 @@
         };
     }
 
+    private static String noServerAvailable(PlacementRequest request) {
+        return "no backend server of service " + request.service() + " is available";
+    }
+
     private static String reason(String service, List<ServerEstimate> available, Duration delay, long now) {
         if (available.stream().anyMatch(each -> each.backoff().active(now))) {
             return String.format(
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -72,6 +72,12 @@
      */
     private static final double SECONDS_PER_DECODE_REQUEST = 0.002;
 
+    /**
+     * Penalty for the only engine of a software version, in seconds, if the answer may have to be continued by another
+     * one: about a tenth of an objective, so that it counts among engines that are equal otherwise.
+     */
+    private static final double LONELY_VERSION_PENALTY_SECONDS = 0.03;
+
     private final PlacementSettings settings;
     private final PeerLoads peerLoads;
     private final EngineSpeeds speeds;
@@ -127,8 +133,9 @@
     Placement chooseEngines(PlacementRequest request, Prompt prompt, List<ServerEstimate> usable, long now) {
         boolean engineFull = false;
         double minPromptSeconds = Double.MAX_VALUE;
-        ServerEstimate decoder = leastBusyDecodeEngine(usable, prompt.promptTokens(), settings.dataCentre(), now)
+        ServerEstimate decoder = leastBusyDecodeEngine(request, usable, settings.dataCentre(), now)
                 .orElse(null);
+        SharedVersions versions = new SharedVersions(usable);
         boolean canDisaggregate = request.mayDisaggregate()
                 && decoder != null
                 && usable.stream().anyMatch(each -> isAvailablePrefillEngine(each, now));
@@ -166,24 +173,31 @@
             double startSeconds = prefill
                     ? firstTokenSeconds + handoffSeconds(request, prompt, queuedAtEntry) + waitSeconds(decoder, now)
                     : firstTokenSeconds;
-            double score = startSeconds + penaltySeconds(engine, now) + costPerSecond(engine, now) * work.seconds();
+            double score = startSeconds
+                    + penaltySeconds(engine, now)
+                    + versionPenaltySeconds(request, engine, versions)
+                    + costPerSecond(engine, now) * work.seconds();
             if (score < bestScore) {
                 bestScore = score;
-                best = prefill
-                        ? new Placement.Disaggregated(
-                                engine.server(),
-                                work.cacheHolder(),
-                                work.seconds(),
-                                queueSeconds,
-                                startSeconds,
-                                queuedAtEntry)
-                        : new Placement.SingleServer(
-                                engine.server(), work.cacheHolder(), work.seconds(), queueSeconds, startSeconds);
+                best = placementAt(engine, work, queueSeconds, startSeconds, queuedAtEntry);
             }
         }
         return engineFull && best instanceof Placement.Refused ? new Placement.Queued(minPromptSeconds) : best;
     }
 
+    private static Placement placementAt(
+            ServerEstimate engine,
+            PromptCosts.EngineWork work,
+            double queueSeconds,
+            double startSeconds,
+            boolean queuedAtEntry) {
+        BackendServer server = engine.server();
+        return server.role() == EngineRole.PREFILL
+                ? new Placement.Disaggregated(
+                        server, work.cacheHolder(), work.seconds(), queueSeconds, startSeconds, queuedAtEntry)
+                : new Placement.SingleServer(server, work.cacheHolder(), work.seconds(), queueSeconds, startSeconds);
+    }
+
     /** Returns a placement in the queue of this entry until one of the engines, of which there must be any, has room. */
     Placement queue(Prompt prompt, List<ServerEstimate> engines, long now) {
         PromptCosts costs = new PromptCosts(settings, prompt, engines, true, now);
@@ -209,6 +223,12 @@
                         * engine.requests(peerLoads.onServer(engine.server().id()), now);
     }
 
+    private static double versionPenaltySeconds(
+            PlacementRequest request, ServerEstimate engine, SharedVersions versions) {
+        boolean mayHaveToContinue = request.version() instanceof VersionRequirement.PreferablyShared;
+        return mayHaveToContinue && versions.isLonely(engine) ? LONELY_VERSION_PENALTY_SECONDS : 0;
+    }
+
     private double penaltySeconds(ServerEstimate candidate, long now) {
         double distancePenalty =
                 candidate.server().dataCentre().equals(settings.dataCentre()) ? 0 : REMOTE_PENALTY_SECONDS;
@@ -222,11 +242,12 @@
      * Returns the decode engine on which the answer to a computed prompt is expected to start first. Transfers to an
      * engine are sequential, so the number of requests at the engine approximates the transfers that come first.
      *
-     * @param tokens the length of the prompt
      * @param sourceDataCentre the data centre of the engine that computes the prompt
      */
     Optional<ServerEstimate> leastBusyDecodeEngine(
-            List<ServerEstimate> usable, int tokens, String sourceDataCentre, long now) {
+            PlacementRequest request, List<ServerEstimate> usable, String sourceDataCentre, long now) {
+        int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
+        SharedVersions versions = new SharedVersions(usable);
         ServerEstimate best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate engine : usable) {
@@ -236,6 +257,7 @@
             double typicalSeconds = speeds.handoffSeconds(engine.server().service());
             double score = waitSeconds(engine, now)
                     + penaltySeconds(engine, now)
+                    + versionPenaltySeconds(request, engine, versions)
                     + Math.max(
                             PromptCosts.transferSeconds(settings, tokens, sourceDataCentre, engine),
                             engine.handoffSeconds(typicalSeconds, now))
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/VersionRequirement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/VersionRequirement.java
@@ -5,6 +5,12 @@
     /** Any version may serve it. */
     record Any() implements VersionRequirement {}
 
+    /**
+     * A new stream that may be taken up again: any version may begin it, preferably one that several servers run, since
+     * no other version may write the rest if its server fails.
+     */
+    record PreferablyShared() implements VersionRequirement {}
+
     /**
      * The rest of a stream: only the version that has written its beginning may go on. Servers do not check this; the
      * events of another version do not fit the ones that the caller has.
@@ -17,6 +23,7 @@
     default boolean permits(SoftwareVersion candidate) {
         return switch (this) {
             case Any any -> true;
+            case PreferablyShared shared -> true;
             case Exactly exactly -> exactly.version().equals(candidate);
         };
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicy.java
@@ -79,7 +79,7 @@
 
     /**
      * Selects engines for a change to prefill from the data centres with the most decode engines, and for a change
-     * to decode from those with the fewest.
+     * to decode from those with the fewest, after regard to their software versions.
      */
     private static List<PlannedRoleChange> selectChanges(
             List<BackendServer> from, List<BackendServer> decodeEngines, int count, EngineRole role) {
@@ -89,9 +89,12 @@
         for (int index = 0; index < count && !candidates.isEmpty(); index++) {
             Comparator<BackendServer> byDecodeEngines =
                     Comparator.comparingLong(server -> countInSameDataCentre(server, remainingDecodeEngines));
-            Comparator<BackendServer> order = role == EngineRole.PREFILL ? byDecodeEngines.reversed() : byDecodeEngines;
+            Comparator<BackendServer> byDataCentre =
+                    role == EngineRole.PREFILL ? byDecodeEngines.reversed() : byDecodeEngines;
+            Comparator<BackendServer> byVersion = Comparator.comparingInt(
+                    server -> versionRank(role, countWithSameVersion(server, remainingDecodeEngines)));
             BackendServer chosen = candidates.stream()
-                    .min(order.thenComparing(BackendServer::id))
+                    .min(byVersion.thenComparing(byDataCentre).thenComparing(BackendServer::id))
                     .orElseThrow();
             candidates.remove(chosen);
             if (role == EngineRole.PREFILL) {
@@ -104,6 +107,27 @@
         return changes;
     }
 
+    /**
+     * Returns the rank of an engine for a change, the lowest first, so that the decode engines of a software version are
+     * several or none: the streams of a single one can be continued nowhere if it fails.
+     *
+     * @param decodeEngines the number of decode engines of its version before the change
+     */
+    private static int versionRank(EngineRole role, long decodeEngines) {
+        boolean leavesSingleOne = role == EngineRole.DECODE ? decodeEngines == 0 : decodeEngines == 2;
+        boolean endsSingleOne = decodeEngines == 1;
+        if (leavesSingleOne) {
+            return 2;
+        }
+        return endsSingleOne ? 0 : 1;
+    }
+
+    private static long countWithSameVersion(BackendServer server, List<BackendServer> decodeEngines) {
+        return decodeEngines.stream()
+                .filter(engine -> engine.softwareVersion().equals(server.softwareVersion()))
+                .count();
+    }
+
     private static long countInSameDataCentre(BackendServer server, List<BackendServer> decodeEngines) {
         return decodeEngines.stream()
                 .filter(engine -> engine.dataCentre().equals(server.dataCentre()))
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
@@ -132,6 +132,38 @@
         assertTrue(movesWithin(TRIES, work));
     }
 
+    // Guards against streams that begin where no other engine could write the rest, though a better place is as good.
+    @Test
+    public void should_begin_a_stream_that_may_be_taken_up_again_at_a_version_with_several_engines() {
+        add("alone", NEW, EngineRole.DECODE);
+        add("old-1", OLD, EngineRole.DECODE);
+        add("old-2", OLD, EngineRole.DECODE);
+
+        for (int attempt = 0; attempt < TRIES; attempt++) {
+            PlacementRequest request = request(new VersionRequirement.PreferablyShared(), Set.of());
+            assertFalse(chosen(policy.choose(request, SECOND)).equals("alone"));
+            BackendServer prefill = engine("prefill", NEW, EngineRole.PREFILL);
+            assertFalse(policy.chooseDecodeEngine(request, prefill, SECOND)
+                    .orElseThrow()
+                    .id()
+                    .equals("alone"));
+        }
+    }
+
+    // Guards against callers who wait because of a preference.
+    @Test
+    public void should_begin_a_stream_at_the_only_engine_of_a_version_when_the_others_are_busy() {
+        add("alone", NEW, EngineRole.DECODE);
+        add("old-1", OLD, EngineRole.DECODE);
+        add("old-2", OLD, EngineRole.DECODE);
+        for (String busy : List.of("old-1", "old-2")) {
+            policy.attemptStarted(engine(busy, OLD, EngineRole.DECODE), WorkKind.WHOLE, 0.5, OBJECTIVE, SECOND);
+        }
+
+        PlacementRequest request = request(new VersionRequirement.PreferablyShared(), Set.of());
+        assertEquals(chosen(policy.choose(request, SECOND)), "alone");
+    }
+
     private boolean movesWithin(int events, AssignedWork work) {
         for (int event = 0; event < events; event++) {
             if (policy.answerMoves().shouldLeave(work, SECOND)) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicyTest.java
@@ -91,6 +91,41 @@
         assertEquals(policy.plannedChanges(engines, true), List.of());
     }
 
+    // Guards against a version with a single decode engine: if that one fails, nothing may continue its streams.
+    @Test
+    public void should_change_an_engine_to_decode_whose_version_has_a_single_decode_engine() {
+        List<BackendServer> engines = List.of(
+                versioned("new-decode", "new", EngineRole.DECODE),
+                versioned("old-prefill-1", "old", EngineRole.PREFILL),
+                versioned("old-prefill-2", "old", EngineRole.PREFILL),
+                versioned("new-prefill", "new", EngineRole.PREFILL));
+
+        assertEquals(changedEngines(engines), List.of("new-prefill"));
+    }
+
+    // Guards against a pair of decode engines of which only one is left though a single one could have been changed.
+    @Test
+    public void should_change_the_only_decode_engine_of_its_version_to_prefill_rather_than_one_of_two() {
+        List<BackendServer> engines = List.of(
+                versioned("old-decode-1", "old", EngineRole.DECODE),
+                versioned("old-decode-2", "old", EngineRole.DECODE),
+                versioned("some-decode", "new", EngineRole.DECODE),
+                versioned("prefill", "old", EngineRole.PREFILL));
+
+        assertEquals(changedEngines(engines), List.of("some-decode"));
+    }
+
+    private List<String> changedEngines(List<BackendServer> engines) {
+        return policy.plannedChanges(engines, true).stream()
+                .map(change -> change.server().id())
+                .toList();
+    }
+
+    private static BackendServer versioned(String id, String version, EngineRole role) {
+        return new BackendServer(
+                id, 1, "drafting", new SoftwareVersion(version), "127.0.0.1", 1, "a", 128, BackendState.READY, role);
+    }
+
     private static List<BackendServer> engines(int prefill, int decode) {
         List<BackendServer> engines = new ArrayList<>();
         for (int number = 0; number < prefill; number++) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -18,6 +18,7 @@
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
 import org.aspenmoor.internal.organisation.Authorisation;
 import org.aspenmoor.internal.serving.ConnectionLimits;
+import org.aspenmoor.internal.serving.RetryRule;
 import org.aspenmoor.internal.serving.Route;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.VersionRequirement;
@@ -144,7 +145,7 @@
                 writer);
         if (!route.get().streamed() || caller.resumption().isEmpty()) {
             String service = route.get().serviceFor(context.state().random().nextDouble());
-            return serve.apply(new Destination(service, new VersionRequirement.Any()));
+            return serve.apply(new Destination(service, versionOfNewAnswer(route.get())));
         }
         ResumedRequest resumed = new ResumedRequest(
                 context,
@@ -158,6 +159,12 @@
         return resumed;
     }
 
+    private static VersionRequirement versionOfNewAnswer(Route route) {
+        return route.retryRule() == RetryRule.RESUMABLE
+                ? new VersionRequirement.PreferablyShared()
+                : new VersionRequirement.Any();
+    }
+
     private ActiveRequest serve(RoutedRequest routed, AnswerWriter writer) {
         ServedRequest request = new ServedRequest(context, routed, writer);
         request.start();
