--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
@@ -72,8 +72,7 @@
 
     /** Returns whether further replies would not change the decision, or are not to be expected. */
     boolean complete() {
-        boolean noneExpected = expected.isEmpty() && replied;
-        return noneExpected || unheard.isEmpty() || !(knowledge instanceof OriginKnowledge.Unknown);
+        return expected.isEmpty() || !(knowledge instanceof OriginKnowledge.Unknown);
     }
 
     OriginKnowledge knowledge() {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -209,12 +209,9 @@
         OriginQuestion question = new OriginQuestion(++lastNumber, stream, services.getFirst());
         List<String> asked = holders.toAsk(stream);
         List<String> active = network.activeEntries();
-        OriginInquiry inquiry = new OriginInquiry(
-                question,
-                services,
-                asked,
-                asked.stream().filter(active::contains).toList(),
-                listener);
+        List<String> activeAsked = asked.stream().filter(active::contains).toList();
+        OriginInquiry inquiry =
+                new OriginInquiry(question, services, asked, activeAsked.isEmpty() ? asked : activeAsked, listener);
         inquiries.put(question.number(), inquiry);
         asked.forEach(entry -> network.ask(entry, question));
         network.schedule(REPEAT_AFTER, () -> askAgain(inquiry));
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
@@ -114,12 +114,14 @@
         check(
                 ResumeScenario.of(entries, "one", "one", "two", "two")
                         .with(
-                                new EngineGone(15, 0),
-                                new EngineGone(15.2, 1),
-                                new EntryKilled(15.3, 0),
-                                new EntryKilled(16.5, 1),
-                                new EngineStarts(25, "one"),
-                                new EngineStarts(25, "one")),
+                                new EntryKilled(14.25, 0),
+                                new EngineGone(15.2, 0),
+                                new EngineGone(15.24, 1),
+                                new EngineStarts(18, "one"),
+                                new EngineStarts(18, "one"),
+                                new EntryKilled(24.25, 0),
+                                new EngineGone(25.2, 4),
+                                new EngineGone(25.24, 5)),
                 HALF);
     }
 
