Look at data centres before software versions when engines change their role; tests of more roads

Versions decide within a data centre only. Tests with real connections: the entry that served is killed, nobody knows the stream (one version and two), the version has gone. The rest of a stream does not wait at the entry while other versions serve (VersionPlacementTest). The state dump shows how many streams are remembered.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/roles/RoleRatioPolicy.java
@@ -79,7 +79,7 @@
 
     /**
      * Selects engines for a change to prefill from the data centres with the most decode engines, and for a change
-     * to decode from those with the fewest, after regard to their software versions.
+     * to decode from those with the fewest, and within them by their software versions.
      */
     private static List<PlannedRoleChange> selectChanges(
             List<BackendServer> from, List<BackendServer> decodeEngines, int count, EngineRole role) {
@@ -94,7 +94,7 @@
             Comparator<BackendServer> byVersion = Comparator.comparingInt(
                     server -> versionRank(role, countWithSameVersion(server, remainingDecodeEngines)));
             BackendServer chosen = candidates.stream()
-                    .min(byVersion.thenComparing(byDataCentre).thenComparing(BackendServer::id))
+                    .min(byDataCentre.thenComparing(byVersion).thenComparing(BackendServer::id))
                     .orElseThrow();
             candidates.remove(chosen);
             if (role == EngineRole.PREFILL) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
@@ -25,6 +25,12 @@
     private static final Prompt PROMPT =
             new Prompt("m", 20_000, 100, Optional.empty(), List.of(new PromptPart("own", 20_000)));
 
+    private static final Prompt QUEUED_PROMPT =
+            new Prompt("m", 5_000, 100, Optional.empty(), List.of(new PromptPart("own", 5_000)));
+
+    /** Engines that compute several prompts within a fraction of the objective, so that requests wait at the entry. */
+    private static final EngineSpeed FAST = new EngineSpeed(112_000, 0.003_41, 0.000_097, 0.25, 2048, 0.008, 2_300_000);
+
     /** A choice without regard to the version would pass a single try every other time. */
     private static final int TRIES = 50;
 
@@ -79,6 +85,39 @@
         }
     }
 
+    // Guards against the rest of a stream that keeps back all requests behind it in the queue, while the engines of its
+    // version are full and the others have room.
+    @Test
+    public void should_not_let_the_rest_of_a_stream_wait_at_the_entry_when_other_versions_serve() {
+        policy = new PlacementPolicy(
+                new PlacementSettings(TestServers.DATA_CENTRE, FAST, 0.42, 0.000_218),
+                new PeerLoads(),
+                new ServerLimits(() -> 1, new Random(1)),
+                new Random(1));
+        add("old", OLD, EngineRole.DECODE);
+        add("old-prefill", OLD, EngineRole.PREFILL);
+        policy.attemptEnded(policy.attemptStarted(
+                engine("old-prefill", OLD, EngineRole.PREFILL), WorkKind.PROMPT_ONLY, 0.02, OBJECTIVE, SECOND));
+
+        assertTrue(policy.choose(whileOthersWait(REST_OF_OLD), SECOND) instanceof Placement.Queued);
+        add("new", NEW, EngineRole.DECODE);
+        assertFalse(policy.choose(whileOthersWait(REST_OF_OLD), SECOND) instanceof Placement.Queued);
+    }
+
+    private static PlacementRequest whileOthersWait(VersionRequirement version) {
+        return new PlacementRequest(
+                TestServers.MODEL_SERVICE,
+                Optional.of(QUEUED_PROMPT),
+                Duration.ofSeconds(5),
+                OBJECTIVE,
+                true,
+                Set.of(),
+                true,
+                true,
+                true,
+                version);
+    }
+
     // Guards against a stream that is lost though the only engine of its version, which has broken it off, is alive.
     @Test
     public void should_ask_a_tried_server_again_when_no_other_one_may_write_the_rest() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -149,8 +149,8 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
-        this.stateDump =
-                new StateDump(settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage);
+        this.stateDump = new StateDump(
+                settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage, origins);
     }
 
     /** Opens the ports and starts watching the store. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.ServerSummary;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
 
 /** Creates a snapshot of an entry's state as JSON for operators. Confined to the event loop. */
 final class StateDump {
@@ -26,6 +27,7 @@
     private final GracefulStop gracefulStop;
     private final FatalRequestTracker fatalRequests;
     private final Optional<UsageTracker> usage;
+    private final StreamOriginTracker origins;
 
     StateDump(
             String process,
@@ -34,7 +36,8 @@
             BackendConnections connections,
             GracefulStop gracefulStop,
             FatalRequestTracker fatalRequests,
-            Optional<UsageTracker> usage) {
+            Optional<UsageTracker> usage,
+            StreamOriginTracker origins) {
         this.process = process;
         this.state = state;
         this.callers = callers;
@@ -42,6 +45,7 @@
         this.gracefulStop = gracefulStop;
         this.fatalRequests = fatalRequests;
         this.usage = usage;
+        this.origins = origins;
     }
 
     ObjectNode create() {
@@ -57,6 +61,7 @@
         dump.put("requests", callers.servedRequests());
         dump.put("connectionsOpened", connections.openedTotal());
         dump.put("quarantinedRequests", fatalRequests.quarantinedCount());
+        dump.put("rememberedStreams", origins.rememberedStreams());
         dump.put(
                 "organisations",
                 state.configuration()
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -297,25 +297,26 @@
 
     /** Waits until this entry knows all registered servers. */
     public void awaitServers() throws IOException {
+        for (String id : servers.keySet()) {
+            awaitState("\"id\" : \"" + id + "\"");
+        }
+    }
+
+    /** Waits until the state dump of this entry contains the text. */
+    public void awaitState(String text) throws IOException {
         for (long startNanos = System.nanoTime(); System.nanoTime() - startNanos < MAX_WAIT.toNanos(); ) {
-            String state = state();
-            if (servers.keySet().stream().allMatch(id -> state.contains("\"id\" : \"" + id + "\""))) {
+            if (state().contains(text)) {
                 return;
             }
         }
-        throw new IOException("The gateway does not know all servers; its state:\n" + state());
+        throw new IOException("The state does not contain " + text + ":\n" + state());
     }
 
     /** Reports, as another entry, an order for a role change; returns when the gateway has received the report. */
     public void reportRoleChange(String server, EngineRole role) throws StoreException, IOException {
         ObjectKey own = new ObjectKey(ObjectKind.ENTRY_REGISTRATION, ObjectKey.PLATFORM_NAMESPACE, "entry-under-test");
         ReportSender.sendRoleChange(store.read(own).orElseThrow(), new RoleChange(server, role));
-        for (long startNanos = System.nanoTime(); System.nanoTime() - startNanos < MAX_WAIT.toNanos(); ) {
-            if (state().contains("\"changing\" : true")) {
-                return;
-            }
-        }
-        throw new IOException("The gateway did not receive the report of the role change; its state:\n" + state());
+        awaitState("\"changing\" : true");
     }
 
     /** Returns the store, which can be restored from an older copy. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -153,6 +153,74 @@
         }
     }
 
+    // Guards against knowledge that dies with the entry at which a stream has begun.
+    @Test
+    public void should_continue_at_the_version_that_began_when_the_entry_that_served_has_been_killed()
+            throws Exception {
+        farEngine("old-1", OLD, whole(OLD));
+        farEngine("old-2", OLD, whole(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, rejectsNewStreams(NEW));
+        gateway.publish();
+        try (TestGateway second = gateway.startAnother("entry-2");
+                TestGateway third = gateway.startAnother("entry-3")) {
+            second.awaitState("\"otherEntries\" : 2");
+            for (int stream = 0; stream < STREAMS; stream++) {
+                second.call(request("r" + stream));
+            }
+            third.awaitState("\"rememberedStreams\" : " + STREAMS);
+            second.gateway().close();
+
+            for (int stream = 0; stream < STREAMS; stream++) {
+                assertOneVersion(takeUpTwice(third, "r" + stream) + "data: " + OLD);
+            }
+        }
+    }
+
+    // Guards against a caller who is told nothing, or something false, when nobody knows what has begun its stream.
+    @Test
+    public void should_refuse_when_nobody_knows_the_stream_and_two_versions_serve() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, whole(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, whole(NEW));
+        gateway.publish();
+
+        ReceivedRequest answer = gateway.call(resumed("again", "never-seen", 1));
+
+        assertEquals(answer.line(), "HTTP/1.1 503 Service Unavailable");
+        assertEquals(answer.header("Retry-After").isPresent(), true);
+        assertEquals(
+                gateway.metrics()
+                        .contains("aspenmoor_streams_resumed_total{continued=\"false\",service=\"model\"} 1.0"),
+                true);
+    }
+
+    // Guards against callers that are refused on ordinary days, when a single version serves.
+    @Test
+    public void should_continue_a_stream_that_nobody_knows_when_a_single_version_serves() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, whole(OLD));
+        gateway.publish();
+
+        String rest = answer(resumed("again", "never-seen", 1));
+
+        assertEquals(rest.startsWith("id: 2\n"), true, rest);
+    }
+
+    // Guards against a caller who comes back while the only version that may write the rest has gone for good.
+    @Test
+    public void should_refuse_at_once_when_the_version_of_the_stream_has_gone() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, drainsAndBreaksOff(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, rejectsNewStreams(NEW));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(request("r1"));
+            assertThrows(EOFException.class, caller::readAnswer);
+        }
+
+        ReceivedRequest answer = gateway.call(resumed("again", "r1", 1));
+
+        assertEquals(answer.line(), "HTTP/1.1 503 Service Unavailable");
+        assertEquals(answer.body().contains("which has begun the stream, is available"), true, answer.body());
+    }
+
     /** Begins a stream at the first entry and returns its first event, after which its caller leaves. */
     private String begin(String id) throws IOException {
         return eventText(answer(request(id)), 0);
