--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -128,7 +128,7 @@
     public Optional<BackendServer> chooseDecodeEngine(PlacementRequest request, BackendServer prefill, long now) {
         List<ServerEstimate> usable =
                 sendFilter.permittedForComputedPrompt(availableServers.forRequest(request, now), now);
-        return ranking.leastBusyDecodeEngine(request, usable, prefill.dataCentre(), now)
+        return ranking.leastBusyDecodeEngine(request, usable, Optional.of(prefill), now)
                 .map(ServerEstimate::server);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -78,6 +78,12 @@
      */
     private static final double LONELY_VERSION_PENALTY_SECONDS = 0.03;
 
+    /**
+     * Penalty for a decode engine of another software version than the engine that has computed the prompt, in seconds:
+     * a cache is better read by the version that has written it, unless a caller waits for that.
+     */
+    private static final double FOREIGN_CACHE_PENALTY_SECONDS = 0.01;
+
     private final PlacementSettings settings;
     private final PeerLoads peerLoads;
     private final EngineSpeeds speeds;
@@ -133,8 +139,8 @@
     Placement chooseEngines(PlacementRequest request, Prompt prompt, List<ServerEstimate> usable, long now) {
         boolean engineFull = false;
         double minPromptSeconds = Double.MAX_VALUE;
-        ServerEstimate decoder = leastBusyDecodeEngine(request, usable, settings.dataCentre(), now)
-                .orElse(null);
+        ServerEstimate decoder =
+                leastBusyDecodeEngine(request, usable, Optional.empty(), now).orElse(null);
         SharedVersions versions = new SharedVersions(usable);
         boolean canDisaggregate = request.mayDisaggregate()
                 && decoder != null
@@ -229,6 +235,14 @@
         return mayHaveToContinue && versions.isLonely(engine) ? LONELY_VERSION_PENALTY_SECONDS : 0;
     }
 
+    private static double cachePenaltySeconds(Optional<BackendServer> prefill, ServerEstimate engine) {
+        SoftwareVersion version = engine.server().softwareVersion();
+        boolean foreignCache = prefill.map(BackendServer::softwareVersion)
+                .filter(other -> !other.equals(version))
+                .isPresent();
+        return foreignCache ? FOREIGN_CACHE_PENALTY_SECONDS : 0;
+    }
+
     private double penaltySeconds(ServerEstimate candidate, long now) {
         double distancePenalty =
                 candidate.server().dataCentre().equals(settings.dataCentre()) ? 0 : REMOTE_PENALTY_SECONDS;
@@ -242,10 +256,11 @@
      * Returns the decode engine on which the answer to a computed prompt is expected to start first. Transfers to an
      * engine are sequential, so the number of requests at the engine approximates the transfers that come first.
      *
-     * @param sourceDataCentre the data centre of the engine that computes the prompt
+     * @param prefill the engine that has computed the prompt; empty if it has not been computed
      */
     Optional<ServerEstimate> leastBusyDecodeEngine(
-            PlacementRequest request, List<ServerEstimate> usable, String sourceDataCentre, long now) {
+            PlacementRequest request, List<ServerEstimate> usable, Optional<BackendServer> prefill, long now) {
+        String sourceDataCentre = prefill.map(BackendServer::dataCentre).orElse(settings.dataCentre());
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
         SharedVersions versions = new SharedVersions(usable);
         ServerEstimate best = null;
@@ -258,6 +273,7 @@
             double score = waitSeconds(engine, now)
                     + penaltySeconds(engine, now)
                     + versionPenaltySeconds(request, engine, versions)
+                    + cachePenaltySeconds(prefill, engine)
                     + Math.max(
                             PromptCosts.transferSeconds(settings, tokens, sourceDataCentre, engine),
                             engine.handoffSeconds(typicalSeconds, now))
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
@@ -203,6 +203,21 @@
         assertEquals(chosen(policy.choose(request, SECOND)), "alone");
     }
 
+    // Guards against caches that are read by another version than has written them, though an engine is as good.
+    @Test
+    public void should_hand_a_computed_prompt_to_an_engine_of_the_version_that_has_computed_it() {
+        add("old", OLD, EngineRole.DECODE);
+        add("new", NEW, EngineRole.DECODE);
+
+        for (int attempt = 0; attempt < TRIES; attempt++) {
+            Optional<BackendServer> engine = policy.chooseDecodeEngine(
+                    request(new VersionRequirement.Any(), Set.of()),
+                    engine("prefill", NEW, EngineRole.PREFILL),
+                    SECOND);
+            assertEquals(engine.map(BackendServer::id), Optional.of("new"));
+        }
+    }
+
     private boolean movesWithin(int events, AssignedWork work) {
         for (int event = 0; event < events; event++) {
             if (policy.answerMoves().shouldLeave(work, SECOND)) {
