--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/digest/package-info.java
@@ -0,0 +1,2 @@
+/** Cryptographic digests. */
+package org.aspenmoor.internal.digest;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamKey.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamKey.java
@@ -3,8 +3,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Optional;
+import org.aspenmoor.internal.digest.Sha256;
 
 /**
  * Identifies a stream by a digest of the organisation that it is for and of the id of the request whose answer contained
@@ -38,7 +38,7 @@
                 .put(owner)
                 .put(id)
                 .flip();
-        MessageDigest digest = algorithm();
+        MessageDigest digest = Sha256.create();
         digest.update(input);
         return read(ByteBuffer.wrap(digest.digest()));
     }
@@ -56,13 +56,4 @@
     private static StreamKey read(ByteBuffer bytes) {
         return new StreamKey(bytes.getLong(), bytes.getLong());
     }
-
-    private static MessageDigest algorithm() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException exception) {
-            throw new IllegalStateException(
-                    "SHA-256 is not available, although every Java runtime has to provide it.", exception);
-        }
-    }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/VersionPlacementTest.java
@@ -38,8 +38,12 @@
 
     @BeforeMethod
     public void createPolicy() {
-        policy = new PlacementPolicy(
-                new PlacementSettings(TestServers.DATA_CENTRE, EngineSpeed.defaults(), 0.42, 0),
+        policy = policy(EngineSpeed.defaults());
+    }
+
+    private static PlacementPolicy policy(EngineSpeed speed) {
+        return new PlacementPolicy(
+                new PlacementSettings(TestServers.DATA_CENTRE, speed, 0.42, 0.000_218),
                 new PeerLoads(),
                 new ServerLimits(() -> 1, new Random(1)),
                 new Random(1));
@@ -89,11 +93,7 @@
     // version are full and the others have room.
     @Test
     public void should_not_let_the_rest_of_a_stream_wait_at_the_entry_when_other_versions_serve() {
-        policy = new PlacementPolicy(
-                new PlacementSettings(TestServers.DATA_CENTRE, FAST, 0.42, 0.000_218),
-                new PeerLoads(),
-                new ServerLimits(() -> 1, new Random(1)),
-                new Random(1));
+        policy = policy(FAST);
         add("old", OLD, EngineRole.DECODE);
         add("old-prefill", OLD, EngineRole.PREFILL);
         policy.attemptEnded(policy.attemptStarted(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -77,7 +77,7 @@
                 "service");
         this.resumedStreams = counter(
                 registry,
-                "aspenmoor_streams_resumed_total",
+                "aspenmoor_streams_taken_up_total",
                 "Streams that callers took up again, by service and whether they may go on.",
                 "service",
                 "continued");
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
@@ -5,8 +5,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Locale;
+import org.aspenmoor.internal.digest.Sha256;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
 import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 
@@ -21,7 +21,7 @@
     private RequestDigests() {}
 
     static RequestDigest of(IncomingRequest incoming) {
-        MessageDigest digest = algorithm();
+        MessageDigest digest = Sha256.create();
         update(digest, incoming.head().method().name());
         update(digest, incoming.host().toLowerCase(Locale.ROOT));
         update(digest, incoming.path());
@@ -39,13 +39,4 @@
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
         digest.update(bytes);
     }
-
-    private static MessageDigest algorithm() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException exception) {
-            throw new IllegalStateException(
-                    "SHA-256 is not available, although every Java runtime has to provide it.", exception);
-        }
-    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -189,7 +189,7 @@
         assertEquals(answer.header("Retry-After").isPresent(), true);
         assertEquals(
                 gateway.metrics()
-                        .contains("aspenmoor_streams_resumed_total{continued=\"false\",service=\"model\"} 1.0"),
+                        .contains("aspenmoor_streams_taken_up_total{continued=\"false\",service=\"model\"} 1.0"),
                 true);
     }
 
