--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimKey.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/claim/ClaimKey.java
@@ -1,9 +1,8 @@
 package org.aspenmoor.internal.claim;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import org.aspenmoor.internal.digest.Sha256;
 
 /**
  * The idempotency key of an at-most-once call.
@@ -17,15 +16,7 @@
 
     /** Returns the hash under which the claim is stored: 32 hexadecimal digits. */
     public String hash() {
-        byte[] digest = sha256().digest((service + "\0" + key).getBytes(StandardCharsets.UTF_8));
+        byte[] digest = Sha256.create().digest((service + "\0" + key).getBytes(StandardCharsets.UTF_8));
         return HexFormat.of().formatHex(digest, 0, HASH_BYTES);
     }
-
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException impossible) {
-            throw new IllegalStateException(impossible);
-        }
-    }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ClaimClient.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/ClaimClient.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.Base64;
 import java.util.HexFormat;
@@ -15,6 +14,7 @@
 import org.aspenmoor.internal.claim.ClaimTicket;
 import org.aspenmoor.internal.claim.RecordedAnswer;
 import org.aspenmoor.internal.claims.ClaimMessage;
+import org.aspenmoor.internal.digest.Sha256;
 import org.aspenmoor.internal.duty.Worker;
 import org.aspenmoor.internal.wire.v1.Header;
 
@@ -96,15 +96,10 @@
     }
 
     private static String sha256(byte[]... parts) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            for (byte[] part : parts) {
-                digest.update(part);
-            }
-            return HexFormat.of().formatHex(digest.digest());
-        } catch (NoSuchAlgorithmException unavailable) {
-            throw new IllegalStateException(
-                    "SHA-256 is not available; every Java platform must provide it", unavailable);
+        MessageDigest digest = Sha256.create();
+        for (byte[] part : parts) {
+            digest.update(part);
         }
+        return HexFormat.of().formatHex(digest.digest());
     }
 }
--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/PromptPrefix.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/entry/PromptPrefix.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.aspenmoor.internal.digest.Sha256;
 import org.aspenmoor.internal.routing.PrefixChain;
 
 /**
@@ -23,7 +23,7 @@
             return PrefixChain.none();
         }
         long[] hashes = new long[pieces];
-        MessageDigest digest = sha256();
+        MessageDigest digest = Sha256.create();
         for (int piece = 0; piece < pieces; piece++) {
             int start = piece * PIECE_CHARACTERS;
             digest.update(prompt.substring(start, start + PIECE_CHARACTERS).getBytes(StandardCharsets.UTF_8));
@@ -32,14 +32,6 @@
         return PrefixChain.of(pieces * PIECE_TOKENS, hashes);
     }
 
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException missing) {
-            throw new IllegalStateException("SHA-256 is not available; every Java platform must provide it", missing);
-        }
-    }
-
     private static MessageDigest copyOf(MessageDigest digest) {
         try {
             return (MessageDigest) digest.clone();
