Number questions so that a late reply to the process before a restart does not count

By reading: an entry that restarts began its questions at 1 again, and a suspended entry may reply seconds later to the question with that number, which was about another stream; it would have gone on at that one's version. Numbers begin at the time of the start now. Test first (should_ignore_a_reply_to_a_question_of_the_process_before).

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -39,6 +39,9 @@
     /** Maximum number of streams in one message, which is about a kilobyte. */
     private static final int MAX_STREAMS_PER_MESSAGE = 24;
 
+    /** Distance between the first question numbers of processes that start a millisecond apart, as a power of two. */
+    private static final int NUMBERS_PER_MILLISECOND_BITS = 16;
+
     private final OriginNetwork network;
     private final TimeSource time;
     private final OriginHolders holders;
@@ -58,6 +61,9 @@
         this.versions = new ServiceVersions(window);
         this.observedSince = time.monotonicNanos();
         this.lastObservedAt = observedSince;
+        // A suspended entry may reply seconds later, when this entry has restarted: the reply must not count as the one
+        // to a question about another stream.
+        this.lastNumber = time.wallClockTime().toEpochMilli() << NUMBERS_PER_MILLISECOND_BITS;
     }
 
     /**
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
@@ -0,0 +1,94 @@
+package org.aspenmoor.internal.serving.origin;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.aspenmoor.internal.time.TimeSource;
+
+/** Records what is sent, and has a manual clock. */
+final class ManualOriginNetwork implements OriginNetwork, TimeSource {
+    private final List<Told> told = new ArrayList<>();
+    private final List<String> asked = new ArrayList<>();
+    private final List<Scheduled> scheduled = new ArrayList<>();
+    private List<String> entries = List.of();
+    private List<String> active = List.of();
+    private int announcements;
+    private Instant wallClockTime = Instant.EPOCH;
+    private long now = Duration.ofHours(1).toNanos();
+
+    void setEntries(List<String> registered, List<String> heard) {
+        entries = registered;
+        active = heard;
+    }
+
+    void setWallClockTime(Instant newTime) {
+        wallClockTime = newTime;
+    }
+
+    List<Told> told() {
+        return told;
+    }
+
+    List<String> asked() {
+        return asked;
+    }
+
+    int announcements() {
+        return announcements;
+    }
+
+    /** Lets time pass and runs the actions that are due by then. */
+    void pass(Duration duration) {
+        now += duration.toNanos();
+        List<Scheduled> due =
+                scheduled.stream().filter(each -> each.at() <= now).toList();
+        scheduled.removeAll(due);
+        due.forEach(each -> each.action().run());
+    }
+
+    @Override
+    public List<String> activeEntries() {
+        return active;
+    }
+
+    @Override
+    public List<String> registeredEntries() {
+        return entries;
+    }
+
+    @Override
+    public void tell(String entry, List<KnownStream> streams) {
+        told.add(new Told(entry, streams));
+    }
+
+    @Override
+    public void ask(String entry, OriginQuestion question) {
+        asked.add(entry);
+    }
+
+    @Override
+    public void announceVersions() {
+        announcements++;
+    }
+
+    @Override
+    public void schedule(Duration delay, Runnable action) {
+        scheduled.add(new Scheduled(now + delay.toNanos(), action));
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return now;
+    }
+
+    @Override
+    public Instant wallClockTime() {
+        return wallClockTime;
+    }
+
+    /** What an entry was told. */
+    record Told(String entry, List<KnownStream> streams) {}
+
+    private record Scheduled(long at, Runnable action) {}
+}
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
@@ -12,7 +12,6 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.SoftwareVersion;
-import org.aspenmoor.internal.time.TimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -23,19 +22,19 @@
     private static final SoftwareVersion NEW = new SoftwareVersion("new");
     private static final StreamOrigin FROM_OLD = new StreamOrigin(SERVICE, OLD);
     private static final StreamOrigin FROM_NEW = new StreamOrigin(SERVICE, NEW);
+    private static final List<String> ENTRIES = List.of("a", "b", "c", "d", "e");
     private static final StreamKey STREAM = StreamKey.of("", "17bd");
 
-    private ManualNetwork network;
+    private ManualOriginNetwork network;
     private StreamOriginTracker tracker;
     private List<ResumeDecision> decisions;
 
     @BeforeMethod
     public void createTracker() {
-        network = new ManualNetwork();
+        network = new ManualOriginNetwork();
         tracker = new StreamOriginTracker(network, network);
         decisions = new ArrayList<>();
-        network.entries = List.of("a", "b", "c", "d", "e");
-        network.active = network.entries;
+        network.setEntries(ENTRIES, ENTRIES);
     }
 
     @Test
@@ -44,8 +43,8 @@
 
         began(STREAM, FROM_OLD);
 
-        assertEquals(network.told.size(), OriginHolders.TOLD);
-        assertEquals(network.told.getFirst().streams(), List.of(new KnownStream(STREAM, FROM_OLD)));
+        assertEquals(network.told().size(), OriginHolders.TOLD);
+        assertEquals(network.told().getFirst().streams(), List.of(new KnownStream(STREAM, FROM_OLD)));
     }
 
     @Test
@@ -54,7 +53,7 @@
 
         began(STREAM, FROM_OLD);
 
-        assertEquals(network.told, List.of());
+        assertEquals(network.told(), List.of());
     }
 
     // Guards against streams that began while a single version served and are forgotten with the entry that serves
@@ -66,8 +65,8 @@
 
         observe(true, OLD, NEW);
 
-        assertEquals(network.told.size(), OriginHolders.TOLD);
-        assertEquals(network.announcements, 1);
+        assertEquals(network.told().size(), OriginHolders.TOLD);
+        assertEquals(network.announcements(), 1);
     }
 
     // Guards against an entry that hears of a version from another entry before it sees a server of it.
@@ -78,7 +77,7 @@
 
         tracker.versionsReported(List.of(new VersionSighting(SERVICE, NEW, Duration.ofSeconds(1))));
 
-        assertEquals(network.told.size(), OriginHolders.TOLD);
+        assertEquals(network.told().size(), OriginHolders.TOLD);
     }
 
     // Guards against the first entries to be told being others than those that are asked.
@@ -90,8 +89,10 @@
 
         asking.resolve(STREAM, SERVICES, decisions::add);
 
-        assertTrue(
-                network.asked.containsAll(network.told.stream().map(Told::entry).toList()));
+        assertTrue(network.asked()
+                .containsAll(network.told().stream()
+                        .map(ManualOriginNetwork.Told::entry)
+                        .toList()));
     }
 
     @Test
@@ -102,7 +103,7 @@
         resolve(STREAM);
 
         assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW)));
-        assertEquals(network.asked, List.of());
+        assertEquals(network.asked(), List.of());
     }
 
     @Test
@@ -118,7 +119,7 @@
     // Guards against an entry that has just started and takes the first reply for the last one.
     @Test
     public void should_wait_for_all_replies_when_no_report_of_the_others_has_been_received() {
-        network.active = List.of();
+        network.setEntries(ENTRIES, List.of());
         observe(true, OLD, NEW);
         resolve(STREAM);
 
@@ -128,12 +129,25 @@
         assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW)));
     }
 
+    // Guards against a stream that goes on as another one because a reply to the process before a restart comes late.
+    @Test
+    public void should_ignore_a_reply_to_a_question_of_the_process_before() {
+        network.setWallClockTime(Instant.ofEpochMilli(1_000));
+        tracker = new StreamOriginTracker(network, network);
+        observe(true, OLD, NEW);
+        resolve(STREAM);
+
+        reply("a", new OriginKnowledge.Known(FROM_OLD));
+
+        assertEquals(decisions, List.of());
+    }
+
     // Guards against a stream that goes on at a version by guess.
     @Test
     public void should_refuse_when_nobody_knows_the_stream_and_two_versions_serve() {
         observe(true, OLD, NEW);
         resolve(STREAM);
-        network.entries.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
+        ENTRIES.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
 
         assertRefused();
     }
@@ -146,7 +160,7 @@
         network.pass(StreamOriginTracker.MAX_WAIT);
 
         assertRefused();
-        assertEquals(network.asked.size(), 2 * network.entries.size(), "each entry is asked once more");
+        assertEquals(network.asked().size(), 2 * ENTRIES.size(), "each entry is asked once more");
     }
 
     @Test
@@ -156,7 +170,7 @@
         resolve(STREAM);
 
         assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
-        assertEquals(network.asked, List.of());
+        assertEquals(network.asked(), List.of());
     }
 
     // Guards against an entry that has started after a version has gone.
@@ -179,7 +193,7 @@
     @Test
     public void should_continue_when_all_entries_have_just_started_and_see_a_single_version() {
         observe(true, OLD);
-        network.active = List.of();
+        network.setEntries(ENTRIES, List.of());
         resolve(STREAM);
         network.pass(StreamOriginTracker.MAX_WAIT);
 
@@ -199,8 +213,7 @@
 
     @Test
     public void should_continue_when_the_only_entry_does_not_reach_the_store() {
-        network.entries = List.of();
-        network.active = List.of();
+        network.setEntries(List.of(), List.of());
         observe(false, OLD);
         resolve(STREAM);
         network.pass(Duration.ofMillis(1));
@@ -216,7 +229,7 @@
 
         resolve(STREAM);
 
-        assertEquals(network.asked.size(), network.entries.size());
+        assertEquals(network.asked().size(), ENTRIES.size());
     }
 
     // Guards against two callers with the same request id, of whom one would get the rest of the other version.
@@ -240,7 +253,7 @@
         resolve(StreamKey.of("fida", "17bd"));
 
         assertEquals(decisions, List.of());
-        assertEquals(network.asked.size(), network.entries.size());
+        assertEquals(network.asked().size(), ENTRIES.size());
     }
 
     @Test
@@ -260,7 +273,7 @@
         began(STREAM, FROM_OLD);
 
         resolve(StreamKey.unstated(""));
-        network.entries.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
+        ENTRIES.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
 
         assertRefused();
     }
@@ -305,14 +318,14 @@
 
         tracker.handOver();
 
-        assertEquals(network.told.size(), OriginHolders.TOLD);
+        assertEquals(network.told().size(), OriginHolders.TOLD);
     }
 
     @Test
     public void should_not_decide_when_the_caller_has_left() {
         observe(true, OLD, NEW);
         tracker.resolve(STREAM, SERVICES, decisions::add).orElseThrow().cancel();
-        network.entries.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
+        ENTRIES.forEach(entry -> reply(entry, new OriginKnowledge.Unknown()));
         network.pass(StreamOriginTracker.MAX_WAIT);
 
         assertEquals(decisions, List.of());
@@ -373,67 +386,4 @@
         }
         observe(current, versions);
     }
-
-    private record Told(String entry, List<KnownStream> streams) {}
-
-    private record Scheduled(long at, Runnable action) {}
-
-    /** Records what is sent, and has a manual clock. */
-    private static final class ManualNetwork implements OriginNetwork, TimeSource {
-        private final List<Told> told = new ArrayList<>();
-        private final List<String> asked = new ArrayList<>();
-        private final List<Scheduled> scheduled = new ArrayList<>();
-        private List<String> entries = List.of();
-        private List<String> active = List.of();
-        private int announcements;
-        private long now = Duration.ofHours(1).toNanos();
-
-        void pass(Duration duration) {
-            now += duration.toNanos();
-            List<Scheduled> due =
-                    scheduled.stream().filter(each -> each.at() <= now).toList();
-            scheduled.removeAll(due);
-            due.forEach(each -> each.action().run());
-        }
-
-        @Override
-        public List<String> activeEntries() {
-            return active;
-        }
-
-        @Override
-        public List<String> registeredEntries() {
-            return entries;
-        }
-
-        @Override
-        public void tell(String entry, List<KnownStream> streams) {
-            told.add(new Told(entry, streams));
-        }
-
-        @Override
-        public void ask(String entry, OriginQuestion question) {
-            asked.add(entry);
-        }
-
-        @Override
-        public void announceVersions() {
-            announcements++;
-        }
-
-        @Override
-        public void schedule(Duration delay, Runnable action) {
-            scheduled.add(new Scheduled(now + delay.toNanos(), action));
-        }
-
-        @Override
-        public long monotonicNanos() {
-            return now;
-        }
-
-        @Override
-        public Instant wallClockTime() {
-            return Instant.EPOCH;
-        }
-    }
 }
