Do work for software versions only where a request needs it; drop state that stood twice

The longest timeout was worked out over all routes ten times a second: once for each configuration now. Each placement counted the engines of each version twice and walked all servers once more, whatever the request: only where a version is preferred or required now, and in one pass over the servers for all others. ServiceVersions kept a copy of the tracker's window. Behaviour and tests are unchanged.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
@@ -18,16 +18,14 @@
 
     /** Returns the servers that take work and may serve the request; {@code now} is the monotonic clock. */
     List<ServerEstimate> forRequest(PlacementRequest request, long now) {
-        List<ServerEstimate> candidates = estimates.values().stream()
-                .filter(estimate -> takesWork(estimate, request, now))
-                .toList();
-        List<ServerEstimate> untried = candidates.stream()
+        List<ServerEstimate> untried = estimates.values().stream()
                 .filter(estimate ->
                         !request.excludedServers().contains(estimate.server().id()))
+                .filter(estimate -> takesWork(estimate, request, now))
                 .toList();
         boolean onlyTriedCanAnswer = request.version() instanceof VersionRequirement.Exactly
                 && untried.stream().noneMatch(SendFilter::canAnswer);
-        return onlyTriedCanAnswer ? withoutPaused(candidates, now) : untried;
+        return onlyTriedCanAnswer ? triedToo(request, now) : untried;
     }
 
     /**
@@ -35,19 +33,23 @@
      * wait at this entry: while those are full, it would keep back the others in the queue, whose servers have room.
      */
     PlacementRequest withoutQueueingIfSelective(PlacementRequest request) {
+        if (!request.mayQueue() || !(request.version() instanceof VersionRequirement.Exactly)) {
+            return request;
+        }
         boolean selective = estimates.values().stream()
                 .map(ServerEstimate::server)
                 .anyMatch(server -> server.service().equals(request.service())
                         && !request.version().permits(server.softwareVersion()));
-        return request.mayQueue() && selective ? request.withoutQueueing() : request;
+        return selective ? request.withoutQueueing() : request;
     }
 
     /**
-     * Returns the servers that this entry has no reason to believe unreachable. If the only server of a stream's version
-     * has broken the stream off, it is asked for the rest again, since no other one may write it.
+     * Returns the servers, tried or not, that this entry has no reason to believe unreachable. If the only server of a
+     * stream's version has broken the stream off, it is asked for the rest again, since no other one may write it.
      */
-    private static List<ServerEstimate> withoutPaused(List<ServerEstimate> candidates, long now) {
-        return candidates.stream()
+    private List<ServerEstimate> triedToo(PlacementRequest request, long now) {
+        return estimates.values().stream()
+                .filter(estimate -> takesWork(estimate, request, now))
                 .filter(estimate -> !estimate.health().paused(now))
                 .toList();
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -141,7 +141,7 @@
         double minPromptSeconds = Double.MAX_VALUE;
         ServerEstimate decoder =
                 leastBusyDecodeEngine(request, usable, Optional.empty(), now).orElse(null);
-        SharedVersions versions = new SharedVersions(usable);
+        SharedVersions versions = new SharedVersions(request, usable);
         boolean canDisaggregate = request.mayDisaggregate()
                 && decoder != null
                 && usable.stream().anyMatch(each -> isAvailablePrefillEngine(each, now));
@@ -181,7 +181,7 @@
                     : firstTokenSeconds;
             double score = startSeconds
                     + penaltySeconds(engine, now)
-                    + versionPenaltySeconds(request, engine, versions)
+                    + versionPenaltySeconds(engine, versions)
                     + costPerSecond(engine, now) * work.seconds();
             if (score < bestScore) {
                 bestScore = score;
@@ -229,10 +229,8 @@
                         * engine.requests(peerLoads.onServer(engine.server().id()), now);
     }
 
-    private static double versionPenaltySeconds(
-            PlacementRequest request, ServerEstimate engine, SharedVersions versions) {
-        boolean mayHaveToContinue = request.version() instanceof VersionRequirement.PreferablyShared;
-        return mayHaveToContinue && versions.isLonely(engine) ? LONELY_VERSION_PENALTY_SECONDS : 0;
+    private static double versionPenaltySeconds(ServerEstimate engine, SharedVersions versions) {
+        return versions.isLonely(engine) ? LONELY_VERSION_PENALTY_SECONDS : 0;
     }
 
     private static double cachePenaltySeconds(Optional<BackendServer> prefill, ServerEstimate engine) {
@@ -262,7 +260,7 @@
             PlacementRequest request, List<ServerEstimate> usable, Optional<BackendServer> prefill, long now) {
         String sourceDataCentre = prefill.map(BackendServer::dataCentre).orElse(settings.dataCentre());
         int tokens = request.prompt().map(Prompt::promptTokens).orElse(0);
-        SharedVersions versions = new SharedVersions(usable);
+        SharedVersions versions = new SharedVersions(request, usable);
         ServerEstimate best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate engine : usable) {
@@ -272,7 +270,7 @@
             double typicalSeconds = speeds.handoffSeconds(engine.server().service());
             double score = waitSeconds(engine, now)
                     + penaltySeconds(engine, now)
-                    + versionPenaltySeconds(request, engine, versions)
+                    + versionPenaltySeconds(engine, versions)
                     + cachePenaltySeconds(prefill, engine)
                     + Math.max(
                             PromptCosts.transferSeconds(settings, tokens, sourceDataCentre, engine),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
@@ -18,6 +18,7 @@
     private final ConnectionLimits limits;
     private final KeyRegistry keys;
     private final int routeCount;
+    private final Duration longestTimeout;
 
     public ServingConfiguration(
             long version, List<Route> routes, List<ServiceTraits> services, ConnectionLimits limits, KeyRegistry keys) {
@@ -30,6 +31,10 @@
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
                     .add(route);
         }
+        this.longestTimeout = routes.stream()
+                .map(Route::timeout)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
         Comparator<Route> longestFirst = Comparator.comparingInt(
                         (Route route) -> route.pathPrefix().length())
                 .reversed();
@@ -60,11 +65,7 @@
 
     /** Returns the longest time that a request of any route may take; zero if there is no route. */
     public Duration longestTimeout() {
-        return routesByHost.values().stream()
-                .flatMap(List::stream)
-                .map(Route::timeout)
-                .max(Comparator.naturalOrder())
-                .orElse(Duration.ZERO);
+        return longestTimeout;
     }
 
     /** Returns the declared properties of a service. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SharedVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SharedVersions.java
@@ -9,11 +9,14 @@
     private final Map<SoftwareVersion, Integer> answeringServers = new HashMap<>();
 
     /**
-     * Counts the servers of each version.
+     * Counts the servers of each version, if the request prefers a version that several servers run.
      *
      * @param usable the servers that take the request
      */
-    SharedVersions(List<ServerEstimate> usable) {
+    SharedVersions(PlacementRequest request, List<ServerEstimate> usable) {
+        if (!(request.version() instanceof VersionRequirement.PreferablyShared)) {
+            return;
+        }
         for (ServerEstimate estimate : usable) {
             if (SendFilter.canAnswer(estimate)) {
                 answeringServers.merge(estimate.server().softwareVersion(), 1, Integer::sum);
@@ -21,7 +24,10 @@
         }
     }
 
-    /** Returns whether a server is the only one of its version that can answer, while another version has servers. */
+    /**
+     * Returns whether a server is the only one of its version that can answer, while another version has servers; false
+     * if the request has no preference.
+     */
     boolean isLonely(ServerEstimate estimate) {
         return answeringServers.size() > 1
                 && SendFilter.canAnswer(estimate)
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/ServiceVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/ServiceVersions.java
@@ -13,15 +13,6 @@
  */
 final class ServiceVersions {
     private final Map<String, Map<SoftwareVersion, Long>> lastKnownAt = new HashMap<>();
-    private Duration window;
-
-    ServiceVersions(Duration window) {
-        this.window = window;
-    }
-
-    void setWindow(Duration newWindow) {
-        window = newWindow;
-    }
 
     /** Records that servers of a version were known at the given time; returns whether the version was not known. */
     boolean known(String service, SoftwareVersion version, long at) {
@@ -52,7 +43,7 @@
     }
 
     /** Forgets the versions that have not been known within the window. */
-    void expire(long now) {
+    void expire(Duration window, long now) {
         lastKnownAt.values().forEach(versions -> versions.values().removeIf(at -> now - at > window.toNanos()));
         lastKnownAt.values().removeIf(Map::isEmpty);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -46,7 +46,7 @@
     private final TimeSource time;
     private final OriginHolders holders;
     private final StreamOrigins streams = new StreamOrigins();
-    private final ServiceVersions versions;
+    private final ServiceVersions versions = new ServiceVersions();
     private final Map<Long, OriginInquiry> inquiries = new HashMap<>();
     private Duration window = MIN_WINDOW;
     private boolean listCurrent;
@@ -58,7 +58,6 @@
         this.network = network;
         this.time = time;
         this.holders = new OriginHolders(network);
-        this.versions = new ServiceVersions(window);
         this.observedSince = time.monotonicNanos();
         this.lastObservedAt = observedSince;
         // A suspended entry may reply seconds later, when this entry has restarted: the reply must not count as the one
@@ -74,7 +73,6 @@
         Duration newWindow = longestTimeout.multipliedBy(REQUESTS_PER_WINDOW);
         if (newWindow.compareTo(window) > 0) {
             window = newWindow;
-            versions.setWindow(newWindow);
         }
     }
 
@@ -92,7 +90,7 @@
         listCurrent = current;
         lastObservedAt = now;
         servers.forEach(this::serverObserved);
-        versions.expire(now);
+        versions.expire(window, now);
         streams.expire(now);
     }
 
