--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -81,7 +82,7 @@
 /** An entry process: one event loop that serves all requests, and a thread for each collection watched in the store. */
 public final class Gateway {
     /** Interval of the periodic check of timeouts, unconfirmed servers and a graceful stop. */
-    private static final long CHECK_INTERVAL_MILLISECONDS = 100;
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Interval at which counts of usage are sent; an entry that is killed loses what it counted since the last time. */
     private static final long USAGE_INTERVAL_MILLISECONDS = 500;
@@ -103,6 +104,7 @@
     private final RequestDispatcher dispatcher;
     private final CallerServer callers;
     private final GracefulStop gracefulStop;
+    private final EventLoopMonitor eventLoopMonitor;
     private final StateDump stateDump;
     private final PeerExchange peers;
     private final StreamOriginTracker origins;
@@ -149,6 +151,7 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
+        this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
         this.stateDump = new StateDump(
                 settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage, origins);
     }
@@ -196,10 +199,7 @@
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
         eventLoop.scheduleWithFixedDelay(
-                this::runPeriodicChecks,
-                CHECK_INTERVAL_MILLISECONDS,
-                CHECK_INTERVAL_MILLISECONDS,
-                TimeUnit.MILLISECONDS);
+                this::runPeriodicChecks, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Returns the address on which callers are served. */
@@ -349,6 +349,7 @@
 
     private void runPeriodicChecks() {
         long nowNanos = time.monotonicNanos();
+        eventLoopMonitor.taskRun(nowNanos);
         state.expirePeers(nowNanos);
         state.configuration().map(ServingConfiguration::longestTimeout).ifPresent(origins::requestsMayTake);
         origins.serversObserved(state.servers(), state.reachesStore());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -68,6 +68,11 @@
         });
     }
 
+    /** Returns whether the operating system has taken all bytes of the current request. */
+    boolean requestWritten() {
+        return requestWritten;
+    }
+
     void setReading(boolean enabled) {
         channel.config().setAutoRead(enabled);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Returns whether the operating system has taken all bytes of the request. */
+    public boolean requestWritten() {
+        return connection != null && connection.requestWritten();
+    }
+
     boolean ended() {
         return ended;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CurrentAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CurrentAttempt.java
@@ -65,6 +65,14 @@
         }
     }
 
+    /** Returns how far the open attempt has come. */
+    AttemptProgress progress() {
+        if (exchange == null) {
+            return AttemptProgress.NONE_OPEN;
+        }
+        return exchange.requestWritten() ? AttemptProgress.WRITTEN : AttemptProgress.UNWRITTEN;
+    }
+
     /** Pauses or resumes reading the answer. */
     void setReading(boolean reading) {
         if (exchange != null) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -25,6 +25,7 @@
     private final Counter quarantinedArrivals;
     private final Counter mixedAnswers;
     private final Counter resumedStreams;
+    private final Counter callersDisconnected;
     private final Histogram firstByteSeconds;
 
     /**
@@ -81,6 +82,12 @@
                 "Streams that callers took up again, by service and whether they may go on.",
                 "service",
                 "continued");
+        this.callersDisconnected = counter(
+                registry,
+                "aspenmoor_callers_disconnected_total",
+                "Callers that disconnected before their answer ended, by service and how far the attempt had come.",
+                "service",
+                "attempt");
         this.firstByteSeconds = Histogram.builder()
                 .name("aspenmoor_first_byte_seconds")
                 .help("From a request's arrival to the first byte of its answer.")
@@ -143,6 +150,10 @@
         resumedStreams.labelValues(service, Boolean.toString(continued)).inc();
     }
 
+    void callerDisconnected(String service, AttemptProgress progress) {
+        callersDisconnected.labelValues(service, progress.name()).inc();
+    }
+
     void answerBegan(String service, double seconds) {
         firstByteSeconds.labelValues(service).observe(seconds);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -120,6 +120,9 @@
         if (finished) {
             return;
         }
+        AttemptProgress progress = currentAttempt.progress();
+        context.metrics().callerDisconnected(service, progress);
+        trace.setReason("the caller disconnected; attempt " + progress);
         finish(RequestOutcome.CALLER_LEFT);
     }
 
