--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ScriptedBackend.java
@@ -24,6 +24,7 @@
     private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
     private final BlockingQueue<ReceivedRequest> pendingRequests = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> closeEvents = new LinkedBlockingQueue<>();
+    private final BlockingQueue<DelayedPart> writtenParts = new LinkedBlockingQueue<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
     private volatile boolean crashed;
 
@@ -46,6 +47,28 @@
         return requirePresent(pendingRequests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** Waits for the request with the given identity and returns it; requests that arrive before it are passed over. */
+    public ReceivedRequest awaitRequest(String requestId) throws InterruptedException {
+        ReceivedRequest next = awaitRequest();
+        while (!next.header(TestProtocols.REQUEST_ID).orElse("").equals(requestId)) {
+            next = awaitRequest();
+        }
+        return next;
+    }
+
+    /** Returns how many requests with the given identity have been received. */
+    public long count(String requestId) {
+        return received.stream()
+                .filter(request ->
+                        request.header(TestProtocols.REQUEST_ID).orElse("").equals(requestId))
+                .count();
+    }
+
+    /** Waits until a delayed part of a reply has been written. */
+    public void awaitDelayedPart() throws InterruptedException {
+        requirePresent(writtenParts.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    }
+
     /** Waits until a client closes its connection. */
     public void awaitClose() throws InterruptedException {
         requirePresent(closeEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
@@ -122,7 +145,7 @@
         }
     }
 
-    private static void write(DelayedPart part, OutputStream output) throws IOException {
+    private void write(DelayedPart part, OutputStream output) throws IOException {
         try {
             part.trigger().await();
         } catch (InterruptedException interrupted) {
@@ -131,6 +154,7 @@
         }
         output.write(part.bytes().getBytes(StandardCharsets.UTF_8));
         output.flush();
+        writtenParts.add(part);
     }
 
     private static <T> T requirePresent(T value) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -48,7 +48,6 @@
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoredObject;
 import org.aspenmoor.internal.store.client.StoreSettings;
-import org.aspenmoor.internal.time.SystemTimeSource;
 
 /** A gateway on free ports of the loopback address, with an in-memory store. */
 public final class TestGateway implements AutoCloseable {
@@ -69,6 +68,7 @@
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final Gateway gateway;
     private final TestProtocols protocols = new TestProtocols();
+    private final ShiftableTimeSource time = new ShiftableTimeSource();
     private KeyRegistry keys = KeyRegistry.notConfigured();
     private int configurationVersion = 6;
     private SoftwareVersion softwareVersion = new SoftwareVersion("one");
@@ -139,7 +139,6 @@
                 Duration.ofSeconds(3),
                 duties,
                 new RetrySettings(1, 100, Duration.ofSeconds(10), 1));
-        SystemTimeSource time = new SystemTimeSource();
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), log);
@@ -378,6 +377,11 @@
         }
     }
 
+    /** Moves the gateway's monotonic clock forward; timers of the event loop are not affected. */
+    public void advanceTime(Duration duration) {
+        time.advance(duration);
+    }
+
     public TestProtocols protocols() {
         return protocols;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -78,13 +78,8 @@
         }
         Optional<Duration> maxWait = Optional.ofNullable(head.headers().get("Test-Patience-Ms"))
                 .map(text -> Duration.ofMillis(Long.parseLong(text)));
-        Optional<Prompt> prompt = Optional.ofNullable(head.headers().get(PROMPT))
-                .map(tokens -> new Prompt(
-                        "m",
-                        Integer.parseInt(tokens),
-                        10,
-                        Optional.empty(),
-                        List.of(new PromptPart("own", Integer.parseInt(tokens)))));
+        Optional<Prompt> prompt =
+                Optional.ofNullable(head.headers().get(PROMPT)).map(TestProtocols::readPrompt);
         PresentedKey key = Optional.ofNullable(head.headers().get(KEY))
                 .<PresentedKey>map(secret -> new PresentedKey.Given(new ApiKey(secret)))
                 .orElse(new PresentedKey.Missing());
@@ -95,6 +90,14 @@
         return new CallerHeaders(head.headers().get(REQUEST_ID, ""), maxWait, key, prompt, resumption);
     }
 
+    /** Reads the number of tokens of a prompt with a single part, or parts in the format of {@link #readCacheList}. */
+    private static Prompt readPrompt(String text) {
+        List<PromptPart> parts =
+                text.contains(":") ? readParts(text) : List.of(new PromptPart("own", Integer.parseInt(text)));
+        int tokens = parts.stream().mapToInt(PromptPart::tokens).sum();
+        return new Prompt("m", tokens, 10, Optional.empty(), parts);
+    }
+
     @Override
     public void writeHeaders(HttpHeaders headers, DispatchParameters parameters) {
         headers.set(SERVER, parameters.serverId());
@@ -180,6 +183,10 @@
     /** Reads parts of the form IDENTITY:TOKENS, separated by spaces. */
     @Override
     public List<PromptPart> readCacheList(String body) {
+        return readParts(body);
+    }
+
+    private static List<PromptPart> readParts(String body) {
         List<PromptPart> parts = new ArrayList<>();
         for (String part : body.split(" ", -1)) {
             String[] identityAndTokens = part.split(":", -1);
