Withhold parts of prompts that terminate servers, as requests are

Requests with one part in common, no two alike, ended engine after engine; over half of the sound requests beside them were lost.

Cause: ends of servers counted by a digest of the whole request. What all of these requests share is a part of their prompts, which nothing counted.

Why this works: each shared part of a prompt (all but the last) is a suspect of its own, with the periods, reports and store objects that requests have. A part is accused by answers that had not begun, or had for 100 ms at most, and is cleared by every answer that is complete, here or elsewhere, within a minute before or any time after. What two ends have in common and nobody was answered on is the cause. Requests with it are refused as not run before a prompt is computed, and again before its answer is asked for, so in the queue and in retries too. After each period few entries try, one request each, in turns that double (RankedTrialTurns); before, each entry tried by itself. An entry accuses nothing in its first two seconds, since it does not know yet which parts are answered.

Ruled out: turns of one entry each, 5 s long: sound parts accused by mistake stayed away for up to 40 s with 34 entries. Accusing from the start of an entry: after a restart of all, parts in use were refused for 10 s when all engines ended at once. RequestDigest is SuspectDigest now, as it names both.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/QuarantineChange.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/QuarantineChange.java
@@ -3,9 +3,9 @@
 import java.util.Optional;
 
 /**
- * A request entered or left quarantine.
+ * A request or a part of prompts entered or left quarantine.
  *
- * @param request the request
+ * @param suspect the request or the part
  * @param decision the decision that put it into quarantine; empty if it left
  */
-public record QuarantineChange(RequestDigest request, Optional<QuarantineDecision.Quarantined> decision) {}
+public record QuarantineChange(SuspectDigest suspect, Optional<QuarantineDecision.Quarantined> decision) {}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/RecentAnswers.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/RecentAnswers.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Requests that were answered recently. Confined to one thread. */
+/** Requests, or parts of prompts, that were answered recently. Confined to one thread. */
 final class RecentAnswers {
     /**
      * A request that was answered within this time is not fatal: it does not terminate every server that processes it.
@@ -14,21 +14,21 @@
     /** More than an entry answers within {@link #RETENTION}; a few hundred kilobytes. */
     static final int MAX_ANSWERS = 4096;
 
-    private final Map<RequestDigest, Long> answeredAtNanos = new LinkedHashMap<>() {
+    private final Map<SuspectDigest, Long> answeredAtNanos = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<RequestDigest, Long> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<SuspectDigest, Long> eldest) {
             return size() > MAX_ANSWERS;
         }
     };
 
-    void add(RequestDigest request, long nowNanos) {
+    void add(SuspectDigest request, long nowNanos) {
         answeredAtNanos.remove(request);
         answeredAtNanos.put(request, nowNanos);
     }
 
-    boolean contains(RequestDigest request, long nowNanos) {
+    boolean contains(SuspectDigest request, long nowNanos) {
         Long lastAnsweredAt = answeredAtNanos.get(request);
         return lastAnsweredAt != null && nowNanos - lastAnsweredAt <= RETENTION.toNanos();
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Suspect.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Suspect.java
@@ -6,16 +6,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
-/** The server terminations of one request. Confined to one thread. */
-final class SuspectRequest {
+/** The server terminations of one request, or of one part of prompts. Confined to one thread. */
+final class Suspect {
     /** Far more than a decision needs; the oldest are evicted first. */
     private static final int MAX_TERMINATIONS = 12;
 
-    private final RequestDigest digest;
+    private final SuspectDigest digest;
     private final Map<ServerIncarnation, KnownTermination> terminations = new LinkedHashMap<>();
+    private Optional<Trial> trial = Optional.empty();
 
-    SuspectRequest(RequestDigest digest) {
+    Suspect(SuspectDigest digest) {
         this.digest = digest;
     }
 
@@ -36,26 +38,39 @@
         return cleared && !known.cleared();
     }
 
-    /** Records that the request was answered; returns whether this clears a termination. */
+    /** Records that the suspect was answered; returns whether this clears a termination. */
     boolean clear() {
         boolean clears = countedTerminations() > 0;
+        trial = Optional.empty();
         terminations.replaceAll((incarnation, termination) -> new KnownTermination(termination.atNanos(), true));
         return clears;
     }
 
+    /** Records that a request is sent to a server after a quarantine period, as the only one until the given time. */
+    void beginTrial(String requestId, long endsAtNanos) {
+        trial = Optional.of(new Trial(requestId, endsAtNanos));
+    }
+
+    /** Returns until when the trial of another request lasts, in nanoseconds; the smallest number if there is none. */
+    long otherTrialEndsAt(String requestId) {
+        return trial.filter(current -> !current.requestId().equals(requestId))
+                .map(Trial::endsAtNanos)
+                .orElse(Long.MIN_VALUE);
+    }
+
     /** Returns the number of known terminations, cleared or not. */
     int knownTerminations() {
         return terminations.size();
     }
 
-    /** Returns the number of terminations that count against the request. */
+    /** Returns the number of terminations that count against the suspect. */
     int countedTerminations() {
         return (int) terminations.values().stream()
                 .filter(termination -> !termination.cleared())
                 .count();
     }
 
-    /** Returns the time of the latest termination that counts against the request, in nanoseconds. */
+    /** Returns the time of the latest termination that counts against the suspect, in nanoseconds. */
     long lastCountedAt() {
         return terminations.values().stream()
                 .filter(termination -> !termination.cleared())
@@ -91,5 +106,7 @@
         }
     }
 
+    private record Trial(String requestId, long endsAtNanos) {}
+
     private record KnownTermination(long atNanos, boolean cleared) {}
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/SuspectDigest.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/SuspectDigest.java
@@ -5,24 +5,24 @@
 import java.util.Optional;
 
 /**
- * A cryptographic digest of the content by which two arrivals count as the same request. It is infeasible to
- * construct a request with the digest of another caller's request.
+ * A cryptographic digest of what may terminate servers: of the content by which two arrivals count as the same
+ * request, or of a part of prompts. It is infeasible to construct a request with the digest of another caller's request.
  *
  * @param high the first half
  * @param low the second half
  */
-public record RequestDigest(long high, long low) {
+public record SuspectDigest(long high, long low) {
     /** Length of a digest in bytes. */
     public static final int BYTES = 2 * Long.BYTES;
 
     /** Returns the digest made of the first {@link #BYTES} bytes; the array must have at least that many. */
-    public static RequestDigest of(byte[] bytes) {
+    public static SuspectDigest of(byte[] bytes) {
         ByteBuffer buffer = ByteBuffer.wrap(bytes);
-        return new RequestDigest(buffer.getLong(), buffer.getLong());
+        return new SuspectDigest(buffer.getLong(), buffer.getLong());
     }
 
     /** Parses the output of {@link #hex()}; empty if the text is not a digest. */
-    public static Optional<RequestDigest> parse(String text) {
+    public static Optional<SuspectDigest> parse(String text) {
         if (text.length() != 2 * BYTES) {
             return Optional.empty();
         }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueue.java
@@ -23,11 +23,11 @@
     /** Maximum number of requests with several terminations that one report repeats. */
     private static final int MAX_REPEATED_REQUESTS = 4;
 
-    private final Map<RequestDigest, Integer> remainingReports = new LinkedHashMap<>();
+    private final Map<SuspectDigest, Integer> remainingReports = new LinkedHashMap<>();
     private int nextRepeatedIndex;
 
     /** Schedules the terminations of a request for the next reports. */
-    void add(RequestDigest request) {
+    void add(SuspectDigest request) {
         remainingReports.remove(request);
         remainingReports.put(request, REPORTS_PER_TERMINATION);
     }
@@ -35,10 +35,10 @@
     /** Returns the terminations to include in the next report. */
     List<ServerTermination> takeNextReport(Quarantine quarantine, long nowNanos) {
         List<ServerTermination> terminations = new ArrayList<>();
-        Iterator<Map.Entry<RequestDigest, Integer>> iterator =
+        Iterator<Map.Entry<SuspectDigest, Integer>> iterator =
                 remainingReports.entrySet().iterator();
         for (int count = 0; count < MAX_NEW_REQUESTS && iterator.hasNext(); count++) {
-            Map.Entry<RequestDigest, Integer> next = iterator.next();
+            Map.Entry<SuspectDigest, Integer> next = iterator.next();
             terminations.addAll(quarantine.terminations(next.getKey(), nowNanos));
             if (next.getValue() == 1) {
                 iterator.remove();
@@ -46,7 +46,7 @@
                 next.setValue(next.getValue() - 1);
             }
         }
-        List<RequestDigest> repeated = quarantine.requestsWithMultipleTerminations();
+        List<SuspectDigest> repeated = quarantine.requestsWithMultipleTerminations();
         for (int count = 0; count < Math.min(MAX_REPEATED_REQUESTS, repeated.size()); count++) {
             terminations.addAll(quarantine.terminations(
                     repeated.get(Math.floorMod(nextRepeatedIndex++, repeated.size())), nowNanos));
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/package-info.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Detects requests that terminate the servers that process them, and withholds them from further servers. */
+/** Detects requests and parts of prompts that terminate the servers that process them, and withholds them. */
 package org.aspenmoor.internal.serving.quarantine;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/FleetSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/FleetSimulation.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.serving.quarantine;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -37,8 +38,8 @@
     private final Random random;
     private final List<Entry> entries = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
-    private final Map<RequestDigest, FatalRequestRuns> fatalRuns = new HashMap<>();
-    private final Map<RequestDigest, List<ServerTermination>> storedTerminations = new HashMap<>();
+    private final Map<SuspectDigest, FatalRequestRuns> fatalRuns = new HashMap<>();
+    private final Map<SuspectDigest, List<ServerTermination>> storedTerminations = new HashMap<>();
     private final List<Retry> pendingRetries = new ArrayList<>();
     private long nowMillis;
     private long nextId;
@@ -63,7 +64,7 @@
             servers.add(new Server("server-" + number));
         }
         for (int number = 0; number < FATAL_REQUESTS; number++) {
-            fatalRuns.put(new RequestDigest(number, -1), new FatalRequestRuns());
+            fatalRuns.put(new SuspectDigest(number, -1), new FatalRequestRuns());
         }
     }
 
@@ -106,21 +107,21 @@
 
     private void generateArrivals() {
         arrive(nextOrdinaryRequest(), 1);
-        for (RequestDigest request : fatalRuns.keySet()) {
+        for (SuspectDigest request : fatalRuns.keySet()) {
             if (nowMillis >= FATAL_FROM_MILLIS && random.nextDouble() < FATAL_ARRIVALS_PER_STEP) {
                 arrive(request, 1);
             }
         }
     }
 
-    private RequestDigest nextOrdinaryRequest() {
+    private SuspectDigest nextOrdinaryRequest() {
         sentCount++;
         return random.nextDouble() < REPEATED_REQUEST_FRACTION
-                ? new RequestDigest(random.nextInt(REPEATED_REQUESTS), REPEATED_REQUEST_MARK)
-                : new RequestDigest(nextId++, 0);
+                ? new SuspectDigest(random.nextInt(REPEATED_REQUESTS), REPEATED_REQUEST_MARK)
+                : new SuspectDigest(nextId++, 0);
     }
 
-    private void arrive(RequestDigest request, int attempt) {
+    private void arrive(SuspectDigest request, int attempt) {
         Entry entry = entries.get(random.nextInt(ENTRIES));
         boolean withheld = entry.quarantine.decide(request, nowNanos()) instanceof QuarantineDecision.Quarantined;
         if (quarantineEnabled && withheld) {
@@ -138,7 +139,7 @@
         server.runs.add(new Run(request, entry, attempt, nowMillis + durationMillis));
     }
 
-    private void countRefusal(RequestDigest request) {
+    private void countRefusal(SuspectDigest request) {
         if (isRepeated(request)) {
             repeatedRefused++;
         } else if (!fatalRuns.containsKey(request)) {
@@ -146,7 +147,7 @@
         }
     }
 
-    private static boolean isRepeated(RequestDigest request) {
+    private static boolean isRepeated(SuspectDigest request) {
         return request.low() == REPEATED_REQUEST_MARK;
     }
 
@@ -224,7 +225,7 @@
     }
 
     private final class Entry {
-        private final Quarantine quarantine = new Quarantine();
+        private final Quarantine quarantine = new Quarantine(suspect -> Duration.ZERO, 0);
 
         Entry() {
             storedTerminations
@@ -233,14 +234,14 @@
                             termination -> quarantine.terminationReported(termination, nowNanos())));
         }
 
-        void serverTerminated(RequestDigest request, ServerIncarnation incarnation) {
+        void serverTerminated(SuspectDigest request, ServerIncarnation incarnation) {
             quarantine.serverTerminated(request, incarnation, nowNanos());
             if (quarantine.requestsWithMultipleTerminations().contains(request)) {
                 storedTerminations.put(request, quarantine.terminations(request, nowNanos()));
             }
         }
 
-        void requestAnswered(RequestDigest request) {
+        void requestAnswered(SuspectDigest request) {
             if (quarantine.requestAnswered(request, nowNanos())) {
                 storedTerminations.computeIfPresent(
                         request, (digest, terminations) -> quarantine.terminations(request, nowNanos()));
@@ -259,7 +260,7 @@
         }
     }
 
-    private record Run(RequestDigest request, Entry entry, int attempt, long endsAtMillis) {}
+    private record Run(SuspectDigest request, Entry entry, int attempt, long endsAtMillis) {}
 
-    private record Retry(RequestDigest request, int attempt, long dueAtMillis) {}
+    private record Retry(SuspectDigest request, int attempt, long dueAtMillis) {}
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/QuarantineTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/QuarantineTest.java
@@ -11,14 +11,14 @@
 import org.testng.annotations.Test;
 
 public class QuarantineTest {
-    private static final RequestDigest REQUEST = new RequestDigest(1, 2);
+    private static final SuspectDigest REQUEST = new SuspectDigest(1, 2);
     private static final Duration NO_AGE = Duration.ZERO;
 
     private Quarantine quarantine;
 
     @BeforeMethod
     public void start() {
-        quarantine = new Quarantine();
+        quarantine = new Quarantine(suspect -> Duration.ZERO, 0);
     }
 
     @Test
@@ -192,14 +192,14 @@
     public void should_keep_the_requests_with_the_most_terminations_when_there_are_too_many() {
         terminated("one", "two", "three");
         for (int other = 0; other < 2 * Quarantine.MAX_SUSPECTS; other++) {
-            RequestDigest request = new RequestDigest(other, 7);
+            SuspectDigest request = new SuspectDigest(other, 7);
             quarantine.terminationReported(
                     new ServerTermination(request, new ServerIncarnation("server-" + other, 1), NO_AGE, false),
                     other + 1);
         }
 
         assertTrue(quarantine.decide(REQUEST, 0) instanceof QuarantineDecision.Quarantined);
-        assertEquals(quarantine.decide(new RequestDigest(0, 7), 0), new QuarantineDecision.Clear());
+        assertEquals(quarantine.decide(new SuspectDigest(0, 7), 0), new QuarantineDecision.Clear());
     }
 
     private void terminated(String... serverIds) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/RequestDigestTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/RequestDigestTest.java
@@ -8,16 +8,16 @@
 public class RequestDigestTest {
     @Test
     public void should_restore_a_digest_when_parsing_its_own_output() {
-        RequestDigest digest = new RequestDigest(-17, 4_711);
+        SuspectDigest digest = new SuspectDigest(-17, 4_711);
 
-        assertEquals(RequestDigest.parse(digest.hex()), Optional.of(digest));
-        assertEquals(RequestDigest.of(digest.bytes()), digest);
+        assertEquals(SuspectDigest.parse(digest.hex()), Optional.of(digest));
+        assertEquals(SuspectDigest.of(digest.bytes()), digest);
     }
 
     @Test
     public void should_return_empty_when_the_text_is_not_a_digest() {
-        assertEquals(RequestDigest.parse(""), Optional.empty());
-        assertEquals(RequestDigest.parse("0123"), Optional.empty());
-        assertEquals(RequestDigest.parse("zz".repeat(RequestDigest.BYTES)), Optional.empty());
+        assertEquals(SuspectDigest.parse(""), Optional.empty());
+        assertEquals(SuspectDigest.parse("0123"), Optional.empty());
+        assertEquals(SuspectDigest.parse("zz".repeat(SuspectDigest.BYTES)), Optional.empty());
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueueTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueueTest.java
@@ -8,8 +8,8 @@
 import org.testng.annotations.Test;
 
 public class TerminationReportQueueTest {
-    private static final RequestDigest SINGLE_TERMINATION = new RequestDigest(1, 1);
-    private static final RequestDigest TWO_TERMINATIONS = new RequestDigest(2, 2);
+    private static final SuspectDigest SINGLE_TERMINATION = new SuspectDigest(1, 1);
+    private static final SuspectDigest TWO_TERMINATIONS = new SuspectDigest(2, 2);
     private static final int ENOUGH_REPORTS = 20;
 
     private Quarantine quarantine;
@@ -17,7 +17,7 @@
 
     @BeforeMethod
     public void start() {
-        quarantine = new Quarantine();
+        quarantine = new Quarantine(suspect -> Duration.ZERO, 0);
         reportQueue = new TerminationReportQueue();
     }
 
@@ -60,7 +60,7 @@
     public void should_bound_each_report_and_include_every_termination_when_there_are_many() {
         int requests = 100;
         for (int request = 0; request < requests; request++) {
-            RequestDigest digest = new RequestDigest(request, 3);
+            SuspectDigest digest = new SuspectDigest(request, 3);
             terminate(digest, "server");
             reportQueue.add(digest);
         }
@@ -74,7 +74,7 @@
         assertEquals(reported, 5 * requests);
     }
 
-    private void terminate(RequestDigest request, String serverId) {
+    private void terminate(SuspectDigest request, String serverId) {
         quarantine.terminationReported(
                 new ServerTermination(request, new ServerIncarnation(serverId, 1), Duration.ZERO, false), 0);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -61,6 +61,7 @@
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
+import org.aspenmoor.internal.serving.quarantine.RankedTrialTurns;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -135,7 +136,8 @@
                 state.serverObserver(),
                 longRoundTask);
         this.waitQueues = new WaitQueues(time, eventLoop);
-        this.fatalRequests = new FatalRequestTracker(time, log);
+        this.fatalRequests =
+                new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.origins = new StreamOriginTracker(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -20,9 +20,9 @@
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.limit.ShareClaim;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.aspenmoor.internal.wire.v1.PeerLoad;
 
 /** Converts reports to datagrams and back. */
@@ -140,7 +140,7 @@
 
     private static PeerLoad.End serialise(ServerTermination termination) {
         return PeerLoad.End.newBuilder()
-                .setRequest(ByteString.copyFrom(termination.request().bytes()))
+                .setRequest(ByteString.copyFrom(termination.suspect().bytes()))
                 .setServer(termination.incarnation().serverId())
                 .setStartedAt(termination.incarnation().startedAt())
                 .setAgeMilliseconds((int) termination.age().toMillis())
@@ -151,8 +151,8 @@
     private static List<ServerTermination> parseTerminations(PeerLoad message) {
         List<ServerTermination> terminations = new ArrayList<>();
         for (PeerLoad.End end : message.getEndsList()) {
-            if (end.getRequest().size() == RequestDigest.BYTES) {
-                RequestDigest request = RequestDigest.of(end.getRequest().toByteArray());
+            if (end.getRequest().size() == SuspectDigest.BYTES) {
+                SuspectDigest request = SuspectDigest.of(end.getRequest().toByteArray());
                 ServerIncarnation incarnation = new ServerIncarnation(end.getServer(), end.getStartedAt());
                 Duration age = Duration.ofMillis(Integer.toUnsignedLong(end.getAgeMilliseconds()));
                 terminations.add(new ServerTermination(request, incarnation, age, end.getExcused()));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestCodec.java
@@ -6,9 +6,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.StoreMalformedException;
@@ -26,7 +26,7 @@
 
     private FatalRequestCodec() {}
 
-    static ObjectKey key(RequestDigest request) {
+    static ObjectKey key(SuspectDigest request) {
         return new ObjectKey(ObjectKind.FATAL_REQUEST, ObjectKey.PLATFORM_NAMESPACE, request.hex());
     }
 
@@ -46,7 +46,7 @@
 
     static List<ServerTermination> parse(StoredObject object, long timeOfDayMillis) throws StoreMalformedException {
         String name = object.key().name();
-        RequestDigest request = RequestDigest.parse(name)
+        SuspectDigest request = SuspectDigest.parse(name)
                 .orElseThrow(() -> new StoreMalformedException(
                         "The object's name is not a request digest.",
                         object.key().toString(),
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestSynchroniser.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestSynchroniser.java
@@ -12,8 +12,8 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.serving.quarantine.Quarantine;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.store.StoreConflictException;
 import org.aspenmoor.internal.store.StoreException;
@@ -55,7 +55,7 @@
     private final RandomGenerator random;
     private final DecisionLog log;
     private final DependencyLog dependency;
-    private final Map<RequestDigest, StoredObject> storedObjects = new ConcurrentHashMap<>();
+    private final Map<SuspectDigest, StoredObject> storedObjects = new ConcurrentHashMap<>();
     private final Semaphore changes = new Semaphore(0);
     private final Semaphore ownTerminations = new Semaphore(0);
 
@@ -93,7 +93,7 @@
         try {
             List<ServerTermination> terminations = FatalRequestCodec.parse(object, timeOfDayMillis());
             if (!terminations.isEmpty()) {
-                storedObjects.put(terminations.getFirst().request(), object);
+                storedObjects.put(terminations.getFirst().suspect(), object);
                 eventLoop.execute(() -> tracker.terminationsReported(terminations, "the store"));
             }
         } catch (StoreMalformedException malformed) {
@@ -107,7 +107,7 @@
 
     @Override
     public void deleted(StoredObject object) {
-        RequestDigest.parse(object.key().name()).ifPresent(storedObjects::remove);
+        SuspectDigest.parse(object.key().name()).ifPresent(storedObjects::remove);
         changes.release();
     }
 
@@ -156,11 +156,11 @@
 
     /** Writes what the store lacks and deletes what has expired there; returns whether this succeeded. */
     boolean updateStore() {
-        Map<RequestDigest, List<ServerTermination>> toStore = CompletableFuture.supplyAsync(
+        Map<SuspectDigest, List<ServerTermination>> toStore = CompletableFuture.supplyAsync(
                         tracker::terminationsToStore, eventLoop)
                 .join();
         try {
-            for (Map.Entry<RequestDigest, List<ServerTermination>> entry : toStore.entrySet()) {
+            for (Map.Entry<SuspectDigest, List<ServerTermination>> entry : toStore.entrySet()) {
                 write(entry.getKey(), entry.getValue());
             }
             for (StoredObject object : List.copyOf(storedObjects.values())) {
@@ -178,7 +178,7 @@
         }
     }
 
-    private void write(RequestDigest request, List<ServerTermination> local) throws StoreException {
+    private void write(SuspectDigest request, List<ServerTermination> local) throws StoreException {
         StoredObject storedObject = storedObjects.get(request);
         List<ServerTermination> stored =
                 storedObject == null ? List.of() : FatalRequestCodec.parse(storedObject, timeOfDayMillis());
@@ -194,7 +194,7 @@
         }
     }
 
-    private void create(RequestDigest request, String value) throws StoreException {
+    private void create(SuspectDigest request, String value) throws StoreException {
         if (storedObjects.size() >= MAX_STORED) {
             log.notable("fatal-request-not-stored")
                     .with("digest", request.hex())
@@ -211,7 +211,7 @@
                 .allMatch(termination -> termination.age().compareTo(DELETE_AFTER) > 0);
         if (expired) {
             store.delete(object);
-            RequestDigest.parse(object.key().name()).ifPresent(storedObjects::remove);
+            SuspectDigest.parse(object.key().name()).ifPresent(storedObjects::remove);
         }
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestTracker.java
@@ -9,13 +9,14 @@
 import org.aspenmoor.internal.serving.quarantine.Quarantine;
 import org.aspenmoor.internal.serving.quarantine.QuarantineChange;
 import org.aspenmoor.internal.serving.quarantine.QuarantineDecision;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
+import org.aspenmoor.internal.serving.quarantine.TrialTurns;
 import org.aspenmoor.internal.time.TimeSource;
 
 /**
- * Tracks requests that terminate servers, from this entry's own requests and from the reports of others. Confined
+ * Tracks requests and parts of prompts that terminate servers, from this entry's own requests and from the reports of others. Confined
  * to the event loop.
  */
 public final class FatalRequestTracker {
@@ -23,13 +24,19 @@
 
     private final TimeSource time;
     private final DecisionLog log;
-    private final Quarantine quarantine = new Quarantine();
+    private final Quarantine quarantine;
     private ChangeListener changeListener = observedHere -> {};
     private long lastExpiryNanos;
 
-    public FatalRequestTracker(TimeSource time, DecisionLog log) {
+    /**
+     * Creates a tracker that knows no terminations.
+     *
+     * @param trialTurns when this entry may try a suspect after a quarantine period
+     */
+    public FatalRequestTracker(TimeSource time, DecisionLog log, TrialTurns trialTurns) {
         this.time = time;
         this.log = log;
+        this.quarantine = new Quarantine(trialTurns, time.monotonicNanos());
         this.lastExpiryNanos = time.monotonicNanos();
     }
 
@@ -43,21 +50,41 @@
         return quarantine.isEmpty();
     }
 
-    /** Decides whether a request may be sent to a server. */
-    public QuarantineDecision decide(RequestDigest request) {
-        return quarantine.decide(request, nowNanos());
+    /** Decides whether a request may be sent to a server with a suspect: itself, or a part of its prompt. */
+    public QuarantineDecision decide(SuspectDigest suspect, String requestId) {
+        return quarantine.decide(suspect, requestId, nowNanos());
+    }
+
+    /** Records that a request is sent to find out whether a suspect still terminates servers. */
+    public void beginTrial(SuspectDigest suspect, String requestId) {
+        quarantine.beginTrial(suspect, requestId, nowNanos());
+        log.notable("quarantine-trial")
+                .with("digest", suspect.hex())
+                .with("request", requestId)
+                .write();
     }
 
     /** Records that a server terminated while it processed a request of this entry. */
-    public void serverTerminated(RequestDigest request, ServerIncarnation incarnation) {
+    public void serverTerminated(SuspectDigest request, ServerIncarnation incarnation) {
         if (quarantine.serverTerminated(request, incarnation, nowNanos())) {
             notifyChanged("own requests", true);
         }
     }
 
-    /** Records that a request was answered, which clears its server terminations. */
-    public void requestAnswered(RequestDigest request) {
-        if (quarantine.requestAnswered(request, nowNanos())) {
+    /** Records that a server terminated while it began an answer of this entry that is based on a part. */
+    public void serverTerminatedOnPart(SuspectDigest part, ServerIncarnation incarnation) {
+        if (quarantine.serverTerminatedOnPart(part, incarnation, nowNanos())) {
+            notifyChanged("own requests", true);
+        }
+    }
+
+    /** Records that a request was answered, which clears its server terminations and those of its prompt's parts. */
+    public void requestAnswered(SuspectDigest request, List<SuspectDigest> parts) {
+        boolean changed = quarantine.requestAnswered(request, nowNanos());
+        for (SuspectDigest part : parts) {
+            changed |= quarantine.partAnswered(part, nowNanos());
+        }
+        if (changed) {
             notifyChanged("request was answered", false);
         }
     }
@@ -79,15 +106,15 @@
     }
 
     /** Returns the terminations that have to be stored: those of requests with terminations on more than one server. */
-    public Map<RequestDigest, List<ServerTermination>> terminationsToStore() {
-        Map<RequestDigest, List<ServerTermination>> terminations = new LinkedHashMap<>();
+    public Map<SuspectDigest, List<ServerTermination>> terminationsToStore() {
+        Map<SuspectDigest, List<ServerTermination>> terminations = new LinkedHashMap<>();
         quarantine
                 .requestsWithMultipleTerminations()
                 .forEach(request -> terminations.put(request, quarantine.terminations(request, nowNanos())));
         return terminations;
     }
 
-    /** Returns the number of requests in quarantine. */
+    /** Returns the number of requests and parts in quarantine. */
     public int quarantinedCount() {
         return quarantine.quarantinedCount();
     }
@@ -116,7 +143,7 @@
     private void logChange(QuarantineChange change, String source) {
         if (change.decision().isEmpty()) {
             log.notable("request-released")
-                    .with("digest", change.request().hex())
+                    .with("digest", change.suspect().hex())
                     .with("reason", source)
                     .write();
             return;
@@ -124,10 +151,10 @@
         QuarantineDecision.Quarantined decision = change.decision().get();
         List<String> serverIds = new ArrayList<>();
         quarantine
-                .terminations(change.request(), nowNanos())
+                .terminations(change.suspect(), nowNanos())
                 .forEach(termination -> serverIds.add(termination.incarnation().serverId()));
         log.notable("request-quarantined")
-                .with("digest", change.request().hex())
+                .with("digest", change.suspect().hex())
                 .with("ends", decision.terminations())
                 .with("servers", String.join(",", serverIds))
                 .with("forSeconds", decision.remaining().toSeconds())
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/TerminationMerge.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/TerminationMerge.java
@@ -40,6 +40,6 @@
 
     private static ServerTermination merge(ServerTermination one, ServerTermination other) {
         Duration maxAge = one.age().compareTo(other.age()) > 0 ? one.age() : other.age();
-        return new ServerTermination(one.request(), one.incarnation(), maxAge, one.cleared() || other.cleared());
+        return new ServerTermination(one.suspect(), one.incarnation(), maxAge, one.cleared() || other.cleared());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
@@ -1,38 +1,52 @@
 package org.aspenmoor.internal.gateway.request;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
+import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.quarantine.Quarantine;
 import org.aspenmoor.internal.serving.quarantine.QuarantineDecision;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 
 /**
- * Checks whether one request is quarantined because it terminates servers, and reports terminations that its own
- * attempts cause. Confined to the event loop.
+ * Checks whether one request is quarantined because it, or a part of its prompt, terminates servers, and reports
+ * terminations that its own attempts cause. Confined to the event loop.
  */
 final class FatalRequestCheck {
     /** If a server terminates later than this after an answer began, the request is not considered the cause. */
     private static final Duration MAX_FATAL_RUN = Duration.ofSeconds(1);
 
+    /**
+     * A part terminates a server as its answer begins. If an answer began longer ago, its parts are not considered the
+     * cause.
+     */
+    private static final Duration MAX_FATAL_BEGINNING = Duration.ofMillis(100);
+
     private final ServingContext context;
     private final FatalRequestTracker fatalRequests;
-    private final String requestId;
+    private final CallerHeaders caller;
     private final String service;
     private final IncomingRequest incoming;
     private final RequestTrace trace;
-    private RequestDigest digest;
+    private SuspectDigest digest;
+    private List<SuspectDigest> parts;
     private int unconfirmedTerminations;
 
     FatalRequestCheck(
-            ServingContext context, String requestId, String service, IncomingRequest incoming, RequestTrace trace) {
+            ServingContext context,
+            CallerHeaders caller,
+            String service,
+            IncomingRequest incoming,
+            RequestTrace trace) {
         this.context = context;
         this.fatalRequests = context.fatalRequests();
-        this.requestId = requestId;
+        this.caller = caller;
         this.service = service;
         this.incoming = incoming;
         this.trace = trace;
@@ -40,41 +54,82 @@
 
     /** Returns the remaining quarantine period of the request and records the refusal; empty if the request may run. */
     Optional<Duration> checkQuarantine() {
-        return switch (decision()) {
-            case QuarantineDecision.Clear clear -> Optional.empty();
-            case QuarantineDecision.Suspected suspected -> Optional.empty();
-            case QuarantineDecision.Quarantined quarantined -> {
-                context.metrics().quarantined(service);
-                trace.setReason("running it has terminated backend servers, " + quarantined.terminations()
-                        + " so far; digest " + digest().hex());
-                yield Optional.of(quarantined.remaining());
+        if (fatalRequests.isEmpty()) {
+            return Optional.empty();
+        }
+        for (SuspectDigest suspect : suspects()) {
+            if (decision(suspect) instanceof QuarantineDecision.Quarantined quarantined) {
+                recordRefusal(suspect, quarantined);
+                return Optional.of(quarantined.remaining());
             }
-        };
+        }
+        suspects().stream()
+                .filter(this::trialNeeded)
+                .forEach(suspect -> fatalRequests.beginTrial(suspect, requestId()));
+        return Optional.empty();
     }
 
     /** Returns whether the request may be sent to another server, counting terminations that are not yet confirmed. */
     boolean mayRetry() {
-        return switch (decision()) {
+        if (fatalRequests.isEmpty()) {
+            return unconfirmedTerminations < Quarantine.MIN_TERMINATIONS;
+        }
+        return suspects().stream().allMatch(suspect -> switch (decision(suspect)) {
             case QuarantineDecision.Clear clear -> unconfirmedTerminations < Quarantine.MIN_TERMINATIONS;
             case QuarantineDecision.Suspected suspected ->
                 suspected.terminations() + unconfirmedTerminations < Quarantine.MIN_TERMINATIONS;
             case QuarantineDecision.Quarantined quarantined -> false;
-        };
+        });
     }
 
-    /** Records that the request was answered, which clears it of the suspicion that it terminates servers. */
+    /** Records that the request was answered, which clears it and the parts of its prompt of suspicion. */
     void answered() {
-        fatalRequests.requestAnswered(digest());
+        fatalRequests.requestAnswered(digest(), parts());
+    }
+
+    private List<SuspectDigest> suspects() {
+        List<SuspectDigest> suspects = new ArrayList<>(parts());
+        suspects.add(digest());
+        return suspects;
+    }
+
+    private QuarantineDecision decision(SuspectDigest suspect) {
+        return fatalRequests.decide(suspect, requestId());
+    }
+
+    private boolean trialNeeded(SuspectDigest suspect) {
+        return decision(suspect) instanceof QuarantineDecision.Suspected suspected && suspected.trialOnly();
+    }
+
+    private void recordRefusal(SuspectDigest suspect, QuarantineDecision.Quarantined quarantined) {
+        context.metrics().quarantined(service);
+        String cause = suspect.equals(digest()) ? "running it" : "beginning an answer to a part of its prompt";
+        trace.setReason(cause + " has terminated backend servers, " + quarantined.terminations() + " so far; digest "
+                + suspect.hex());
     }
 
     /** Returns the request's digest, computed on first use. */
-    RequestDigest digest() {
+    SuspectDigest digest() {
         if (digest == null) {
             digest = RequestDigests.of(incoming);
         }
         return digest;
     }
 
+    /** Returns the digests of the shared parts of the request's prompt, computed on first use. */
+    private List<SuspectDigest> parts() {
+        if (parts == null) {
+            parts = caller.prompt()
+                    .map(prompt -> PromptPartDigests.of(service, prompt))
+                    .orElse(List.of());
+        }
+        return parts;
+    }
+
+    private String requestId() {
+        return caller.requestId();
+    }
+
     /**
      * Records that a connection broke before the answer was complete, and probes whether the server has terminated.
      *
@@ -82,15 +137,12 @@
      */
     void connectionBroken(BackendServer server, AssignedWork work, Duration sinceAnswerBegan) {
         Duration sinceSent = Duration.ofNanos(context.state().time().monotonicNanos() - work.startedAtNanos());
-        InterruptedAttempt attempt = new InterruptedAttempt(requestId, digest(), server, sinceSent, sinceAnswerBegan);
+        InterruptedAttempt attempt =
+                new InterruptedAttempt(requestId(), digest(), parts(), server, sinceSent, sinceAnswerBegan);
         unconfirmedTerminations++;
         context.connections().probe(server, terminated -> probed(attempt, terminated));
     }
 
-    private QuarantineDecision decision() {
-        return fatalRequests.isEmpty() ? new QuarantineDecision.Clear() : fatalRequests.decide(digest());
-    }
-
     private void probed(InterruptedAttempt attempt, boolean terminated) {
         unconfirmedTerminations--;
         if (!terminated) {
@@ -100,8 +152,15 @@
         boolean planned = !context.state().acceptsWork(server);
         context.metrics().serverTerminated(server.service(), planned);
         logTermination(attempt, planned);
-        if (!planned && attempt.sinceAnswerBegan().compareTo(MAX_FATAL_RUN) <= 0) {
-            fatalRequests.serverTerminated(attempt.digest(), ServerIncarnation.of(server));
+        if (planned) {
+            return;
+        }
+        ServerIncarnation incarnation = ServerIncarnation.of(server);
+        if (attempt.sinceAnswerBegan().compareTo(MAX_FATAL_RUN) <= 0) {
+            fatalRequests.serverTerminated(attempt.digest(), incarnation);
+        }
+        if (attempt.sinceAnswerBegan().compareTo(MAX_FATAL_BEGINNING) <= 0) {
+            attempt.parts().forEach(part -> fatalRequests.serverTerminatedOnPart(part, incarnation));
         }
     }
 
@@ -115,6 +174,11 @@
                 .notable("server-ended")
                 .with("request", attempt.requestId())
                 .with("digest", attempt.digest().hex())
+                .with(
+                        "parts",
+                        String.join(
+                                " ",
+                                attempt.parts().stream().map(SuspectDigest::hex).toList()))
                 .with("service", server.service())
                 .with("server", server.id())
                 .with("startedAt", server.startedAt())
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
@@ -8,7 +8,7 @@
 import java.util.Locale;
 import org.aspenmoor.internal.digest.Sha256;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 
 /**
  * Computes a digest that is the same for all arrivals of one request: it covers method, host, path, the caller's
@@ -20,7 +20,7 @@
 final class RequestDigests {
     private RequestDigests() {}
 
-    static RequestDigest of(IncomingRequest incoming) {
+    static SuspectDigest of(IncomingRequest incoming) {
         MessageDigest digest = Sha256.create();
         update(digest, incoming.head().method().name());
         update(digest, incoming.host().toLowerCase(Locale.ROOT));
@@ -30,7 +30,7 @@
         for (ByteBuffer part : body.nioBuffers(body.readerIndex(), body.readableBytes())) {
             digest.update(part);
         }
-        return RequestDigest.of(digest.digest());
+        return SuspectDigest.of(digest.digest());
     }
 
     /** Adds a text with its length, so that different lists of texts never give the same input. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -85,7 +85,7 @@
                 triedServers,
                 trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
-        this.fatalCheck = new FatalRequestCheck(context, caller.requestId(), service, incoming, trace);
+        this.fatalCheck = new FatalRequestCheck(context, caller, service, incoming, trace);
         this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, trace);
         this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
         this.usage = new RequestUsage(context, authorisation, route);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -39,9 +39,9 @@
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
 import org.aspenmoor.internal.serving.origin.VersionSighting;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.time.SystemTimeSource;
@@ -65,7 +65,7 @@
             List.of(new LearnedSpeed("drafting", EngineRole.DECODE, 0.25, 0.015625));
 
     private static final List<ServerTermination> TERMINATIONS = List.of(new ServerTermination(
-            new RequestDigest(-1, 5),
+            new SuspectDigest(-1, 5),
             new ServerIncarnation("server", 1_786_504_654_297L),
             Duration.ofMillis(250),
             true));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestSynchroniserTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestSynchroniserTest.java
@@ -13,9 +13,9 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.quarantine.Quarantine;
 import org.aspenmoor.internal.serving.quarantine.QuarantineDecision;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.quarantine.ServerTermination;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -26,7 +26,7 @@
 import org.testng.annotations.Test;
 
 public class FatalRequestSynchroniserTest {
-    private static final RequestDigest REQUEST = new RequestDigest(1, 2);
+    private static final SuspectDigest REQUEST = new SuspectDigest(1, 2);
 
     private InMemoryObjectStore store;
     private ManualTimeSource time;
@@ -39,7 +39,7 @@
         store = new InMemoryObjectStore();
         time = new ManualTimeSource();
         synchronised = false;
-        tracker = new FatalRequestTracker(time, log());
+        tracker = new FatalRequestTracker(time, log(), suspect -> Duration.ZERO);
         synchroniser = synchroniser(tracker);
     }
 
@@ -78,14 +78,14 @@
     public void should_quarantine_a_request_when_another_entry_has_stored_it() throws Exception {
         terminated("one", "two");
         synchroniser.updateStore();
-        FatalRequestTracker newTracker = new FatalRequestTracker(time, log());
+        FatalRequestTracker newTracker = new FatalRequestTracker(time, log(), suspect -> Duration.ZERO);
         FatalRequestSynchroniser other = synchroniser(newTracker);
 
         stored().forEach(other::changed);
         other.synchronised();
 
         assertTrue(synchronised);
-        assertTrue(newTracker.decide(REQUEST) instanceof QuarantineDecision.Quarantined);
+        assertTrue(newTracker.decide(REQUEST, "") instanceof QuarantineDecision.Quarantined);
     }
 
     // Guards against forgetting a request because the store was restored from an older copy.
@@ -107,7 +107,7 @@
     public void should_merge_terminations_when_another_entry_has_written_first() throws Exception {
         terminated("one", "two");
         synchroniser.updateStore();
-        FatalRequestTracker otherTracker = new FatalRequestTracker(time, log());
+        FatalRequestTracker otherTracker = new FatalRequestTracker(time, log(), suspect -> Duration.ZERO);
         FatalRequestSynchroniser other = synchroniser(otherTracker);
         otherTracker.serverTerminated(REQUEST, new ServerIncarnation("three", 1));
         otherTracker.serverTerminated(REQUEST, new ServerIncarnation("four", 1));
@@ -123,7 +123,7 @@
     public void should_store_terminations_as_cleared_when_the_request_was_answered() throws Exception {
         terminated("one", "two");
         synchroniser.updateStore();
-        tracker.requestAnswered(REQUEST);
+        tracker.requestAnswered(REQUEST, List.of());
 
         synchroniser.updateStore();
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/request/RequestDigestsTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/request/RequestDigestsTest.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
-import org.aspenmoor.internal.serving.quarantine.RequestDigest;
+import org.aspenmoor.internal.serving.quarantine.SuspectDigest;
 import org.testng.annotations.Test;
 
 public class RequestDigestsTest {
@@ -35,14 +35,14 @@
 
     @Test
     public void should_give_different_digests_when_host_path_or_body_differs() {
-        RequestDigest digest = digest("/read/a", "h", "", "body", "1");
+        SuspectDigest digest = digest("/read/a", "h", "", "body", "1");
 
         assertNotEquals(digest("/read/b", "h", "", "body", "1"), digest);
         assertNotEquals(digest("/read/a", "i", "", "body", "1"), digest);
         assertNotEquals(digest("/read/a", "h", "", "other", "1"), digest);
     }
 
-    private static RequestDigest digest(String uri, String host, String credentials, String body, String id) {
+    private static SuspectDigest digest(String uri, String host, String credentials, String body, String id) {
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, uri);
         head.headers().set("Host", host).set("Test-Id", id);
         if (!credentials.isEmpty()) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.aspenmoor.internal.engine.EngineRole;
@@ -23,6 +24,9 @@
     private static final String SERVER_TERMINATED_EVENT = "\"event\":\"server-ended\"";
     private static final String FATAL_PART = "fatal";
 
+    /** Entries that have just started do not accuse parts. */
+    private static final Duration TIME_SINCE_START = Duration.ofSeconds(10);
+
     private static final int SERVERS = 12;
     private static final int ARRIVALS = 12;
 
@@ -54,6 +58,7 @@
                     FatalPromptPartTest::crashIfFatal));
         }
         gateway.publish();
+        gateway.advanceTime(TIME_SINCE_START);
     }
 
     @AfterMethod
@@ -68,7 +73,7 @@
 
     // Guards against a part of prompts that terminates one server after another because no two requests with it are
     // alike.
-    @Test(groups = "known-red")
+    @Test
     public void should_refuse_requests_with_part_when_it_has_terminated_servers() throws Exception {
         ReceivedRequest last = sendFatalRequests(gateway);
 
@@ -78,7 +83,7 @@
     }
 
     // Guards against prompts that are computed for answers that will not be asked for.
-    @Test(groups = "known-red")
+    @Test
     public void should_not_prefill_when_part_is_quarantined() throws Exception {
         sendFatalRequests(gateway);
 
@@ -89,7 +94,7 @@
     }
 
     // Guards against sound requests that are refused because they share a first part with fatal ones.
-    @Test(groups = "known-red")
+    @Test
     public void should_serve_requests_with_same_first_part_when_another_part_is_fatal() throws Exception {
         send(gateway, "application:900 sound:300");
         sendFatalRequests(gateway);
@@ -101,7 +106,7 @@
     }
 
     // Guards against a part that terminates the full number of servers through each entry.
-    @Test(groups = "known-red")
+    @Test
     public void should_refuse_requests_with_part_when_servers_terminated_at_another_entry() throws Exception {
         TestGateway second = startEntry("second-entry");
         for (int arrival = 0; arrival < ARRIVALS; arrival++) {
@@ -119,7 +124,7 @@
     }
 
     // Guards against entries that lose the list of fatal parts when all of them are restarted.
-    @Test(groups = "known-red")
+    @Test
     public void should_keep_quarantine_of_part_when_all_entries_are_restarted() throws Exception {
         sendFatalRequests(gateway);
         gateway.awaitLogged("\"event\":\"fatal-request-stored\"");
@@ -138,7 +143,10 @@
         int terminatedBefore = terminatedServers();
         for (int arrival = 0; arrival < ARRIVALS && terminatedServers() < SERVERS; arrival++) {
             answer = sendFatalRequest(entry);
-            entry.awaitLogged(SERVER_TERMINATED_EVENT, terminatedServers() - terminatedBefore);
+            int terminated = terminatedServers() - terminatedBefore;
+            if (terminated > 0) {
+                entry.awaitLogged(SERVER_TERMINATED_EVENT, terminated);
+            }
         }
         return answer;
     }
@@ -162,6 +170,7 @@
 
     private TestGateway startEntry(String process) throws Exception {
         TestGateway entry = gateway.startAnother(process);
+        entry.advanceTime(TIME_SINCE_START);
         otherEntries.add(entry);
         return entry;
     }
