--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -40,6 +40,8 @@
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    private static final String HEAD_WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\n\r\n";
+
     private TestGateway gateway;
 
     @BeforeMethod
@@ -68,6 +70,30 @@
         }
     }
 
+    @Test
+    public void should_complete_stream_without_length_when_connection_ends() throws Exception {
+        backend("one", EngineRole.WHOLE, request -> Reply.thenClose(HEAD_WITHOUT_LENGTH + eventText(1) + eventText(2)));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/once/"));
+
+            assertEquals(caller.readAnswer().body(), eventText(1) + eventText(2));
+        }
+    }
+
+    // An engine breaks off a stream that only its connection's end would complete. The caller must not take it for
+    // complete.
+    @Test
+    public void should_break_connection_to_caller_when_stream_without_length_ends_within_event() throws Exception {
+        backend("one", EngineRole.WHOLE, request -> Reply.thenClose(HEAD_WITHOUT_LENGTH + eventText(1) + "id: 2\nda"));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/once/"));
+
+            assertThrows(EOFException.class, caller::readAnswer);
+        }
+    }
+
     // An engine crashes in the middle of a draft. The caller must be able to see that the draft is incomplete;
     // otherwise it would be stored without its end.
     @Test
