End trials of suspects that have shown nothing; names of what quarantine tracks

A request that was to try a suspect and was then refused for lack of capacity, or left, kept all others with the suspect away for ten seconds at its entry. Its end ends the trial now, unless a server that broke its connection is still being probed. Tests of trials, turns and accusations of parts; one answer of the stand-ins that stood twice is one.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Quarantine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Quarantine.java
@@ -57,7 +57,7 @@
     static final int MAX_SUSPECTS = 2000;
 
     private final Map<SuspectDigest, Suspect> suspects = new HashMap<>();
-    /** Requests with terminations on more than one server; most other suspects are coincidental. */
+    /** Suspects with terminations on more than one server; most other suspects are coincidental. */
     private final Set<SuspectDigest> multipleTerminations = new LinkedHashSet<>();
 
     private final Set<SuspectDigest> quarantined = new HashSet<>();
@@ -155,6 +155,11 @@
         return isEmpty() ? List.of() : reportQueue.takeNextReport(this, nowNanos);
     }
 
+    /** Ends a trial that has shown nothing, such as that of a request which was refused for lack of capacity. */
+    public void endTrial(SuspectDigest suspect, String requestId) {
+        Optional.ofNullable(suspects.get(suspect)).ifPresent(known -> known.endTrial(requestId));
+    }
+
     /** Decides whether a suspect may be sent to a server; {@code nowNanos} is monotonic time in nanoseconds. */
     public QuarantineDecision decide(SuspectDigest suspect, long nowNanos) {
         return decide(suspect, "", nowNanos);
@@ -179,17 +184,17 @@
     }
 
     /** Returns the known server terminations of a suspect. */
-    public List<ServerTermination> terminations(SuspectDigest request, long nowNanos) {
-        Suspect suspect = suspects.get(request);
+    public List<ServerTermination> terminations(SuspectDigest digest, long nowNanos) {
+        Suspect suspect = suspects.get(digest);
         return suspect == null ? List.of() : suspect.terminations(nowNanos);
     }
 
-    /** Returns the requests with terminations on more than one server, cleared or not. */
-    public List<SuspectDigest> requestsWithMultipleTerminations() {
+    /** Returns the suspects with terminations on more than one server, cleared or not. */
+    public List<SuspectDigest> suspectsWithMultipleTerminations() {
         return List.copyOf(multipleTerminations);
     }
 
-    /** Returns the number of requests in quarantine as of the last call of {@link #collectChanges}. */
+    /** Returns the number of suspects in quarantine as of the last call of {@link #collectChanges}. */
     public int quarantinedCount() {
         return quarantined.size();
     }
@@ -200,19 +205,19 @@
         multipleTerminations.retainAll(suspects.keySet());
     }
 
-    /** Returns the requests that entered or left quarantine since the last call. */
+    /** Returns the suspects that entered or left quarantine since the last call. */
     public List<QuarantineChange> collectChanges(long nowNanos) {
         List<QuarantineChange> changes = new ArrayList<>();
-        for (SuspectDigest request : multipleTerminations) {
-            if (decide(request, nowNanos) instanceof QuarantineDecision.Quarantined decision
-                    && quarantined.add(request)) {
-                changes.add(new QuarantineChange(request, Optional.of(decision)));
+        for (SuspectDigest suspect : multipleTerminations) {
+            if (decide(suspect, nowNanos) instanceof QuarantineDecision.Quarantined decision
+                    && quarantined.add(suspect)) {
+                changes.add(new QuarantineChange(suspect, Optional.of(decision)));
             }
         }
-        quarantined.removeIf(request -> {
-            boolean released = !(decide(request, nowNanos) instanceof QuarantineDecision.Quarantined);
+        quarantined.removeIf(suspect -> {
+            boolean released = !(decide(suspect, nowNanos) instanceof QuarantineDecision.Quarantined);
             if (released) {
-                changes.add(new QuarantineChange(request, Optional.empty()));
+                changes.add(new QuarantineChange(suspect, Optional.empty()));
             }
             return released;
         });
@@ -267,8 +272,8 @@
                 .ifPresent(this::remove);
     }
 
-    private void remove(SuspectDigest request) {
-        suspects.remove(request);
-        multipleTerminations.remove(request);
+    private void remove(SuspectDigest suspect) {
+        suspects.remove(suspect);
+        multipleTerminations.remove(suspect);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/RecentAnswers.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/RecentAnswers.java
@@ -23,13 +23,13 @@
         }
     };
 
-    void add(SuspectDigest request, long nowNanos) {
-        answeredAtNanos.remove(request);
-        answeredAtNanos.put(request, nowNanos);
+    void add(SuspectDigest suspect, long nowNanos) {
+        answeredAtNanos.remove(suspect);
+        answeredAtNanos.put(suspect, nowNanos);
     }
 
-    boolean contains(SuspectDigest request, long nowNanos) {
-        Long lastAnsweredAt = answeredAtNanos.get(request);
+    boolean contains(SuspectDigest suspect, long nowNanos) {
+        Long lastAnsweredAt = answeredAtNanos.get(suspect);
         return lastAnsweredAt != null && nowNanos - lastAnsweredAt <= RETENTION.toNanos();
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Suspect.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Suspect.java
@@ -51,6 +51,11 @@
         trial = Optional.of(new Trial(requestId, endsAtNanos));
     }
 
+    /** Ends the trial of a request, if it is the current one. */
+    void endTrial(String requestId) {
+        trial = trial.filter(current -> !current.requestId().equals(requestId));
+    }
+
     /** Returns until when the trial of another request lasts, in nanoseconds; the smallest number if there is none. */
     long otherTrialEndsAt(String requestId) {
         return trial.filter(current -> !current.requestId().equals(requestId))
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TerminationReportQueue.java
@@ -46,7 +46,7 @@
                 next.setValue(next.getValue() - 1);
             }
         }
-        List<SuspectDigest> repeated = quarantine.requestsWithMultipleTerminations();
+        List<SuspectDigest> repeated = quarantine.suspectsWithMultipleTerminations();
         for (int count = 0; count < Math.min(MAX_REPEATED_REQUESTS, repeated.size()); count++) {
             terminations.addAll(quarantine.terminations(
                     repeated.get(Math.floorMod(nextRepeatedIndex++, repeated.size())), nowNanos));
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/FleetSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/FleetSimulation.java
@@ -236,7 +236,7 @@
 
         void serverTerminated(SuspectDigest request, ServerIncarnation incarnation) {
             quarantine.serverTerminated(request, incarnation, nowNanos());
-            if (quarantine.requestsWithMultipleTerminations().contains(request)) {
+            if (quarantine.suspectsWithMultipleTerminations().contains(request)) {
                 storedTerminations.put(request, quarantine.terminations(request, nowNanos()));
             }
         }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/PromptPartSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/PromptPartSimulation.java
@@ -343,7 +343,7 @@
         }
 
         private void store(SuspectDigest part) {
-            if (quarantine.requestsWithMultipleTerminations().contains(part)) {
+            if (quarantine.suspectsWithMultipleTerminations().contains(part)) {
                 stored.put(part, new StoredTerminations(quarantine.terminations(part, nowNanos()), nowMillis));
             }
         }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/QuarantineTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/QuarantineTest.java
@@ -173,6 +173,70 @@
                 0));
     }
 
+    // Guards against servers that terminate under several requests at once when a quarantine period has ended.
+    @Test
+    public void should_withhold_other_requests_while_one_tries_a_suspect() {
+        terminated("one", "two");
+        long afterPeriod = Quarantine.QUARANTINE_PERIODS.get(0).toNanos();
+
+        quarantine.beginTrial(REQUEST, "first", afterPeriod);
+
+        assertEquals(quarantine.decide(REQUEST, "first", afterPeriod), new QuarantineDecision.Suspected(2));
+        assertTrue(quarantine.decide(REQUEST, "second", afterPeriod) instanceof QuarantineDecision.Quarantined);
+    }
+
+    // Guards against a suspect that stays away although the request that was to try it has not been sent.
+    @Test
+    public void should_let_another_request_try_when_a_trial_has_shown_nothing() {
+        terminated("one", "two");
+        long afterPeriod = Quarantine.QUARANTINE_PERIODS.get(0).toNanos();
+        quarantine.beginTrial(REQUEST, "first", afterPeriod);
+
+        quarantine.endTrial(REQUEST, "first");
+
+        assertEquals(quarantine.decide(REQUEST, "second", afterPeriod), new QuarantineDecision.Suspected(2));
+    }
+
+    // Guards against trials at all entries at once.
+    @Test
+    public void should_wait_for_its_turn_when_a_quarantine_period_has_ended() {
+        quarantine = new Quarantine(suspect -> Duration.ofSeconds(4), 0);
+        terminated("one", "two");
+
+        assertEquals(
+                quarantine.decide(REQUEST, Quarantine.QUARANTINE_PERIODS.get(0).toNanos()),
+                new QuarantineDecision.Quarantined(2, Duration.ofSeconds(4)));
+    }
+
+    // Guards against a part in use that is refused because its requests were on a server when it terminated.
+    @Test
+    public void should_not_accuse_a_part_when_it_was_answered_lately() {
+        long now = Quarantine.MIN_OBSERVATION.toNanos();
+        quarantine.partAnswered(REQUEST, now);
+
+        quarantine.serverTerminatedOnPart(REQUEST, new ServerIncarnation("one", 1), now);
+
+        assertTrue(quarantine.isEmpty());
+    }
+
+    // Guards against parts in use that are refused because an entry that has just started knows of no answers.
+    @Test
+    public void should_not_accuse_a_part_right_after_the_start() {
+        quarantine.serverTerminatedOnPart(
+                REQUEST, new ServerIncarnation("one", 1), Quarantine.MIN_OBSERVATION.toNanos() - 1);
+
+        assertTrue(quarantine.isEmpty());
+    }
+
+    @Test
+    public void should_accuse_a_part_when_it_was_not_answered() {
+        long now = Quarantine.MIN_OBSERVATION.toNanos();
+
+        quarantine.serverTerminatedOnPart(REQUEST, new ServerIncarnation("one", 1), now);
+
+        assertEquals(quarantine.decide(REQUEST, now), new QuarantineDecision.Suspected(1));
+    }
+
     @Test
     public void should_return_each_change_once_when_a_request_enters_or_leaves_quarantine() {
         terminated("one", "two", "three");
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/RequestDigestTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/SuspectDigestTest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.testng.annotations.Test;
 
-public class RequestDigestTest {
+public class SuspectDigestTest {
     @Test
     public void should_restore_a_digest_when_parsing_its_own_output() {
         SuspectDigest digest = new SuspectDigest(-17, 4_711);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/eventloop/EventLoopMonitor.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/eventloop/EventLoopMonitor.java
@@ -9,7 +9,7 @@
 /**
  * Measures how late the event loop runs a periodic task. Confined to the event loop.
  *
- * <p>A caller's close is read as late as this task runs; requests that leave in the meantime are sent for nobody.
+ * <p>Whatever arrives at the entry is handled about as late as this task runs.
  */
 public final class EventLoopMonitor {
     /** Delay from which on a line is logged; callers notice it. */
@@ -33,7 +33,7 @@
         this.log = log;
         this.delaySeconds = Histogram.builder()
                 .name("aspenmoor_event_loop_delay_seconds")
-                .help("How late the event loop ran a periodic task; a caller's close is read as late.")
+                .help("How late the event loop ran a periodic task; what arrives is handled as late.")
                 .classicOnly()
                 .register(registry);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/quarantine/FatalRequestTracker.java
@@ -64,6 +64,11 @@
                 .write();
     }
 
+    /** Ends a trial that has shown nothing. */
+    public void endTrial(SuspectDigest suspect, String requestId) {
+        quarantine.endTrial(suspect, requestId);
+    }
+
     /** Records that a server terminated while it processed a request of this entry. */
     public void serverTerminated(SuspectDigest request, ServerIncarnation incarnation) {
         if (quarantine.serverTerminated(request, incarnation, nowNanos())) {
@@ -109,7 +114,7 @@
     public Map<SuspectDigest, List<ServerTermination>> terminationsToStore() {
         Map<SuspectDigest, List<ServerTermination>> terminations = new LinkedHashMap<>();
         quarantine
-                .requestsWithMultipleTerminations()
+                .suspectsWithMultipleTerminations()
                 .forEach(request -> terminations.put(request, quarantine.terminations(request, nowNanos())));
         return terminations;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.aspenmoor.internal.gateway.caller.IncomingRequest;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
@@ -36,6 +38,7 @@
     private final RequestTrace trace;
     private SuspectDigest digest;
     private List<SuspectDigest> parts;
+    private final Set<SuspectDigest> trials = new HashSet<>();
     private int unconfirmedTerminations;
 
     FatalRequestCheck(
@@ -63,9 +66,7 @@
                 return Optional.of(quarantined.remaining());
             }
         }
-        suspects().stream()
-                .filter(this::trialNeeded)
-                .forEach(suspect -> fatalRequests.beginTrial(suspect, requestId()));
+        suspects().stream().filter(this::trialNeeded).forEach(this::beginTrial);
         return Optional.empty();
     }
 
@@ -87,6 +88,13 @@
         fatalRequests.requestAnswered(digest(), parts());
     }
 
+    /** Ends the request's trials, unless it is not known yet whether they have terminated a server. */
+    void ended() {
+        if (unconfirmedTerminations == 0) {
+            trials.forEach(suspect -> fatalRequests.endTrial(suspect, requestId()));
+        }
+    }
+
     private List<SuspectDigest> suspects() {
         List<SuspectDigest> suspects = new ArrayList<>(parts());
         suspects.add(digest());
@@ -101,6 +109,12 @@
         return decision(suspect) instanceof QuarantineDecision.Suspected suspected && suspected.trialOnly();
     }
 
+    private void beginTrial(SuspectDigest suspect) {
+        if (trials.add(suspect)) {
+            fatalRequests.beginTrial(suspect, requestId());
+        }
+    }
+
     private void recordRefusal(SuspectDigest suspect, QuarantineDecision.Quarantined quarantined) {
         context.metrics().quarantined(service);
         String cause = suspect.equals(digest()) ? "running it" : "beginning an answer to a part of its prompt";
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -423,6 +423,7 @@
         if (outcome == RequestOutcome.ANSWERED) {
             fatalCheck.answered();
         }
+        fatalCheck.ended();
         context.waitQueues().remove(this);
         deadlineTimer.cancel(false);
         stallDetector.cancel();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestAnswers.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestAnswers.java
@@ -13,6 +13,18 @@
         return ok(request, body, List.of());
     }
 
+    /** Returns a signed stream of one event. */
+    public static Reply oneEvent(ReceivedRequest request) {
+        return Reply.of(HttpText.head(
+                        "HTTP/1.1 200 OK",
+                        TestProtocols.REQUEST_ID + ": "
+                                + request.header(TestProtocols.REQUEST_ID).orElse(""),
+                        TestProtocols.SIGNED + ": by one",
+                        "Transfer-Encoding: chunked")
+                + HttpText.chunk("id: 1\ndata: a\n\n")
+                + HttpText.LAST_CHUNK);
+    }
+
     /**
      * Returns a signed answer with the given body.
      *
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
@@ -224,16 +224,7 @@
     }
 
     private static Reply oneEvent(ReceivedRequest request) {
-        if (!request.line().startsWith("POST")) {
-            return TestAnswers.ok(request, "", List.of());
-        }
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by decode",
-                        "Transfer-Encoding: chunked")
-                + HttpText.chunk("id: 1\ndata: a\n\n")
-                + HttpText.LAST_CHUNK);
+        return request.line().startsWith("POST") ? TestAnswers.oneEvent(request) : TestAnswers.ok(request, "");
     }
 
     private static String generationRequest(String id) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
+import org.aspenmoor.internal.gateway.standin.TestAnswers;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -184,23 +185,10 @@
     }
 
     private static Reply crashIfFatal(ReceivedRequest request) {
-        if (prompt(request).contains(FATAL_PART)) {
-            return Reply.crash();
-        }
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Test-Signed: by one",
-                        "Transfer-Encoding: chunked")
-                + HttpText.chunk("id: 1\ndata: a\n\n")
-                + HttpText.LAST_CHUNK);
+        return prompt(request).contains(FATAL_PART) ? Reply.crash() : TestAnswers.oneEvent(request);
     }
 
     private static Reply prefilled(ReceivedRequest request) {
-        return Reply.of(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        "Test-Id: " + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                        "Content-Length: 6")
-                + "handle");
+        return TestAnswers.ok(request, "handle");
     }
 }
