--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
@@ -7,12 +7,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
+import org.aspenmoor.internal.gateway.standin.ScriptedBackend.DelayedPart;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
 import org.aspenmoor.internal.gateway.standin.TestAnswers;
+import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
@@ -24,6 +27,7 @@
     private static final String MODEL = "model";
     private static final String SERVER_TERMINATED_EVENT = "\"event\":\"server-ended\"";
     private static final String FATAL_PART = "fatal";
+    private static final String HELD_PART = "held";
 
     /** Entries that have just started do not accuse parts. */
     private static final Duration TIME_SINCE_START = Duration.ofSeconds(10);
@@ -41,15 +45,17 @@
     private final List<TestGateway> otherEntries = new ArrayList<>();
     private ScriptedBackend prefillEngine;
     private TestGateway gateway;
+    private CountDownLatch heldPromptDue;
     private int requestsSent;
 
     @BeforeMethod
     public void setUp() throws Exception {
         requestsSent = 0;
+        heldPromptDue = new CountDownLatch(1);
         gateway = new TestGateway();
         gateway.route("/draft/", RetryRule.AT_MOST_ONCE, true, 1, MODEL);
-        prefillEngine = gateway.backend(
-                "prompts", MODEL, EngineRole.PREFILL, TestGateway.LOCAL_DATA_CENTRE, FatalPromptPartTest::prefilled);
+        prefillEngine =
+                gateway.backend("prompts", MODEL, EngineRole.PREFILL, TestGateway.LOCAL_DATA_CENTRE, this::prefilled);
         for (int index = 0; index < SERVERS; index++) {
             servers.add(gateway.backend(
                     "answers-" + index,
@@ -64,6 +70,7 @@
 
     @AfterMethod
     public void tearDown() throws IOException {
+        heldPromptDue.countDown();
         servers.clear();
         for (TestGateway other : otherEntries) {
             other.close();
@@ -94,6 +101,21 @@
         assertTrue(prefills <= MAX_TERMINATIONS, "prefills: " + prefills);
     }
 
+    // Guards against answers that are asked for because their prompts were already being computed when the part was
+    // found to be fatal.
+    @Test
+    public void should_not_request_answer_when_part_is_quarantined_during_prefill() throws Exception {
+        try (TestCaller waiting = gateway.caller()) {
+            waiting.send(request("held", FATAL_PART + ":200 " + HELD_PART + ":300"));
+            prefillEngine.awaitRequest("held");
+            sendFatalRequests(gateway);
+            heldPromptDue.countDown();
+
+            assertTrue(waiting.readAnswer().line().contains(" 503 "));
+        }
+        assertTrue(servers.stream().allMatch(server -> server.count("held") == 0));
+    }
+
     // Guards against sound requests that are refused because they share a first part with fatal ones.
     @Test
     public void should_serve_requests_with_same_first_part_when_another_part_is_fatal() throws Exception {
@@ -159,14 +181,18 @@
     /** Sends a request with the given shared parts and one of its own, so that no two requests are alike. */
     private ReceivedRequest send(TestGateway entry, String sharedParts) throws IOException {
         requestsSent++;
-        String body = "request " + requestsSent;
-        return entry.call(HttpText.head(
+        return entry.call(request("r" + requestsSent, sharedParts));
+    }
+
+    private static String request(String id, String sharedParts) {
+        String body = "request " + id;
+        return HttpText.head(
                         "POST /draft/a HTTP/1.1",
                         "Host: house.example",
-                        "Test-Id: r" + requestsSent,
-                        TestProtocols.PROMPT + ": " + sharedParts + " own-" + requestsSent + ":50",
+                        "Test-Id: " + id,
+                        TestProtocols.PROMPT + ": " + sharedParts + " own-" + id + ":50",
                         "Content-Length: " + body.length())
-                + body);
+                + body;
     }
 
     private TestGateway startEntry(String process) throws Exception {
@@ -188,7 +214,10 @@
         return prompt(request).contains(FATAL_PART) ? Reply.crash() : TestAnswers.oneEvent(request);
     }
 
-    private static Reply prefilled(ReceivedRequest request) {
-        return TestAnswers.ok(request, "handle");
+    private Reply prefilled(ReceivedRequest request) {
+        Reply reply = TestAnswers.ok(request, "handle");
+        return prompt(request).contains(HELD_PART)
+                ? Reply.withDelayedPart("", new DelayedPart(heldPromptDue, reply.bytes()))
+                : reply;
     }
 }
