--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -65,6 +65,7 @@
     private final Set<String> openRoutes = new HashSet<>();
     private final List<ServiceTraits> services = new ArrayList<>();
     private final List<ScriptedBackend> backends = new ArrayList<>();
+    private final List<TestGateway> others = new ArrayList<>();
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final Gateway gateway;
     private final TestProtocols protocols = new TestProtocols();
@@ -149,9 +150,10 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
-    /** Starts another entry for the same backend servers, and returns when it is ready. */
+    /** Starts another entry for the same backend servers, and returns when it is ready; it is closed with this one. */
     public TestGateway startAnother(String process) throws AspenmoorException, IOException {
         TestGateway other = new TestGateway(process, store, configurations, servers, Optional.empty());
+        others.add(other);
         other.awaitReady();
         return other;
     }
@@ -412,6 +414,9 @@
 
     @Override
     public void close() throws IOException {
+        for (TestGateway other : others) {
+            other.close();
+        }
         gateway.close();
         for (ScriptedBackend backend : backends) {
             backend.close();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
@@ -42,7 +42,6 @@
     private static final int MAX_FURTHER_RUNS = 3;
 
     private final List<ScriptedBackend> servers = new ArrayList<>();
-    private final List<TestGateway> otherEntries = new ArrayList<>();
     private ScriptedBackend prefillEngine;
     private TestGateway gateway;
     private CountDownLatch heldPromptDue;
@@ -72,10 +71,6 @@
     public void tearDown() throws IOException {
         heldPromptDue.countDown();
         servers.clear();
-        for (TestGateway other : otherEntries) {
-            other.close();
-        }
-        otherEntries.clear();
         gateway.close();
     }
 
@@ -198,7 +193,6 @@
     private TestGateway startEntry(String process) throws Exception {
         TestGateway entry = gateway.startAnother(process);
         entry.advanceTime(TIME_SINCE_START);
-        otherEntries.add(entry);
         return entry;
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalRequestTest.java
@@ -36,7 +36,6 @@
     private static final int MAX_FURTHER_RUNS = 3;
 
     private final List<ScriptedBackend> servers = new ArrayList<>();
-    private final List<TestGateway> otherEntries = new ArrayList<>();
     private TestGateway gateway;
 
     @BeforeMethod
@@ -50,10 +49,6 @@
     @AfterMethod
     public void tearDown() throws IOException {
         servers.clear();
-        for (TestGateway other : otherEntries) {
-            other.close();
-        }
-        otherEntries.clear();
         gateway.close();
     }
 
@@ -84,7 +79,7 @@
     @Test
     public void should_count_terminations_when_request_uses_several_entries() throws Exception {
         startPlainServers();
-        TestGateway second = startEntry("second-entry");
+        TestGateway second = gateway.startAnother("second-entry");
 
         for (int arrival = 0; arrival < ARRIVALS; arrival++) {
             TestGateway entry = arrival % 2 == 0 ? gateway : second;
@@ -103,7 +98,7 @@
         sendFatalRequestRepeatedly("/book/a");
         gateway.awaitLogged("\"event\":\"fatal-request-stored\"");
         gateway.close();
-        TestGateway restarted = startEntry("entry-under-test");
+        TestGateway restarted = gateway.startAnother("entry-under-test");
 
         for (int arrival = 0; arrival < ARRIVALS; arrival++) {
             call(restarted, "/book/a", FATAL_BODY, arrival);
@@ -199,12 +194,6 @@
         gateway.publish();
     }
 
-    private TestGateway startEntry(String process) throws AspenmoorException, IOException {
-        TestGateway entry = gateway.startAnother(process);
-        otherEntries.add(entry);
-        return entry;
-    }
-
     private int terminatedServers() {
         return (int) servers.stream().filter(ScriptedBackend::crashed).count();
     }
