--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PromptPartDigests.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PromptPartDigests.java
@@ -1,7 +1,5 @@
 package org.aspenmoor.internal.gateway.request;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.List;
 import org.aspenmoor.internal.digest.Sha256;
@@ -31,12 +29,7 @@
 
     private static SuspectDigest digest(String service, String model, String identity) {
         MessageDigest digest = Sha256.create();
-        for (String text : List.of(DOMAIN, service, model, identity)) {
-            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            digest.update(
-                    ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
-            digest.update(bytes);
-        }
+        List.of(DOMAIN, service, model, identity).forEach(text -> RequestDigests.update(digest, text));
         return SuspectDigest.of(digest.digest());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDigests.java
@@ -34,7 +34,7 @@
     }
 
     /** Adds a text with its length, so that different lists of texts never give the same input. */
-    private static void update(MessageDigest digest, String text) {
+    static void update(MessageDigest digest, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
         digest.update(bytes);
