--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/run/ReplayEntry.java
@@ -15,6 +15,7 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.LearnedSpeed;
 import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
@@ -106,6 +107,7 @@
                 List.of(),
                 Optional.empty(),
                 orderStanding(),
+                PeerMeasurements.NONE,
                 false);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryLoad.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryLoad.java
@@ -6,15 +6,17 @@
  * @param unansweredSeconds work assigned to the server whose answers have not started, in seconds
  * @param requests requests at the server
  * @param eventIntervals intervals between the events of answers from the server
+ * @param heldTokens tokens of the prompts and answers of these requests, which occupy memory at an engine
  */
-public record EntryLoad(double unansweredSeconds, int requests, EventIntervals eventIntervals) {
+public record EntryLoad(double unansweredSeconds, int requests, EventIntervals eventIntervals, long heldTokens) {
     /** No load. */
-    public static final EntryLoad NONE = new EntryLoad(0, 0, EventIntervals.NONE);
+    public static final EntryLoad NONE = new EntryLoad(0, 0, EventIntervals.NONE, 0);
 
     EntryLoad plus(EntryLoad other) {
         return new EntryLoad(
                 unansweredSeconds + other.unansweredSeconds,
                 requests + other.requests,
-                eventIntervals.plus(other.eventIntervals));
+                eventIntervals.plus(other.eventIntervals),
+                heldTokens + other.heldTokens);
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerReport.java
@@ -28,6 +28,7 @@
  * @param versions the software versions of services that have several
  * @param duties its part in the duties that one entry performs for all; empty if there are none
  * @param orderStanding what decides whether it gives orders to engines
+ * @param measurements what it measured of the servers, the organisations and the store
  * @param stopping whether the sender is stopping
  */
 public record PeerReport(
@@ -45,6 +46,7 @@
         List<VersionSighting> versions,
         Optional<DutyStatus> duties,
         OrderStanding orderStanding,
+        PeerMeasurements measurements,
         boolean stopping) {
     public PeerReport {
         loads = Map.copyOf(loads);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -259,7 +259,7 @@
 
     /** Returns the load of this entry on the server. */
     EntryLoad ownLoad(long now) {
-        return new EntryLoad(unansweredSeconds, outstanding, eventIntervalMeter.intervals(now));
+        return new EntryLoad(unansweredSeconds, outstanding, eventIntervalMeter.intervals(now), 0);
     }
 
     void attemptStarted(AssignedWork work) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -22,7 +22,7 @@
         peers.receive(report("one", 1, 1, 0.5), 0);
         peers.receive(report("two", 1, 1, 0.25), 0);
 
-        assertEquals(peers.onServer("server"), new EntryLoad(0.75, 2, EventIntervals.NONE));
+        assertEquals(peers.onServer("server"), new EntryLoad(0.75, 2, EventIntervals.NONE, 0));
         assertEquals(peers.onServer("another"), EntryLoad.NONE);
     }
 
@@ -33,7 +33,7 @@
         peers.receive(report("one", 1, 2, 0.5), 0);
         peers.receive(report("one", 1, 1, 9), 0);
 
-        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE));
+        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE, 0));
     }
 
     // An entry is killed and restarted: its sequence numbers start again, and the work of its earlier incarnation no
@@ -43,7 +43,7 @@
         peers.receive(report("one", 1, 700, 5), 0);
         peers.receive(report("one", 2, 1, 0.5), 0);
 
-        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE));
+        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE, 0));
     }
 
     @Test
@@ -69,6 +69,7 @@
                         List.of(),
                         Optional.empty(),
                         new OrderStanding("two", true, 0),
+                        PeerMeasurements.NONE,
                         true),
                 PeerLoads.REPORT_TIMEOUT.toNanos());
         assertEquals(peers.activePeers(), 0);
@@ -79,7 +80,7 @@
                 entry,
                 incarnation,
                 sequence,
-                Map.of("server", new EntryLoad(seconds, 1, EventIntervals.NONE)),
+                Map.of("server", new EntryLoad(seconds, 1, EventIntervals.NONE, 0)),
                 List.of(),
                 List.of(),
                 List.of(),
@@ -90,6 +91,7 @@
                 List.of(),
                 Optional.empty(),
                 new OrderStanding(entry, true, 0),
+                PeerMeasurements.NONE,
                 false);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulation.java
@@ -167,6 +167,7 @@
                     List.of(),
                     Optional.empty(),
                     new OrderStanding(name, false, 0),
+                    PeerMeasurements.NONE,
                     false);
         }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -16,6 +16,7 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementPolicy;
@@ -235,6 +236,7 @@
                         List.of(),
                         Optional.empty(),
                         new OrderStanding(name, true, 0),
+                        PeerMeasurements.NONE,
                         false);
                 entries.stream().filter(other -> other != this).forEach(other -> deliver(report, other));
                 peers.expire(time.now());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -350,6 +350,7 @@
                 origins.versionsToReport(),
                 usage.map(UsageTracker::status),
                 state.orderStanding(entry),
+                state.measurements(),
                 gracefulStop.begun());
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerReportCodec.java
@@ -45,7 +45,8 @@
                         .setUnansweredMicroseconds((int) (load.unansweredSeconds() * MICROS_PER_SECOND))
                         .setRequests(load.requests())
                         .setPaceEvents((float) load.eventIntervals().events())
-                        .setPaceSeconds((float) load.eventIntervals().seconds())));
+                        .setPaceSeconds((float) load.eventIntervals().seconds())
+                        .setHeldTokens(load.heldTokens())));
         for (AssignedPrompt assignedPrompt : report.prompts()) {
             PeerLoad.Prompt.Builder prompt = PeerLoad.Prompt.newBuilder().setServer(assignedPrompt.server());
             for (PromptPart part : assignedPrompt.parts()) {
@@ -72,6 +73,7 @@
         report.drainingServers().forEach(server -> message.addDraining(serialise(server)));
         report.versions().forEach(sighting -> message.addVersions(OriginCodec.serialise(sighting)));
         report.duties().ifPresent(status -> message.setDuty(serialise(status)));
+        MeasurementCodec.serialise(report.measurements(), message);
         return message.build().toByteArray();
     }
 
@@ -224,7 +226,13 @@
         Map<String, EntryLoad> loads = new HashMap<>();
         for (PeerLoad.Share share : message.getSharesList()) {
             double seconds = Integer.toUnsignedLong(share.getUnansweredMicroseconds()) / MICROS_PER_SECOND;
-            loads.put(share.getServer(), new EntryLoad(seconds, share.getRequests(), parseEventIntervals(share)));
+            loads.put(
+                    share.getServer(),
+                    new EntryLoad(
+                            seconds,
+                            share.getRequests(),
+                            parseEventIntervals(share),
+                            Math.max(0, share.getHeldTokens())));
         }
         return Optional.of(new PeerReport(
                 message.getEntry(),
@@ -241,6 +249,7 @@
                 OriginCodec.parseVersions(message.getVersionsList()),
                 parseDuties(message),
                 new OrderStanding(message.getEntry(), !message.getStoreUnreachable(), message.getOrderFencingNumber()),
+                MeasurementCodec.parse(message),
                 message.getLeaving()));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -29,6 +29,7 @@
 import org.aspenmoor.internal.serving.GenerationTraits;
 import org.aspenmoor.internal.serving.LearnedSpeed;
 import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
@@ -242,6 +243,11 @@
         return statements;
     }
 
+    /** Returns what this entry has measured itself, to be reported to the other entries. */
+    public PeerMeasurements measurements() {
+        return PeerMeasurements.NONE;
+    }
+
     /** Returns the limits of servers, to be reported to the other entries. */
     public List<StatedLimit> statedLimits() {
         return limits.toReport(time.monotonicNanos());
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -29,6 +29,7 @@
 import org.aspenmoor.internal.serving.EventIntervals;
 import org.aspenmoor.internal.serving.EventSize;
 import org.aspenmoor.internal.serving.LearnedSpeed;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.RoleChange;
@@ -57,7 +58,7 @@
     private static final List<EventSize> LENGTHS = List.of(new EventSize("drafting", 55));
     private static final List<RoleChange> CHANGES = List.of(new RoleChange("server", EngineRole.PREFILL));
     private static final Map<String, EntryLoad> SHARES =
-            Map.of("server", new EntryLoad(0.25, 3, new EventIntervals(2, 0.125)));
+            Map.of("server", new EntryLoad(0.25, 3, new EventIntervals(2, 0.125), 0));
     private static final List<AssignedPrompt> PROMPTS =
             List.of(new AssignedPrompt("server", List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410))));
 
@@ -157,6 +158,7 @@
                 VERSIONS,
                 DUTIES,
                 STANDING,
+                PeerMeasurements.NONE,
                 false);
     }
 
@@ -176,6 +178,7 @@
                 List.of(),
                 Optional.empty(),
                 STANDING,
+                PeerMeasurements.NONE,
                 true);
     }
 
@@ -199,6 +202,7 @@
                 List.of(),
                 Optional.empty(),
                 new OrderStanding("two", true, 0),
+                PeerMeasurements.NONE,
                 false));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(garbage, garbage.length, exchange.address()));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.duty.OrderStanding;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.store.StoredObject;
@@ -34,6 +35,7 @@
                 List.of(),
                 Optional.empty(),
                 new OrderStanding("another-entry", true, 0),
+                PeerMeasurements.NONE,
                 false));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(report, report.length, address));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.serving.PeerLoads;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -72,6 +73,7 @@
                         List.of(),
                         Optional.empty(),
                         standing,
+                        PeerMeasurements.NONE,
                         false),
                 0);
     }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -43,6 +43,9 @@
     draining_ = java.util.Collections.emptyList();
     versions_ = java.util.Collections.emptyList();
     streams_ = java.util.Collections.emptyList();
+    serverSpeeds_ = java.util.Collections.emptyList();
+    serviceDemands_ = java.util.Collections.emptyList();
+    observations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -111,6 +114,16 @@
      * @return The paceSeconds.
      */
     float getPaceSeconds();
+
+    /**
+     * <pre>
+     * Tokens of the prompts and answers of the requests, which occupy memory at an engine.
+     * </pre>
+     *
+     * <code>uint64 held_tokens = 6;</code>
+     * @return The heldTokens.
+     */
+    long getHeldTokens();
   }
   /**
    * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Share}
@@ -247,6 +260,21 @@
       return paceSeconds_;
     }
 
+    public static final int HELD_TOKENS_FIELD_NUMBER = 6;
+    private long heldTokens_ = 0L;
+    /**
+     * <pre>
+     * Tokens of the prompts and answers of the requests, which occupy memory at an engine.
+     * </pre>
+     *
+     * <code>uint64 held_tokens = 6;</code>
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public long getHeldTokens() {
+      return heldTokens_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -276,6 +304,9 @@
       if (java.lang.Float.floatToRawIntBits(paceSeconds_) != 0) {
         output.writeFloat(5, paceSeconds_);
       }
+      if (heldTokens_ != 0L) {
+        output.writeUInt64(6, heldTokens_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -299,6 +330,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeFloatSize(5, paceSeconds_);
       }
+      if (heldTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, heldTokens_);
+      }
       return size;
     }
     @java.lang.Override
@@ -335,6 +370,8 @@
       if (java.lang.Float.floatToIntBits(getPaceSeconds())
           != java.lang.Float.floatToIntBits(
               other.getPaceSeconds())) return false;
+      if (getHeldTokens()
+          != other.getHeldTokens()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -358,6 +395,9 @@
       hash = (37 * hash) + PACE_SECONDS_FIELD_NUMBER;
       hash = (53 * hash) + java.lang.Float.floatToIntBits(
           getPaceSeconds());
+      hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldTokens());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -494,6 +534,7 @@
         requests_ = 0;
         paceEvents_ = 0F;
         paceSeconds_ = 0F;
+        heldTokens_ = 0L;
         return this;
       }
 
@@ -542,6 +583,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.paceSeconds_ = paceSeconds_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.heldTokens_ = heldTokens_;
+        }
       }
 
       @java.lang.Override
@@ -573,6 +617,9 @@
         if (java.lang.Float.floatToRawIntBits(other.getPaceSeconds()) != 0) {
           setPaceSeconds(other.getPaceSeconds());
         }
+        if (other.getHeldTokens() != 0L) {
+          setHeldTokens(other.getHeldTokens());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -622,6 +669,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 45
+              case 48: {
+                heldTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -866,6 +918,50 @@
         return this;
       }
 
+      private long heldTokens_ ;
+      /**
+       * <pre>
+       * Tokens of the prompts and answers of the requests, which occupy memory at an engine.
+       * </pre>
+       *
+       * <code>uint64 held_tokens = 6;</code>
+       * @return The heldTokens.
+       */
+      @java.lang.Override
+      public long getHeldTokens() {
+        return heldTokens_;
+      }
+      /**
+       * <pre>
+       * Tokens of the prompts and answers of the requests, which occupy memory at an engine.
+       * </pre>
+       *
+       * <code>uint64 held_tokens = 6;</code>
+       * @param value The heldTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldTokens(long value) {
+
+        heldTokens_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens of the prompts and answers of the requests, which occupy memory at an engine.
+       * </pre>
+       *
+       * <code>uint64 held_tokens = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldTokens() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        heldTokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Share)
     }
 
@@ -13096,895 +13192,4520 @@
 
   }
 
-  private int bitField0_;
-  public static final int ENTRY_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object entry_ = "";
-  /**
-   * <code>string entry = 1;</code>
-   * @return The entry.
-   */
-  @java.lang.Override
-  public java.lang.String getEntry() {
-    java.lang.Object ref = entry_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      entry_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string entry = 1;</code>
-   * @return The bytes for entry.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getEntryBytes() {
-    java.lang.Object ref = entry_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      entry_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
+  public interface ServerSpeedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
+      com.google.protobuf.MessageOrBuilder {
 
-  public static final int START_FIELD_NUMBER = 2;
-  private long start_ = 0L;
-  /**
-   * <pre>
-   * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-   * with each incarnation.
-   * </pre>
-   *
-   * <code>fixed64 start = 2;</code>
-   * @return The start.
-   */
-  @java.lang.Override
-  public long getStart() {
-    return start_;
-  }
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
 
-  public static final int SEQUENCE_FIELD_NUMBER = 3;
-  private long sequence_ = 0L;
-  /**
-   * <code>uint64 sequence = 3;</code>
-   * @return The sequence.
-   */
-  @java.lang.Override
-  public long getSequence() {
-    return sequence_;
-  }
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    long getStartedAt();
 
-  public static final int SHARES_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
-    return shares_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
-      getSharesOrBuilderList() {
-    return shares_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
-   */
-  @java.lang.Override
-  public int getSharesCount() {
-    return shares_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
-    return shares_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
-      int index) {
-    return shares_.get(index);
-  }
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float stated_factor = 3;</code>
+     * @return Whether the statedFactor field is set.
+     */
+    boolean hasStatedFactor();
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float stated_factor = 3;</code>
+     * @return The statedFactor.
+     */
+    float getStatedFactor();
 
-  public static final int PROMPTS_FIELD_NUMBER = 6;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_;
-  /**
-   * <pre>
-   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-   * they are not reported again.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
-    return prompts_;
-  }
-  /**
-   * <pre>
-   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-   * they are not reported again.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
-      getPromptsOrBuilderList() {
-    return prompts_;
-  }
-  /**
-   * <pre>
-   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-   * they are not reported again.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-   */
-  @java.lang.Override
-  public int getPromptsCount() {
-    return prompts_.size();
+    /**
+     * <pre>
+     * Time since the answer that stated it was received.
+     * </pre>
+     *
+     * <code>uint32 stated_age_milliseconds = 4;</code>
+     * @return The statedAgeMilliseconds.
+     */
+    int getStatedAgeMilliseconds();
+
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * has measured nothing.
+     * </pre>
+     *
+     * <code>optional float learned_factor = 5;</code>
+     * @return Whether the learnedFactor field is set.
+     */
+    boolean hasLearnedFactor();
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * has measured nothing.
+     * </pre>
+     *
+     * <code>optional float learned_factor = 5;</code>
+     * @return The learnedFactor.
+     */
+    float getLearnedFactor();
+
+    /**
+     * <pre>
+     * The number of answers that it was learned from.
+     * </pre>
+     *
+     * <code>float learned_answers = 6;</code>
+     * @return The learnedAnswers.
+     */
+    float getLearnedAnswers();
   }
   /**
    * <pre>
-   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-   * they are not reported again.
+   * What the sender knows about the speed of one server.
    * </pre>
    *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServerSpeed}
    */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
-    return prompts_.get(index);
-  }
-  /**
-   * <pre>
-   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-   * they are not reported again.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
-      int index) {
-    return prompts_.get(index);
-  }
-
-  public static final int LEAVING_FIELD_NUMBER = 5;
-  private boolean leaving_ = false;
-  /**
-   * <pre>
-   * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-   * </pre>
-   *
-   * <code>bool leaving = 5;</code>
-   * @return The leaving.
-   */
-  @java.lang.Override
-  public boolean getLeaving() {
-    return leaving_;
-  }
+  public static final class ServerSpeed extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
+      ServerSpeedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServerSpeed");
+    }
+    // Use ServerSpeed.newBuilder() to construct.
+    private ServerSpeed(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServerSpeed() {
+      server_ = "";
+    }
 
-  public static final int SPEEDS_FIELD_NUMBER = 7;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
-    return speeds_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
-      getSpeedsOrBuilderList() {
-    return speeds_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
-   */
-  @java.lang.Override
-  public int getSpeedsCount() {
-    return speeds_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
-    return speeds_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
-      int index) {
-    return speeds_.get(index);
-  }
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor;
+    }
 
-  public static final int CHANGES_FIELD_NUMBER = 8;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
-    return changes_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
-      getChangesOrBuilderList() {
-    return changes_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
-   */
-  @java.lang.Override
-  public int getChangesCount() {
-    return changes_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
-    return changes_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
-      int index) {
-    return changes_.get(index);
-  }
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor;
+    }
 
-  public static final int LENGTHS_FIELD_NUMBER = 9;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
-    return lengths_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
-      getLengthsOrBuilderList() {
-    return lengths_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
-   */
-  @java.lang.Override
-  public int getLengthsCount() {
-    return lengths_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
-    return lengths_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
-      int index) {
-    return lengths_.get(index);
-  }
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder.class);
+    }
 
-  public static final int ENDS_FIELD_NUMBER = 10;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
-    return ends_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
-      getEndsOrBuilderList() {
-    return ends_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-   */
-  @java.lang.Override
-  public int getEndsCount() {
-    return ends_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
-    return ends_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
-      int index) {
-    return ends_.get(index);
-  }
+    private int bitField0_;
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
 
-  public static final int DUTY_FIELD_NUMBER = 11;
-  private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-   * @return Whether the duty field is set.
-   */
-  @java.lang.Override
-  public boolean hasDuty() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-   * @return The duty.
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
-    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
-    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
-  }
+    public static final int STARTED_AT_FIELD_NUMBER = 2;
+    private long startedAt_ = 0L;
+    /**
+     * <pre>
+     * Start time of the server, in milliseconds since 1970.
+     * </pre>
+     *
+     * <code>fixed64 started_at = 2;</code>
+     * @return The startedAt.
+     */
+    @java.lang.Override
+    public long getStartedAt() {
+      return startedAt_;
+    }
 
-  public static final int USAGE_FIELD_NUMBER = 12;
-  private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-   * @return Whether the usage field is set.
-   */
-  @java.lang.Override
-  public boolean hasUsage() {
-    return ((bitField0_ & 0x00000002) != 0);
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-   * @return The usage.
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
-    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
-    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
-  }
+    public static final int STATED_FACTOR_FIELD_NUMBER = 3;
+    private float statedFactor_ = 0F;
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float stated_factor = 3;</code>
+     * @return Whether the statedFactor field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatedFactor() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float stated_factor = 3;</code>
+     * @return The statedFactor.
+     */
+    @java.lang.Override
+    public float getStatedFactor() {
+      return statedFactor_;
+    }
 
-  public static final int STORE_UNREACHABLE_FIELD_NUMBER = 13;
-  private boolean storeUnreachable_ = false;
-  /**
-   * <pre>
-   * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-   * </pre>
-   *
-   * <code>bool store_unreachable = 13;</code>
-   * @return The storeUnreachable.
-   */
-  @java.lang.Override
-  public boolean getStoreUnreachable() {
-    return storeUnreachable_;
-  }
+    public static final int STATED_AGE_MILLISECONDS_FIELD_NUMBER = 4;
+    private int statedAgeMilliseconds_ = 0;
+    /**
+     * <pre>
+     * Time since the answer that stated it was received.
+     * </pre>
+     *
+     * <code>uint32 stated_age_milliseconds = 4;</code>
+     * @return The statedAgeMilliseconds.
+     */
+    @java.lang.Override
+    public int getStatedAgeMilliseconds() {
+      return statedAgeMilliseconds_;
+    }
 
-  public static final int ORDER_FENCING_NUMBER_FIELD_NUMBER = 15;
-  private long orderFencingNumber_ = 0L;
-  /**
-   * <pre>
-   * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-   * highest one gives the orders.
-   * </pre>
-   *
-   * <code>int64 order_fencing_number = 15;</code>
-   * @return The orderFencingNumber.
-   */
-  @java.lang.Override
-  public long getOrderFencingNumber() {
-    return orderFencingNumber_;
-  }
+    public static final int LEARNED_FACTOR_FIELD_NUMBER = 5;
+    private float learnedFactor_ = 0F;
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * has measured nothing.
+     * </pre>
+     *
+     * <code>optional float learned_factor = 5;</code>
+     * @return Whether the learnedFactor field is set.
+     */
+    @java.lang.Override
+    public boolean hasLearnedFactor() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * has measured nothing.
+     * </pre>
+     *
+     * <code>optional float learned_factor = 5;</code>
+     * @return The learnedFactor.
+     */
+    @java.lang.Override
+    public float getLearnedFactor() {
+      return learnedFactor_;
+    }
 
-  public static final int LIMITS_FIELD_NUMBER = 14;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
-    return limits_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
-      getLimitsOrBuilderList() {
-    return limits_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
-   */
-  @java.lang.Override
-  public int getLimitsCount() {
-    return limits_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
-    return limits_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
-      int index) {
-    return limits_.get(index);
-  }
+    public static final int LEARNED_ANSWERS_FIELD_NUMBER = 6;
+    private float learnedAnswers_ = 0F;
+    /**
+     * <pre>
+     * The number of answers that it was learned from.
+     * </pre>
+     *
+     * <code>float learned_answers = 6;</code>
+     * @return The learnedAnswers.
+     */
+    @java.lang.Override
+    public float getLearnedAnswers() {
+      return learnedAnswers_;
+    }
 
-  public static final int DRAINING_FIELD_NUMBER = 16;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
-    return draining_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
-      getDrainingOrBuilderList() {
-    return draining_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-   */
-  @java.lang.Override
-  public int getDrainingCount() {
-    return draining_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
-    return draining_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
-      int index) {
-    return draining_.get(index);
-  }
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
 
-  public static final int VERSIONS_FIELD_NUMBER = 17;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_;
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
-    return versions_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
-      getVersionsOrBuilderList() {
-    return versions_;
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
-   */
-  @java.lang.Override
-  public int getVersionsCount() {
-    return versions_.size();
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
-    return versions_.get(index);
-  }
-  /**
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
-      int index) {
-    return versions_.get(index);
-  }
+      memoizedIsInitialized = 1;
+      return true;
+    }
 
-  public static final int STREAMS_FIELD_NUMBER = 18;
-  @SuppressWarnings("serial")
-  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_;
-  /**
-   * <pre>
-   * Streams of which the sender tells the receiver.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
-   */
-  @java.lang.Override
-  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
-    return streams_;
-  }
-  /**
-   * <pre>
-   * Streams of which the sender tells the receiver.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
-      getStreamsOrBuilderList() {
-    return streams_;
-  }
-  /**
-   * <pre>
-   * Streams of which the sender tells the receiver.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
-   */
-  @java.lang.Override
-  public int getStreamsCount() {
-    return streams_.size();
-  }
-  /**
-   * <pre>
-   * Streams of which the sender tells the receiver.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
-    return streams_.get(index);
-  }
-  /**
-   * <pre>
-   * Streams of which the sender tells the receiver.
-   * </pre>
-   *
-   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
-      int index) {
-    return streams_.get(index);
-  }
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      if (startedAt_ != 0L) {
+        output.writeFixed64(2, startedAt_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeFloat(3, statedFactor_);
+      }
+      if (statedAgeMilliseconds_ != 0) {
+        output.writeUInt32(4, statedAgeMilliseconds_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeFloat(5, learnedFactor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(learnedAnswers_) != 0) {
+        output.writeFloat(6, learnedAnswers_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      if (startedAt_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, startedAt_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, statedFactor_);
+      }
+      if (statedAgeMilliseconds_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, statedAgeMilliseconds_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(5, learnedFactor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(learnedAnswers_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(6, learnedAnswers_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
 
-  public static final int QUESTION_FIELD_NUMBER = 19;
-  private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-   * @return Whether the question field is set.
-   */
-  @java.lang.Override
-  public boolean hasQuestion() {
-    return ((bitField0_ & 0x00000004) != 0);
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-   * @return The question.
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
-    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
-    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
-  }
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
 
-  public static final int REPLY_FIELD_NUMBER = 20;
-  private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
-   * @return Whether the reply field is set.
-   */
-  @java.lang.Override
-  public boolean hasReply() {
-    return ((bitField0_ & 0x00000008) != 0);
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
-   * @return The reply.
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
-    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
-  }
-  /**
-   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
-   */
-  @java.lang.Override
-  public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
-    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
-  }
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed other = (org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed) obj;
 
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getStartedAt()
+          != other.getStartedAt()) return false;
+      if (hasStatedFactor() != other.hasStatedFactor()) return false;
+      if (hasStatedFactor()) {
+        if (java.lang.Float.floatToIntBits(getStatedFactor())
+            != java.lang.Float.floatToIntBits(
+                other.getStatedFactor())) return false;
+      }
+      if (getStatedAgeMilliseconds()
+          != other.getStatedAgeMilliseconds()) return false;
+      if (hasLearnedFactor() != other.hasLearnedFactor()) return false;
+      if (hasLearnedFactor()) {
+        if (java.lang.Float.floatToIntBits(getLearnedFactor())
+            != java.lang.Float.floatToIntBits(
+                other.getLearnedFactor())) return false;
+      }
+      if (java.lang.Float.floatToIntBits(getLearnedAnswers())
+          != java.lang.Float.floatToIntBits(
+              other.getLearnedAnswers())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
 
-    memoizedIsInitialized = 1;
-    return true;
-  }
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + STARTED_AT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartedAt());
+      if (hasStatedFactor()) {
+        hash = (37 * hash) + STATED_FACTOR_FIELD_NUMBER;
+        hash = (53 * hash) + java.lang.Float.floatToIntBits(
+            getStatedFactor());
+      }
+      hash = (37 * hash) + STATED_AGE_MILLISECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatedAgeMilliseconds();
+      if (hasLearnedFactor()) {
+        hash = (37 * hash) + LEARNED_FACTOR_FIELD_NUMBER;
+        hash = (53 * hash) + java.lang.Float.floatToIntBits(
+            getLearnedFactor());
+      }
+      hash = (37 * hash) + LEARNED_ANSWERS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getLearnedAnswers());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
 
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-    if (start_ != 0L) {
-      output.writeFixed64(2, start_);
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-    if (sequence_ != 0L) {
-      output.writeUInt64(3, sequence_);
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-    for (int i = 0; i < shares_.size(); i++) {
-      output.writeMessage(4, shares_.get(i));
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-    if (leaving_ != false) {
-      output.writeBool(5, leaving_);
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-    for (int i = 0; i < prompts_.size(); i++) {
-      output.writeMessage(6, prompts_.get(i));
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-    for (int i = 0; i < speeds_.size(); i++) {
-      output.writeMessage(7, speeds_.get(i));
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-    for (int i = 0; i < changes_.size(); i++) {
-      output.writeMessage(8, changes_.get(i));
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
-    for (int i = 0; i < lengths_.size(); i++) {
-      output.writeMessage(9, lengths_.get(i));
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
     }
-    for (int i = 0; i < ends_.size(); i++) {
-      output.writeMessage(10, ends_.get(i));
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(11, getDuty());
-    }
-    if (((bitField0_ & 0x00000002) != 0)) {
-      output.writeMessage(12, getUsage());
-    }
-    if (storeUnreachable_ != false) {
-      output.writeBool(13, storeUnreachable_);
-    }
-    for (int i = 0; i < limits_.size(); i++) {
-      output.writeMessage(14, limits_.get(i));
-    }
-    if (orderFencingNumber_ != 0L) {
-      output.writeInt64(15, orderFencingNumber_);
-    }
-    for (int i = 0; i < draining_.size(); i++) {
-      output.writeMessage(16, draining_.get(i));
-    }
-    for (int i = 0; i < versions_.size(); i++) {
-      output.writeMessage(17, versions_.get(i));
-    }
-    for (int i = 0; i < streams_.size(); i++) {
-      output.writeMessage(18, streams_.get(i));
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    if (((bitField0_ & 0x00000004) != 0)) {
-      output.writeMessage(19, getQuestion());
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-    if (((bitField0_ & 0x00000008) != 0)) {
-      output.writeMessage(20, getReply());
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
-    getUnknownFields().writeTo(output);
-  }
-  private int computeSerializedSize_0() {
-    int size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
     }
-    if (start_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(2, start_);
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-    if (sequence_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, sequence_);
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
     }
 
-        {
-          final int count = shares_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(shares_.get(i));
-          }
-          size += 1 * count;
-        }
-    if (leaving_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, leaving_);
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
     }
+    /**
+     * <pre>
+     * What the sender knows about the speed of one server.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServerSpeed}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor;
+      }
 
-        {
-          final int count = prompts_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(prompts_.get(i));
-          }
-          size += 1 * count;
-        }
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder.class);
+      }
 
-        {
-          final int count = speeds_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(speeds_.get(i));
-          }
-          size += 1 * count;
-        }
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.newBuilder()
+      private Builder() {
 
-        {
-          final int count = changes_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(changes_.get(i));
-          }
-          size += 1 * count;
-        }
+      }
 
-        {
-          final int count = lengths_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(lengths_.get(i));
-          }
-          size += 1 * count;
-        }
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
 
-        {
-          final int count = ends_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(ends_.get(i));
-          }
-          size += 1 * count;
-        }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(11, getDuty());
-    }
-    if (((bitField0_ & 0x00000002) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(12, getUsage());
-    }
-    if (storeUnreachable_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(13, storeUnreachable_);
-    }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        startedAt_ = 0L;
+        statedFactor_ = 0F;
+        statedAgeMilliseconds_ = 0;
+        learnedFactor_ = 0F;
+        learnedAnswers_ = 0F;
+        return this;
+      }
 
-        {
-          final int count = limits_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(limits_.get(i));
-          }
-          size += 1 * count;
-        }
-    if (orderFencingNumber_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(15, orderFencingNumber_);
-    }
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor;
+      }
 
-        {
-          final int count = draining_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(draining_.get(i));
-          }
-          size += 2 * count;
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
         }
+        return result;
+      }
 
-        {
-          final int count = versions_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(versions_.get(i));
-          }
-          size += 2 * count;
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed result = new org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.startedAt_ = startedAt_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.statedFactor_ = statedFactor_;
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.statedAgeMilliseconds_ = statedAgeMilliseconds_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.learnedFactor_ = learnedFactor_;
+          to_bitField0_ |= 0x00000002;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.learnedAnswers_ = learnedAnswers_;
         }
+        result.bitField0_ |= to_bitField0_;
+      }
 
-        {
-          final int count = streams_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(streams_.get(i));
-          }
-          size += 2 * count;
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
         }
-    if (((bitField0_ & 0x00000004) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(19, getQuestion());
-    }
-    if (((bitField0_ & 0x00000008) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(20, getReply());
-    }
-    return size;
-  }
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
+      }
 
-    size = 0;
-    size += computeSerializedSize_0();
-    size += getUnknownFields().getSerializedSize();
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getStartedAt() != 0L) {
+          setStartedAt(other.getStartedAt());
+        }
+        if (other.hasStatedFactor()) {
+          setStatedFactor(other.getStatedFactor());
+        }
+        if (other.getStatedAgeMilliseconds() != 0) {
+          setStatedAgeMilliseconds(other.getStatedAgeMilliseconds());
+        }
+        if (other.hasLearnedFactor()) {
+          setLearnedFactor(other.getLearnedFactor());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getLearnedAnswers()) != 0) {
+          setLearnedAnswers(other.getLearnedAnswers());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                startedAt_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 29: {
+                statedFactor_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 32: {
+                statedAgeMilliseconds_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 45: {
+                learnedFactor_ = input.readFloat();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 45
+              case 53: {
+                learnedAnswers_ = input.readFloat();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 53
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long startedAt_ ;
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return The startedAt.
+       */
+      @java.lang.Override
+      public long getStartedAt() {
+        return startedAt_;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @param value The startedAt to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartedAt(long value) {
+
+        startedAt_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Start time of the server, in milliseconds since 1970.
+       * </pre>
+       *
+       * <code>fixed64 started_at = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartedAt() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startedAt_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private float statedFactor_ ;
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float stated_factor = 3;</code>
+       * @return Whether the statedFactor field is set.
+       */
+      @java.lang.Override
+      public boolean hasStatedFactor() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float stated_factor = 3;</code>
+       * @return The statedFactor.
+       */
+      @java.lang.Override
+      public float getStatedFactor() {
+        return statedFactor_;
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float stated_factor = 3;</code>
+       * @param value The statedFactor to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStatedFactor(float value) {
+
+        statedFactor_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its usual duration there; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float stated_factor = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStatedFactor() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        statedFactor_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int statedAgeMilliseconds_ ;
+      /**
+       * <pre>
+       * Time since the answer that stated it was received.
+       * </pre>
+       *
+       * <code>uint32 stated_age_milliseconds = 4;</code>
+       * @return The statedAgeMilliseconds.
+       */
+      @java.lang.Override
+      public int getStatedAgeMilliseconds() {
+        return statedAgeMilliseconds_;
+      }
+      /**
+       * <pre>
+       * Time since the answer that stated it was received.
+       * </pre>
+       *
+       * <code>uint32 stated_age_milliseconds = 4;</code>
+       * @param value The statedAgeMilliseconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStatedAgeMilliseconds(int value) {
+
+        statedAgeMilliseconds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the answer that stated it was received.
+       * </pre>
+       *
+       * <code>uint32 stated_age_milliseconds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStatedAgeMilliseconds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        statedAgeMilliseconds_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private float learnedFactor_ ;
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * has measured nothing.
+       * </pre>
+       *
+       * <code>optional float learned_factor = 5;</code>
+       * @return Whether the learnedFactor field is set.
+       */
+      @java.lang.Override
+      public boolean hasLearnedFactor() {
+        return ((bitField0_ & 0x00000010) != 0);
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * has measured nothing.
+       * </pre>
+       *
+       * <code>optional float learned_factor = 5;</code>
+       * @return The learnedFactor.
+       */
+      @java.lang.Override
+      public float getLearnedFactor() {
+        return learnedFactor_;
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * has measured nothing.
+       * </pre>
+       *
+       * <code>optional float learned_factor = 5;</code>
+       * @param value The learnedFactor to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLearnedFactor(float value) {
+
+        learnedFactor_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * has measured nothing.
+       * </pre>
+       *
+       * <code>optional float learned_factor = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLearnedFactor() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        learnedFactor_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float learnedAnswers_ ;
+      /**
+       * <pre>
+       * The number of answers that it was learned from.
+       * </pre>
+       *
+       * <code>float learned_answers = 6;</code>
+       * @return The learnedAnswers.
+       */
+      @java.lang.Override
+      public float getLearnedAnswers() {
+        return learnedAnswers_;
+      }
+      /**
+       * <pre>
+       * The number of answers that it was learned from.
+       * </pre>
+       *
+       * <code>float learned_answers = 6;</code>
+       * @param value The learnedAnswers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLearnedAnswers(float value) {
+
+        learnedAnswers_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of answers that it was learned from.
+       * </pre>
+       *
+       * <code>float learned_answers = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLearnedAnswers() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        learnedAnswers_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServerSpeed>
+        PARSER = new com.google.protobuf.AbstractParser<ServerSpeed>() {
+      @java.lang.Override
+      public ServerSpeed parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServerSpeed> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServerSpeed> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ServiceDemandOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.ServiceDemand)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> 
+        getOrganisationsList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getOrganisations(int index);
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    int getOrganisationsCount();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder> 
+        getOrganisationsOrBuilderList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder getOrganisationsOrBuilder(
+        int index);
+
+    /**
+     * <code>float completed_per_second = 3;</code>
+     * @return The completedPerSecond.
+     */
+    float getCompletedPerSecond();
+
+    /**
+     * <code>float turned_away_per_second = 4;</code>
+     * @return The turnedAwayPerSecond.
+     */
+    float getTurnedAwayPerSecond();
+  }
+  /**
+   * <pre>
+   * The recent demand for one service at the sender; rates are in work per second.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServiceDemand}
+   */
+  public static final class ServiceDemand extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.ServiceDemand)
+      ServiceDemandOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServiceDemand");
+    }
+    // Use ServiceDemand.newBuilder() to construct.
+    private ServiceDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServiceDemand() {
+      service_ = "";
+      organisations_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder.class);
+    }
+
+    public interface OrganisationOrBuilder extends
+        // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation)
+        com.google.protobuf.MessageOrBuilder {
+
+      /**
+       * <pre>
+       * A hash of the organisation's name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return The organisation.
+       */
+      long getOrganisation();
+
+      /**
+       * <code>uint32 priority = 2;</code>
+       * @return The priority.
+       */
+      int getPriority();
+
+      /**
+       * <code>float work_per_second = 3;</code>
+       * @return The workPerSecond.
+       */
+      float getWorkPerSecond();
+    }
+    /**
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation}
+     */
+    public static final class Organisation extends
+        com.google.protobuf.GeneratedMessage implements
+        // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation)
+        OrganisationOrBuilder {
+    private static final long serialVersionUID = 0L;
+      static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+          /* major= */ 4,
+          /* minor= */ 36,
+          /* patch= */ 2,
+          /* suffix= */ "",
+          "Organisation");
+      }
+      // Use Organisation.newBuilder() to construct.
+      private Organisation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+      }
+      private Organisation() {
+      }
+
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder.class);
+      }
+
+      public static final int ORGANISATION_FIELD_NUMBER = 1;
+      private long organisation_ = 0L;
+      /**
+       * <pre>
+       * A hash of the organisation's name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return The organisation.
+       */
+      @java.lang.Override
+      public long getOrganisation() {
+        return organisation_;
+      }
+
+      public static final int PRIORITY_FIELD_NUMBER = 2;
+      private int priority_ = 0;
+      /**
+       * <code>uint32 priority = 2;</code>
+       * @return The priority.
+       */
+      @java.lang.Override
+      public int getPriority() {
+        return priority_;
+      }
+
+      public static final int WORK_PER_SECOND_FIELD_NUMBER = 3;
+      private float workPerSecond_ = 0F;
+      /**
+       * <code>float work_per_second = 3;</code>
+       * @return The workPerSecond.
+       */
+      @java.lang.Override
+      public float getWorkPerSecond() {
+        return workPerSecond_;
+      }
+
+      private byte memoizedIsInitialized = -1;
+      @java.lang.Override
+      public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+      }
+
+      @java.lang.Override
+      public void writeTo(com.google.protobuf.CodedOutputStream output)
+                          throws java.io.IOException {
+        if (organisation_ != 0L) {
+          output.writeFixed64(1, organisation_);
+        }
+        if (priority_ != 0) {
+          output.writeUInt32(2, priority_);
+        }
+        if (java.lang.Float.floatToRawIntBits(workPerSecond_) != 0) {
+          output.writeFloat(3, workPerSecond_);
+        }
+        getUnknownFields().writeTo(output);
+      }
+      private int computeSerializedSize_0() {
+        int size = 0;
+        if (organisation_ != 0L) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeFixed64Size(1, organisation_);
+        }
+        if (priority_ != 0) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeUInt32Size(2, priority_);
+        }
+        if (java.lang.Float.floatToRawIntBits(workPerSecond_) != 0) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeFloatSize(3, workPerSecond_);
+        }
+        return size;
+      }
+      @java.lang.Override
+      public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        size += computeSerializedSize_0();
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+      }
+
+      @java.lang.Override
+      public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+         return true;
+        }
+        if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation)) {
+          return super.equals(obj);
+        }
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation other = (org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation) obj;
+
+        if (getOrganisation()
+            != other.getOrganisation()) return false;
+        if (getPriority()
+            != other.getPriority()) return false;
+        if (java.lang.Float.floatToIntBits(getWorkPerSecond())
+            != java.lang.Float.floatToIntBits(
+                other.getWorkPerSecond())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+      }
+
+      @java.lang.Override
+      public int hashCode() {
+        if (memoizedHashCode != 0) {
+          return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + ORGANISATION_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getOrganisation());
+        hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+        hash = (53 * hash) + getPriority();
+        hash = (37 * hash) + WORK_PER_SECOND_FIELD_NUMBER;
+        hash = (53 * hash) + java.lang.Float.floatToIntBits(
+            getWorkPerSecond());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          java.nio.ByteBuffer data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          java.nio.ByteBuffer data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          com.google.protobuf.ByteString data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          com.google.protobuf.ByteString data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(byte[] data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          byte[] data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseDelimitedFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseDelimitedFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          com.google.protobuf.CodedInputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation parseFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      @java.lang.Override
+      public Builder newBuilderForType() { return newBuilder(); }
+      public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+      }
+      public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+      }
+      @java.lang.Override
+      public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE
+            ? new Builder() : new Builder().mergeFrom(this);
+      }
+
+      @java.lang.Override
+      protected Builder newBuilderForType(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+      }
+      /**
+       * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation}
+       */
+      public static final class Builder extends
+          com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+          // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation)
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor
+            getDescriptor() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_fieldAccessorTable
+              .ensureFieldAccessorsInitialized(
+                  org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder.class);
+        }
+
+        // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.newBuilder()
+        private Builder() {
+
+        }
+
+        private Builder(
+            com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+          super(parent);
+
+        }
+        @java.lang.Override
+        public Builder clear() {
+          super.clear();
+          bitField0_ = 0;
+          organisation_ = 0L;
+          priority_ = 0;
+          workPerSecond_ = 0F;
+          return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor
+            getDescriptorForType() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getDefaultInstanceForType() {
+          return org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation build() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation result = buildPartial();
+          if (!result.isInitialized()) {
+            throw newUninitializedMessageException(result);
+          }
+          return result;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation buildPartial() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation result = new org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation(this);
+          if (bitField0_ != 0) { buildPartial0(result); }
+          onBuilt();
+          return result;
+        }
+
+        private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation result) {
+          int from_bitField0_ = bitField0_;
+          if (((from_bitField0_ & 0x00000001) != 0)) {
+            result.organisation_ = organisation_;
+          }
+          if (((from_bitField0_ & 0x00000002) != 0)) {
+            result.priority_ = priority_;
+          }
+          if (((from_bitField0_ & 0x00000004) != 0)) {
+            result.workPerSecond_ = workPerSecond_;
+          }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+          if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation) {
+            return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation)other);
+          } else {
+            super.mergeFrom(other);
+            return this;
+          }
+        }
+
+        public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation other) {
+          if (other == org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.getDefaultInstance()) return this;
+          if (other.getOrganisation() != 0L) {
+            setOrganisation(other.getOrganisation());
+          }
+          if (other.getPriority() != 0) {
+            setPriority(other.getPriority());
+          }
+          if (java.lang.Float.floatToRawIntBits(other.getWorkPerSecond()) != 0) {
+            setWorkPerSecond(other.getWorkPerSecond());
+          }
+          this.mergeUnknownFields(other.getUnknownFields());
+          onChanged();
+          return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+          return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+          java.util.Objects.requireNonNull(extensionRegistry);
+          try {
+            boolean done = false;
+            while (!done) {
+              int tag = input.readTag();
+              switch (tag) {
+                case 0:
+                  done = true;
+                  break;
+                case 9: {
+                  organisation_ = input.readFixed64();
+                  bitField0_ |= 0x00000001;
+                  break;
+                } // case 9
+                case 16: {
+                  priority_ = input.readUInt32();
+                  bitField0_ |= 0x00000002;
+                  break;
+                } // case 16
+                case 29: {
+                  workPerSecond_ = input.readFloat();
+                  bitField0_ |= 0x00000004;
+                  break;
+                } // case 29
+                default: {
+                  if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                    done = true; // was an endgroup tag
+                  }
+                  break;
+                } // default:
+              } // switch (tag)
+            } // while (!done)
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.unwrapIOException();
+          } finally {
+            onChanged();
+          } // finally
+          return this;
+        }
+        private int bitField0_;
+
+        private long organisation_ ;
+        /**
+         * <pre>
+         * A hash of the organisation's name.
+         * </pre>
+         *
+         * <code>fixed64 organisation = 1;</code>
+         * @return The organisation.
+         */
+        @java.lang.Override
+        public long getOrganisation() {
+          return organisation_;
+        }
+        /**
+         * <pre>
+         * A hash of the organisation's name.
+         * </pre>
+         *
+         * <code>fixed64 organisation = 1;</code>
+         * @param value The organisation to set.
+         * @return This builder for chaining.
+         */
+        public Builder setOrganisation(long value) {
+
+          organisation_ = value;
+          bitField0_ |= 0x00000001;
+          onChanged();
+          return this;
+        }
+        /**
+         * <pre>
+         * A hash of the organisation's name.
+         * </pre>
+         *
+         * <code>fixed64 organisation = 1;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearOrganisation() {
+          bitField0_ = (bitField0_ & ~0x00000001);
+          organisation_ = 0L;
+          onChanged();
+          return this;
+        }
+
+        private int priority_ ;
+        /**
+         * <code>uint32 priority = 2;</code>
+         * @return The priority.
+         */
+        @java.lang.Override
+        public int getPriority() {
+          return priority_;
+        }
+        /**
+         * <code>uint32 priority = 2;</code>
+         * @param value The priority to set.
+         * @return This builder for chaining.
+         */
+        public Builder setPriority(int value) {
+
+          priority_ = value;
+          bitField0_ |= 0x00000002;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>uint32 priority = 2;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearPriority() {
+          bitField0_ = (bitField0_ & ~0x00000002);
+          priority_ = 0;
+          onChanged();
+          return this;
+        }
+
+        private float workPerSecond_ ;
+        /**
+         * <code>float work_per_second = 3;</code>
+         * @return The workPerSecond.
+         */
+        @java.lang.Override
+        public float getWorkPerSecond() {
+          return workPerSecond_;
+        }
+        /**
+         * <code>float work_per_second = 3;</code>
+         * @param value The workPerSecond to set.
+         * @return This builder for chaining.
+         */
+        public Builder setWorkPerSecond(float value) {
+
+          workPerSecond_ = value;
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>float work_per_second = 3;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearWorkPerSecond() {
+          bitField0_ = (bitField0_ & ~0x00000004);
+          workPerSecond_ = 0F;
+          onChanged();
+          return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation)
+      }
+
+      // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation)
+      private static final org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation DEFAULT_INSTANCE;
+      static {
+        DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation();
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+      }
+
+      private static final com.google.protobuf.Parser<Organisation>
+          PARSER = new com.google.protobuf.AbstractParser<Organisation>() {
+        @java.lang.Override
+        public Organisation parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
+
+      public static com.google.protobuf.Parser<Organisation> parser() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Parser<Organisation> getParserForType() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+      }
+
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ORGANISATIONS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> organisations_;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> getOrganisationsList() {
+      return organisations_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder> 
+        getOrganisationsOrBuilderList() {
+      return organisations_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    @java.lang.Override
+    public int getOrganisationsCount() {
+      return organisations_.size();
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getOrganisations(int index) {
+      return organisations_.get(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder getOrganisationsOrBuilder(
+        int index) {
+      return organisations_.get(index);
+    }
+
+    public static final int COMPLETED_PER_SECOND_FIELD_NUMBER = 3;
+    private float completedPerSecond_ = 0F;
+    /**
+     * <code>float completed_per_second = 3;</code>
+     * @return The completedPerSecond.
+     */
+    @java.lang.Override
+    public float getCompletedPerSecond() {
+      return completedPerSecond_;
+    }
+
+    public static final int TURNED_AWAY_PER_SECOND_FIELD_NUMBER = 4;
+    private float turnedAwayPerSecond_ = 0F;
+    /**
+     * <code>float turned_away_per_second = 4;</code>
+     * @return The turnedAwayPerSecond.
+     */
+    @java.lang.Override
+    public float getTurnedAwayPerSecond() {
+      return turnedAwayPerSecond_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      for (int i = 0; i < organisations_.size(); i++) {
+        output.writeMessage(2, organisations_.get(i));
+      }
+      if (java.lang.Float.floatToRawIntBits(completedPerSecond_) != 0) {
+        output.writeFloat(3, completedPerSecond_);
+      }
+      if (java.lang.Float.floatToRawIntBits(turnedAwayPerSecond_) != 0) {
+        output.writeFloat(4, turnedAwayPerSecond_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+
+          {
+            final int count = organisations_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(organisations_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (java.lang.Float.floatToRawIntBits(completedPerSecond_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, completedPerSecond_);
+      }
+      if (java.lang.Float.floatToRawIntBits(turnedAwayPerSecond_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(4, turnedAwayPerSecond_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand other = (org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getOrganisationsList()
+          .equals(other.getOrganisationsList())) return false;
+      if (java.lang.Float.floatToIntBits(getCompletedPerSecond())
+          != java.lang.Float.floatToIntBits(
+              other.getCompletedPerSecond())) return false;
+      if (java.lang.Float.floatToIntBits(getTurnedAwayPerSecond())
+          != java.lang.Float.floatToIntBits(
+              other.getTurnedAwayPerSecond())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      if (getOrganisationsCount() > 0) {
+        hash = (37 * hash) + ORGANISATIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getOrganisationsList().hashCode();
+      }
+      hash = (37 * hash) + COMPLETED_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getCompletedPerSecond());
+      hash = (37 * hash) + TURNED_AWAY_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getTurnedAwayPerSecond());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The recent demand for one service at the sender; rates are in work per second.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.ServiceDemand}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.ServiceDemand)
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.class, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        if (organisationsBuilder_ == null) {
+          organisations_ = java.util.Collections.emptyList();
+        } else {
+          organisations_ = null;
+          organisationsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        completedPerSecond_ = 0F;
+        turnedAwayPerSecond_ = 0F;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand result = new org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand result) {
+        if (organisationsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            organisations_ = java.util.Collections.unmodifiableList(organisations_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.organisations_ = organisations_;
+        } else {
+          result.organisations_ = organisationsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.completedPerSecond_ = completedPerSecond_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.turnedAwayPerSecond_ = turnedAwayPerSecond_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (organisationsBuilder_ == null) {
+          if (!other.organisations_.isEmpty()) {
+            if (organisations_.isEmpty()) {
+              organisations_ = other.organisations_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureOrganisationsIsMutable();
+              organisations_.addAll(other.organisations_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.organisations_.isEmpty()) {
+            if (organisationsBuilder_.isEmpty()) {
+              organisationsBuilder_.dispose();
+              organisationsBuilder_ = null;
+              organisations_ = other.organisations_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              organisationsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetOrganisationsFieldBuilder() : null;
+            } else {
+              organisationsBuilder_.addAllMessages(other.organisations_);
+            }
+          }
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getCompletedPerSecond()) != 0) {
+          setCompletedPerSecond(other.getCompletedPerSecond());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getTurnedAwayPerSecond()) != 0) {
+          setTurnedAwayPerSecond(other.getTurnedAwayPerSecond());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation m =
+                    input.readMessage(
+                        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.parser(),
+                        extensionRegistry);
+                if (organisationsBuilder_ == null) {
+                  ensureOrganisationsIsMutable();
+                  organisations_.add(m);
+                } else {
+                  organisationsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              case 29: {
+                completedPerSecond_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 37: {
+                turnedAwayPerSecond_ = input.readFloat();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 37
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> organisations_ =
+        java.util.Collections.emptyList();
+      private void ensureOrganisationsIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          organisations_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation>(organisations_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder> organisationsBuilder_;
+
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> getOrganisationsList() {
+        if (organisationsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(organisations_);
+        } else {
+          return organisationsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public int getOrganisationsCount() {
+        if (organisationsBuilder_ == null) {
+          return organisations_.size();
+        } else {
+          return organisationsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation getOrganisations(int index) {
+        if (organisationsBuilder_ == null) {
+          return organisations_.get(index);
+        } else {
+          return organisationsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder setOrganisations(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation value) {
+        if (organisationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureOrganisationsIsMutable();
+          organisations_.set(index, value);
+          onChanged();
+        } else {
+          organisationsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder setOrganisations(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder builderForValue) {
+        if (organisationsBuilder_ == null) {
+          ensureOrganisationsIsMutable();
+          organisations_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          organisationsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder addOrganisations(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation value) {
+        if (organisationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureOrganisationsIsMutable();
+          organisations_.add(value);
+          onChanged();
+        } else {
+          organisationsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder addOrganisations(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation value) {
+        if (organisationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureOrganisationsIsMutable();
+          organisations_.add(index, value);
+          onChanged();
+        } else {
+          organisationsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder addOrganisations(
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder builderForValue) {
+        if (organisationsBuilder_ == null) {
+          ensureOrganisationsIsMutable();
+          organisations_.add(builderForValue.build());
+          onChanged();
+        } else {
+          organisationsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder addOrganisations(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder builderForValue) {
+        if (organisationsBuilder_ == null) {
+          ensureOrganisationsIsMutable();
+          organisations_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          organisationsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder addAllOrganisations(
+          java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation> values) {
+        if (organisationsBuilder_ == null) {
+          ensureOrganisationsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, organisations_);
+          onChanged();
+        } else {
+          organisationsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder clearOrganisations() {
+        if (organisationsBuilder_ == null) {
+          organisations_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          organisationsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public Builder removeOrganisations(int index) {
+        if (organisationsBuilder_ == null) {
+          ensureOrganisationsIsMutable();
+          organisations_.remove(index);
+          onChanged();
+        } else {
+          organisationsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder getOrganisationsBuilder(
+          int index) {
+        return internalGetOrganisationsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder getOrganisationsOrBuilder(
+          int index) {
+        if (organisationsBuilder_ == null) {
+          return organisations_.get(index);  } else {
+          return organisationsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder> 
+           getOrganisationsOrBuilderList() {
+        if (organisationsBuilder_ != null) {
+          return organisationsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(organisations_);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder addOrganisationsBuilder() {
+        return internalGetOrganisationsFieldBuilder().addBuilder(
+            org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder addOrganisationsBuilder(
+          int index) {
+        return internalGetOrganisationsFieldBuilder().addBuilder(
+            index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand.Organisation organisations = 2;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder> 
+           getOrganisationsBuilderList() {
+        return internalGetOrganisationsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder> 
+          internalGetOrganisationsFieldBuilder() {
+        if (organisationsBuilder_ == null) {
+          organisationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Organisation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.OrganisationOrBuilder>(
+                  organisations_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          organisations_ = null;
+        }
+        return organisationsBuilder_;
+      }
+
+      private float completedPerSecond_ ;
+      /**
+       * <code>float completed_per_second = 3;</code>
+       * @return The completedPerSecond.
+       */
+      @java.lang.Override
+      public float getCompletedPerSecond() {
+        return completedPerSecond_;
+      }
+      /**
+       * <code>float completed_per_second = 3;</code>
+       * @param value The completedPerSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCompletedPerSecond(float value) {
+
+        completedPerSecond_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>float completed_per_second = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCompletedPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        completedPerSecond_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float turnedAwayPerSecond_ ;
+      /**
+       * <code>float turned_away_per_second = 4;</code>
+       * @return The turnedAwayPerSecond.
+       */
+      @java.lang.Override
+      public float getTurnedAwayPerSecond() {
+        return turnedAwayPerSecond_;
+      }
+      /**
+       * <code>float turned_away_per_second = 4;</code>
+       * @param value The turnedAwayPerSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTurnedAwayPerSecond(float value) {
+
+        turnedAwayPerSecond_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>float turned_away_per_second = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTurnedAwayPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        turnedAwayPerSecond_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.ServiceDemand)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.ServiceDemand)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServiceDemand>
+        PARSER = new com.google.protobuf.AbstractParser<ServiceDemand>() {
+      @java.lang.Override
+      public ServiceDemand parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServiceDemand> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServiceDemand> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ObservationOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.Observation)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The ordinal in ObservedCollection.
+     * </pre>
+     *
+     * <code>uint32 collection = 1;</code>
+     * @return The collection.
+     */
+    int getCollection();
+
+    /**
+     * <pre>
+     * The generation of the store's history.
+     * </pre>
+     *
+     * <code>int64 generation = 2;</code>
+     * @return The generation.
+     */
+    long getGeneration();
+
+    /**
+     * <code>fixed64 digest = 3;</code>
+     * @return The digest.
+     */
+    long getDigest();
+
+    /**
+     * <pre>
+     * Time since the call was sent whose response last showed the content.
+     * </pre>
+     *
+     * <code>uint32 age_milliseconds = 4;</code>
+     * @return The ageMilliseconds.
+     */
+    int getAgeMilliseconds();
+  }
+  /**
+   * <pre>
+   * The state of a collection as the sender read it from the store.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Observation}
+   */
+  public static final class Observation extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.Observation)
+      ObservationOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Observation");
+    }
+    // Use Observation.newBuilder() to construct.
+    private Observation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Observation() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.Observation.class, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder.class);
+    }
+
+    public static final int COLLECTION_FIELD_NUMBER = 1;
+    private int collection_ = 0;
+    /**
+     * <pre>
+     * The ordinal in ObservedCollection.
+     * </pre>
+     *
+     * <code>uint32 collection = 1;</code>
+     * @return The collection.
+     */
+    @java.lang.Override
+    public int getCollection() {
+      return collection_;
+    }
+
+    public static final int GENERATION_FIELD_NUMBER = 2;
+    private long generation_ = 0L;
+    /**
+     * <pre>
+     * The generation of the store's history.
+     * </pre>
+     *
+     * <code>int64 generation = 2;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return generation_;
+    }
+
+    public static final int DIGEST_FIELD_NUMBER = 3;
+    private long digest_ = 0L;
+    /**
+     * <code>fixed64 digest = 3;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public long getDigest() {
+      return digest_;
+    }
+
+    public static final int AGE_MILLISECONDS_FIELD_NUMBER = 4;
+    private int ageMilliseconds_ = 0;
+    /**
+     * <pre>
+     * Time since the call was sent whose response last showed the content.
+     * </pre>
+     *
+     * <code>uint32 age_milliseconds = 4;</code>
+     * @return The ageMilliseconds.
+     */
+    @java.lang.Override
+    public int getAgeMilliseconds() {
+      return ageMilliseconds_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (collection_ != 0) {
+        output.writeUInt32(1, collection_);
+      }
+      if (generation_ != 0L) {
+        output.writeInt64(2, generation_);
+      }
+      if (digest_ != 0L) {
+        output.writeFixed64(3, digest_);
+      }
+      if (ageMilliseconds_ != 0) {
+        output.writeUInt32(4, ageMilliseconds_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (collection_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, collection_);
+      }
+      if (generation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, generation_);
+      }
+      if (digest_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(3, digest_);
+      }
+      if (ageMilliseconds_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, ageMilliseconds_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Observation)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.Observation other = (org.aspenmoor.internal.wire.v1.PeerLoad.Observation) obj;
+
+      if (getCollection()
+          != other.getCollection()) return false;
+      if (getGeneration()
+          != other.getGeneration()) return false;
+      if (getDigest()
+          != other.getDigest()) return false;
+      if (getAgeMilliseconds()
+          != other.getAgeMilliseconds()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + COLLECTION_FIELD_NUMBER;
+      hash = (53 * hash) + getCollection();
+      hash = (37 * hash) + GENERATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getGeneration());
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDigest());
+      hash = (37 * hash) + AGE_MILLISECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMilliseconds();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.Observation prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The state of a collection as the sender read it from the store.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Observation}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.Observation)
+        org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.Observation.class, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.Observation.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        collection_ = 0;
+        generation_ = 0L;
+        digest_ = 0L;
+        ageMilliseconds_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Observation getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.Observation.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Observation build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Observation result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.Observation buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.Observation result = new org.aspenmoor.internal.wire.v1.PeerLoad.Observation(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.Observation result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.collection_ = collection_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.generation_ = generation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.digest_ = digest_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMilliseconds_ = ageMilliseconds_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.Observation) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.Observation)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.Observation other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.Observation.getDefaultInstance()) return this;
+        if (other.getCollection() != 0) {
+          setCollection(other.getCollection());
+        }
+        if (other.getGeneration() != 0L) {
+          setGeneration(other.getGeneration());
+        }
+        if (other.getDigest() != 0L) {
+          setDigest(other.getDigest());
+        }
+        if (other.getAgeMilliseconds() != 0) {
+          setAgeMilliseconds(other.getAgeMilliseconds());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                collection_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                generation_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 25: {
+                digest_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 32: {
+                ageMilliseconds_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int collection_ ;
+      /**
+       * <pre>
+       * The ordinal in ObservedCollection.
+       * </pre>
+       *
+       * <code>uint32 collection = 1;</code>
+       * @return The collection.
+       */
+      @java.lang.Override
+      public int getCollection() {
+        return collection_;
+      }
+      /**
+       * <pre>
+       * The ordinal in ObservedCollection.
+       * </pre>
+       *
+       * <code>uint32 collection = 1;</code>
+       * @param value The collection to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCollection(int value) {
+
+        collection_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The ordinal in ObservedCollection.
+       * </pre>
+       *
+       * <code>uint32 collection = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCollection() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        collection_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long generation_ ;
+      /**
+       * <pre>
+       * The generation of the store's history.
+       * </pre>
+       *
+       * <code>int64 generation = 2;</code>
+       * @return The generation.
+       */
+      @java.lang.Override
+      public long getGeneration() {
+        return generation_;
+      }
+      /**
+       * <pre>
+       * The generation of the store's history.
+       * </pre>
+       *
+       * <code>int64 generation = 2;</code>
+       * @param value The generation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGeneration(long value) {
+
+        generation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The generation of the store's history.
+       * </pre>
+       *
+       * <code>int64 generation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGeneration() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        generation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long digest_ ;
+      /**
+       * <code>fixed64 digest = 3;</code>
+       * @return The digest.
+       */
+      @java.lang.Override
+      public long getDigest() {
+        return digest_;
+      }
+      /**
+       * <code>fixed64 digest = 3;</code>
+       * @param value The digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigest(long value) {
+
+        digest_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 digest = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDigest() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        digest_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int ageMilliseconds_ ;
+      /**
+       * <pre>
+       * Time since the call was sent whose response last showed the content.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @return The ageMilliseconds.
+       */
+      @java.lang.Override
+      public int getAgeMilliseconds() {
+        return ageMilliseconds_;
+      }
+      /**
+       * <pre>
+       * Time since the call was sent whose response last showed the content.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @param value The ageMilliseconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMilliseconds(int value) {
+
+        ageMilliseconds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the call was sent whose response last showed the content.
+       * </pre>
+       *
+       * <code>uint32 age_milliseconds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMilliseconds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMilliseconds_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Observation)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.Observation)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.Observation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.Observation();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.Observation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Observation>
+        PARSER = new com.google.protobuf.AbstractParser<Observation>() {
+      @java.lang.Override
+      public Observation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Observation> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Observation> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Observation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private int bitField0_;
+  public static final int ENTRY_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object entry_ = "";
+  /**
+   * <code>string entry = 1;</code>
+   * @return The entry.
+   */
+  @java.lang.Override
+  public java.lang.String getEntry() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      entry_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string entry = 1;</code>
+   * @return The bytes for entry.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getEntryBytes() {
+    java.lang.Object ref = entry_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      entry_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int START_FIELD_NUMBER = 2;
+  private long start_ = 0L;
+  /**
+   * <pre>
+   * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+   * with each incarnation.
+   * </pre>
+   *
+   * <code>fixed64 start = 2;</code>
+   * @return The start.
+   */
+  @java.lang.Override
+  public long getStart() {
+    return start_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
+  private long sequence_ = 0L;
+  /**
+   * <code>uint64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int SHARES_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
+    return shares_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+      getSharesOrBuilderList() {
+    return shares_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public int getSharesCount() {
+    return shares_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
+    return shares_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+      int index) {
+    return shares_.get(index);
+  }
+
+  public static final int PROMPTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_;
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+      getPromptsOrBuilderList() {
+    return prompts_;
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public int getPromptsCount() {
+    return prompts_.size();
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+    return prompts_.get(index);
+  }
+  /**
+   * <pre>
+   * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+   * they are not reported again.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+      int index) {
+    return prompts_.get(index);
+  }
+
+  public static final int LEAVING_FIELD_NUMBER = 5;
+  private boolean leaving_ = false;
+  /**
+   * <pre>
+   * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+   * </pre>
+   *
+   * <code>bool leaving = 5;</code>
+   * @return The leaving.
+   */
+  @java.lang.Override
+  public boolean getLeaving() {
+    return leaving_;
+  }
+
+  public static final int SPEEDS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+      getSpeedsOrBuilderList() {
+    return speeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public int getSpeedsCount() {
+    return speeds_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+    return speeds_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+      int index) {
+    return speeds_.get(index);
+  }
+
+  public static final int CHANGES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+      getChangesOrBuilderList() {
+    return changes_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public int getChangesCount() {
+    return changes_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
+    return changes_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
+      int index) {
+    return changes_.get(index);
+  }
+
+  public static final int LENGTHS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
+    return lengths_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+      getLengthsOrBuilderList() {
+    return lengths_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public int getLengthsCount() {
+    return lengths_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
+    return lengths_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
+      int index) {
+    return lengths_.get(index);
+  }
+
+  public static final int ENDS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
+    return ends_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+      getEndsOrBuilderList() {
+    return ends_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public int getEndsCount() {
+    return ends_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
+    return ends_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
+      int index) {
+    return ends_.get(index);
+  }
+
+  public static final int DUTY_FIELD_NUMBER = 11;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return Whether the duty field is set.
+   */
+  @java.lang.Override
+  public boolean hasDuty() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   * @return The duty.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+    return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 12;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return Whether the usage field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsage() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   * @return The usage.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+    return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+  }
+
+  public static final int STORE_UNREACHABLE_FIELD_NUMBER = 13;
+  private boolean storeUnreachable_ = false;
+  /**
+   * <pre>
+   * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+   * </pre>
+   *
+   * <code>bool store_unreachable = 13;</code>
+   * @return The storeUnreachable.
+   */
+  @java.lang.Override
+  public boolean getStoreUnreachable() {
+    return storeUnreachable_;
+  }
+
+  public static final int ORDER_FENCING_NUMBER_FIELD_NUMBER = 15;
+  private long orderFencingNumber_ = 0L;
+  /**
+   * <pre>
+   * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+   * highest one gives the orders.
+   * </pre>
+   *
+   * <code>int64 order_fencing_number = 15;</code>
+   * @return The orderFencingNumber.
+   */
+  @java.lang.Override
+  public long getOrderFencingNumber() {
+    return orderFencingNumber_;
+  }
+
+  public static final int LIMITS_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
+  public static final int DRAINING_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+      getDrainingOrBuilderList() {
+    return draining_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public int getDrainingCount() {
+    return draining_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+    return draining_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+      int index) {
+    return draining_.get(index);
+  }
+
+  public static final int VERSIONS_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
+    return versions_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+      getVersionsOrBuilderList() {
+    return versions_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public int getVersionsCount() {
+    return versions_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
+    return versions_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+      int index) {
+    return versions_.get(index);
+  }
+
+  public static final int STREAMS_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_;
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
+    return streams_;
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+      getStreamsOrBuilderList() {
+    return streams_;
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public int getStreamsCount() {
+    return streams_.size();
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
+    return streams_.get(index);
+  }
+  /**
+   * <pre>
+   * Streams of which the sender tells the receiver.
+   * </pre>
+   *
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
+      int index) {
+    return streams_.get(index);
+  }
+
+  public static final int QUESTION_FIELD_NUMBER = 19;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return Whether the question field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuestion() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   * @return The question.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
+    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
+    return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+  }
+
+  public static final int REPLY_FIELD_NUMBER = 20;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return Whether the reply field is set.
+   */
+  @java.lang.Override
+  public boolean hasReply() {
+    return ((bitField0_ & 0x00000008) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   * @return The reply.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
+    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
+    return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+  }
+
+  public static final int SERVER_SPEEDS_FIELD_NUMBER = 21;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> serverSpeeds_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> getServerSpeedsList() {
+    return serverSpeeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder> 
+      getServerSpeedsOrBuilderList() {
+    return serverSpeeds_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  @java.lang.Override
+  public int getServerSpeedsCount() {
+    return serverSpeeds_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getServerSpeeds(int index) {
+    return serverSpeeds_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder getServerSpeedsOrBuilder(
+      int index) {
+    return serverSpeeds_.get(index);
+  }
+
+  public static final int SERVICE_DEMANDS_FIELD_NUMBER = 22;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> serviceDemands_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> getServiceDemandsList() {
