+    return serviceDemands_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder> 
+      getServiceDemandsOrBuilderList() {
+    return serviceDemands_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  @java.lang.Override
+  public int getServiceDemandsCount() {
+    return serviceDemands_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getServiceDemands(int index) {
+    return serviceDemands_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder getServiceDemandsOrBuilder(
+      int index) {
+    return serviceDemands_.get(index);
+  }
+
+  public static final int OBSERVATIONS_FIELD_NUMBER = 23;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> observations_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> getObservationsList() {
+    return observations_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder> 
+      getObservationsOrBuilderList() {
+    return observations_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  @java.lang.Override
+  public int getObservationsCount() {
+    return observations_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.Observation getObservations(int index) {
+    return observations_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder getObservationsOrBuilder(
+      int index) {
+    return observations_.get(index);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+    }
+    if (start_ != 0L) {
+      output.writeFixed64(2, start_);
+    }
+    if (sequence_ != 0L) {
+      output.writeUInt64(3, sequence_);
+    }
+    for (int i = 0; i < shares_.size(); i++) {
+      output.writeMessage(4, shares_.get(i));
+    }
+    if (leaving_ != false) {
+      output.writeBool(5, leaving_);
+    }
+    for (int i = 0; i < prompts_.size(); i++) {
+      output.writeMessage(6, prompts_.get(i));
+    }
+    for (int i = 0; i < speeds_.size(); i++) {
+      output.writeMessage(7, speeds_.get(i));
+    }
+    for (int i = 0; i < changes_.size(); i++) {
+      output.writeMessage(8, changes_.get(i));
+    }
+    for (int i = 0; i < lengths_.size(); i++) {
+      output.writeMessage(9, lengths_.get(i));
+    }
+    for (int i = 0; i < ends_.size(); i++) {
+      output.writeMessage(10, ends_.get(i));
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(12, getUsage());
+    }
+    if (storeUnreachable_ != false) {
+      output.writeBool(13, storeUnreachable_);
+    }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(14, limits_.get(i));
+    }
+    if (orderFencingNumber_ != 0L) {
+      output.writeInt64(15, orderFencingNumber_);
+    }
+    for (int i = 0; i < draining_.size(); i++) {
+      output.writeMessage(16, draining_.get(i));
+    }
+    for (int i = 0; i < versions_.size(); i++) {
+      output.writeMessage(17, versions_.get(i));
+    }
+    for (int i = 0; i < streams_.size(); i++) {
+      output.writeMessage(18, streams_.get(i));
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(19, getQuestion());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      output.writeMessage(20, getReply());
+    }
+    for (int i = 0; i < serverSpeeds_.size(); i++) {
+      output.writeMessage(21, serverSpeeds_.get(i));
+    }
+    for (int i = 0; i < serviceDemands_.size(); i++) {
+      output.writeMessage(22, serviceDemands_.get(i));
+    }
+    for (int i = 0; i < observations_.size(); i++) {
+      output.writeMessage(23, observations_.get(i));
+    }
+    getUnknownFields().writeTo(output);
+  }
+  private int computeSerializedSize_0() {
+    int size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+    }
+    if (start_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(2, start_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, sequence_);
+    }
+
+        {
+          final int count = shares_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(shares_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (leaving_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, leaving_);
+    }
+
+        {
+          final int count = prompts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(prompts_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = speeds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(speeds_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = changes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(changes_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = lengths_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(lengths_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = ends_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(ends_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getDuty());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getUsage());
+    }
+    if (storeUnreachable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, storeUnreachable_);
+    }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (orderFencingNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(15, orderFencingNumber_);
+    }
+
+        {
+          final int count = draining_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(draining_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = versions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(versions_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = streams_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(streams_.get(i));
+          }
+          size += 2 * count;
+        }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, getQuestion());
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, getReply());
+    }
+
+        {
+          final int count = serverSpeeds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(serverSpeeds_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = serviceDemands_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(serviceDemands_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = observations_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(observations_.get(i));
+          }
+          size += 2 * count;
+        }
+    return size;
+  }
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    size += computeSerializedSize_0();
+    size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
   }
@@ -14051,6 +17772,12 @@
       if (!getReply()
           .equals(other.getReply())) return false;
     }
+    if (!getServerSpeedsList()
+        .equals(other.getServerSpeedsList())) return false;
+    if (!getServiceDemandsList()
+        .equals(other.getServiceDemandsList())) return false;
+    if (!getObservationsList()
+        .equals(other.getObservationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -14135,6 +17862,18 @@
       hash = (37 * hash) + REPLY_FIELD_NUMBER;
       hash = (53 * hash) + getReply().hashCode();
     }
+    if (getServerSpeedsCount() > 0) {
+      hash = (37 * hash) + SERVER_SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + getServerSpeedsList().hashCode();
+    }
+    if (getServiceDemandsCount() > 0) {
+      hash = (37 * hash) + SERVICE_DEMANDS_FIELD_NUMBER;
+      hash = (53 * hash) + getServiceDemandsList().hashCode();
+    }
+    if (getObservationsCount() > 0) {
+      hash = (37 * hash) + OBSERVATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getObservationsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -14249,4110 +17988,4980 @@
     }
 
     @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.aspenmoor.internal.wire.v1.PeerLoad.class, org.aspenmoor.internal.wire.v1.PeerLoad.Builder.class);
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.class, org.aspenmoor.internal.wire.v1.PeerLoad.Builder.class);
+    }
+
+    // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetSharesFieldBuilder();
+        internalGetPromptsFieldBuilder();
+        internalGetSpeedsFieldBuilder();
+        internalGetChangesFieldBuilder();
+        internalGetLengthsFieldBuilder();
+        internalGetEndsFieldBuilder();
+        internalGetDutyFieldBuilder();
+        internalGetUsageFieldBuilder();
+        internalGetLimitsFieldBuilder();
+        internalGetDrainingFieldBuilder();
+        internalGetVersionsFieldBuilder();
+        internalGetStreamsFieldBuilder();
+        internalGetQuestionFieldBuilder();
+        internalGetReplyFieldBuilder();
+        internalGetServerSpeedsFieldBuilder();
+        internalGetServiceDemandsFieldBuilder();
+        internalGetObservationsFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      entry_ = "";
+      start_ = 0L;
+      sequence_ = 0L;
+      if (sharesBuilder_ == null) {
+        shares_ = java.util.Collections.emptyList();
+      } else {
+        shares_ = null;
+        sharesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+      } else {
+        prompts_ = null;
+        promptsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
+      leaving_ = false;
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+      } else {
+        speeds_ = null;
+        speedsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+      } else {
+        changes_ = null;
+        changesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (lengthsBuilder_ == null) {
+        lengths_ = java.util.Collections.emptyList();
+      } else {
+        lengths_ = null;
+        lengthsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (endsBuilder_ == null) {
+        ends_ = java.util.Collections.emptyList();
+      } else {
+        ends_ = null;
+        endsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
+      }
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
+      }
+      storeUnreachable_ = false;
+      orderFencingNumber_ = 0L;
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+      } else {
+        draining_ = null;
+        drainingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
+      if (versionsBuilder_ == null) {
+        versions_ = java.util.Collections.emptyList();
+      } else {
+        versions_ = null;
+        versionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+      } else {
+        streams_ = null;
+        streamsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
+      question_ = null;
+      if (questionBuilder_ != null) {
+        questionBuilder_.dispose();
+        questionBuilder_ = null;
+      }
+      reply_ = null;
+      if (replyBuilder_ != null) {
+        replyBuilder_.dispose();
+        replyBuilder_ = null;
+      }
+      if (serverSpeedsBuilder_ == null) {
+        serverSpeeds_ = java.util.Collections.emptyList();
+      } else {
+        serverSpeeds_ = null;
+        serverSpeedsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00100000);
+      if (serviceDemandsBuilder_ == null) {
+        serviceDemands_ = java.util.Collections.emptyList();
+      } else {
+        serviceDemands_ = null;
+        serviceDemandsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00200000);
+      if (observationsBuilder_ == null) {
+        observations_ = java.util.Collections.emptyList();
+      } else {
+        observations_ = null;
+        observationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00400000);
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad getDefaultInstanceForType() {
+      return org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad build() {
+      org.aspenmoor.internal.wire.v1.PeerLoad result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
     }
 
-    // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.newBuilder()
-    private Builder() {
-      maybeForceBuilderInitialization();
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad buildPartial() {
+      org.aspenmoor.internal.wire.v1.PeerLoad result = new org.aspenmoor.internal.wire.v1.PeerLoad(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-      maybeForceBuilderInitialization();
+    private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad result) {
+      if (sharesBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          shares_ = java.util.Collections.unmodifiableList(shares_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.shares_ = shares_;
+      } else {
+        result.shares_ = sharesBuilder_.build();
+      }
+      if (promptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          prompts_ = java.util.Collections.unmodifiableList(prompts_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.prompts_ = prompts_;
+      } else {
+        result.prompts_ = promptsBuilder_.build();
+      }
+      if (speedsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          speeds_ = java.util.Collections.unmodifiableList(speeds_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.speeds_ = speeds_;
+      } else {
+        result.speeds_ = speedsBuilder_.build();
+      }
+      if (changesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          changes_ = java.util.Collections.unmodifiableList(changes_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.changes_ = changes_;
+      } else {
+        result.changes_ = changesBuilder_.build();
+      }
+      if (lengthsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          lengths_ = java.util.Collections.unmodifiableList(lengths_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.lengths_ = lengths_;
+      } else {
+        result.lengths_ = lengthsBuilder_.build();
+      }
+      if (endsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          ends_ = java.util.Collections.unmodifiableList(ends_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.ends_ = ends_;
+      } else {
+        result.ends_ = endsBuilder_.build();
+      }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
+      if (drainingBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          draining_ = java.util.Collections.unmodifiableList(draining_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.draining_ = draining_;
+      } else {
+        result.draining_ = drainingBuilder_.build();
+      }
+      if (versionsBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          versions_ = java.util.Collections.unmodifiableList(versions_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.versions_ = versions_;
+      } else {
+        result.versions_ = versionsBuilder_.build();
+      }
+      if (streamsBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          streams_ = java.util.Collections.unmodifiableList(streams_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.streams_ = streams_;
+      } else {
+        result.streams_ = streamsBuilder_.build();
+      }
+      if (serverSpeedsBuilder_ == null) {
+        if (((bitField0_ & 0x00100000) != 0)) {
+          serverSpeeds_ = java.util.Collections.unmodifiableList(serverSpeeds_);
+          bitField0_ = (bitField0_ & ~0x00100000);
+        }
+        result.serverSpeeds_ = serverSpeeds_;
+      } else {
+        result.serverSpeeds_ = serverSpeedsBuilder_.build();
+      }
+      if (serviceDemandsBuilder_ == null) {
+        if (((bitField0_ & 0x00200000) != 0)) {
+          serviceDemands_ = java.util.Collections.unmodifiableList(serviceDemands_);
+          bitField0_ = (bitField0_ & ~0x00200000);
+        }
+        result.serviceDemands_ = serviceDemands_;
+      } else {
+        result.serviceDemands_ = serviceDemandsBuilder_.build();
+      }
+      if (observationsBuilder_ == null) {
+        if (((bitField0_ & 0x00400000) != 0)) {
+          observations_ = java.util.Collections.unmodifiableList(observations_);
+          bitField0_ = (bitField0_ & ~0x00400000);
+        }
+        result.observations_ = observations_;
+      } else {
+        result.observations_ = observationsBuilder_.build();
+      }
     }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetSharesFieldBuilder();
-        internalGetPromptsFieldBuilder();
-        internalGetSpeedsFieldBuilder();
-        internalGetChangesFieldBuilder();
-        internalGetLengthsFieldBuilder();
-        internalGetEndsFieldBuilder();
-        internalGetDutyFieldBuilder();
-        internalGetUsageFieldBuilder();
-        internalGetLimitsFieldBuilder();
-        internalGetDrainingFieldBuilder();
-        internalGetVersionsFieldBuilder();
-        internalGetStreamsFieldBuilder();
-        internalGetQuestionFieldBuilder();
-        internalGetReplyFieldBuilder();
+
+    private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.entry_ = entry_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.start_ = start_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.leaving_ = leaving_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.duty_ = dutyBuilder_ == null
+            ? duty_
+            : dutyBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.usage_ = usageBuilder_ == null
+            ? usage_
+            : usageBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.storeUnreachable_ = storeUnreachable_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.orderFencingNumber_ = orderFencingNumber_;
       }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.question_ = questionBuilder_ == null
+            ? question_
+            : questionBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.reply_ = replyBuilder_ == null
+            ? reply_
+            : replyBuilder_.build();
+        to_bitField0_ |= 0x00000008;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
+
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      entry_ = "";
-      start_ = 0L;
-      sequence_ = 0L;
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad) {
+        return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad other) {
+      if (other == org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance()) return this;
+      if (!other.getEntry().isEmpty()) {
+        entry_ = other.entry_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.getStart() != 0L) {
+        setStart(other.getStart());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
       if (sharesBuilder_ == null) {
-        shares_ = java.util.Collections.emptyList();
+        if (!other.shares_.isEmpty()) {
+          if (shares_.isEmpty()) {
+            shares_ = other.shares_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureSharesIsMutable();
+            shares_.addAll(other.shares_);
+          }
+          onChanged();
+        }
       } else {
-        shares_ = null;
-        sharesBuilder_.clear();
+        if (!other.shares_.isEmpty()) {
+          if (sharesBuilder_.isEmpty()) {
+            sharesBuilder_.dispose();
+            sharesBuilder_ = null;
+            shares_ = other.shares_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            sharesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSharesFieldBuilder() : null;
+          } else {
+            sharesBuilder_.addAllMessages(other.shares_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
       if (promptsBuilder_ == null) {
-        prompts_ = java.util.Collections.emptyList();
+        if (!other.prompts_.isEmpty()) {
+          if (prompts_.isEmpty()) {
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensurePromptsIsMutable();
+            prompts_.addAll(other.prompts_);
+          }
+          onChanged();
+        }
       } else {
-        prompts_ = null;
-        promptsBuilder_.clear();
+        if (!other.prompts_.isEmpty()) {
+          if (promptsBuilder_.isEmpty()) {
+            promptsBuilder_.dispose();
+            promptsBuilder_ = null;
+            prompts_ = other.prompts_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            promptsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPromptsFieldBuilder() : null;
+          } else {
+            promptsBuilder_.addAllMessages(other.prompts_);
+          }
+        }
+      }
+      if (other.getLeaving() != false) {
+        setLeaving(other.getLeaving());
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
-      leaving_ = false;
       if (speedsBuilder_ == null) {
-        speeds_ = java.util.Collections.emptyList();
+        if (!other.speeds_.isEmpty()) {
+          if (speeds_.isEmpty()) {
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureSpeedsIsMutable();
+            speeds_.addAll(other.speeds_);
+          }
+          onChanged();
+        }
       } else {
-        speeds_ = null;
-        speedsBuilder_.clear();
+        if (!other.speeds_.isEmpty()) {
+          if (speedsBuilder_.isEmpty()) {
+            speedsBuilder_.dispose();
+            speedsBuilder_ = null;
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            speedsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSpeedsFieldBuilder() : null;
+          } else {
+            speedsBuilder_.addAllMessages(other.speeds_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00000040);
       if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
+        if (!other.changes_.isEmpty()) {
+          if (changes_.isEmpty()) {
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureChangesIsMutable();
+            changes_.addAll(other.changes_);
+          }
+          onChanged();
+        }
       } else {
-        changes_ = null;
-        changesBuilder_.clear();
+        if (!other.changes_.isEmpty()) {
+          if (changesBuilder_.isEmpty()) {
+            changesBuilder_.dispose();
+            changesBuilder_ = null;
+            changes_ = other.changes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            changesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetChangesFieldBuilder() : null;
+          } else {
+            changesBuilder_.addAllMessages(other.changes_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00000080);
       if (lengthsBuilder_ == null) {
-        lengths_ = java.util.Collections.emptyList();
+        if (!other.lengths_.isEmpty()) {
+          if (lengths_.isEmpty()) {
+            lengths_ = other.lengths_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLengthsIsMutable();
+            lengths_.addAll(other.lengths_);
+          }
+          onChanged();
+        }
       } else {
-        lengths_ = null;
-        lengthsBuilder_.clear();
+        if (!other.lengths_.isEmpty()) {
+          if (lengthsBuilder_.isEmpty()) {
+            lengthsBuilder_.dispose();
+            lengthsBuilder_ = null;
+            lengths_ = other.lengths_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            lengthsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLengthsFieldBuilder() : null;
+          } else {
+            lengthsBuilder_.addAllMessages(other.lengths_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00000100);
       if (endsBuilder_ == null) {
-        ends_ = java.util.Collections.emptyList();
+        if (!other.ends_.isEmpty()) {
+          if (ends_.isEmpty()) {
+            ends_ = other.ends_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureEndsIsMutable();
+            ends_.addAll(other.ends_);
+          }
+          onChanged();
+        }
       } else {
-        ends_ = null;
-        endsBuilder_.clear();
+        if (!other.ends_.isEmpty()) {
+          if (endsBuilder_.isEmpty()) {
+            endsBuilder_.dispose();
+            endsBuilder_ = null;
+            ends_ = other.ends_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            endsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEndsFieldBuilder() : null;
+          } else {
+            endsBuilder_.addAllMessages(other.ends_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00000200);
-      duty_ = null;
-      if (dutyBuilder_ != null) {
-        dutyBuilder_.dispose();
-        dutyBuilder_ = null;
+      if (other.hasDuty()) {
+        mergeDuty(other.getDuty());
       }
-      usage_ = null;
-      if (usageBuilder_ != null) {
-        usageBuilder_.dispose();
-        usageBuilder_ = null;
+      if (other.hasUsage()) {
+        mergeUsage(other.getUsage());
+      }
+      if (other.getStoreUnreachable() != false) {
+        setStoreUnreachable(other.getStoreUnreachable());
+      }
+      if (other.getOrderFencingNumber() != 0L) {
+        setOrderFencingNumber(other.getOrderFencingNumber());
+      }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
+      if (drainingBuilder_ == null) {
+        if (!other.draining_.isEmpty()) {
+          if (draining_.isEmpty()) {
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureDrainingIsMutable();
+            draining_.addAll(other.draining_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.draining_.isEmpty()) {
+          if (drainingBuilder_.isEmpty()) {
+            drainingBuilder_.dispose();
+            drainingBuilder_ = null;
+            draining_ = other.draining_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            drainingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDrainingFieldBuilder() : null;
+          } else {
+            drainingBuilder_.addAllMessages(other.draining_);
+          }
+        }
+      }
+      if (versionsBuilder_ == null) {
+        if (!other.versions_.isEmpty()) {
+          if (versions_.isEmpty()) {
+            versions_ = other.versions_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensureVersionsIsMutable();
+            versions_.addAll(other.versions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.versions_.isEmpty()) {
+          if (versionsBuilder_.isEmpty()) {
+            versionsBuilder_.dispose();
+            versionsBuilder_ = null;
+            versions_ = other.versions_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            versionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetVersionsFieldBuilder() : null;
+          } else {
+            versionsBuilder_.addAllMessages(other.versions_);
+          }
+        }
+      }
+      if (streamsBuilder_ == null) {
+        if (!other.streams_.isEmpty()) {
+          if (streams_.isEmpty()) {
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureStreamsIsMutable();
+            streams_.addAll(other.streams_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.streams_.isEmpty()) {
+          if (streamsBuilder_.isEmpty()) {
+            streamsBuilder_.dispose();
+            streamsBuilder_ = null;
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            streamsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStreamsFieldBuilder() : null;
+          } else {
+            streamsBuilder_.addAllMessages(other.streams_);
+          }
+        }
+      }
+      if (other.hasQuestion()) {
+        mergeQuestion(other.getQuestion());
+      }
+      if (other.hasReply()) {
+        mergeReply(other.getReply());
       }
-      storeUnreachable_ = false;
-      orderFencingNumber_ = 0L;
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
+      if (serverSpeedsBuilder_ == null) {
+        if (!other.serverSpeeds_.isEmpty()) {
+          if (serverSpeeds_.isEmpty()) {
+            serverSpeeds_ = other.serverSpeeds_;
+            bitField0_ = (bitField0_ & ~0x00100000);
+          } else {
+            ensureServerSpeedsIsMutable();
+            serverSpeeds_.addAll(other.serverSpeeds_);
+          }
+          onChanged();
+        }
       } else {
-        limits_ = null;
-        limitsBuilder_.clear();
+        if (!other.serverSpeeds_.isEmpty()) {
+          if (serverSpeedsBuilder_.isEmpty()) {
+            serverSpeedsBuilder_.dispose();
+            serverSpeedsBuilder_ = null;
+            serverSpeeds_ = other.serverSpeeds_;
+            bitField0_ = (bitField0_ & ~0x00100000);
+            serverSpeedsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServerSpeedsFieldBuilder() : null;
+          } else {
+            serverSpeedsBuilder_.addAllMessages(other.serverSpeeds_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00004000);
-      if (drainingBuilder_ == null) {
-        draining_ = java.util.Collections.emptyList();
+      if (serviceDemandsBuilder_ == null) {
+        if (!other.serviceDemands_.isEmpty()) {
+          if (serviceDemands_.isEmpty()) {
+            serviceDemands_ = other.serviceDemands_;
+            bitField0_ = (bitField0_ & ~0x00200000);
+          } else {
+            ensureServiceDemandsIsMutable();
+            serviceDemands_.addAll(other.serviceDemands_);
+          }
+          onChanged();
+        }
       } else {
-        draining_ = null;
-        drainingBuilder_.clear();
+        if (!other.serviceDemands_.isEmpty()) {
+          if (serviceDemandsBuilder_.isEmpty()) {
+            serviceDemandsBuilder_.dispose();
+            serviceDemandsBuilder_ = null;
+            serviceDemands_ = other.serviceDemands_;
+            bitField0_ = (bitField0_ & ~0x00200000);
+            serviceDemandsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServiceDemandsFieldBuilder() : null;
+          } else {
+            serviceDemandsBuilder_.addAllMessages(other.serviceDemands_);
+          }
+        }
       }
-      bitField0_ = (bitField0_ & ~0x00008000);
-      if (versionsBuilder_ == null) {
-        versions_ = java.util.Collections.emptyList();
+      if (observationsBuilder_ == null) {
+        if (!other.observations_.isEmpty()) {
+          if (observations_.isEmpty()) {
+            observations_ = other.observations_;
+            bitField0_ = (bitField0_ & ~0x00400000);
+          } else {
+            ensureObservationsIsMutable();
+            observations_.addAll(other.observations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.observations_.isEmpty()) {
+          if (observationsBuilder_.isEmpty()) {
+            observationsBuilder_.dispose();
+            observationsBuilder_ = null;
+            observations_ = other.observations_;
+            bitField0_ = (bitField0_ & ~0x00400000);
+            observationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetObservationsFieldBuilder() : null;
+          } else {
+            observationsBuilder_.addAllMessages(other.observations_);
+          }
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      java.util.Objects.requireNonNull(extensionRegistry);
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              entry_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 17: {
+              start_ = input.readFixed64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 17
+            case 24: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Share m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Share.parser(),
+                      extensionRegistry);
+              if (sharesBuilder_ == null) {
+                ensureSharesIsMutable();
+                shares_.add(m);
+              } else {
+                sharesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 40: {
+              leaving_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 40
+            case 50: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.parser(),
+                      extensionRegistry);
+              if (promptsBuilder_ == null) {
+                ensurePromptsIsMutable();
+                prompts_.add(m);
+              } else {
+                promptsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
+            case 58: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Speed m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Speed.parser(),
+                      extensionRegistry);
+              if (speedsBuilder_ == null) {
+                ensureSpeedsIsMutable();
+                speeds_.add(m);
+              } else {
+                speedsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
+            case 66: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Change m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Change.parser(),
+                      extensionRegistry);
+              if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.add(m);
+              } else {
+                changesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.EventLength m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.parser(),
+                      extensionRegistry);
+              if (lengthsBuilder_ == null) {
+                ensureLengthsIsMutable();
+                lengths_.add(m);
+              } else {
+                lengthsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.End m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.End.parser(),
+                      extensionRegistry);
+              if (endsBuilder_ == null) {
+                ensureEndsIsMutable();
+                ends_.add(m);
+              } else {
+                endsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetDutyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetUsageFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
+            case 104: {
+              storeUnreachable_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 114: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Limit m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Limit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
+            case 120: {
+              orderFencingNumber_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 120
+            case 130: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Draining m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Draining.parser(),
+                      extensionRegistry);
+              if (drainingBuilder_ == null) {
+                ensureDrainingIsMutable();
+                draining_.add(m);
+              } else {
+                drainingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
+            case 138: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Version m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Version.parser(),
+                      extensionRegistry);
+              if (versionsBuilder_ == null) {
+                ensureVersionsIsMutable();
+                versions_.add(m);
+              } else {
+                versionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 138
+            case 146: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Stream m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Stream.parser(),
+                      extensionRegistry);
+              if (streamsBuilder_ == null) {
+                ensureStreamsIsMutable();
+                streams_.add(m);
+              } else {
+                streamsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetQuestionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 162
+            case 170: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.parser(),
+                      extensionRegistry);
+              if (serverSpeedsBuilder_ == null) {
+                ensureServerSpeedsIsMutable();
+                serverSpeeds_.add(m);
+              } else {
+                serverSpeedsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 170
+            case 178: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.parser(),
+                      extensionRegistry);
+              if (serviceDemandsBuilder_ == null) {
+                ensureServiceDemandsIsMutable();
+                serviceDemands_.add(m);
+              } else {
+                serviceDemandsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 178
+            case 186: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.Observation m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.Observation.parser(),
+                      extensionRegistry);
+              if (observationsBuilder_ == null) {
+                ensureObservationsIsMutable();
+                observations_.add(m);
+              } else {
+                observationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 186
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
       } else {
-        versions_ = null;
-        versionsBuilder_.clear();
+        return (java.lang.String) ref;
       }
-      bitField0_ = (bitField0_ & ~0x00010000);
-      if (streamsBuilder_ == null) {
-        streams_ = java.util.Collections.emptyList();
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
       } else {
-        streams_ = null;
-        streamsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00020000);
-      question_ = null;
-      if (questionBuilder_ != null) {
-        questionBuilder_.dispose();
-        questionBuilder_ = null;
-      }
-      reply_ = null;
-      if (replyBuilder_ != null) {
-        replyBuilder_.dispose();
-        replyBuilder_ = null;
+        return (com.google.protobuf.ByteString) ref;
       }
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @param value The entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntry(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      entry_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
       return this;
     }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_descriptor;
+    /**
+     * <code>string entry = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntry() {
+      entry_ = getDefaultInstance().getEntry();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
     }
-
-    @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad getDefaultInstanceForType() {
-      return org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance();
+    /**
+     * <code>string entry = 1;</code>
+     * @param value The bytes for entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      entry_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
     }
 
+    private long start_ ;
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
     @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad build() {
-      org.aspenmoor.internal.wire.v1.PeerLoad result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public long getStart() {
+      return start_;
     }
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @param value The start to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStart(long value) {
 
-    @java.lang.Override
-    public org.aspenmoor.internal.wire.v1.PeerLoad buildPartial() {
-      org.aspenmoor.internal.wire.v1.PeerLoad result = new org.aspenmoor.internal.wire.v1.PeerLoad(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+      start_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
     }
-
-    private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad result) {
-      if (sharesBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          shares_ = java.util.Collections.unmodifiableList(shares_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.shares_ = shares_;
-      } else {
-        result.shares_ = sharesBuilder_.build();
-      }
-      if (promptsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
-          prompts_ = java.util.Collections.unmodifiableList(prompts_);
-          bitField0_ = (bitField0_ & ~0x00000010);
-        }
-        result.prompts_ = prompts_;
-      } else {
-        result.prompts_ = promptsBuilder_.build();
-      }
-      if (speedsBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
-          speeds_ = java.util.Collections.unmodifiableList(speeds_);
-          bitField0_ = (bitField0_ & ~0x00000040);
-        }
-        result.speeds_ = speeds_;
-      } else {
-        result.speeds_ = speedsBuilder_.build();
-      }
-      if (changesBuilder_ == null) {
-        if (((bitField0_ & 0x00000080) != 0)) {
-          changes_ = java.util.Collections.unmodifiableList(changes_);
-          bitField0_ = (bitField0_ & ~0x00000080);
-        }
-        result.changes_ = changes_;
-      } else {
-        result.changes_ = changesBuilder_.build();
-      }
-      if (lengthsBuilder_ == null) {
-        if (((bitField0_ & 0x00000100) != 0)) {
-          lengths_ = java.util.Collections.unmodifiableList(lengths_);
-          bitField0_ = (bitField0_ & ~0x00000100);
-        }
-        result.lengths_ = lengths_;
-      } else {
-        result.lengths_ = lengthsBuilder_.build();
-      }
-      if (endsBuilder_ == null) {
-        if (((bitField0_ & 0x00000200) != 0)) {
-          ends_ = java.util.Collections.unmodifiableList(ends_);
-          bitField0_ = (bitField0_ & ~0x00000200);
-        }
-        result.ends_ = ends_;
-      } else {
-        result.ends_ = endsBuilder_.build();
-      }
-      if (limitsBuilder_ == null) {
-        if (((bitField0_ & 0x00004000) != 0)) {
-          limits_ = java.util.Collections.unmodifiableList(limits_);
-          bitField0_ = (bitField0_ & ~0x00004000);
-        }
-        result.limits_ = limits_;
-      } else {
-        result.limits_ = limitsBuilder_.build();
-      }
-      if (drainingBuilder_ == null) {
-        if (((bitField0_ & 0x00008000) != 0)) {
-          draining_ = java.util.Collections.unmodifiableList(draining_);
-          bitField0_ = (bitField0_ & ~0x00008000);
-        }
-        result.draining_ = draining_;
-      } else {
-        result.draining_ = drainingBuilder_.build();
-      }
-      if (versionsBuilder_ == null) {
-        if (((bitField0_ & 0x00010000) != 0)) {
-          versions_ = java.util.Collections.unmodifiableList(versions_);
-          bitField0_ = (bitField0_ & ~0x00010000);
-        }
-        result.versions_ = versions_;
-      } else {
-        result.versions_ = versionsBuilder_.build();
-      }
-      if (streamsBuilder_ == null) {
-        if (((bitField0_ & 0x00020000) != 0)) {
-          streams_ = java.util.Collections.unmodifiableList(streams_);
-          bitField0_ = (bitField0_ & ~0x00020000);
-        }
-        result.streams_ = streams_;
-      } else {
-        result.streams_ = streamsBuilder_.build();
-      }
+    /**
+     * <pre>
+     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
+     * with each incarnation.
+     * </pre>
+     *
+     * <code>fixed64 start = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStart() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      start_ = 0L;
+      onChanged();
+      return this;
     }
 
-    private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.entry_ = entry_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.start_ = start_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.sequence_ = sequence_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.leaving_ = leaving_;
-      }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.duty_ = dutyBuilder_ == null
-            ? duty_
-            : dutyBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.usage_ = usageBuilder_ == null
-            ? usage_
-            : usageBuilder_.build();
-        to_bitField0_ |= 0x00000002;
-      }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.storeUnreachable_ = storeUnreachable_;
-      }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
-        result.orderFencingNumber_ = orderFencingNumber_;
-      }
-      if (((from_bitField0_ & 0x00040000) != 0)) {
-        result.question_ = questionBuilder_ == null
-            ? question_
-            : questionBuilder_.build();
-        to_bitField0_ |= 0x00000004;
-      }
-      if (((from_bitField0_ & 0x00080000) != 0)) {
-        result.reply_ = replyBuilder_ == null
-            ? reply_
-            : replyBuilder_.build();
-        to_bitField0_ |= 0x00000008;
-      }
-      result.bitField0_ |= to_bitField0_;
+    private long sequence_ ;
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      sequence_ = 0L;
+      onChanged();
+      return this;
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad) {
-        return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_ =
+      java.util.Collections.emptyList();
+    private void ensureSharesIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        shares_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Share>(shares_);
+        bitField0_ |= 0x00000008;
+       }
     }
 
-    public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad other) {
-      if (other == org.aspenmoor.internal.wire.v1.PeerLoad.getDefaultInstance()) return this;
-      if (!other.getEntry().isEmpty()) {
-        entry_ = other.entry_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.getStart() != 0L) {
-        setStart(other.getStart());
-      }
-      if (other.getSequence() != 0L) {
-        setSequence(other.getSequence());
-      }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> sharesBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
       if (sharesBuilder_ == null) {
-        if (!other.shares_.isEmpty()) {
-          if (shares_.isEmpty()) {
-            shares_ = other.shares_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureSharesIsMutable();
-            shares_.addAll(other.shares_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.shares_.isEmpty()) {
-          if (sharesBuilder_.isEmpty()) {
-            sharesBuilder_.dispose();
-            sharesBuilder_ = null;
-            shares_ = other.shares_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            sharesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetSharesFieldBuilder() : null;
-          } else {
-            sharesBuilder_.addAllMessages(other.shares_);
-          }
-        }
-      }
-      if (promptsBuilder_ == null) {
-        if (!other.prompts_.isEmpty()) {
-          if (prompts_.isEmpty()) {
-            prompts_ = other.prompts_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-          } else {
-            ensurePromptsIsMutable();
-            prompts_.addAll(other.prompts_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.prompts_.isEmpty()) {
-          if (promptsBuilder_.isEmpty()) {
-            promptsBuilder_.dispose();
-            promptsBuilder_ = null;
-            prompts_ = other.prompts_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-            promptsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetPromptsFieldBuilder() : null;
-          } else {
-            promptsBuilder_.addAllMessages(other.prompts_);
-          }
-        }
-      }
-      if (other.getLeaving() != false) {
-        setLeaving(other.getLeaving());
-      }
-      if (speedsBuilder_ == null) {
-        if (!other.speeds_.isEmpty()) {
-          if (speeds_.isEmpty()) {
-            speeds_ = other.speeds_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-          } else {
-            ensureSpeedsIsMutable();
-            speeds_.addAll(other.speeds_);
-          }
-          onChanged();
-        }
+        return java.util.Collections.unmodifiableList(shares_);
       } else {
-        if (!other.speeds_.isEmpty()) {
-          if (speedsBuilder_.isEmpty()) {
-            speedsBuilder_.dispose();
-            speedsBuilder_ = null;
-            speeds_ = other.speeds_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-            speedsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetSpeedsFieldBuilder() : null;
-          } else {
-            speedsBuilder_.addAllMessages(other.speeds_);
-          }
-        }
+        return sharesBuilder_.getMessageList();
       }
-      if (changesBuilder_ == null) {
-        if (!other.changes_.isEmpty()) {
-          if (changes_.isEmpty()) {
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-          } else {
-            ensureChangesIsMutable();
-            changes_.addAll(other.changes_);
-          }
-          onChanged();
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public int getSharesCount() {
+      if (sharesBuilder_ == null) {
+        return shares_.size();
       } else {
-        if (!other.changes_.isEmpty()) {
-          if (changesBuilder_.isEmpty()) {
-            changesBuilder_.dispose();
-            changesBuilder_ = null;
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-            changesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetChangesFieldBuilder() : null;
-          } else {
-            changesBuilder_.addAllMessages(other.changes_);
-          }
-        }
+        return sharesBuilder_.getCount();
       }
-      if (lengthsBuilder_ == null) {
-        if (!other.lengths_.isEmpty()) {
-          if (lengths_.isEmpty()) {
-            lengths_ = other.lengths_;
-            bitField0_ = (bitField0_ & ~0x00000100);
-          } else {
-            ensureLengthsIsMutable();
-            lengths_.addAll(other.lengths_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.lengths_.isEmpty()) {
-          if (lengthsBuilder_.isEmpty()) {
-            lengthsBuilder_.dispose();
-            lengthsBuilder_ = null;
-            lengths_ = other.lengths_;
-            bitField0_ = (bitField0_ & ~0x00000100);
-            lengthsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLengthsFieldBuilder() : null;
-          } else {
-            lengthsBuilder_.addAllMessages(other.lengths_);
-          }
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
+      if (sharesBuilder_ == null) {
+        return shares_.get(index);
+      } else {
+        return sharesBuilder_.getMessage(index);
       }
-      if (endsBuilder_ == null) {
-        if (!other.ends_.isEmpty()) {
-          if (ends_.isEmpty()) {
-            ends_ = other.ends_;
-            bitField0_ = (bitField0_ & ~0x00000200);
-          } else {
-            ensureEndsIsMutable();
-            ends_.addAll(other.ends_);
-          }
-          onChanged();
-        }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder setShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.set(index, value);
+        onChanged();
       } else {
-        if (!other.ends_.isEmpty()) {
-          if (endsBuilder_.isEmpty()) {
-            endsBuilder_.dispose();
-            endsBuilder_ = null;
-            ends_ = other.ends_;
-            bitField0_ = (bitField0_ & ~0x00000200);
-            endsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetEndsFieldBuilder() : null;
-          } else {
-            endsBuilder_.addAllMessages(other.ends_);
-          }
-        }
+        sharesBuilder_.setMessage(index, value);
       }
-      if (other.hasDuty()) {
-        mergeDuty(other.getDuty());
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder setShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        sharesBuilder_.setMessage(index, builderForValue.build());
       }
-      if (other.hasUsage()) {
-        mergeUsage(other.getUsage());
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.add(value);
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(value);
       }
-      if (other.getStoreUnreachable() != false) {
-        setStoreUnreachable(other.getStoreUnreachable());
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
+      if (sharesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSharesIsMutable();
+        shares_.add(index, value);
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(index, value);
       }
-      if (other.getOrderFencingNumber() != 0L) {
-        setOrderFencingNumber(other.getOrderFencingNumber());
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.add(builderForValue.build());
+        onChanged();
+      } else {
+        sharesBuilder_.addMessage(builderForValue.build());
       }
-      if (limitsBuilder_ == null) {
-        if (!other.limits_.isEmpty()) {
-          if (limits_.isEmpty()) {
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00004000);
-          } else {
-            ensureLimitsIsMutable();
-            limits_.addAll(other.limits_);
-          }
-          onChanged();
-        }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addShares(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        if (!other.limits_.isEmpty()) {
-          if (limitsBuilder_.isEmpty()) {
-            limitsBuilder_.dispose();
-            limitsBuilder_ = null;
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00004000);
-            limitsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLimitsFieldBuilder() : null;
-          } else {
-            limitsBuilder_.addAllMessages(other.limits_);
-          }
-        }
+        sharesBuilder_.addMessage(index, builderForValue.build());
       }
-      if (drainingBuilder_ == null) {
-        if (!other.draining_.isEmpty()) {
-          if (draining_.isEmpty()) {
-            draining_ = other.draining_;
-            bitField0_ = (bitField0_ & ~0x00008000);
-          } else {
-            ensureDrainingIsMutable();
-            draining_.addAll(other.draining_);
-          }
-          onChanged();
-        }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder addAllShares(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Share> values) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, shares_);
+        onChanged();
       } else {
-        if (!other.draining_.isEmpty()) {
-          if (drainingBuilder_.isEmpty()) {
-            drainingBuilder_.dispose();
-            drainingBuilder_ = null;
-            draining_ = other.draining_;
-            bitField0_ = (bitField0_ & ~0x00008000);
-            drainingBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetDrainingFieldBuilder() : null;
-          } else {
-            drainingBuilder_.addAllMessages(other.draining_);
-          }
-        }
+        sharesBuilder_.addAllMessages(values);
       }
-      if (versionsBuilder_ == null) {
-        if (!other.versions_.isEmpty()) {
-          if (versions_.isEmpty()) {
-            versions_ = other.versions_;
-            bitField0_ = (bitField0_ & ~0x00010000);
-          } else {
-            ensureVersionsIsMutable();
-            versions_.addAll(other.versions_);
-          }
-          onChanged();
-        }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder clearShares() {
+      if (sharesBuilder_ == null) {
+        shares_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
       } else {
-        if (!other.versions_.isEmpty()) {
-          if (versionsBuilder_.isEmpty()) {
-            versionsBuilder_.dispose();
-            versionsBuilder_ = null;
-            versions_ = other.versions_;
-            bitField0_ = (bitField0_ & ~0x00010000);
-            versionsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetVersionsFieldBuilder() : null;
-          } else {
-            versionsBuilder_.addAllMessages(other.versions_);
-          }
-        }
+        sharesBuilder_.clear();
       }
-      if (streamsBuilder_ == null) {
-        if (!other.streams_.isEmpty()) {
-          if (streams_.isEmpty()) {
-            streams_ = other.streams_;
-            bitField0_ = (bitField0_ & ~0x00020000);
-          } else {
-            ensureStreamsIsMutable();
-            streams_.addAll(other.streams_);
-          }
-          onChanged();
-        }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public Builder removeShares(int index) {
+      if (sharesBuilder_ == null) {
+        ensureSharesIsMutable();
+        shares_.remove(index);
+        onChanged();
       } else {
-        if (!other.streams_.isEmpty()) {
-          if (streamsBuilder_.isEmpty()) {
-            streamsBuilder_.dispose();
-            streamsBuilder_ = null;
-            streams_ = other.streams_;
-            bitField0_ = (bitField0_ & ~0x00020000);
-            streamsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetStreamsFieldBuilder() : null;
-          } else {
-            streamsBuilder_.addAllMessages(other.streams_);
-          }
-        }
+        sharesBuilder_.remove(index);
       }
-      if (other.hasQuestion()) {
-        mergeQuestion(other.getQuestion());
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder getSharesBuilder(
+        int index) {
+      return internalGetSharesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+        int index) {
+      if (sharesBuilder_ == null) {
+        return shares_.get(index);  } else {
+        return sharesBuilder_.getMessageOrBuilder(index);
       }
-      if (other.hasReply()) {
-        mergeReply(other.getReply());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+         getSharesOrBuilderList() {
+      if (sharesBuilder_ != null) {
+        return sharesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(shares_);
       }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
     }
-
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder() {
+      return internalGetSharesFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
     }
-
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      java.util.Objects.requireNonNull(extensionRegistry);
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              entry_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              start_ = input.readFixed64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 24: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 34: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Share m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Share.parser(),
-                      extensionRegistry);
-              if (sharesBuilder_ == null) {
-                ensureSharesIsMutable();
-                shares_.add(m);
-              } else {
-                sharesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 34
-            case 40: {
-              leaving_ = input.readBool();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 40
-            case 50: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Prompt m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.parser(),
-                      extensionRegistry);
-              if (promptsBuilder_ == null) {
-                ensurePromptsIsMutable();
-                prompts_.add(m);
-              } else {
-                promptsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 50
-            case 58: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Speed m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Speed.parser(),
-                      extensionRegistry);
-              if (speedsBuilder_ == null) {
-                ensureSpeedsIsMutable();
-                speeds_.add(m);
-              } else {
-                speedsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 58
-            case 66: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Change m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Change.parser(),
-                      extensionRegistry);
-              if (changesBuilder_ == null) {
-                ensureChangesIsMutable();
-                changes_.add(m);
-              } else {
-                changesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 66
-            case 74: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.EventLength m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.parser(),
-                      extensionRegistry);
-              if (lengthsBuilder_ == null) {
-                ensureLengthsIsMutable();
-                lengths_.add(m);
-              } else {
-                lengthsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 74
-            case 82: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.End m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.End.parser(),
-                      extensionRegistry);
-              if (endsBuilder_ == null) {
-                ensureEndsIsMutable();
-                ends_.add(m);
-              } else {
-                endsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 82
-            case 90: {
-              input.readMessage(
-                  internalGetDutyFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 90
-            case 98: {
-              input.readMessage(
-                  internalGetUsageFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 98
-            case 104: {
-              storeUnreachable_ = input.readBool();
-              bitField0_ |= 0x00001000;
-              break;
-            } // case 104
-            case 114: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Limit m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Limit.parser(),
-                      extensionRegistry);
-              if (limitsBuilder_ == null) {
-                ensureLimitsIsMutable();
-                limits_.add(m);
-              } else {
-                limitsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 114
-            case 120: {
-              orderFencingNumber_ = input.readInt64();
-              bitField0_ |= 0x00002000;
-              break;
-            } // case 120
-            case 130: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Draining m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Draining.parser(),
-                      extensionRegistry);
-              if (drainingBuilder_ == null) {
-                ensureDrainingIsMutable();
-                draining_.add(m);
-              } else {
-                drainingBuilder_.addMessage(m);
-              }
-              break;
-            } // case 130
-            case 138: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Version m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Version.parser(),
-                      extensionRegistry);
-              if (versionsBuilder_ == null) {
-                ensureVersionsIsMutable();
-                versions_.add(m);
-              } else {
-                versionsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 138
-            case 146: {
-              org.aspenmoor.internal.wire.v1.PeerLoad.Stream m =
-                  input.readMessage(
-                      org.aspenmoor.internal.wire.v1.PeerLoad.Stream.parser(),
-                      extensionRegistry);
-              if (streamsBuilder_ == null) {
-                ensureStreamsIsMutable();
-                streams_.add(m);
-              } else {
-                streamsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 146
-            case 154: {
-              input.readMessage(
-                  internalGetQuestionFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00040000;
-              break;
-            } // case 154
-            case 162: {
-              input.readMessage(
-                  internalGetReplyFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00080000;
-              break;
-            } // case 162
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder(
+        int index) {
+      return internalGetSharesFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder> 
+         getSharesBuilderList() {
+      return internalGetSharesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
+        internalGetSharesFieldBuilder() {
+      if (sharesBuilder_ == null) {
+        sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder>(
+                shares_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        shares_ = null;
+      }
+      return sharesBuilder_;
+    }
+
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        prompts_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt>(prompts_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> promptsBuilder_;
+
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
+      if (promptsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(prompts_);
+      } else {
+        return promptsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public int getPromptsCount() {
+      if (promptsBuilder_ == null) {
+        return prompts_.size();
+      } else {
+        return promptsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);
+      } else {
+        return promptsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.set(index, value);
         onChanged();
-      } // finally
+      } else {
+        promptsBuilder_.setMessage(index, value);
+      }
       return this;
     }
-    private int bitField0_;
-
-    private java.lang.Object entry_ = "";
     /**
-     * <code>string entry = 1;</code>
-     * @return The entry.
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public java.lang.String getEntry() {
-      java.lang.Object ref = entry_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        entry_ = s;
-        return s;
+    public Builder setPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        return (java.lang.String) ref;
+        promptsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(value);
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(value);
       }
+      return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @return The bytes for entry.
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public com.google.protobuf.ByteString
-        getEntryBytes() {
-      java.lang.Object ref = entry_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        entry_ = b;
-        return b;
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptsIsMutable();
+        prompts_.add(index, value);
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addPrompts(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder addAllPrompts(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> values) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, prompts_);
+        onChanged();
+      } else {
+        promptsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder clearPrompts() {
+      if (promptsBuilder_ == null) {
+        prompts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        promptsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     */
+    public Builder removePrompts(int index) {
+      if (promptsBuilder_ == null) {
+        ensurePromptsIsMutable();
+        prompts_.remove(index);
+        onChanged();
       } else {
-        return (com.google.protobuf.ByteString) ref;
+        promptsBuilder_.remove(index);
       }
+      return this;
     }
     /**
-     * <code>string entry = 1;</code>
-     * @param value The entry to set.
-     * @return This builder for chaining.
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public Builder setEntry(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      entry_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder getPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>string entry = 1;</code>
-     * @return This builder for chaining.
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public Builder clearEntry() {
-      entry_ = getDefaultInstance().getEntry();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+        int index) {
+      if (promptsBuilder_ == null) {
+        return prompts_.get(index);  } else {
+        return promptsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <code>string entry = 1;</code>
-     * @param value The bytes for entry to set.
-     * @return This builder for chaining.
+     * <pre>
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public Builder setEntryBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      entry_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+         getPromptsOrBuilderList() {
+      if (promptsBuilder_ != null) {
+        return promptsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(prompts_);
+      }
     }
-
-    private long start_ ;
     /**
      * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
      * </pre>
      *
-     * <code>fixed64 start = 2;</code>
-     * @return The start.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    @java.lang.Override
-    public long getStart() {
-      return start_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder() {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
     }
     /**
      * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
      * </pre>
      *
-     * <code>fixed64 start = 2;</code>
-     * @param value The start to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public Builder setStart(long value) {
-
-      start_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder(
+        int index) {
+      return internalGetPromptsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
     }
     /**
      * <pre>
-     * Identifies the incarnation of the entry's process: its start time in milliseconds since 1970. The sequence restarts
-     * with each incarnation.
+     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
+     * they are not reported again.
      * </pre>
      *
-     * <code>fixed64 start = 2;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
      */
-    public Builder clearStart() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      start_ = 0L;
-      onChanged();
-      return this;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder> 
+         getPromptsBuilderList() {
+      return internalGetPromptsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
+        internalGetPromptsFieldBuilder() {
+      if (promptsBuilder_ == null) {
+        promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder>(
+                prompts_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        prompts_ = null;
+      }
+      return promptsBuilder_;
     }
 
-    private long sequence_ ;
+    private boolean leaving_ ;
     /**
-     * <code>uint64 sequence = 3;</code>
-     * @return The sequence.
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return The leaving.
      */
     @java.lang.Override
-    public long getSequence() {
-      return sequence_;
+    public boolean getLeaving() {
+      return leaving_;
     }
     /**
-     * <code>uint64 sequence = 3;</code>
-     * @param value The sequence to set.
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @param value The leaving to set.
      * @return This builder for chaining.
      */
-    public Builder setSequence(long value) {
+    public Builder setLeaving(boolean value) {
 
-      sequence_ = value;
-      bitField0_ |= 0x00000004;
+      leaving_ = value;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 sequence = 3;</code>
+     * <pre>
+     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSequence() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      sequence_ = 0L;
+    public Builder clearLeaving() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      leaving_ = false;
       onChanged();
       return this;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> shares_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_ =
       java.util.Collections.emptyList();
-    private void ensureSharesIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        shares_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Share>(shares_);
-        bitField0_ |= 0x00000008;
+    private void ensureSpeedsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        speeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Speed>(speeds_);
+        bitField0_ |= 0x00000040;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> sharesBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> speedsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share> getSharesList() {
-      if (sharesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(shares_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
+      if (speedsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(speeds_);
       } else {
-        return sharesBuilder_.getMessageList();
+        return speedsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public int getSharesCount() {
-      if (sharesBuilder_ == null) {
-        return shares_.size();
+    public int getSpeedsCount() {
+      if (speedsBuilder_ == null) {
+        return speeds_.size();
       } else {
-        return sharesBuilder_.getCount();
+        return speedsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share getShares(int index) {
-      if (sharesBuilder_ == null) {
-        return shares_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);
       } else {
-        return sharesBuilder_.getMessage(index);
+        return speedsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.set(index, value);
+        ensureSpeedsIsMutable();
+        speeds_.set(index, value);
         onChanged();
       } else {
-        sharesBuilder_.setMessage(index, value);
+        speedsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder setShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.set(index, builderForValue.build());
+    public Builder setSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.set(index, builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.setMessage(index, builderForValue.build());
+        speedsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder addShares(org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder addSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.add(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(value);
         onChanged();
       } else {
-        sharesBuilder_.addMessage(value);
+        speedsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder addShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share value) {
-      if (sharesBuilder_ == null) {
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
+      if (speedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSharesIsMutable();
-        shares_.add(index, value);
+        ensureSpeedsIsMutable();
+        speeds_.add(index, value);
         onChanged();
       } else {
-        sharesBuilder_.addMessage(index, value);
+        speedsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder addShares(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.add(builderForValue.build());
+    public Builder addSpeeds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.addMessage(builderForValue.build());
+        speedsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder addShares(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder builderForValue) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.add(index, builderForValue.build());
+    public Builder addSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(index, builderForValue.build());
         onChanged();
       } else {
-        sharesBuilder_.addMessage(index, builderForValue.build());
+        speedsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder addAllShares(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Share> values) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
+    public Builder addAllSpeeds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Speed> values) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, shares_);
+            values, speeds_);
         onChanged();
       } else {
-        sharesBuilder_.addAllMessages(values);
+        speedsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder clearShares() {
-      if (sharesBuilder_ == null) {
-        shares_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+    public Builder clearSpeeds() {
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
       } else {
-        sharesBuilder_.clear();
+        speedsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public Builder removeShares(int index) {
-      if (sharesBuilder_ == null) {
-        ensureSharesIsMutable();
-        shares_.remove(index);
+    public Builder removeSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.remove(index);
         onChanged();
       } else {
-        sharesBuilder_.remove(index);
+        speedsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder getSharesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder getSpeedsBuilder(
         int index) {
-      return internalGetSharesFieldBuilder().getBuilder(index);
+      return internalGetSpeedsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder getSharesOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
         int index) {
-      if (sharesBuilder_ == null) {
-        return shares_.get(index);  } else {
-        return sharesBuilder_.getMessageOrBuilder(index);
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);  } else {
+        return speedsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
-         getSharesOrBuilderList() {
-      if (sharesBuilder_ != null) {
-        return sharesBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+         getSpeedsOrBuilderList() {
+      if (speedsBuilder_ != null) {
+        return speedsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(shares_);
+        return java.util.Collections.unmodifiableList(speeds_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder() {
-      return internalGetSharesFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder() {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder addSharesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder(
         int index) {
-      return internalGetSharesFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Share.getDefaultInstance());
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Share shares = 4;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder> 
-         getSharesBuilderList() {
-      return internalGetSharesFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder> 
+         getSpeedsBuilderList() {
+      return internalGetSpeedsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder> 
-        internalGetSharesFieldBuilder() {
-      if (sharesBuilder_ == null) {
-        sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Share, org.aspenmoor.internal.wire.v1.PeerLoad.Share.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ShareOrBuilder>(
-                shares_,
-                ((bitField0_ & 0x00000008) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
+        internalGetSpeedsFieldBuilder() {
+      if (speedsBuilder_ == null) {
+        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder>(
+                speeds_,
+                ((bitField0_ & 0x00000040) != 0),
                 getParentForChildren(),
                 isClean());
-        shares_ = null;
+        speeds_ = null;
       }
-      return sharesBuilder_;
+      return speedsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> prompts_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_ =
       java.util.Collections.emptyList();
-    private void ensurePromptsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
-        prompts_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt>(prompts_);
-        bitField0_ |= 0x00000010;
+    private void ensureChangesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        changes_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Change>(changes_);
+        bitField0_ |= 0x00000080;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> promptsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> changesBuilder_;
 
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> getPromptsList() {
-      if (promptsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(prompts_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
+      if (changesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(changes_);
       } else {
-        return promptsBuilder_.getMessageList();
+        return changesBuilder_.getMessageList();
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public int getPromptsCount() {
-      if (promptsBuilder_ == null) {
-        return prompts_.size();
+    public int getChangesCount() {
+      if (changesBuilder_ == null) {
+        return changes_.size();
       } else {
-        return promptsBuilder_.getCount();
+        return changesBuilder_.getCount();
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt getPrompts(int index) {
-      if (promptsBuilder_ == null) {
-        return prompts_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
+      if (changesBuilder_ == null) {
+        return changes_.get(index);
       } else {
-        return promptsBuilder_.getMessage(index);
+        return changesBuilder_.getMessage(index);
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder setPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder setChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.set(index, value);
+        ensureChangesIsMutable();
+        changes_.set(index, value);
         onChanged();
       } else {
-        promptsBuilder_.setMessage(index, value);
+        changesBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder setPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.set(index, builderForValue.build());
+    public Builder setChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.set(index, builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.setMessage(index, builderForValue.build());
+        changesBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addPrompts(org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder addChanges(org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.add(value);
+        ensureChangesIsMutable();
+        changes_.add(value);
         onChanged();
       } else {
-        promptsBuilder_.addMessage(value);
+        changesBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt value) {
-      if (promptsBuilder_ == null) {
+    public Builder addChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
+      if (changesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePromptsIsMutable();
-        prompts_.add(index, value);
+        ensureChangesIsMutable();
+        changes_.add(index, value);
         onChanged();
       } else {
-        promptsBuilder_.addMessage(index, value);
+        changesBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addPrompts(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.add(builderForValue.build());
+    public Builder addChanges(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.addMessage(builderForValue.build());
+        changesBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addPrompts(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.add(index, builderForValue.build());
+    public Builder addChanges(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.add(index, builderForValue.build());
         onChanged();
       } else {
-        promptsBuilder_.addMessage(index, builderForValue.build());
+        changesBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder addAllPrompts(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Prompt> values) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
+    public Builder addAllChanges(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Change> values) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, prompts_);
+            values, changes_);
         onChanged();
       } else {
-        promptsBuilder_.addAllMessages(values);
+        changesBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder clearPrompts() {
-      if (promptsBuilder_ == null) {
-        prompts_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+    public Builder clearChanges() {
+      if (changesBuilder_ == null) {
+        changes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
       } else {
-        promptsBuilder_.clear();
+        changesBuilder_.clear();
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public Builder removePrompts(int index) {
-      if (promptsBuilder_ == null) {
-        ensurePromptsIsMutable();
-        prompts_.remove(index);
+    public Builder removeChanges(int index) {
+      if (changesBuilder_ == null) {
+        ensureChangesIsMutable();
+        changes_.remove(index);
         onChanged();
       } else {
-        promptsBuilder_.remove(index);
+        changesBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder getPromptsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder getChangesBuilder(
         int index) {
-      return internalGetPromptsFieldBuilder().getBuilder(index);
+      return internalGetChangesFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder getPromptsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
         int index) {
-      if (promptsBuilder_ == null) {
-        return prompts_.get(index);  } else {
-        return promptsBuilder_.getMessageOrBuilder(index);
+      if (changesBuilder_ == null) {
+        return changes_.get(index);  } else {
+        return changesBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
-         getPromptsOrBuilderList() {
-      if (promptsBuilder_ != null) {
-        return promptsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+         getChangesOrBuilderList() {
+      if (changesBuilder_ != null) {
+        return changesBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(prompts_);
+        return java.util.Collections.unmodifiableList(changes_);
       }
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder() {
-      return internalGetPromptsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder() {
+      return internalGetChangesFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
     }
     /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder addPromptsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder(
         int index) {
-      return internalGetPromptsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Prompts assigned to servers since the last report. They indicate what engines have cached; if the datagram is lost,
-     * they are not reported again.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Prompt prompts = 6;</code>
-     */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder> 
-         getPromptsBuilderList() {
-      return internalGetPromptsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder> 
-        internalGetPromptsFieldBuilder() {
-      if (promptsBuilder_ == null) {
-        promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Prompt, org.aspenmoor.internal.wire.v1.PeerLoad.Prompt.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.PromptOrBuilder>(
-                prompts_,
-                ((bitField0_ & 0x00000010) != 0),
-                getParentForChildren(),
-                isClean());
-        prompts_ = null;
-      }
-      return promptsBuilder_;
-    }
-
-    private boolean leaving_ ;
-    /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @return The leaving.
-     */
-    @java.lang.Override
-    public boolean getLeaving() {
-      return leaving_;
-    }
-    /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @param value The leaving to set.
-     * @return This builder for chaining.
-     */
-    public Builder setLeaving(boolean value) {
-
-      leaving_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
+      return internalGetChangesFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The entry is stopping; the other entries divide its share of the common budgets among themselves.
-     * </pre>
-     *
-     * <code>bool leaving = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearLeaving() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      leaving_ = false;
-      onChanged();
-      return this;
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder> 
+         getChangesBuilderList() {
+      return internalGetChangesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
+        internalGetChangesFieldBuilder() {
+      if (changesBuilder_ == null) {
+        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder>(
+                changes_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        changes_ = null;
+      }
+      return changesBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> speeds_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_ =
       java.util.Collections.emptyList();
-    private void ensureSpeedsIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
-        speeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Speed>(speeds_);
-        bitField0_ |= 0x00000040;
+    private void ensureLengthsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        lengths_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength>(lengths_);
+        bitField0_ |= 0x00000100;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> speedsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> lengthsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed> getSpeedsList() {
-      if (speedsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(speeds_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
+      if (lengthsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(lengths_);
       } else {
-        return speedsBuilder_.getMessageList();
+        return lengthsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public int getSpeedsCount() {
-      if (speedsBuilder_ == null) {
-        return speeds_.size();
+    public int getLengthsCount() {
+      if (lengthsBuilder_ == null) {
+        return lengths_.size();
       } else {
-        return speedsBuilder_.getCount();
+        return lengthsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed getSpeeds(int index) {
-      if (speedsBuilder_ == null) {
-        return speeds_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
+      if (lengthsBuilder_ == null) {
+        return lengths_.get(index);
       } else {
-        return speedsBuilder_.getMessage(index);
+        return lengthsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder setSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder setLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.set(index, value);
+        ensureLengthsIsMutable();
+        lengths_.set(index, value);
         onChanged();
       } else {
-        speedsBuilder_.setMessage(index, value);
+        lengthsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder setSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.set(index, builderForValue.build());
+    public Builder setLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.set(index, builderForValue.build());
         onChanged();
       } else {
-        speedsBuilder_.setMessage(index, builderForValue.build());
+        lengthsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder addLengths(org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.add(value);
+        ensureLengthsIsMutable();
+        lengths_.add(value);
         onChanged();
       } else {
-        speedsBuilder_.addMessage(value);
+        lengthsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed value) {
-      if (speedsBuilder_ == null) {
+    public Builder addLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
+      if (lengthsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureSpeedsIsMutable();
-        speeds_.add(index, value);
+        ensureLengthsIsMutable();
+        lengths_.add(index, value);
         onChanged();
       } else {
-        speedsBuilder_.addMessage(index, value);
+        lengthsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addSpeeds(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.add(builderForValue.build());
+    public Builder addLengths(
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.add(builderForValue.build());
         onChanged();
       } else {
-        speedsBuilder_.addMessage(builderForValue.build());
+        lengthsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addSpeeds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder builderForValue) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.add(index, builderForValue.build());
+    public Builder addLengths(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.add(index, builderForValue.build());
         onChanged();
       } else {
-        speedsBuilder_.addMessage(index, builderForValue.build());
+        lengthsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder addAllSpeeds(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Speed> values) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
+    public Builder addAllLengths(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> values) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, speeds_);
+            values, lengths_);
         onChanged();
       } else {
-        speedsBuilder_.addAllMessages(values);
+        lengthsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder clearSpeeds() {
-      if (speedsBuilder_ == null) {
-        speeds_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
+    public Builder clearLengths() {
+      if (lengthsBuilder_ == null) {
+        lengths_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
         onChanged();
       } else {
-        speedsBuilder_.clear();
+        lengthsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public Builder removeSpeeds(int index) {
-      if (speedsBuilder_ == null) {
-        ensureSpeedsIsMutable();
-        speeds_.remove(index);
+    public Builder removeLengths(int index) {
+      if (lengthsBuilder_ == null) {
+        ensureLengthsIsMutable();
+        lengths_.remove(index);
         onChanged();
       } else {
-        speedsBuilder_.remove(index);
+        lengthsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder getSpeedsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder getLengthsBuilder(
         int index) {
-      return internalGetSpeedsFieldBuilder().getBuilder(index);
+      return internalGetLengthsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder getSpeedsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
         int index) {
-      if (speedsBuilder_ == null) {
-        return speeds_.get(index);  } else {
-        return speedsBuilder_.getMessageOrBuilder(index);
+      if (lengthsBuilder_ == null) {
+        return lengths_.get(index);  } else {
+        return lengthsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
-         getSpeedsOrBuilderList() {
-      if (speedsBuilder_ != null) {
-        return speedsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+         getLengthsOrBuilderList() {
+      if (lengthsBuilder_ != null) {
+        return lengthsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(speeds_);
+        return java.util.Collections.unmodifiableList(lengths_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder() {
-      return internalGetSpeedsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder() {
+      return internalGetLengthsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder addSpeedsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder(
         int index) {
-      return internalGetSpeedsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.getDefaultInstance());
+      return internalGetLengthsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Speed speeds = 7;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder> 
-         getSpeedsBuilderList() {
-      return internalGetSpeedsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder> 
+         getLengthsBuilderList() {
+      return internalGetLengthsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder> 
-        internalGetSpeedsFieldBuilder() {
-      if (speedsBuilder_ == null) {
-        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Speed, org.aspenmoor.internal.wire.v1.PeerLoad.Speed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.SpeedOrBuilder>(
-                speeds_,
-                ((bitField0_ & 0x00000040) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
+        internalGetLengthsFieldBuilder() {
+      if (lengthsBuilder_ == null) {
+        lengthsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder>(
+                lengths_,
+                ((bitField0_ & 0x00000100) != 0),
                 getParentForChildren(),
                 isClean());
-        speeds_ = null;
+        lengths_ = null;
       }
-      return speedsBuilder_;
+      return lengthsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> changes_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_ =
       java.util.Collections.emptyList();
-    private void ensureChangesIsMutable() {
-      if (!((bitField0_ & 0x00000080) != 0)) {
-        changes_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Change>(changes_);
-        bitField0_ |= 0x00000080;
+    private void ensureEndsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        ends_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.End>(ends_);
+        bitField0_ |= 0x00000200;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> changesBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> endsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change> getChangesList() {
-      if (changesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(changes_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
+      if (endsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(ends_);
       } else {
-        return changesBuilder_.getMessageList();
+        return endsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public int getChangesCount() {
-      if (changesBuilder_ == null) {
-        return changes_.size();
+    public int getEndsCount() {
+      if (endsBuilder_ == null) {
+        return ends_.size();
       } else {
-        return changesBuilder_.getCount();
+        return endsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change getChanges(int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
+      if (endsBuilder_ == null) {
+        return ends_.get(index);
       } else {
-        return changesBuilder_.getMessage(index);
+        return endsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder setChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
+    public Builder setEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.set(index, value);
+        ensureEndsIsMutable();
+        ends_.set(index, value);
         onChanged();
       } else {
-        changesBuilder_.setMessage(index, value);
+        endsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder setChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.set(index, builderForValue.build());
+    public Builder setEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.set(index, builderForValue.build());
         onChanged();
       } else {
-        changesBuilder_.setMessage(index, builderForValue.build());
+        endsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addChanges(org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
+    public Builder addEnds(org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.add(value);
+        ensureEndsIsMutable();
+        ends_.add(value);
         onChanged();
       } else {
-        changesBuilder_.addMessage(value);
+        endsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change value) {
-      if (changesBuilder_ == null) {
+    public Builder addEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
+      if (endsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureChangesIsMutable();
-        changes_.add(index, value);
+        ensureEndsIsMutable();
+        ends_.add(index, value);
         onChanged();
       } else {
-        changesBuilder_.addMessage(index, value);
+        endsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addChanges(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(builderForValue.build());
+    public Builder addEnds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.add(builderForValue.build());
         onChanged();
       } else {
-        changesBuilder_.addMessage(builderForValue.build());
+        endsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addChanges(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(index, builderForValue.build());
+    public Builder addEnds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.add(index, builderForValue.build());
         onChanged();
       } else {
-        changesBuilder_.addMessage(index, builderForValue.build());
+        endsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder addAllChanges(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Change> values) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
+    public Builder addAllEnds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.End> values) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, changes_);
+            values, ends_);
         onChanged();
       } else {
-        changesBuilder_.addAllMessages(values);
+        endsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder clearChanges() {
-      if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000080);
+    public Builder clearEnds() {
+      if (endsBuilder_ == null) {
+        ends_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
         onChanged();
       } else {
-        changesBuilder_.clear();
+        endsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public Builder removeChanges(int index) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.remove(index);
+    public Builder removeEnds(int index) {
+      if (endsBuilder_ == null) {
+        ensureEndsIsMutable();
+        ends_.remove(index);
         onChanged();
       } else {
-        changesBuilder_.remove(index);
+        endsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder getChangesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder getEndsBuilder(
         int index) {
-      return internalGetChangesFieldBuilder().getBuilder(index);
+      return internalGetEndsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder getChangesOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
         int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);  } else {
-        return changesBuilder_.getMessageOrBuilder(index);
+      if (endsBuilder_ == null) {
+        return ends_.get(index);  } else {
+        return endsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
-         getChangesOrBuilderList() {
-      if (changesBuilder_ != null) {
-        return changesBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+         getEndsOrBuilderList() {
+      if (endsBuilder_ != null) {
+        return endsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(changes_);
+        return java.util.Collections.unmodifiableList(ends_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder() {
-      return internalGetChangesFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder() {
+      return internalGetEndsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder addChangesBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder(
         int index) {
-      return internalGetChangesFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Change.getDefaultInstance());
+      return internalGetEndsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Change changes = 8;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder> 
-         getChangesBuilderList() {
-      return internalGetChangesFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder> 
+         getEndsBuilderList() {
+      return internalGetEndsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder> 
-        internalGetChangesFieldBuilder() {
-      if (changesBuilder_ == null) {
-        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Change, org.aspenmoor.internal.wire.v1.PeerLoad.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ChangeOrBuilder>(
-                changes_,
-                ((bitField0_ & 0x00000080) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
+        internalGetEndsFieldBuilder() {
+      if (endsBuilder_ == null) {
+        endsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder>(
+                ends_,
+                ((bitField0_ & 0x00000200) != 0),
                 getParentForChildren(),
                 isClean());
-        changes_ = null;
+        ends_ = null;
       }
-      return changesBuilder_;
+      return endsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> lengths_ =
-      java.util.Collections.emptyList();
-    private void ensureLengthsIsMutable() {
-      if (!((bitField0_ & 0x00000100) != 0)) {
-        lengths_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength>(lengths_);
-        bitField0_ |= 0x00000100;
-       }
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> dutyBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return Whether the duty field is set.
+     */
+    public boolean hasDuty() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * @return The duty.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
+      if (dutyBuilder_ == null) {
+        return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+      } else {
+        return dutyBuilder_.getMessage();
+      }
     }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> lengthsBuilder_;
-
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> getLengthsList() {
-      if (lengthsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(lengths_);
+    public Builder setDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        duty_ = value;
       } else {
-        return lengthsBuilder_.getMessageList();
+        dutyBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public int getLengthsCount() {
-      if (lengthsBuilder_ == null) {
-        return lengths_.size();
+    public Builder setDuty(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder builderForValue) {
+      if (dutyBuilder_ == null) {
+        duty_ = builderForValue.build();
       } else {
-        return lengthsBuilder_.getCount();
+        dutyBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength getLengths(int index) {
-      if (lengthsBuilder_ == null) {
-        return lengths_.get(index);
+    public Builder mergeDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
+      if (dutyBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          duty_ != null &&
+          duty_ != org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) {
+          getDutyBuilder().mergeFrom(value);
+        } else {
+          duty_ = value;
+        }
       } else {
-        return lengthsBuilder_.getMessage(index);
+        dutyBuilder_.mergeFrom(value);
+      }
+      if (duty_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
       }
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder setLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.set(index, value);
-        onChanged();
-      } else {
-        lengthsBuilder_.setMessage(index, value);
+    public Builder clearDuty() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      duty_ = null;
+      if (dutyBuilder_ != null) {
+        dutyBuilder_.dispose();
+        dutyBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder setLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.set(index, builderForValue.build());
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder getDutyBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetDutyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
+      if (dutyBuilder_ != null) {
+        return dutyBuilder_.getMessageOrBuilder();
       } else {
-        lengthsBuilder_.setMessage(index, builderForValue.build());
+        return duty_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
      */
-    public Builder addLengths(org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.add(value);
-        onChanged();
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> 
+        internalGetDutyFieldBuilder() {
+      if (dutyBuilder_ == null) {
+        dutyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder>(
+                getDuty(),
+                getParentForChildren(),
+                isClean());
+        duty_ = null;
+      }
+      return dutyBuilder_;
+    }
+
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> usageBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return Whether the usage field is set.
+     */
+    public boolean hasUsage() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * @return The usage.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
+      if (usageBuilder_ == null) {
+        return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
       } else {
-        lengthsBuilder_.addMessage(value);
+        return usageBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength value) {
-      if (lengthsBuilder_ == null) {
+    public Builder setUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLengthsIsMutable();
-        lengths_.add(index, value);
-        onChanged();
+        usage_ = value;
       } else {
-        lengthsBuilder_.addMessage(index, value);
+        usageBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00000800;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addLengths(
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.add(builderForValue.build());
-        onChanged();
+    public Builder setUsage(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        usage_ = builderForValue.build();
       } else {
-        lengthsBuilder_.addMessage(builderForValue.build());
+        usageBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00000800;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addLengths(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder builderForValue) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.add(index, builderForValue.build());
-        onChanged();
+    public Builder mergeUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
+      if (usageBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          usage_ != null &&
+          usage_ != org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) {
+          getUsageBuilder().mergeFrom(value);
+        } else {
+          usage_ = value;
+        }
       } else {
-        lengthsBuilder_.addMessage(index, builderForValue.build());
+        usageBuilder_.mergeFrom(value);
+      }
+      if (usage_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder addAllLengths(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLength> values) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, lengths_);
-        onChanged();
-      } else {
-        lengthsBuilder_.addAllMessages(values);
+    public Builder clearUsage() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      usage_ = null;
+      if (usageBuilder_ != null) {
+        usageBuilder_.dispose();
+        usageBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder clearLengths() {
-      if (lengthsBuilder_ == null) {
-        lengths_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000100);
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder getUsageBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetUsageFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
+      if (usageBuilder_ != null) {
+        return usageBuilder_.getMessageOrBuilder();
       } else {
-        lengthsBuilder_.clear();
+        return usage_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
      */
-    public Builder removeLengths(int index) {
-      if (lengthsBuilder_ == null) {
-        ensureLengthsIsMutable();
-        lengths_.remove(index);
-        onChanged();
-      } else {
-        lengthsBuilder_.remove(index);
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> 
+        internalGetUsageFieldBuilder() {
+      if (usageBuilder_ == null) {
+        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder>(
+                getUsage(),
+                getParentForChildren(),
+                isClean());
+        usage_ = null;
       }
-      return this;
+      return usageBuilder_;
     }
+
+    private boolean storeUnreachable_ ;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @return The storeUnreachable.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder getLengthsBuilder(
-        int index) {
-      return internalGetLengthsFieldBuilder().getBuilder(index);
+    @java.lang.Override
+    public boolean getStoreUnreachable() {
+      return storeUnreachable_;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @param value The storeUnreachable to set.
+     * @return This builder for chaining.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder getLengthsOrBuilder(
-        int index) {
-      if (lengthsBuilder_ == null) {
-        return lengths_.get(index);  } else {
-        return lengthsBuilder_.getMessageOrBuilder(index);
-      }
+    public Builder setStoreUnreachable(boolean value) {
+
+      storeUnreachable_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
+     * </pre>
+     *
+     * <code>bool store_unreachable = 13;</code>
+     * @return This builder for chaining.
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
-         getLengthsOrBuilderList() {
-      if (lengthsBuilder_ != null) {
-        return lengthsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(lengths_);
-      }
+    public Builder clearStoreUnreachable() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      storeUnreachable_ = false;
+      onChanged();
+      return this;
     }
+
+    private long orderFencingNumber_ ;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @return The orderFencingNumber.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder() {
-      return internalGetLengthsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
+    @java.lang.Override
+    public long getOrderFencingNumber() {
+      return orderFencingNumber_;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @param value The orderFencingNumber to set.
+     * @return This builder for chaining.
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder addLengthsBuilder(
-        int index) {
-      return internalGetLengthsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.getDefaultInstance());
+    public Builder setOrderFencingNumber(long value) {
+
+      orderFencingNumber_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.EventLength lengths = 9;</code>
+     * <pre>
+     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
+     * highest one gives the orders.
+     * </pre>
+     *
+     * <code>int64 order_fencing_number = 15;</code>
+     * @return This builder for chaining.
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder> 
-         getLengthsBuilderList() {
-      return internalGetLengthsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder> 
-        internalGetLengthsFieldBuilder() {
-      if (lengthsBuilder_ == null) {
-        lengthsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.EventLength, org.aspenmoor.internal.wire.v1.PeerLoad.EventLength.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EventLengthOrBuilder>(
-                lengths_,
-                ((bitField0_ & 0x00000100) != 0),
-                getParentForChildren(),
-                isClean());
-        lengths_ = null;
-      }
-      return lengthsBuilder_;
+    public Builder clearOrderFencingNumber() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      orderFencingNumber_ = 0L;
+      onChanged();
+      return this;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> ends_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_ =
       java.util.Collections.emptyList();
-    private void ensureEndsIsMutable() {
-      if (!((bitField0_ & 0x00000200) != 0)) {
-        ends_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.End>(ends_);
-        bitField0_ |= 0x00000200;
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        limits_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Limit>(limits_);
+        bitField0_ |= 0x00004000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> endsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> limitsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End> getEndsList() {
-      if (endsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(ends_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
       } else {
-        return endsBuilder_.getMessageList();
+        return limitsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public int getEndsCount() {
-      if (endsBuilder_ == null) {
-        return ends_.size();
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
       } else {
-        return endsBuilder_.getCount();
+        return limitsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End getEnds(int index) {
-      if (endsBuilder_ == null) {
-        return ends_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
       } else {
-        return endsBuilder_.getMessage(index);
+        return limitsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder setEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.set(index, value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
         onChanged();
       } else {
-        endsBuilder_.setMessage(index, value);
+        limitsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder setEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.set(index, builderForValue.build());
+    public Builder setLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.setMessage(index, builderForValue.build());
+        limitsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addEnds(org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder addLimits(org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.add(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
         onChanged();
       } else {
-        endsBuilder_.addMessage(value);
+        limitsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End value) {
-      if (endsBuilder_ == null) {
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
+      if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureEndsIsMutable();
-        ends_.add(index, value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
         onChanged();
       } else {
-        endsBuilder_.addMessage(index, value);
+        limitsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addEnds(
-        org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.add(builderForValue.build());
+    public Builder addLimits(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.addMessage(builderForValue.build());
+        limitsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addEnds(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder builderForValue) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.add(index, builderForValue.build());
+    public Builder addLimits(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
         onChanged();
       } else {
-        endsBuilder_.addMessage(index, builderForValue.build());
+        limitsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder addAllEnds(
