-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.End> values) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Limit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, ends_);
+            values, limits_);
         onChanged();
       } else {
-        endsBuilder_.addAllMessages(values);
+        limitsBuilder_.addAllMessages(values);
       }
       return this;
     }
-    /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
-     */
-    public Builder clearEnds() {
-      if (endsBuilder_ == null) {
-        ends_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000200);
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
         onChanged();
       } else {
-        endsBuilder_.clear();
+        limitsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public Builder removeEnds(int index) {
-      if (endsBuilder_ == null) {
-        ensureEndsIsMutable();
-        ends_.remove(index);
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
         onChanged();
       } else {
-        endsBuilder_.remove(index);
+        limitsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder getEndsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder getLimitsBuilder(
         int index) {
-      return internalGetEndsFieldBuilder().getBuilder(index);
+      return internalGetLimitsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder getEndsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
         int index) {
-      if (endsBuilder_ == null) {
-        return ends_.get(index);  } else {
-        return endsBuilder_.getMessageOrBuilder(index);
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
-         getEndsOrBuilderList() {
-      if (endsBuilder_ != null) {
-        return endsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(ends_);
+        return java.util.Collections.unmodifiableList(limits_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder() {
-      return internalGetEndsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder addEndsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder(
         int index) {
-      return internalGetEndsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.End.getDefaultInstance());
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.End ends = 10;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder> 
-         getEndsBuilderList() {
-      return internalGetEndsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder> 
-        internalGetEndsFieldBuilder() {
-      if (endsBuilder_ == null) {
-        endsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.End, org.aspenmoor.internal.wire.v1.PeerLoad.End.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.EndOrBuilder>(
-                ends_,
-                ((bitField0_ & 0x00000200) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00004000) != 0),
                 getParentForChildren(),
                 isClean());
-        ends_ = null;
+        limits_ = null;
       }
-      return endsBuilder_;
+      return limitsBuilder_;
     }
 
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Duty duty_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> dutyBuilder_;
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_ =
+      java.util.Collections.emptyList();
+    private void ensureDrainingIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        draining_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Draining>(draining_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> drainingBuilder_;
+
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     * @return Whether the duty field is set.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public boolean hasDuty() {
-      return ((bitField0_ & 0x00000400) != 0);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
+      if (drainingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(draining_);
+      } else {
+        return drainingBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
-     * @return The duty.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty getDuty() {
-      if (dutyBuilder_ == null) {
-        return duty_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+    public int getDrainingCount() {
+      if (drainingBuilder_ == null) {
+        return draining_.size();
       } else {
-        return dutyBuilder_.getMessage();
+        return drainingBuilder_.getCount();
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder setDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
-      if (dutyBuilder_ == null) {
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);
+      } else {
+        return drainingBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        duty_ = value;
+        ensureDrainingIsMutable();
+        draining_.set(index, value);
+        onChanged();
       } else {
-        dutyBuilder_.setMessage(value);
+        drainingBuilder_.setMessage(index, value);
       }
-      bitField0_ |= 0x00000400;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder setDuty(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder builderForValue) {
-      if (dutyBuilder_ == null) {
-        duty_ = builderForValue.build();
+    public Builder setDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        dutyBuilder_.setMessage(builderForValue.build());
+        drainingBuilder_.setMessage(index, builderForValue.build());
       }
-      bitField0_ |= 0x00000400;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder mergeDuty(org.aspenmoor.internal.wire.v1.PeerLoad.Duty value) {
-      if (dutyBuilder_ == null) {
-        if (((bitField0_ & 0x00000400) != 0) &&
-          duty_ != null &&
-          duty_ != org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance()) {
-          getDutyBuilder().mergeFrom(value);
-        } else {
-          duty_ = value;
-        }
+    public Builder addDraining(org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDrainingIsMutable();
+        draining_.add(value);
+        onChanged();
       } else {
-        dutyBuilder_.mergeFrom(value);
+        drainingBuilder_.addMessage(value);
       }
-      if (duty_ != null) {
-        bitField0_ |= 0x00000400;
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
+      if (drainingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDrainingIsMutable();
+        draining_.add(index, value);
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(builderForValue.build());
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addDraining(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        drainingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder addAllDraining(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Draining> values) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, draining_);
+        onChanged();
+      } else {
+        drainingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public Builder clearDraining() {
+      if (drainingBuilder_ == null) {
+        draining_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
         onChanged();
+      } else {
+        drainingBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public Builder clearDuty() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      duty_ = null;
-      if (dutyBuilder_ != null) {
-        dutyBuilder_.dispose();
-        dutyBuilder_ = null;
+    public Builder removeDraining(int index) {
+      if (drainingBuilder_ == null) {
+        ensureDrainingIsMutable();
+        draining_.remove(index);
+        onChanged();
+      } else {
+        drainingBuilder_.remove(index);
       }
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder getDutyBuilder() {
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return internalGetDutyFieldBuilder().getBuilder();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder getDrainingBuilder(
+        int index) {
+      return internalGetDrainingFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder getDutyOrBuilder() {
-      if (dutyBuilder_ != null) {
-        return dutyBuilder_.getMessageOrBuilder();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
+        int index) {
+      if (drainingBuilder_ == null) {
+        return draining_.get(index);  } else {
+        return drainingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+         getDrainingOrBuilderList() {
+      if (drainingBuilder_ != null) {
+        return drainingBuilder_.getMessageOrBuilderList();
       } else {
-        return duty_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Duty.getDefaultInstance() : duty_;
+        return java.util.Collections.unmodifiableList(draining_);
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Duty duty = 11;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder> 
-        internalGetDutyFieldBuilder() {
-      if (dutyBuilder_ == null) {
-        dutyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Duty, org.aspenmoor.internal.wire.v1.PeerLoad.Duty.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DutyOrBuilder>(
-                getDuty(),
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder() {
+      return internalGetDrainingFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder(
+        int index) {
+      return internalGetDrainingFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder> 
+         getDrainingBuilderList() {
+      return internalGetDrainingFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
+        internalGetDrainingFieldBuilder() {
+      if (drainingBuilder_ == null) {
+        drainingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder>(
+                draining_,
+                ((bitField0_ & 0x00008000) != 0),
                 getParentForChildren(),
                 isClean());
-        duty_ = null;
+        draining_ = null;
       }
-      return dutyBuilder_;
+      return drainingBuilder_;
     }
 
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Usage usage_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> usageBuilder_;
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_ =
+      java.util.Collections.emptyList();
+    private void ensureVersionsIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        versions_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Version>(versions_);
+        bitField0_ |= 0x00010000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> versionsBuilder_;
+
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-     * @return Whether the usage field is set.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public boolean hasUsage() {
-      return ((bitField0_ & 0x00000800) != 0);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
+      if (versionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(versions_);
+      } else {
+        return versionsBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
-     * @return The usage.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage getUsage() {
-      if (usageBuilder_ == null) {
-        return usage_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+    public int getVersionsCount() {
+      if (versionsBuilder_ == null) {
+        return versions_.size();
       } else {
-        return usageBuilder_.getMessage();
+        return versionsBuilder_.getCount();
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
-      if (usageBuilder_ == null) {
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
+      if (versionsBuilder_ == null) {
+        return versions_.get(index);
+      } else {
+        return versionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     */
+    public Builder setVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        usage_ = value;
+        ensureVersionsIsMutable();
+        versions_.set(index, value);
+        onChanged();
       } else {
-        usageBuilder_.setMessage(value);
+        versionsBuilder_.setMessage(index, value);
       }
-      bitField0_ |= 0x00000800;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setUsage(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder builderForValue) {
-      if (usageBuilder_ == null) {
-        usage_ = builderForValue.build();
+    public Builder setVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.set(index, builderForValue.build());
+        onChanged();
       } else {
-        usageBuilder_.setMessage(builderForValue.build());
+        versionsBuilder_.setMessage(index, builderForValue.build());
       }
-      bitField0_ |= 0x00000800;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder mergeUsage(org.aspenmoor.internal.wire.v1.PeerLoad.Usage value) {
-      if (usageBuilder_ == null) {
-        if (((bitField0_ & 0x00000800) != 0) &&
-          usage_ != null &&
-          usage_ != org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance()) {
-          getUsageBuilder().mergeFrom(value);
-        } else {
-          usage_ = value;
-        }
+    public Builder addVersions(org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureVersionsIsMutable();
+        versions_.add(value);
+        onChanged();
       } else {
-        usageBuilder_.mergeFrom(value);
+        versionsBuilder_.addMessage(value);
       }
-      if (usage_ != null) {
-        bitField0_ |= 0x00000800;
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     */
+    public Builder addVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
+      if (versionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureVersionsIsMutable();
+        versions_.add(index, value);
         onChanged();
+      } else {
+        versionsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearUsage() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      usage_ = null;
-      if (usageBuilder_ != null) {
-        usageBuilder_.dispose();
-        usageBuilder_ = null;
+    public Builder addVersions(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        versionsBuilder_.addMessage(builderForValue.build());
       }
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder getUsageBuilder() {
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return internalGetUsageFieldBuilder().getBuilder();
+    public Builder addVersions(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        versionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder getUsageOrBuilder() {
-      if (usageBuilder_ != null) {
-        return usageBuilder_.getMessageOrBuilder();
+    public Builder addAllVersions(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Version> values) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, versions_);
+        onChanged();
+      } else {
+        versionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     */
+    public Builder clearVersions() {
+      if (versionsBuilder_ == null) {
+        versions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
       } else {
-        return usage_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Usage.getDefaultInstance() : usage_;
+        versionsBuilder_.clear();
       }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Usage usage = 12;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder> 
-        internalGetUsageFieldBuilder() {
-      if (usageBuilder_ == null) {
-        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Usage, org.aspenmoor.internal.wire.v1.PeerLoad.Usage.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.UsageOrBuilder>(
-                getUsage(),
-                getParentForChildren(),
-                isClean());
-        usage_ = null;
+    public Builder removeVersions(int index) {
+      if (versionsBuilder_ == null) {
+        ensureVersionsIsMutable();
+        versions_.remove(index);
+        onChanged();
+      } else {
+        versionsBuilder_.remove(index);
       }
-      return usageBuilder_;
+      return this;
     }
-
-    private boolean storeUnreachable_ ;
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @return The storeUnreachable.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    @java.lang.Override
-    public boolean getStoreUnreachable() {
-      return storeUnreachable_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder getVersionsBuilder(
+        int index) {
+      return internalGetVersionsFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @param value The storeUnreachable to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setStoreUnreachable(boolean value) {
-
-      storeUnreachable_ = value;
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+        int index) {
+      if (versionsBuilder_ == null) {
+        return versions_.get(index);  } else {
+        return versionsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <pre>
-     * The sender does not reach the store, so that it cannot give orders to engines; another entry gives them.
-     * </pre>
-     *
-     * <code>bool store_unreachable = 13;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearStoreUnreachable() {
-      bitField0_ = (bitField0_ & ~0x00001000);
-      storeUnreachable_ = false;
-      onChanged();
-      return this;
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+         getVersionsOrBuilderList() {
+      if (versionsBuilder_ != null) {
+        return versionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(versions_);
+      }
     }
-
-    private long orderFencingNumber_ ;
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @return The orderFencingNumber.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    @java.lang.Override
-    public long getOrderFencingNumber() {
-      return orderFencingNumber_;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder() {
+      return internalGetVersionsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @param value The orderFencingNumber to set.
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder setOrderFencingNumber(long value) {
-
-      orderFencingNumber_ = value;
-      bitField0_ |= 0x00002000;
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder(
+        int index) {
+      return internalGetVersionsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
     }
     /**
-     * <pre>
-     * The fencing number under which the sender held the lease for orders last; 0 if it never did. The entry with the
-     * highest one gives the orders.
-     * </pre>
-     *
-     * <code>int64 order_fencing_number = 15;</code>
-     * @return This builder for chaining.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
      */
-    public Builder clearOrderFencingNumber() {
-      bitField0_ = (bitField0_ & ~0x00002000);
-      orderFencingNumber_ = 0L;
-      onChanged();
-      return this;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder> 
+         getVersionsBuilderList() {
+      return internalGetVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
+        internalGetVersionsFieldBuilder() {
+      if (versionsBuilder_ == null) {
+        versionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder>(
+                versions_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        versions_ = null;
+      }
+      return versionsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> limits_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_ =
       java.util.Collections.emptyList();
-    private void ensureLimitsIsMutable() {
-      if (!((bitField0_ & 0x00004000) != 0)) {
-        limits_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Limit>(limits_);
-        bitField0_ |= 0x00004000;
+    private void ensureStreamsIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        streams_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Stream>(streams_);
+        bitField0_ |= 0x00020000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> limitsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> streamsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit> getLimitsList() {
-      if (limitsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(limits_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
+      if (streamsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(streams_);
       } else {
-        return limitsBuilder_.getMessageList();
+        return streamsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public int getLimitsCount() {
-      if (limitsBuilder_ == null) {
-        return limits_.size();
+    public int getStreamsCount() {
+      if (streamsBuilder_ == null) {
+        return streams_.size();
       } else {
-        return limitsBuilder_.getCount();
+        return streamsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit getLimits(int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);
       } else {
-        return limitsBuilder_.getMessage(index);
+        return streamsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder setLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder setStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.set(index, value);
+        ensureStreamsIsMutable();
+        streams_.set(index, value);
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, value);
+        streamsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder setLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.set(index, builderForValue.build());
+    public Builder setStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.set(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, builderForValue.build());
+        streamsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStreams(org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(value);
+        ensureStreamsIsMutable();
+        streams_.add(value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(value);
+        streamsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
+      if (streamsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(index, value);
+        ensureStreamsIsMutable();
+        streams_.add(index, value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, value);
+        streamsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(builderForValue.build());
+    public Builder addStreams(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(builderForValue.build());
+        streamsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addLimits(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(index, builderForValue.build());
+    public Builder addStreams(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, builderForValue.build());
+        streamsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder addAllLimits(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Limit> values) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
+    public Builder addAllStreams(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Stream> values) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, limits_);
+            values, streams_);
         onChanged();
       } else {
-        limitsBuilder_.addAllMessages(values);
+        streamsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder clearLimits() {
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00004000);
+    public Builder clearStreams() {
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
         onChanged();
       } else {
-        limitsBuilder_.clear();
+        streamsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public Builder removeLimits(int index) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.remove(index);
+    public Builder removeStreams(int index) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.remove(index);
         onChanged();
       } else {
-        limitsBuilder_.remove(index);
+        streamsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder getLimitsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder getStreamsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().getBuilder(index);
+      return internalGetStreamsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder getLimitsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
         int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);  } else {
-        return limitsBuilder_.getMessageOrBuilder(index);
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);  } else {
+        return streamsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
-         getLimitsOrBuilderList() {
-      if (limitsBuilder_ != null) {
-        return limitsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+         getStreamsOrBuilderList() {
+      if (streamsBuilder_ != null) {
+        return streamsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(limits_);
+        return java.util.Collections.unmodifiableList(streams_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder() {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder() {
+      return internalGetStreamsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder addLimitsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.getDefaultInstance());
+      return internalGetStreamsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Limit limits = 14;</code>
+     * <pre>
+     * Streams of which the sender tells the receiver.
+     * </pre>
+     *
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder> 
-         getLimitsBuilderList() {
-      return internalGetLimitsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder> 
+         getStreamsBuilderList() {
+      return internalGetStreamsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder> 
-        internalGetLimitsFieldBuilder() {
-      if (limitsBuilder_ == null) {
-        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Limit, org.aspenmoor.internal.wire.v1.PeerLoad.Limit.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LimitOrBuilder>(
-                limits_,
-                ((bitField0_ & 0x00004000) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
+        internalGetStreamsFieldBuilder() {
+      if (streamsBuilder_ == null) {
+        streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder>(
+                streams_,
+                ((bitField0_ & 0x00020000) != 0),
                 getParentForChildren(),
                 isClean());
-        limits_ = null;
+        streams_ = null;
       }
-      return limitsBuilder_;
-    }
-
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> draining_ =
-      java.util.Collections.emptyList();
-    private void ensureDrainingIsMutable() {
-      if (!((bitField0_ & 0x00008000) != 0)) {
-        draining_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Draining>(draining_);
-        bitField0_ |= 0x00008000;
-       }
+      return streamsBuilder_;
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> drainingBuilder_;
-
-    /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-     */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining> getDrainingList() {
-      if (drainingBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(draining_);
-      } else {
-        return drainingBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-     */
-    public int getDrainingCount() {
-      if (drainingBuilder_ == null) {
-        return draining_.size();
-      } else {
-        return drainingBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining getDraining(int index) {
-      if (drainingBuilder_ == null) {
-        return draining_.get(index);
-      } else {
-        return drainingBuilder_.getMessage(index);
-      }
-    }
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> questionBuilder_;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * @return Whether the question field is set.
      */
-    public Builder setDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.set(index, value);
-        onChanged();
-      } else {
-        drainingBuilder_.setMessage(index, value);
-      }
-      return this;
+    public boolean hasQuestion() {
+      return ((bitField0_ & 0x00040000) != 0);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * @return The question.
      */
-    public Builder setDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.set(index, builderForValue.build());
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
+      if (questionBuilder_ == null) {
+        return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
       } else {
-        drainingBuilder_.setMessage(index, builderForValue.build());
+        return questionBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
+    public Builder setQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
+      if (questionBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.add(value);
-        onChanged();
+        question_ = value;
       } else {
-        drainingBuilder_.addMessage(value);
+        questionBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00040000;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining value) {
-      if (drainingBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        ensureDrainingIsMutable();
-        draining_.add(index, value);
-        onChanged();
+    public Builder setQuestion(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder builderForValue) {
+      if (questionBuilder_ == null) {
+        question_ = builderForValue.build();
       } else {
-        drainingBuilder_.addMessage(index, value);
+        questionBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00040000;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.add(builderForValue.build());
-        onChanged();
+    public Builder mergeQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
+      if (questionBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0) &&
+          question_ != null &&
+          question_ != org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance()) {
+          getQuestionBuilder().mergeFrom(value);
+        } else {
+          question_ = value;
+        }
       } else {
-        drainingBuilder_.addMessage(builderForValue.build());
+        questionBuilder_.mergeFrom(value);
+      }
+      if (question_ != null) {
+        bitField0_ |= 0x00040000;
+        onChanged();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addDraining(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder builderForValue) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        drainingBuilder_.addMessage(index, builderForValue.build());
+    public Builder clearQuestion() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      question_ = null;
+      if (questionBuilder_ != null) {
+        questionBuilder_.dispose();
+        questionBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder addAllDraining(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Draining> values) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, draining_);
-        onChanged();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder getQuestionBuilder() {
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return internalGetQuestionFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
+      if (questionBuilder_ != null) {
+        return questionBuilder_.getMessageOrBuilder();
       } else {
-        drainingBuilder_.addAllMessages(values);
+        return question_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
-    public Builder clearDraining() {
-      if (drainingBuilder_ == null) {
-        draining_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00008000);
-        onChanged();
-      } else {
-        drainingBuilder_.clear();
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> 
+        internalGetQuestionFieldBuilder() {
+      if (questionBuilder_ == null) {
+        questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder>(
+                getQuestion(),
+                getParentForChildren(),
+                isClean());
+        question_ = null;
       }
-      return this;
+      return questionBuilder_;
     }
+
+    private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> replyBuilder_;
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * @return Whether the reply field is set.
      */
-    public Builder removeDraining(int index) {
-      if (drainingBuilder_ == null) {
-        ensureDrainingIsMutable();
-        draining_.remove(index);
-        onChanged();
+    public boolean hasReply() {
+      return ((bitField0_ & 0x00080000) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * @return The reply.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
+      if (replyBuilder_ == null) {
+        return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
       } else {
-        drainingBuilder_.remove(index);
+        return replyBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder getDrainingBuilder(
-        int index) {
-      return internalGetDrainingFieldBuilder().getBuilder(index);
+    public Builder setReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
+      if (replyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        reply_ = value;
+      } else {
+        replyBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder getDrainingOrBuilder(
-        int index) {
-      if (drainingBuilder_ == null) {
-        return draining_.get(index);  } else {
-        return drainingBuilder_.getMessageOrBuilder(index);
+    public Builder setReply(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder builderForValue) {
+      if (replyBuilder_ == null) {
+        reply_ = builderForValue.build();
+      } else {
+        replyBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
-         getDrainingOrBuilderList() {
-      if (drainingBuilder_ != null) {
-        return drainingBuilder_.getMessageOrBuilderList();
+    public Builder mergeReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
+      if (replyBuilder_ == null) {
+        if (((bitField0_ & 0x00080000) != 0) &&
+          reply_ != null &&
+          reply_ != org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance()) {
+          getReplyBuilder().mergeFrom(value);
+        } else {
+          reply_ = value;
+        }
       } else {
-        return java.util.Collections.unmodifiableList(draining_);
+        replyBuilder_.mergeFrom(value);
+      }
+      if (reply_ != null) {
+        bitField0_ |= 0x00080000;
+        onChanged();
       }
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder() {
-      return internalGetDrainingFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    public Builder clearReply() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      reply_ = null;
+      if (replyBuilder_ != null) {
+        replyBuilder_.dispose();
+        replyBuilder_ = null;
+      }
+      onChanged();
+      return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder addDrainingBuilder(
-        int index) {
-      return internalGetDrainingFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder getReplyBuilder() {
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return internalGetReplyFieldBuilder().getBuilder();
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Draining draining = 16;</code>
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder> 
-         getDrainingBuilderList() {
-      return internalGetDrainingFieldBuilder().getBuilderList();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
+      if (replyBuilder_ != null) {
+        return replyBuilder_.getMessageOrBuilder();
+      } else {
+        return reply_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+      }
     }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder> 
-        internalGetDrainingFieldBuilder() {
-      if (drainingBuilder_ == null) {
-        drainingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Draining, org.aspenmoor.internal.wire.v1.PeerLoad.Draining.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.DrainingOrBuilder>(
-                draining_,
-                ((bitField0_ & 0x00008000) != 0),
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> 
+        internalGetReplyFieldBuilder() {
+      if (replyBuilder_ == null) {
+        replyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder>(
+                getReply(),
                 getParentForChildren(),
                 isClean());
-        draining_ = null;
+        reply_ = null;
       }
-      return drainingBuilder_;
+      return replyBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> versions_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> serverSpeeds_ =
       java.util.Collections.emptyList();
-    private void ensureVersionsIsMutable() {
-      if (!((bitField0_ & 0x00010000) != 0)) {
-        versions_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Version>(versions_);
-        bitField0_ |= 0x00010000;
+    private void ensureServerSpeedsIsMutable() {
+      if (!((bitField0_ & 0x00100000) != 0)) {
+        serverSpeeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed>(serverSpeeds_);
+        bitField0_ |= 0x00100000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> versionsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder> serverSpeedsBuilder_;
 
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version> getVersionsList() {
-      if (versionsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(versions_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> getServerSpeedsList() {
+      if (serverSpeedsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(serverSpeeds_);
       } else {
-        return versionsBuilder_.getMessageList();
+        return serverSpeedsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public int getVersionsCount() {
-      if (versionsBuilder_ == null) {
-        return versions_.size();
+    public int getServerSpeedsCount() {
+      if (serverSpeedsBuilder_ == null) {
+        return serverSpeeds_.size();
       } else {
-        return versionsBuilder_.getCount();
+        return serverSpeedsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Version getVersions(int index) {
-      if (versionsBuilder_ == null) {
-        return versions_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getServerSpeeds(int index) {
+      if (serverSpeedsBuilder_ == null) {
+        return serverSpeeds_.get(index);
       } else {
-        return versionsBuilder_.getMessage(index);
+        return serverSpeedsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder setVersions(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
-      if (versionsBuilder_ == null) {
+    public Builder setServerSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed value) {
+      if (serverSpeedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.set(index, value);
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.set(index, value);
         onChanged();
       } else {
-        versionsBuilder_.setMessage(index, value);
+        serverSpeedsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder setVersions(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.set(index, builderForValue.build());
+    public Builder setServerSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder builderForValue) {
+      if (serverSpeedsBuilder_ == null) {
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.set(index, builderForValue.build());
         onChanged();
       } else {
-        versionsBuilder_.setMessage(index, builderForValue.build());
+        serverSpeedsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder addVersions(org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
-      if (versionsBuilder_ == null) {
+    public Builder addServerSpeeds(org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed value) {
+      if (serverSpeedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.add(value);
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.add(value);
         onChanged();
       } else {
-        versionsBuilder_.addMessage(value);
+        serverSpeedsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder addVersions(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version value) {
-      if (versionsBuilder_ == null) {
+    public Builder addServerSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed value) {
+      if (serverSpeedsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureVersionsIsMutable();
-        versions_.add(index, value);
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.add(index, value);
         onChanged();
       } else {
-        versionsBuilder_.addMessage(index, value);
+        serverSpeedsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder addVersions(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.add(builderForValue.build());
+    public Builder addServerSpeeds(
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder builderForValue) {
+      if (serverSpeedsBuilder_ == null) {
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.add(builderForValue.build());
         onChanged();
       } else {
-        versionsBuilder_.addMessage(builderForValue.build());
+        serverSpeedsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder addVersions(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder builderForValue) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.add(index, builderForValue.build());
+    public Builder addServerSpeeds(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder builderForValue) {
+      if (serverSpeedsBuilder_ == null) {
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.add(index, builderForValue.build());
         onChanged();
       } else {
-        versionsBuilder_.addMessage(index, builderForValue.build());
+        serverSpeedsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder addAllVersions(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Version> values) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
+    public Builder addAllServerSpeeds(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> values) {
+      if (serverSpeedsBuilder_ == null) {
+        ensureServerSpeedsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, versions_);
+            values, serverSpeeds_);
         onChanged();
       } else {
-        versionsBuilder_.addAllMessages(values);
+        serverSpeedsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder clearVersions() {
-      if (versionsBuilder_ == null) {
-        versions_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00010000);
+    public Builder clearServerSpeeds() {
+      if (serverSpeedsBuilder_ == null) {
+        serverSpeeds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00100000);
         onChanged();
       } else {
-        versionsBuilder_.clear();
+        serverSpeedsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public Builder removeVersions(int index) {
-      if (versionsBuilder_ == null) {
-        ensureVersionsIsMutable();
-        versions_.remove(index);
+    public Builder removeServerSpeeds(int index) {
+      if (serverSpeedsBuilder_ == null) {
+        ensureServerSpeedsIsMutable();
+        serverSpeeds_.remove(index);
         onChanged();
       } else {
-        versionsBuilder_.remove(index);
+        serverSpeedsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder getVersionsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder getServerSpeedsBuilder(
         int index) {
-      return internalGetVersionsFieldBuilder().getBuilder(index);
+      return internalGetServerSpeedsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder getServerSpeedsOrBuilder(
         int index) {
-      if (versionsBuilder_ == null) {
-        return versions_.get(index);  } else {
-        return versionsBuilder_.getMessageOrBuilder(index);
+      if (serverSpeedsBuilder_ == null) {
+        return serverSpeeds_.get(index);  } else {
+        return serverSpeedsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
-         getVersionsOrBuilderList() {
-      if (versionsBuilder_ != null) {
-        return versionsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder> 
+         getServerSpeedsOrBuilderList() {
+      if (serverSpeedsBuilder_ != null) {
+        return serverSpeedsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(versions_);
+        return java.util.Collections.unmodifiableList(serverSpeeds_);
       }
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder() {
-      return internalGetVersionsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder addServerSpeedsBuilder() {
+      return internalGetServerSpeedsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder addVersionsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder addServerSpeedsBuilder(
         int index) {
-      return internalGetVersionsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Version.getDefaultInstance());
+      return internalGetServerSpeedsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.getDefaultInstance());
     }
     /**
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Version versions = 17;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder> 
-         getVersionsBuilderList() {
-      return internalGetVersionsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder> 
+         getServerSpeedsBuilderList() {
+      return internalGetServerSpeedsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder> 
-        internalGetVersionsFieldBuilder() {
-      if (versionsBuilder_ == null) {
-        versionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Version, org.aspenmoor.internal.wire.v1.PeerLoad.Version.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder>(
-                versions_,
-                ((bitField0_ & 0x00010000) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder> 
+        internalGetServerSpeedsFieldBuilder() {
+      if (serverSpeedsBuilder_ == null) {
+        serverSpeedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder>(
+                serverSpeeds_,
+                ((bitField0_ & 0x00100000) != 0),
                 getParentForChildren(),
                 isClean());
-        versions_ = null;
+        serverSpeeds_ = null;
       }
-      return versionsBuilder_;
+      return serverSpeedsBuilder_;
     }
 
-    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> streams_ =
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> serviceDemands_ =
       java.util.Collections.emptyList();
-    private void ensureStreamsIsMutable() {
-      if (!((bitField0_ & 0x00020000) != 0)) {
-        streams_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Stream>(streams_);
-        bitField0_ |= 0x00020000;
+    private void ensureServiceDemandsIsMutable() {
+      if (!((bitField0_ & 0x00200000) != 0)) {
+        serviceDemands_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand>(serviceDemands_);
+        bitField0_ |= 0x00200000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> streamsBuilder_;
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder> serviceDemandsBuilder_;
 
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream> getStreamsList() {
-      if (streamsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(streams_);
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> getServiceDemandsList() {
+      if (serviceDemandsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(serviceDemands_);
       } else {
-        return streamsBuilder_.getMessageList();
+        return serviceDemandsBuilder_.getMessageList();
       }
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public int getStreamsCount() {
-      if (streamsBuilder_ == null) {
-        return streams_.size();
+    public int getServiceDemandsCount() {
+      if (serviceDemandsBuilder_ == null) {
+        return serviceDemands_.size();
       } else {
-        return streamsBuilder_.getCount();
+        return serviceDemandsBuilder_.getCount();
       }
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream getStreams(int index) {
-      if (streamsBuilder_ == null) {
-        return streams_.get(index);
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getServiceDemands(int index) {
+      if (serviceDemandsBuilder_ == null) {
+        return serviceDemands_.get(index);
       } else {
-        return streamsBuilder_.getMessage(index);
+        return serviceDemandsBuilder_.getMessage(index);
       }
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder setStreams(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
-      if (streamsBuilder_ == null) {
+    public Builder setServiceDemands(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand value) {
+      if (serviceDemandsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStreamsIsMutable();
-        streams_.set(index, value);
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.set(index, value);
         onChanged();
       } else {
-        streamsBuilder_.setMessage(index, value);
+        serviceDemandsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder setStreams(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
-      if (streamsBuilder_ == null) {
-        ensureStreamsIsMutable();
-        streams_.set(index, builderForValue.build());
+    public Builder setServiceDemands(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder builderForValue) {
+      if (serviceDemandsBuilder_ == null) {
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.set(index, builderForValue.build());
         onChanged();
       } else {
-        streamsBuilder_.setMessage(index, builderForValue.build());
+        serviceDemandsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder addStreams(org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
-      if (streamsBuilder_ == null) {
+    public Builder addServiceDemands(org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand value) {
+      if (serviceDemandsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStreamsIsMutable();
-        streams_.add(value);
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.add(value);
         onChanged();
       } else {
-        streamsBuilder_.addMessage(value);
+        serviceDemandsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder addStreams(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream value) {
-      if (streamsBuilder_ == null) {
+    public Builder addServiceDemands(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand value) {
+      if (serviceDemandsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStreamsIsMutable();
-        streams_.add(index, value);
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.add(index, value);
         onChanged();
       } else {
-        streamsBuilder_.addMessage(index, value);
+        serviceDemandsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder addStreams(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
-      if (streamsBuilder_ == null) {
-        ensureStreamsIsMutable();
-        streams_.add(builderForValue.build());
+    public Builder addServiceDemands(
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder builderForValue) {
+      if (serviceDemandsBuilder_ == null) {
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.add(builderForValue.build());
         onChanged();
       } else {
-        streamsBuilder_.addMessage(builderForValue.build());
+        serviceDemandsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder addStreams(
-        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder builderForValue) {
-      if (streamsBuilder_ == null) {
-        ensureStreamsIsMutable();
-        streams_.add(index, builderForValue.build());
+    public Builder addServiceDemands(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder builderForValue) {
+      if (serviceDemandsBuilder_ == null) {
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.add(index, builderForValue.build());
         onChanged();
       } else {
-        streamsBuilder_.addMessage(index, builderForValue.build());
+        serviceDemandsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder addAllStreams(
-        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Stream> values) {
-      if (streamsBuilder_ == null) {
-        ensureStreamsIsMutable();
+    public Builder addAllServiceDemands(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> values) {
+      if (serviceDemandsBuilder_ == null) {
+        ensureServiceDemandsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, streams_);
+            values, serviceDemands_);
         onChanged();
       } else {
-        streamsBuilder_.addAllMessages(values);
+        serviceDemandsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder clearStreams() {
-      if (streamsBuilder_ == null) {
-        streams_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00020000);
+    public Builder clearServiceDemands() {
+      if (serviceDemandsBuilder_ == null) {
+        serviceDemands_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00200000);
         onChanged();
       } else {
-        streamsBuilder_.clear();
+        serviceDemandsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public Builder removeStreams(int index) {
-      if (streamsBuilder_ == null) {
-        ensureStreamsIsMutable();
-        streams_.remove(index);
+    public Builder removeServiceDemands(int index) {
+      if (serviceDemandsBuilder_ == null) {
+        ensureServiceDemandsIsMutable();
+        serviceDemands_.remove(index);
         onChanged();
       } else {
-        streamsBuilder_.remove(index);
+        serviceDemandsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder getStreamsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder getServiceDemandsBuilder(
         int index) {
-      return internalGetStreamsFieldBuilder().getBuilder(index);
+      return internalGetServiceDemandsFieldBuilder().getBuilder(index);
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder getServiceDemandsOrBuilder(
         int index) {
-      if (streamsBuilder_ == null) {
-        return streams_.get(index);  } else {
-        return streamsBuilder_.getMessageOrBuilder(index);
+      if (serviceDemandsBuilder_ == null) {
+        return serviceDemands_.get(index);  } else {
+        return serviceDemandsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
-         getStreamsOrBuilderList() {
-      if (streamsBuilder_ != null) {
-        return streamsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder> 
+         getServiceDemandsOrBuilderList() {
+      if (serviceDemandsBuilder_ != null) {
+        return serviceDemandsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(streams_);
+        return java.util.Collections.unmodifiableList(serviceDemands_);
       }
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder() {
-      return internalGetStreamsFieldBuilder().addBuilder(
-          org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder addServiceDemandsBuilder() {
+      return internalGetServiceDemandsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.getDefaultInstance());
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder addStreamsBuilder(
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder addServiceDemandsBuilder(
         int index) {
-      return internalGetStreamsFieldBuilder().addBuilder(
-          index, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.getDefaultInstance());
+      return internalGetServiceDemandsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.getDefaultInstance());
     }
     /**
-     * <pre>
-     * Streams of which the sender tells the receiver.
-     * </pre>
-     *
-     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Stream streams = 18;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
      */
-    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder> 
-         getStreamsBuilderList() {
-      return internalGetStreamsFieldBuilder().getBuilderList();
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder> 
+         getServiceDemandsBuilderList() {
+      return internalGetServiceDemandsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder> 
-        internalGetStreamsFieldBuilder() {
-      if (streamsBuilder_ == null) {
-        streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Stream, org.aspenmoor.internal.wire.v1.PeerLoad.Stream.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder>(
-                streams_,
-                ((bitField0_ & 0x00020000) != 0),
+        org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder> 
+        internalGetServiceDemandsFieldBuilder() {
+      if (serviceDemandsBuilder_ == null) {
+        serviceDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder>(
+                serviceDemands_,
+                ((bitField0_ & 0x00200000) != 0),
                 getParentForChildren(),
                 isClean());
-        streams_ = null;
+        serviceDemands_ = null;
       }
-      return streamsBuilder_;
+      return serviceDemandsBuilder_;
     }
 
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> questionBuilder_;
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-     * @return Whether the question field is set.
-     */
-    public boolean hasQuestion() {
-      return ((bitField0_ & 0x00040000) != 0);
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> observations_ =
+      java.util.Collections.emptyList();
+    private void ensureObservationsIsMutable() {
+      if (!((bitField0_ & 0x00400000) != 0)) {
+        observations_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Observation>(observations_);
+        bitField0_ |= 0x00400000;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Observation, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder> observationsBuilder_;
+
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-     * @return The question.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Question getQuestion() {
-      if (questionBuilder_ == null) {
-        return question_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> getObservationsList() {
+      if (observationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(observations_);
       } else {
-        return questionBuilder_.getMessage();
+        return observationsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder setQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
-      if (questionBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        question_ = value;
+    public int getObservationsCount() {
+      if (observationsBuilder_ == null) {
+        return observations_.size();
       } else {
-        questionBuilder_.setMessage(value);
+        return observationsBuilder_.getCount();
       }
-      bitField0_ |= 0x00040000;
-      onChanged();
-      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder setQuestion(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder builderForValue) {
-      if (questionBuilder_ == null) {
-        question_ = builderForValue.build();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Observation getObservations(int index) {
+      if (observationsBuilder_ == null) {
+        return observations_.get(index);
       } else {
-        questionBuilder_.setMessage(builderForValue.build());
+        return observationsBuilder_.getMessage(index);
       }
-      bitField0_ |= 0x00040000;
-      onChanged();
-      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder mergeQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
-      if (questionBuilder_ == null) {
-        if (((bitField0_ & 0x00040000) != 0) &&
-          question_ != null &&
-          question_ != org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance()) {
-          getQuestionBuilder().mergeFrom(value);
-        } else {
-          question_ = value;
-        }
-      } else {
-        questionBuilder_.mergeFrom(value);
-      }
-      if (question_ != null) {
-        bitField0_ |= 0x00040000;
+    public Builder setObservations(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Observation value) {
+      if (observationsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureObservationsIsMutable();
+        observations_.set(index, value);
         onChanged();
+      } else {
+        observationsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder clearQuestion() {
-      bitField0_ = (bitField0_ & ~0x00040000);
-      question_ = null;
-      if (questionBuilder_ != null) {
-        questionBuilder_.dispose();
-        questionBuilder_ = null;
+    public Builder setObservations(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder builderForValue) {
+      if (observationsBuilder_ == null) {
+        ensureObservationsIsMutable();
+        observations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        observationsBuilder_.setMessage(index, builderForValue.build());
       }
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
-     */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder getQuestionBuilder() {
-      bitField0_ |= 0x00040000;
-      onChanged();
-      return internalGetQuestionFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder getQuestionOrBuilder() {
-      if (questionBuilder_ != null) {
-        return questionBuilder_.getMessageOrBuilder();
+    public Builder addObservations(org.aspenmoor.internal.wire.v1.PeerLoad.Observation value) {
+      if (observationsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureObservationsIsMutable();
+        observations_.add(value);
+        onChanged();
       } else {
-        return question_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance() : question_;
+        observationsBuilder_.addMessage(value);
       }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> 
-        internalGetQuestionFieldBuilder() {
-      if (questionBuilder_ == null) {
-        questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder>(
-                getQuestion(),
-                getParentForChildren(),
-                isClean());
-        question_ = null;
+    public Builder addObservations(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Observation value) {
+      if (observationsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureObservationsIsMutable();
+        observations_.add(index, value);
+        onChanged();
+      } else {
+        observationsBuilder_.addMessage(index, value);
       }
-      return questionBuilder_;
+      return this;
     }
-
-    private org.aspenmoor.internal.wire.v1.PeerLoad.Reply reply_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> replyBuilder_;
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
-     * @return Whether the reply field is set.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public boolean hasReply() {
-      return ((bitField0_ & 0x00080000) != 0);
+    public Builder addObservations(
+        org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder builderForValue) {
+      if (observationsBuilder_ == null) {
+        ensureObservationsIsMutable();
+        observations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        observationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
-     * @return The reply.
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply getReply() {
-      if (replyBuilder_ == null) {
-        return reply_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+    public Builder addObservations(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder builderForValue) {
+      if (observationsBuilder_ == null) {
+        ensureObservationsIsMutable();
+        observations_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        return replyBuilder_.getMessage();
+        observationsBuilder_.addMessage(index, builderForValue.build());
       }
+      return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder setReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
-      if (replyBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        reply_ = value;
+    public Builder addAllObservations(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.Observation> values) {
+      if (observationsBuilder_ == null) {
+        ensureObservationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, observations_);
+        onChanged();
       } else {
-        replyBuilder_.setMessage(value);
+        observationsBuilder_.addAllMessages(values);
       }
-      bitField0_ |= 0x00080000;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder setReply(
-        org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder builderForValue) {
-      if (replyBuilder_ == null) {
-        reply_ = builderForValue.build();
+    public Builder clearObservations() {
+      if (observationsBuilder_ == null) {
+        observations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00400000);
+        onChanged();
       } else {
-        replyBuilder_.setMessage(builderForValue.build());
+        observationsBuilder_.clear();
       }
-      bitField0_ |= 0x00080000;
-      onChanged();
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder mergeReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
-      if (replyBuilder_ == null) {
-        if (((bitField0_ & 0x00080000) != 0) &&
-          reply_ != null &&
-          reply_ != org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance()) {
-          getReplyBuilder().mergeFrom(value);
-        } else {
-          reply_ = value;
-        }
-      } else {
-        replyBuilder_.mergeFrom(value);
-      }
-      if (reply_ != null) {
-        bitField0_ |= 0x00080000;
+    public Builder removeObservations(int index) {
+      if (observationsBuilder_ == null) {
+        ensureObservationsIsMutable();
+        observations_.remove(index);
         onChanged();
+      } else {
+        observationsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public Builder clearReply() {
-      bitField0_ = (bitField0_ & ~0x00080000);
-      reply_ = null;
-      if (replyBuilder_ != null) {
-        replyBuilder_.dispose();
-        replyBuilder_ = null;
-      }
-      onChanged();
-      return this;
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder getObservationsBuilder(
+        int index) {
+      return internalGetObservationsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder getReplyBuilder() {
-      bitField0_ |= 0x00080000;
-      onChanged();
-      return internalGetReplyFieldBuilder().getBuilder();
+    public org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder getObservationsOrBuilder(
+        int index) {
+      if (observationsBuilder_ == null) {
+        return observations_.get(index);  } else {
+        return observationsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    public org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder() {
-      if (replyBuilder_ != null) {
-        return replyBuilder_.getMessageOrBuilder();
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder> 
+         getObservationsOrBuilderList() {
+      if (observationsBuilder_ != null) {
+        return observationsBuilder_.getMessageOrBuilderList();
       } else {
-        return reply_ == null ?
-            org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance() : reply_;
+        return java.util.Collections.unmodifiableList(observations_);
       }
     }
     /**
-     * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder> 
-        internalGetReplyFieldBuilder() {
-      if (replyBuilder_ == null) {
-        replyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.aspenmoor.internal.wire.v1.PeerLoad.Reply, org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder>(
-                getReply(),
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder addObservationsBuilder() {
+      return internalGetObservationsFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.Observation.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder addObservationsBuilder(
+        int index) {
+      return internalGetObservationsFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder> 
+         getObservationsBuilderList() {
+      return internalGetObservationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.Observation, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder> 
+        internalGetObservationsFieldBuilder() {
+      if (observationsBuilder_ == null) {
+        observationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.Observation, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder>(
+                observations_,
+                ((bitField0_ & 0x00400000) != 0),
                 getParentForChildren(),
                 isClean());
-        reply_ = null;
+        observations_ = null;
       }
-      return replyBuilder_;
+      return observationsBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -414,4 +414,76 @@
    * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
    */
   org.aspenmoor.internal.wire.v1.PeerLoad.ReplyOrBuilder getReplyOrBuilder();
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> 
+      getServerSpeedsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed getServerSpeeds(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  int getServerSpeedsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder> 
+      getServerSpeedsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServerSpeed server_speeds = 21;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder getServerSpeedsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> 
+      getServiceDemandsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand getServiceDemands(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  int getServiceDemandsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder> 
+      getServiceDemandsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.ServiceDemand service_demands = 22;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder getServiceDemandsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> 
+      getObservationsList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.Observation getObservations(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  int getObservationsCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder> 
+      getObservationsOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.Observation observations = 23;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder getObservationsOrBuilder(
+      int index);
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -106,6 +106,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Reply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_Observation_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -115,7 +135,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\244\021\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\253\027\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -137,42 +157,61 @@
       "aspenmoor.wire.v1.PeerLoad.Stream\0226\n\010que" +
       "stion\030\023 \001(\0132$.aspenmoor.wire.v1.PeerLoad" +
       ".Question\0220\n\005reply\030\024 \001(\0132!.aspenmoor.wir" +
-      "e.v1.PeerLoad.Reply\032u\n\005Share\022\016\n\006server\030\001" +
-      " \001(\t\022\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n" +
-      "\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014" +
-      "pace_seconds\030\005 \001(\002\0327\n\006Prompt\022\016\n\006server\030\001" +
-      " \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005S" +
-      "peed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006f" +
-      "actor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(\002\032&\n\006Ch" +
-      "ange\022\016\n\006server\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013Ev" +
-      "entLength\022\017\n\007service\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\002\032e\n\003End\022\017\n\007request\030\001 \001(\014\022\016\n\006server\030\002 \001" +
-      "(\t\022\022\n\nstarted_at\030\003 \001(\006\022\030\n\020age_millisecon" +
-      "ds\030\004 \001(\r\022\017\n\007excused\030\005 \001(\010\032o\n\004Duty\022\020\n\010eli" +
-      "gible\030\001 \001(\010\022\026\n\016collects_usage\030\002 \001(\010\022\034\n\024s" +
-      "ettled_usage_window\030\003 \001(\022\022\037\n\027wall_clock_" +
-      "milliseconds\030\004 \001(\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 " +
-      "\001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007windows\030\003 \003(\0132(.as" +
-      "penmoor.wire.v1.PeerLoad.Usage.Window\032Q\n" +
-      "\006Window\022\016\n\006number\030\001 \001(\022\022\020\n\010complete\030\002 \001(" +
-      "\010\022\025\n\rorganisations\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004" +
-      "\032\270\001\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at" +
-      "\030\002 \001(\006\022 \n\023requests_per_second\030\003 \001(\001H\000\210\001\001" +
-      "\022\030\n\020age_milliseconds\030\004 \001(\r\022\016\n\006demand\030\005 \001" +
-      "(\002\022\024\n\014demand_class\030\006 \001(\021\022\021\n\ttie_break\030\007 " +
-      "\001(\020B\026\n\024_requests_per_second\032.\n\010Draining\022" +
-      "\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\032E\n\007V" +
-      "ersion\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
-      "\022\030\n\020age_milliseconds\030\003 \001(\r\0327\n\006Stream\022\013\n\003" +
-      "key\030\001 \001(\014\022\017\n\007service\030\002 \001(\t\022\017\n\007version\030\003 " +
-      "\001(\t\032G\n\010Question\022\r\n\005entry\030\001 \001(\t\022\016\n\006number" +
-      "\030\002 \001(\004\022\013\n\003key\030\003 \001(\014\022\017\n\007service\030\004 \001(\t\032\250\001\n" +
-      "\005Reply\022\r\n\005entry\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\0222\n" +
-      "\006stream\030\003 \001(\0132\".aspenmoor.wire.v1.PeerLo" +
-      "ad.Stream\022\025\n\rcontradictory\030\004 \001(\010\0225\n\010vers" +
-      "ions\030\005 \003(\0132#.aspenmoor.wire.v1.PeerLoad." +
-      "VersionB\"\n\036org.aspenmoor.internal.wire.v" +
-      "1P\001b\006proto3"
+      "e.v1.PeerLoad.Reply\022>\n\rserver_speeds\030\025 \003" +
+      "(\0132\'.aspenmoor.wire.v1.PeerLoad.ServerSp" +
+      "eed\022B\n\017service_demands\030\026 \003(\0132).aspenmoor" +
+      ".wire.v1.PeerLoad.ServiceDemand\022=\n\014obser" +
+      "vations\030\027 \003(\0132\'.aspenmoor.wire.v1.PeerLo" +
+      "ad.Observation\032\212\001\n\005Share\022\016\n\006server\030\001 \001(\t" +
+      "\022\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n\010req" +
+      "uests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014pace" +
+      "_seconds\030\005 \001(\002\022\023\n\013held_tokens\030\006 \001(\004\0327\n\006P" +
+      "rompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006" +
+      "tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014" +
+      "\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_se" +
+      "conds\030\004 \001(\002\032&\n\006Change\022\016\n\006server\030\001 \001(\t\022\014\n" +
+      "\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007service\030\001 " +
+      "\001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007request\030\001 " +
+      "\001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\006\022" +
+      "\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007excused\030\005 \001" +
+      "(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016collects" +
+      "_usage\030\002 \001(\010\022\034\n\024settled_usage_window\030\003 \001" +
+      "(\022\022\037\n\027wall_clock_milliseconds\030\004 \001(\006\032\263\001\n\005" +
+      "Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007w" +
+      "indows\030\003 \003(\0132(.aspenmoor.wire.v1.PeerLoa" +
+      "d.Usage.Window\032Q\n\006Window\022\016\n\006number\030\001 \001(\022" +
+      "\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisations\030\003 \003(" +
+      "\t\022\016\n\006counts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006server\030\001 " +
+      "\001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023requests_per_" +
+      "second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_milliseconds\030\004 " +
+      "\001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_class\030\006 \001(" +
+      "\021\022\021\n\ttie_break\030\007 \001(\020B\026\n\024_requests_per_se" +
+      "cond\032.\n\010Draining\022\016\n\006server\030\001 \001(\t\022\022\n\nstar" +
+      "ted_at\030\002 \001(\006\032E\n\007Version\022\017\n\007service\030\001 \001(\t" +
+      "\022\017\n\007version\030\002 \001(\t\022\030\n\020age_milliseconds\030\003 " +
+      "\001(\r\0327\n\006Stream\022\013\n\003key\030\001 \001(\014\022\017\n\007service\030\002 " +
+      "\001(\t\022\017\n\007version\030\003 \001(\t\032G\n\010Question\022\r\n\005entr" +
+      "y\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022\013\n\003key\030\003 \001(\014\022\017\n\007" +
+      "service\030\004 \001(\t\032\250\001\n\005Reply\022\r\n\005entry\030\001 \001(\t\022\016" +
+      "\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".aspenmo" +
+      "or.wire.v1.PeerLoad.Stream\022\025\n\rcontradict" +
+      "ory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.aspenmoor." +
+      "wire.v1.PeerLoad.Version\032\311\001\n\013ServerSpeed" +
+      "\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022\032\n\r" +
+      "stated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027stated_age_m" +
+      "illiseconds\030\004 \001(\r\022\033\n\016learned_factor\030\005 \001(" +
+      "\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002B\020\n\016_stat" +
+      "ed_factorB\021\n\017_learned_factor\032\376\001\n\rService" +
+      "Demand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisations" +
+      "\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad.Serv" +
+      "iceDemand.Organisation\022\034\n\024completed_per_" +
+      "second\030\003 \001(\002\022\036\n\026turned_away_per_second\030\004" +
+      " \001(\002\032O\n\014Organisation\022\024\n\014organisation\030\001 \001" +
+      "(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_second\030" +
+      "\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030\001 \001(\r" +
+      "\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020" +
+      "age_milliseconds\030\004 \001(\rB\"\n\036org.aspenmoor." +
+      "internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -183,13 +222,13 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", "ServerSpeeds", "ServiceDemands", "Observations", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor,
-        new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", "PaceEvents", "PaceSeconds", });
+        new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", "PaceEvents", "PaceSeconds", "HeldTokens", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(1);
     internal_static_aspenmoor_wire_v1_PeerLoad_Prompt_fieldAccessorTable = new
@@ -274,6 +313,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Reply_descriptor,
         new java.lang.String[] { "Entry", "Number", "Stream", "Contradictory", "Versions", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(14);
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor,
+        new java.lang.String[] { "Server", "StartedAt", "StatedFactor", "StatedAgeMilliseconds", "LearnedFactor", "LearnedAnswers", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(15);
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor,
+        new java.lang.String[] { "Service", "Organisations", "CompletedPerSecond", "TurnedAwayPerSecond", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor.getNestedType(0);
+    internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_Organisation_descriptor,
+        new java.lang.String[] { "Organisation", "Priority", "WorkPerSecond", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(16);
+    internal_static_aspenmoor_wire_v1_PeerLoad_Observation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor,
+        new java.lang.String[] { "Collection", "Generation", "Digest", "AgeMilliseconds", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
