Read the slowdown that servers state with their load, and share it among the entries

Servers may state with each answer how long work takes on their host. Each entry keeps the newest statement of each server, its own or one that another entry reports, and combines what all entries learn of a server's usual speed. Placement uses the product of both for services whose servers state their slowdown; others are placed as before. PlacementPolicyTest, PlatformProtocolTest, the tests of peers and SpeedEstimateTest pass.

--- a/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/SimulatedEngine.java
+++ b/aspenmoor-bench/src/main/java/org/aspenmoor/internal/bench/replay/engine/SimulatedEngine.java
@@ -53,7 +53,7 @@
     /** Returns its present load. */
     public ReportedLoad load() {
         int running = batch.size() + (prefilling.isPresent() || batch.isPrefilling() ? 1 : 0);
-        return new ReportedLoad(running, prefillQueue.size() + answerQueue.size(), profile.slots());
+        return ReportedLoad.of(running, prefillQueue.size() + answerQueue.size(), profile.slots());
     }
 
     /** Accepts or rejects a job. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
@@ -5,6 +5,8 @@
     private final String server;
     private final WorkKind kind;
     private final long startedAtNanos;
+    private final double nominalWorkSeconds;
+    private final double statedSlowdown;
     private final double expectedWorkSeconds;
     private final double learnedWorkSeconds;
     private final double expectedAnswerSeconds;
@@ -16,6 +18,8 @@
             String server,
             WorkKind kind,
             long startedAtNanos,
+            double nominalWorkSeconds,
+            double statedSlowdown,
             double expectedWorkSeconds,
             double learnedWorkSeconds,
             double expectedAnswerSeconds,
@@ -25,6 +29,8 @@
         this.server = server;
         this.kind = kind;
         this.startedAtNanos = startedAtNanos;
+        this.nominalWorkSeconds = nominalWorkSeconds;
+        this.statedSlowdown = statedSlowdown;
         this.expectedWorkSeconds = expectedWorkSeconds;
         this.learnedWorkSeconds = learnedWorkSeconds;
         this.expectedAnswerSeconds = expectedAnswerSeconds;
@@ -47,7 +53,7 @@
         return longPrompt;
     }
 
-    /** Returns whether no other work was known at the server when the attempt started. */
+    /** Returns whether the work was not expected to wait at the server when the attempt started. */
     boolean serverWasIdle() {
         return serverWasIdle;
     }
@@ -62,12 +68,22 @@
         return startedAtNanos;
     }
 
-    /** Returns how long the server was expected to work before its answer starts. */
+    /** Returns how long the work takes at the speed of the settings. */
+    double nominalWorkSeconds() {
+        return nominalWorkSeconds;
+    }
+
+    /** Returns how many times longer than usual the server was expected to take when the attempt started. */
+    double statedSlowdown() {
+        return statedSlowdown;
+    }
+
+    /** Returns how long the server was expected to work before its answer starts, at its usual speed. */
     double expectedWorkSeconds() {
         return expectedWorkSeconds;
     }
 
-    /** Returns how long the work takes at the learned speed. */
+    /** Returns how long the work takes at the learned usual speed. */
     double learnedWorkSeconds() {
         return learnedWorkSeconds;
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryQueueing.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryQueueing.java
@@ -35,12 +35,13 @@
     }
 
     /**
-     * Returns how many times longer than specified by the settings an engine takes. If entries keep the engines' queues
-     * short, this is the engine's learned slowdown. Otherwise it is the delay of its answers, which is the only sign of
+     * Returns how many times longer than specified by the settings an engine takes at this moment. If entries keep the
+     * engines' queues short, this is the engine's learned slowdown and the one that it states. Otherwise it is the delay of its answers, which is the only sign of
      * work in the engine's queue that has not been reported to this entry.
      */
-    static double slowdown(ServerEstimate engine, boolean queuedAtEntry) {
-        return queuedAtEntry ? engine.slowdownFromSettings() : engine.delaySlowdown();
+    static double slowdown(ServerEstimate engine, boolean queuedAtEntry, long now) {
+        double usual = queuedAtEntry ? engine.slowdownFromSettings(now) : engine.delaySlowdown();
+        return usual * engine.statedSlowdown(now);
     }
 
     /** Returns whether a prompt occupies an engine for so long that it delays other requests. */
@@ -54,11 +55,11 @@
      * long as the tolerated wait, each entry sends too few prompts to learn in time, and requests would wait at the
      * entry for seconds while engines are idle.
      */
-    static boolean applicable(Duration objective, List<ServerEstimate> engines) {
+    static boolean applicable(Duration objective, List<ServerEstimate> engines, long now) {
         double toleratedSeconds = toleratedWaitSeconds(objective);
         double typicalPromptSeconds = engines.stream()
                 .filter(each -> each.server().role() != EngineRole.DECODE)
-                .mapToDouble(ServerEstimate::typicalPromptSeconds)
+                .mapToDouble(each -> each.typicalPromptSeconds(now))
                 .filter(seconds -> seconds > 0)
                 .average()
                 .orElse(Double.MAX_VALUE);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
+import org.aspenmoor.internal.serving.speed.KnownSpeeds;
 
 /**
  * Chooses the backend server, or the pair of engines, whose answer is expected to start first. Confined to one thread;
@@ -41,6 +42,7 @@
     private final PromptAssignments promptAssignments;
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
+    private final KnownSpeeds knownSpeeds = new KnownSpeeds();
     private ServerRanking ranking;
 
     public PlacementPolicy(
@@ -74,13 +76,16 @@
             known.update(server, cacheTokens, speed);
             return;
         }
-        estimates.put(server.id(), new ServerEstimate(server, cacheTokens, speed, backoffs.of(server)));
+        estimates.put(
+                server.id(),
+                new ServerEstimate(server, cacheTokens, speed, knownSpeeds.serverChanged(server), backoffs.of(server)));
     }
 
     /** Removes a server. */
     public void serverRemoved(String id) {
         estimates.remove(id);
         limits.serverRemoved(id);
+        knownSpeeds.serverRemoved(id);
     }
 
     /** Chooses where a request runs. */
@@ -155,6 +160,8 @@
                     kind,
                     now,
                     workSeconds,
+                    1,
+                    workSeconds,
                     workSeconds,
                     expectedAnswerSeconds,
                     toleratedWaitSeconds,
@@ -162,18 +169,22 @@
                     false);
         }
         boolean queuedAtEntry =
-                kind != WorkKind.PLAIN && EntryQueueing.applicable(objective, estimatesOf(server.service()));
-        double learnedWorkSeconds =
-                workSeconds / EntryQueueing.slowdown(estimate, queuedAtEntry) * estimate.slowdownFromSettings();
+                kind != WorkKind.PLAIN && EntryQueueing.applicable(objective, estimatesOf(server.service()), now);
+        double nominalWorkSeconds = nominalWorkSeconds(estimate, kind, workSeconds, queuedAtEntry, now);
+        double learnedWorkSeconds = nominalWorkSeconds * estimate.slowdownFromSettings(now);
+        double statedSlowdown = estimate.statedSlowdown(now);
         double fixedSeconds = fixedSeconds(estimate, kind, queuedAtEntry);
         double expectedAnswerSeconds = ranking.waitSeconds(estimate, now) + workSeconds + fixedSeconds;
         boolean longPrompt = kind != WorkKind.PLAIN && EntryQueueing.isLongPrompt(estimate, learnedWorkSeconds);
-        boolean serverIdle = estimate.requests(peerLoads.onServer(server.id()), now) < MIN_BUSY_REQUESTS;
+        double requests = estimate.requests(peerLoads.onServer(server.id()), now);
+        boolean serverIdle = kind == WorkKind.PLAIN ? requests + 1 <= server.slots() : requests < MIN_BUSY_REQUESTS;
         AssignedWork work = new AssignedWork(
                 server.id(),
                 kind,
                 now,
-                workSeconds,
+                nominalWorkSeconds,
+                statedSlowdown,
+                workSeconds / statedSlowdown,
                 learnedWorkSeconds,
                 expectedAnswerSeconds,
                 toleratedWaitSeconds,
@@ -242,6 +253,11 @@
         return promptAssignments;
     }
 
+    /** Returns what is known of the speeds of servers. */
+    public KnownSpeeds knownSpeeds() {
+        return knownSpeeds;
+    }
+
     /** Returns the pauses that servers have asked this entry for. */
     public ServerBackoffs backoffs() {
         return backoffs;
@@ -392,6 +408,14 @@
         }
     }
 
+    /** Returns how long work takes at the speed of the settings, given how long it is expected to take now. */
+    private static double nominalWorkSeconds(
+            ServerEstimate estimate, WorkKind kind, double workSeconds, boolean queuedAtEntry, long now) {
+        return kind == WorkKind.PLAIN
+                ? ServerRanking.PLAIN_WORK_SECONDS
+                : workSeconds / EntryQueueing.slowdown(estimate, queuedAtEntry, now);
+    }
+
     private double fixedSeconds(ServerEstimate estimate, WorkKind kind, boolean queuedAtEntry) {
         if (!queuedAtEntry) {
             return ServerRanking.DEFAULT_FIXED_SECONDS;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptCosts.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PromptCosts.java
@@ -24,6 +24,7 @@
     private final PlacementSettings settings;
     private final Prompt prompt;
     private final boolean queuedAtEntry;
+    private final long now;
     private final ServerEstimate preferredEngine;
     private final Optional<CachedPrefix> longestCachedPrefix;
 
@@ -38,8 +39,9 @@
         this.settings = settings;
         this.prompt = prompt;
         this.queuedAtEntry = queuedAtEntry;
+        this.now = now;
         this.preferredEngine = preferredEngine(engines);
-        this.longestCachedPrefix = longestCachedPrefix(engines, now);
+        this.longestCachedPrefix = longestCachedPrefix(engines);
     }
 
     /**
@@ -68,7 +70,7 @@
     }
 
     /** Returns the engine that has the longest prefix of the prompt cached. */
-    private Optional<CachedPrefix> longestCachedPrefix(List<ServerEstimate> engines, long now) {
+    private Optional<CachedPrefix> longestCachedPrefix(List<ServerEstimate> engines) {
         CachedPrefix longest = null;
         for (ServerEstimate engine : engines) {
             int tokens = engine.cache().transferableTokens(prompt, now);
@@ -84,7 +86,7 @@
         double megapairs = computed * (cached + computed / 2) / PAIRS_PER_MEGAPAIR;
         double seconds =
                 settings.engineSpeed().prefillSeconds(computed) + megapairs * settings.attentionSecondsPerMegapair();
-        return seconds * EntryQueueing.slowdown(engine, queuedAtEntry) / prefillRateFraction(engine.server());
+        return seconds * EntryQueueing.slowdown(engine, queuedAtEntry, now) / prefillRateFraction(engine.server());
     }
 
     private double prefillRateFraction(BackendServer server) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.speed.KnownSpeed;
 
 /**
  * What this entry knows or estimates about one backend server: its own requests there, what other entries and the
@@ -45,6 +46,9 @@
      */
     private static final double MIN_EXPECTED_SECONDS = 0.02;
 
+    /** Work shorter than this fraction of the fixed part of an answer's time does not show the speed. */
+    private static final double MIN_MEASURED_FRACTION = 0.25;
+
     /**
      * An engine that has not changed its role within this time did not receive the order or cannot follow it, and is
      * used again.
@@ -55,15 +59,17 @@
     private final ServerHealth health = new ServerHealth();
     private final ServerBackoff backoff;
     private final CacheEstimate cache = new CacheEstimate();
+    private final KnownSpeed knownSpeed;
     private final EventIntervalMeter eventIntervalMeter = new EventIntervalMeter();
     private final PromptWindow promptWindow = new PromptWindow();
     private final Deque<AssignedWork> unanswered = new ArrayDeque<>();
     private BackendServer server;
     private int parallelism;
     private int cacheTokens;
-    private ReportedLoad reportedLoad = new ReportedLoad(0, 0, 1);
+    private int reportedRunning;
+    private int reportedWaiting;
     private long reportedAt;
-    /** Requests of this entry at the server when it reported {@link #reportedLoad}; that load includes them. */
+    /** Requests of this entry at the server when it reported its requests, which include them. */
     private int outstandingAtReport;
 
     private int outstanding;
@@ -88,9 +94,12 @@
      * Creates an estimate.
      *
      * @param speed the speed of all servers of the service with the same role
+     * @param knownSpeed what the server states of its speed, and what all entries have learned of it
      * @param backoff the pauses that the server asks this entry for
      */
-    ServerEstimate(BackendServer server, int cacheTokens, SpeedEstimate speed, ServerBackoff backoff) {
+    ServerEstimate(
+            BackendServer server, int cacheTokens, SpeedEstimate speed, KnownSpeed knownSpeed, ServerBackoff backoff) {
+        this.knownSpeed = knownSpeed;
         this.backoff = backoff;
         update(server, cacheTokens, speed);
     }
@@ -111,6 +120,7 @@
             health.roleChanged();
             slowdown = 1;
             delaySlowdown = 1;
+            knownSpeed.roleChanged();
         }
         speed = newSpeed;
         server = newServer;
@@ -150,16 +160,32 @@
         return Math.max(lastAnswerAt, lastEventAt);
     }
 
-    /** Returns how many times longer the server takes than the others with its role. */
-    double slowdown() {
-        return slowdown;
+    /** Returns how many times longer the server takes than the others with its role at its usual speed. */
+    double slowdown(long now) {
+        if (!knownSpeed.inUse()) {
+            return slowdown;
+        }
+        return runsModel() ? slowdownFromSettings(now) / speed.factor() : slowdownFromSettings(now);
     }
 
-    /** Returns how many times longer the server takes than the settings specify. */
-    double slowdownFromSettings() {
+    /** Returns how many times longer the server takes at its usual speed than the settings specify. */
+    double slowdownFromSettings(long now) {
+        if (knownSpeed.inUse()) {
+            return knownSpeed.learnedSlowdown(runsModel() ? speed.factor() : 1, now);
+        }
         return runsModel() ? slowdown * speed.factor() : slowdown;
     }
 
+    /** Returns how many times longer than usual the server takes at this moment, as it states itself. */
+    double statedSlowdown(long now) {
+        return knownSpeed.statedSlowdown(now);
+    }
+
+    /** Returns what the server states of its speed, and what all entries have learned of it. */
+    KnownSpeed knownSpeed() {
+        return knownSpeed;
+    }
+
     /**
      * Returns how many times longer than expected it takes until answers start, including all waits. If engines order
      * their queues themselves, this is the only sign of work that has not been reported to this entry.
@@ -171,8 +197,8 @@
     /**
      * Returns how long a long prompt of this entry typically occupies the engine, in seconds; zero until one was sent.
      */
-    double typicalPromptSeconds() {
-        return typicalPromptSeconds * slowdownFromSettings();
+    double typicalPromptSeconds(long now) {
+        return typicalPromptSeconds * slowdownFromSettings(now);
     }
 
     /** Returns whether the engine's speed was learned from enough answers. */
@@ -204,7 +230,7 @@
     }
 
     EngineState state(EntryLoad others, boolean restricted, long now) {
-        return new EngineState(server, load(others, now), slowdown, changingRole(now), restricted);
+        return new EngineState(server, load(others, now), slowdown(now), changingRole(now), restricted);
     }
 
     /** Records an event of an answer and the interval since the previous event. */
@@ -269,8 +295,7 @@
         if (work.longPrompt()) {
             promptWindow.promptSent();
             double weight = typicalPromptSeconds == 0 ? 1 : PROMPT_WEIGHT;
-            typicalPromptSeconds +=
-                    weight * (work.learnedWorkSeconds() / slowdownFromSettings() - typicalPromptSeconds);
+            typicalPromptSeconds += weight * (work.nominalWorkSeconds() - typicalPromptSeconds);
         }
     }
 
@@ -285,7 +310,7 @@
         if (computesPrompt(work)) {
             promptComputed(work, tookSeconds, now);
         } else if (work.kind() == WorkKind.PLAIN) {
-            plainAnswerStarted(work, tookSeconds);
+            plainAnswerStarted(work, tookSeconds, now);
         }
         removeUnanswered(work);
     }
@@ -295,23 +320,46 @@
      * was spent in the engine's queue.
      */
     private void promptComputed(AssignedWork work, double tookSeconds, long now) {
-        double waitedSeconds = tookSeconds - speed.fixedSeconds() - work.learnedWorkSeconds();
+        double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
+        double waitedSeconds = tookSeconds - speed.fixedSeconds() - work.learnedWorkSeconds() * stated;
         if (work.longPrompt()) {
             promptWindow.promptComputed(work.startedAtNanos(), now, waitedSeconds, work.toleratedWaitSeconds());
         }
-        SpeedEstimate.Correction correction =
-                speed.observe(work.learnedWorkSeconds(), tookSeconds, work.serverWasIdle());
-        delaySlowdown = updatedDelaySlowdown(delaySlowdown, work, tookSeconds);
+        observeWork(work, tookSeconds - speed.fixedSeconds(), stated, now);
+        double usualSeconds =
+                knownSpeed.inUse() ? work.nominalWorkSeconds() * speed.factor() : work.learnedWorkSeconds();
+        SpeedEstimate.Correction correction = speed.observe(usualSeconds * stated, tookSeconds, work.serverWasIdle());
+        delaySlowdown = updatedDelaySlowdown(delaySlowdown, work, tookSeconds, stated);
         double corrected = correction.scaled(OWN_CORRECTION_FRACTION).applyTo(slowdown);
         slowdown = Math.clamp(corrected, 1 / MAX_SLOWDOWN, MAX_SLOWDOWN);
     }
 
-    private void plainAnswerStarted(AssignedWork work, double tookSeconds) {
-        slowdown = updatedDelaySlowdown(slowdown, work, tookSeconds);
+    private void plainAnswerStarted(AssignedWork work, double tookSeconds, long now) {
+        double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
+        observeWork(work, tookSeconds, stated, now);
+        slowdown = updatedDelaySlowdown(slowdown, work, tookSeconds, stated);
+    }
+
+    /**
+     * Learns the server's usual speed from an answer. What the server stated of the time of the work is no part of it.
+     * Work that may have waited only shows that it took no longer than the whole time.
+     */
+    private void observeWork(AssignedWork work, double workedSeconds, double stated, long now) {
+        double expectedSeconds = work.nominalWorkSeconds() * stated;
+        boolean tooShort =
+                runsModel() && expectedSeconds * speed.factor() < MIN_MEASURED_FRACTION * speed.fixedSeconds();
+        if (tooShort || expectedSeconds <= 0 || workedSeconds <= 0) {
+            return;
+        }
+        double multiple = workedSeconds / expectedSeconds;
+        if (work.serverWasIdle() || multiple < slowdownFromSettings(now)) {
+            knownSpeed.workObserved(multiple, now);
+        }
     }
 
-    private static double updatedDelaySlowdown(double slowdown, AssignedWork work, double tookSeconds) {
-        double expectedSeconds = Math.max(MIN_EXPECTED_SECONDS, work.expectedAnswerSeconds());
+    private static double updatedDelaySlowdown(double slowdown, AssignedWork work, double tookSeconds, double stated) {
+        double expectedSeconds =
+                Math.max(MIN_EXPECTED_SECONDS, work.expectedAnswerSeconds() / work.statedSlowdown() * stated);
         double ratio = Math.clamp(tookSeconds / expectedSeconds, 1, MAX_SLOWDOWN);
         return slowdown + DELAY_WEIGHT * (ratio - slowdown);
     }
@@ -322,14 +370,18 @@
     }
 
     void loadReported(ReportedLoad load, long now) {
-        reportedLoad = load;
+        if (load.running().isEmpty() && load.waiting().isEmpty()) {
+            return;
+        }
+        reportedRunning = load.running().orElse(reportedRunning);
+        reportedWaiting = load.waiting().orElse(reportedWaiting);
         reportedAt = now;
         outstandingAtReport = outstanding;
     }
 
     /** Returns the number of requests at the server, given the load of the other entries there. */
     double requests(EntryLoad others, long now) {
-        double reportedByServer = Math.max(0, reportedLoad.running() + reportedLoad.waiting() - outstandingAtReport);
+        double reportedByServer = Math.max(0, reportedRunning + reportedWaiting - outstandingAtReport);
         return outstanding + Math.max(others.requests(), reportedByServer * decay(now - reportedAt));
     }
 
@@ -338,7 +390,7 @@
      * prompts one after the other; a plain server works in all its slots.
      */
     double waitSeconds(EntryLoad others, long now) {
-        double queuedSeconds = (unansweredSeconds + others.unansweredSeconds()) / parallelism;
+        double queuedSeconds = (unansweredSeconds + others.unansweredSeconds()) / parallelism * statedSlowdown(now);
         return Math.max(queuedSeconds, overdueSeconds(now));
     }
 
@@ -348,7 +400,8 @@
                 waitSeconds(others, now),
                 load(others, now),
                 outstanding,
-                slowdown,
+                slowdown(now),
+                knownSpeed.currentStatement(now),
                 health.failureFraction(),
                 changingRole(now),
                 health.paused(now),
@@ -361,7 +414,7 @@
      * Returns by how many seconds the oldest unanswered request is overdue. A server that stops answering is first
      * detected by this.
      */
-    private double overdueSeconds(long now) {
+    double overdueSeconds(long now) {
         AssignedWork oldest = unanswered.peekFirst();
         if (oldest == null) {
             return 0;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -44,7 +44,7 @@
     private static final double TIE_BREAK_SECONDS = 0.002;
 
     /** Expected duration of a request to a plain service, in seconds; used only to rank servers. */
-    private static final double PLAIN_WORK_SECONDS = 0.02;
+    static final double PLAIN_WORK_SECONDS = 0.02;
 
     /**
      * Added to a disaggregated placement if prompts are not queued at the entry, in seconds: the network time of a
@@ -105,16 +105,19 @@
 
     /** Chooses among plain servers, of which there must be at least one. */
     Placement choosePlainServer(List<ServerEstimate> usable, long now) {
+        if (usable.getFirst().knownSpeed().inUse()) {
+            return choosePlainServerBySpeed(usable, now);
+        }
         ServerEstimate best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate candidate : usable) {
             double requestsPerSlot =
                     (candidate.requests(peerLoads.onServer(candidate.server().id()), now) + 1)
                             / Math.max(1, candidate.server().slots());
-            double score =
-                    Math.max(requestsPerSlot * PLAIN_WORK_SECONDS * candidate.slowdown(), waitSeconds(candidate, now))
-                            + penaltySeconds(candidate, now)
-                            + random.nextDouble() * TIE_BREAK_SECONDS;
+            double score = Math.max(
+                            requestsPerSlot * PLAIN_WORK_SECONDS * candidate.slowdown(now), waitSeconds(candidate, now))
+                    + penaltySeconds(candidate, now)
+                    + random.nextDouble() * TIE_BREAK_SECONDS;
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -125,6 +128,28 @@
                 best.server(), Optional.empty(), PLAIN_WORK_SECONDS, queueSeconds, queueSeconds + PLAIN_WORK_SECONDS);
     }
 
+    /** Chooses the plain server whose answer is expected first, if servers of the service state their speed. */
+    private Placement choosePlainServerBySpeed(List<ServerEstimate> usable, long now) {
+        PlainWork work = new PlainWork(usable, peerLoads, now);
+        ServerEstimate best = usable.getFirst();
+        double bestScore = Double.MAX_VALUE;
+        for (ServerEstimate candidate : usable) {
+            double score = work.answerSeconds(candidate)
+                    + penaltySeconds(candidate, now)
+                    + random.nextDouble() * TIE_BREAK_SECONDS;
+            if (score < bestScore) {
+                best = candidate;
+                bestScore = score;
+            }
+        }
+        return new Placement.SingleServer(
+                best.server(),
+                Optional.empty(),
+                work.workSeconds(best),
+                work.queueSeconds(best),
+                work.answerSeconds(best));
+    }
+
     private double handoffSeconds(PlacementRequest request, Prompt prompt, boolean queuedAtEntry) {
         return queuedAtEntry
                 ? speeds.handoffSeconds(request.service())
@@ -145,7 +170,7 @@
         boolean canDisaggregate = request.mayDisaggregate()
                 && decoder != null
                 && usable.stream().anyMatch(each -> isAvailablePrefillEngine(each, now));
-        boolean queuedAtEntry = EntryQueueing.applicable(request.objective(), usable);
+        boolean queuedAtEntry = EntryQueueing.applicable(request.objective(), usable, now);
         PromptCosts costs = new PromptCosts(settings, prompt, usable, queuedAtEntry, now);
         boolean shortPrompt = decoder != null
                 && !EntryQueueing.isLongPrompt(decoder, costs.workAt(decoder).seconds());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -10,7 +10,8 @@
  * @param waitSeconds how long a new request probably waits there
  * @param load its load
  * @param ownRequests requests of this entry at the server
- * @param slowdown how many times longer than expected it takes
+ * @param slowdown how many times longer than expected it takes at its usual speed
+ * @param statedSlowdown how many times longer than usual it takes at this moment; empty if it has not stated that lately
  * @param failureFraction fraction of its recent answers that were failures
  * @param changingRole whether it has been ordered to change its role
  * @param paused whether it gets no requests after failures
@@ -24,6 +25,7 @@
         EngineLoad load,
         int ownRequests,
         double slowdown,
+        Optional<StatedSlowdown> statedSlowdown,
         double failureFraction,
         boolean changingRole,
         boolean paused,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -102,6 +102,10 @@
                         secondsPerEvent -> node.put("millisecondsPerEvent", secondsPerEvent * MILLISECONDS_PER_SECOND));
         node.put("ownRequests", summary.ownRequests());
         node.put("slowness", summary.slowdown());
+        summary.statedSlowdown().ifPresent(stated -> {
+            node.put("statedSlowness", stated.factor());
+            node.put("statedSlownessAgeMilliseconds", stated.age().toMillis());
+        });
         node.put("failureShare", summary.failureFraction());
         node.put("changing", summary.changingRole());
         node.put("paused", summary.paused());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
@@ -25,6 +25,8 @@
         registerBackoff(registry, servers);
         registerRequestLimit(registry, servers);
         registerEventSeconds(registry, servers);
+        registerLearnedSlowdown(registry, servers);
+        registerStatedSlowdown(registry, servers);
     }
 
     private static void registerRequests(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
@@ -91,6 +93,43 @@
                 .register(registry);
     }
 
+    private static void registerLearnedSlowdown(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_learned_slowdown")
+                .help(
+                        "Duration of work at a backend server as a multiple of what is expected there, learned from answers,"
+                                + " by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> callback.call(
+                                summary.slowdown(), summary.server().id())))
+                .register(registry);
+    }
+
+    private static void registerStatedSlowdown(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_stated_slowdown")
+                .help(
+                        "Duration of work at a backend server as a multiple of its usual duration there, as the server has"
+                                + " stated within the last second, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> summary.statedSlowdown()
+                                .ifPresent(stated -> callback.call(
+                                        stated.factor(), summary.server().id()))))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_stated_slowdown_age_seconds")
+                .help("Seconds since the newest statement of its slowdown by a backend server, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> summary.statedSlowdown()
+                                .ifPresent(stated -> callback.call(
+                                        stated.age().toMillis() / MILLISECONDS_PER_SECOND,
+                                        summary.server().id()))))
+                .register(registry);
+    }
+
     private static void registerEventSeconds(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_event_seconds")
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementPolicy;
+import org.aspenmoor.internal.serving.ReportedLoad;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.time.TimeSource;
@@ -29,6 +30,7 @@
     private final LimitLog limitLog;
     private final DrainLog drainLog;
     private final BackoffLog backoffLog;
+    private final LoadLog loadLog;
 
     /**
      * Creates an instance.
@@ -50,6 +52,7 @@
         this.limitLog = new LimitLog(log);
         this.drainLog = new DrainLog(log);
         this.backoffLog = new BackoffLog(log);
+        this.loadLog = new LoadLog(log);
     }
 
     @Override
@@ -73,6 +76,12 @@
         limitLog.stated(server.id(), limits.stated(server.id(), metadata.limit(), sentAt, time.monotonicNanos()));
         drainStated(server, metadata.drain());
         backoffStated(server, metadata.backoff());
+        metadata.load().ifPresent(load -> loadStated(server, load));
+    }
+
+    private void loadStated(BackendServer server, ReportedLoad load) {
+        load.slowdown().ifPresent(slowdown -> placement.knownSpeeds().stated(server, slowdown, time.monotonicNanos()));
+        load.unreadable().ifPresent(text -> loadLog.unreadable(server, text));
     }
 
     private void backoffStated(BackendServer server, BackoffStatement statement) {
@@ -107,6 +116,7 @@
         report.limits()
                 .forEach(limit ->
                         limitLog.reported(limit.server(), report.entry(), limits.reported(report.entry(), limit, now)));
+        placement.knownSpeeds().reported(report.entry(), report.measurements().serverSpeeds(), now);
         report.drainingServers().forEach(server -> drainAnnounced(server, report.entry()));
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -245,7 +245,8 @@
 
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public PeerMeasurements measurements() {
-        return PeerMeasurements.NONE;
+        return new PeerMeasurements(
+                placementPolicy.knownSpeeds().toReport(time.monotonicNanos()), List.of(), List.of());
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -13249,7 +13249,7 @@
 
     /**
      * <pre>
-     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
      * has measured nothing.
      * </pre>
      *
@@ -13259,7 +13259,7 @@
     boolean hasLearnedFactor();
     /**
      * <pre>
-     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
      * has measured nothing.
      * </pre>
      *
@@ -13426,7 +13426,7 @@
     private float learnedFactor_ = 0F;
     /**
      * <pre>
-     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
      * has measured nothing.
      * </pre>
      *
@@ -13439,7 +13439,7 @@
     }
     /**
      * <pre>
-     * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+     * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
      * has measured nothing.
      * </pre>
      *
@@ -14121,7 +14121,7 @@
       private float learnedFactor_ ;
       /**
        * <pre>
-       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
        * has measured nothing.
        * </pre>
        *
@@ -14134,7 +14134,7 @@
       }
       /**
        * <pre>
-       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
        * has measured nothing.
        * </pre>
        *
@@ -14147,7 +14147,7 @@
       }
       /**
        * <pre>
-       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
        * has measured nothing.
        * </pre>
        *
@@ -14164,7 +14164,7 @@
       }
       /**
        * <pre>
-       * How long work takes at the server, as a multiple of its duration at the others with its role; absent if the sender
+       * How long work takes at the server, as a multiple of its duration at the speed of the settings; absent if the sender
        * has measured nothing.
        * </pre>
        *
