--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EngineSpeeds.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EngineSpeeds.java
@@ -10,7 +10,7 @@
  * Estimated speeds of engines by service and role, learned from answers to this entry and from reports of other
  * entries.
  */
-final class EngineSpeeds {
+public final class EngineSpeeds {
     /**
      * Duration of a handoff until one has been measured, in seconds: the transfer, the first decode step and the
      * network.
@@ -67,5 +67,30 @@
         estimateOf(peerSpeed.service(), peerSpeed.role()).learnFromPeer(peerSpeed.factor(), peerSpeed.fixedSeconds());
     }
 
+    /** Returns what this entry has observed of the start of answers since the last call. */
+    public List<ObservedStartDelays> takeObservedStartDelays() {
+        List<ObservedStartDelays> observed = new ArrayList<>();
+        estimates.forEach((serviceRole, speed) -> speed.startDelay()
+                .takeObserved(serviceRole.service(), serviceRole.role())
+                .ifPresent(observed::add));
+        return observed;
+    }
+
+    /** Returns how long answers are expected to take until they start. */
+    public List<StartDelaySummary> startDelays() {
+        List<StartDelaySummary> summaries = new ArrayList<>();
+        estimates.forEach((serviceRole, speed) -> summaries.add(new StartDelaySummary(
+                serviceRole.service(),
+                serviceRole.role(),
+                speed.startDelay().workFactor(),
+                speed.startDelay().fixedSeconds())));
+        return summaries;
+    }
+
+    /** Learns from what another entry has observed of the start of answers. */
+    public void learnStartDelays(ObservedStartDelays peer) {
+        estimateOf(peer.service(), peer.role()).startDelay().learnFromPeer(peer);
+    }
+
     private record ServiceRole(String service, EngineRole role) {}
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryLoad.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/EntryLoad.java
@@ -19,4 +19,13 @@
                 eventIntervals.plus(other.eventIntervals),
                 heldTokens + other.heldTokens);
     }
+
+    /** Returns this load after a change; a lost message may make a change appear larger than the load. */
+    EntryLoad changedBy(LoadChange change) {
+        return new EntryLoad(
+                Math.max(0, unansweredSeconds + change.unansweredSeconds()),
+                Math.max(0, requests + change.requests()),
+                eventIntervals,
+                heldTokens);
+    }
 }
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LoadSharing.java
@@ -0,0 +1,82 @@
+package org.aspenmoor.internal.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The load of this entry on each backend server, as it is told to the other entries in reports and, between two reports,
+ * by announcements of its changes. Confined to one thread; {@code now} is the monotonic clock in nanoseconds.
+ *
+ * <p>With tens of entries, reports follow each other at intervals of nearly half a second, in which an engine computes
+ * several long prompts. Entries that choose engines by the reports alone send prompts to an engine that looks idle while
+ * others do the same, and callers wait although other engines are free. Long prompts are therefore announced as soon as
+ * they are assigned and computed. Announcements of shorter work would cost more than they help.
+ */
+public final class LoadSharing {
+    /** Changes of less work, in seconds, are left to the next report: they hardly change which engine is best. */
+    private static final double MIN_ANNOUNCED_SECONDS = 0.02;
+
+    private final Map<String, ServerEstimate> estimates;
+    private final Map<String, EntryLoad> notified = new HashMap<>();
+    private final Set<String> touched = new HashSet<>();
+    private Runnable listener = () -> {};
+
+    LoadSharing(Map<String, ServerEstimate> estimates) {
+        this.estimates = estimates;
+    }
+
+    /** Calls the listener whenever there may be changes to announce, at most once until they are taken. */
+    public void onChange(Runnable newListener) {
+        listener = newListener;
+    }
+
+    /** Records that the load on a server has changed. */
+    void loadChanged(String server) {
+        boolean first = touched.isEmpty();
+        touched.add(server);
+        if (first) {
+            listener.run();
+        }
+    }
+
+    /** Returns the load to be reported now, by server; servers without load are omitted. */
+    public Map<String, EntryLoad> takeLoads(long now) {
+        Map<String, EntryLoad> loads = currentLoads(now);
+        touched.clear();
+        notified.clear();
+        notified.putAll(loads);
+        return loads;
+    }
+
+    /** Returns the changes since the last report that are worth an announcement, and counts them as announced. */
+    public List<LoadChange> takeChanges(long now) {
+        Map<String, EntryLoad> current = currentLoads(now);
+        List<LoadChange> changes = new ArrayList<>();
+        for (String server : touched) {
+            EntryLoad before = notified.getOrDefault(server, EntryLoad.NONE);
+            EntryLoad load = current.getOrDefault(server, EntryLoad.NONE);
+            double seconds = load.unansweredSeconds() - before.unansweredSeconds();
+            if (Math.abs(seconds) >= MIN_ANNOUNCED_SECONDS) {
+                changes.add(new LoadChange(server, seconds, load.requests() - before.requests()));
+                notified.put(server, load);
+            }
+        }
+        touched.clear();
+        return changes;
+    }
+
+    private Map<String, EntryLoad> currentLoads(long now) {
+        Map<String, EntryLoad> loads = new HashMap<>();
+        estimates.forEach((id, estimate) -> {
+            EntryLoad load = estimate.ownLoad(now);
+            if (load.requests() > 0) {
+                loads.put(id, load);
+            }
+        });
+        return loads;
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
@@ -40,7 +40,20 @@
             reports.remove(report.entry());
             return;
         }
-        reports.put(report.entry(), new ReceivedReport(report, now));
+        reports.put(report.entry(), new ReceivedReport(report, now, new HashMap<>()));
+    }
+
+    /** Applies changes that another entry announces, unless a newer report of it contains them already. */
+    public void receive(LoadChanges changes) {
+        ReceivedReport received = reports.get(changes.entry());
+        if (received == null
+                || received.report().incarnation() != changes.incarnation()
+                || received.report().sequence() > changes.sequence()) {
+            return;
+        }
+        for (LoadChange change : changes.changes()) {
+            received.changes().merge(change.server(), change, LoadChange::plus);
+        }
     }
 
     /** Removes the entries whose last report is older than {@link #REPORT_TIMEOUT}. */
@@ -57,7 +70,7 @@
     public EntryLoad onServer(String server) {
         EntryLoad total = EntryLoad.NONE;
         for (ReceivedReport received : reports.values()) {
-            total = total.plus(received.report().loads().getOrDefault(server, EntryLoad.NONE));
+            total = total.plus(received.loadOn(server));
         }
         return total;
     }
@@ -93,5 +106,16 @@
         return reports.size();
     }
 
-    private record ReceivedReport(PeerReport report, long receivedAt) {}
+    /**
+     * The latest report of an entry.
+     *
+     * @param changes the changes since then that the entry has announced, by server
+     */
+    private record ReceivedReport(PeerReport report, long receivedAt, Map<String, LoadChange> changes) {
+        EntryLoad loadOn(String server) {
+            EntryLoad reported = report.loads().getOrDefault(server, EntryLoad.NONE);
+            LoadChange change = changes.get(server);
+            return change == null ? reported : reported.changedBy(change);
+        }
+    }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -43,6 +43,7 @@
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
     private final KnownSpeeds knownSpeeds = new KnownSpeeds();
+    private final LoadSharing loadSharing;
     private ServerRanking ranking;
 
     public PlacementPolicy(
@@ -54,6 +55,7 @@
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
         this.backoffs = new ServerBackoffs(estimates, random);
+        this.loadSharing = new LoadSharing(estimates);
         this.promptAssignments = new PromptAssignments(estimates, peerLoads);
         reload(settings);
     }
@@ -191,6 +193,7 @@
                 longPrompt,
                 serverIdle);
         estimate.attemptStarted(work);
+        loadSharing.loadChanged(server.id());
         if (kind == WorkKind.PROMPT_ONLY) {
             promptLoadMeter(server.service()).promptSent(workSeconds, queuedAtEntry);
         }
@@ -203,6 +206,7 @@
         if (estimate != null) {
             estimate.answerStarted(work, now);
             estimate.health().answered();
+            loadSharing.loadChanged(work.server());
         }
         if (estimate != null && work.kind() == WorkKind.HANDOFF) {
             double seconds = (now - work.startedAtNanos()) / NANOSECONDS_PER_SECOND;
@@ -328,18 +332,14 @@
         }
     }
 
-    /**
-     * Returns this entry's own load by server, to be reported to the other entries; servers without load are omitted.
-     */
+    /** Returns this entry's own load by server, to be reported to the other entries now. */
     public Map<String, EntryLoad> ownLoads(long now) {
-        Map<String, EntryLoad> loads = new HashMap<>();
-        estimates.forEach((id, estimate) -> {
-            EntryLoad load = estimate.ownLoad(now);
-            if (load.requests() > 0) {
-                loads.put(id, load);
-            }
-        });
-        return loads;
+        return loadSharing.takeLoads(now);
+    }
+
+    /** Returns what the other entries are told of this entry's load. */
+    public LoadSharing loadSharing() {
+        return loadSharing;
     }
 
     /** Returns the engine speeds that this entry has measured with enough answers. */
@@ -352,6 +352,11 @@
         speeds.learnFromPeer(peerSpeed);
     }
 
+    /** Returns what is learned of the speeds of engines by service and role. */
+    public EngineSpeeds speeds() {
+        return speeds;
+    }
+
     /** Returns a summary of each server. */
     public List<ServerSummary> summaries(long now) {
         return estimates.values().stream()
@@ -379,6 +384,7 @@
         ServerEstimate estimate = estimates.get(work.server());
         if (estimate != null) {
             estimate.attemptEnded(work);
+            loadSharing.loadChanged(work.server());
         }
     }
 
@@ -418,7 +424,9 @@
 
     private double fixedSeconds(ServerEstimate estimate, WorkKind kind, boolean queuedAtEntry) {
         if (!queuedAtEntry) {
-            return ServerRanking.DEFAULT_FIXED_SECONDS;
+            return kind == WorkKind.PROMPT_ONLY || kind == WorkKind.WHOLE
+                    ? estimate.fixedDelaySeconds()
+                    : ServerRanking.DEFAULT_FIXED_SECONDS;
         }
         return switch (kind) {
             case PLAIN -> ServerRanking.DEFAULT_FIXED_SECONDS;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -191,7 +191,12 @@
      * their queues themselves, this is the only sign of work that has not been reported to this entry.
      */
     double delaySlowdown() {
-        return delaySlowdown;
+        return delaySlowdown * speed.startDelay().workFactor();
+    }
+
+    /** Returns the part of an answer's start-up time that depends neither on work nor on waits, in seconds. */
+    double fixedDelaySeconds() {
+        return speed.startDelay().fixedSeconds();
     }
 
     /**
@@ -329,11 +334,22 @@
         double usualSeconds =
                 knownSpeed.inUse() ? work.nominalWorkSeconds() * speed.factor() : work.learnedWorkSeconds();
         SpeedEstimate.Correction correction = speed.observe(usualSeconds * stated, tookSeconds, work.serverWasIdle());
+        learnStartDelay(work, tookSeconds, stated);
         delaySlowdown = updatedDelaySlowdown(delaySlowdown, work, tookSeconds, stated);
         double corrected = correction.scaled(OWN_CORRECTION_FRACTION).applyTo(slowdown);
         slowdown = Math.clamp(corrected, 1 / MAX_SLOWDOWN, MAX_SLOWDOWN);
     }
 
+    private void learnStartDelay(AssignedWork work, double tookSeconds, double stated) {
+        if (work.nominalWorkSeconds() <= 0) {
+            return;
+        }
+        double slowdownAtStart = work.expectedWorkSeconds() / work.nominalWorkSeconds();
+        double expectedSeconds = work.expectedAnswerSeconds() / work.statedSlowdown() * stated;
+        double workSeconds = Math.max(0, expectedSeconds - fixedDelaySeconds()) * delaySlowdown() / slowdownAtStart;
+        speed.startDelay().answerStarted(workSeconds, tookSeconds);
+    }
+
     private void plainAnswerStarted(AssignedWork work, double tookSeconds, long now) {
         double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
         observeWork(work, tookSeconds, stated, now);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -198,7 +198,7 @@
                 minPromptSeconds = Math.min(minPromptSeconds, work.seconds());
                 continue;
             }
-            double fixedSeconds = queuedAtEntry ? engine.fixedSeconds() : DEFAULT_FIXED_SECONDS;
+            double fixedSeconds = queuedAtEntry ? engine.fixedSeconds() : engine.fixedDelaySeconds();
             double queueSeconds = waitSeconds(engine, now);
             double firstTokenSeconds = queueSeconds + work.seconds() + fixedSeconds;
             double startSeconds = prefill
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SpeedEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/SpeedEstimate.java
@@ -41,6 +41,7 @@
     /** After this many long prompts the speed is known well enough to refuse callers on its basis. */
     private static final int MIN_OBSERVATIONS = 10;
 
+    private final StartDelay startDelay = new StartDelay();
     private double factor = 1;
     private int observations;
     private double fixedSeconds = INITIAL_FIXED_SECONDS;
@@ -55,6 +56,11 @@
         return fixedSeconds;
     }
 
+    /** Returns how long answers take to start, queues included. */
+    StartDelay startDelay() {
+        return startDelay;
+    }
+
     /**
      * Applies an estimate reported by another entry. An entry that has just started adopts it: with the speed of the
      * settings it would fill the queues of engines that are slower, or refuse callers that faster engines could serve.
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -46,6 +46,42 @@
         assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE, 0));
     }
 
+    @Test
+    public void should_add_announced_changes_to_the_reported_load_until_the_next_report() {
+        peers.receive(report("one", 1, 4, 0.5), 0);
+
+        peers.receive(new LoadChanges("one", 1, 4, List.of(new LoadChange("server", 0.25, 1))));
+        peers.receive(new LoadChanges("one", 1, 4, List.of(new LoadChange("server", 0.125, 1))));
+        assertEquals(peers.onServer("server"), new EntryLoad(0.875, 3, EventIntervals.NONE, 0));
+
+        peers.receive(report("one", 1, 5, 0.75), 0);
+        assertEquals(peers.onServer("server"), new EntryLoad(0.75, 1, EventIntervals.NONE, 0));
+    }
+
+    // Datagrams may arrive out of order or after a restart of their sender. Their changes would be counted twice, or
+    // for work that no longer exists.
+    @Test
+    public void should_ignore_announced_changes_that_a_report_contains_or_that_are_of_another_incarnation() {
+        peers.receive(report("one", 2, 5, 0.5), 0);
+
+        peers.receive(new LoadChanges("one", 2, 4, List.of(new LoadChange("server", 9, 1))));
+        peers.receive(new LoadChanges("one", 1, 700, List.of(new LoadChange("server", 9, 1))));
+        peers.receive(new LoadChanges("unknown", 1, 1, List.of(new LoadChange("server", 9, 1))));
+
+        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE, 0));
+    }
+
+    // The announcement of an assignment is lost and that of its end arrives. The load must not become negative, or
+    // the server would look idle while others have requests there.
+    @Test
+    public void should_not_let_announced_changes_make_a_load_negative() {
+        peers.receive(report("one", 1, 1, 0.5), 0);
+
+        peers.receive(new LoadChanges("one", 1, 1, List.of(new LoadChange("server", -2, -3))));
+
+        assertEquals(peers.onServer("server"), new EntryLoad(0, 0, EventIntervals.NONE, 0));
+    }
+
     @Test
     public void should_remove_an_entry_when_its_report_times_out_or_it_is_stopping() {
         peers.receive(report("one", 1, 1, 0.5), 0);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -40,6 +40,7 @@
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestSynchroniser;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.request.GatewayMetrics;
+import org.aspenmoor.internal.gateway.request.LoadSharingMetrics;
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
@@ -54,6 +55,8 @@
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.gateway.usage.UsageWorker;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.LoadChange;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.ServingConfiguration;
@@ -81,6 +84,9 @@
     /** Interval at which counts of usage are sent; an entry that is killed loses what it counted since the last time. */
     private static final long USAGE_INTERVAL_MILLISECONDS = 500;
 
+    /** Changes within this time are announced together; engines compute a long prompt in ten times as long. */
+    private static final long LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
+
     /** A fraction of the half second within which a server is to stop after its caller has disconnected. */
     private static final Duration MAX_DISCONNECT_DELAY = Duration.ofMillis(100);
 
@@ -156,6 +162,8 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
+        LoadSharingMetrics.register(
+                registry, peers::announcementsSent, peers::announcementsReceived, state::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
         StateDump stateDump = new StateDump(
                 settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage, origins);
@@ -202,6 +210,8 @@
                         log)
                 .start();
         eventLoop.execute(this::reportToPeers);
+        eventLoop.execute(() -> state.onLoadChange(() -> eventLoop.schedule(
+                this::announceLoadChanges, LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)));
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
         eventLoop.scheduleWithFixedDelay(
@@ -334,6 +344,13 @@
         eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private void announceLoadChanges() {
+        List<LoadChange> changes = state.takeLoadChanges();
+        if (!changes.isEmpty() && peers.announcesLoadChanges()) {
+            peers.announceLoadChanges(changes);
+        }
+    }
+
     private PeerReport createReport(String entry, long incarnation, long sequence) {
         return new PeerReport(
                 entry,
@@ -405,6 +422,11 @@
                     tracker -> report.duties().ifPresent(status -> tracker.peerReported(report.entry(), status)));
         }
 
+        @Override
+        public void loadChangesReceived(LoadChanges changes) {
+            state.peerLoadChanged(changes);
+        }
+
         @Override
         public void usageReceived(EntryUsage counts) {
             usage.ifPresent(tracker -> tracker.usageReceived(counts));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/MeasurementCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/MeasurementCodec.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.LearnedSlowdown;
+import org.aspenmoor.internal.serving.ObservedStartDelays;
 import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.ServerSpeed;
 import org.aspenmoor.internal.serving.StatedSlowdown;
@@ -24,11 +26,13 @@
     static void serialise(PeerMeasurements measurements, PeerLoad.Builder report) {
         measurements.serverSpeeds().forEach(speed -> report.addServerSpeeds(serialise(speed)));
         measurements.serviceDemands().forEach(demand -> report.addServiceDemands(serialise(demand)));
+        measurements.startDelays().forEach(delays -> report.addStartDelays(serialise(delays)));
         measurements.observations().forEach(observation -> report.addObservations(serialise(observation)));
     }
 
     static PeerMeasurements parse(PeerLoad report) {
-        return new PeerMeasurements(parseSpeeds(report), parseDemands(report), parseObservations(report));
+        return new PeerMeasurements(
+                parseSpeeds(report), parseDemands(report), parseStartDelays(report), parseObservations(report));
     }
 
     private static PeerLoad.ServerSpeed serialise(ServerSpeed speed) {
@@ -98,6 +102,39 @@
         return demands;
     }
 
+    private static PeerLoad.StartDelays serialise(ObservedStartDelays delays) {
+        return PeerLoad.StartDelays.newBuilder()
+                .setService(delays.service())
+                .setRole(delays.role().ordinal())
+                .setAnswers(delays.answers())
+                .setWorkWeight((float) delays.workWeight())
+                .setWorkFactor((float) delays.workFactor())
+                .setFixedWeight((float) delays.fixedWeight())
+                .setFixedSeconds((float) delays.fixedSeconds())
+                .build();
+    }
+
+    private static List<ObservedStartDelays> parseStartDelays(PeerLoad report) {
+        EngineRole[] roles = EngineRole.values();
+        return report.getStartDelaysList().stream()
+                .filter(message -> message.getRole() >= 0
+                        && message.getRole() < roles.length
+                        && message.getAnswers() > 0
+                        && isRate(message.getWorkWeight())
+                        && isFactor(message.getWorkFactor())
+                        && isRate(message.getFixedWeight())
+                        && isFactor(message.getFixedSeconds()))
+                .map(message -> new ObservedStartDelays(
+                        message.getService(),
+                        roles[message.getRole()],
+                        message.getAnswers(),
+                        message.getWorkWeight(),
+                        message.getWorkFactor(),
+                        message.getFixedWeight(),
+                        message.getFixedSeconds()))
+                .toList();
+    }
+
     private static PeerLoad.Observation serialise(CollectionObservation observation) {
         return PeerLoad.Observation.newBuilder()
                 .setCollection(observation.collection().ordinal())
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -21,6 +21,8 @@
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.serving.LoadChange;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
@@ -42,6 +44,12 @@
     /** Interval added per peer, so that the number of reports an entry sends and receives per second stays bounded. */
     private static final Duration REPORT_INTERVAL_PER_PEER = Duration.ofMillis(10);
 
+    /** With fewer peers, reports are sent nearly as often as an engine computes a long prompt. */
+    private static final int MIN_PEERS_FOR_ANNOUNCEMENTS = 20;
+
+    /** With more peers, an entry would spend more time on announcements than on its own requests. */
+    private static final int MAX_PEERS_FOR_ANNOUNCEMENTS = 100;
+
     private final String entry;
     private final EventLoop eventLoop;
     private final DecisionLog log;
@@ -51,6 +59,8 @@
     private Channel channel;
     private long sequence;
     private boolean logSuppressed;
+    private long announcementsSent;
+    private long announcementsReceived;
 
     public PeerExchange(String entry, TimeSource time, EventLoop eventLoop, DecisionLog log, PeerListener listener) {
         this.entry = entry;
@@ -97,6 +107,34 @@
         channel.flush();
     }
 
+    /**
+     * Returns whether reports follow each other at so long an interval that changes of the load are worth announcing in
+     * between, and whether there are so few peers that each of them can process all announcements.
+     */
+    public boolean announcesLoadChanges() {
+        return peers.size() >= MIN_PEERS_FOR_ANNOUNCEMENTS && peers.size() <= MAX_PEERS_FOR_ANNOUNCEMENTS;
+    }
+
+    /** Returns how many announcements of load changes were sent, each to all peers. */
+    public long announcementsSent() {
+        return announcementsSent;
+    }
+
+    /** Returns how many announcements of load changes were received from peers. */
+    public long announcementsReceived() {
+        return announcementsReceived;
+    }
+
+    /** Announces changes of this entry's load since its last report to all other entries. */
+    public void announceLoadChanges(List<LoadChange> changes) {
+        announcementsSent++;
+        byte[] datagram = LoadChangesCodec.serialise(new LoadChanges(entry, startedAtMillis, sequence, changes));
+        for (InetSocketAddress peer : peers.values()) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), peer));
+        }
+        channel.flush();
+    }
+
     /** Sends the counts of this entry to some of the other entries. */
     public void sendUsage(List<EntryUsage> usages, Collection<String> receivers) {
         for (byte[] datagram : UsageCodec.serialise(usages)) {
@@ -147,6 +185,12 @@
                 usages.forEach(listener::usageReceived);
                 return;
             }
+            Optional<LoadChanges> changes = LoadChangesCodec.parse(message);
+            if (changes.isPresent()) {
+                announcementsReceived++;
+                listener.loadChangesReceived(changes.get());
+                return;
+            }
             if (receiveOriginMessage(message, packet.sender())) {
                 return;
             }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerListener.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.gateway.peers;
 
 import java.util.List;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
@@ -12,6 +13,9 @@
     /** A report of another entry's load has arrived. */
     void reportReceived(PeerReport report);
 
+    /** Another entry has announced changes of its load since its last report. */
+    void loadChangesReceived(LoadChanges changes);
+
     /** Counts of another entry have arrived. */
     void usageReceived(EntryUsage usage);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -28,6 +28,8 @@
 import org.aspenmoor.internal.serving.EventSize;
 import org.aspenmoor.internal.serving.GenerationTraits;
 import org.aspenmoor.internal.serving.LearnedSpeed;
+import org.aspenmoor.internal.serving.LoadChange;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerLoads;
 import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
@@ -38,6 +40,7 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.StartDelaySummary;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
@@ -200,9 +203,25 @@
         report.speeds().forEach(placementPolicy::speedReceived);
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
+        report.measurements().startDelays().forEach(placementPolicy.speeds()::learnStartDelays);
         statements.reported(report, now);
     }
 
+    /** Applies changes that another entry announces of its load since its last report. */
+    public void peerLoadChanged(LoadChanges changes) {
+        peers.receive(changes);
+    }
+
+    /** Calls the listener whenever this entry's load may have changed, at most once until the changes are taken. */
+    public void onLoadChange(Runnable listener) {
+        placementPolicy.loadSharing().onChange(listener);
+    }
+
+    /** Returns the changes of this entry's load that are to be announced to the other entries. */
+    public List<LoadChange> takeLoadChanges() {
+        return placementPolicy.loadSharing().takeChanges(time.monotonicNanos());
+    }
+
     /** Records that an engine has accepted an order of this entry to change its role. */
     public void roleChangeOrdered(RoleChange change) {
         orderedRoleChanges.put(change.server(), change);
@@ -246,7 +265,15 @@
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public PeerMeasurements measurements() {
         return new PeerMeasurements(
-                placementPolicy.knownSpeeds().toReport(time.monotonicNanos()), List.of(), List.of());
+                placementPolicy.knownSpeeds().toReport(time.monotonicNanos()),
+                List.of(),
+                placementPolicy.speeds().takeObservedStartDelays(),
+                List.of());
+    }
+
+    /** Returns how long answers are expected to take until they start, by service and role. */
+    public List<StartDelaySummary> startDelays() {
+        return placementPolicy.speeds().startDelays();
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -29,6 +29,7 @@
 import org.aspenmoor.internal.serving.EventIntervals;
 import org.aspenmoor.internal.serving.EventSize;
 import org.aspenmoor.internal.serving.LearnedSpeed;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PromptPart;
@@ -287,6 +288,11 @@
             reports.add(report);
         }
 
+        @Override
+        public void loadChangesReceived(LoadChanges changes) {
+            throw new AssertionError("nobody announces changes of its load");
+        }
+
         @Override
         public void usageReceived(EntryUsage usage) {
             usages.add(usage);
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -46,6 +46,7 @@
     serverSpeeds_ = java.util.Collections.emptyList();
     serviceDemands_ = java.util.Collections.emptyList();
     observations_ = java.util.Collections.emptyList();
+    startDelays_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -16658,6 +16659,2802 @@
 
   }
 
+  public interface LoadChangesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.LoadChanges)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    java.lang.String getEntry();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    com.google.protobuf.ByteString
+        getEntryBytes();
+
+    /**
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
+    long getStart();
+
+    /**
+     * <pre>
+     * The sequence number of the report that the changes follow.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> 
+        getChangesList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getChanges(int index);
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    int getChangesCount();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder> 
+        getChangesOrBuilderList();
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder getChangesOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Changes of one entry's load between two of its reports. A datagram with changes has no other content; its field
+   * "entry" is empty, so that it is not taken for a report of load.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.LoadChanges}
+   */
+  public static final class LoadChanges extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.LoadChanges)
+      LoadChangesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "LoadChanges");
+    }
+    // Use LoadChanges.newBuilder() to construct.
+    private LoadChanges(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private LoadChanges() {
+      entry_ = "";
+      changes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.class, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder.class);
+    }
+
+    public interface ChangeOrBuilder extends
+        // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.LoadChanges.Change)
+        com.google.protobuf.MessageOrBuilder {
+
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      java.lang.String getServer();
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      com.google.protobuf.ByteString
+          getServerBytes();
+
+      /**
+       * <pre>
+       * The change of the work whose answers have not begun.
+       * </pre>
+       *
+       * <code>sint32 unanswered_microseconds = 2;</code>
+       * @return The unansweredMicroseconds.
+       */
+      int getUnansweredMicroseconds();
+
+      /**
+       * <pre>
+       * The change of the number of requests at the server.
+       * </pre>
+       *
+       * <code>sint32 requests = 3;</code>
+       * @return The requests.
+       */
+      int getRequests();
+    }
+    /**
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.LoadChanges.Change}
+     */
+    public static final class Change extends
+        com.google.protobuf.GeneratedMessage implements
+        // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.LoadChanges.Change)
+        ChangeOrBuilder {
+    private static final long serialVersionUID = 0L;
+      static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+          /* major= */ 4,
+          /* minor= */ 36,
+          /* patch= */ 2,
+          /* suffix= */ "",
+          "Change");
+      }
+      // Use Change.newBuilder() to construct.
+      private Change(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+      }
+      private Change() {
+        server_ = "";
+      }
+
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.class, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder.class);
+      }
+
+      public static final int SERVER_FIELD_NUMBER = 1;
+      @SuppressWarnings("serial")
+      private volatile java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      @java.lang.Override
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+          return (java.lang.String) ref;
+        } else {
+          com.google.protobuf.ByteString bs = 
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+
+      public static final int UNANSWERED_MICROSECONDS_FIELD_NUMBER = 2;
+      private int unansweredMicroseconds_ = 0;
+      /**
+       * <pre>
+       * The change of the work whose answers have not begun.
+       * </pre>
+       *
+       * <code>sint32 unanswered_microseconds = 2;</code>
+       * @return The unansweredMicroseconds.
+       */
+      @java.lang.Override
+      public int getUnansweredMicroseconds() {
+        return unansweredMicroseconds_;
+      }
+
+      public static final int REQUESTS_FIELD_NUMBER = 3;
+      private int requests_ = 0;
+      /**
+       * <pre>
+       * The change of the number of requests at the server.
+       * </pre>
+       *
+       * <code>sint32 requests = 3;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+
+      private byte memoizedIsInitialized = -1;
+      @java.lang.Override
+      public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+      }
+
+      @java.lang.Override
+      public void writeTo(com.google.protobuf.CodedOutputStream output)
+                          throws java.io.IOException {
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+          com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+        }
+        if (unansweredMicroseconds_ != 0) {
+          output.writeSInt32(2, unansweredMicroseconds_);
+        }
+        if (requests_ != 0) {
+          output.writeSInt32(3, requests_);
+        }
+        getUnknownFields().writeTo(output);
+      }
+      private int computeSerializedSize_0() {
+        int size = 0;
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+          size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+        }
+        if (unansweredMicroseconds_ != 0) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeSInt32Size(2, unansweredMicroseconds_);
+        }
+        if (requests_ != 0) {
+          size += com.google.protobuf.CodedOutputStream
+            .computeSInt32Size(3, requests_);
+        }
+        return size;
+      }
+      @java.lang.Override
+      public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        size += computeSerializedSize_0();
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+      }
+
+      @java.lang.Override
+      public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+         return true;
+        }
+        if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change)) {
+          return super.equals(obj);
+        }
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change other = (org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change) obj;
+
+        if (!getServer()
+            .equals(other.getServer())) return false;
+        if (getUnansweredMicroseconds()
+            != other.getUnansweredMicroseconds()) return false;
+        if (getRequests()
+            != other.getRequests()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+      }
+
+      @java.lang.Override
+      public int hashCode() {
+        if (memoizedHashCode != 0) {
+          return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + SERVER_FIELD_NUMBER;
+        hash = (53 * hash) + getServer().hashCode();
+        hash = (37 * hash) + UNANSWERED_MICROSECONDS_FIELD_NUMBER;
+        hash = (53 * hash) + getUnansweredMicroseconds();
+        hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+        hash = (53 * hash) + getRequests();
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          java.nio.ByteBuffer data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          java.nio.ByteBuffer data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          com.google.protobuf.ByteString data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          com.google.protobuf.ByteString data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(byte[] data)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          byte[] data,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseDelimitedFrom(java.io.InputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input);
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseDelimitedFrom(
+          java.io.InputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          com.google.protobuf.CodedInputStream input)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input);
+      }
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change parseFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage
+            .parseWithIOException(PARSER, input, extensionRegistry);
+      }
+
+      @java.lang.Override
+      public Builder newBuilderForType() { return newBuilder(); }
+      public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+      }
+      public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+      }
+      @java.lang.Override
+      public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE
+            ? new Builder() : new Builder().mergeFrom(this);
+      }
+
+      @java.lang.Override
+      protected Builder newBuilderForType(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+      }
+      /**
+       * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.LoadChanges.Change}
+       */
+      public static final class Builder extends
+          com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+          // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.LoadChanges.Change)
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor
+            getDescriptor() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_fieldAccessorTable
+              .ensureFieldAccessorsInitialized(
+                  org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.class, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder.class);
+        }
+
+        // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.newBuilder()
+        private Builder() {
+
+        }
+
+        private Builder(
+            com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+          super(parent);
+
+        }
+        @java.lang.Override
+        public Builder clear() {
+          super.clear();
+          bitField0_ = 0;
+          server_ = "";
+          unansweredMicroseconds_ = 0;
+          requests_ = 0;
+          return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor
+            getDescriptorForType() {
+          return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getDefaultInstanceForType() {
+          return org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change build() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change result = buildPartial();
+          if (!result.isInitialized()) {
+            throw newUninitializedMessageException(result);
+          }
+          return result;
+        }
+
+        @java.lang.Override
+        public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change buildPartial() {
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change result = new org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change(this);
+          if (bitField0_ != 0) { buildPartial0(result); }
+          onBuilt();
+          return result;
+        }
+
+        private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change result) {
+          int from_bitField0_ = bitField0_;
+          if (((from_bitField0_ & 0x00000001) != 0)) {
+            result.server_ = server_;
+          }
+          if (((from_bitField0_ & 0x00000002) != 0)) {
+            result.unansweredMicroseconds_ = unansweredMicroseconds_;
+          }
+          if (((from_bitField0_ & 0x00000004) != 0)) {
+            result.requests_ = requests_;
+          }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+          if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change) {
+            return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change)other);
+          } else {
+            super.mergeFrom(other);
+            return this;
+          }
+        }
+
+        public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change other) {
+          if (other == org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.getDefaultInstance()) return this;
+          if (!other.getServer().isEmpty()) {
+            server_ = other.server_;
+            bitField0_ |= 0x00000001;
+            onChanged();
+          }
+          if (other.getUnansweredMicroseconds() != 0) {
+            setUnansweredMicroseconds(other.getUnansweredMicroseconds());
+          }
+          if (other.getRequests() != 0) {
+            setRequests(other.getRequests());
+          }
+          this.mergeUnknownFields(other.getUnknownFields());
+          onChanged();
+          return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+          return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+          java.util.Objects.requireNonNull(extensionRegistry);
+          try {
+            boolean done = false;
+            while (!done) {
+              int tag = input.readTag();
+              switch (tag) {
+                case 0:
+                  done = true;
+                  break;
+                case 10: {
+                  server_ = input.readStringRequireUtf8();
+                  bitField0_ |= 0x00000001;
+                  break;
+                } // case 10
+                case 16: {
+                  unansweredMicroseconds_ = input.readSInt32();
+                  bitField0_ |= 0x00000002;
+                  break;
+                } // case 16
+                case 24: {
+                  requests_ = input.readSInt32();
+                  bitField0_ |= 0x00000004;
+                  break;
+                } // case 24
+                default: {
+                  if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                    done = true; // was an endgroup tag
+                  }
+                  break;
+                } // default:
+              } // switch (tag)
+            } // while (!done)
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.unwrapIOException();
+          } finally {
+            onChanged();
+          } // finally
+          return this;
+        }
+        private int bitField0_;
+
+        private java.lang.Object server_ = "";
+        /**
+         * <code>string server = 1;</code>
+         * @return The server.
+         */
+        public java.lang.String getServer() {
+          java.lang.Object ref = server_;
+          if (!(ref instanceof java.lang.String)) {
+            com.google.protobuf.ByteString bs =
+                (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            server_ = s;
+            return s;
+          } else {
+            return (java.lang.String) ref;
+          }
+        }
+        /**
+         * <code>string server = 1;</code>
+         * @return The bytes for server.
+         */
+        public com.google.protobuf.ByteString
+            getServerBytes() {
+          java.lang.Object ref = server_;
+          if (ref instanceof String) {
+            com.google.protobuf.ByteString b = 
+                com.google.protobuf.ByteString.copyFromUtf8(
+                    (java.lang.String) ref);
+            server_ = b;
+            return b;
+          } else {
+            return (com.google.protobuf.ByteString) ref;
+          }
+        }
+        /**
+         * <code>string server = 1;</code>
+         * @param value The server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServer(
+            java.lang.String value) {
+          java.util.Objects.requireNonNull(value);
+          server_ = value;
+          bitField0_ |= 0x00000001;
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>string server = 1;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearServer() {
+          server_ = getDefaultInstance().getServer();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+          return this;
+        }
+        /**
+         * <code>string server = 1;</code>
+         * @param value The bytes for server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServerBytes(
+            com.google.protobuf.ByteString value) {
+          java.util.Objects.requireNonNull(value);
+          checkByteStringIsUtf8(value);
+          server_ = value;
+          bitField0_ |= 0x00000001;
+          onChanged();
+          return this;
+        }
+
+        private int unansweredMicroseconds_ ;
+        /**
+         * <pre>
+         * The change of the work whose answers have not begun.
+         * </pre>
+         *
+         * <code>sint32 unanswered_microseconds = 2;</code>
+         * @return The unansweredMicroseconds.
+         */
+        @java.lang.Override
+        public int getUnansweredMicroseconds() {
+          return unansweredMicroseconds_;
+        }
+        /**
+         * <pre>
+         * The change of the work whose answers have not begun.
+         * </pre>
+         *
+         * <code>sint32 unanswered_microseconds = 2;</code>
+         * @param value The unansweredMicroseconds to set.
+         * @return This builder for chaining.
+         */
+        public Builder setUnansweredMicroseconds(int value) {
+
+          unansweredMicroseconds_ = value;
+          bitField0_ |= 0x00000002;
+          onChanged();
+          return this;
+        }
+        /**
+         * <pre>
+         * The change of the work whose answers have not begun.
+         * </pre>
+         *
+         * <code>sint32 unanswered_microseconds = 2;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearUnansweredMicroseconds() {
+          bitField0_ = (bitField0_ & ~0x00000002);
+          unansweredMicroseconds_ = 0;
+          onChanged();
+          return this;
+        }
+
+        private int requests_ ;
+        /**
+         * <pre>
+         * The change of the number of requests at the server.
+         * </pre>
+         *
+         * <code>sint32 requests = 3;</code>
+         * @return The requests.
+         */
+        @java.lang.Override
+        public int getRequests() {
+          return requests_;
+        }
+        /**
+         * <pre>
+         * The change of the number of requests at the server.
+         * </pre>
+         *
+         * <code>sint32 requests = 3;</code>
+         * @param value The requests to set.
+         * @return This builder for chaining.
+         */
+        public Builder setRequests(int value) {
+
+          requests_ = value;
+          bitField0_ |= 0x00000004;
+          onChanged();
+          return this;
+        }
+        /**
+         * <pre>
+         * The change of the number of requests at the server.
+         * </pre>
+         *
+         * <code>sint32 requests = 3;</code>
+         * @return This builder for chaining.
+         */
+        public Builder clearRequests() {
+          bitField0_ = (bitField0_ & ~0x00000004);
+          requests_ = 0;
+          onChanged();
+          return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.LoadChanges.Change)
+      }
+
+      // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.LoadChanges.Change)
+      private static final org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change DEFAULT_INSTANCE;
+      static {
+        DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change();
+      }
+
+      public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+      }
+
+      private static final com.google.protobuf.Parser<Change>
+          PARSER = new com.google.protobuf.AbstractParser<Change>() {
+        @java.lang.Override
+        public Change parsePartialFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+          Builder builder = newBuilder();
+          try {
+            builder.mergeFrom(input, extensionRegistry);
+          } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw e.setUnfinishedMessage(builder.buildPartial());
+          } catch (com.google.protobuf.UninitializedMessageException e) {
+            throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+          } catch (java.io.IOException e) {
+            throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                .setUnfinishedMessage(builder.buildPartial());
+          }
+          return builder.buildPartial();
+        }
+      };
+
+      public static com.google.protobuf.Parser<Change> parser() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Parser<Change> getParserForType() {
+        return PARSER;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+      }
+
+    }
+
+    public static final int ENTRY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    @java.lang.Override
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int START_FIELD_NUMBER = 2;
+    private long start_ = 0L;
+    /**
+     * <code>fixed64 start = 2;</code>
+     * @return The start.
+     */
+    @java.lang.Override
+    public long getStart() {
+      return start_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <pre>
+     * The sequence number of the report that the changes follow.
+     * </pre>
+     *
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> changes_;
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> getChangesList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder> 
+        getChangesOrBuilderList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+      return changes_.size();
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getChanges(int index) {
+      return changes_.get(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+     */
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder getChangesOrBuilder(
+        int index) {
+      return changes_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+      }
+      if (start_ != 0L) {
+        output.writeFixed64(2, start_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(3, sequence_);
+      }
+      for (int i = 0; i < changes_.size(); i++) {
+        output.writeMessage(4, changes_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+      }
+      if (start_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, start_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sequence_);
+      }
+
+          {
+            final int count = changes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(changes_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges other = (org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges) obj;
+
+      if (!getEntry()
+          .equals(other.getEntry())) return false;
+      if (getStart()
+          != other.getStart()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (!getChangesList()
+          .equals(other.getChangesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+      hash = (53 * hash) + getEntry().hashCode();
+      hash = (37 * hash) + START_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStart());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      if (getChangesCount() > 0) {
+        hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getChangesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Changes of one entry's load between two of its reports. A datagram with changes has no other content; its field
+     * "entry" is empty, so that it is not taken for a report of load.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.LoadChanges}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.LoadChanges)
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.class, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        entry_ = "";
+        start_ = 0L;
+        sequence_ = 0L;
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+        } else {
+          changes_ = null;
+          changesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges result = new org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges result) {
+        if (changesBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            changes_ = java.util.Collections.unmodifiableList(changes_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.changes_ = changes_;
+        } else {
+          result.changes_ = changesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.entry_ = entry_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.start_ = start_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance()) return this;
+        if (!other.getEntry().isEmpty()) {
+          entry_ = other.entry_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getStart() != 0L) {
+          setStart(other.getStart());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (changesBuilder_ == null) {
+          if (!other.changes_.isEmpty()) {
+            if (changes_.isEmpty()) {
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureChangesIsMutable();
+              changes_.addAll(other.changes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.changes_.isEmpty()) {
+            if (changesBuilder_.isEmpty()) {
+              changesBuilder_.dispose();
+              changesBuilder_ = null;
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              changesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChangesFieldBuilder() : null;
+            } else {
+              changesBuilder_.addAllMessages(other.changes_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                entry_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                start_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 24: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change m =
+                    input.readMessage(
+                        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.parser(),
+                        extensionRegistry);
+                if (changesBuilder_ == null) {
+                  ensureChangesIsMutable();
+                  changes_.add(m);
+                } else {
+                  changesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object entry_ = "";
+      /**
+       * <code>string entry = 1;</code>
+       * @return The entry.
+       */
+      public java.lang.String getEntry() {
+        java.lang.Object ref = entry_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          entry_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return The bytes for entry.
+       */
+      public com.google.protobuf.ByteString
+          getEntryBytes() {
+        java.lang.Object ref = entry_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          entry_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntry(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntry() {
+        entry_ = getDefaultInstance().getEntry();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The bytes for entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long start_ ;
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @return The start.
+       */
+      @java.lang.Override
+      public long getStart() {
+        return start_;
+      }
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @param value The start to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStart(long value) {
+
+        start_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 start = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStart() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        start_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <pre>
+       * The sequence number of the report that the changes follow.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <pre>
+       * The sequence number of the report that the changes follow.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The sequence number of the report that the changes follow.
+       * </pre>
+       *
+       * <code>uint64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> changes_ =
+        java.util.Collections.emptyList();
+      private void ensureChangesIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          changes_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change>(changes_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder> changesBuilder_;
+
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> getChangesList() {
+        if (changesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(changes_);
+        } else {
+          return changesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public int getChangesCount() {
+        if (changesBuilder_ == null) {
+          return changes_.size();
+        } else {
+          return changesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change getChanges(int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);
+        } else {
+          return changesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder setChanges(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change value) {
+        if (changesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChangesIsMutable();
+          changes_.set(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder setChanges(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder addChanges(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change value) {
+        if (changesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChangesIsMutable();
+          changes_.add(value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder addChanges(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change value) {
+        if (changesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureChangesIsMutable();
+          changes_.add(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder addChanges(
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder addChanges(
+          int index, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder addAllChanges(
+          java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change> values) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, changes_);
+          onChanged();
+        } else {
+          changesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder clearChanges() {
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          changesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public Builder removeChanges(int index) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.remove(index);
+          onChanged();
+        } else {
+          changesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder getChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder getChangesOrBuilder(
+          int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);  } else {
+          return changesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder> 
+           getChangesOrBuilderList() {
+        if (changesBuilder_ != null) {
+          return changesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(changes_);
+        }
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder addChangesBuilder() {
+        return internalGetChangesFieldBuilder().addBuilder(
+            org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder addChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().addBuilder(
+            index, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .aspenmoor.wire.v1.PeerLoad.LoadChanges.Change changes = 4;</code>
+       */
+      public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder> 
+           getChangesBuilderList() {
+        return internalGetChangesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder> 
+          internalGetChangesFieldBuilder() {
+        if (changesBuilder_ == null) {
+          changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Change.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.ChangeOrBuilder>(
+                  changes_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          changes_ = null;
+        }
+        return changesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.LoadChanges)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.LoadChanges)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<LoadChanges>
+        PARSER = new com.google.protobuf.AbstractParser<LoadChanges>() {
+      @java.lang.Override
+      public LoadChanges parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<LoadChanges> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<LoadChanges> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StartDelaysOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:aspenmoor.wire.v1.PeerLoad.StartDelays)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <pre>
+     * The ordinal of the role in EngineRole.
+     * </pre>
+     *
+     * <code>uint32 role = 2;</code>
+     * @return The role.
+     */
+    int getRole();
+
+    /**
+     * <code>uint32 answers = 3;</code>
+     * @return The answers.
+     */
+    int getAnswers();
+
+    /**
+     * <code>float work_weight = 4;</code>
+     * @return The workWeight.
+     */
+    float getWorkWeight();
+
+    /**
+     * <pre>
+     * How many times longer work took than the settings specify.
+     * </pre>
+     *
+     * <code>float work_factor = 5;</code>
+     * @return The workFactor.
+     */
+    float getWorkFactor();
+
+    /**
+     * <code>float fixed_weight = 6;</code>
+     * @return The fixedWeight.
+     */
+    float getFixedWeight();
+
+    /**
+     * <pre>
+     * The part of the time that does not depend on work.
+     * </pre>
+     *
+     * <code>float fixed_seconds = 7;</code>
+     * @return The fixedSeconds.
+     */
+    float getFixedSeconds();
+  }
+  /**
+   * <pre>
+   * What the sender has observed of the start of answers since its last report, for one service's engines with one role.
+   * </pre>
+   *
+   * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.StartDelays}
+   */
+  public static final class StartDelays extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:aspenmoor.wire.v1.PeerLoad.StartDelays)
+      StartDelaysOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StartDelays");
+    }
+    // Use StartDelays.newBuilder() to construct.
+    private StartDelays(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StartDelays() {
+      service_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.class, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ROLE_FIELD_NUMBER = 2;
+    private int role_ = 0;
+    /**
+     * <pre>
+     * The ordinal of the role in EngineRole.
+     * </pre>
+     *
+     * <code>uint32 role = 2;</code>
+     * @return The role.
+     */
+    @java.lang.Override
+    public int getRole() {
+      return role_;
+    }
+
+    public static final int ANSWERS_FIELD_NUMBER = 3;
+    private int answers_ = 0;
+    /**
+     * <code>uint32 answers = 3;</code>
+     * @return The answers.
+     */
+    @java.lang.Override
+    public int getAnswers() {
+      return answers_;
+    }
+
+    public static final int WORK_WEIGHT_FIELD_NUMBER = 4;
+    private float workWeight_ = 0F;
+    /**
+     * <code>float work_weight = 4;</code>
+     * @return The workWeight.
+     */
+    @java.lang.Override
+    public float getWorkWeight() {
+      return workWeight_;
+    }
+
+    public static final int WORK_FACTOR_FIELD_NUMBER = 5;
+    private float workFactor_ = 0F;
+    /**
+     * <pre>
+     * How many times longer work took than the settings specify.
+     * </pre>
+     *
+     * <code>float work_factor = 5;</code>
+     * @return The workFactor.
+     */
+    @java.lang.Override
+    public float getWorkFactor() {
+      return workFactor_;
+    }
+
+    public static final int FIXED_WEIGHT_FIELD_NUMBER = 6;
+    private float fixedWeight_ = 0F;
+    /**
+     * <code>float fixed_weight = 6;</code>
+     * @return The fixedWeight.
+     */
+    @java.lang.Override
+    public float getFixedWeight() {
+      return fixedWeight_;
+    }
+
+    public static final int FIXED_SECONDS_FIELD_NUMBER = 7;
+    private float fixedSeconds_ = 0F;
+    /**
+     * <pre>
+     * The part of the time that does not depend on work.
+     * </pre>
+     *
+     * <code>float fixed_seconds = 7;</code>
+     * @return The fixedSeconds.
+     */
+    @java.lang.Override
+    public float getFixedSeconds() {
+      return fixedSeconds_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (role_ != 0) {
+        output.writeUInt32(2, role_);
+      }
+      if (answers_ != 0) {
+        output.writeUInt32(3, answers_);
+      }
+      if (java.lang.Float.floatToRawIntBits(workWeight_) != 0) {
+        output.writeFloat(4, workWeight_);
+      }
+      if (java.lang.Float.floatToRawIntBits(workFactor_) != 0) {
+        output.writeFloat(5, workFactor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedWeight_) != 0) {
+        output.writeFloat(6, fixedWeight_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedSeconds_) != 0) {
+        output.writeFloat(7, fixedSeconds_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (role_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, role_);
+      }
+      if (answers_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, answers_);
+      }
+      if (java.lang.Float.floatToRawIntBits(workWeight_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(4, workWeight_);
+      }
+      if (java.lang.Float.floatToRawIntBits(workFactor_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(5, workFactor_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedWeight_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(6, fixedWeight_);
+      }
+      if (java.lang.Float.floatToRawIntBits(fixedSeconds_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(7, fixedSeconds_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays)) {
+        return super.equals(obj);
+      }
+      org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays other = (org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (getRole()
+          != other.getRole()) return false;
+      if (getAnswers()
+          != other.getAnswers()) return false;
+      if (java.lang.Float.floatToIntBits(getWorkWeight())
+          != java.lang.Float.floatToIntBits(
+              other.getWorkWeight())) return false;
+      if (java.lang.Float.floatToIntBits(getWorkFactor())
+          != java.lang.Float.floatToIntBits(
+              other.getWorkFactor())) return false;
+      if (java.lang.Float.floatToIntBits(getFixedWeight())
+          != java.lang.Float.floatToIntBits(
+              other.getFixedWeight())) return false;
+      if (java.lang.Float.floatToIntBits(getFixedSeconds())
+          != java.lang.Float.floatToIntBits(
+              other.getFixedSeconds())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + ROLE_FIELD_NUMBER;
+      hash = (53 * hash) + getRole();
+      hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
+      hash = (53 * hash) + getAnswers();
+      hash = (37 * hash) + WORK_WEIGHT_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getWorkWeight());
+      hash = (37 * hash) + WORK_FACTOR_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getWorkFactor());
+      hash = (37 * hash) + FIXED_WEIGHT_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getFixedWeight());
+      hash = (37 * hash) + FIXED_SECONDS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getFixedSeconds());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the sender has observed of the start of answers since its last report, for one service's engines with one role.
+     * </pre>
+     *
+     * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.StartDelays}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:aspenmoor.wire.v1.PeerLoad.StartDelays)
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.class, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder.class);
+      }
+
+      // Construct using org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        role_ = 0;
+        answers_ = 0;
+        workWeight_ = 0F;
+        workFactor_ = 0F;
+        fixedWeight_ = 0F;
+        fixedSeconds_ = 0F;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.aspenmoor.internal.wire.v1.Peers.internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getDefaultInstanceForType() {
+        return org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays build() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays buildPartial() {
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays result = new org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.role_ = role_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.answers_ = answers_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.workWeight_ = workWeight_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.workFactor_ = workFactor_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.fixedWeight_ = fixedWeight_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.fixedSeconds_ = fixedSeconds_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays) {
+          return mergeFrom((org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays other) {
+        if (other == org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRole() != 0) {
+          setRole(other.getRole());
+        }
+        if (other.getAnswers() != 0) {
+          setAnswers(other.getAnswers());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getWorkWeight()) != 0) {
+          setWorkWeight(other.getWorkWeight());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getWorkFactor()) != 0) {
+          setWorkFactor(other.getWorkFactor());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getFixedWeight()) != 0) {
+          setFixedWeight(other.getFixedWeight());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getFixedSeconds()) != 0) {
+          setFixedSeconds(other.getFixedSeconds());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                role_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                answers_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 37: {
+                workWeight_ = input.readFloat();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 37
+              case 45: {
+                workFactor_ = input.readFloat();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 45
+              case 53: {
+                fixedWeight_ = input.readFloat();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 53
+              case 61: {
+                fixedSeconds_ = input.readFloat();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 61
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int role_ ;
+      /**
+       * <pre>
+       * The ordinal of the role in EngineRole.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @return The role.
+       */
+      @java.lang.Override
+      public int getRole() {
+        return role_;
+      }
+      /**
+       * <pre>
+       * The ordinal of the role in EngineRole.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @param value The role to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRole(int value) {
+
+        role_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The ordinal of the role in EngineRole.
+       * </pre>
+       *
+       * <code>uint32 role = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRole() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        role_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int answers_ ;
+      /**
+       * <code>uint32 answers = 3;</code>
+       * @return The answers.
+       */
+      @java.lang.Override
+      public int getAnswers() {
+        return answers_;
+      }
+      /**
+       * <code>uint32 answers = 3;</code>
+       * @param value The answers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAnswers(int value) {
+
+        answers_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 answers = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAnswers() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        answers_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private float workWeight_ ;
+      /**
+       * <code>float work_weight = 4;</code>
+       * @return The workWeight.
+       */
+      @java.lang.Override
+      public float getWorkWeight() {
+        return workWeight_;
+      }
+      /**
+       * <code>float work_weight = 4;</code>
+       * @param value The workWeight to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkWeight(float value) {
+
+        workWeight_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>float work_weight = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkWeight() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        workWeight_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float workFactor_ ;
+      /**
+       * <pre>
+       * How many times longer work took than the settings specify.
+       * </pre>
+       *
+       * <code>float work_factor = 5;</code>
+       * @return The workFactor.
+       */
+      @java.lang.Override
+      public float getWorkFactor() {
+        return workFactor_;
+      }
+      /**
+       * <pre>
+       * How many times longer work took than the settings specify.
+       * </pre>
+       *
+       * <code>float work_factor = 5;</code>
+       * @param value The workFactor to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkFactor(float value) {
+
+        workFactor_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How many times longer work took than the settings specify.
+       * </pre>
+       *
+       * <code>float work_factor = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkFactor() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        workFactor_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float fixedWeight_ ;
+      /**
+       * <code>float fixed_weight = 6;</code>
+       * @return The fixedWeight.
+       */
+      @java.lang.Override
+      public float getFixedWeight() {
+        return fixedWeight_;
+      }
+      /**
+       * <code>float fixed_weight = 6;</code>
+       * @param value The fixedWeight to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFixedWeight(float value) {
+
+        fixedWeight_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>float fixed_weight = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFixedWeight() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        fixedWeight_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private float fixedSeconds_ ;
+      /**
+       * <pre>
+       * The part of the time that does not depend on work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 7;</code>
+       * @return The fixedSeconds.
+       */
+      @java.lang.Override
+      public float getFixedSeconds() {
+        return fixedSeconds_;
+      }
+      /**
+       * <pre>
+       * The part of the time that does not depend on work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 7;</code>
+       * @param value The fixedSeconds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFixedSeconds(float value) {
+
+        fixedSeconds_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The part of the time that does not depend on work.
+       * </pre>
+       *
+       * <code>float fixed_seconds = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFixedSeconds() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        fixedSeconds_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.StartDelays)
+    }
+
+    // @@protoc_insertion_point(class_scope:aspenmoor.wire.v1.PeerLoad.StartDelays)
+    private static final org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays();
+    }
+
+    public static org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StartDelays>
+        PARSER = new com.google.protobuf.AbstractParser<StartDelays>() {
+      @java.lang.Override
+      public StartDelays parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StartDelays> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StartDelays> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   private int bitField0_;
   public static final int ENTRY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
@@ -17453,6 +20250,73 @@
     return observations_.get(index);
   }
 
+  public static final int LOAD_CHANGES_FIELD_NUMBER = 24;
+  private org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges loadChanges_;
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   * @return Whether the loadChanges field is set.
+   */
+  @java.lang.Override
+  public boolean hasLoadChanges() {
+    return ((bitField0_ & 0x00000010) != 0);
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   * @return The loadChanges.
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getLoadChanges() {
+    return loadChanges_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance() : loadChanges_;
+  }
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder getLoadChangesOrBuilder() {
+    return loadChanges_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance() : loadChanges_;
+  }
+
+  public static final int START_DELAYS_FIELD_NUMBER = 25;
+  @SuppressWarnings("serial")
+  private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> startDelays_;
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> getStartDelaysList() {
+    return startDelays_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder> 
+      getStartDelaysOrBuilderList() {
+    return startDelays_;
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  @java.lang.Override
+  public int getStartDelaysCount() {
+    return startDelays_.size();
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getStartDelays(int index) {
+    return startDelays_.get(index);
+  }
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  @java.lang.Override
+  public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder getStartDelaysOrBuilder(
+      int index) {
+    return startDelays_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -17536,6 +20400,12 @@
     for (int i = 0; i < observations_.size(); i++) {
       output.writeMessage(23, observations_.get(i));
     }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      output.writeMessage(24, getLoadChanges());
+    }
+    for (int i = 0; i < startDelays_.size(); i++) {
+      output.writeMessage(25, startDelays_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -17696,6 +20566,19 @@
           }
           size += 2 * count;
         }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, getLoadChanges());
+    }
+
+        {
+          final int count = startDelays_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(startDelays_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -17778,6 +20661,13 @@
         .equals(other.getServiceDemandsList())) return false;
     if (!getObservationsList()
         .equals(other.getObservationsList())) return false;
+    if (hasLoadChanges() != other.hasLoadChanges()) return false;
+    if (hasLoadChanges()) {
+      if (!getLoadChanges()
+          .equals(other.getLoadChanges())) return false;
+    }
+    if (!getStartDelaysList()
+        .equals(other.getStartDelaysList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -17874,6 +20764,14 @@
       hash = (37 * hash) + OBSERVATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getObservationsList().hashCode();
     }
+    if (hasLoadChanges()) {
+      hash = (37 * hash) + LOAD_CHANGES_FIELD_NUMBER;
+      hash = (53 * hash) + getLoadChanges().hashCode();
+    }
+    if (getStartDelaysCount() > 0) {
+      hash = (37 * hash) + START_DELAYS_FIELD_NUMBER;
+      hash = (53 * hash) + getStartDelaysList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -18025,6 +20923,8 @@
         internalGetServerSpeedsFieldBuilder();
         internalGetServiceDemandsFieldBuilder();
         internalGetObservationsFieldBuilder();
+        internalGetLoadChangesFieldBuilder();
+        internalGetStartDelaysFieldBuilder();
       }
     }
     @java.lang.Override
@@ -18148,6 +21048,18 @@
         observationsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00400000);
+      loadChanges_ = null;
+      if (loadChangesBuilder_ != null) {
+        loadChangesBuilder_.dispose();
+        loadChangesBuilder_ = null;
+      }
+      if (startDelaysBuilder_ == null) {
+        startDelays_ = java.util.Collections.emptyList();
+      } else {
+        startDelays_ = null;
+        startDelaysBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x01000000);
       return this;
     }
 
@@ -18298,6 +21210,15 @@
       } else {
         result.observations_ = observationsBuilder_.build();
       }
+      if (startDelaysBuilder_ == null) {
+        if (((bitField0_ & 0x01000000) != 0)) {
+          startDelays_ = java.util.Collections.unmodifiableList(startDelays_);
+          bitField0_ = (bitField0_ & ~0x01000000);
+        }
+        result.startDelays_ = startDelays_;
+      } else {
+        result.startDelays_ = startDelaysBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.aspenmoor.internal.wire.v1.PeerLoad result) {
@@ -18345,6 +21266,12 @@
             : replyBuilder_.build();
         to_bitField0_ |= 0x00000008;
       }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.loadChanges_ = loadChangesBuilder_ == null
+            ? loadChanges_
+            : loadChangesBuilder_.build();
+        to_bitField0_ |= 0x00000010;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -18730,6 +21657,35 @@
           }
         }
       }
+      if (other.hasLoadChanges()) {
+        mergeLoadChanges(other.getLoadChanges());
+      }
+      if (startDelaysBuilder_ == null) {
+        if (!other.startDelays_.isEmpty()) {
+          if (startDelays_.isEmpty()) {
+            startDelays_ = other.startDelays_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+          } else {
+            ensureStartDelaysIsMutable();
+            startDelays_.addAll(other.startDelays_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.startDelays_.isEmpty()) {
+          if (startDelaysBuilder_.isEmpty()) {
+            startDelaysBuilder_.dispose();
+            startDelaysBuilder_ = null;
+            startDelays_ = other.startDelays_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+            startDelaysBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStartDelaysFieldBuilder() : null;
+          } else {
+            startDelaysBuilder_.addAllMessages(other.startDelays_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -18981,6 +21937,26 @@
               }
               break;
             } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetLoadChangesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 194
+            case 202: {
+              org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays m =
+                  input.readMessage(
+                      org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.parser(),
+                      extensionRegistry);
+              if (startDelaysBuilder_ == null) {
+                ensureStartDelaysIsMutable();
+                startDelays_.add(m);
+              } else {
+                startDelaysBuilder_.addMessage(m);
+              }
+              break;
+            } // case 202
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -22964,6 +25940,359 @@
       return observationsBuilder_;
     }
 
+    private org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges loadChanges_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder> loadChangesBuilder_;
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     * @return Whether the loadChanges field is set.
+     */
+    public boolean hasLoadChanges() {
+      return ((bitField0_ & 0x00800000) != 0);
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     * @return The loadChanges.
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getLoadChanges() {
+      if (loadChangesBuilder_ == null) {
+        return loadChanges_ == null ? org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance() : loadChanges_;
+      } else {
+        return loadChangesBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public Builder setLoadChanges(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges value) {
+      if (loadChangesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        loadChanges_ = value;
+      } else {
+        loadChangesBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public Builder setLoadChanges(
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder builderForValue) {
+      if (loadChangesBuilder_ == null) {
+        loadChanges_ = builderForValue.build();
+      } else {
+        loadChangesBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public Builder mergeLoadChanges(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges value) {
+      if (loadChangesBuilder_ == null) {
+        if (((bitField0_ & 0x00800000) != 0) &&
+          loadChanges_ != null &&
+          loadChanges_ != org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance()) {
+          getLoadChangesBuilder().mergeFrom(value);
+        } else {
+          loadChanges_ = value;
+        }
+      } else {
+        loadChangesBuilder_.mergeFrom(value);
+      }
+      if (loadChanges_ != null) {
+        bitField0_ |= 0x00800000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public Builder clearLoadChanges() {
+      bitField0_ = (bitField0_ & ~0x00800000);
+      loadChanges_ = null;
+      if (loadChangesBuilder_ != null) {
+        loadChangesBuilder_.dispose();
+        loadChangesBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder getLoadChangesBuilder() {
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return internalGetLoadChangesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder getLoadChangesOrBuilder() {
+      if (loadChangesBuilder_ != null) {
+        return loadChangesBuilder_.getMessageOrBuilder();
+      } else {
+        return loadChanges_ == null ?
+            org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance() : loadChanges_;
+      }
+    }
+    /**
+     * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder> 
+        internalGetLoadChangesFieldBuilder() {
+      if (loadChangesBuilder_ == null) {
+        loadChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder>(
+                getLoadChanges(),
+                getParentForChildren(),
+                isClean());
+        loadChanges_ = null;
+      }
+      return loadChangesBuilder_;
+    }
+
+    private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> startDelays_ =
+      java.util.Collections.emptyList();
+    private void ensureStartDelaysIsMutable() {
+      if (!((bitField0_ & 0x01000000) != 0)) {
+        startDelays_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays>(startDelays_);
+        bitField0_ |= 0x01000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder> startDelaysBuilder_;
+
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> getStartDelaysList() {
+      if (startDelaysBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(startDelays_);
+      } else {
+        return startDelaysBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public int getStartDelaysCount() {
+      if (startDelaysBuilder_ == null) {
+        return startDelays_.size();
+      } else {
+        return startDelaysBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getStartDelays(int index) {
+      if (startDelaysBuilder_ == null) {
+        return startDelays_.get(index);
+      } else {
+        return startDelaysBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder setStartDelays(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays value) {
+      if (startDelaysBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartDelaysIsMutable();
+        startDelays_.set(index, value);
+        onChanged();
+      } else {
+        startDelaysBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder setStartDelays(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder builderForValue) {
+      if (startDelaysBuilder_ == null) {
+        ensureStartDelaysIsMutable();
+        startDelays_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        startDelaysBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder addStartDelays(org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays value) {
+      if (startDelaysBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartDelaysIsMutable();
+        startDelays_.add(value);
+        onChanged();
+      } else {
+        startDelaysBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder addStartDelays(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays value) {
+      if (startDelaysBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartDelaysIsMutable();
+        startDelays_.add(index, value);
+        onChanged();
+      } else {
+        startDelaysBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder addStartDelays(
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder builderForValue) {
+      if (startDelaysBuilder_ == null) {
+        ensureStartDelaysIsMutable();
+        startDelays_.add(builderForValue.build());
+        onChanged();
+      } else {
+        startDelaysBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder addStartDelays(
+        int index, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder builderForValue) {
+      if (startDelaysBuilder_ == null) {
+        ensureStartDelaysIsMutable();
+        startDelays_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        startDelaysBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder addAllStartDelays(
+        java.lang.Iterable<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> values) {
+      if (startDelaysBuilder_ == null) {
+        ensureStartDelaysIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, startDelays_);
+        onChanged();
+      } else {
+        startDelaysBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder clearStartDelays() {
+      if (startDelaysBuilder_ == null) {
+        startDelays_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x01000000);
+        onChanged();
+      } else {
+        startDelaysBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public Builder removeStartDelays(int index) {
+      if (startDelaysBuilder_ == null) {
+        ensureStartDelaysIsMutable();
+        startDelays_.remove(index);
+        onChanged();
+      } else {
+        startDelaysBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder getStartDelaysBuilder(
+        int index) {
+      return internalGetStartDelaysFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder getStartDelaysOrBuilder(
+        int index) {
+      if (startDelaysBuilder_ == null) {
+        return startDelays_.get(index);  } else {
+        return startDelaysBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder> 
+         getStartDelaysOrBuilderList() {
+      if (startDelaysBuilder_ != null) {
+        return startDelaysBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(startDelays_);
+      }
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder addStartDelaysBuilder() {
+      return internalGetStartDelaysFieldBuilder().addBuilder(
+          org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder addStartDelaysBuilder(
+        int index) {
+      return internalGetStartDelaysFieldBuilder().addBuilder(
+          index, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+     */
+    public java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder> 
+         getStartDelaysBuilderList() {
+      return internalGetStartDelaysFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder> 
+        internalGetStartDelaysFieldBuilder() {
+      if (startDelaysBuilder_ == null) {
+        startDelaysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder>(
+                startDelays_,
+                ((bitField0_ & 0x01000000) != 0),
+                getParentForChildren(),
+                isClean());
+        startDelays_ = null;
+      }
+      return startDelaysBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad)
   }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -486,4 +486,43 @@
    */
   org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder getObservationsOrBuilder(
       int index);
+
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   * @return Whether the loadChanges field is set.
+   */
+  boolean hasLoadChanges();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   * @return The loadChanges.
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges getLoadChanges();
+  /**
+   * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.LoadChangesOrBuilder getLoadChangesOrBuilder();
+
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> 
+      getStartDelaysList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays getStartDelays(int index);
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  int getStartDelaysCount();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  java.util.List<? extends org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder> 
+      getStartDelaysOrBuilderList();
+  /**
+   * <code>repeated .aspenmoor.wire.v1.PeerLoad.StartDelays start_delays = 25;</code>
+   */
+  org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder getStartDelaysOrBuilder(
+      int index);
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -126,6 +126,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_aspenmoor_wire_v1_PeerLoad_Observation_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -135,7 +150,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\253\027\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\216\033\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -162,56 +177,68 @@
       "eed\022B\n\017service_demands\030\026 \003(\0132).aspenmoor" +
       ".wire.v1.PeerLoad.ServiceDemand\022=\n\014obser" +
       "vations\030\027 \003(\0132\'.aspenmoor.wire.v1.PeerLo" +
-      "ad.Observation\032\212\001\n\005Share\022\016\n\006server\030\001 \001(\t" +
-      "\022\037\n\027unanswered_microseconds\030\002 \001(\r\022\020\n\010req" +
-      "uests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014pace" +
-      "_seconds\030\005 \001(\002\022\023\n\013held_tokens\030\006 \001(\004\0327\n\006P" +
-      "rompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006" +
-      "tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014" +
-      "\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_se" +
-      "conds\030\004 \001(\002\032&\n\006Change\022\016\n\006server\030\001 \001(\t\022\014\n" +
-      "\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007service\030\001 " +
-      "\001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007request\030\001 " +
-      "\001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\006\022" +
-      "\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007excused\030\005 \001" +
-      "(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016collects" +
-      "_usage\030\002 \001(\010\022\034\n\024settled_usage_window\030\003 \001" +
-      "(\022\022\037\n\027wall_clock_milliseconds\030\004 \001(\006\032\263\001\n\005" +
-      "Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007w" +
-      "indows\030\003 \003(\0132(.aspenmoor.wire.v1.PeerLoa" +
-      "d.Usage.Window\032Q\n\006Window\022\016\n\006number\030\001 \001(\022" +
-      "\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisations\030\003 \003(" +
-      "\t\022\016\n\006counts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006server\030\001 " +
-      "\001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023requests_per_" +
-      "second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_milliseconds\030\004 " +
-      "\001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_class\030\006 \001(" +
-      "\021\022\021\n\ttie_break\030\007 \001(\020B\026\n\024_requests_per_se" +
-      "cond\032.\n\010Draining\022\016\n\006server\030\001 \001(\t\022\022\n\nstar" +
-      "ted_at\030\002 \001(\006\032E\n\007Version\022\017\n\007service\030\001 \001(\t" +
-      "\022\017\n\007version\030\002 \001(\t\022\030\n\020age_milliseconds\030\003 " +
-      "\001(\r\0327\n\006Stream\022\013\n\003key\030\001 \001(\014\022\017\n\007service\030\002 " +
-      "\001(\t\022\017\n\007version\030\003 \001(\t\032G\n\010Question\022\r\n\005entr" +
-      "y\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022\013\n\003key\030\003 \001(\014\022\017\n\007" +
-      "service\030\004 \001(\t\032\250\001\n\005Reply\022\r\n\005entry\030\001 \001(\t\022\016" +
-      "\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".aspenmo" +
-      "or.wire.v1.PeerLoad.Stream\022\025\n\rcontradict" +
-      "ory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.aspenmoor." +
-      "wire.v1.PeerLoad.Version\032\311\001\n\013ServerSpeed" +
-      "\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022\032\n\r" +
-      "stated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027stated_age_m" +
-      "illiseconds\030\004 \001(\r\022\033\n\016learned_factor\030\005 \001(" +
-      "\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002B\020\n\016_stat" +
-      "ed_factorB\021\n\017_learned_factor\032\376\001\n\rService" +
-      "Demand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisations" +
-      "\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad.Serv" +
-      "iceDemand.Organisation\022\034\n\024completed_per_" +
-      "second\030\003 \001(\002\022\036\n\026turned_away_per_second\030\004" +
-      " \001(\002\032O\n\014Organisation\022\024\n\014organisation\030\001 \001" +
-      "(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_second\030" +
-      "\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030\001 \001(\r" +
-      "\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020" +
-      "age_milliseconds\030\004 \001(\rB\"\n\036org.aspenmoor." +
-      "internal.wire.v1P\001b\006proto3"
+      "ad.Observation\022=\n\014load_changes\030\030 \001(\0132\'.a" +
+      "spenmoor.wire.v1.PeerLoad.LoadChanges\022=\n" +
+      "\014start_delays\030\031 \003(\0132\'.aspenmoor.wire.v1." +
+      "PeerLoad.StartDelays\032\212\001\n\005Share\022\016\n\006server" +
+      "\030\001 \001(\t\022\037\n\027unanswered_microseconds\030\002 \001(\r\022" +
+      "\020\n\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024" +
+      "\n\014pace_seconds\030\005 \001(\002\022\023\n\013held_tokens\030\006 \001(" +
+      "\004\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003" +
+      "(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001" +
+      " \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfi" +
+      "xed_seconds\030\004 \001(\002\032&\n\006Change\022\016\n\006server\030\001 " +
+      "\001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007requ" +
+      "est\030\001 \001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_at\030" +
+      "\003 \001(\006\022\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007excus" +
+      "ed\030\005 \001(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016co" +
+      "llects_usage\030\002 \001(\010\022\034\n\024settled_usage_wind" +
+      "ow\030\003 \001(\022\022\037\n\027wall_clock_milliseconds\030\004 \001(" +
+      "\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(" +
+      "\006\0229\n\007windows\030\003 \003(\0132(.aspenmoor.wire.v1.P" +
+      "eerLoad.Usage.Window\032Q\n\006Window\022\016\n\006number" +
+      "\030\001 \001(\022\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisation" +
+      "s\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004\032\270\001\n\005Limit\022\016\n\006ser" +
+      "ver\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023request" +
+      "s_per_second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_milliseco" +
+      "nds\030\004 \001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_clas" +
+      "s\030\006 \001(\021\022\021\n\ttie_break\030\007 \001(\020B\026\n\024_requests_" +
+      "per_second\032.\n\010Draining\022\016\n\006server\030\001 \001(\t\022\022" +
+      "\n\nstarted_at\030\002 \001(\006\032E\n\007Version\022\017\n\007service" +
+      "\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\030\n\020age_milliseco" +
+      "nds\030\003 \001(\r\0327\n\006Stream\022\013\n\003key\030\001 \001(\014\022\017\n\007serv" +
+      "ice\030\002 \001(\t\022\017\n\007version\030\003 \001(\t\032G\n\010Question\022\r" +
+      "\n\005entry\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022\013\n\003key\030\003 \001" +
+      "(\014\022\017\n\007service\030\004 \001(\t\032\250\001\n\005Reply\022\r\n\005entry\030\001" +
+      " \001(\t\022\016\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".a" +
+      "spenmoor.wire.v1.PeerLoad.Stream\022\025\n\rcont" +
+      "radictory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.aspe" +
+      "nmoor.wire.v1.PeerLoad.Version\032\311\001\n\013Serve" +
+      "rSpeed\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001" +
+      "(\006\022\032\n\rstated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027stated" +
+      "_age_milliseconds\030\004 \001(\r\022\033\n\016learned_facto" +
+      "r\030\005 \001(\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002B\020\n" +
+      "\016_stated_factorB\021\n\017_learned_factor\032\376\001\n\rS" +
+      "erviceDemand\022\017\n\007service\030\001 \001(\t\022M\n\rorganis" +
+      "ations\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoa" +
+      "d.ServiceDemand.Organisation\022\034\n\024complete" +
+      "d_per_second\030\003 \001(\002\022\036\n\026turned_away_per_se" +
+      "cond\030\004 \001(\002\032O\n\014Organisation\022\024\n\014organisati" +
+      "on\030\001 \001(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_s" +
+      "econd\030\003 \001(\002\032_\n\013Observation\022\022\n\ncollection" +
+      "\030\001 \001(\r\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001" +
+      "(\006\022\030\n\020age_milliseconds\030\004 \001(\r\032\313\001\n\013LoadCha" +
+      "nges\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010se" +
+      "quence\030\003 \001(\004\022?\n\007changes\030\004 \003(\0132..aspenmoo" +
+      "r.wire.v1.PeerLoad.LoadChanges.Change\032K\n" +
+      "\006Change\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered_mi" +
+      "croseconds\030\002 \001(\021\022\020\n\010requests\030\003 \001(\021\032\224\001\n\013S" +
+      "tartDelays\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(" +
+      "\r\022\017\n\007answers\030\003 \001(\r\022\023\n\013work_weight\030\004 \001(\002\022" +
+      "\023\n\013work_factor\030\005 \001(\002\022\024\n\014fixed_weight\030\006 \001" +
+      "(\002\022\025\n\rfixed_seconds\030\007 \001(\002B\"\n\036org.aspenmo" +
+      "or.internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -222,7 +249,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", "ServerSpeeds", "ServiceDemands", "Observations", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", "ServerSpeeds", "ServiceDemands", "Observations", "LoadChanges", "StartDelays", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
@@ -337,6 +364,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Observation_descriptor,
         new java.lang.String[] { "Collection", "Generation", "Digest", "AgeMilliseconds", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(17);
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor,
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Changes", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_descriptor.getNestedType(0);
+    internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_LoadChanges_Change_descriptor,
+        new java.lang.String[] { "Server", "UnansweredMicroseconds", "Requests", });
+    internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor =
+      internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(18);
+    internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_aspenmoor_wire_v1_PeerLoad_StartDelays_descriptor,
+        new java.lang.String[] { "Service", "Role", "Answers", "WorkWeight", "WorkFactor", "FixedWeight", "FixedSeconds", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
