--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -130,24 +130,25 @@
 
     /** Chooses the plain server whose answer is expected first, if servers of the service state their speed. */
     private Placement choosePlainServerBySpeed(List<ServerEstimate> usable, long now) {
-        PlainWork work = new PlainWork(usable, peerLoads, now);
-        ServerEstimate best = usable.getFirst();
+        PlainWork work = new PlainWork(usable, peerLoads, random, now);
+        Placement best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate candidate : usable) {
-            double score = work.answerSeconds(candidate)
+            PlainWork.Durations durations = work.at(candidate);
+            double score = durations.score()
                     + penaltySeconds(candidate, now)
                     + random.nextDouble() * TIE_BREAK_SECONDS;
             if (score < bestScore) {
-                best = candidate;
                 bestScore = score;
+                best = new Placement.SingleServer(
+                        candidate.server(),
+                        Optional.empty(),
+                        durations.work(),
+                        durations.queue(),
+                        durations.queue() + durations.work());
             }
         }
-        return new Placement.SingleServer(
-                best.server(),
-                Optional.empty(),
-                work.workSeconds(best),
-                work.queueSeconds(best),
-                work.answerSeconds(best));
+        return best;
     }
 
     private double handoffSeconds(PlacementRequest request, Prompt prompt, boolean queuedAtEntry) {
