--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -17,9 +17,6 @@
     /** Half-life of the load reported with an answer; the load of a busy server changes within about a second. */
     private static final double HALF_LIFE_SECONDS = 1.0;
 
-    /** Weight of a new answer in the slowdown estimated from delays. */
-    private static final double DELAY_WEIGHT = 0.1;
-
     /**
      * Fraction of a speed correction that is attributed to the individual engine; all engines with its role learn from
      * the answer too.
@@ -41,11 +38,6 @@
     /** The slowdown is limited so that a server gets enough work to show that it has recovered. */
     private static final double MAX_SLOWDOWN = 6;
 
-    /**
-     * Minimum expected time for the slowdown; shorter times depend on the network rather than on the server's speed.
-     */
-    private static final double MIN_EXPECTED_SECONDS = 0.02;
-
     /** Work shorter than this fraction of the fixed part of an answer's time does not show the speed. */
     private static final double MIN_MEASURED_FRACTION = 0.25;
 
@@ -60,6 +52,7 @@
     private final ServerBackoff backoff;
     private final CacheEstimate cache = new CacheEstimate();
     private final KnownSpeed knownSpeed;
+    private final DelayEstimate delay = new DelayEstimate();
     private final EventIntervalMeter eventIntervalMeter = new EventIntervalMeter();
     private final PromptWindow promptWindow = new PromptWindow();
     private final Deque<AssignedWork> unanswered = new ArrayDeque<>();
@@ -84,7 +77,6 @@
     private double handoffSeconds;
     private long handoffMeasuredAt = Long.MIN_VALUE;
     private double slowdown = 1;
-    private double delaySlowdown = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
     private long lastEventAt = Long.MIN_VALUE;
     private long roleChangeStartedAt = Long.MIN_VALUE;
@@ -119,7 +111,7 @@
             roleChangeStartedAt = Long.MIN_VALUE;
             health.roleChanged();
             slowdown = 1;
-            delaySlowdown = 1;
+            delay.reset();
             knownSpeed.roleChanged();
         }
         speed = newSpeed;
@@ -191,7 +183,7 @@
      * their queues themselves, this is the only sign of work that has not been reported to this entry.
      */
     double delaySlowdown() {
-        return delaySlowdown * speed.startDelay().workFactor();
+        return delay.slowdown(speed.startDelay());
     }
 
     /** Returns the part of an answer's start-up time that depends neither on work nor on waits, in seconds. */
@@ -334,26 +326,15 @@
         double usualSeconds =
                 knownSpeed.inUse() ? work.nominalWorkSeconds() * speed.factor() : work.learnedWorkSeconds();
         SpeedEstimate.Correction correction = speed.observe(usualSeconds * stated, tookSeconds, work.serverWasIdle());
-        learnStartDelay(work, tookSeconds, stated);
-        delaySlowdown = updatedDelaySlowdown(delaySlowdown, work, tookSeconds, stated);
+        delay.answerStarted(work, tookSeconds, stated, speed.startDelay());
         double corrected = correction.scaled(OWN_CORRECTION_FRACTION).applyTo(slowdown);
         slowdown = Math.clamp(corrected, 1 / MAX_SLOWDOWN, MAX_SLOWDOWN);
     }
 
-    private void learnStartDelay(AssignedWork work, double tookSeconds, double stated) {
-        if (work.nominalWorkSeconds() <= 0) {
-            return;
-        }
-        double slowdownAtStart = work.expectedWorkSeconds() / work.nominalWorkSeconds();
-        double expectedSeconds = work.expectedAnswerSeconds() / work.statedSlowdown() * stated;
-        double workSeconds = Math.max(0, expectedSeconds - fixedDelaySeconds()) * delaySlowdown() / slowdownAtStart;
-        speed.startDelay().answerStarted(workSeconds, tookSeconds);
-    }
-
     private void plainAnswerStarted(AssignedWork work, double tookSeconds, long now) {
         double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
         observeWork(work, tookSeconds, stated, now);
-        slowdown = updatedDelaySlowdown(slowdown, work, tookSeconds, stated);
+        slowdown = DelayEstimate.updated(slowdown, work, tookSeconds, stated);
     }
 
     /**
@@ -373,13 +354,6 @@
         }
     }
 
-    private static double updatedDelaySlowdown(double slowdown, AssignedWork work, double tookSeconds, double stated) {
-        double expectedSeconds =
-                Math.max(MIN_EXPECTED_SECONDS, work.expectedAnswerSeconds() / work.statedSlowdown() * stated);
-        double ratio = Math.clamp(tookSeconds / expectedSeconds, 1, MAX_SLOWDOWN);
-        return slowdown + DELAY_WEIGHT * (ratio - slowdown);
-    }
-
     void attemptEnded(AssignedWork work) {
         removeUnanswered(work);
         outstanding = Math.max(0, outstanding - 1);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -135,9 +135,7 @@
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate candidate : usable) {
             PlainWork.Durations durations = work.at(candidate);
-            double score = durations.score()
-                    + penaltySeconds(candidate, now)
-                    + random.nextDouble() * TIE_BREAK_SECONDS;
+            double score = durations.score() + penaltySeconds(candidate, now) + random.nextDouble() * TIE_BREAK_SECONDS;
             if (score < bestScore) {
                 bestScore = score;
                 best = new Placement.SingleServer(
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/LongPromptSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/LongPromptSimulation.java
@@ -155,7 +155,8 @@
                 return;
             }
             schedule(now + ANNOUNCEMENT_DELAY, at -> {
-                LoadChanges changes = new LoadChanges(name, 1, sequence, policy.loadSharing().takeChanges(at));
+                LoadChanges changes =
+                        new LoadChanges(name, 1, sequence, policy.loadSharing().takeChanges(at));
                 deliver(this, receiver -> receiver.peers.receive(changes));
             });
         }
