Let entries confirm the state of the store to each other (in progress)

Each entry follows the servers and the configuration by itself, so calls to the store grow with the number of entries. CollectionFreshness decides when an entry polls; a few observers poll on behalf of all.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.ConfigurationListener;
+import org.aspenmoor.internal.gateway.membership.FreshnessMonitor;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
 import org.aspenmoor.internal.gateway.membership.ServerRegistrationListener;
 import org.aspenmoor.internal.gateway.peers.PeerDirectory;
@@ -57,6 +58,8 @@
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.freshness.ObservedCollection;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
@@ -94,6 +97,7 @@
     private final EventLoop eventLoop = group.next();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final ServingState state;
+    private final FreshnessMonitor storeFreshness;
     private final BackendConnections connections;
     private final WaitQueues waitQueues;
     private final FatalRequestTracker fatalRequests;
@@ -118,6 +122,7 @@
             DutyProtocol dutyProtocol,
             TimeSource time,
             RandomGenerator random,
+            StoreFreshness storeFreshness,
             DecisionLog log) {
         this.settings = settings;
         this.time = time;
@@ -125,7 +130,8 @@
         this.log = log;
         this.backendProtocol = backendProtocol;
         this.dutyProtocol = dutyProtocol;
-        this.state = new ServingState(time, random, settings.retries(), log, settings.placement());
+        this.state = new ServingState(time, random, settings.retries(), log, settings.placement(), storeFreshness);
+        this.storeFreshness = new FreshnessMonitor(storeFreshness, eventLoop, this::sendReport, log, registry, time);
         LongRoundTask longRoundTask =
                 new LongRoundTask(eventLoop, time, MAX_DISCONNECT_DELAY, this::detectDisconnectedCallers);
         this.connections = new BackendConnections(
@@ -172,13 +178,22 @@
                 store,
                 storeSettings,
                 ObjectKind.SERVING_CONFIGURATION,
-                new ConfigurationListener(decoder, state, eventLoop, log));
+                new ConfigurationListener(
+                        decoder, state, eventLoop, log, storeFreshness.observer(ObservedCollection.CONFIGURATION)));
         watch(
                 store,
                 storeSettings,
                 ObjectKind.BACKEND_SERVER,
                 new ServerRegistrationListener(
-                        decoder, state, origins, connections, eventLoop, time, log, store::generation));
+                        decoder,
+                        state,
+                        origins,
+                        connections,
+                        eventLoop,
+                        time,
+                        log,
+                        store::generation,
+                        storeFreshness.observer(ObservedCollection.SERVERS)));
         FatalRequestSynchroniser fatalRequestSynchroniser = new FatalRequestSynchroniser(
                 store, fatalRequests, state::fatalRequestsLoaded, eventLoop, time, random, log);
         watch(store, storeSettings, ObjectKind.FATAL_REQUEST, fatalRequestSynchroniser);
@@ -361,6 +376,7 @@
     private void runPeriodicChecks() {
         long nowNanos = time.monotonicNanos();
         eventLoopMonitor.taskRun(nowNanos);
+        storeFreshness.eventLoopRan(CHECK_INTERVAL, nowNanos);
         state.expirePeers(nowNanos);
         state.configuration().map(ServingConfiguration::longestTimeout).ifPresent(origins::requestsMayTake);
         origins.serversObserved(state.servers(), state.reachesStore());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ConfigurationListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ConfigurationListener.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.gateway.membership;
 
 import java.util.concurrent.Executor;
+import org.aspenmoor.internal.dissemination.StableHash;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.gateway.request.ServingState;
@@ -17,8 +18,15 @@
     private final Executor eventLoop;
     private final DecisionLog log;
     private final DependencyLog dependency;
+    private final CollectionObserver observer;
 
-    public ConfigurationListener(RegistrationDecoder decoder, ServingState state, Executor eventLoop, DecisionLog log) {
+    public ConfigurationListener(
+            RegistrationDecoder decoder,
+            ServingState state,
+            Executor eventLoop,
+            DecisionLog log,
+            CollectionObserver observer) {
+        this.observer = observer;
         this.decoder = decoder;
         this.state = state;
         this.eventLoop = eventLoop;
@@ -31,7 +39,9 @@
         try {
             ServingConfiguration configuration = decoder.readConfiguration(object);
             eventLoop.execute(() -> state.applyConfiguration(configuration));
+            observer.changed(object.key().name(), configuration.version());
         } catch (StoreMalformedException malformed) {
+            observer.changed(object.key().name(), StableHash.of(object.version()));
             // The current configuration stays in force: an unreadable one must not remove the routes.
             log.notable("configuration-unreadable")
                     .with("object", object.key().toString())
@@ -43,6 +53,7 @@
 
     @Override
     public void deleted(StoredObject object) {
+        observer.removed(object.key().name());
         log.notable("configuration-deleted")
                 .with("object", object.key().toString())
                 .with("outcome", "the current configuration stays in force")
@@ -54,6 +65,11 @@
         dependency.restored();
     }
 
+    @Override
+    public void confirmed(long generation, long sentAt) {
+        observer.confirmed(generation, sentAt);
+    }
+
     @Override
     public void interrupted(StoreException cause) {
         dependency.lost(cause.problem());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
@@ -7,6 +7,7 @@
 import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.freshness.ServerContentHash;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoreMalformedException;
@@ -25,6 +26,7 @@
     private final DecisionLog log;
     private final DependencyLog dependency;
     private final LongSupplier generation;
+    private final CollectionObserver observer;
     private long lastGeneration;
     private boolean synchronisedBefore;
 
@@ -32,6 +34,7 @@
      * Creates a listener.
      *
      * @param generation supplies the generation of the store's history
+     * @param observer receives what has been read
      */
     public ServerRegistrationListener(
             RegistrationDecoder decoder,
@@ -41,7 +44,8 @@
             Executor eventLoop,
             TimeSource time,
             DecisionLog log,
-            LongSupplier generation) {
+            LongSupplier generation,
+            CollectionObserver observer) {
         this.decoder = decoder;
         this.state = state;
         this.origins = origins;
@@ -51,6 +55,7 @@
         this.log = log;
         this.dependency = new DependencyLog(log, "servers");
         this.generation = generation;
+        this.observer = observer;
     }
 
     @Override
@@ -61,6 +66,7 @@
                 state.serverRegistered(server);
                 origins.serverObserved(server);
             });
+            observer.changed(server.id(), ServerContentHash.of(server));
         } catch (StoreMalformedException malformed) {
             // Any process may write an invalid registration. It describes no usable server; the other registrations
             // stay valid.
@@ -86,6 +92,11 @@
         eventLoop.execute(() -> state.serverListSynchronised(time.monotonicNanos()));
     }
 
+    @Override
+    public void confirmed(long confirmedGeneration, long sentAt) {
+        observer.confirmed(confirmedGeneration, sentAt);
+    }
+
     @Override
     public void interrupted(StoreException cause) {
         dependency.lost(cause.problem());
@@ -107,6 +118,7 @@
 
     private void serverRemoved(StoredObject object) {
         String id = object.key().name();
+        observer.removed(id);
         detectStoreRestore();
         eventLoop.execute(() -> {
             if (state.registrationMissing(id, time.monotonicNanos())) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -22,6 +22,7 @@
 import org.aspenmoor.internal.gateway.caller.ListeningPort;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.freshness.ReportInterval;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
@@ -36,12 +37,6 @@
  * <p>Uses datagrams, since a lost or late report is superseded by the next one and nothing waits for it.
  */
 public final class PeerExchange {
-    /** Minimum interval between reports, used with few entries; an engine takes about this long for one long prompt. */
-    private static final Duration MIN_REPORT_INTERVAL = Duration.ofMillis(100);
-
-    /** Interval added per peer, so that the number of reports an entry sends and receives per second stays bounded. */
-    private static final Duration REPORT_INTERVAL_PER_PEER = Duration.ofMillis(10);
-
     private final String entry;
     private final EventLoop eventLoop;
     private final DecisionLog log;
@@ -83,8 +78,7 @@
 
     /** Returns the interval before the next report. */
     public Duration reportInterval() {
-        Duration scaledInterval = REPORT_INTERVAL_PER_PEER.multipliedBy(peers.size());
-        return scaledInterval.compareTo(MIN_REPORT_INTERVAL) > 0 ? scaledInterval : MIN_REPORT_INTERVAL;
+        return ReportInterval.of(peers.size());
     }
 
     /** Sends the next report of this entry to all other entries. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -38,6 +38,7 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
@@ -60,6 +61,7 @@
     private final ServerLimits limits;
     private final ServerStatements statements;
     private final CacheListing cacheListing;
+    private final StoreFreshness storeFreshness;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -74,7 +76,9 @@
             RandomGenerator random,
             RetrySettings retrySettings,
             DecisionLog log,
-            PlacementSettings placementSettings) {
+            PlacementSettings placementSettings,
+            StoreFreshness storeFreshness) {
+        this.storeFreshness = storeFreshness;
         this.time = time;
         this.random = random;
         this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
@@ -201,6 +205,7 @@
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
         statements.reported(report, now);
+        storeFreshness.peerReported(report, now);
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -245,7 +250,7 @@
 
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public PeerMeasurements measurements() {
-        return PeerMeasurements.NONE;
+        return new PeerMeasurements(List.of(), List.of(), storeFreshness.observations(time.monotonicNanos()));
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param store the address of the store
  * @param watchPollWait how long one long poll for changes may wait at the store
  * @param serverChangePause how long changes of servers are left to accumulate at the store before the next poll
+ * @param storeBounds the times within which changes in the store must be in force
  * @param gracePeriod how long after SIGTERM the process may run before it is killed
  * @param maxBodyBytes the maximum total size of the request bodies held in memory, in bytes
  * @param placement the settings for the placement of requests
@@ -35,6 +36,7 @@
         URI store,
         Duration watchPollWait,
         Duration serverChangePause,
+        StoreBounds storeBounds,
         Duration gracePeriod,
         int maxBodyBytes,
         PlacementSettings placement,
@@ -68,6 +70,7 @@
                 otherStore,
                 watchPollWait,
                 serverChangePause,
+                storeBounds,
                 gracePeriod,
                 maxBodyBytes,
                 placement,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.finding.Findings;
 import org.aspenmoor.internal.json.FieldReader;
@@ -35,6 +36,7 @@
     private static final double SERVER_CHANGE_PAUSE_FRACTION = 0.35;
 
     private static final int MAX_MILLISECONDS = 3_600_000;
+    private static final int ABSENT = -1;
 
     private static final int DEFAULT_HOLDER_PAUSE_MILLISECONDS = 3000;
     private static final String USAGE_DUTY = "usage";
@@ -76,6 +78,7 @@
                 reader.requiredHttpUrl("store"),
                 fractionOf(reader, "silenceMilliseconds", DEFAULT_STORE_TIMEOUT_MILLISECONDS, WATCH_POLL_FRACTION),
                 fractionOf(reader, "leavingMilliseconds", DEFAULT_LEAVING_MILLISECONDS, SERVER_CHANGE_PAUSE_FRACTION),
+                readStoreBounds(reader),
                 reader.seconds("graceSeconds", 1, MAX_SECONDS, DEFAULT_GRACE_PERIOD),
                 reader.integer("mostBodyMebibytes", 1, MAX_BODY_MEBIBYTES, DEFAULT_BODY_MEBIBYTES) * MEBIBYTE,
                 new PlacementSettings(
@@ -101,6 +104,17 @@
                 reader.seconds("usageWindowSeconds", 1, MAX_SECONDS, DEFAULT_USAGE_WINDOW));
     }
 
+    /** The bound for servers is also that for the configuration unless another is stated. */
+    private static StoreBounds readStoreBounds(FieldReader reader) {
+        Optional<Duration> servers = optionalMilliseconds(reader, "leavingMilliseconds");
+        return new StoreBounds(optionalMilliseconds(reader, "configurationMilliseconds").or(() -> servers), servers);
+    }
+
+    private static Optional<Duration> optionalMilliseconds(FieldReader reader, String name) {
+        int milliseconds = reader.integer(name, 1, MAX_MILLISECONDS, ABSENT);
+        return milliseconds == ABSENT ? Optional.empty() : Optional.of(Duration.ofMillis(milliseconds));
+    }
+
     private static Duration fractionOf(FieldReader reader, String name, int defaultMilliseconds, double fraction) {
         return Duration.ofMillis((long) (reader.integer(name, 1, MAX_MILLISECONDS, defaultMilliseconds) * fraction));
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -22,10 +22,12 @@
 import org.aspenmoor.internal.gateway.Gateway;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
+import org.aspenmoor.internal.gateway.membership.StoreFreshnessFactory;
 import org.aspenmoor.internal.gateway.peers.ReportSender;
 import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
+import org.aspenmoor.internal.gateway.settings.StoreBounds;
 import org.aspenmoor.internal.organisation.KeyRegistry;
 import org.aspenmoor.internal.organisation.OrganisationKeys;
 import org.aspenmoor.internal.routing.EngineSpeed;
@@ -41,6 +43,7 @@
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.SoftwareVersion;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -134,6 +137,7 @@
                 URI.create("http://127.0.0.1/"),
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
+                StoreBounds.NONE,
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
                 placement,
@@ -142,8 +146,10 @@
                 new RetrySettings(1, 100, Duration.ofSeconds(10), 1));
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
-        this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), log);
-        gateway.start(observer.apply(store), StoreSettings.defaults(), new Decoder());
+        StoreSettings storeSettings = StoreSettings.defaults();
+        StoreFreshness freshness = StoreFreshnessFactory.create(settings, storeSettings.callTimeout());
+        this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), freshness, log);
+        gateway.start(observer.apply(store), storeSettings, new Decoder());
     }
 
     private static InetSocketAddress anyFreePort() {
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionEvent.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionEvent.java
@@ -19,6 +19,14 @@
      */
     record Deleted(StoredObject object) implements CollectionEvent {}
 
+    /**
+     * All changes until a call was answered have been received.
+     *
+     * @param generation the generation of the store's history that the answer belongs to
+     * @param sentAt when the call was sent, by the monotonic clock in nanoseconds
+     */
+    record Confirmed(long generation, long sentAt) implements CollectionEvent {}
+
     /**
      * The watch ended.
      *
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionListener.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionListener.java
@@ -14,6 +14,14 @@
     /** All differences between the last listing and the previously known objects have been reported. */
     void synchronised();
 
+    /**
+     * All changes until a call was answered have been reported.
+     *
+     * @param generation the generation of the store's history that the answer belongs to
+     * @param sentAt when the call was sent, by the monotonic clock in nanoseconds
+     */
+    default void confirmed(long generation, long sentAt) {}
+
     /** Changes may be missed from now on, until the next {@link #synchronised()}. */
     void interrupted(StoreException cause);
 }
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/QueueingWatchListener.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/QueueingWatchListener.java
@@ -23,6 +23,11 @@
         put(new CollectionEvent.Deleted(object));
     }
 
+    @Override
+    public void confirmed(long generation, long sentAt) {
+        put(new CollectionEvent.Confirmed(generation, sentAt));
+    }
+
     @Override
     public void ended(StoreException cause) {
         put(new CollectionEvent.Ended(cause));
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
@@ -106,6 +106,8 @@
                 switch (events.take()) {
                     case CollectionEvent.Changed changed -> applyChange(changed.object());
                     case CollectionEvent.Deleted deleted -> applyDeletion(deleted.object());
+                    case CollectionEvent.Confirmed confirmed ->
+                        listener.confirmed(confirmed.generation(), confirmed.sentAt());
                     case CollectionEvent.Ended ended -> {
                         reportInterruption(ended.cause());
                         return;
