--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
@@ -26,13 +26,13 @@
     private static final int MIN_OBSERVERS = 3;
 
     /** Many entries report rarely, so that the reports of more observers are needed for confirmations to stay young. */
-    private static final int ENTRIES_PER_OBSERVER = 20;
+    private static final int ENTRIES_PER_OBSERVER = 15;
 
     /** A poll that only asks for the state; the store is not relied on to accept a wait of zero. */
     static final Duration NO_WAIT = Duration.ofMillis(1);
 
     /** Intervals differ between entries by up to this fraction, so that their polls do not stay in step. */
-    private static final double SPREAD = 0.2;
+    private static final double SPREAD = 0.1;
 
     private final ObservedCollection collection;
     private final RegularPolling regular;
@@ -57,10 +57,7 @@
      * @param bounds the time limits; without them, or where they leave too little time, entries share nothing
      */
     public CollectionFreshness(
-            String entry,
-            ObservedCollection collection,
-            RegularPolling regular,
-            Optional<FreshnessBounds> bounds) {
+            String entry, ObservedCollection collection, RegularPolling regular, Optional<FreshnessBounds> bounds) {
         this.collection = collection;
         this.regular = regular;
         this.bounds = bounds.filter(FreshnessBounds::sufficient);
@@ -68,7 +65,7 @@
         double position = (StableHash.of(entry, collection.name()) >>> 11) * 0x1.0p-53;
         this.intervalFactor = 1 - SPREAD * position;
         this.longestInterval = this.bounds
-                .map(limits -> spread(limits.longestOwnInterval()))
+                .map(limits -> spread(limits.longestOwnInterval(collection)))
                 .orElse(Long.MAX_VALUE);
     }
 
@@ -126,11 +123,12 @@
 
     /** Records what another entry reported; returns whether the next poll may now be due earlier. */
     synchronized boolean peerObserved(String sender, PeerObservation observation) {
-        if (!peers.receive(sender, observation) || !shared() || applied.isEmpty()) {
+        if (!peers.receive(sender, observation) || !shared() || applied.isEmpty() || answeredCallSentAt.isEmpty()) {
             return false;
         }
         boolean otherState = !observation.state().equals(applied.get().state());
-        return otherState && otherStateSeen(confirmedAt().orElse(observation.observedAt()));
+        boolean younger = observation.observedAt() - answeredCallSentAt.get() > 0;
+        return otherState && younger && otherStateSeen(confirmedAt().orElseThrow());
     }
 
     /** Sets what is called, on the event loop, when the next poll may be due earlier than the last answer said. */
@@ -165,7 +163,8 @@
                 collection,
                 confirmedAt().map(at -> Duration.ofNanos(now - at)),
                 confirmedByPeers(),
-                bounds.map(limits -> peers.youngBeforeSelf(limits.confirmationLimit())).orElse(0),
+                bounds.map(limits -> peers.youngBeforeSelf(limits.confirmationLimit()))
+                        .orElse(0),
                 polls);
     }
 
@@ -181,8 +180,7 @@
     private NextPoll sharedPoll(FreshnessBounds limits, long now) {
         long confirmed = confirmedAt().orElseThrow();
         NextPoll next = poll(answeredCallSentAt.orElseThrow() + longestInterval, PollReason.LONGEST_INTERVAL, now);
-        next = earlier(
-                next, poll(confirmed + limits.confirmationLimit().toNanos(), PollReason.CONFIRMATION_OLD, now));
+        next = earlier(next, poll(confirmed + limits.confirmationLimit().toNanos(), PollReason.CONFIRMATION_OLD, now));
         int observersBefore = peers.youngBeforeSelf(limits.confirmationLimit());
         if (observersBefore < observerCount()) {
             next = earlier(next, observerPoll(limits, observersBefore, confirmed, now));
@@ -203,10 +201,14 @@
     private NextPoll observerPoll(FreshnessBounds limits, int observersBefore, long confirmed, long now) {
         if (collection == ObservedCollection.CONFIGURATION && observersBefore == 0) {
             long left = confirmed + limits.confirmationLimit().toNanos() - now;
-            Duration wait = Duration.ofNanos(Math.min(left, limits.observerWait().toNanos()));
+            Duration wait =
+                    Duration.ofNanos(Math.min(left, limits.observerWait().toNanos()));
             return new NextPoll(Duration.ZERO, longer(wait, NO_WAIT), PollReason.OBSERVER);
         }
-        long due = answeredCallSentAt.orElseThrow() + spread(limits.observerInterval());
+        Duration interval = observersBefore == 0
+                ? limits.firstObserverInterval()
+                : limits.observerInterval(ReportInterval.of(peers.count()));
+        long due = answeredCallSentAt.orElseThrow() + spread(interval);
         return poll(due, PollReason.OBSERVER, now);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/FreshnessBounds.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/FreshnessBounds.java
@@ -21,16 +21,22 @@
     private static final int MIN_LIMIT_PART = 3;
 
     /** The rest of the limit covers the time until the observer's next report. */
-    private static final double OBSERVER_FRACTION = 0.7;
+    private static final double FIRST_OBSERVER_FRACTION = 0.6;
+
+    /** The other observers replace the first one's lost reports, and must be seen to work within the limit. */
+    private static final double OBSERVER_FRACTION = 0.9;
 
     /** A long poll confirms nothing until it ends, by when the confirmation before it is twice as old. */
     private static final double WAIT_FRACTION = 0.45;
 
+    /** Bounds how long equal digests of different contents go unnoticed. */
+    private static final int LONGEST_INTERVAL_FACTOR = 10;
+
     /**
-     * Bounds how long equal digests of different contents go unnoticed. The store also has to keep the changes of this
-     * period for each entry.
+     * The store has to keep the heartbeats of this period, and a slow link has to carry them within the time limit of a
+     * call.
      */
-    private static final int LONGEST_INTERVAL_FACTOR = 4;
+    private static final int LONGEST_INTERVAL_FACTOR_WITH_HEARTBEATS = 4;
 
     /** Returns whether the bound leaves enough time between polls for entries to save any. */
     public boolean sufficient() {
@@ -42,10 +48,15 @@
         return bound.minus(callTimeout.multipliedBy(CALLS)).minus(bound.dividedBy(DELAY_PART));
     }
 
-    /** Returns the interval of an observer's polls. */
-    public Duration observerInterval() {
-        Duration interval = fractionOfLimit(OBSERVER_FRACTION);
-        return interval.compareTo(regularInterval) < 0 ? interval : regularInterval;
+    /** Returns the interval of the polls of the first observer, which usually suffices for the others. */
+    public Duration firstObserverInterval() {
+        return shorter(fractionOfLimit(FIRST_OBSERVER_FRACTION), regularInterval);
+    }
+
+    /** Returns the interval of the polls of the other observers, given the interval of the reports between entries. */
+    public Duration observerInterval(Duration reportInterval) {
+        boolean reportsRare = reportInterval.compareTo(confirmationLimit().dividedBy(2)) > 0;
+        return reportsRare ? firstObserverInterval() : shorter(fractionOfLimit(OBSERVER_FRACTION), regularInterval);
     }
 
     /** Returns how long a long poll of an observer may wait at the store. */
@@ -55,12 +66,19 @@
 
     /** Returns the minimum interval between polls because a peer saw another state. */
     public Duration otherStateInterval() {
-        return observerInterval().compareTo(regularInterval) > 0 ? observerInterval() : regularInterval;
+        return shorter(confirmationLimit(), regularInterval);
+    }
+
+    /** Returns the longest interval between two polls of one entry, given how fast changes accumulate at the store. */
+    public Duration longestOwnInterval(ObservedCollection collection) {
+        return switch (collection) {
+            case CONFIGURATION -> bound.multipliedBy(LONGEST_INTERVAL_FACTOR);
+            case SERVERS -> bound.multipliedBy(LONGEST_INTERVAL_FACTOR_WITH_HEARTBEATS);
+        };
     }
 
-    /** Returns the longest interval between two polls of one entry. */
-    public Duration longestOwnInterval() {
-        return bound.multipliedBy(LONGEST_INTERVAL_FACTOR);
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
     }
 
     private Duration fractionOfLimit(double fraction) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/PeerObservations.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/PeerObservations.java
@@ -72,8 +72,8 @@
     Optional<Long> otherLastSeen(CollectionState state) {
         return peers.values().stream()
                 .map(RankedPeer::latest)
-                .filter(latest -> !latest.state().equals(state)
-                        && latest.state().generation() >= state.generation())
+                .filter(latest ->
+                        !latest.state().equals(state) && latest.state().generation() >= state.generation())
                 .map(PeerObservation::observedAt)
                 .max(PeerObservations::compareTimes);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
@@ -21,8 +21,7 @@
 
     /** Creates the state for both collections. */
     public StoreFreshness(CollectionFreshness configuration, CollectionFreshness servers) {
-        this.collections =
-                Map.of(ObservedCollection.CONFIGURATION, configuration, ObservedCollection.SERVERS, servers);
+        this.collections = Map.of(ObservedCollection.CONFIGURATION, configuration, ObservedCollection.SERVERS, servers);
     }
 
     /** Returns the freshness of one collection. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/FreshnessMonitor.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/FreshnessMonitor.java
@@ -65,8 +65,8 @@
     }
 
     private void logChange(FreshnessStatus status, long now) {
-        LoggedState before = logged.getOrDefault(
-                status.collection(), new LoggedState(false, now - MIN_LOG_INTERVAL.toNanos()));
+        LoggedState before =
+                logged.getOrDefault(status.collection(), new LoggedState(false, now - MIN_LOG_INTERVAL.toNanos()));
         boolean tooSoon = now - before.loggedAt() < MIN_LOG_INTERVAL.toNanos();
         if (before.confirmed() == status.confirmedByPeers() || tooSoon) {
             return;
@@ -84,16 +84,21 @@
                 .name("aspenmoor_store_polls_total")
                 .help("Polls of the store for changes, by collection and reason.")
                 .labelNames("collection", "reason")
-                .callback(callback -> freshness.statuses(time.monotonicNanos()).forEach(status -> status.polls()
-                        .forEach((reason, count) -> callback.call(
-                                count, label(status), reason.name().toLowerCase(Locale.ROOT)))))
+                .callback(callback -> freshness
+                        .statuses(time.monotonicNanos())
+                        .forEach(status -> status.polls()
+                                .forEach((reason, count) -> callback.call(
+                                        count, label(status), reason.name().toLowerCase(Locale.ROOT)))))
                 .register(registry);
         GaugeWithCallback.builder()
                 .name("aspenmoor_store_confirmation_age_seconds")
                 .help("Time since the known state was last confirmed, by this entry or another one, by collection.")
                 .labelNames("collection")
-                .callback(callback -> freshness.statuses(time.monotonicNanos()).forEach(status -> status.age()
-                        .ifPresent(age -> callback.call(age.toMillis() / MILLISECONDS_PER_SECOND, label(status)))))
+                .callback(callback -> freshness
+                        .statuses(time.monotonicNanos())
+                        .forEach(status -> status.age()
+                                .ifPresent(
+                                        age -> callback.call(age.toMillis() / MILLISECONDS_PER_SECOND, label(status)))))
                 .register(registry);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/StoreFreshnessFactory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/StoreFreshnessFactory.java
@@ -21,9 +21,8 @@
     public static StoreFreshness create(GatewaySettings settings, Duration callTimeout) {
         Duration wait = settings.watchPollWait();
         Duration pause = settings.serverChangePause();
-        Optional<FreshnessBounds> configurationBounds = settings.storeBounds()
-                .configuration()
-                .map(bound -> new FreshnessBounds(bound, callTimeout, wait));
+        Optional<FreshnessBounds> configurationBounds =
+                settings.storeBounds().configuration().map(bound -> new FreshnessBounds(bound, callTimeout, wait));
         Optional<FreshnessBounds> serverBounds =
                 settings.storeBounds().servers().map(bound -> new FreshnessBounds(bound, callTimeout, pause));
         return new StoreFreshness(
@@ -33,9 +32,6 @@
                         new RegularPolling(wait, Duration.ZERO),
                         configurationBounds),
                 new CollectionFreshness(
-                        settings.process(),
-                        ObservedCollection.SERVERS,
-                        new RegularPolling(wait, pause),
-                        serverBounds));
+                        settings.process(), ObservedCollection.SERVERS, new RegularPolling(wait, pause), serverBounds));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -107,7 +107,8 @@
     /** The bound for servers is also that for the configuration unless another is stated. */
     private static StoreBounds readStoreBounds(FieldReader reader) {
         Optional<Duration> servers = optionalMilliseconds(reader, "leavingMilliseconds");
-        return new StoreBounds(optionalMilliseconds(reader, "configurationMilliseconds").or(() -> servers), servers);
+        return new StoreBounds(
+                optionalMilliseconds(reader, "configurationMilliseconds").or(() -> servers), servers);
     }
 
     private static Optional<Duration> optionalMilliseconds(FieldReader reader, String name) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReaderTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReaderTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.time.SystemTimeSource;
@@ -58,6 +59,22 @@
                 .isEmpty());
     }
 
+    // Guards against entries that share calls to the store where the settings state no bound for changes.
+    @Test
+    public void should_read_bounds_for_changes_in_the_store_only_when_they_are_stated() throws AspenmoorException {
+        assertEquals(storeBounds(""), StoreBounds.NONE);
+        Optional<Duration> three = Optional.of(Duration.ofSeconds(3));
+        assertEquals(storeBounds(", \"leavingMilliseconds\": 3000"), new StoreBounds(three, three));
+        assertEquals(
+                storeBounds(", \"leavingMilliseconds\": 3000, \"configurationMilliseconds\": 2000"),
+                new StoreBounds(Optional.of(Duration.ofSeconds(2)), three));
+    }
+
+    private static StoreBounds storeBounds(String fields) throws AspenmoorException {
+        String settings = MINIMAL_SETTINGS.replace("\"entry-1\"", "\"entry-1\"" + fields);
+        return new GatewaySettingsReader().read("entry.json", settings).storeBounds();
+    }
+
     private static String withDuties(String fields) {
         return MINIMAL_SETTINGS.replace(
                 "\"entry-1\"", "\"entry-1\", \"duties\": {\"address\": \"127.0.0.1:8005\", " + fields + "}");
