--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -41,6 +41,7 @@
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.StartDelaySummary;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
@@ -63,6 +64,7 @@
     private final ServerLimits limits;
     private final ServerStatements statements;
     private final CacheListing cacheListing;
+    private final StoreFreshness storeFreshness;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -77,7 +79,9 @@
             RandomGenerator random,
             RetrySettings retrySettings,
             DecisionLog log,
-            PlacementSettings placementSettings) {
+            PlacementSettings placementSettings,
+            StoreFreshness storeFreshness) {
+        this.storeFreshness = storeFreshness;
         this.time = time;
         this.random = random;
         this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
@@ -205,6 +209,7 @@
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
         report.measurements().startDelays().forEach(placementPolicy.speeds()::learnStartDelays);
         statements.reported(report, now);
+        storeFreshness.peerReported(report, now);
     }
 
     /** Applies changes that another entry announces of its load since its last report. */
@@ -264,16 +269,12 @@
 
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public PeerMeasurements measurements() {
+        long now = time.monotonicNanos();
         return new PeerMeasurements(
-                placementPolicy.knownSpeeds().toReport(time.monotonicNanos()),
+                placementPolicy.knownSpeeds().toReport(now),
                 List.of(),
                 placementPolicy.speeds().takeObservedStartDelays(),
-                List.of());
-    }
-
-    /** Returns how long answers are expected to take until they start, by service and role. */
-    public List<StartDelaySummary> startDelays() {
-        return placementPolicy.speeds().startDelays();
+                storeFreshness.observations(now));
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
