--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareScenario.java
@@ -0,0 +1,29 @@
+package org.aspenmoor.internal.serving.share;
+
+import org.aspenmoor.internal.serving.share.ShareSimulation.Fault;
+
+/**
+ * What happens in a simulation of shares.
+ *
+ * @param entries the number of entries
+ * @param shares whether entries limit organisations to their shares
+ * @param lostReports the part of the reports among entries that is lost; as many are late
+ * @param fault what happens during the surge
+ */
+record ShareScenario(int entries, boolean shares, double lostReports, Fault fault) {
+    static ShareScenario of(int entries) {
+        return new ShareScenario(entries, true, 0, Fault.NONE);
+    }
+
+    ShareScenario withoutShares() {
+        return new ShareScenario(entries, false, lostReports, fault);
+    }
+
+    ShareScenario withLostReports(double part) {
+        return new ShareScenario(entries, shares, part, fault);
+    }
+
+    ShareScenario with(Fault newFault) {
+        return new ShareScenario(entries, shares, lostReports, newFault);
+    }
+}
--- /dev/null
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulationTest.java
@@ -0,0 +1,67 @@
+package org.aspenmoor.internal.serving.share;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.aspenmoor.internal.serving.share.ShareSimulation.Fault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ShareSimulationTest {
+    private static final int SEEDS = Integer.getInteger("aspenmoor.seeds", 20);
+    private static final double SMALL_IN_TIME = 0.95;
+    private static final double CAPACITY_USED_IN_TIME = 0.9;
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{4}, {34}, {300}};
+    }
+
+    // Guards against small organisations that are turned away for the demand of a large one, against servers that idle
+    // while it is refused, and against refusals outside the overload.
+    @Test(dataProvider = "fleets")
+    public void should_answer_small_organisations_in_time_when_a_large_one_demands_more_than_the_capacity(int entries) {
+        assertTargetsReached(ShareScenario.of(entries));
+    }
+
+    // Guards against allowances that depend on each report of every entry.
+    @Test(dataProvider = "fleets")
+    public void should_reach_the_same_when_reports_are_lost_and_late(int entries) {
+        assertTargetsReached(ShareScenario.of(entries).withLostReports(0.1));
+    }
+
+    // Guards against figures of killed entries that keep counting, and against entries that admit everything after
+    // their start because they know nothing yet.
+    @Test(dataProvider = "fleets")
+    public void should_reach_the_same_when_entries_are_killed_and_started(int entries) {
+        assertTargetsReached(ShareScenario.of(entries).with(Fault.ENTRIES_KILLED));
+    }
+
+    // Guards against a simulation that would reach the targets without shares too.
+    @Test
+    public void should_turn_small_organisations_away_when_there_are_no_shares() {
+        ShareSimulation simulation =
+                new ShareSimulation(ShareScenario.of(4).withoutShares(), 1).run();
+
+        assertTrue(simulation.inTime(0) < 0.7, "answered in time: " + simulation.inTime(0));
+    }
+
+    private static void assertTargetsReached(ShareScenario scenario) {
+        double[] inTime = new double[ShareSimulation.ORGANISATIONS];
+        double used = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            ShareSimulation simulation = new ShareSimulation(scenario, seed).run();
+            for (int organisation = 0; organisation < ShareSimulation.ORGANISATIONS; organisation++) {
+                inTime[organisation] += simulation.inTime(organisation) / SEEDS;
+            }
+            used += simulation.capacityUsedInTime() / SEEDS;
+            assertEquals(simulation.refusedWithRoom(), 0, scenario + ", seed " + seed + ": refused by share");
+        }
+        for (int organisation = 0; organisation < ShareSimulation.LARGE; organisation++) {
+            assertTrue(
+                    inTime[organisation] >= SMALL_IN_TIME,
+                    scenario + ": " + inTime[organisation] + " of organisation " + organisation + " in time");
+        }
+        assertTrue(used >= CAPACITY_USED_IN_TIME, scenario + ": " + used + " of the capacity used in time");
+    }
+}
