--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
@@ -131,6 +131,6 @@
     private static Duration retryDelay(double admittedFraction) {
         double repetitions = 1 / Math.max(admittedFraction, MIN_FRACTION) - 1;
         double nanoseconds = RETRY_INTERVAL.toNanos() * repetitions;
-        return Duration.ofNanos((long) Math.min(nanoseconds, MAX_RETRY_DELAY.toNanos()));
+        return Duration.ofNanos(Math.min((long) nanoseconds, MAX_RETRY_DELAY.toNanos()));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -43,6 +43,7 @@
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.request.ShareMetrics;
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderListener;
@@ -153,6 +154,7 @@
                 usage,
                 origins,
                 fatalRequests);
+        ShareMetrics.register(registry, state.shares()::summaries);
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -13,6 +13,7 @@
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.ServerSummary;
+import org.aspenmoor.internal.serving.share.ShareSummary;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
 
@@ -68,6 +69,8 @@
                         .map(known -> known.keys().organisationCount())
                         .orElse(0));
         usage.ifPresent(tracker -> writeUsage(tracker, dump.putObject("usage")));
+        ArrayNode shares = dump.putArray("shares");
+        state.shares().summaries().forEach(summary -> writeShares(summary, shares.addObject()));
         ArrayNode servers = dump.putArray("servers");
         state.serverSummaries().forEach(summary -> {
             ObjectNode server = servers.addObject();
@@ -85,6 +88,18 @@
         node.put("clockErrorMilliseconds", tracker.trueTime().ownErrorMillis());
     }
 
+    private static void writeShares(ShareSummary summary, ObjectNode node) {
+        node.put("service", summary.service());
+        node.put("limiting", summary.limiting());
+        if (Double.isFinite(summary.allowedPerSecond())) {
+            node.put("allowedPerSecond", Math.round(summary.allowedPerSecond()));
+        }
+        node.put("requestedPerSecond", Math.round(summary.requestedPerSecond()));
+        node.put("completedPerSecond", Math.round(summary.completedPerSecond()));
+        node.put("turnedAwayPerSecond", Math.round(summary.turnedAwayPerSecond()));
+        node.put("demands", summary.demands());
+    }
+
     private static void writeServer(ServerSummary summary, ObjectNode node) {
         BackendServer server = summary.server();
         node.put("id", server.id());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -19,6 +19,7 @@
     private final Counter requests;
     private final Counter organisationRequests;
     private final BoundedLabels organisations = new BoundedLabels(MAX_ORGANISATIONS);
+    private final Counter shareDecisions;
     private final Counter attempts;
     private final Counter retries;
     private final Counter serverTerminations;
@@ -48,6 +49,12 @@
                 "Requests by organisation and outcome; the first hundred organisations by name, the others together.",
                 "organisation",
                 "outcome");
+        this.shareDecisions = counter(
+                registry,
+                "aspenmoor_organisation_share_decisions_total",
+                "Requests by organisation (as above) and whether its share admitted them; both together were asked for.",
+                "organisation",
+                "admitted");
         this.attempts = counter(
                 registry,
                 "aspenmoor_attempts_total",
@@ -126,6 +133,12 @@
                 .inc();
     }
 
+    void shareDecided(String organisation, boolean admitted) {
+        shareDecisions
+                .labelValues(organisations.valueFor(organisation), Boolean.toString(admitted))
+                .inc();
+    }
+
     void attemptEnded(String service, String end) {
         attempts.labelValues(service, end).inc();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
@@ -9,13 +9,20 @@
     private final ServingContext context;
     private final ServedRequest request;
     private final RequestDeadlines deadlines;
+    private final RequestShare share;
     private final RequestTrace trace;
     private long dispatchedAt;
 
-    QueueTracker(ServingContext context, ServedRequest request, RequestDeadlines deadlines, RequestTrace trace) {
+    QueueTracker(
+            ServingContext context,
+            ServedRequest request,
+            RequestDeadlines deadlines,
+            RequestShare share,
+            RequestTrace trace) {
         this.context = context;
         this.request = request;
         this.deadlines = deadlines;
+        this.share = share;
         this.trace = trace;
     }
 
@@ -27,6 +34,7 @@
      */
     void enqueue(Placement.Queued placement, long latestUsefulStart) {
         trace.queued(now());
+        share.noRoom();
         context.waitQueues()
                 .add(new WaitQueue.QueuedRequest<>(
                         request,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -7,13 +7,20 @@
     private final ServingContext context;
     private final String service;
     private final AttemptTracker attempts;
+    private final RequestShare share;
     private final RequestTrace trace;
     private int grantedRetries;
 
-    RetryPermit(ServingContext context, String service, AttemptTracker attempts, RequestTrace trace) {
+    RetryPermit(
+            ServingContext context,
+            String service,
+            AttemptTracker attempts,
+            RequestShare share,
+            RequestTrace trace) {
         this.context = context;
         this.service = service;
         this.attempts = attempts;
+        this.share = share;
         this.trace = trace;
     }
 
@@ -30,6 +37,9 @@
         if (grantedRetries >= attempts.requiredRetries()) {
             return true;
         }
+        if (!share.mayRetry()) {
+            return false;
+        }
         boolean granted = context.state().retryBudgets().tryTakeRetry(service);
         context.metrics().retryRequested(service, granted);
         if (!granted) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
@@ -9,13 +9,19 @@
     private final AnswerWriter writer;
     private final RequestAuthorisation authorisation;
     private final FatalRequestCheck fatalCheck;
+    private final RequestShare share;
     private final RequestTrace trace;
 
     SendCheck(
-            AnswerWriter writer, RequestAuthorisation authorisation, FatalRequestCheck fatalCheck, RequestTrace trace) {
+            AnswerWriter writer,
+            RequestAuthorisation authorisation,
+            FatalRequestCheck fatalCheck,
+            RequestShare share,
+            RequestTrace trace) {
         this.writer = writer;
         this.authorisation = authorisation;
         this.fatalCheck = fatalCheck;
+        this.share = share;
         this.trace = trace;
     }
 
@@ -28,7 +34,8 @@
             trace.setReason(denied.reason().text());
             return Optional.of(new SendRefusal.KeyRemoved(denied.reason()));
         }
-        return fatalCheck.checkQuarantine().map(SendRefusal.Quarantined::new);
+        Optional<SendRefusal> quarantined = fatalCheck.checkQuarantine().map(SendRefusal.Quarantined::new);
+        return quarantined.or(() -> share.refusal().map(SendRefusal.ShareExceeded::new));
     }
 
     /** Returns whether the caller's key is still valid. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendRefusal.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendRefusal.java
@@ -11,6 +11,9 @@
     /** The caller's key has been removed from the configuration. */
     record KeyRemoved(Authorisation.Reason reason) implements SendRefusal {}
 
+    /** The request's organisation demands more than its share; it may be retried after the delay. */
+    record ShareExceeded(Duration retryDelay) implements SendRefusal {}
+
     /** The request terminates the servers that run it; it may be retried after the delay. */
     record Quarantined(Duration retryDelay) implements SendRefusal {}
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -44,7 +44,7 @@
     private final FatalRequestCheck fatalCheck;
     private final SendCheck sendCheck;
     private final AnswerRelocation relocation;
-    private final RequestUsage usage;
+    private final RequestShare share;
     private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
     private final TriedServers triedServers = new TriedServers();
@@ -69,10 +69,11 @@
         this.stallDetector = new StallDetector(context, route, writer::writable, this::stalled);
         this.deadlines = new RequestDeadlines(incoming.receivedAtNanos(), caller.maxWait(), route);
         this.trace = new RequestTrace(request, deadlines.deadline());
+        this.share = new RequestShare(context, request, trace);
         this.answerProgress = new AnswerProgress(context.state().placement(), service, caller.prompt(), trace);
-        this.queue = new QueueTracker(context, this, deadlines, trace);
+        this.queue = new QueueTracker(context, this, deadlines, share, trace);
         this.placements = new PlacementRequestFactory(service, caller, route, deadlines, trace, stream, triedServers);
-        this.permit = new RetryPermit(context, service, attempts, trace);
+        this.permit = new RetryPermit(context, service, attempts, share, trace);
         this.sender = new AttemptSender(
                 context,
                 this,
@@ -86,9 +87,8 @@
                 trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller, service, incoming, trace);
-        this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, trace);
+        this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, share, trace);
         this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
-        this.usage = new RequestUsage(context, authorisation, route);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
@@ -155,6 +155,7 @@
             }
             case Placement.Queued queued -> queue.enqueue(queued, deadlines.callerWaitsUntil(trace.lastEventTime()));
             case Placement.Refused refused -> {
+                share.noRoom();
                 trace.setReason(refused.reason());
                 conclude(attempts.stepWithoutRetry(), refused.retryAfter());
             }
@@ -172,6 +173,7 @@
         switch (refusal) {
             case SendRefusal.CallerDisconnected disconnected -> callerDisconnected();
             case SendRefusal.Quarantined quarantined -> conclude(attempts.stepWithoutRetry(), quarantined.retryDelay());
+            case SendRefusal.ShareExceeded exceeded -> conclude(attempts.stepWithoutRetry(), exceeded.retryDelay());
             case SendRefusal.KeyRemoved removed
             when stream.begun() || attempts.mayHaveRun() ->
                 conclude(NextStep.REPORT_UNKNOWN, FinalAnswer.MIN_RETRY_DELAY);
@@ -273,7 +275,7 @@
     void answerBegan(AssignedWork work) {
         context.state().placement().answerStarted(work, now());
         pendingHandoff.completed();
-        usage.began(work);
+        share.answerBegan(work);
         stallDetector.answerBegan(answerAttempt);
         if (!stream.begun()) {
             trace.firstByteReceived(now());
@@ -365,6 +367,7 @@
         }
         trace.setReason(reason);
         context.metrics().attemptEnded(service, end.getClass().getSimpleName());
+        share.attemptEnded(end);
         NextStep next = attempts.attemptEnded(end);
         trace.logAttemptEnded(context.state().log(), end, next);
         if (next == NextStep.REPEAT && deadlines.deadline() > now() && fatalCheck.mayRetry() && permit.tryAcquire()) {
@@ -437,7 +440,7 @@
         if (trace.mixedVersions()) {
             context.metrics().versionsMixed(service);
         }
-        context.metrics().organisationRequestEnded(trace.organisation(), outcome);
+        share.ended(outcome);
         trace.logEnded(context.state(), outcome, attempts.attempts());
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -41,6 +41,7 @@
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
+import org.aspenmoor.internal.serving.share.FairShareAdmission;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The state of one entry process: configuration, servers, peers and retry budgets. Confined to the event loop. */
@@ -60,6 +61,7 @@
     private final ServerLimits limits;
     private final ServerStatements statements;
     private final CacheListing cacheListing;
+    private final OrganisationShares shares;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -83,6 +85,7 @@
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
+        this.shares = new OrganisationShares(new FairShareAdmission(random), log);
         this.cacheListing = new CacheListing(directory, placementPolicy, this::cacheTokens, time, log);
         this.statements = new ServerStatements(
                 directory,
@@ -201,6 +204,7 @@
         report.eventSizes().forEach(placementPolicy::eventSizeReceived);
         report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
         statements.reported(report, now);
+        shares.reported(report, now);
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -245,7 +249,12 @@
 
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public PeerMeasurements measurements() {
-        return PeerMeasurements.NONE;
+        return new PeerMeasurements(List.of(), shares.toReport(time.monotonicNanos()), List.of());
+    }
+
+    /** Returns the shares of organisations. */
+    public OrganisationShares shares() {
+        return shares;
     }
 
     /** Returns the limits of servers, to be reported to the other entries. */
@@ -256,6 +265,7 @@
     /** Removes entries whose last report is too old. */
     public void expirePeers(long now) {
         peers.expire(now);
+        shares.update(now);
     }
 
     /** Returns the load that this entry's own requests put on each server, by server id. */
