--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitQueue.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/WaitQueue.java
@@ -21,6 +21,9 @@
  * short prompts precede long ones that arrived slightly earlier, so that more callers are served. A request that cannot
  * be served in time at the current dispatch rate is refused at once, and its caller may retry when the burst is over.
  *
+ * <p>Requests of organisations that demand more than their share let those of the others pass, as long as none of them
+ * misses a deadline by that.
+ *
  * @param <T> a request
  */
 public final class WaitQueue<T> {
@@ -105,14 +108,51 @@
 
     /** Removes and returns the request to be dispatched next. */
     public Optional<QueuedRequest<T>> takeNext(long now) {
-        Optional<QueuedRequest<T>> next = queued.stream()
+        List<QueuedRequest<T>> punctual = queued.stream()
                 .filter(each -> canBeOnTime(each.objectiveDeadline(), now))
-                .min(bySortKey(WaitQueue::rank))
-                .or(() -> queued.stream().min(bySortKey(WaitQueue::lateRank)));
+                .sorted(bySortKey(WaitQueue::rank))
+                .toList();
+        Optional<QueuedRequest<T>> next = punctual.isEmpty()
+                ? queued.stream().min(bySortKey(WaitQueue::lateRank))
+                : Optional.of(firstWithinAllowance(punctual, now));
         next.ifPresent(queued::remove);
         return next;
     }
 
+    /**
+     * Returns the first request of an organisation within its allowance. Returns the very first one if there is none or
+     * if a request that is overtaken would then be late.
+     */
+    private QueuedRequest<T> firstWithinAllowance(List<QueuedRequest<T>> ordered, long now) {
+        List<QueuedRequest<T>> onTime = onTimeInOrder(ordered, now);
+        Optional<QueuedRequest<T>> preferred =
+                onTime.stream().filter(QueuedRequest::withinAllowance).findFirst();
+        if (preferred.isEmpty()) {
+            return ordered.getFirst();
+        }
+        List<QueuedRequest<T>> moved = new ArrayList<>(onTime);
+        moved.remove(preferred.get());
+        moved.addFirst(preferred.get());
+        boolean allOnTime = onTimeInOrder(moved, now).size() == onTime.size();
+        return allOnTime ? preferred.get() : ordered.getFirst();
+    }
+
+    /** Returns the requests that are on time if they are dispatched in the given order at the current rate. */
+    private List<QueuedRequest<T>> onTimeInOrder(List<QueuedRequest<T>> ordered, long now) {
+        List<QueuedRequest<T>> onTime = new ArrayList<>();
+        for (QueuedRequest<T> each : ordered) {
+            if (canBeOnTime(each.objectiveDeadline(), startsAt(onTime.size(), now))) {
+                onTime.add(each);
+            }
+        }
+        return onTime;
+    }
+
+    /** Returns when a request is dispatched that has so many others before it. */
+    private long startsAt(int ahead, long now) {
+        return now + (long) (ahead * dispatchIntervalSeconds * NANOSECONDS_PER_SECOND);
+    }
+
     /** Removes and returns the requests that cannot be answered before their deadline at the current dispatch rate. */
     public List<T> takeUnservable(long now) {
         List<QueuedRequest<T>> late = lateRequests(now);
@@ -168,9 +208,7 @@
         int ahead = 0;
         queued.sort(bySortKey(WaitQueue::rank));
         for (QueuedRequest<T> each : queued) {
-            if (canBeOnTime(
-                    each.objectiveDeadline(),
-                    now + (long) (ahead * dispatchIntervalSeconds * NANOSECONDS_PER_SECOND))) {
+            if (canBeOnTime(each.objectiveDeadline(), startsAt(ahead, now))) {
                 ahead++;
             } else {
                 late.add(each);
@@ -205,7 +243,18 @@
      * @param arrivedAt when it arrived
      * @param objectiveDeadline when its answer has to start to be on time
      * @param deadline when its answer has to start at the latest
+     * @param withinAllowance whether its organisation demanded no more than its share when it was admitted
      */
     public record QueuedRequest<T>(
-            T request, double promptSeconds, long arrivedAt, long objectiveDeadline, long deadline) {}
+            T request,
+            double promptSeconds,
+            long arrivedAt,
+            long objectiveDeadline,
+            long deadline,
+            boolean withinAllowance) {
+        /** Creates a request of an organisation within its allowance, or of none. */
+        public QueuedRequest(T request, double promptSeconds, long arrivedAt, long objectiveDeadline, long deadline) {
+            this(request, promptSeconds, arrivedAt, objectiveDeadline, deadline, true);
+        }
+    }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/AllowedTotal.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/AllowedTotal.java
@@ -55,17 +55,28 @@
     /** Part of the most completed work that is allowed in any case; averages over a second exceed the mean at times. */
     private static final double PROVEN_FRACTION = 1.05;
 
+    /** Less than this part of the admitted or allowed work counts as nothing. */
+    private static final double NOTHING_TURNED_AWAY = 0.01;
+
+    /**
+     * After this time without work turned away, nothing is limited any more, even if the measured demand is still high.
+     * Together with the averages, refusals end less than five seconds after the overload.
+     */
+    private static final double RELEASE_SECONDS = 2;
+
     private final long createdAt;
     private double allowed = Double.POSITIVE_INFINITY;
     private double admitted;
     private double proven;
     private long updatedAt;
     private long quietSince;
+    private long turnedAwayAt;
 
     AllowedTotal(long now) {
         this.createdAt = now;
         this.updatedAt = now;
         this.quietSince = now;
+        this.turnedAwayAt = now;
     }
 
     /**
@@ -83,8 +94,13 @@
         if (turnedAwayFraction > TURNED_AWAY_TARGET) {
             quietSince = now;
         }
-        if (Double.isInfinite(allowed)) {
-            if (turnedAwayFraction > START_FRACTION || limitedByOthers(figures, turnedAwayFraction, delaySeconds, now)) {
+        boolean unlimited = Double.isInfinite(allowed);
+        if (figures.turnedAway() > NOTHING_TURNED_AWAY * (unlimited ? admitted : Math.max(admitted, allowed))) {
+            turnedAwayAt = now;
+        }
+        if (unlimited) {
+            if (turnedAwayFraction > START_FRACTION
+                    || limitedByOthers(figures, turnedAwayFraction, delaySeconds, now)) {
                 allowed = Math.max(admitted, provenPart());
             }
             return;
@@ -95,7 +111,10 @@
             allowed = Math.max(allowed + step * (target - allowed), provenPart());
             return;
         }
-        if (figures.requested() <= allowed) {
+        double reportSeconds = delaySeconds - DemandMeter.TOTAL_AVERAGING.toSeconds();
+        boolean released =
+                (now - turnedAwayAt) / NANOSECONDS_PER_SECOND > Math.max(0.5, RELEASE_SECONDS - reportSeconds);
+        if (released || figures.requested() <= allowed) {
             allowed = Double.POSITIVE_INFINITY;
             return;
         }
@@ -127,8 +146,7 @@
         return PROVEN_FRACTION * proven;
     }
 
-    private boolean limitedByOthers(
-            FleetFigures figures, double turnedAwayFraction, double delaySeconds, long now) {
+    private boolean limitedByOthers(FleetFigures figures, double turnedAwayFraction, double delaySeconds, long now) {
         double startSeconds = delaySeconds + DemandMeter.DEMAND_AVERAGING.toSeconds();
         return (now - createdAt) / NANOSECONDS_PER_SECOND < startSeconds
                 && turnedAwayFraction > TURNED_AWAY_TARGET / 4
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairAllowance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairAllowance.java
@@ -37,8 +37,8 @@
                 .forEach(each -> byOrganisation.merge(
                         each.requester().organisation(),
                         new Part(each.workPerSecond(), each.weight()),
-                        (first, second) -> new Part(
-                                first.demand() + second.demand(), Math.max(first.weight(), second.weight()))));
+                        (first, second) ->
+                                new Part(first.demand() + second.demand(), Math.max(first.weight(), second.weight()))));
         double level = WaterLevel.of(List.copyOf(byOrganisation.values()), total);
         if (Double.isInfinite(level)) {
             return UNLIMITED;
@@ -52,7 +52,10 @@
             }
         }
         FairAllowance allowance = new FairAllowance();
-        double spare = total - classes.values().stream().mapToDouble(each -> CLASS_FLOOR * each.fairPart).sum();
+        double spare = total
+                - classes.values().stream()
+                        .mapToDouble(each -> CLASS_FLOOR * each.fairPart)
+                        .sum();
         for (Map.Entry<Integer, PriorityClass> each : classes.entrySet()) {
             PriorityClass priorityClass = each.getValue();
             double floor = CLASS_FLOOR * priorityClass.fairPart;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
@@ -106,13 +106,7 @@
         peers.expire(now);
         peers.services().forEach(service -> services.computeIfAbsent(service, name -> new ServiceShares(name, now)));
         services.values().forEach(each -> each.update(peers, now));
-        services.values().removeIf(each -> each.unused());
-    }
-
-    /** Returns whether requests for a service are limited, or were within the last seconds. */
-    public boolean limiting(String service) {
-        ServiceShares shares = services.get(service);
-        return shares != null && shares.limiting();
+        services.values().removeIf(ServiceShares::unused);
     }
 
     /** Returns a summary of each service for which organisations have recently had requests. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FleetFigures.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FleetFigures.java
@@ -32,9 +32,7 @@
                 OrganisationClass requester = new OrganisationClass(each.organisation(), each.priority());
                 double weight = requester.isRest() ? restWeight(each, smallest) : 1;
                 demands.merge(
-                        requester,
-                        new WeightedDemand(requester, each.workPerSecond(), weight),
-                        WeightedDemand::plus);
+                        requester, new WeightedDemand(requester, each.workPerSecond(), weight), WeightedDemand::plus);
             }
         }
         return new FleetFigures(demands.values(), requested, completed, turnedAway);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/ServiceShares.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/ServiceShares.java
@@ -10,7 +10,8 @@
     private static final long MIN_UPDATE_NANOSECONDS = Duration.ofMillis(100).toNanos();
 
     /** With thousands of reported demands the division is updated less often, so that it takes little of a processor. */
-    private static final long UPDATE_NANOSECONDS_PER_DEMAND = Duration.ofNanos(20_000).toNanos();
+    private static final long UPDATE_NANOSECONDS_PER_DEMAND =
+            Duration.ofNanos(20_000).toNanos();
 
     /** How many organisations are listed within this entry. */
     private static final int ALL_ORGANISATIONS = Integer.MAX_VALUE;
@@ -73,7 +74,9 @@
         OrganisationClass rest = new OrganisationClass(OrganisationClass.REST, requester.priority());
         double most = allowance.mostPerSecond(requester.priority());
         double demand = meter.requestedPerSecond(requester, now);
-        return demand <= most ? 1 : Math.max(most / demand, allowance.knows(rest) ? allowance.admittedFraction(rest) : 0);
+        return demand <= most
+                ? 1
+                : Math.max(most / demand, allowance.knows(rest) ? allowance.admittedFraction(rest) : 0);
     }
 
     /** Returns whether organisations are limited or were within the last seconds. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/FairAllowanceTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/FairAllowanceTest.java
@@ -13,7 +13,8 @@
 
     @Test
     public void should_allow_small_demands_whole_and_divide_the_remainder_among_large_ones() {
-        FairAllowance allowance = FairAllowance.of(List.of(demand(1, 0, 10), demand(2, 0, 100), demand(3, 0, 300)), 110);
+        FairAllowance allowance =
+                FairAllowance.of(List.of(demand(1, 0, 10), demand(2, 0, 100), demand(3, 0, 300)), 110);
 
         assertEquals(allowance.admittedFraction(key(1, 0)), 1, TOLERANCE);
         assertEquals(allowance.admittedFraction(key(2, 0)), 0.5, TOLERANCE);
@@ -22,7 +23,8 @@
 
     @Test
     public void should_limit_nothing_when_the_total_covers_all_demands() {
-        assertFalse(FairAllowance.of(List.of(demand(1, 0, 10), demand(2, 3, 0)), 10).limits());
+        assertFalse(
+                FairAllowance.of(List.of(demand(1, 0, 10), demand(2, 3, 0)), 10).limits());
         assertFalse(FairAllowance.of(List.of(), 0).limits());
     }
 
@@ -38,8 +40,8 @@
     // Guards against an organisation that gets two shares because its requests have two priorities.
     @Test
     public void should_give_an_organisation_with_two_priorities_one_share() {
-        FairAllowance allowance =
-                FairAllowance.of(List.of(demand(1, 0, 100), demand(1, 1, 100), demand(2, 0, 100), demand(3, 1, 100)), 120);
+        FairAllowance allowance = FairAllowance.of(
+                List.of(demand(1, 0, 100), demand(1, 1, 100), demand(2, 0, 100), demand(3, 1, 100)), 120);
         double first = 100 * (allowance.admittedFraction(key(1, 0)) + allowance.admittedFraction(key(1, 1)));
 
         assertEquals(first, 40, TOLERANCE);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/FairShareAdmissionTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/FairShareAdmissionTest.java
@@ -30,7 +30,7 @@
             assertTrue(decide("large") instanceof ShareDecision.Admitted);
             admission.completed(SERVICE, 1, now);
         }
-        assertFalse(admission.limiting(SERVICE));
+        assertFalse(admission.summaries().getFirst().limiting());
     }
 
     @Test
@@ -39,8 +39,7 @@
         for (int request = 0; request < 5_000; request++) {
             String organisation = request % 20 == 0 ? "small" : "large";
             switch (decide(organisation)) {
-                case ShareDecision.Admitted admitted when request % 2 == 0 -> admission.turnedAway(SERVICE, 1, now);
-                case ShareDecision.Admitted admitted -> admission.completed(SERVICE, 1, now);
+                case ShareDecision.Admitted admitted -> end(request % 2 == 0);
                 case ShareDecision.Refused refusal -> {
                     refused++;
                     assertEquals(organisation, "large");
@@ -66,7 +65,8 @@
                 .mapToDouble(OrganisationDemand::workPerSecond)
                 .sum();
 
-        assertTrue(reported.organisations().size() <= 61, reported.organisations().size() + " organisations");
+        assertTrue(
+                reported.organisations().size() <= 61, reported.organisations().size() + " organisations");
         assertEquals(total, 1_000, 100);
     }
 
@@ -89,6 +89,14 @@
         assertTrue(admission.summaries().isEmpty());
     }
 
+    private void end(boolean completed) {
+        if (completed) {
+            admission.completed(SERVICE, 1, now);
+        } else {
+            admission.turnedAway(SERVICE, 1, now);
+        }
+    }
+
     private ShareDecision decide(String organisation) {
         now += MILLISECOND;
         return admission.decide(SERVICE, organisation, 0, 1, now);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulation.java
@@ -73,16 +73,6 @@
     private final int[] inTime = new int[ORGANISATIONS];
     private int answeredInTime;
     private int refusedWithRoom;
-    int strictInTime;
-    int[] all = new int[60];
-    int[] refusedShare = new int[60];
-    int[] turned = new int[60];
-    String[] text = new String[60];
-
-    int sec() {
-        return (int) (time.now() / SECOND);
-    }
-
     private long lastTurnedAwayAt = Long.MIN_VALUE / 2;
 
     ShareSimulation(ShareScenario scenario, long seed) {
@@ -116,7 +106,10 @@
         return (double) inTime[organisation] / asked[organisation];
     }
 
-    /** Returns the part of the capacity during the surge that was used for answers in time. */
+    /**
+     * Returns the part of the capacity during the surge that was used for answers in time. A repeated request counts
+     * from its repetition here, since the delay that it was told is not the servers' work.
+     */
     double capacityUsedInTime() {
         return answeredInTime / (CAPACITY * (SURGE_UNTIL - SURGE_FROM - ADAPTATION) / SECOND);
     }
@@ -233,7 +226,6 @@
             }
             reports++;
             shares.update(time.now());
-            if (this == entries.get(0)) { for (ShareSummary x : shares.summaries()) text[sec()] = x.toString(); }
             PeerReport report = new PeerReport(
                     name,
                     incarnation,
@@ -281,7 +273,6 @@
             }
             ShareDecision decision = shares.decide(SERVICE, "organisation " + call.organisation, 0, 1, time.now());
             if (scenario.shares() && decision instanceof ShareDecision.Refused refused) {
-                refusedShare[sec()]++;
                 refusedWithRoom += time.now() - lastTurnedAwayAt > ADAPTATION ? 1 : 0;
                 repeat(call, refused.retryAfter());
                 return;
@@ -351,14 +342,11 @@
             inTime[call.organisation] += call.counted && timely ? 1 : 0;
             boolean counted = time.now() >= SURGE_FROM + ADAPTATION && surge();
             answeredInTime += counted && time.now() - call.askedAt <= OBJECTIVE.toNanos() ? 1 : 0;
-            strictInTime += counted && timely ? 1 : 0;
-            all[sec()] ++;
         }
 
         private void turnAway(Call call, Duration retryAfter) {
             lastTurnedAwayAt = time.now();
             shares.turnedAway(SERVICE, 1, time.now());
-            turned[sec()]++;
             repeat(call, retryAfter);
         }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulationTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Arrays;
 import org.aspenmoor.internal.serving.share.ShareSimulation.Fault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -40,8 +41,7 @@
     // Guards against a simulation that would reach the targets without shares too.
     @Test
     public void should_turn_small_organisations_away_when_there_are_no_shares() {
-        ShareSimulation simulation =
-                new ShareSimulation(ShareScenario.of(4).withoutShares(), 1).run();
+        ShareSimulation simulation = new ShareSimulation(ShareScenario.of(4).withoutShares(), 1).run();
 
         assertTrue(simulation.inTime(0) < 0.7, "answered in time: " + simulation.inTime(0));
     }
@@ -49,19 +49,20 @@
     private static void assertTargetsReached(ShareScenario scenario) {
         double[] inTime = new double[ShareSimulation.ORGANISATIONS];
         double used = 0;
+        int refusedWithRoom = 0;
         for (int seed = 1; seed <= SEEDS; seed++) {
             ShareSimulation simulation = new ShareSimulation(scenario, seed).run();
             for (int organisation = 0; organisation < ShareSimulation.ORGANISATIONS; organisation++) {
                 inTime[organisation] += simulation.inTime(organisation) / SEEDS;
             }
             used += simulation.capacityUsedInTime() / SEEDS;
-            assertEquals(simulation.refusedWithRoom(), 0, scenario + ", seed " + seed + ": refused by share");
+            refusedWithRoom += simulation.refusedWithRoom();
         }
-        for (int organisation = 0; organisation < ShareSimulation.LARGE; organisation++) {
-            assertTrue(
-                    inTime[organisation] >= SMALL_IN_TIME,
-                    scenario + ": " + inTime[organisation] + " of organisation " + organisation + " in time");
-        }
-        assertTrue(used >= CAPACITY_USED_IN_TIME, scenario + ": " + used + " of the capacity used in time");
+        double smallest = Arrays.stream(inTime, 0, ShareSimulation.LARGE).min().orElseThrow();
+        String figures = scenario + ": small organisations in time " + Arrays.toString(inTime)
+                + ", capacity used in time " + used + ", refused by share with room " + refusedWithRoom;
+        assertTrue(smallest >= SMALL_IN_TIME, figures);
+        assertTrue(used >= CAPACITY_USED_IN_TIME, figures);
+        assertEquals(refusedWithRoom, 0, figures);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -13,9 +13,9 @@
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.ServerSummary;
-import org.aspenmoor.internal.serving.share.ShareSummary;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
+import org.aspenmoor.internal.serving.share.ShareSummary;
 
 /** Creates a snapshot of an entry's state as JSON for operators. Confined to the event loop. */
 final class StateDump {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
@@ -41,7 +41,8 @@
                         placement.promptSeconds(),
                         deadlines.arrivedAt(),
                         deadlines.objectiveDeadline(),
-                        latestUsefulStart));
+                        latestUsefulStart,
+                        share.withinAllowance()));
     }
 
     /** Records that the request is sent to an engine. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestShare.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestShare.java
@@ -44,7 +44,8 @@
         }
         decided = true;
         String name = organisation.get().name();
-        int priority = request.authorisation().current().priority(request.route().priority());
+        int priority =
+                request.authorisation().current().priority(request.route().priority());
         ShareDecision decision = admission().decide(request.service(), name, priority, work(), now());
         context.metrics().shareDecided(name, decision instanceof ShareDecision.Admitted);
         return switch (decision) {
@@ -108,8 +109,7 @@
     /** Returns the work of a prompt; an answer of unknown length counts with the most that may be generated. */
     private static double tokens(Prompt prompt) {
         int output = prompt.expectedOutputTokens().orElse(prompt.maxOutputTokens());
-        return Math.max(1, prompt.promptTokens())
-                + PROMPT_TOKENS_PER_OUTPUT_TOKEN * (double) Math.max(0, output);
+        return Math.max(1, prompt.promptTokens()) + PROMPT_TOKENS_PER_OUTPUT_TOKEN * (double) Math.max(0, output);
     }
 
     private FairShareAdmission admission() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -12,11 +12,7 @@
     private int grantedRetries;
 
     RetryPermit(
-            ServingContext context,
-            String service,
-            AttemptTracker attempts,
-            RequestShare share,
-            RequestTrace trace) {
+            ServingContext context, String service, AttemptTracker attempts, RequestShare share, RequestTrace trace) {
         this.context = context;
         this.service = service;
         this.attempts = attempts;
