--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -45,6 +45,7 @@
 import org.aspenmoor.internal.serving.limit.ServerLimits;
 import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
+import org.aspenmoor.internal.serving.share.FairShareAdmission;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The state of one entry process: configuration, servers, peers and retry budgets. Confined to the event loop. */
@@ -65,6 +66,7 @@
     private final ServerStatements statements;
     private final CacheListing cacheListing;
     private final StoreFreshness storeFreshness;
+    private final OrganisationShares shares;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -90,6 +92,7 @@
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
+        this.shares = new OrganisationShares(new FairShareAdmission(random), log);
         this.cacheListing = new CacheListing(directory, placementPolicy, this::cacheTokens, time, log);
         this.statements = new ServerStatements(
                 directory,
@@ -210,6 +213,7 @@
         report.measurements().startDelays().forEach(placementPolicy.speeds()::learnStartDelays);
         statements.reported(report, now);
         storeFreshness.peerReported(report, now);
+        shares.reported(report, now);
     }
 
     /** Applies changes that another entry announces of its load since its last report. */
@@ -272,11 +276,16 @@
         long now = time.monotonicNanos();
         return new PeerMeasurements(
                 placementPolicy.knownSpeeds().toReport(now),
-                List.of(),
+                shares.toReport(now),
                 placementPolicy.speeds().takeObservedStartDelays(),
                 storeFreshness.observations(now));
     }
 
+    /** Returns the shares of organisations. */
+    public OrganisationShares shares() {
+        return shares;
+    }
+
     /** Returns the limits of servers, to be reported to the other entries. */
     public List<StatedLimit> statedLimits() {
         return limits.toReport(time.monotonicNanos());
@@ -285,6 +294,7 @@
     /** Removes entries whose last report is too old. */
     public void expirePeers(long now) {
         peers.expire(now);
+        shares.update(now);
     }
 
     /** Returns the load that this entry's own requests put on each server, by server id. */
