Move what entries tell each other out of ServingState and Gateway

PeerSharing holds what an entry tells its peers and learns from them, PeerReporter sends it. No change of behaviour.

--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/SimulatedPlainServer.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/SimulatedPlainServer.java
@@ -30,7 +30,7 @@
     }
 
     ReportedLoad load() {
-        return new ReportedLoad(running, waiting.size(), SLOTS);
+        return ReportedLoad.of(running, waiting.size(), SLOTS);
     }
 
     private void run(Runnable done) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -57,7 +57,6 @@
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.gateway.usage.UsageWorker;
 import org.aspenmoor.internal.serving.BackendServer;
-import org.aspenmoor.internal.serving.LoadChange;
 import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
@@ -88,9 +87,6 @@
     /** Interval at which counts of usage are sent; an entry that is killed loses what it counted since the last time. */
     private static final long USAGE_INTERVAL_MILLISECONDS = 500;
 
-    /** Changes within this time are announced together; engines compute a long prompt in ten times as long. */
-    private static final long LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
-
     /** A fraction of the half second within which a server is to stop after its caller has disconnected. */
     private static final Duration MAX_DISCONNECT_DELAY = Duration.ofMillis(100);
 
@@ -115,6 +111,7 @@
     private final EventLoopMonitor eventLoopMonitor;
     private final AdministrationPages administrationPages;
     private final PeerExchange peers;
+    private final PeerReporter reporter;
     private final StreamOriginTracker origins;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<WatchedCollection> watchedCollections = new ArrayList<>();
@@ -170,8 +167,10 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
+        this.reporter =
+                new PeerReporter(peers, state, fatalRequests, origins, usage, gracefulStop::begun, eventLoop);
         LoadSharingMetrics.register(
-                registry, peers::announcementsSent, peers::announcementsReceived, state::startDelays);
+                registry, peers::announcementsSent, peers::announcementsReceived, state.peerSharing()::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
         StateDump stateDump = new StateDump(
                 settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage, origins);
@@ -226,9 +225,7 @@
                         addresses -> eventLoop.execute(() -> peers.replacePeers(addresses)),
                         log)
                 .start();
-        eventLoop.execute(this::reportToPeers);
-        eventLoop.execute(() -> state.onLoadChange(() -> eventLoop.schedule(
-                this::announceLoadChanges, LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)));
+        eventLoop.execute(reporter::start);
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
         eventLoop.scheduleWithFixedDelay(
@@ -353,39 +350,7 @@
     }
 
     private void sendReport() {
-        peers.sendReport(this::createReport);
-    }
-
-    private void reportToPeers() {
-        sendReport();
-        eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private void announceLoadChanges() {
-        List<LoadChange> changes = state.takeLoadChanges();
-        if (!changes.isEmpty() && peers.announcesLoadChanges()) {
-            peers.announceLoadChanges(changes);
-        }
-    }
-
-    private PeerReport createReport(String entry, long incarnation, long sequence) {
-        return new PeerReport(
-                entry,
-                incarnation,
-                sequence,
-                state.ownLoads(),
-                state.takeUnreportedPrompts(),
-                state.learnedSpeeds(),
-                state.eventSizes(),
-                state.pendingRoleChanges(),
-                fatalRequests.takeNextReport(),
-                state.statedLimits(),
-                state.unregisteredDrains(),
-                origins.versionsToReport(),
-                usage.map(UsageTracker::status),
-                state.orderStanding(entry),
-                state.measurements(),
-                gracefulStop.begun());
+        reporter.sendReport();
     }
 
     private void detectDisconnectedCallers() {
@@ -433,7 +398,7 @@
     private final class PeerMessages implements PeerListener {
         @Override
         public void reportReceived(PeerReport report) {
-            state.peerReported(report, time.monotonicNanos());
+            state.peerSharing().peerReported(report, time.monotonicNanos());
             origins.versionsReported(report.versions());
             fatalRequests.terminationsReported(report.serverTerminations(), report.entry());
             usage.ifPresent(
@@ -442,7 +407,7 @@
 
         @Override
         public void loadChangesReceived(LoadChanges changes) {
-            state.peerLoadChanged(changes);
+            state.peerSharing().peerLoadChanged(changes);
         }
 
         @Override
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
@@ -0,0 +1,95 @@
+package org.aspenmoor.internal.gateway;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.aspenmoor.internal.gateway.peers.PeerExchange;
+import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
+import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.usage.UsageTracker;
+import org.aspenmoor.internal.serving.LoadChange;
+import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
+
+/** Sends this entry's reports to the other entries, and announces changes of its load in between. */
+final class PeerReporter {
+    /** Changes within this time are announced together; engines compute a long prompt in ten times as long. */
+    private static final long LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
+
+    private final PeerExchange peers;
+    private final ServingState state;
+    private final FatalRequestTracker fatalRequests;
+    private final StreamOriginTracker origins;
+    private final Optional<UsageTracker> usage;
+    private final BooleanSupplier stopping;
+    private final EventLoop eventLoop;
+
+    /**
+     * Creates a reporter.
+     *
+     * @param stopping whether this entry is stopping
+     */
+    PeerReporter(
+            PeerExchange peers,
+            ServingState state,
+            FatalRequestTracker fatalRequests,
+            StreamOriginTracker origins,
+            Optional<UsageTracker> usage,
+            BooleanSupplier stopping,
+            EventLoop eventLoop) {
+        this.peers = peers;
+        this.state = state;
+        this.fatalRequests = fatalRequests;
+        this.origins = origins;
+        this.usage = usage;
+        this.stopping = stopping;
+        this.eventLoop = eventLoop;
+    }
+
+    /** Sends the first report and schedules the others; to be called on the event loop. */
+    void start() {
+        reportRegularly();
+        state.peerSharing()
+                .onLoadChange(() -> eventLoop.schedule(
+                        this::announceLoadChanges, LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS));
+    }
+
+    /** Sends a report at once, besides the regular ones. */
+    void sendReport() {
+        peers.sendReport(this::createReport);
+    }
+
+    private void reportRegularly() {
+        sendReport();
+        eventLoop.schedule(this::reportRegularly, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void announceLoadChanges() {
+        List<LoadChange> changes = state.peerSharing().takeLoadChanges();
+        if (!changes.isEmpty() && peers.announcesLoadChanges()) {
+            peers.announceLoadChanges(changes);
+        }
+    }
+
+    private PeerReport createReport(String entry, long incarnation, long sequence) {
+        return new PeerReport(
+                entry,
+                incarnation,
+                sequence,
+                state.peerSharing().ownLoads(),
+                state.peerSharing().takeUnreportedPrompts(),
+                state.peerSharing().learnedSpeeds(),
+                state.peerSharing().eventSizes(),
+                state.pendingRoleChanges(),
+                fatalRequests.takeNextReport(),
+                state.peerSharing().statedLimits(),
+                state.unregisteredDrains(),
+                origins.versionsToReport(),
+                usage.map(UsageTracker::status),
+                state.orderStanding(entry),
+                state.peerSharing().measurements(),
+                stopping.getAsBoolean());
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -18,21 +18,13 @@
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderDuty;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
-import org.aspenmoor.internal.serving.AssignedPrompt;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
-import org.aspenmoor.internal.serving.EntryLoad;
-import org.aspenmoor.internal.serving.EventSize;
 import org.aspenmoor.internal.serving.GenerationTraits;
-import org.aspenmoor.internal.serving.LearnedSpeed;
-import org.aspenmoor.internal.serving.LoadChange;
-import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerLoads;
-import org.aspenmoor.internal.serving.PeerMeasurements;
-import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
@@ -40,10 +32,8 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
-import org.aspenmoor.internal.serving.StartDelaySummary;
 import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
-import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
 import org.aspenmoor.internal.serving.share.FairShareAdmission;
 import org.aspenmoor.internal.time.TimeSource;
@@ -65,7 +55,7 @@
     private final ServerLimits limits;
     private final ServerStatements statements;
     private final CacheListing cacheListing;
-    private final StoreFreshness storeFreshness;
+    private final PeerSharing peerSharing;
     private final OrganisationShares shares;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
@@ -83,7 +73,6 @@
             DecisionLog log,
             PlacementSettings placementSettings,
             StoreFreshness storeFreshness) {
-        this.storeFreshness = storeFreshness;
         this.time = time;
         this.random = random;
         this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
@@ -101,6 +90,8 @@
                 time,
                 server -> placementPolicy.serverChanged(server, cacheTokens(server)),
                 log);
+        this.peerSharing =
+                new PeerSharing(peers, placementPolicy, limits, statements, shares, storeFreshness, time);
     }
 
     /** Applies changed settings. */
@@ -203,34 +194,6 @@
         return removed;
     }
 
-    /** Applies the report of another entry. */
-    public void peerReported(PeerReport report, long now) {
-        peers.receive(report, now);
-        report.prompts().forEach(prompt -> placementPolicy.promptAssignments().assignedByPeer(prompt, now));
-        report.speeds().forEach(placementPolicy::speedReceived);
-        report.eventSizes().forEach(placementPolicy::eventSizeReceived);
-        report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
-        report.measurements().startDelays().forEach(placementPolicy.speeds()::learnStartDelays);
-        statements.reported(report, now);
-        storeFreshness.peerReported(report, now);
-        shares.reported(report, now);
-    }
-
-    /** Applies changes that another entry announces of its load since its last report. */
-    public void peerLoadChanged(LoadChanges changes) {
-        peers.receive(changes);
-    }
-
-    /** Calls the listener whenever this entry's load may have changed, at most once until the changes are taken. */
-    public void onLoadChange(Runnable listener) {
-        placementPolicy.loadSharing().onChange(listener);
-    }
-
-    /** Returns the changes of this entry's load that are to be announced to the other entries. */
-    public List<LoadChange> takeLoadChanges() {
-        return placementPolicy.loadSharing().takeChanges(time.monotonicNanos());
-    }
-
     /** Records that an engine has accepted an order of this entry to change its role. */
     public void roleChangeOrdered(RoleChange change) {
         orderedRoleChanges.put(change.server(), change);
@@ -256,29 +219,14 @@
         modelServices().forEach(service -> placementPolicy.samplePromptLoad(service, waiting.test(service), now));
     }
 
-    /** Returns the engine speeds estimated by this entry, to be reported to the other entries. */
-    public List<LearnedSpeed> learnedSpeeds() {
-        return placementPolicy.learnedSpeeds();
-    }
-
-    /** Returns the event sizes estimated by this entry, to be reported to the other entries. */
-    public List<EventSize> eventSizes() {
-        return placementPolicy.eventSizes();
-    }
-
     /** Returns what receives the statements of servers about themselves. */
     public ServerObserver serverObserver() {
         return statements;
     }
 
-    /** Returns what this entry has measured itself, to be reported to the other entries. */
-    public PeerMeasurements measurements() {
-        long now = time.monotonicNanos();
-        return new PeerMeasurements(
-                placementPolicy.knownSpeeds().toReport(now),
-                shares.toReport(now),
-                placementPolicy.speeds().takeObservedStartDelays(),
-                storeFreshness.observations(now));
+    /** Returns what this entry tells the other entries and learns from them. */
+    public PeerSharing peerSharing() {
+        return peerSharing;
     }
 
     /** Returns the shares of organisations. */
@@ -286,27 +234,12 @@
         return shares;
     }
 
-    /** Returns the limits of servers, to be reported to the other entries. */
-    public List<StatedLimit> statedLimits() {
-        return limits.toReport(time.monotonicNanos());
-    }
-
     /** Removes entries whose last report is too old. */
     public void expirePeers(long now) {
         peers.expire(now);
         shares.update(now);
     }
 
-    /** Returns the load that this entry's own requests put on each server, by server id. */
-    public Map<String, EntryLoad> ownLoads() {
-        return placementPolicy.ownLoads(time.monotonicNanos());
-    }
-
-    /** Returns and clears the prompts that this entry has assigned to servers since the last call. */
-    public List<AssignedPrompt> takeUnreportedPrompts() {
-        return placementPolicy.promptAssignments().takeUnreported();
-    }
-
     /**
      * Returns how many entries share the budgets: this one and those whose reports are received. Until a report is
      * received, the assumed number of the settings is used, because a process that has just started may be one of many.
