--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
@@ -5,10 +5,7 @@
     private final String server;
     private final WorkKind kind;
     private final long startedAtNanos;
-    private final double nominalWorkSeconds;
-    private final double statedSlowdown;
-    private final double expectedWorkSeconds;
-    private final double learnedWorkSeconds;
+    private final WorkDurations durations;
     private final double expectedAnswerSeconds;
     private final double toleratedWaitSeconds;
     private final boolean longPrompt;
@@ -18,10 +15,7 @@
             String server,
             WorkKind kind,
             long startedAtNanos,
-            double nominalWorkSeconds,
-            double statedSlowdown,
-            double expectedWorkSeconds,
-            double learnedWorkSeconds,
+            WorkDurations durations,
             double expectedAnswerSeconds,
             double toleratedWaitSeconds,
             boolean longPrompt,
@@ -29,10 +23,7 @@
         this.server = server;
         this.kind = kind;
         this.startedAtNanos = startedAtNanos;
-        this.nominalWorkSeconds = nominalWorkSeconds;
-        this.statedSlowdown = statedSlowdown;
-        this.expectedWorkSeconds = expectedWorkSeconds;
-        this.learnedWorkSeconds = learnedWorkSeconds;
+        this.durations = durations;
         this.expectedAnswerSeconds = expectedAnswerSeconds;
         this.toleratedWaitSeconds = toleratedWaitSeconds;
         this.longPrompt = longPrompt;
@@ -70,22 +61,22 @@
 
     /** Returns how long the work takes at the speed of the settings. */
     double nominalWorkSeconds() {
-        return nominalWorkSeconds;
+        return durations.nominal();
     }
 
     /** Returns how many times longer than usual the server was expected to take when the attempt started. */
     double statedSlowdown() {
-        return statedSlowdown;
+        return durations.statedSlowdown();
     }
 
     /** Returns how long the server was expected to work before its answer starts, at its usual speed. */
     double expectedWorkSeconds() {
-        return expectedWorkSeconds;
+        return durations.expected();
     }
 
     /** Returns how long the work takes at the learned usual speed. */
     double learnedWorkSeconds() {
-        return learnedWorkSeconds;
+        return durations.learned();
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -46,9 +46,6 @@
      */
     private static final double MIN_EXPECTED_SECONDS = 0.02;
 
-    /** Work shorter than this fraction of the fixed part of an answer's time does not show the speed. */
-    private static final double MIN_MEASURED_FRACTION = 0.25;
-
     /**
      * An engine that has not changed its role within this time did not receive the order or cannot follow it, and is
      * used again.
@@ -325,7 +322,8 @@
         if (work.longPrompt()) {
             promptWindow.promptComputed(work.startedAtNanos(), now, waitedSeconds, work.toleratedWaitSeconds());
         }
-        observeWork(work, tookSeconds - speed.fixedSeconds(), stated, now);
+        double fixedSeconds = speed.fixedSeconds();
+        SpeedObservation.learn(this, work, tookSeconds - fixedSeconds, fixedSeconds, stated, now);
         double usualSeconds =
                 knownSpeed.inUse() ? work.nominalWorkSeconds() * speed.factor() : work.learnedWorkSeconds();
         SpeedEstimate.Correction correction = speed.observe(usualSeconds * stated, tookSeconds, work.serverWasIdle());
@@ -336,27 +334,10 @@
 
     private void plainAnswerStarted(AssignedWork work, double tookSeconds, long now) {
         double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
-        observeWork(work, tookSeconds, stated, now);
+        SpeedObservation.learn(this, work, tookSeconds, 0, stated, now);
         slowdown = updatedDelaySlowdown(slowdown, work, tookSeconds, stated);
     }
 
-    /**
-     * Learns the server's usual speed from an answer. What the server stated of the time of the work is no part of it.
-     * Work that may have waited only shows that it took no longer than the whole time.
-     */
-    private void observeWork(AssignedWork work, double workedSeconds, double stated, long now) {
-        double expectedSeconds = work.nominalWorkSeconds() * stated;
-        boolean tooShort =
-                runsModel() && expectedSeconds * speed.factor() < MIN_MEASURED_FRACTION * speed.fixedSeconds();
-        if (tooShort || expectedSeconds <= 0 || workedSeconds <= 0) {
-            return;
-        }
-        double multiple = workedSeconds / expectedSeconds;
-        if (work.serverWasIdle() || multiple < slowdownFromSettings(now)) {
-            knownSpeed.workObserved(multiple, now);
-        }
-    }
-
     private static double updatedDelaySlowdown(double slowdown, AssignedWork work, double tookSeconds, double stated) {
         double expectedSeconds =
                 Math.max(MIN_EXPECTED_SECONDS, work.expectedAnswerSeconds() / work.statedSlowdown() * stated);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerRanking.java
@@ -135,9 +135,7 @@
         double bestScore = Double.MAX_VALUE;
         for (ServerEstimate candidate : usable) {
             PlainWork.Durations durations = work.at(candidate);
-            double score = durations.score()
-                    + penaltySeconds(candidate, now)
-                    + random.nextDouble() * TIE_BREAK_SECONDS;
+            double score = durations.score() + penaltySeconds(candidate, now) + random.nextDouble() * TIE_BREAK_SECONDS;
             if (score < bestScore) {
                 bestScore = score;
                 best = new Placement.SingleServer(
@@ -300,8 +298,10 @@
                     + cachePenaltySeconds(prefill, engine)
                     + Math.max(
                             PromptCosts.transferSeconds(settings, tokens, sourceDataCentre, engine),
-                            engine.handoffSeconds(typicalSeconds, now))
-                    + engine.requests(peerLoads.onServer(engine.server().id()), now) * SECONDS_PER_DECODE_REQUEST
+                            engine.handoffSeconds(typicalSeconds, now) * engine.statedSlowdown(now))
+                    + engine.requests(peerLoads.onServer(engine.server().id()), now)
+                            * SECONDS_PER_DECODE_REQUEST
+                            * engine.statedSlowdown(now)
                     + random.nextDouble() * TIE_BREAK_SECONDS;
             if (score < bestScore) {
                 best = engine;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LoadLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LoadLog.java
@@ -3,15 +3,28 @@
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.BackendServer;
 
-/** Logs what is wrong with the load that servers state. */
+/** Logs that servers state their slowdown, and what is wrong with the load that they state. */
 final class LoadLog {
     private final DecisionLog log;
+    private final OncePerIncarnation stating = new OncePerIncarnation();
     private final OncePerIncarnation unreadable = new OncePerIncarnation();
 
     LoadLog(DecisionLog log) {
         this.log = log;
     }
 
+    /** Logs the first slowdown that an incarnation states. */
+    void stated(BackendServer server, double slowdown) {
+        if (!stating.first(server)) {
+            return;
+        }
+        log.notable("server-states-slowdown")
+                .with("server", server.id())
+                .with("service", server.service())
+                .with("slowdown", String.valueOf(slowdown))
+                .write();
+    }
+
     /** Logs a statement with a figure that is discarded; once for each incarnation, since each answer may have it. */
     void unreadable(BackendServer server, String text) {
         if (!unreadable.first(server)) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -80,7 +80,10 @@
     }
 
     private void loadStated(BackendServer server, ReportedLoad load) {
-        load.slowdown().ifPresent(slowdown -> placement.knownSpeeds().stated(server, slowdown, time.monotonicNanos()));
+        load.slowdown().ifPresent(slowdown -> {
+            placement.knownSpeeds().stated(server, slowdown, time.monotonicNanos());
+            loadLog.stated(server, slowdown);
+        });
         load.unreadable().ifPresent(text -> loadLog.unreadable(server, text));
     }
 
