--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/SimulatedEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/SimulatedEntry.java
@@ -3,10 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import org.aspenmoor.internal.duty.OrderStanding;
-import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
 
 /** One entry process, which follows both collections and reports to the others. */
@@ -89,24 +86,7 @@
     }
 
     void report() {
-        long now = simulation.now();
-        PeerReport report = new PeerReport(
-                name,
-                startedAt,
-                ++sequence,
-                Map.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding(name, true, 0),
-                new PeerMeasurements(List.of(), List.of(), freshness.observations(now)),
-                false);
+        PeerReport report = TestReports.of(name, startedAt, ++sequence, freshness.observations(simulation.now()));
         simulation.send(this, report);
     }
 
