--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/TestReports.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/TestReports.java
@@ -27,7 +27,7 @@
                 List.of(),
                 Optional.empty(),
                 new OrderStanding(sender, true, 0),
-                new PeerMeasurements(List.of(), List.of(), observations),
+                new PeerMeasurements(List.of(), List.of(), List.of(), observations),
                 false);
     }
 }
