Bound the bytes that an entry buffers for callers and servers, and drop callers that do not read

Back-pressure worked for each caller alone; many callers that do not read plain answers could exhaust the heap. AnswerBuffers counts bodies, collected answers and what callers have not read; above mostBufferedShare of the maximum heap (0.6), callers that hold most and have read nothing for longest are reset.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -22,10 +22,12 @@
 import org.aspenmoor.internal.duty.DutyLease;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.caller.AnswerBuffers;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
 import org.aspenmoor.internal.gateway.caller.LocalAnswers;
 import org.aspenmoor.internal.gateway.eventloop.EventLoopMonitor;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
+import org.aspenmoor.internal.gateway.log.CallerDropLog;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.ConfigurationListener;
 import org.aspenmoor.internal.gateway.membership.FreshnessMonitor;
@@ -106,6 +108,7 @@
     private final FatalRequestTracker fatalRequests;
     private final Optional<UsageTracker> usage;
     private final RequestDispatcher dispatcher;
+    private final AnswerBuffers buffers;
     private final CallerServer callers;
     private final GracefulStop gracefulStop;
     private final EventLoopMonitor eventLoopMonitor;
@@ -152,6 +155,9 @@
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.origins = new StreamOriginTracker(
                 new PeerOriginNetwork(peers, state::activeEntries, this::sendReport, eventLoop), time);
+        CallerDropLog dropLog = new CallerDropLog(log, registry);
+        this.buffers = new AnswerBuffers(settings.maxBufferedBytes(), time, eventLoop, dropLog);
+        dropLog.registerBytes(registry, buffers::bytes);
         ServingContext context = new ServingContext(
                 state,
                 connections,
@@ -162,10 +168,11 @@
                 waitQueues,
                 usage,
                 origins,
-                fatalRequests);
+                fatalRequests,
+                buffers);
         ShareMetrics.register(registry, state.shares()::summaries);
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
-        this.callers = new CallerServer(dispatcher, time, longRoundTask);
+        this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
         this.reporter =
                 new PeerReporter(peers, state, fatalRequests, origins, usage, gracefulStop::begun, eventLoop);
@@ -370,6 +377,7 @@
         state.expireServers(nowNanos).forEach(connections::remove);
         connections.closeStale();
         callers.enforceTimeouts(nowNanos);
+        buffers.check();
         gracefulStop.advance(nowNanos);
     }
 
--- /dev/null
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/AnswerBuffers.java
@@ -0,0 +1,137 @@
+package org.aspenmoor.internal.gateway.caller;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import org.aspenmoor.internal.time.TimeSource;
+
+/**
+ * Bounds the bytes that this entry buffers for all callers and servers together: bodies of requests, answers that are
+ * collected before they are sent, and parts of answers that callers have not read. Confined to the event loop.
+ *
+ * <p>Reading from a server pauses while its caller does not read, but each caller may still hold some tens of kilobytes
+ * of a stream, or a whole plain answer. When the bound is exceeded, callers that do not read are dropped. While it is
+ * exceeded nevertheless, no more is accepted to be collected.
+ */
+public final class AnswerBuffers {
+    private final long maxBytes;
+    private final TimeSource time;
+    private final Executor eventLoop;
+    private final DropListener dropListener;
+    private final Map<BufferedCaller, ReadProgress> callers = new LinkedHashMap<>();
+    private long bodyBytes;
+    private long collectedBytes;
+    private long unreadBytes;
+    private boolean checkScheduled;
+
+    /**
+     * Creates an instance without bytes.
+     *
+     * @param maxBytes the bound
+     * @param eventLoop runs checks after the task that made them necessary
+     */
+    public AnswerBuffers(long maxBytes, TimeSource time, Executor eventLoop, DropListener dropListener) {
+        this.maxBytes = maxBytes;
+        this.time = time;
+        this.eventLoop = eventLoop;
+        this.dropListener = dropListener;
+    }
+
+    /** Accounts for a part of a request body, or its release if negative; returns false if there is no room for it. */
+    public boolean addBody(long bytes) {
+        if (bytes > 0 && exceededWith(bytes)) {
+            return false;
+        }
+        bodyBytes += bytes;
+        return true;
+    }
+
+    /** Accounts for a part of an answer that is collected before it is sent; returns false if there is no room for it. */
+    public boolean collect(long bytes) {
+        if (exceededWith(bytes)) {
+            return false;
+        }
+        collectedBytes += bytes;
+        return true;
+    }
+
+    /** Accounts for the release of collected bytes. */
+    public void release(long bytes) {
+        collectedBytes -= bytes;
+    }
+
+    /** Returns the bytes that are buffered, of which those that callers have not read were counted at the last check. */
+    public long bytes() {
+        return bodyBytes + collectedBytes + unreadBytes;
+    }
+
+    /** Drops callers that do not read if the bound is exceeded; to be called several times a second. */
+    public void check() {
+        checkScheduled = false;
+        makeRoomFor(0);
+    }
+
+    private void makeRoomFor(long wantedBytes) {
+        long now = time.monotonicNanos();
+        unreadBytes = 0;
+        List<SlowReaders.Reader<BufferedCaller>> readers = new ArrayList<>();
+        callers.forEach((caller, progress) -> {
+            long bytes = caller.bufferedBytes();
+            unreadBytes += bytes;
+            progress.update(caller, bytes, now);
+            readers.add(new SlowReaders.Reader<>(caller, bytes, Duration.ofNanos(now - progress.lastReadAt)));
+        });
+        for (SlowReaders.Reader<BufferedCaller> reader :
+                SlowReaders.toDrop(readers, bytes() + wantedBytes - maxBytes)) {
+            unreadBytes -= reader.bytes();
+            callers.remove(reader.caller());
+            reader.caller().drop();
+            dropListener.dropped(reader.bytes(), reader.unread());
+        }
+    }
+
+    void connected(BufferedCaller caller) {
+        callers.put(caller, new ReadProgress(time.monotonicNanos()));
+    }
+
+    void disconnected(BufferedCaller caller) {
+        callers.remove(caller);
+    }
+
+    /** Records that bytes were written to a caller, which may or may not have read them. */
+    void written(long bytes) {
+        unreadBytes += bytes;
+        if (bytes() > maxBytes && !checkScheduled) {
+            checkScheduled = true;
+            eventLoop.execute(this::check);
+        }
+    }
+
+    /** Returns whether more bytes would exceed the bound although all callers that do not read have been dropped. */
+    private boolean exceededWith(long bytes) {
+        if (bytes() + bytes > maxBytes) {
+            makeRoomFor(bytes);
+        }
+        return bytes() + bytes > maxBytes;
+    }
+
+    private static final class ReadProgress {
+        private long sentBytes;
+        private long lastReadAt;
+
+        ReadProgress(long now) {
+            lastReadAt = now;
+        }
+
+        /** A caller for which nothing waits cannot be expected to read. */
+        void update(BufferedCaller caller, long bufferedBytes, long now) {
+            if (bufferedBytes == 0 || caller.sentBytes() != sentBytes) {
+                sentBytes = caller.sentBytes();
+                lastReadAt = now;
+            }
+        }
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -8,6 +8,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -34,7 +36,7 @@
  * <p>The connection continues reading while a request is served, because otherwise it would not detect that the caller
  * has disconnected. Parts of later requests are queued up to a limit.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerWriter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerWriter, BufferedCaller {
     /**
      * Number of queued HTTP objects of later requests beyond which reading is paused until the current request ends.
      */
@@ -44,6 +46,7 @@
     private final RequestService service;
     private final TimeSource time;
     private final LongRoundTask longRoundTask;
+    private final SentBytesHandler sentBytes;
     private final Deque<Object> queuedMessages = new ArrayDeque<>();
     private HttpRequest head;
     private CompositeByteBuf body;
@@ -56,11 +59,17 @@
     private boolean closing;
     private ActiveRequest activeRequest;
 
-    CallerConnection(Channel channel, RequestService service, TimeSource time, LongRoundTask longRoundTask) {
+    CallerConnection(
+            Channel channel,
+            RequestService service,
+            TimeSource time,
+            LongRoundTask longRoundTask,
+            SentBytesHandler sentBytes) {
         this.channel = channel;
         this.service = service;
         this.time = time;
         this.longRoundTask = longRoundTask;
+        this.sentBytes = sentBytes;
         this.lastActivityNanos = time.monotonicNanos();
     }
 
@@ -152,6 +161,25 @@
         }
     }
 
+    @Override
+    public long bufferedBytes() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
+    @Override
+    public long sentBytes() {
+        return sentBytes.sentBytes(channel.unsafe().outboundBuffer());
+    }
+
+    /** Resets the connection, so that the operating system discards its part of the bytes too. */
+    @Override
+    public void drop() {
+        disconnected();
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
     @Override
     public void sendAnswer(FullHttpResponse answer) {
         boolean keepOpen = keepAlive && !service.stopping();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -30,6 +30,7 @@
     private final RequestService service;
     private final TimeSource time;
     private final LongRoundTask longRoundTask;
+    private final AnswerBuffers buffers;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Channel listenerChannel;
 
@@ -37,11 +38,13 @@
      * Creates a server without an open port.
      *
      * @param longRoundTask called before each request is served
+     * @param buffers bounds what is buffered for callers
      */
-    public CallerServer(RequestService service, TimeSource time, LongRoundTask longRoundTask) {
+    public CallerServer(RequestService service, TimeSource time, LongRoundTask longRoundTask, AnswerBuffers buffers) {
         this.service = service;
         this.time = time;
         this.longRoundTask = longRoundTask;
+        this.buffers = buffers;
     }
 
     /** Opens the port and returns the address it is bound to. */
@@ -110,10 +113,16 @@
     }
 
     private void accept(Channel channel) {
-        CallerConnection connection = new CallerConnection(channel, service, time, longRoundTask);
+        SentBytesHandler sentBytes = new SentBytesHandler(buffers);
+        CallerConnection connection = new CallerConnection(channel, service, time, longRoundTask, sentBytes);
         connections.add(connection);
-        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        buffers.connected(connection);
+        channel.closeFuture().addListener(closed -> {
+            connections.remove(connection);
+            buffers.disconnected(connection);
+        });
         channel.pipeline()
+                .addLast(sentBytes)
                 .addLast(new BytesReceivedHandler(connection))
                 .addLast(new HttpServerCodec(
                         MAX_INITIAL_LINE_LENGTH, service.connectionLimits().maxHeaderBytes(), MAX_CHUNK_BYTES))
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
+import org.aspenmoor.internal.gateway.caller.AnswerBuffers;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
@@ -29,20 +30,24 @@
     private final BackendServer server;
     private final AssignedWork work;
     private final boolean streamed;
+    private final AnswerBuffers buffers;
     private final ByteBuf buffered = Unpooled.buffer();
     private final EventSplitter events = new EventSplitter();
     private HttpResponse head;
     private AnswerMetadata metadata;
+    private long collectedBytes;
     private boolean begun;
     private long begunAt;
     private long lastEventAt;
     private boolean finished;
 
-    AnswerAttempt(ServedRequest request, BackendServer server, AssignedWork work, boolean streamed) {
+    AnswerAttempt(
+            ServedRequest request, BackendServer server, AssignedWork work, boolean streamed, AnswerBuffers buffers) {
         this.request = request;
         this.server = server;
         this.work = work;
         this.streamed = streamed;
+        this.buffers = buffers;
     }
 
     @Override
@@ -62,9 +67,15 @@
             forwardEvents();
             return;
         }
-        if (buffered.readableBytes() + part.readableBytes() <= MAX_BUFFERED_BYTES) {
-            buffered.writeBytes(part, part.readerIndex(), part.readableBytes());
+        if (finished || buffered.readableBytes() + part.readableBytes() > MAX_BUFFERED_BYTES) {
+            return;
+        }
+        if (!buffers.collect(part.readableBytes())) {
+            request.abandon(this, "the limit on bytes held for callers and servers has been reached");
+            return;
         }
+        collectedBytes += part.readableBytes();
+        buffered.writeBytes(part, part.readerIndex(), part.readableBytes());
     }
 
     @Override
@@ -124,6 +135,7 @@
     void release() {
         if (!finished) {
             finished = true;
+            buffers.release(collectedBytes);
             buffered.release();
             events.release();
         }
@@ -174,12 +186,19 @@
             return;
         }
         if (head.status().codeClass() == HttpStatusClass.SERVER_ERROR || impliesNoRun(head.status())) {
-            request.failureReceived(work, head, buffered.copy(), metadata);
-            release();
+            ByteBuf body = takeBuffered();
+            request.failureReceived(work, head, body, metadata);
             return;
         }
-        request.answerComplete(work, head, buffered.copy());
+        ByteBuf body = takeBuffered();
+        request.answerComplete(work, head, body);
+    }
+
+    /** Ends the attempt and returns the collected body, which counts as unread by the caller once it is sent. */
+    private ByteBuf takeBuffered() {
+        ByteBuf body = buffered.retainedSlice();
         release();
+        return body;
     }
 
     /** Returns the end of an attempt whose answer states that the server has not run the request. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
@@ -79,7 +79,7 @@
         trace.sentTo(server);
         AssignedWork work = currentAttempt.begin(server, kind, promptSeconds);
         assignPrompt(server, now);
-        AnswerAttempt attempt = new AnswerAttempt(request, server, work, route.streamed());
+        AnswerAttempt attempt = new AnswerAttempt(request, server, work, route.streamed(), context.buffers());
         request.attemptStarting(attempt);
         FullHttpRequest message = messages.answerRequest(server, cacheSource, cacheHolder, stream.lastEventId(), now);
         if (route.retryRule() == RetryRule.AT_MOST_ONCE || route.maxBackends() == 1) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -207,7 +207,7 @@
 
     @Override
     public boolean reserveBodyBytes(int bytes) {
-        if (reservedBodyBytes + bytes > maxBodyBytes) {
+        if (reservedBodyBytes + bytes > maxBodyBytes || !context.buffers().addBody(bytes)) {
             return false;
         }
         reservedBodyBytes += bytes;
@@ -217,6 +217,7 @@
     @Override
     public void releaseBodyBytes(int bytes) {
         reservedBodyBytes -= bytes;
+        context.buffers().addBody(-bytes);
     }
 
     private ActiveRequest refuse(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -200,12 +200,8 @@
         }
         switch (watched) {
             case AnswerAttempt answer
-            when attempts.attempts() < request.route().maxBackends() -> {
-                answer.release();
-                currentAttempt.cancel();
-                String reason = answer.begun() ? "the answer stalled" : "no answer began within the stall limit";
-                attemptEnded(answer.work(), new AttemptEnd.Lost(), reason);
-            }
+            when attempts.attempts() < request.route().maxBackends() ->
+                abandon(answer, answer.begun() ? "the answer stalled" : "no answer began within the stall limit");
             case AnswerAttempt last -> trace.setReason("the server is unresponsive, and no further attempt is allowed");
             case PrefillAttempt prefill -> {
                 currentAttempt.cancel();
@@ -214,6 +210,13 @@
         }
     }
 
+    /** Cancels an attempt whose answer can no longer be used. */
+    void abandon(AnswerAttempt answer, String reason) {
+        answer.release();
+        currentAttempt.cancel();
+        attemptEnded(answer.work(), new AttemptEnd.Lost(), reason);
+    }
+
     /** Records the load that a server reports with an answer. */
     void loadReported(AssignedWork work, AnswerMetadata metadata) {
         metadata.load().ifPresent(load -> context.state().placement().loadReported(work, load, now()));
@@ -298,10 +301,9 @@
 
     /** Continues the answer after its last event at another engine. */
     private void continueElsewhere(String reason) {
-        AssignedWork interrupted = answerAttempt.work();
         answerAttempt.release();
         currentAttempt.cancel();
-        currentAttempt.end(interrupted);
+        currentAttempt.end(answerAttempt.work());
         attempts.attemptEnded(new AttemptEnd.Lost());
         permit.recordGranted();
         context.metrics().attemptEnded(service, "moved");
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.caller.AnswerBuffers;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
@@ -20,6 +21,7 @@
  * @param usage counts the requests of organisations; empty if usage is not reported
  * @param origins which software versions began streams
  * @param fatalRequests the requests that terminate the servers that run them
+ * @param buffers bounds what is buffered for callers and servers
  */
 public record ServingContext(
         ServingState state,
@@ -30,4 +32,5 @@
         WaitQueues waitQueues,
         Optional<UsageTracker> usage,
         StreamOriginTracker origins,
-        FatalRequestTracker fatalRequests) {}
+        FatalRequestTracker fatalRequests,
+        AnswerBuffers buffers) {}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param storeBounds the times within which changes in the store must be in force
  * @param gracePeriod how long after SIGTERM the process may run before it is killed
  * @param maxBodyBytes the maximum total size of the request bodies held in memory, in bytes
+ * @param maxBufferedBytes the maximum number of bytes buffered for all callers and servers together
  * @param placement the settings for the placement of requests
  * @param pauseBetweenHolders the time that receivers of orders and reports require between the calls of two entries
  * @param duties the duties that one entry performs for all; empty if there are none
@@ -39,6 +40,7 @@
         StoreBounds storeBounds,
         Duration gracePeriod,
         int maxBodyBytes,
+        long maxBufferedBytes,
         PlacementSettings placement,
         Duration pauseBetweenHolders,
         Optional<DutySettings> duties,
@@ -73,6 +75,7 @@
                 storeBounds,
                 gracePeriod,
                 maxBodyBytes,
+                maxBufferedBytes,
                 placement,
                 pauseBetweenHolders,
                 duties,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -20,6 +20,11 @@
     /** One sixth of the memory of the smallest host that entries run on. */
     private static final int DEFAULT_BODY_MEBIBYTES = 48;
 
+    /** The rest of the memory is for the program itself and for buffers that are being filled. */
+    private static final double DEFAULT_BUFFERED_FRACTION = 0.6;
+
+    private static final double MIN_BUFFERED_FRACTION = 0.01;
+
     /** Time within which an unresponsive connection to the store must be detected. */
     private static final int DEFAULT_STORE_TIMEOUT_MILLISECONDS = 2000;
 
@@ -81,6 +86,8 @@
                 readStoreBounds(reader),
                 reader.seconds("graceSeconds", 1, MAX_SECONDS, DEFAULT_GRACE_PERIOD),
                 reader.integer("mostBodyMebibytes", 1, MAX_BODY_MEBIBYTES, DEFAULT_BODY_MEBIBYTES) * MEBIBYTE,
+                (long) (Runtime.getRuntime().maxMemory()
+                        * reader.decimal("mostBufferedShare", MIN_BUFFERED_FRACTION, 1, DEFAULT_BUFFERED_FRACTION)),
                 new PlacementSettings(
                         reader.requiredText("dataCentre"),
                         EngineSpeedReader.read(reader),
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -57,6 +57,7 @@
     public static final String HOST = "house.example";
     public static final String LOCAL_DATA_CENTRE = "here";
 
+    private static final long MAX_BUFFERED_BYTES = 24L * 1024 * 1024;
     private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(15);
     /** Only limits how long a failing test takes; no assertion depends on it. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(60);
@@ -140,6 +141,7 @@
                 StoreBounds.NONE,
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
+                MAX_BUFFERED_BYTES,
                 placement,
                 Duration.ofSeconds(3),
                 duties,
