Register the counter of share decisions in a method of its own, and end long reports after contention

A method was too long for the lint; and a turned-away request counted as contention until its average underflowed, so that reports stayed long.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/ServiceShares.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/ServiceShares.java
@@ -13,6 +13,9 @@
     private static final long UPDATE_NANOSECONDS_PER_DEMAND =
             Duration.ofNanos(20_000).toNanos();
 
+    /** Part of the admitted work that was turned away some seconds after the last request. */
+    private static final double CONTENDED_FRACTION = 1e-3;
+
     /** How many organisations are listed within this entry. */
     private static final int ALL_ORGANISATIONS = Integer.MAX_VALUE;
 
@@ -86,7 +89,8 @@
 
     /** Returns whether admitted work is turned away anywhere, or was recently. */
     boolean contended() {
-        return limiting || figures.turnedAway() > 0;
+        double admitted = figures.completed() + figures.turnedAway();
+        return limiting || figures.turnedAway() > CONTENDED_FRACTION * admitted;
     }
 
     /** Returns whether nothing is known of the service any more. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -49,12 +49,7 @@
                 "Requests by organisation and outcome; the first hundred organisations by name, the others together.",
                 "organisation",
                 "outcome");
-        this.shareDecisions = counter(
-                registry,
-                "aspenmoor_organisation_share_decisions_total",
-                "Requests by organisation (as above) and whether its share admitted them; both together were asked for.",
-                "organisation",
-                "admitted");
+        this.shareDecisions = shareDecisions(registry);
         this.attempts = counter(
                 registry,
                 "aspenmoor_attempts_total",
@@ -119,6 +114,15 @@
                 .register(registry);
     }
 
+    private static Counter shareDecisions(PrometheusRegistry registry) {
+        return counter(
+                registry,
+                "aspenmoor_organisation_share_decisions_total",
+                "Requests by organisation (as above) and whether its share admitted them; both together were asked for.",
+                "organisation",
+                "admitted");
+    }
+
     private static Counter counter(PrometheusRegistry registry, String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
