--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -174,8 +174,7 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
-        this.reporter =
-                new PeerReporter(peers, state, fatalRequests, origins, usage, gracefulStop::begun, eventLoop);
+        this.reporter = new PeerReporter(peers, state, fatalRequests, origins, usage, gracefulStop::begun, eventLoop);
         LoadSharingMetrics.register(
                 registry, peers::announcementsSent, peers::announcementsReceived, state.peerSharing()::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -90,8 +90,7 @@
                 time,
                 server -> placementPolicy.serverChanged(server, cacheTokens(server)),
                 log);
-        this.peerSharing =
-                new PeerSharing(peers, placementPolicy, limits, statements, shares, storeFreshness, time);
+        this.peerSharing = new PeerSharing(peers, placementPolicy, limits, statements, shares, storeFreshness, time);
     }
 
     /** Applies changed settings. */
