Let old statements of speed decay to the server's lasting speed

Some engines state 0.7 and others 1.7 in all calm times; a statement older than a second counted as 1. The lasting slowdown is the lower quartile of the recent statements once they cover a second. It travels with the statements, and an entry with few statements uses that of a peer.

A statement older than a second is reported if it has not been reported yet, because 300 entries report every three seconds. KnownSpeedsTest is as strict as before; only the constructor of ServerSpeed has changed.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -195,7 +195,7 @@
      * Returns how long a long prompt of this entry typically occupies the engine, in seconds; zero until one was sent.
      */
     double typicalPromptSeconds(long now) {
-        return typicalPromptSeconds * slowdownFromSettings(now);
+        return typicalPromptSeconds * slowdownFromSettings(now) * knownSpeed.lastingSlowdown();
     }
 
     /** Returns whether the engine's speed was learned from enough answers. */
@@ -227,7 +227,8 @@
     }
 
     EngineState state(EntryLoad others, boolean restricted, long now) {
-        return new EngineState(server, load(others, now), slowdown(now), changingRole(now), restricted);
+        double lastingSlowdown = slowdown(now) * knownSpeed.lastingSlowdown();
+        return new EngineState(server, load(others, now), lastingSlowdown, changingRole(now), restricted);
     }
 
     /** Records an event of an answer and the interval since the previous event. */
@@ -383,6 +384,7 @@
                 outstanding,
                 slowdown(now),
                 knownSpeed.currentStatement(now),
+                knownSpeed.lastingSlowdown(),
                 health.failureFraction(),
                 changingRole(now),
                 health.paused(now),
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -12,6 +12,7 @@
  * @param ownRequests requests of this entry at the server
  * @param slowdown how many times longer than expected it takes at its usual speed
  * @param statedSlowdown how many times longer than usual it takes at this moment; empty if it has not stated that lately
+ * @param lastingSlowdown how many times longer than usual it takes outside of slow phases, as it states itself
  * @param failureFraction fraction of its recent answers that were failures
  * @param changingRole whether it has been ordered to change its role
  * @param paused whether it gets no requests after failures
@@ -26,6 +27,7 @@
         int ownRequests,
         double slowdown,
         Optional<StatedSlowdown> statedSlowdown,
+        double lastingSlowdown,
         double failureFraction,
         boolean changingRole,
         boolean paused,
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/KnownSpeed.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/KnownSpeed.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.LastingSlowdown;
 import org.aspenmoor.internal.serving.LearnedSlowdown;
 import org.aspenmoor.internal.serving.ServerSpeed;
 import org.aspenmoor.internal.serving.StatedSlowdown;
@@ -36,16 +37,22 @@
     private final StatingService service;
     private final NewestStatement newest = new NewestStatement();
     private final NewestStatement own = new NewestStatement();
+    private final LastingEstimate lasting = new LastingEstimate();
     private final SlowdownAverage ownAnswers = new SlowdownAverage();
     private final PeerSlowdowns peers = new PeerSlowdowns();
     private boolean countsAsStating;
     private long learnedReportedAt = Long.MIN_VALUE;
+    private Optional<Long> lastReportedStatement = Optional.empty();
 
     KnownSpeed(BackendServer server, StatingService service) {
         this.server = server;
         this.service = service;
     }
 
+    BackendServer server() {
+        return server;
+    }
+
     /** Returns whether servers of this service state their slowdown; otherwise nothing here may be used. */
     public boolean inUse() {
         return service.states();
@@ -53,12 +60,22 @@
 
     /** Returns how long work is expected to take now, as a multiple of its usual duration at this server. */
     public double statedSlowdown(long now) {
-        return newest.expected(now);
+        return newest.expected(lasting.factor(), now);
     }
 
     /** Returns the multiple of its usual duration that work took which was done in the given time. */
     public double statedDuring(long from, long now) {
-        return newest.during(from, now);
+        return newest.during(lasting.factor(), from, now);
+    }
+
+    /** Returns how long work takes outside of slow phases, as the server states it; 1 if it states nothing. */
+    public double lastingSlowdown() {
+        return lasting.factor();
+    }
+
+    /** Returns when the newest statement was made, to this entry or to another one; empty if there is none. */
+    public Optional<Long> newestStatementAt() {
+        return newest.statedAt();
     }
 
     /** Returns the newest statement; empty if there is none from the last second. */
@@ -119,21 +136,28 @@
 
     void statedToThisEntry(double factor, long now) {
         own.stated(factor, now);
-        newest.stated(factor, now);
-        countAsStating();
+        stated(factor, now);
     }
 
     void reported(String entry, ServerSpeed speed, long now) {
         speed.stated().ifPresent(stated -> {
-            newest.stated(SpeedLimits.clamp(stated.factor()), now - stated.age().toNanos());
-            countAsStating();
+            stated(SpeedLimits.clamp(stated.factor()), now - stated.age().toNanos());
         });
+        speed.lasting()
+                .ifPresent(reported -> lasting.reported(SpeedLimits.clamp(reported.factor()), reported.statements()));
         speed.learned().ifPresent(learned -> {
             peers.received(entry, learned, now);
             countAsStating();
         });
     }
 
+    private void stated(double factor, long at) {
+        if (newest.stated(factor, at)) {
+            lasting.stated(factor, at);
+        }
+        countAsStating();
+    }
+
     void expire(long now) {
         peers.expire(now);
     }
@@ -150,12 +174,19 @@
 
     /** Returns what this entry has to say about the server; empty if nothing. */
     Optional<ServerSpeed> toReport(boolean withLearned, long now) {
-        Optional<StatedSlowdown> stated = own.current(now);
+        Optional<StatedSlowdown> stated = own.current(now).or(() -> unreported(now));
         if (stated.isEmpty() && !withLearned) {
             return Optional.empty();
         }
         Optional<LearnedSlowdown> learned = withLearned ? Optional.of(ownLearned(now)) : Optional.empty();
-        return Optional.of(new ServerSpeed(server.id(), server.startedAt(), stated, learned));
+        lastReportedStatement = own.statedAt();
+        Optional<LastingSlowdown> reportedLasting = stated.flatMap(present -> lasting.ownEstimate());
+        return Optional.of(new ServerSpeed(server.id(), server.startedAt(), stated, reportedLasting, learned));
+    }
+
+    /** With 300 entries, reports are three seconds apart; without this, the others would not hear most statements. */
+    private Optional<StatedSlowdown> unreported(long now) {
+        return own.statedAt().equals(lastReportedStatement) ? Optional.empty() : own.newest(now);
     }
 
     private LearnedSlowdown ownLearned(long now) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/NewestStatement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/NewestStatement.java
@@ -9,40 +9,55 @@
     /** Hosts are slow for about half a second at a time, so an older statement says nothing of the present. */
     static final long MAX_AGE_NANOSECONDS = Duration.ofSeconds(1).toNanos();
 
-    /** After this time a server that stated that it is slow is as likely to be back at its usual speed as not. */
+    /** After this time a server that stated that it is slow is as likely to be back at its lasting speed as not. */
     private static final double HALF_LIFE_NANOSECONDS = Duration.ofMillis(300).toNanos();
 
-    private double factor = 1;
+    private double factor;
     private long statedAt;
     private boolean present;
 
-    /** Applies a statement; an older one than the newest is ignored. */
-    void stated(double newFactor, long at) {
+    /** Applies a statement; an older one than the newest is ignored. Returns whether it is the newest. */
+    boolean stated(double newFactor, long at) {
         if (present && at < statedAt) {
-            return;
+            return false;
         }
         factor = newFactor;
         statedAt = at;
         present = true;
+        return true;
     }
 
-    /** Returns the statement with its age; empty if there is none from the last second. */
-    Optional<StatedSlowdown> current(long now) {
-        return present && now - statedAt <= MAX_AGE_NANOSECONDS
+    /** Returns when the newest statement was made; empty if there is none. */
+    Optional<Long> statedAt() {
+        return present ? Optional.of(statedAt) : Optional.empty();
+    }
+
+    /** Returns the newest statement with its age; empty if there is none. */
+    Optional<StatedSlowdown> newest(long now) {
+        return present
                 ? Optional.of(new StatedSlowdown(factor, Duration.ofNanos(Math.max(0, now - statedAt))))
                 : Optional.empty();
     }
 
-    /** Returns how long work is expected to take, as a multiple of its usual duration; the usual one without a statement. */
-    double expected(long now) {
+    /** Returns the newest statement with its age; empty if there is none from the last second. */
+    Optional<StatedSlowdown> current(long now) {
+        return newest(now).filter(stated -> stated.age().toNanos() <= MAX_AGE_NANOSECONDS);
+    }
+
+    /**
+     * Returns how long work is expected to take, as a multiple of its usual duration.
+     *
+     * @param lasting the multiple outside of slow phases, which holds without a recent statement
+     */
+    double expected(double lasting, long now) {
         return current(now)
-                .map(stated -> 1 + weight(stated.age().toNanos()) * (stated.factor() - 1))
-                .orElse(1.0);
+                .map(stated -> lasting + weight(stated.age().toNanos()) * (stated.factor() - lasting))
+                .orElse(lasting);
     }
 
     /** Returns the slowdown of work that was done in the given time. */
-    double during(long from, long now) {
-        return present && statedAt >= from ? factor : expected(now);
+    double during(double lasting, long from, long now) {
+        return present && statedAt >= from ? factor : expected(lasting, now);
     }
 
     private static double weight(long ageNanoseconds) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/speed/KnownSpeedsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/speed/KnownSpeedsTest.java
@@ -127,11 +127,12 @@
 
     private static ServerSpeed stated(String id, long startedAt, double factor, long ageMilliseconds) {
         StatedSlowdown stated = new StatedSlowdown(factor, Duration.ofMillis(ageMilliseconds));
-        return new ServerSpeed(id, startedAt, Optional.of(stated), Optional.empty());
+        return new ServerSpeed(id, startedAt, Optional.of(stated), Optional.empty(), Optional.empty());
     }
 
     private static ServerSpeed learned(String id, long startedAt, double factor, double answers) {
-        return new ServerSpeed(id, startedAt, Optional.empty(), Optional.of(new LearnedSlowdown(factor, answers)));
+        return new ServerSpeed(
+                id, startedAt, Optional.empty(), Optional.empty(), Optional.of(new LearnedSlowdown(factor, answers)));
     }
 
     private static BackendServer server(String id, long startedAt, String service) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -102,6 +102,7 @@
                         secondsPerEvent -> node.put("millisecondsPerEvent", secondsPerEvent * MILLISECONDS_PER_SECOND));
         node.put("ownRequests", summary.ownRequests());
         node.put("slowness", summary.slowdown());
+        node.put("lastingSlowness", summary.lastingSlowdown());
         summary.statedSlowdown().ifPresent(stated -> {
             node.put("statedSlowness", stated.factor());
             node.put("statedSlownessAgeMilliseconds", stated.age().toMillis());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/MeasurementCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/MeasurementCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.LastingSlowdown;
 import org.aspenmoor.internal.serving.LearnedSlowdown;
 import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.ServerSpeed;
@@ -37,6 +38,9 @@
         speed.stated()
                 .ifPresent(stated -> message.setStatedFactor((float) stated.factor())
                         .setStatedAgeMilliseconds((int) stated.age().toMillis()));
+        speed.lasting()
+                .ifPresent(lasting ->
+                        message.setLastingFactor((float) lasting.factor()).setLastingStatements(lasting.statements()));
         speed.learned()
                 .ifPresent(learned -> message.setLearnedFactor((float) learned.factor())
                         .setLearnedAnswers((float) learned.answers()));
@@ -45,8 +49,12 @@
 
     private static List<ServerSpeed> parseSpeeds(PeerLoad report) {
         return report.getServerSpeedsList().stream()
-                .map(message ->
-                        new ServerSpeed(message.getServer(), message.getStartedAt(), stated(message), learned(message)))
+                .map(message -> new ServerSpeed(
+                        message.getServer(),
+                        message.getStartedAt(),
+                        stated(message),
+                        lasting(message),
+                        learned(message)))
                 .toList();
     }
 
@@ -56,6 +64,15 @@
         return usable ? Optional.of(new StatedSlowdown(message.getStatedFactor(), age)) : Optional.empty();
     }
 
+    private static Optional<LastingSlowdown> lasting(PeerLoad.ServerSpeed message) {
+        boolean usable = message.hasLastingFactor()
+                && isFactor(message.getLastingFactor())
+                && message.getLastingStatements() > 0;
+        return usable
+                ? Optional.of(new LastingSlowdown(message.getLastingFactor(), message.getLastingStatements()))
+                : Optional.empty();
+    }
+
     private static Optional<LearnedSlowdown> learned(PeerLoad.ServerSpeed message) {
         boolean usable = message.hasLearnedFactor()
                 && isFactor(message.getLearnedFactor())
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
@@ -118,6 +118,14 @@
                                 .ifPresent(stated -> callback.call(
                                         stated.factor(), summary.server().id()))))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("aspenmoor_server_lasting_slowdown")
+                .help("Duration of work at a backend server outside of slow phases, as it has stated, by server.")
+                .labelNames("server")
+                .callback(callback -> servers.get()
+                        .forEach(summary -> callback.call(
+                                summary.lastingSlowdown(), summary.server().id())))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_stated_slowdown_age_seconds")
                 .help("Seconds since the newest statement of its slowdown by a backend server, by server.")
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -13277,6 +13277,35 @@
      * @return The learnedAnswers.
      */
     float getLearnedAnswers();
+
+    /**
+     * <pre>
+     * The stated slowdown outside of slow phases; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float lasting_factor = 7;</code>
+     * @return Whether the lastingFactor field is set.
+     */
+    boolean hasLastingFactor();
+    /**
+     * <pre>
+     * The stated slowdown outside of slow phases; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float lasting_factor = 7;</code>
+     * @return The lastingFactor.
+     */
+    float getLastingFactor();
+
+    /**
+     * <pre>
+     * The number of statements that it was taken from.
+     * </pre>
+     *
+     * <code>uint32 lasting_statements = 8;</code>
+     * @return The lastingStatements.
+     */
+    int getLastingStatements();
   }
   /**
    * <pre>
@@ -13466,6 +13495,48 @@
       return learnedAnswers_;
     }
 
+    public static final int LASTING_FACTOR_FIELD_NUMBER = 7;
+    private float lastingFactor_ = 0F;
+    /**
+     * <pre>
+     * The stated slowdown outside of slow phases; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float lasting_factor = 7;</code>
+     * @return Whether the lastingFactor field is set.
+     */
+    @java.lang.Override
+    public boolean hasLastingFactor() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * The stated slowdown outside of slow phases; absent if the server states nothing.
+     * </pre>
+     *
+     * <code>optional float lasting_factor = 7;</code>
+     * @return The lastingFactor.
+     */
+    @java.lang.Override
+    public float getLastingFactor() {
+      return lastingFactor_;
+    }
+
+    public static final int LASTING_STATEMENTS_FIELD_NUMBER = 8;
+    private int lastingStatements_ = 0;
+    /**
+     * <pre>
+     * The number of statements that it was taken from.
+     * </pre>
+     *
+     * <code>uint32 lasting_statements = 8;</code>
+     * @return The lastingStatements.
+     */
+    @java.lang.Override
+    public int getLastingStatements() {
+      return lastingStatements_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -13498,6 +13569,12 @@
       if (java.lang.Float.floatToRawIntBits(learnedAnswers_) != 0) {
         output.writeFloat(6, learnedAnswers_);
       }
+      if (((bitField0_ & 0x00000004) != 0)) {
+        output.writeFloat(7, lastingFactor_);
+      }
+      if (lastingStatements_ != 0) {
+        output.writeUInt32(8, lastingStatements_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -13525,6 +13602,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeFloatSize(6, learnedAnswers_);
       }
+      if (((bitField0_ & 0x00000004) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(7, lastingFactor_);
+      }
+      if (lastingStatements_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(8, lastingStatements_);
+      }
       return size;
     }
     @java.lang.Override
@@ -13570,6 +13655,14 @@
       if (java.lang.Float.floatToIntBits(getLearnedAnswers())
           != java.lang.Float.floatToIntBits(
               other.getLearnedAnswers())) return false;
+      if (hasLastingFactor() != other.hasLastingFactor()) return false;
+      if (hasLastingFactor()) {
+        if (java.lang.Float.floatToIntBits(getLastingFactor())
+            != java.lang.Float.floatToIntBits(
+                other.getLastingFactor())) return false;
+      }
+      if (getLastingStatements()
+          != other.getLastingStatements()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -13601,6 +13694,13 @@
       hash = (37 * hash) + LEARNED_ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + java.lang.Float.floatToIntBits(
           getLearnedAnswers());
+      if (hasLastingFactor()) {
+        hash = (37 * hash) + LASTING_FACTOR_FIELD_NUMBER;
+        hash = (53 * hash) + java.lang.Float.floatToIntBits(
+            getLastingFactor());
+      }
+      hash = (37 * hash) + LASTING_STATEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getLastingStatements();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13742,6 +13842,8 @@
         statedAgeMilliseconds_ = 0;
         learnedFactor_ = 0F;
         learnedAnswers_ = 0F;
+        lastingFactor_ = 0F;
+        lastingStatements_ = 0;
         return this;
       }
 
@@ -13796,6 +13898,13 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.learnedAnswers_ = learnedAnswers_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.lastingFactor_ = lastingFactor_;
+          to_bitField0_ |= 0x00000004;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.lastingStatements_ = lastingStatements_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -13831,6 +13940,12 @@
         if (java.lang.Float.floatToRawIntBits(other.getLearnedAnswers()) != 0) {
           setLearnedAnswers(other.getLearnedAnswers());
         }
+        if (other.hasLastingFactor()) {
+          setLastingFactor(other.getLastingFactor());
+        }
+        if (other.getLastingStatements() != 0) {
+          setLastingStatements(other.getLastingStatements());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13885,6 +14000,16 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 53
+              case 61: {
+                lastingFactor_ = input.readFloat();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 61
+              case 64: {
+                lastingStatements_ = input.readUInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -14222,6 +14347,106 @@
         return this;
       }
 
+      private float lastingFactor_ ;
+      /**
+       * <pre>
+       * The stated slowdown outside of slow phases; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float lasting_factor = 7;</code>
+       * @return Whether the lastingFactor field is set.
+       */
+      @java.lang.Override
+      public boolean hasLastingFactor() {
+        return ((bitField0_ & 0x00000040) != 0);
+      }
+      /**
+       * <pre>
+       * The stated slowdown outside of slow phases; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float lasting_factor = 7;</code>
+       * @return The lastingFactor.
+       */
+      @java.lang.Override
+      public float getLastingFactor() {
+        return lastingFactor_;
+      }
+      /**
+       * <pre>
+       * The stated slowdown outside of slow phases; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float lasting_factor = 7;</code>
+       * @param value The lastingFactor to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastingFactor(float value) {
+
+        lastingFactor_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated slowdown outside of slow phases; absent if the server states nothing.
+       * </pre>
+       *
+       * <code>optional float lasting_factor = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastingFactor() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        lastingFactor_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int lastingStatements_ ;
+      /**
+       * <pre>
+       * The number of statements that it was taken from.
+       * </pre>
+       *
+       * <code>uint32 lasting_statements = 8;</code>
+       * @return The lastingStatements.
+       */
+      @java.lang.Override
+      public int getLastingStatements() {
+        return lastingStatements_;
+      }
+      /**
+       * <pre>
+       * The number of statements that it was taken from.
+       * </pre>
+       *
+       * <code>uint32 lasting_statements = 8;</code>
+       * @param value The lastingStatements to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastingStatements(int value) {
+
+        lastingStatements_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of statements that it was taken from.
+       * </pre>
+       *
+       * <code>uint32 lasting_statements = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastingStatements() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        lastingStatements_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.ServerSpeed)
     }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -135,7 +135,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\253\027\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\367\027\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -196,22 +196,24 @@
       "\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".aspenmo" +
       "or.wire.v1.PeerLoad.Stream\022\025\n\rcontradict" +
       "ory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.aspenmoor." +
-      "wire.v1.PeerLoad.Version\032\311\001\n\013ServerSpeed" +
+      "wire.v1.PeerLoad.Version\032\225\002\n\013ServerSpeed" +
       "\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022\032\n\r" +
       "stated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027stated_age_m" +
       "illiseconds\030\004 \001(\r\022\033\n\016learned_factor\030\005 \001(" +
-      "\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002B\020\n\016_stat" +
-      "ed_factorB\021\n\017_learned_factor\032\376\001\n\rService" +
-      "Demand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisations" +
-      "\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad.Serv" +
-      "iceDemand.Organisation\022\034\n\024completed_per_" +
-      "second\030\003 \001(\002\022\036\n\026turned_away_per_second\030\004" +
-      " \001(\002\032O\n\014Organisation\022\024\n\014organisation\030\001 \001" +
-      "(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_second\030" +
-      "\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030\001 \001(\r" +
-      "\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020" +
-      "age_milliseconds\030\004 \001(\rB\"\n\036org.aspenmoor." +
-      "internal.wire.v1P\001b\006proto3"
+      "\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002\022\033\n\016lasti" +
+      "ng_factor\030\007 \001(\002H\002\210\001\001\022\032\n\022lasting_statemen" +
+      "ts\030\010 \001(\rB\020\n\016_stated_factorB\021\n\017_learned_f" +
+      "actorB\021\n\017_lasting_factor\032\376\001\n\rServiceDema" +
+      "nd\022\017\n\007service\030\001 \001(\t\022M\n\rorganisations\030\002 \003" +
+      "(\01326.aspenmoor.wire.v1.PeerLoad.ServiceD" +
+      "emand.Organisation\022\034\n\024completed_per_seco" +
+      "nd\030\003 \001(\002\022\036\n\026turned_away_per_second\030\004 \001(\002" +
+      "\032O\n\014Organisation\022\024\n\014organisation\030\001 \001(\006\022\020" +
+      "\n\010priority\030\002 \001(\r\022\027\n\017work_per_second\030\003 \001(" +
+      "\002\032_\n\013Observation\022\022\n\ncollection\030\001 \001(\r\022\022\n\n" +
+      "generation\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020age_" +
+      "milliseconds\030\004 \001(\rB\"\n\036org.aspenmoor.inte" +
+      "rnal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -318,7 +320,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor,
-        new java.lang.String[] { "Server", "StartedAt", "StatedFactor", "StatedAgeMilliseconds", "LearnedFactor", "LearnedAnswers", });
+        new java.lang.String[] { "Server", "StartedAt", "StatedFactor", "StatedAgeMilliseconds", "LearnedFactor", "LearnedAnswers", "LastingFactor", "LastingStatements", });
     internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(15);
     internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable = new
