Ask the health path of servers for their speed, shared among the entries

Engines that compute prompts only state no load with their answers, and an entry gets a whole answer of a given engine every few seconds, while slow phases last 0.6 s. The entries ask each server of a busy service about three times a second together, in an order by rendezvous hash, shortly before the asking entry reports. Services whose servers state nothing are asked once by each entry.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -172,7 +172,9 @@
         double statedSlowdown = estimate.statedSlowdown(now);
         double fixedSeconds = fixedSeconds(estimate, kind, queuedAtEntry);
         double expectedAnswerSeconds = ranking.waitSeconds(estimate, now) + workSeconds + fixedSeconds;
-        boolean longPrompt = kind != WorkKind.PLAIN && EntryQueueing.isLongPrompt(estimate, learnedWorkSeconds);
+        boolean longPrompt = kind != WorkKind.PLAIN
+                && EntryQueueing.isLongPrompt(
+                        estimate, learnedWorkSeconds * estimate.knownSpeed().lastingSlowdown());
         double requests = estimate.requests(peerLoads.onServer(server.id()), now);
         boolean serverIdle = kind == WorkKind.PLAIN ? requests + 1 <= server.slots() : requests < MIN_BUSY_REQUESTS;
         AssignedWork work = new AssignedWork(
@@ -252,6 +254,16 @@
         return knownSpeeds;
     }
 
+    /** Returns whether nothing speaks against a call that asks a server for its load; one with a limit keeps it for requests. */
+    public boolean mayProbe(String server, long now) {
+        ServerEstimate estimate = estimates.get(server);
+        return estimate != null
+                && estimate.server().state() == BackendState.READY
+                && !estimate.health().paused(now)
+                && !estimate.backoff().limiting(now)
+                && limits.requestsPerSecond(server).isEmpty();
+    }
+
     /** Returns the pauses that servers have asked this entry for. */
     public ServerBackoffs backoffs() {
         return backoffs;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/KnownSpeeds.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/KnownSpeeds.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.EntryLoad;
 import org.aspenmoor.internal.serving.ServerSpeed;
 
 /**
@@ -27,6 +28,7 @@
 
     private final Map<String, KnownSpeed> byServer = new HashMap<>();
     private final Map<String, StatingService> services = new HashMap<>();
+    private final ServiceActivity activity = new ServiceActivity();
     private long expiredAt = Long.MIN_VALUE;
 
     /** Returns the speed of a server that has been registered; nothing is known of a new incarnation. */
@@ -50,6 +52,11 @@
         }
     }
 
+    /** Returns the speed of a server; empty if it is not registered. */
+    public Optional<KnownSpeed> find(String id) {
+        return Optional.ofNullable(byServer.get(id));
+    }
+
     /** Records that a server has stated its slowdown with an answer to this entry. */
     public void stated(BackendServer server, double slowdown, long now) {
         KnownSpeed known = byServer.get(server.id());
@@ -68,6 +75,24 @@
         }
     }
 
+    /** Records a request for a service at this entry. */
+    public void requestArrived(String service, long now) {
+        activity.requestSeen(service, now);
+    }
+
+    /** Records the load that another entry has put on servers, by server id. */
+    public void loadReported(Map<String, EntryLoad> loads, long now) {
+        loads.forEach((id, load) -> {
+            if (load.requests() > 0) {
+                find(id).ifPresent(known -> activity.requestSeen(known.server().service(), now));
+            }
+        });
+    }
+
+    ServiceActivity activity() {
+        return activity;
+    }
+
     /** Returns what this entry has measured itself, to be reported to the other entries. */
     public List<ServerSpeed> toReport(long now) {
         expire(now);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -43,6 +43,7 @@
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.request.SpeedProbing;
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderListener;
@@ -100,6 +101,7 @@
     private final Optional<UsageTracker> usage;
     private final RequestDispatcher dispatcher;
     private final CallerServer callers;
+    private final HealthProbes healthProbes;
     private final GracefulStop gracefulStop;
     private final EventLoopMonitor eventLoopMonitor;
     private final AdministrationPages administrationPages;
@@ -135,6 +137,8 @@
                 state::maxConnectionsPerServer,
                 state.serverObserver(),
                 longRoundTask);
+        this.healthProbes = new HealthProbes(
+                new SpeedProbing(settings.process(), state), connections, backendProtocol, eventLoop, log, registry);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests =
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
@@ -331,7 +335,11 @@
 
     private void reportToPeers() {
         sendReport();
-        eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
+        Duration interval = peers.reportInterval();
+        if (!gracefulStop.begun()) {
+            healthProbes.sendBeforeReport(interval);
+        }
+        eventLoop.schedule(this::reportToPeers, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private PeerReport createReport(String entry, long incarnation, long sequence) {
@@ -367,6 +375,9 @@
         fatalRequests.expire();
         state.samplePromptLoads(waitQueues::anyWaiting);
         state.cacheListing().takeEngines().forEach(this::queryCacheList);
+        if (!gracefulStop.begun()) {
+            healthProbes.sendDue();
+        }
         state.expireServers(nowNanos).forEach(connections::remove);
         connections.closeStale();
         callers.enforceTimeouts(nowNanos);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -173,7 +173,7 @@
         metadata.idleTimeout().ifPresent(timeout -> idleTimeout = timeout.minus(IDLE_TIMEOUT_MARGIN));
         // An answer that denies being the intended server comes from another one, which may run at the same address.
         if (head.status().code() != HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-            pool.answerReceived(metadata, sentAtNanos);
+            pool.answerReceived(currentExchange.healthCall() ? metadata.ofHealthAnswer() : metadata, sentAtNanos);
         }
         currentExchange.listener().headReceived(head, metadata);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -55,7 +55,7 @@
 
     /** Sends a request and takes ownership of its buffer. */
     public Exchange send(BackendServer server, String requestId, FullHttpRequest request, ExchangeListener listener) {
-        Exchange exchange = new Exchange(requestId, request, listener);
+        Exchange exchange = new Exchange(requestId, request, listener, false);
         poolFor(server).send(exchange, maxOpenByService.applyAsInt(server.service()));
         return exchange;
     }
@@ -75,6 +75,21 @@
         send(server, "", call, listener);
     }
 
+    /**
+     * Asks a server for its load, and takes ownership of the call's buffer; empty if the server wants no calls. Of the
+     * answer, only the load and the announcement of a drain count. One connection is left to requests, and the call is no
+     * demand of this entry.
+     */
+    public Optional<Exchange> callForLoad(BackendServer server, FullHttpRequest call, ExchangeListener listener) {
+        if (observer.callRefusal(server).isPresent()) {
+            call.release();
+            return Optional.empty();
+        }
+        Exchange exchange = new Exchange("", call, listener, true);
+        poolFor(server).send(exchange, Math.max(1, maxOpenByService.applyAsInt(server.service()) - 1));
+        return Optional.of(exchange);
+    }
+
     /** Checks whether a server whose connection broke has terminated, and notifies the listener of the result. */
     public void probe(BackendServer server, ServerProbes.Listener listener) {
         probes.probe(server, listener);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
@@ -7,13 +7,20 @@
     private final String requestId;
     private final FullHttpRequest request;
     private final ExchangeListener listener;
+    private final boolean healthCall;
     private BackendConnection connection;
     private boolean ended;
 
-    Exchange(String requestId, FullHttpRequest request, ExchangeListener listener) {
+    /**
+     * Creates an exchange that has not been sent.
+     *
+     * @param healthCall whether it asks the server for its load and nothing else
+     */
+    Exchange(String requestId, FullHttpRequest request, ExchangeListener listener, boolean healthCall) {
         this.requestId = requestId;
         this.request = request;
         this.listener = listener;
+        this.healthCall = healthCall;
     }
 
     /**
@@ -44,6 +51,10 @@
         return connection != null && connection.requestWritten();
     }
 
+    boolean healthCall() {
+        return healthCall;
+    }
+
     boolean ended() {
         return ended;
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/AnswerMetadata.java
@@ -27,4 +27,20 @@
         LimitStatement limit,
         DrainStatement drain,
         BackoffStatement backoff,
-        Optional<Duration> idleTimeout) {}
+        Optional<Duration> idleTimeout) {
+    /**
+     * Returns the part that counts of an answer of a health path. Such an answer is a measure of load: that it asks to
+     * be repeated later, or states no limit, says nothing about requests.
+     */
+    public AnswerMetadata ofHealthAnswer() {
+        return new AnswerMetadata(
+                requestId,
+                signed,
+                notExecuted,
+                load,
+                new LimitStatement.Missing(),
+                drain,
+                new BackoffStatement.Missing(),
+                idleTimeout);
+    }
+}
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/protocol/BackendProtocol.java
@@ -21,6 +21,9 @@
     /** Returns the HTTP request that makes an engine release the cache of a prefilled prompt. */
     FullHttpRequest release(CacheSource source);
 
+    /** Returns the HTTP request that makes a server state its load, given the health path of its service. */
+    FullHttpRequest createHealthRequest(String serverId, String path);
+
     /** Returns the HTTP request that queries an engine's report. */
     FullHttpRequest createReportRequest(String serverId);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerStatements.java
@@ -120,6 +120,7 @@
                 .forEach(limit ->
                         limitLog.reported(limit.server(), report.entry(), limits.reported(report.entry(), limit, now)));
         placement.knownSpeeds().reported(report.entry(), report.measurements().serverSpeeds(), now);
+        placement.knownSpeeds().loadReported(report.loads(), now);
         report.drainingServers().forEach(server -> drainAnnounced(server, report.entry()));
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -381,6 +381,7 @@
     /** Records a request for a service, which adds a fraction of a retry to the service's retry budget. */
     void requestArrived(String service) {
         lastRequestAt = time.monotonicNanos();
+        placementPolicy.knownSpeeds().requestArrived(service, lastRequestAt);
         retryBudgets.recordRequest(service);
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -196,7 +196,13 @@
 
     /** Limits the connections that one server of a plain service accepts; it applies after {@link #publish}. */
     public TestGateway connectionLimit(String service, int maxConnections) {
-        services.add(new ServiceTraits(service, maxConnections, Optional.empty()));
+        services.add(new ServiceTraits(service, maxConnections, Optional.empty(), Optional.empty()));
+        return this;
+    }
+
+    /** Sets the health path of the servers of a plain service; it applies after {@link #publish}. */
+    public TestGateway healthPath(String service, String path) {
+        services.add(new ServiceTraits(service, 100, Optional.of(path), Optional.empty()));
         return this;
     }
 
@@ -263,7 +269,7 @@
 
     /** Publishes the routes and waits until requests are served. */
     public void publish() throws StoreException, IOException {
-        services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000))));
+        services.add(new ServiceTraits("model", 100, Optional.empty(), Optional.of(new GenerationTraits(100_000))));
         putConfiguration();
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
         awaitReady();
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestProtocols.java
@@ -32,6 +32,7 @@
 import org.aspenmoor.internal.serving.DrainStatement;
 import org.aspenmoor.internal.serving.Prompt;
 import org.aspenmoor.internal.serving.PromptPart;
+import org.aspenmoor.internal.serving.ReportedLoad;
 import org.aspenmoor.internal.serving.limit.LimitStatement;
 import org.aspenmoor.internal.usage.UsageReport;
 
@@ -52,6 +53,7 @@
     public static final String PRIORITY = "Test-Priority";
     public static final String LIMIT = "Test-Limit";
     public static final String DRAINING = "Test-Draining";
+    public static final String SLOWDOWN = "Test-Slowdown";
     public static final String BACKOFF_MILLISECONDS = "Test-Backoff-Ms";
 
     /** A request with this header blocks the entry's event loop until {@link #release()} is called. */
@@ -118,13 +120,23 @@
                 Optional.ofNullable(head.headers().get(REQUEST_ID)),
                 head.headers().contains(SIGNED),
                 head.headers().contains(NOT_EXECUTED),
-                Optional.empty(),
+                readLoad(head),
                 readLimit(head),
                 head.headers().contains(DRAINING) ? new DrainStatement.Draining() : new DrainStatement.Missing(),
                 readBackoff(head),
                 Optional.empty());
     }
 
+    private static Optional<ReportedLoad> readLoad(HttpResponse head) {
+        return Optional.ofNullable(head.headers().get(SLOWDOWN))
+                .map(text -> new ReportedLoad(
+                        Optional.of(0),
+                        Optional.of(0),
+                        Optional.of(4),
+                        Optional.of(Double.parseDouble(text)),
+                        Optional.empty()));
+    }
+
     private static BackoffStatement readBackoff(HttpResponse head) {
         return Optional.ofNullable(head.headers().get(BACKOFF_MILLISECONDS))
                 .<BackoffStatement>map(text -> new BackoffStatement.Requested(Duration.ofMillis(Long.parseLong(text))))
@@ -147,6 +159,11 @@
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.DELETE, "/prompts/" + source.handle());
     }
 
+    @Override
+    public FullHttpRequest createHealthRequest(String server, String path) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    }
+
     @Override
     public FullHttpRequest createReportRequest(String server) {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/report");
