--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -48,6 +48,7 @@
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.gateway.request.ShareMetrics;
+import org.aspenmoor.internal.gateway.request.SpeedProbing;
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderListener;
@@ -110,6 +111,7 @@
     private final RequestDispatcher dispatcher;
     private final AnswerBuffers buffers;
     private final CallerServer callers;
+    private final HealthProbes healthProbes;
     private final GracefulStop gracefulStop;
     private final EventLoopMonitor eventLoopMonitor;
     private final AdministrationPages administrationPages;
@@ -148,6 +150,8 @@
                 state::maxConnectionsPerServer,
                 state.serverObserver(),
                 longRoundTask);
+        this.healthProbes = new HealthProbes(
+                new SpeedProbing(settings.process(), state), connections, backendProtocol, eventLoop, log, registry);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests =
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
@@ -174,7 +178,8 @@
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
-        this.reporter = new PeerReporter(peers, state, fatalRequests, origins, usage, gracefulStop::begun, eventLoop);
+        this.reporter = new PeerReporter(
+                peers, state, fatalRequests, origins, usage, healthProbes, gracefulStop::begun, eventLoop);
         LoadSharingMetrics.register(
                 registry, peers::announcementsSent, peers::announcementsReceived, state.peerSharing()::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
@@ -373,6 +378,9 @@
         fatalRequests.expire();
         state.samplePromptLoads(waitQueues::anyWaiting);
         state.cacheListing().takeEngines().forEach(this::queryCacheList);
+        if (!gracefulStop.begun()) {
+            healthProbes.sendDue();
+        }
         state.expireServers(nowNanos).forEach(connections::remove);
         connections.closeStale();
         callers.enforceTimeouts(nowNanos);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.gateway;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -23,12 +24,14 @@
     private final FatalRequestTracker fatalRequests;
     private final StreamOriginTracker origins;
     private final Optional<UsageTracker> usage;
+    private final HealthProbes healthProbes;
     private final BooleanSupplier stopping;
     private final EventLoop eventLoop;
 
     /**
      * Creates a reporter.
      *
+     * @param healthProbes asked for probes whose answers the next report can contain
      * @param stopping whether this entry is stopping
      */
     PeerReporter(
@@ -37,6 +40,7 @@
             FatalRequestTracker fatalRequests,
             StreamOriginTracker origins,
             Optional<UsageTracker> usage,
+            HealthProbes healthProbes,
             BooleanSupplier stopping,
             EventLoop eventLoop) {
         this.peers = peers;
@@ -44,6 +48,7 @@
         this.fatalRequests = fatalRequests;
         this.origins = origins;
         this.usage = usage;
+        this.healthProbes = healthProbes;
         this.stopping = stopping;
         this.eventLoop = eventLoop;
     }
@@ -63,7 +68,11 @@
 
     private void reportRegularly() {
         sendReport();
-        eventLoop.schedule(this::reportRegularly, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
+        Duration interval = peers.reportInterval();
+        if (!stopping.getAsBoolean()) {
+            healthProbes.sendBeforeReport(interval);
+        }
+        eventLoop.schedule(this::reportRegularly, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void announceLoadChanges() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
-import org.aspenmoor.internal.gateway.caller.IncomingRequest;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
@@ -58,7 +57,6 @@
         this.request = request;
         this.writer = writer;
         this.service = request.service();
-        IncomingRequest incoming = request.incoming();
         CallerHeaders caller = request.caller();
         Route route = request.route();
         RequestAuthorisation authorisation = request.authorisation();
@@ -67,7 +65,7 @@
         this.attempts = new AttemptTracker(route.retryRule(), route.maxBackends());
         this.currentAttempt = new CurrentAttempt(context, service, route.objective());
         this.stallDetector = new StallDetector(context, route, writer::writable, this::stalled);
-        this.deadlines = new RequestDeadlines(incoming.receivedAtNanos(), caller.maxWait(), route);
+        this.deadlines = new RequestDeadlines(request.incoming().receivedAtNanos(), caller.maxWait(), route);
         this.trace = new RequestTrace(request, deadlines.deadline());
         this.share = new RequestShare(context, request, trace);
         this.answerProgress = new AnswerProgress(context.state().placement(), service, caller.prompt(), trace);
@@ -80,13 +78,13 @@
                 caller,
                 route,
                 stream,
-                new AttemptMessages(incoming, context.protocol(), route, authorisation, deadlines.deadline()),
+                new AttemptMessages(request.incoming(), context.protocol(), route, authorisation, deadlines.deadline()),
                 currentAttempt,
                 stallDetector,
                 triedServers,
                 trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
-        this.fatalCheck = new FatalRequestCheck(context, caller, service, incoming, trace);
+        this.fatalCheck = new FatalRequestCheck(context, caller, service, request.incoming(), trace);
         this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, share, trace);
         this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/MeasurementCodecTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/MeasurementCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.LastingSlowdown;
 import org.aspenmoor.internal.serving.LearnedSlowdown;
 import org.aspenmoor.internal.serving.LoadChange;
 import org.aspenmoor.internal.serving.LoadChanges;
@@ -27,8 +28,9 @@
                             "both",
                             1_786_504_654_297L,
                             Optional.of(new StatedSlowdown(1.75, Duration.ofMillis(300))),
+                            Optional.of(new LastingSlowdown(0.75, 40)),
                             Optional.of(new LearnedSlowdown(0.5, 12))),
-                    new ServerSpeed("neither", 1, Optional.empty(), Optional.empty())),
+                    new ServerSpeed("neither", 1, Optional.empty(), Optional.empty(), Optional.empty())),
             List.of(new ServiceDemand("drafting", List.of(new OrganisationDemand(-5, 2, 8.5)), 16.25, 0.75)),
             List.of(new ObservedStartDelays("drafting", EngineRole.PREFILL, 3, 2.5, 1.5, 0.5, 0.125)),
             List.of(new CollectionObservation(ObservedCollection.SERVERS, 2, -77, Duration.ofMillis(650))));
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -150,7 +150,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\216\033\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\332\033\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -214,31 +214,33 @@
       " \001(\t\022\016\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".a" +
       "spenmoor.wire.v1.PeerLoad.Stream\022\025\n\rcont" +
       "radictory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.aspe" +
-      "nmoor.wire.v1.PeerLoad.Version\032\311\001\n\013Serve" +
+      "nmoor.wire.v1.PeerLoad.Version\032\225\002\n\013Serve" +
       "rSpeed\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001" +
       "(\006\022\032\n\rstated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027stated" +
       "_age_milliseconds\030\004 \001(\r\022\033\n\016learned_facto" +
-      "r\030\005 \001(\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002B\020\n" +
-      "\016_stated_factorB\021\n\017_learned_factor\032\376\001\n\rS" +
-      "erviceDemand\022\017\n\007service\030\001 \001(\t\022M\n\rorganis" +
-      "ations\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoa" +
-      "d.ServiceDemand.Organisation\022\034\n\024complete" +
-      "d_per_second\030\003 \001(\002\022\036\n\026turned_away_per_se" +
-      "cond\030\004 \001(\002\032O\n\014Organisation\022\024\n\014organisati" +
-      "on\030\001 \001(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_s" +
-      "econd\030\003 \001(\002\032_\n\013Observation\022\022\n\ncollection" +
-      "\030\001 \001(\r\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001" +
-      "(\006\022\030\n\020age_milliseconds\030\004 \001(\r\032\313\001\n\013LoadCha" +
-      "nges\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010se" +
-      "quence\030\003 \001(\004\022?\n\007changes\030\004 \003(\0132..aspenmoo" +
-      "r.wire.v1.PeerLoad.LoadChanges.Change\032K\n" +
-      "\006Change\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered_mi" +
-      "croseconds\030\002 \001(\021\022\020\n\010requests\030\003 \001(\021\032\224\001\n\013S" +
-      "tartDelays\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(" +
-      "\r\022\017\n\007answers\030\003 \001(\r\022\023\n\013work_weight\030\004 \001(\002\022" +
-      "\023\n\013work_factor\030\005 \001(\002\022\024\n\014fixed_weight\030\006 \001" +
-      "(\002\022\025\n\rfixed_seconds\030\007 \001(\002B\"\n\036org.aspenmo" +
-      "or.internal.wire.v1P\001b\006proto3"
+      "r\030\005 \001(\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002\022\033\n" +
+      "\016lasting_factor\030\007 \001(\002H\002\210\001\001\022\032\n\022lasting_st" +
+      "atements\030\010 \001(\rB\020\n\016_stated_factorB\021\n\017_lea" +
+      "rned_factorB\021\n\017_lasting_factor\032\376\001\n\rServi" +
+      "ceDemand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisatio" +
+      "ns\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad.Se" +
+      "rviceDemand.Organisation\022\034\n\024completed_pe" +
+      "r_second\030\003 \001(\002\022\036\n\026turned_away_per_second" +
+      "\030\004 \001(\002\032O\n\014Organisation\022\024\n\014organisation\030\001" +
+      " \001(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_secon" +
+      "d\030\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030\001 \001" +
+      "(\r\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022\030" +
+      "\n\020age_milliseconds\030\004 \001(\r\032\313\001\n\013LoadChanges" +
+      "\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010sequen" +
+      "ce\030\003 \001(\004\022?\n\007changes\030\004 \003(\0132..aspenmoor.wi" +
+      "re.v1.PeerLoad.LoadChanges.Change\032K\n\006Cha" +
+      "nge\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered_micros" +
+      "econds\030\002 \001(\021\022\020\n\010requests\030\003 \001(\021\032\224\001\n\013Start" +
+      "Delays\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\017\n" +
+      "\007answers\030\003 \001(\r\022\023\n\013work_weight\030\004 \001(\002\022\023\n\013w" +
+      "ork_factor\030\005 \001(\002\022\024\n\014fixed_weight\030\006 \001(\002\022\025" +
+      "\n\rfixed_seconds\030\007 \001(\002B\"\n\036org.aspenmoor.i" +
+      "nternal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -345,7 +347,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor,
-        new java.lang.String[] { "Server", "StartedAt", "StatedFactor", "StatedAgeMilliseconds", "LearnedFactor", "LearnedAnswers", });
+        new java.lang.String[] { "Server", "StartedAt", "StatedFactor", "StatedAgeMilliseconds", "LearnedFactor", "LearnedAnswers", "LastingFactor", "LastingStatements", });
     internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(15);
     internal_static_aspenmoor_wire_v1_PeerLoad_ServiceDemand_fieldAccessorTable = new
