--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -43,7 +43,6 @@
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.SoftwareVersion;
-import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.store.InMemoryObjectStore;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -75,8 +74,8 @@
     private final TestProtocols protocols = new TestProtocols();
     private final ShiftableTimeSource time = new ShiftableTimeSource();
     private KeyRegistry keys = KeyRegistry.notConfigured();
-    private int configurationVersion = 6;
     private SoftwareVersion softwareVersion = new SoftwareVersion("one");
+    private int configurationVersion = 6;
 
     public TestGateway() throws AspenmoorException {
         this(Optional.empty());
@@ -149,7 +148,7 @@
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         StoreSettings storeSettings = StoreSettings.defaults();
-        StoreFreshness freshness = StoreFreshnessFactory.create(settings, storeSettings.callTimeout());
+        var freshness = StoreFreshnessFactory.create(settings, storeSettings.callTimeout());
         this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), freshness, log);
         gateway.start(observer.apply(store), storeSettings, new Decoder());
     }
