--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AssignedWork.java
@@ -5,8 +5,7 @@
     private final String server;
     private final WorkKind kind;
     private final long startedAtNanos;
-    private final double expectedWorkSeconds;
-    private final double learnedWorkSeconds;
+    private final WorkDurations durations;
     private final double expectedAnswerSeconds;
     private final double toleratedWaitSeconds;
     private final boolean longPrompt;
@@ -16,8 +15,7 @@
             String server,
             WorkKind kind,
             long startedAtNanos,
-            double expectedWorkSeconds,
-            double learnedWorkSeconds,
+            WorkDurations durations,
             double expectedAnswerSeconds,
             double toleratedWaitSeconds,
             boolean longPrompt,
@@ -25,8 +23,7 @@
         this.server = server;
         this.kind = kind;
         this.startedAtNanos = startedAtNanos;
-        this.expectedWorkSeconds = expectedWorkSeconds;
-        this.learnedWorkSeconds = learnedWorkSeconds;
+        this.durations = durations;
         this.expectedAnswerSeconds = expectedAnswerSeconds;
         this.toleratedWaitSeconds = toleratedWaitSeconds;
         this.longPrompt = longPrompt;
@@ -47,7 +44,7 @@
         return longPrompt;
     }
 
-    /** Returns whether no other work was known at the server when the attempt started. */
+    /** Returns whether the work was not expected to wait at the server when the attempt started. */
     boolean serverWasIdle() {
         return serverWasIdle;
     }
@@ -62,14 +59,24 @@
         return startedAtNanos;
     }
 
-    /** Returns how long the server was expected to work before its answer starts. */
+    /** Returns how long the work takes at the speed of the settings. */
+    double nominalWorkSeconds() {
+        return durations.nominal();
+    }
+
+    /** Returns how many times longer than usual the server was expected to take when the attempt started. */
+    double statedSlowdown() {
+        return durations.statedSlowdown();
+    }
+
+    /** Returns how long the server was expected to work before its answer starts, at its usual speed. */
     double expectedWorkSeconds() {
-        return expectedWorkSeconds;
+        return durations.expected();
     }
 
-    /** Returns how long the work takes at the learned speed. */
+    /** Returns how long the work takes at the learned usual speed. */
     double learnedWorkSeconds() {
-        return learnedWorkSeconds;
+        return durations.learned();
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
+import org.aspenmoor.internal.serving.speed.KnownSpeeds;
 
 /**
  * Chooses the backend server, or the pair of engines, whose answer is expected to start first. Confined to one thread;
@@ -41,6 +42,8 @@
     private final PromptAssignments promptAssignments;
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
+    private final KnownSpeeds knownSpeeds = new KnownSpeeds();
+    private final LoadSharing loadSharing;
     private ServerRanking ranking;
 
     public PlacementPolicy(
@@ -52,6 +55,7 @@
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
         this.backoffs = new ServerBackoffs(estimates, random);
+        this.loadSharing = new LoadSharing(estimates);
         this.promptAssignments = new PromptAssignments(estimates, peerLoads);
         reload(settings);
     }
@@ -74,13 +78,16 @@
             known.update(server, cacheTokens, speed);
             return;
         }
-        estimates.put(server.id(), new ServerEstimate(server, cacheTokens, speed, backoffs.of(server)));
+        estimates.put(
+                server.id(),
+                new ServerEstimate(server, cacheTokens, speed, knownSpeeds.serverChanged(server), backoffs.of(server)));
     }
 
     /** Removes a server. */
     public void serverRemoved(String id) {
         estimates.remove(id);
         limits.serverRemoved(id);
+        knownSpeeds.serverRemoved(id);
     }
 
     /** Chooses where a request runs. */
@@ -154,32 +161,35 @@
                     server.id(),
                     kind,
                     now,
-                    workSeconds,
-                    workSeconds,
+                    new WorkDurations(workSeconds, workSeconds, workSeconds, 1),
                     expectedAnswerSeconds,
                     toleratedWaitSeconds,
                     false,
                     false);
         }
         boolean queuedAtEntry =
-                kind != WorkKind.PLAIN && EntryQueueing.applicable(objective, estimatesOf(server.service()));
-        double learnedWorkSeconds =
-                workSeconds / EntryQueueing.slowdown(estimate, queuedAtEntry) * estimate.slowdownFromSettings();
+                kind != WorkKind.PLAIN && EntryQueueing.applicable(objective, estimatesOf(server.service()), now);
+        double nominalWorkSeconds = nominalWorkSeconds(estimate, kind, workSeconds, queuedAtEntry, now);
+        double learnedWorkSeconds = nominalWorkSeconds * estimate.slowdownFromSettings(now);
+        double statedSlowdown = estimate.statedSlowdown(now);
         double fixedSeconds = fixedSeconds(estimate, kind, queuedAtEntry);
         double expectedAnswerSeconds = ranking.waitSeconds(estimate, now) + workSeconds + fixedSeconds;
-        boolean longPrompt = kind != WorkKind.PLAIN && EntryQueueing.isLongPrompt(estimate, learnedWorkSeconds);
-        boolean serverIdle = estimate.requests(peerLoads.onServer(server.id()), now) < MIN_BUSY_REQUESTS;
+        boolean longPrompt = kind != WorkKind.PLAIN
+                && EntryQueueing.isLongPrompt(
+                        estimate, learnedWorkSeconds * estimate.knownSpeed().lastingSlowdown());
+        double requests = estimate.requests(peerLoads.onServer(server.id()), now);
+        boolean serverIdle = kind == WorkKind.PLAIN ? requests + 1 <= server.slots() : requests < MIN_BUSY_REQUESTS;
         AssignedWork work = new AssignedWork(
                 server.id(),
                 kind,
                 now,
-                workSeconds,
-                learnedWorkSeconds,
+                new WorkDurations(nominalWorkSeconds, learnedWorkSeconds, workSeconds / statedSlowdown, statedSlowdown),
                 expectedAnswerSeconds,
                 toleratedWaitSeconds,
                 longPrompt,
                 serverIdle);
         estimate.attemptStarted(work);
+        loadSharing.loadChanged(server.id());
         if (kind == WorkKind.PROMPT_ONLY) {
             promptLoadMeter(server.service()).promptSent(workSeconds, queuedAtEntry);
         }
@@ -192,6 +202,7 @@
         if (estimate != null) {
             estimate.answerStarted(work, now);
             estimate.health().answered();
+            loadSharing.loadChanged(work.server());
         }
         if (estimate != null && work.kind() == WorkKind.HANDOFF) {
             double seconds = (now - work.startedAtNanos()) / NANOSECONDS_PER_SECOND;
@@ -242,6 +253,21 @@
         return promptAssignments;
     }
 
+    /** Returns what is known of the speeds of servers. */
+    public KnownSpeeds knownSpeeds() {
+        return knownSpeeds;
+    }
+
+    /** Returns whether nothing speaks against a call that asks a server for its load; one with a limit keeps it for requests. */
+    public boolean mayProbe(String server, long now) {
+        ServerEstimate estimate = estimates.get(server);
+        return estimate != null
+                && estimate.server().state() == BackendState.READY
+                && !estimate.health().paused(now)
+                && !estimate.backoff().limiting(now)
+                && limits.requestsPerSecond(server).isEmpty();
+    }
+
     /** Returns the pauses that servers have asked this entry for. */
     public ServerBackoffs backoffs() {
         return backoffs;
@@ -312,18 +338,14 @@
         }
     }
 
-    /**
-     * Returns this entry's own load by server, to be reported to the other entries; servers without load are omitted.
-     */
+    /** Returns this entry's own load by server, to be reported to the other entries now. */
     public Map<String, EntryLoad> ownLoads(long now) {
-        Map<String, EntryLoad> loads = new HashMap<>();
-        estimates.forEach((id, estimate) -> {
-            EntryLoad load = estimate.ownLoad(now);
-            if (load.requests() > 0) {
-                loads.put(id, load);
-            }
-        });
-        return loads;
+        return loadSharing.takeLoads(now);
+    }
+
+    /** Returns what the other entries are told of this entry's load. */
+    public LoadSharing loadSharing() {
+        return loadSharing;
     }
 
     /** Returns the engine speeds that this entry has measured with enough answers. */
@@ -336,6 +358,11 @@
         speeds.learnFromPeer(peerSpeed);
     }
 
+    /** Returns what is learned of the speeds of engines by service and role. */
+    public EngineSpeeds speeds() {
+        return speeds;
+    }
+
     /** Returns a summary of each server. */
     public List<ServerSummary> summaries(long now) {
         return estimates.values().stream()
@@ -363,6 +390,7 @@
         ServerEstimate estimate = estimates.get(work.server());
         if (estimate != null) {
             estimate.attemptEnded(work);
+            loadSharing.loadChanged(work.server());
         }
     }
 
@@ -392,9 +420,19 @@
         }
     }
 
+    /** Returns how long work takes at the speed of the settings, given how long it is expected to take now. */
+    private static double nominalWorkSeconds(
+            ServerEstimate estimate, WorkKind kind, double workSeconds, boolean queuedAtEntry, long now) {
+        return kind == WorkKind.PLAIN
+                ? ServerRanking.PLAIN_WORK_SECONDS
+                : workSeconds / EntryQueueing.slowdown(estimate, queuedAtEntry, now);
+    }
+
     private double fixedSeconds(ServerEstimate estimate, WorkKind kind, boolean queuedAtEntry) {
         if (!queuedAtEntry) {
-            return ServerRanking.DEFAULT_FIXED_SECONDS;
+            return kind == WorkKind.PROMPT_ONLY || kind == WorkKind.WHOLE
+                    ? estimate.fixedDelaySeconds()
+                    : ServerRanking.DEFAULT_FIXED_SECONDS;
         }
         return switch (kind) {
             case PLAIN -> ServerRanking.DEFAULT_FIXED_SECONDS;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.speed.KnownSpeed;
 
 /**
  * What this entry knows or estimates about one backend server: its own requests there, what other entries and the
@@ -16,9 +17,6 @@
     /** Half-life of the load reported with an answer; the load of a busy server changes within about a second. */
     private static final double HALF_LIFE_SECONDS = 1.0;
 
-    /** Weight of a new answer in the slowdown estimated from delays. */
-    private static final double DELAY_WEIGHT = 0.1;
-
     /**
      * Fraction of a speed correction that is attributed to the individual engine; all engines with its role learn from
      * the answer too.
@@ -40,11 +38,6 @@
     /** The slowdown is limited so that a server gets enough work to show that it has recovered. */
     private static final double MAX_SLOWDOWN = 6;
 
-    /**
-     * Minimum expected time for the slowdown; shorter times depend on the network rather than on the server's speed.
-     */
-    private static final double MIN_EXPECTED_SECONDS = 0.02;
-
     /**
      * An engine that has not changed its role within this time did not receive the order or cannot follow it, and is
      * used again.
@@ -55,15 +48,18 @@
     private final ServerHealth health = new ServerHealth();
     private final ServerBackoff backoff;
     private final CacheEstimate cache = new CacheEstimate();
+    private final KnownSpeed knownSpeed;
+    private final DelayEstimate delay = new DelayEstimate();
     private final EventIntervalMeter eventIntervalMeter = new EventIntervalMeter();
     private final PromptWindow promptWindow = new PromptWindow();
     private final Deque<AssignedWork> unanswered = new ArrayDeque<>();
     private BackendServer server;
     private int parallelism;
     private int cacheTokens;
-    private ReportedLoad reportedLoad = new ReportedLoad(0, 0, 1);
+    private int reportedRunning;
+    private int reportedWaiting;
     private long reportedAt;
-    /** Requests of this entry at the server when it reported {@link #reportedLoad}; that load includes them. */
+    /** Requests of this entry at the server when it reported its requests, which include them. */
     private int outstandingAtReport;
 
     private int outstanding;
@@ -78,7 +74,6 @@
     private double handoffSeconds;
     private long handoffMeasuredAt = Long.MIN_VALUE;
     private double slowdown = 1;
-    private double delaySlowdown = 1;
     private long lastAnswerAt = Long.MIN_VALUE;
     private long lastEventAt = Long.MIN_VALUE;
     private long roleChangeStartedAt = Long.MIN_VALUE;
@@ -88,9 +83,12 @@
      * Creates an estimate.
      *
      * @param speed the speed of all servers of the service with the same role
+     * @param knownSpeed what the server states of its speed, and what all entries have learned of it
      * @param backoff the pauses that the server asks this entry for
      */
-    ServerEstimate(BackendServer server, int cacheTokens, SpeedEstimate speed, ServerBackoff backoff) {
+    ServerEstimate(
+            BackendServer server, int cacheTokens, SpeedEstimate speed, KnownSpeed knownSpeed, ServerBackoff backoff) {
+        this.knownSpeed = knownSpeed;
         this.backoff = backoff;
         update(server, cacheTokens, speed);
     }
@@ -110,7 +108,8 @@
             roleChangeStartedAt = Long.MIN_VALUE;
             health.roleChanged();
             slowdown = 1;
-            delaySlowdown = 1;
+            delay.reset();
+            knownSpeed.roleChanged();
         }
         speed = newSpeed;
         server = newServer;
@@ -150,29 +149,50 @@
         return Math.max(lastAnswerAt, lastEventAt);
     }
 
-    /** Returns how many times longer the server takes than the others with its role. */
-    double slowdown() {
-        return slowdown;
+    /** Returns how many times longer the server takes than the others with its role at its usual speed. */
+    double slowdown(long now) {
+        if (!knownSpeed.inUse()) {
+            return slowdown;
+        }
+        return runsModel() ? slowdownFromSettings(now) / speed.factor() : slowdownFromSettings(now);
     }
 
-    /** Returns how many times longer the server takes than the settings specify. */
-    double slowdownFromSettings() {
+    /** Returns how many times longer the server takes at its usual speed than the settings specify. */
+    double slowdownFromSettings(long now) {
+        if (knownSpeed.inUse()) {
+            return knownSpeed.learnedSlowdown(runsModel() ? speed.factor() : 1, now);
+        }
         return runsModel() ? slowdown * speed.factor() : slowdown;
     }
 
+    /** Returns how many times longer than usual the server takes at this moment, as it states itself. */
+    double statedSlowdown(long now) {
+        return knownSpeed.statedSlowdown(now);
+    }
+
+    /** Returns what the server states of its speed, and what all entries have learned of it. */
+    KnownSpeed knownSpeed() {
+        return knownSpeed;
+    }
+
     /**
      * Returns how many times longer than expected it takes until answers start, including all waits. If engines order
      * their queues themselves, this is the only sign of work that has not been reported to this entry.
      */
     double delaySlowdown() {
-        return delaySlowdown;
+        return delay.slowdown(speed.startDelay());
+    }
+
+    /** Returns the part of an answer's start-up time that depends neither on work nor on waits, in seconds. */
+    double fixedDelaySeconds() {
+        return speed.startDelay().fixedSeconds();
     }
 
     /**
      * Returns how long a long prompt of this entry typically occupies the engine, in seconds; zero until one was sent.
      */
-    double typicalPromptSeconds() {
-        return typicalPromptSeconds * slowdownFromSettings();
+    double typicalPromptSeconds(long now) {
+        return typicalPromptSeconds * slowdownFromSettings(now) * knownSpeed.lastingSlowdown();
     }
 
     /** Returns whether the engine's speed was learned from enough answers. */
@@ -204,7 +224,8 @@
     }
 
     EngineState state(EntryLoad others, boolean restricted, long now) {
-        return new EngineState(server, load(others, now), slowdown, changingRole(now), restricted);
+        double lastingSlowdown = slowdown(now) * knownSpeed.lastingSlowdown();
+        return new EngineState(server, load(others, now), lastingSlowdown, changingRole(now), restricted);
     }
 
     /** Records an event of an answer and the interval since the previous event. */
@@ -269,8 +290,7 @@
         if (work.longPrompt()) {
             promptWindow.promptSent();
             double weight = typicalPromptSeconds == 0 ? 1 : PROMPT_WEIGHT;
-            typicalPromptSeconds +=
-                    weight * (work.learnedWorkSeconds() / slowdownFromSettings() - typicalPromptSeconds);
+            typicalPromptSeconds += weight * (work.nominalWorkSeconds() - typicalPromptSeconds);
         }
     }
 
@@ -285,7 +305,7 @@
         if (computesPrompt(work)) {
             promptComputed(work, tookSeconds, now);
         } else if (work.kind() == WorkKind.PLAIN) {
-            plainAnswerStarted(work, tookSeconds);
+            plainAnswerStarted(work, tookSeconds, now);
         }
         removeUnanswered(work);
     }
@@ -295,25 +315,25 @@
      * was spent in the engine's queue.
      */
     private void promptComputed(AssignedWork work, double tookSeconds, long now) {
-        double waitedSeconds = tookSeconds - speed.fixedSeconds() - work.learnedWorkSeconds();
+        double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
+        double waitedSeconds = tookSeconds - speed.fixedSeconds() - work.learnedWorkSeconds() * stated;
         if (work.longPrompt()) {
             promptWindow.promptComputed(work.startedAtNanos(), now, waitedSeconds, work.toleratedWaitSeconds());
         }
-        SpeedEstimate.Correction correction =
-                speed.observe(work.learnedWorkSeconds(), tookSeconds, work.serverWasIdle());
-        delaySlowdown = updatedDelaySlowdown(delaySlowdown, work, tookSeconds);
+        double fixedSeconds = speed.fixedSeconds();
+        SpeedObservation.learn(this, work, tookSeconds - fixedSeconds, fixedSeconds, stated, now);
+        double usualSeconds =
+                knownSpeed.inUse() ? work.nominalWorkSeconds() * speed.factor() : work.learnedWorkSeconds();
+        SpeedEstimate.Correction correction = speed.observe(usualSeconds * stated, tookSeconds, work.serverWasIdle());
+        delay.answerStarted(work, tookSeconds, stated, speed.startDelay());
         double corrected = correction.scaled(OWN_CORRECTION_FRACTION).applyTo(slowdown);
         slowdown = Math.clamp(corrected, 1 / MAX_SLOWDOWN, MAX_SLOWDOWN);
     }
 
-    private void plainAnswerStarted(AssignedWork work, double tookSeconds) {
-        slowdown = updatedDelaySlowdown(slowdown, work, tookSeconds);
-    }
-
-    private static double updatedDelaySlowdown(double slowdown, AssignedWork work, double tookSeconds) {
-        double expectedSeconds = Math.max(MIN_EXPECTED_SECONDS, work.expectedAnswerSeconds());
-        double ratio = Math.clamp(tookSeconds / expectedSeconds, 1, MAX_SLOWDOWN);
-        return slowdown + DELAY_WEIGHT * (ratio - slowdown);
+    private void plainAnswerStarted(AssignedWork work, double tookSeconds, long now) {
+        double stated = knownSpeed.statedDuring(work.startedAtNanos(), now);
+        SpeedObservation.learn(this, work, tookSeconds, 0, stated, now);
+        slowdown = DelayEstimate.updated(slowdown, work, tookSeconds, stated);
     }
 
     void attemptEnded(AssignedWork work) {
@@ -322,14 +342,18 @@
     }
 
     void loadReported(ReportedLoad load, long now) {
-        reportedLoad = load;
+        if (load.running().isEmpty() && load.waiting().isEmpty()) {
+            return;
+        }
+        reportedRunning = load.running().orElse(reportedRunning);
+        reportedWaiting = load.waiting().orElse(reportedWaiting);
         reportedAt = now;
         outstandingAtReport = outstanding;
     }
 
     /** Returns the number of requests at the server, given the load of the other entries there. */
     double requests(EntryLoad others, long now) {
-        double reportedByServer = Math.max(0, reportedLoad.running() + reportedLoad.waiting() - outstandingAtReport);
+        double reportedByServer = Math.max(0, reportedRunning + reportedWaiting - outstandingAtReport);
         return outstanding + Math.max(others.requests(), reportedByServer * decay(now - reportedAt));
     }
 
@@ -338,7 +362,7 @@
      * prompts one after the other; a plain server works in all its slots.
      */
     double waitSeconds(EntryLoad others, long now) {
-        double queuedSeconds = (unansweredSeconds + others.unansweredSeconds()) / parallelism;
+        double queuedSeconds = (unansweredSeconds + others.unansweredSeconds()) / parallelism * statedSlowdown(now);
         return Math.max(queuedSeconds, overdueSeconds(now));
     }
 
@@ -348,7 +372,9 @@
                 waitSeconds(others, now),
                 load(others, now),
                 outstanding,
-                slowdown,
+                slowdown(now),
+                knownSpeed.currentStatement(now),
+                knownSpeed.lastingSlowdown(),
                 health.failureFraction(),
                 changingRole(now),
                 health.paused(now),
@@ -361,7 +387,7 @@
      * Returns by how many seconds the oldest unanswered request is overdue. A server that stops answering is first
      * detected by this.
      */
-    private double overdueSeconds(long now) {
+    double overdueSeconds(long now) {
         AssignedWork oldest = unanswered.peekFirst();
         if (oldest == null) {
             return 0;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -22,12 +22,15 @@
 import org.aspenmoor.internal.duty.DutyLease;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
+import org.aspenmoor.internal.gateway.caller.AnswerBuffers;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
 import org.aspenmoor.internal.gateway.caller.LocalAnswers;
 import org.aspenmoor.internal.gateway.eventloop.EventLoopMonitor;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
+import org.aspenmoor.internal.gateway.log.CallerDropLog;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.ConfigurationListener;
+import org.aspenmoor.internal.gateway.membership.FreshnessMonitor;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
 import org.aspenmoor.internal.gateway.membership.ServerRegistrationListener;
 import org.aspenmoor.internal.gateway.peers.PeerDirectory;
@@ -40,9 +43,12 @@
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestSynchroniser;
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.request.GatewayMetrics;
+import org.aspenmoor.internal.gateway.request.LoadSharingMetrics;
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
+import org.aspenmoor.internal.gateway.request.ShareMetrics;
+import org.aspenmoor.internal.gateway.request.SpeedProbing;
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderListener;
@@ -54,9 +60,12 @@
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
 import org.aspenmoor.internal.gateway.usage.UsageWorker;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.freshness.ObservedCollection;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
@@ -94,16 +103,20 @@
     private final EventLoop eventLoop = group.next();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final ServingState state;
+    private final FreshnessMonitor storeFreshness;
     private final BackendConnections connections;
     private final WaitQueues waitQueues;
     private final FatalRequestTracker fatalRequests;
     private final Optional<UsageTracker> usage;
     private final RequestDispatcher dispatcher;
+    private final AnswerBuffers buffers;
     private final CallerServer callers;
+    private final HealthProbes healthProbes;
     private final GracefulStop gracefulStop;
     private final EventLoopMonitor eventLoopMonitor;
     private final AdministrationPages administrationPages;
     private final PeerExchange peers;
+    private final PeerReporter reporter;
     private final StreamOriginTracker origins;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<WatchedCollection> watchedCollections = new ArrayList<>();
@@ -118,6 +131,7 @@
             DutyProtocol dutyProtocol,
             TimeSource time,
             RandomGenerator random,
+            StoreFreshness storeFreshness,
             DecisionLog log) {
         this.settings = settings;
         this.time = time;
@@ -125,7 +139,8 @@
         this.log = log;
         this.backendProtocol = backendProtocol;
         this.dutyProtocol = dutyProtocol;
-        this.state = new ServingState(time, random, settings.retries(), log, settings.placement());
+        this.state = new ServingState(time, random, settings.retries(), log, settings.placement(), storeFreshness);
+        this.storeFreshness = new FreshnessMonitor(storeFreshness, eventLoop, this::sendReport, log, registry, time);
         LongRoundTask longRoundTask =
                 new LongRoundTask(eventLoop, time, MAX_DISCONNECT_DELAY, this::detectDisconnectedCallers);
         this.connections = new BackendConnections(
@@ -135,6 +150,8 @@
                 state::maxConnectionsPerServer,
                 state.serverObserver(),
                 longRoundTask);
+        this.healthProbes = new HealthProbes(
+                new SpeedProbing(settings.process(), state), connections, backendProtocol, eventLoop, log, registry);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests =
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
@@ -142,6 +159,9 @@
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.origins = new StreamOriginTracker(
                 new PeerOriginNetwork(peers, state::activeEntries, this::sendReport, eventLoop), time);
+        CallerDropLog dropLog = new CallerDropLog(log, registry);
+        this.buffers = new AnswerBuffers(settings.maxBufferedBytes(), time, eventLoop, dropLog);
+        dropLog.registerBytes(registry, buffers::bytes);
         ServingContext context = new ServingContext(
                 state,
                 connections,
@@ -152,10 +172,16 @@
                 waitQueues,
                 usage,
                 origins,
-                fatalRequests);
+                fatalRequests,
+                buffers);
+        ShareMetrics.register(registry, state.shares()::summaries);
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
-        this.callers = new CallerServer(dispatcher, time, longRoundTask);
+        this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
+        this.reporter = new PeerReporter(
+                peers, state, fatalRequests, origins, usage, healthProbes, gracefulStop::begun, eventLoop);
+        LoadSharingMetrics.register(
+                registry, peers::announcementsSent, peers::announcementsReceived, state.peerSharing()::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
         StateDump stateDump = new StateDump(
                 settings.process(), state, callers, connections, gracefulStop, fatalRequests, usage, origins);
@@ -172,13 +198,22 @@
                 store,
                 storeSettings,
                 ObjectKind.SERVING_CONFIGURATION,
-                new ConfigurationListener(decoder, state, eventLoop, log));
+                new ConfigurationListener(
+                        decoder, state, eventLoop, log, storeFreshness.observer(ObservedCollection.CONFIGURATION)));
         watch(
                 store,
                 storeSettings,
                 ObjectKind.BACKEND_SERVER,
                 new ServerRegistrationListener(
-                        decoder, state, origins, connections, eventLoop, time, log, store::generation));
+                        decoder,
+                        state,
+                        origins,
+                        connections,
+                        eventLoop,
+                        time,
+                        log,
+                        store::generation,
+                        storeFreshness.observer(ObservedCollection.SERVERS)));
         FatalRequestSynchroniser fatalRequestSynchroniser = new FatalRequestSynchroniser(
                 store, fatalRequests, state::fatalRequestsLoaded, eventLoop, time, random, log);
         watch(store, storeSettings, ObjectKind.FATAL_REQUEST, fatalRequestSynchroniser);
@@ -201,7 +236,7 @@
                         addresses -> eventLoop.execute(() -> peers.replacePeers(addresses)),
                         log)
                 .start();
-        eventLoop.execute(this::reportToPeers);
+        eventLoop.execute(reporter::start);
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
         eventLoop.scheduleWithFixedDelay(
@@ -326,32 +361,7 @@
     }
 
     private void sendReport() {
-        peers.sendReport(this::createReport);
-    }
-
-    private void reportToPeers() {
-        sendReport();
-        eventLoop.schedule(this::reportToPeers, peers.reportInterval().toMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private PeerReport createReport(String entry, long incarnation, long sequence) {
-        return new PeerReport(
-                entry,
-                incarnation,
-                sequence,
-                state.ownLoads(),
-                state.takeUnreportedPrompts(),
-                state.learnedSpeeds(),
-                state.eventSizes(),
-                state.pendingRoleChanges(),
-                fatalRequests.takeNextReport(),
-                state.statedLimits(),
-                state.unregisteredDrains(),
-                origins.versionsToReport(),
-                usage.map(UsageTracker::status),
-                state.orderStanding(entry),
-                state.measurements(),
-                gracefulStop.begun());
+        reporter.sendReport();
     }
 
     private void detectDisconnectedCallers() {
@@ -361,15 +371,20 @@
     private void runPeriodicChecks() {
         long nowNanos = time.monotonicNanos();
         eventLoopMonitor.taskRun(nowNanos);
+        storeFreshness.eventLoopRan(CHECK_INTERVAL, nowNanos);
         state.expirePeers(nowNanos);
         state.configuration().map(ServingConfiguration::longestTimeout).ifPresent(origins::requestsMayTake);
         origins.serversObserved(state.servers(), state.reachesStore());
         fatalRequests.expire();
         state.samplePromptLoads(waitQueues::anyWaiting);
         state.cacheListing().takeEngines().forEach(this::queryCacheList);
+        if (!gracefulStop.begun()) {
+            healthProbes.sendDue();
+        }
         state.expireServers(nowNanos).forEach(connections::remove);
         connections.closeStale();
         callers.enforceTimeouts(nowNanos);
+        buffers.check();
         gracefulStop.advance(nowNanos);
     }
 
@@ -398,13 +413,18 @@
     private final class PeerMessages implements PeerListener {
         @Override
         public void reportReceived(PeerReport report) {
-            state.peerReported(report, time.monotonicNanos());
+            state.peerSharing().peerReported(report, time.monotonicNanos());
             origins.versionsReported(report.versions());
             fatalRequests.terminationsReported(report.serverTerminations(), report.entry());
             usage.ifPresent(
                     tracker -> report.duties().ifPresent(status -> tracker.peerReported(report.entry(), status)));
         }
 
+        @Override
+        public void loadChangesReceived(LoadChanges changes) {
+            state.peerSharing().peerLoadChanged(changes);
+        }
+
         @Override
         public void usageReceived(EntryUsage counts) {
             usage.ifPresent(tracker -> tracker.usageReceived(counts));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/GatewayMetrics.java
@@ -19,6 +19,7 @@
     private final Counter requests;
     private final Counter organisationRequests;
     private final BoundedLabels organisations = new BoundedLabels(MAX_ORGANISATIONS);
+    private final Counter shareDecisions;
     private final Counter attempts;
     private final Counter retries;
     private final Counter serverTerminations;
@@ -48,6 +49,7 @@
                 "Requests by organisation and outcome; the first hundred organisations by name, the others together.",
                 "organisation",
                 "outcome");
+        this.shareDecisions = shareDecisions(registry);
         this.attempts = counter(
                 registry,
                 "aspenmoor_attempts_total",
@@ -112,6 +114,15 @@
                 .register(registry);
     }
 
+    private static Counter shareDecisions(PrometheusRegistry registry) {
+        return counter(
+                registry,
+                "aspenmoor_organisation_share_decisions_total",
+                "Requests by organisation (as above) and whether its share admitted them; both together were asked for.",
+                "organisation",
+                "admitted");
+    }
+
     private static Counter counter(PrometheusRegistry registry, String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
@@ -126,6 +137,12 @@
                 .inc();
     }
 
+    void shareDecided(String organisation, boolean admitted) {
+        shareDecisions
+                .labelValues(organisations.valueFor(organisation), Boolean.toString(admitted))
+                .inc();
+    }
+
     void attemptEnded(String service, String end) {
         attempts.labelValues(service, end).inc();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
-import org.aspenmoor.internal.gateway.caller.IncomingRequest;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
@@ -44,7 +43,7 @@
     private final FatalRequestCheck fatalCheck;
     private final SendCheck sendCheck;
     private final AnswerRelocation relocation;
-    private final RequestUsage usage;
+    private final RequestShare share;
     private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
     private final TriedServers triedServers = new TriedServers();
@@ -58,7 +57,6 @@
         this.request = request;
         this.writer = writer;
         this.service = request.service();
-        IncomingRequest incoming = request.incoming();
         CallerHeaders caller = request.caller();
         Route route = request.route();
         RequestAuthorisation authorisation = request.authorisation();
@@ -67,28 +65,28 @@
         this.attempts = new AttemptTracker(route.retryRule(), route.maxBackends());
         this.currentAttempt = new CurrentAttempt(context, service, route.objective());
         this.stallDetector = new StallDetector(context, route, writer::writable, this::stalled);
-        this.deadlines = new RequestDeadlines(incoming.receivedAtNanos(), caller.maxWait(), route);
+        this.deadlines = new RequestDeadlines(request.incoming().receivedAtNanos(), caller.maxWait(), route);
         this.trace = new RequestTrace(request, deadlines.deadline());
+        this.share = new RequestShare(context, request, trace);
         this.answerProgress = new AnswerProgress(context.state().placement(), service, caller.prompt(), trace);
-        this.queue = new QueueTracker(context, this, deadlines, trace);
+        this.queue = new QueueTracker(context, this, deadlines, share, trace);
         this.placements = new PlacementRequestFactory(service, caller, route, deadlines, trace, stream, triedServers);
-        this.permit = new RetryPermit(context, service, attempts, trace);
+        this.permit = new RetryPermit(context, service, attempts, share, trace);
         this.sender = new AttemptSender(
                 context,
                 this,
                 caller,
                 route,
                 stream,
-                new AttemptMessages(incoming, context.protocol(), route, authorisation, deadlines.deadline()),
+                new AttemptMessages(request.incoming(), context.protocol(), route, authorisation, deadlines.deadline()),
                 currentAttempt,
                 stallDetector,
                 triedServers,
                 trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
-        this.fatalCheck = new FatalRequestCheck(context, caller, service, incoming, trace);
-        this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, trace);
+        this.fatalCheck = new FatalRequestCheck(context, caller, service, request.incoming(), trace);
+        this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, share, trace);
         this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
-        this.usage = new RequestUsage(context, authorisation, route);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
@@ -155,6 +153,7 @@
             }
             case Placement.Queued queued -> queue.enqueue(queued, deadlines.callerWaitsUntil(trace.lastEventTime()));
             case Placement.Refused refused -> {
+                share.noRoom();
                 trace.setReason(refused.reason());
                 conclude(attempts.stepWithoutRetry(), refused.retryAfter());
             }
@@ -172,6 +171,7 @@
         switch (refusal) {
             case SendRefusal.CallerDisconnected disconnected -> callerDisconnected();
             case SendRefusal.Quarantined quarantined -> conclude(attempts.stepWithoutRetry(), quarantined.retryDelay());
+            case SendRefusal.ShareExceeded exceeded -> conclude(attempts.stepWithoutRetry(), exceeded.retryDelay());
             case SendRefusal.KeyRemoved removed
             when stream.begun() || attempts.mayHaveRun() ->
                 conclude(NextStep.REPORT_UNKNOWN, FinalAnswer.MIN_RETRY_DELAY);
@@ -198,12 +198,8 @@
         }
         switch (watched) {
             case AnswerAttempt answer
-            when attempts.attempts() < request.route().maxBackends() -> {
-                answer.release();
-                currentAttempt.cancel();
-                String reason = answer.begun() ? "the answer stalled" : "no answer began within the stall limit";
-                attemptEnded(answer.work(), new AttemptEnd.Lost(), reason);
-            }
+            when attempts.attempts() < request.route().maxBackends() ->
+                abandon(answer, answer.begun() ? "the answer stalled" : "no answer began within the stall limit");
             case AnswerAttempt last -> trace.setReason("the server is unresponsive, and no further attempt is allowed");
             case PrefillAttempt prefill -> {
                 currentAttempt.cancel();
@@ -212,6 +208,13 @@
         }
     }
 
+    /** Cancels an attempt whose answer can no longer be used. */
+    void abandon(AnswerAttempt answer, String reason) {
+        answer.release();
+        currentAttempt.cancel();
+        attemptEnded(answer.work(), new AttemptEnd.Lost(), reason);
+    }
+
     /** Records the load that a server reports with an answer. */
     void loadReported(AssignedWork work, AnswerMetadata metadata) {
         metadata.load().ifPresent(load -> context.state().placement().loadReported(work, load, now()));
@@ -273,7 +276,7 @@
     void answerBegan(AssignedWork work) {
         context.state().placement().answerStarted(work, now());
         pendingHandoff.completed();
-        usage.began(work);
+        share.answerBegan(work);
         stallDetector.answerBegan(answerAttempt);
         if (!stream.begun()) {
             trace.firstByteReceived(now());
@@ -296,10 +299,9 @@
 
     /** Continues the answer after its last event at another engine. */
     private void continueElsewhere(String reason) {
-        AssignedWork interrupted = answerAttempt.work();
         answerAttempt.release();
         currentAttempt.cancel();
-        currentAttempt.end(interrupted);
+        currentAttempt.end(answerAttempt.work());
         attempts.attemptEnded(new AttemptEnd.Lost());
         permit.recordGranted();
         context.metrics().attemptEnded(service, "moved");
@@ -365,6 +367,7 @@
         }
         trace.setReason(reason);
         context.metrics().attemptEnded(service, end.getClass().getSimpleName());
+        share.attemptEnded(end);
         NextStep next = attempts.attemptEnded(end);
         trace.logAttemptEnded(context.state().log(), end, next);
         if (next == NextStep.REPEAT && deadlines.deadline() > now() && fatalCheck.mayRetry() && permit.tryAcquire()) {
@@ -437,7 +440,7 @@
         if (trace.mixedVersions()) {
             context.metrics().versionsMixed(service);
         }
-        context.metrics().organisationRequestEnded(trace.organisation(), outcome);
+        share.ended(outcome);
         trace.logEnded(context.state(), outcome, attempts.attempts());
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -18,19 +18,13 @@
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
 import org.aspenmoor.internal.gateway.roles.OrderDuty;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
-import org.aspenmoor.internal.serving.AssignedPrompt;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
-import org.aspenmoor.internal.serving.EntryLoad;
-import org.aspenmoor.internal.serving.EventSize;
 import org.aspenmoor.internal.serving.GenerationTraits;
-import org.aspenmoor.internal.serving.LearnedSpeed;
 import org.aspenmoor.internal.serving.PeerLoads;
-import org.aspenmoor.internal.serving.PeerMeasurements;
-import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementPolicy;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RoleChange;
@@ -38,9 +32,10 @@
 import org.aspenmoor.internal.serving.ServiceLoad;
 import org.aspenmoor.internal.serving.ServiceTraits;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
-import org.aspenmoor.internal.serving.limit.StatedLimit;
 import org.aspenmoor.internal.serving.quarantine.ServerIncarnation;
+import org.aspenmoor.internal.serving.share.FairShareAdmission;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The state of one entry process: configuration, servers, peers and retry budgets. Confined to the event loop. */
@@ -60,6 +55,8 @@
     private final ServerLimits limits;
     private final ServerStatements statements;
     private final CacheListing cacheListing;
+    private final PeerSharing peerSharing;
+    private final OrganisationShares shares;
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -74,7 +71,8 @@
             RandomGenerator random,
             RetrySettings retrySettings,
             DecisionLog log,
-            PlacementSettings placementSettings) {
+            PlacementSettings placementSettings,
+            StoreFreshness storeFreshness) {
         this.time = time;
         this.random = random;
         this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
@@ -83,6 +81,7 @@
         this.peers = new PeerLoads();
         this.limits = new ServerLimits(this::entryCount, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
+        this.shares = new OrganisationShares(new FairShareAdmission(random), log);
         this.cacheListing = new CacheListing(directory, placementPolicy, this::cacheTokens, time, log);
         this.statements = new ServerStatements(
                 directory,
@@ -91,6 +90,7 @@
                 time,
                 server -> placementPolicy.serverChanged(server, cacheTokens(server)),
                 log);
+        this.peerSharing = new PeerSharing(peers, placementPolicy, limits, statements, shares, storeFreshness, time);
     }
 
     /** Applies changed settings. */
@@ -193,16 +193,6 @@
         return removed;
     }
 
-    /** Applies the report of another entry. */
-    public void peerReported(PeerReport report, long now) {
-        peers.receive(report, now);
-        report.prompts().forEach(prompt -> placementPolicy.promptAssignments().assignedByPeer(prompt, now));
-        report.speeds().forEach(placementPolicy::speedReceived);
-        report.eventSizes().forEach(placementPolicy::eventSizeReceived);
-        report.roleChanges().forEach(change -> placementPolicy.roleChangeOrdered(change, now));
-        statements.reported(report, now);
-    }
-
     /** Records that an engine has accepted an order of this entry to change its role. */
     public void roleChangeOrdered(RoleChange change) {
         orderedRoleChanges.put(change.server(), change);
@@ -228,44 +218,25 @@
         modelServices().forEach(service -> placementPolicy.samplePromptLoad(service, waiting.test(service), now));
     }
 
-    /** Returns the engine speeds estimated by this entry, to be reported to the other entries. */
-    public List<LearnedSpeed> learnedSpeeds() {
-        return placementPolicy.learnedSpeeds();
-    }
-
-    /** Returns the event sizes estimated by this entry, to be reported to the other entries. */
-    public List<EventSize> eventSizes() {
-        return placementPolicy.eventSizes();
-    }
-
     /** Returns what receives the statements of servers about themselves. */
     public ServerObserver serverObserver() {
         return statements;
     }
 
-    /** Returns what this entry has measured itself, to be reported to the other entries. */
-    public PeerMeasurements measurements() {
-        return PeerMeasurements.NONE;
+    /** Returns what this entry tells the other entries and learns from them. */
+    public PeerSharing peerSharing() {
+        return peerSharing;
     }
 
-    /** Returns the limits of servers, to be reported to the other entries. */
-    public List<StatedLimit> statedLimits() {
-        return limits.toReport(time.monotonicNanos());
+    /** Returns the shares of organisations. */
+    public OrganisationShares shares() {
+        return shares;
     }
 
     /** Removes entries whose last report is too old. */
     public void expirePeers(long now) {
         peers.expire(now);
-    }
-
-    /** Returns the load that this entry's own requests put on each server, by server id. */
-    public Map<String, EntryLoad> ownLoads() {
-        return placementPolicy.ownLoads(time.monotonicNanos());
-    }
-
-    /** Returns and clears the prompts that this entry has assigned to servers since the last call. */
-    public List<AssignedPrompt> takeUnreportedPrompts() {
-        return placementPolicy.promptAssignments().takeUnreported();
+        shares.update(now);
     }
 
     /**
@@ -380,6 +351,7 @@
     /** Records a request for a service, which adds a fraction of a retry to the service's retry budget. */
     void requestArrived(String service) {
         lastRequestAt = time.monotonicNanos();
+        placementPolicy.knownSpeeds().requestArrived(service, lastRequestAt);
         retryBudgets.recordRequest(service);
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -18,8 +18,10 @@
  * @param store the address of the store
  * @param watchPollWait how long one long poll for changes may wait at the store
  * @param serverChangePause how long changes of servers are left to accumulate at the store before the next poll
+ * @param storeBounds the times within which changes in the store must be in force
  * @param gracePeriod how long after SIGTERM the process may run before it is killed
  * @param maxBodyBytes the maximum total size of the request bodies held in memory, in bytes
+ * @param maxBufferedBytes the maximum number of bytes buffered for all callers and servers together
  * @param placement the settings for the placement of requests
  * @param pauseBetweenHolders the time that receivers of orders and reports require between the calls of two entries
  * @param duties the duties that one entry performs for all; empty if there are none
@@ -35,8 +37,10 @@
         URI store,
         Duration watchPollWait,
         Duration serverChangePause,
+        StoreBounds storeBounds,
         Duration gracePeriod,
         int maxBodyBytes,
+        long maxBufferedBytes,
         PlacementSettings placement,
         Duration pauseBetweenHolders,
         Optional<DutySettings> duties,
@@ -68,8 +72,10 @@
                 otherStore,
                 watchPollWait,
                 serverChangePause,
+                storeBounds,
                 gracePeriod,
                 maxBodyBytes,
+                maxBufferedBytes,
                 placement,
                 pauseBetweenHolders,
                 duties,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettingsReader.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import org.aspenmoor.AspenmoorException;
 import org.aspenmoor.internal.finding.Findings;
 import org.aspenmoor.internal.json.FieldReader;
@@ -19,6 +20,11 @@
     /** One sixth of the memory of the smallest host that entries run on. */
     private static final int DEFAULT_BODY_MEBIBYTES = 48;
 
+    /** The rest of the memory is for the program itself and for buffers that are being filled. */
+    private static final double DEFAULT_BUFFERED_FRACTION = 0.6;
+
+    private static final double MIN_BUFFERED_FRACTION = 0.01;
+
     /** Time within which an unresponsive connection to the store must be detected. */
     private static final int DEFAULT_STORE_TIMEOUT_MILLISECONDS = 2000;
 
@@ -35,6 +41,7 @@
     private static final double SERVER_CHANGE_PAUSE_FRACTION = 0.35;
 
     private static final int MAX_MILLISECONDS = 3_600_000;
+    private static final int ABSENT = -1;
 
     private static final int DEFAULT_HOLDER_PAUSE_MILLISECONDS = 3000;
     private static final String USAGE_DUTY = "usage";
@@ -76,8 +83,11 @@
                 reader.requiredHttpUrl("store"),
                 fractionOf(reader, "silenceMilliseconds", DEFAULT_STORE_TIMEOUT_MILLISECONDS, WATCH_POLL_FRACTION),
                 fractionOf(reader, "leavingMilliseconds", DEFAULT_LEAVING_MILLISECONDS, SERVER_CHANGE_PAUSE_FRACTION),
+                readStoreBounds(reader),
                 reader.seconds("graceSeconds", 1, MAX_SECONDS, DEFAULT_GRACE_PERIOD),
                 reader.integer("mostBodyMebibytes", 1, MAX_BODY_MEBIBYTES, DEFAULT_BODY_MEBIBYTES) * MEBIBYTE,
+                (long) (Runtime.getRuntime().maxMemory()
+                        * reader.decimal("mostBufferedShare", MIN_BUFFERED_FRACTION, 1, DEFAULT_BUFFERED_FRACTION)),
                 new PlacementSettings(
                         reader.requiredText("dataCentre"),
                         EngineSpeedReader.read(reader),
@@ -101,6 +111,18 @@
                 reader.seconds("usageWindowSeconds", 1, MAX_SECONDS, DEFAULT_USAGE_WINDOW));
     }
 
+    /** The bound for servers is also that for the configuration unless another is stated. */
+    private static StoreBounds readStoreBounds(FieldReader reader) {
+        Optional<Duration> servers = optionalMilliseconds(reader, "leavingMilliseconds");
+        return new StoreBounds(
+                optionalMilliseconds(reader, "configurationMilliseconds").or(() -> servers), servers);
+    }
+
+    private static Optional<Duration> optionalMilliseconds(FieldReader reader, String name) {
+        int milliseconds = reader.integer(name, 1, MAX_MILLISECONDS, ABSENT);
+        return milliseconds == ABSENT ? Optional.empty() : Optional.of(Duration.ofMillis(milliseconds));
+    }
+
     private static Duration fractionOf(FieldReader reader, String name, int defaultMilliseconds, double fraction) {
         return Duration.ofMillis((long) (reader.integer(name, 1, MAX_MILLISECONDS, defaultMilliseconds) * fraction));
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -22,10 +22,12 @@
 import org.aspenmoor.internal.gateway.Gateway;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
+import org.aspenmoor.internal.gateway.membership.StoreFreshnessFactory;
 import org.aspenmoor.internal.gateway.peers.ReportSender;
 import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
+import org.aspenmoor.internal.gateway.settings.StoreBounds;
 import org.aspenmoor.internal.organisation.KeyRegistry;
 import org.aspenmoor.internal.organisation.OrganisationKeys;
 import org.aspenmoor.internal.routing.EngineSpeed;
@@ -54,6 +56,7 @@
     public static final String HOST = "house.example";
     public static final String LOCAL_DATA_CENTRE = "here";
 
+    private static final long MAX_BUFFERED_BYTES = 24L * 1024 * 1024;
     private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(15);
     /** Only limits how long a failing test takes; no assertion depends on it. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(60);
@@ -71,8 +74,8 @@
     private final TestProtocols protocols = new TestProtocols();
     private final ShiftableTimeSource time = new ShiftableTimeSource();
     private KeyRegistry keys = KeyRegistry.notConfigured();
-    private int configurationVersion = 6;
     private SoftwareVersion softwareVersion = new SoftwareVersion("one");
+    private int configurationVersion = 6;
 
     public TestGateway() throws AspenmoorException {
         this(Optional.empty());
@@ -134,16 +137,20 @@
                 URI.create("http://127.0.0.1/"),
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
+                StoreBounds.NONE,
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
+                MAX_BUFFERED_BYTES,
                 placement,
                 Duration.ofSeconds(3),
                 duties,
                 new RetrySettings(1, 100, Duration.ofSeconds(10), 1));
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
-        this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), log);
-        gateway.start(observer.apply(store), StoreSettings.defaults(), new Decoder());
+        StoreSettings storeSettings = StoreSettings.defaults();
+        var freshness = StoreFreshnessFactory.create(settings, storeSettings.callTimeout());
+        this.gateway = new Gateway(settings, protocols, protocols, protocols, time, new Random(1), freshness, log);
+        gateway.start(observer.apply(store), storeSettings, new Decoder());
     }
 
     private static InetSocketAddress anyFreePort() {
@@ -196,7 +203,13 @@
 
     /** Limits the connections that one server of a plain service accepts; it applies after {@link #publish}. */
     public TestGateway connectionLimit(String service, int maxConnections) {
-        services.add(new ServiceTraits(service, maxConnections, Optional.empty()));
+        services.add(new ServiceTraits(service, maxConnections, Optional.empty(), Optional.empty()));
+        return this;
+    }
+
+    /** Sets the health path of the servers of a plain service; it applies after {@link #publish}. */
+    public TestGateway healthPath(String service, String path) {
+        services.add(new ServiceTraits(service, 100, Optional.of(path), Optional.empty()));
         return this;
     }
 
@@ -263,7 +276,7 @@
 
     /** Publishes the routes and waits until requests are served. */
     public void publish() throws StoreException, IOException {
-        services.add(new ServiceTraits("model", 100, Optional.of(new GenerationTraits(100_000))));
+        services.add(new ServiceTraits("model", 100, Optional.empty(), Optional.of(new GenerationTraits(100_000))));
         putConfiguration();
         store.create(new ObjectKey(ObjectKind.SERVING_CONFIGURATION, ObjectKey.PLATFORM_NAMESPACE, "main"), "{}");
         awaitReady();
