Announce only what is assigned, at most 2.5 times a second by each entry

Each announcement wakes every other entry.

Change: only increases of 0.05 s and more are announced, 20 ms gathered, 2.5 a second by each entry; reports list three organisations instead of eight while a service turns nothing away.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LoadSharing.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LoadSharing.java
@@ -14,11 +14,12 @@
  * <p>With tens of entries, reports follow each other at intervals of nearly half a second, in which an engine computes
  * several long prompts. Entries that choose engines by the reports alone send prompts to an engine that looks idle while
  * others do the same, and callers wait although other engines are free. Long prompts are therefore announced as soon as
- * they are assigned and computed. Announcements of shorter work would cost more than they help.
+ * they are assigned. That they are computed is left to the next report, and shorter work too: announcing it would cost
+ * more than it helps.
  */
 public final class LoadSharing {
-    /** Changes of less work, in seconds, are left to the next report: they hardly change which engine is best. */
-    private static final double MIN_ANNOUNCED_SECONDS = 0.02;
+    /** Increases by less work, in seconds, are left to the next report: they hardly change which engine is best. */
+    private static final double MIN_ANNOUNCED_SECONDS = 0.05;
 
     private final Map<String, ServerEstimate> estimates;
     private final Map<String, EntryLoad> notified = new HashMap<>();
@@ -60,7 +61,7 @@
             EntryLoad before = notified.getOrDefault(server, EntryLoad.NONE);
             EntryLoad load = current.getOrDefault(server, EntryLoad.NONE);
             double seconds = load.unansweredSeconds() - before.unansweredSeconds();
-            if (Math.abs(seconds) >= MIN_ANNOUNCED_SECONDS) {
+            if (seconds >= MIN_ANNOUNCED_SECONDS) {
                 changes.add(new LoadChange(server, seconds, load.requests() - before.requests()));
                 notified.put(server, load);
             }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/FairShareAdmission.java
@@ -27,7 +27,7 @@
      * How many organisations are listed while nothing is turned away. The largest are enough to limit them at once when
      * that changes; the full list of 83 organisations would take a tenth of the slowest link.
      */
-    private static final int MAX_REPORTED_WITHOUT_CONTENTION = 8;
+    private static final int MAX_REPORTED_WITHOUT_CONTENTION = 3;
 
     /** A datagram has room for this many services next to the organisations. */
     private static final int MAX_REPORTED_SERVICES = 8;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -179,7 +179,7 @@
         this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
         this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
         this.reporter = new PeerReporter(
-                peers, state, fatalRequests, origins, usage, healthProbes, gracefulStop::begun, eventLoop);
+                peers, state, fatalRequests, origins, usage, healthProbes, gracefulStop::begun, eventLoop, time);
         LoadSharingMetrics.register(
                 registry, peers::announcementsSent, peers::announcementsReceived, state.peerSharing()::startDelays);
         this.eventLoopMonitor = new EventLoopMonitor(CHECK_INTERVAL, time.monotonicNanos(), log, registry);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
@@ -10,14 +10,21 @@
 import org.aspenmoor.internal.gateway.quarantine.FatalRequestTracker;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.gateway.usage.UsageTracker;
+import org.aspenmoor.internal.limit.TokenBucket;
 import org.aspenmoor.internal.serving.LoadChange;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
+import org.aspenmoor.internal.time.TimeSource;
 
 /** Sends this entry's reports to the other entries, and announces changes of its load in between. */
 final class PeerReporter {
-    /** Changes within this time are announced together; engines compute a long prompt in ten times as long. */
-    private static final long LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
+    /** Changes within this time are announced together; engines compute a long prompt in several times as long. */
+    private static final long LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS = 20;
+
+    /** Each announcement is a datagram to each peer, and wakes it; more would take too much of a small entry's processor. */
+    private static final double MAX_ANNOUNCEMENTS_PER_SECOND = 2.5;
+
+    private static final double MAX_ANNOUNCEMENT_BURST = 5;
 
     private final PeerExchange peers;
     private final ServingState state;
@@ -27,6 +34,7 @@
     private final HealthProbes healthProbes;
     private final BooleanSupplier stopping;
     private final EventLoop eventLoop;
+    private final TokenBucket announcements;
 
     /**
      * Creates a reporter.
@@ -42,7 +50,8 @@
             Optional<UsageTracker> usage,
             HealthProbes healthProbes,
             BooleanSupplier stopping,
-            EventLoop eventLoop) {
+            EventLoop eventLoop,
+            TimeSource time) {
         this.peers = peers;
         this.state = state;
         this.fatalRequests = fatalRequests;
@@ -51,6 +60,7 @@
         this.healthProbes = healthProbes;
         this.stopping = stopping;
         this.eventLoop = eventLoop;
+        this.announcements = new TokenBucket(time, MAX_ANNOUNCEMENTS_PER_SECOND, MAX_ANNOUNCEMENT_BURST);
     }
 
     /** Sends the first report and schedules the others; to be called on the event loop. */
@@ -75,9 +85,13 @@
         eventLoop.schedule(this::reportRegularly, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Announces what has changed, unless the next report has to do because too much was announced lately. */
     private void announceLoadChanges() {
+        if (!peers.announcesLoadChanges() || !announcements.tryAcquire()) {
+            return;
+        }
         List<LoadChange> changes = state.peerSharing().takeLoadChanges();
-        if (!changes.isEmpty() && peers.announcesLoadChanges()) {
+        if (!changes.isEmpty()) {
             peers.announceLoadChanges(changes);
         }
     }
