Take an announcement from the limit only if there is one to send

Cause: since each round after a change of the load took one of the 2.5 announcements a second, also where only short work had changed, so that long prompts were rarely announced. Fleets that announce nothing set a timer for each report all the same, and each round computed the load on all servers for the few that had changed.

Change: LoadSharing asks for permission only with something to announce, and looks at the servers that changed; what is not permitted stays for later. No timer where nothing is announced.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LoadSharing.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/LoadSharing.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * The load of this entry on each backend server, as it is told to the other entries in reports and, between two reports,
@@ -46,38 +47,45 @@
 
     /** Returns the load to be reported now, by server; servers without load are omitted. */
     public Map<String, EntryLoad> takeLoads(long now) {
-        Map<String, EntryLoad> loads = currentLoads(now);
+        Map<String, EntryLoad> loads = new HashMap<>();
+        estimates.forEach((id, estimate) -> {
+            EntryLoad load = estimate.ownLoad(now);
+            if (load.requests() > 0) {
+                loads.put(id, load);
+            }
+        });
         touched.clear();
         notified.clear();
         notified.putAll(loads);
         return loads;
     }
 
-    /** Returns the changes since the last report that are worth an announcement, and counts them as announced. */
-    public List<LoadChange> takeChanges(long now) {
-        Map<String, EntryLoad> current = currentLoads(now);
+    /**
+     * Returns the changes since the last report that are worth an announcement, and counts them as announced.
+     *
+     * @param permitted asked whether an announcement may be sent now, only if there is something to announce; what is
+     *     not announced remains for a later announcement or the next report
+     */
+    public List<LoadChange> takeChanges(long now, BooleanSupplier permitted) {
         List<LoadChange> changes = new ArrayList<>();
         for (String server : touched) {
             EntryLoad before = notified.getOrDefault(server, EntryLoad.NONE);
-            EntryLoad load = current.getOrDefault(server, EntryLoad.NONE);
+            EntryLoad load = currentLoad(server, now);
             double seconds = load.unansweredSeconds() - before.unansweredSeconds();
             if (seconds >= MIN_ANNOUNCED_SECONDS) {
                 changes.add(new LoadChange(server, seconds, load.requests() - before.requests()));
-                notified.put(server, load);
             }
         }
         touched.clear();
+        if (changes.isEmpty() || !permitted.getAsBoolean()) {
+            return List.of();
+        }
+        changes.forEach(change -> notified.put(change.server(), currentLoad(change.server(), now)));
         return changes;
     }
 
-    private Map<String, EntryLoad> currentLoads(long now) {
-        Map<String, EntryLoad> loads = new HashMap<>();
-        estimates.forEach((id, estimate) -> {
-            EntryLoad load = estimate.ownLoad(now);
-            if (load.requests() > 0) {
-                loads.put(id, load);
-            }
-        });
-        return loads;
+    private EntryLoad currentLoad(String server, long now) {
+        ServerEstimate estimate = estimates.get(server);
+        return estimate == null ? EntryLoad.NONE : estimate.ownLoad(now);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/LongPromptSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/LongPromptSimulation.java
@@ -9,7 +9,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
@@ -156,30 +155,19 @@
             }
             schedule(now + ANNOUNCEMENT_DELAY, at -> {
                 LoadChanges changes =
-                        new LoadChanges(name, 1, sequence, policy.loadSharing().takeChanges(at));
+                        new LoadChanges(name, 1, sequence, policy.loadSharing().takeChanges(at, () -> true));
                 deliver(this, receiver -> receiver.peers.receive(changes));
             });
         }
 
         private void report(long now) {
             sequence++;
-            PeerReport report = new PeerReport(
+            PeerReport report = TestReports.of(
                     name,
                     1,
                     sequence,
                     policy.ownLoads(now),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    Optional.empty(),
-                    new OrderStanding(name, true, 0),
-                    new PeerMeasurements(List.of(), List.of(), policy.speeds().takeObservedStartDelays(), List.of()),
-                    false);
+                    new PeerMeasurements(List.of(), List.of(), policy.speeds().takeObservedStartDelays(), List.of()));
             deliver(this, receiver -> {
                 receiver.peers.receive(report, now);
                 report.measurements().startDelays().forEach(receiver.policy.speeds()::learnStartDelays);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/PeerReporter.java
@@ -66,9 +66,7 @@
     /** Sends the first report and schedules the others; to be called on the event loop. */
     void start() {
         reportRegularly();
-        state.peerSharing()
-                .onLoadChange(() -> eventLoop.schedule(
-                        this::announceLoadChanges, LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS));
+        state.peerSharing().onLoadChange(this::scheduleAnnouncement);
     }
 
     /** Sends a report at once, besides the regular ones. */
@@ -85,12 +83,14 @@
         eventLoop.schedule(this::reportRegularly, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Announces what has changed, unless the next report has to do because too much was announced lately. */
-    private void announceLoadChanges() {
-        if (!peers.announcesLoadChanges() || !announcements.tryAcquire()) {
-            return;
+    private void scheduleAnnouncement() {
+        if (peers.announcesLoadChanges()) {
+            eventLoop.schedule(this::announceLoadChanges, LOAD_ANNOUNCEMENT_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
         }
-        List<LoadChange> changes = state.peerSharing().takeLoadChanges();
+    }
+
+    private void announceLoadChanges() {
+        List<LoadChange> changes = state.peerSharing().takeLoadChanges(announcements::tryAcquire);
         if (!changes.isEmpty()) {
             peers.announceLoadChanges(changes);
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PeerSharing.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PeerSharing.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.aspenmoor.internal.serving.AssignedPrompt;
 import org.aspenmoor.internal.serving.EntryLoad;
 import org.aspenmoor.internal.serving.EventSize;
@@ -68,9 +69,13 @@
         placement.loadSharing().onChange(listener);
     }
 
-    /** Returns the changes of this entry's load that are to be announced to the other entries. */
-    public List<LoadChange> takeLoadChanges() {
-        return placement.loadSharing().takeChanges(time.monotonicNanos());
+    /**
+     * Returns the changes of this entry's load that are to be announced to the other entries now.
+     *
+     * @param permitted asked whether an announcement may be sent now, only if there is something to announce
+     */
+    public List<LoadChange> takeLoadChanges(BooleanSupplier permitted) {
+        return placement.loadSharing().takeChanges(time.monotonicNanos(), permitted);
     }
 
     /** Returns the engine speeds estimated by this entry, to be reported to the other entries. */
