One interval of reports, one rate, one sum of the others' load

Found on reading the change: the interval of reports and how long they count stood in ReportInterval, EntryTurns and PeerDemands; the rate with exponential average in WorkRate and the DemandMeter of limits, which are now RecentRate; reports that contain only loads and measurements were written out in five tests. PeerLoads kept adding up all entries for each question of a placement; the sums are kept until something changes. Behaviour, bounds and assertions are as before; one assertion on the sum after an entry's time-out was added.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PeerLoads.java
@@ -27,6 +27,9 @@
 
     private final Map<String, ReceivedReport> reports = new HashMap<>();
 
+    /** Sums by server since the last change; a placement asks for each server several times. */
+    private final Map<String, EntryLoad> totals = new HashMap<>();
+
     /** Applies a report unless a newer one of the same sender has already been received. */
     public void receive(PeerReport report, long now) {
         ReceivedReport previous = reports.get(report.entry());
@@ -36,6 +39,7 @@
         if (outdated) {
             return;
         }
+        totals.clear();
         if (report.stopping()) {
             reports.remove(report.entry());
             return;
@@ -51,6 +55,7 @@
                 || received.report().sequence() > changes.sequence()) {
             return;
         }
+        totals.clear();
         for (LoadChange change : changes.changes()) {
             received.changes().merge(change.server(), change, LoadChange::plus);
         }
@@ -62,12 +67,17 @@
         while (received.hasNext()) {
             if (now - received.next().receivedAt() > REPORT_TIMEOUT.toNanos()) {
                 received.remove();
+                totals.clear();
             }
         }
     }
 
     /** Returns the sum of the load of all other entries on a server. */
     public EntryLoad onServer(String server) {
+        return totals.computeIfAbsent(server, this::totalOn);
+    }
+
+    private EntryLoad totalOn(String server) {
         EntryLoad total = EntryLoad.NONE;
         for (ReceivedReport received : reports.values()) {
             total = total.plus(received.loadOn(server));
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/ReportInterval.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ReportInterval.java
@@ -1,4 +1,4 @@
-package org.aspenmoor.internal.serving.freshness;
+package org.aspenmoor.internal.serving;
 
 import java.time.Duration;
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.dissemination.StableHash;
+import org.aspenmoor.internal.serving.ReportInterval;
 
 /**
  * Decides when one entry polls a collection next. Every entry polling by itself makes the number of calls to the store
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/PeerObservations.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/PeerObservations.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.dissemination.StableHash;
+import org.aspenmoor.internal.serving.ReportInterval;
 
 /** The latest observation of one collection from each of the other entries. Confined to one thread. */
 final class PeerObservations {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
@@ -10,6 +10,7 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.RecentRate;
 
 /**
  * The limits that servers have stated for the requests of all entries together, and this entry's shares of them.
@@ -19,10 +20,13 @@
  * entry.
  */
 public final class ServerLimits {
+    /** Over how long the demand for a service is averaged. */
+    private static final Duration DEMAND_AVERAGING = Duration.ofSeconds(4);
+
     private final IntSupplier entries;
     private final RandomGenerator random;
     private final Map<String, LimitedServer> servers = new HashMap<>();
-    private final Map<String, DemandMeter> demands = new HashMap<>();
+    private final Map<String, RecentRate> demands = new HashMap<>();
 
     /**
      * Creates an instance that knows no limit.
@@ -107,7 +111,7 @@
     /** Records a request or another call that this entry sends to a server. */
     public void sent(String server, long now) {
         find(server).ifPresent(known -> {
-            demandMeter(known.server().service()).add(now);
+            demandRate(known.server().service()).add(1, now);
             known.limit().requestsPerSecond().ifPresent(limit -> {
                 known.bucket().refill(share(known, limit, now), now);
                 known.bucket().take();
@@ -117,7 +121,7 @@
 
     /** Records a request that is refused because of limits. */
     public void refused(String service, long now) {
-        demandMeter(service).add(now);
+        demandRate(service).add(1, now);
     }
 
     /** Returns the shortest time until this entry may send a request to one of the servers; empty if it may to none. */
@@ -148,11 +152,11 @@
     }
 
     private double demand(String service, long now) {
-        return demandMeter(service).perSecond(now);
+        return demandRate(service).perSecond(now);
     }
 
-    private DemandMeter demandMeter(String service) {
-        return demands.computeIfAbsent(service, unseen -> new DemandMeter());
+    private RecentRate demandRate(String service) {
+        return demands.computeIfAbsent(service, unseen -> new RecentRate(DEMAND_AVERAGING));
     }
 
     private Optional<LimitedServer> find(String server) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/DemandMeter.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/DemandMeter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.aspenmoor.internal.serving.RecentRate;
 
 /**
  * Measures the recent demand for one service at this entry: hundreds of requests per second of any number of
@@ -29,16 +30,16 @@
     /** How many organisations are measured one by one; an entry serves a few hundred requests per second at most. */
     private static final int MAX_ORGANISATIONS = 1_000;
 
-    private final Map<OrganisationClass, WorkRate> requested = new HashMap<>();
-    private final WorkRate completed = new WorkRate(TOTAL_AVERAGING);
-    private final WorkRate turnedAway = new WorkRate(TOTAL_AVERAGING);
+    private final Map<OrganisationClass, RecentRate> requested = new HashMap<>();
+    private final RecentRate completed = new RecentRate(TOTAL_AVERAGING);
+    private final RecentRate turnedAway = new RecentRate(TOTAL_AVERAGING);
 
     void requested(OrganisationClass requester, double work, long now) {
         measured(requester, now).add(work, now);
     }
 
     double requestedPerSecond(OrganisationClass requester, long now) {
-        WorkRate known = requested.get(requester);
+        RecentRate known = requested.get(requester);
         return known == null ? 0 : known.perSecond(now);
     }
 
@@ -87,8 +88,8 @@
         return new ServiceDemand(service, all, completed.perSecond(now), turnedAway.perSecond(now));
     }
 
-    private WorkRate measured(OrganisationClass requester, long now) {
-        WorkRate known = requested.get(requester);
+    private RecentRate measured(OrganisationClass requester, long now) {
+        RecentRate known = requested.get(requester);
         if (known != null) {
             return known;
         }
@@ -98,6 +99,6 @@
         OrganisationClass key = requested.size() < MAX_ORGANISATIONS
                 ? requester
                 : new OrganisationClass(OrganisationClass.REST, requester.priority());
-        return requested.computeIfAbsent(key, unseen -> new WorkRate(DEMAND_AVERAGING));
+        return requested.computeIfAbsent(key, unseen -> new RecentRate(DEMAND_AVERAGING));
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/PeerDemands.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/share/PeerDemands.java
@@ -8,22 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.aspenmoor.internal.serving.ReportInterval;
 
 /**
  * The demands that other entries have last reported, for some hundreds of entries. Times are nanoseconds of the
  * monotonic clock.
  */
 final class PeerDemands {
-    /** Each entry sends its report to all others at this interval per entry, and no more often than the minimum. */
-    private static final Duration REPORT_INTERVAL_PER_ENTRY = Duration.ofMillis(10);
-
-    private static final Duration MIN_REPORT_INTERVAL = Duration.ofMillis(100);
-
-    /** A report is replaced by the next one; two may be lost in succession. */
-    private static final int KEPT_INTERVALS = 3;
-
-    private static final Duration MIN_KEPT = Duration.ofMillis(1500);
-
     /** More services than a deployment has; further ones in a report are ignored. */
     private static final int MAX_SERVICES = 64;
 
@@ -57,15 +48,13 @@
 
     /** Forgets the entries whose last report is too old. */
     void expire(long now) {
-        Duration kept = reportInterval().multipliedBy(KEPT_INTERVALS);
-        long keptNanoseconds = Math.max(kept.toNanos(), MIN_KEPT.toNanos());
-        received.values().removeIf(each -> now - each.receivedAt() > keptNanoseconds);
+        long retention = ReportInterval.retention(received.size()).toNanos();
+        received.values().removeIf(each -> now - each.receivedAt() > retention);
     }
 
     /** Returns how often each entry reports, given how many there are. */
     Duration reportInterval() {
-        Duration interval = REPORT_INTERVAL_PER_ENTRY.multipliedBy(received.size());
-        return interval.compareTo(MIN_REPORT_INTERVAL) < 0 ? MIN_REPORT_INTERVAL : interval;
+        return ReportInterval.of(received.size());
     }
 
     /** Returns the demands for a service. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/EntryTurns.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/speed/EntryTurns.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.aspenmoor.internal.dissemination.StableHash;
+import org.aspenmoor.internal.serving.ReportInterval;
 
 /**
  * The order in which the entries probe a server, by rendezvous hash of their names: the first one probes it, and the
@@ -14,16 +15,6 @@
  * <p>Handles 300 entries and some tens of servers several times a second.
  */
 public final class EntryTurns {
-    /** Interval between the reports of an entry, for each of its peers. */
-    private static final long REPORT_INTERVAL_PER_PEER_NANOSECONDS =
-            Duration.ofMillis(10).toNanos();
-
-    private static final long MIN_REPORT_INTERVAL_NANOSECONDS =
-            Duration.ofMillis(100).toNanos();
-
-    /** An entry counts as present for this many of its report intervals, so that two lost reports do not matter. */
-    private static final int PRESENT_INTERVALS = 3;
-
     private static final int HEARD_INTERVALS = 2;
 
     /** After that many report intervals an entry that has started has heard the others, each once at least. */
@@ -71,8 +62,8 @@
             changed |= !others.containsKey(name);
             others.computeIfAbsent(name, added -> new Present(StableHash.of(added))).seenAt = now;
         }
-        long retention = PRESENT_INTERVALS * reportIntervalNanoseconds() - ACTIVE_NANOSECONDS;
-        changed |= others.values().removeIf(entry -> now - entry.seenAt > Math.max(0, retention));
+        long retention = ReportInterval.retention(others.size()).toNanos() - ACTIVE_NANOSECONDS;
+        changed |= others.values().removeIf(entry -> now - entry.seenAt > retention);
         startedAt = startedAt.or(() -> Optional.of(now));
         if (starting && now - startedAt.get() > STARTING_INTERVALS * reportIntervalNanoseconds()) {
             starting = false;
@@ -127,7 +118,7 @@
 
     /** Returns the time between two reports of this entry. */
     long reportIntervalNanoseconds() {
-        return Math.max(MIN_REPORT_INTERVAL_NANOSECONDS, others.size() * REPORT_INTERVAL_PER_PEER_NANOSECONDS);
+        return ReportInterval.of(others.size()).toNanos();
     }
 
     private static final class Present {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PeerLoadsTest.java
@@ -4,8 +4,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -86,48 +84,21 @@
     public void should_remove_an_entry_when_its_report_times_out_or_it_is_stopping() {
         peers.receive(report("one", 1, 1, 0.5), 0);
         peers.receive(report("two", 1, 1, 0.5), PeerLoads.REPORT_TIMEOUT.toNanos());
+        assertEquals(peers.onServer("server"), new EntryLoad(1, 2, EventIntervals.NONE, 0));
         peers.expire(PeerLoads.REPORT_TIMEOUT.toNanos() + 1);
         assertEquals(peers.activePeers(), 1);
+        assertEquals(peers.onServer("server"), new EntryLoad(0.5, 1, EventIntervals.NONE, 0));
 
-        peers.receive(
-                new PeerReport(
-                        "two",
-                        1,
-                        2,
-                        Map.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        Optional.empty(),
-                        new OrderStanding("two", true, 0),
-                        PeerMeasurements.NONE,
-                        true),
-                PeerLoads.REPORT_TIMEOUT.toNanos());
+        peers.receive(TestReports.last("two", 1, 2), PeerLoads.REPORT_TIMEOUT.toNanos());
         assertEquals(peers.activePeers(), 0);
     }
 
     private static PeerReport report(String entry, long incarnation, long sequence, double seconds) {
-        return new PeerReport(
+        return TestReports.of(
                 entry,
                 incarnation,
                 sequence,
                 Map.of("server", new EntryLoad(seconds, 1, EventIntervals.NONE, 0)),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding(entry, true, 0),
-                PeerMeasurements.NONE,
-                false);
+                PeerMeasurements.NONE);
     }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/PlacementPolicyTest.java
@@ -13,7 +13,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
@@ -177,7 +176,14 @@
         }
         Prompt prompt = prompt("subject");
         String preferred = serverOf(policy.choose(generationRequest(prompt), 0));
-        peerLoads.receive(reportWithLoads(Map.of(preferred, new EntryLoad(2.0, 9, EventIntervals.NONE, 0))), 0);
+        peerLoads.receive(
+                TestReports.of(
+                        "other",
+                        1,
+                        1,
+                        Map.of(preferred, new EntryLoad(2.0, 9, EventIntervals.NONE, 0)),
+                        PeerMeasurements.NONE),
+                0);
 
         assertNotEquals(serverOf(policy.choose(generationRequest(prompt), 0)), preferred);
         peerLoads.expire(PeerLoads.REPORT_TIMEOUT.toNanos() + 1);
@@ -230,7 +236,14 @@
     public void should_refuse_at_once_when_the_answer_cannot_start_in_time() {
         policy.serverChanged(TestServers.engine("engine", EngineRole.WHOLE), TestServers.CACHE_TOKENS);
         policy.speedReceived(new LearnedSpeed(TestServers.MODEL_SERVICE, EngineRole.WHOLE, 1, 0.035));
-        peerLoads.receive(reportWithLoads(Map.of("engine", new EntryLoad(8.0, 40, EventIntervals.NONE, 0))), 0);
+        peerLoads.receive(
+                TestReports.of(
+                        "other",
+                        1,
+                        1,
+                        Map.of("engine", new EntryLoad(8.0, 40, EventIntervals.NONE, 0)),
+                        PeerMeasurements.NONE),
+                0);
 
         Placement.Refused refused = (Placement.Refused) policy.choose(generationRequest(prompt("subject")), 0);
 
@@ -413,24 +426,4 @@
     private static String serverOf(Placement placement) {
         return ((Placement.SingleServer) placement).server().id();
     }
-
-    private static PeerReport reportWithLoads(Map<String, EntryLoad> loads) {
-        return new PeerReport(
-                "other",
-                1,
-                1,
-                loads,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding("another", true, 0),
-                PeerMeasurements.NONE,
-                false);
-    }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/SimulatedEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/SimulatedEntry.java
@@ -3,8 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.PeerMeasurements;
 import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.serving.ReportInterval;
+import org.aspenmoor.internal.serving.TestReports;
 
 /** One entry process, which follows both collections and reports to the others. */
 final class SimulatedEntry {
@@ -86,7 +90,12 @@
     }
 
     void report() {
-        PeerReport report = TestReports.of(name, startedAt, ++sequence, freshness.observations(simulation.now()));
+        PeerReport report = TestReports.of(
+                name,
+                startedAt,
+                ++sequence,
+                Map.of(),
+                new PeerMeasurements(List.of(), List.of(), List.of(), freshness.observations(simulation.now())));
         simulation.send(this, report);
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/StoreFreshnessTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/StoreFreshnessTest.java
@@ -4,7 +4,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.PeerMeasurements;
+import org.aspenmoor.internal.serving.TestReports;
 import org.testng.annotations.Test;
 
 public class StoreFreshnessTest {
@@ -37,7 +40,14 @@
         long now = milliseconds(atMilliseconds);
         CollectionObservation observation =
                 new CollectionObservation(SERVERS, STATE.generation(), STATE.digest(), Duration.ZERO);
-        freshness.peerReported(TestReports.of("peer", 1, ++sequence, List.of(observation)), now);
+        freshness.peerReported(
+                TestReports.of(
+                        "peer",
+                        1,
+                        ++sequence,
+                        Map.of(),
+                        new PeerMeasurements(List.of(), List.of(), List.of(), List.of(observation))),
+                now);
         return freshness.of(SERVERS).status(now).age().orElseThrow().toMillis();
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/share/ShareSimulation.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.AssignedWork;
@@ -25,6 +24,7 @@
 import org.aspenmoor.internal.serving.RetryAllowance;
 import org.aspenmoor.internal.serving.SimulatedTime;
 import org.aspenmoor.internal.serving.SoftwareVersion;
+import org.aspenmoor.internal.serving.TestReports;
 import org.aspenmoor.internal.serving.VersionRequirement;
 import org.aspenmoor.internal.serving.WorkKind;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
@@ -226,23 +226,12 @@
             }
             reports++;
             shares.update(time.now());
-            PeerReport report = new PeerReport(
+            PeerReport report = TestReports.of(
                     name,
                     incarnation,
                     reports,
                     policy.ownLoads(time.now()),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    Optional.empty(),
-                    new OrderStanding(name, true, 0),
-                    new PeerMeasurements(List.of(), shares.toReport(time.now()), List.of(), List.of()),
-                    false);
+                    new PeerMeasurements(List.of(), shares.toReport(time.now()), List.of(), List.of()));
             entries.stream().filter(other -> other != this).forEach(other -> send(report, other));
             peers.expire(time.now());
             time.at(time.now() + interval(), () -> report(reportingIncarnation));
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/speed/SpeedSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/speed/SpeedSimulation.java
@@ -8,7 +8,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.PeerLoads;
@@ -22,6 +21,7 @@
 import org.aspenmoor.internal.serving.PromptPart;
 import org.aspenmoor.internal.serving.ReportedLoad;
 import org.aspenmoor.internal.serving.SimulatedTime;
+import org.aspenmoor.internal.serving.TestReports;
 import org.aspenmoor.internal.serving.VersionRequirement;
 import org.aspenmoor.internal.serving.WorkKind;
 import org.aspenmoor.internal.serving.limit.ServerLimits;
@@ -199,23 +199,12 @@
                 return;
             }
             reports++;
-            PeerReport report = new PeerReport(
+            PeerReport report = TestReports.of(
                     name,
                     incarnation,
                     reports,
                     policy.ownLoads(time.now()),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    List.of(),
-                    Optional.empty(),
-                    new OrderStanding(name, true, 0),
-                    new PeerMeasurements(policy.knownSpeeds().toReport(time.now()), List.of(), List.of(), List.of()),
-                    false);
+                    new PeerMeasurements(policy.knownSpeeds().toReport(time.now()), List.of(), List.of(), List.of()));
             entries.stream().filter(other -> other != this).forEach(other -> deliver(report, other));
             peers.expire(time.now());
             time.at(time.now() + reportInterval(), () -> report(reportingIncarnation));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -24,7 +24,7 @@
 import org.aspenmoor.internal.serving.LoadChange;
 import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
-import org.aspenmoor.internal.serving.freshness.ReportInterval;
+import org.aspenmoor.internal.serving.ReportInterval;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
 import org.aspenmoor.internal.serving.origin.OriginReply;
