Show each entry's share of a limit, and by what it is calculated

Cause: where a server gets more than its limit, logs and metrics could not tell whether entries divide by too few, ignore a statement, or send without a share. Now metrics and state dump show share, entries counted, claims known and the age of the oldest, and server-limit-ignored shows the first statement after each change that differs from what holds but is not newer.

No logic changes.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -368,7 +368,7 @@
         return estimates.values().stream()
                 .map(estimate -> {
                     String id = estimate.server().id();
-                    return estimate.summary(peerLoads.onServer(id), limits.requestsPerSecond(id), now);
+                    return estimate.summary(peerLoads.onServer(id), limits.summary(id, now), now);
                 })
                 .toList();
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerEstimate.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.limit.LimitSummary;
 import org.aspenmoor.internal.serving.speed.KnownSpeed;
 
 /**
@@ -366,7 +367,7 @@
         return Math.max(queuedSeconds, overdueSeconds(now));
     }
 
-    ServerSummary summary(EntryLoad others, Optional<Double> requestLimit, long now) {
+    ServerSummary summary(EntryLoad others, Optional<LimitSummary> limit, long now) {
         return new ServerSummary(
                 server,
                 waitSeconds(others, now),
@@ -380,7 +381,7 @@
                 health.paused(now),
                 cache.tokens(),
                 backoff.remaining(now),
-                requestLimit);
+                limit);
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServerSummary.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.aspenmoor.internal.serving.limit.LimitSummary;
 
 /**
  * What this entry knows or estimates about one backend server, for operators.
@@ -18,7 +19,7 @@
  * @param paused whether it gets no requests after failures
  * @param cachedTokens prompt tokens that it has probably cached
  * @param backoff for how long it wants no requests from this entry; zero if it has not asked for a pause
- * @param requestLimit requests per second that it takes from all entries together; empty if it states no limit
+ * @param limit the limit that it states and this entry's share of it; empty if it states no limit
  */
 public record ServerSummary(
         BackendServer server,
@@ -33,4 +34,4 @@
         boolean paused,
         int cachedTokens,
         Duration backoff,
-        Optional<Double> requestLimit) {}
+        Optional<LimitSummary> limit) {}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
@@ -17,6 +17,7 @@
     private Optional<Double> requestsPerSecond = Optional.empty();
     private long statedToRequestSentAt = Long.MIN_VALUE;
     private long endedAt = Long.MIN_VALUE;
+    private boolean outdatedSeen;
     private boolean unreadableSeen;
 
     /** Returns the limit; empty if there is none. */
@@ -56,7 +57,7 @@
 
     private LimitUpdate replace(Optional<Double> stated, long requestSentAt, long now) {
         if (requestSentAt <= statedToRequestSentAt) {
-            return new LimitUpdate.Unchanged();
+            return ignore(stated);
         }
         statedToRequestSentAt = requestSentAt;
         if (stated.equals(requestsPerSecond)) {
@@ -66,9 +67,18 @@
             endedAt = now;
         }
         requestsPerSecond = stated;
+        outdatedSeen = false;
         return new LimitUpdate.Changed(stated);
     }
 
+    private LimitUpdate ignore(Optional<Double> stated) {
+        if (outdatedSeen || stated.equals(requestsPerSecond)) {
+            return new LimitUpdate.Unchanged();
+        }
+        outdatedSeen = true;
+        return new LimitUpdate.Outdated(stated, requestsPerSecond);
+    }
+
     private LimitUpdate recordUnreadable(LimitStatement.Unreadable unreadable) {
         if (unreadableSeen) {
             return new LimitUpdate.Unchanged();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitUpdate.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitUpdate.java
@@ -14,6 +14,14 @@
      */
     record Changed(Optional<Double> requestsPerSecond) implements LimitUpdate {}
 
+    /**
+     * The statement differs from what is known and is ignored because it is not newer. Reported once after each change.
+     *
+     * @param ignored the limit that it states; empty for none
+     * @param requestsPerSecond the limit that still holds; empty if there is none
+     */
+    record Outdated(Optional<Double> ignored, Optional<Double> requestsPerSecond) implements LimitUpdate {}
+
     /**
      * The server has for the first time stated something that is not a limit.
      *
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
@@ -60,6 +60,13 @@
         return claims.values().stream().map(ReportedClaim::claim).toList();
     }
 
+    /** Returns the time since the oldest known claim of another entry was received; empty if none is known. */
+    Optional<Duration> oldestClaim(long now) {
+        return claims.values().stream()
+                .map(claim -> Duration.ofNanos(now - claim.receivedAt()))
+                .max(Duration::compareTo);
+    }
+
     Optional<StatedLimit> toReport(double demand, long now) {
         return limit.reportableAge(now)
                 .map(age -> new StatedLimit(
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/ServerLimits.java
@@ -79,6 +79,19 @@
         return find(server).flatMap(known -> known.limit().requestsPerSecond());
     }
 
+    /** Returns the limit of a server and this entry's share of it; empty if it states no limit. */
+    public Optional<LimitSummary> summary(String server, long now) {
+        return find(server)
+                .flatMap(known -> known.limit()
+                        .requestsPerSecond()
+                        .map(limit -> new LimitSummary(
+                                limit,
+                                share(known, limit, now),
+                                entries.getAsInt(),
+                                known.reportedClaims(now).size(),
+                                known.oldestClaim(now))));
+    }
+
     /** Returns whether a server states a limit below an even part of what all entries send to its service. */
     public boolean restricts(String server, long now) {
         return find(server)
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -14,6 +14,7 @@
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.ServerSummary;
 import org.aspenmoor.internal.serving.ServingConfiguration;
+import org.aspenmoor.internal.serving.limit.LimitSummary;
 import org.aspenmoor.internal.serving.origin.StreamOriginTracker;
 import org.aspenmoor.internal.serving.share.ShareSummary;
 
@@ -127,7 +128,15 @@
         node.put("paused", summary.paused());
         node.put("cachedTokens", summary.cachedTokens());
         node.put("backoffMilliseconds", summary.backoff().toMillis());
-        summary.requestLimit().ifPresent(limit -> node.put("requestsPerSecondLimit", limit));
+        summary.limit().ifPresent(limit -> writeLimit(limit, node));
+    }
+
+    private static void writeLimit(LimitSummary limit, ObjectNode node) {
+        node.put("requestsPerSecondLimit", limit.requestsPerSecond());
+        node.put("requestsPerSecondShare", limit.share());
+        node.put("limitEntries", limit.entries());
+        node.put("limitClaims", limit.claims());
+        limit.oldestClaim().ifPresent(age -> node.put("oldestLimitClaimMilliseconds", age.toMillis()));
     }
 
     private static String lowerCase(Enum<?> constant) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LimitLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LimitLog.java
@@ -31,6 +31,13 @@
                         .with("requestsPerSecond", text(changed.requestsPerSecond()))
                         .with("reportedBy", reportedBy)
                         .write();
+            case LimitUpdate.Outdated outdated ->
+                log.notable("server-limit-ignored")
+                        .with("server", server)
+                        .with("stated", text(outdated.ignored()))
+                        .with("stillHolds", text(outdated.requestsPerSecond()))
+                        .with("reportedBy", reportedBy)
+                        .write();
             case LimitUpdate.FirstUnreadable unreadable ->
                 log.notable("server-limit-unreadable")
                         .with("server", server)
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerMetrics.java
@@ -23,7 +23,7 @@
         registerDraining(registry, servers);
         registerVersion(registry, servers);
         registerBackoff(registry, servers);
-        registerRequestLimit(registry, servers);
+        LimitMetrics.register(registry, servers);
         registerEventSeconds(registry, servers);
         registerLearnedSlowdown(registry, servers);
         registerStatedSlowdown(registry, servers);
@@ -81,18 +81,6 @@
                 .register(registry);
     }
 
-    private static void registerRequestLimit(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
-        GaugeWithCallback.builder()
-                .name("aspenmoor_server_request_limit")
-                .help("Requests per second that a backend server takes from all entries together, by server.")
-                .labelNames("server")
-                .callback(callback -> servers.get()
-                        .forEach(summary -> summary.requestLimit()
-                                .ifPresent(limit ->
-                                        callback.call(limit, summary.server().id()))))
-                .register(registry);
-    }
-
     private static void registerLearnedSlowdown(PrometheusRegistry registry, Supplier<List<ServerSummary>> servers) {
         GaugeWithCallback.builder()
                 .name("aspenmoor_server_learned_slowdown")
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerLimitTest.java
@@ -56,7 +56,11 @@
         assertTrue(atLimited <= REQUESTS / 4, "the limited server got " + atLimited);
         assertEquals(atLimited + free.received().size(), sent);
         assertTrue(gateway.metrics().contains("aspenmoor_server_request_limit{server=\"limited\"} 0.001"));
+        assertTrue(gateway.metrics().contains("aspenmoor_server_request_share{server=\"limited\"}"));
+        assertTrue(gateway.metrics().contains("aspenmoor_server_limit_entries{server=\"limited\"}"));
+        assertTrue(gateway.metrics().contains("aspenmoor_server_limit_claims{server=\"limited\"} 0.0"));
         assertTrue(gateway.state().contains("requestsPerSecondLimit"));
+        assertTrue(gateway.state().contains("requestsPerSecondShare"));
     }
 
     // Guards against a caller who waits for a server that takes no more requests.
