Simulate entries that do not hear each other at servers with limits; fails

Callers' servers got more requests than their stated limits wherever entries hear only some of the others. The simulation now also has groups of entries that do not hear each other, entries that lose all reports of a span, answers of seconds, rolling restarts, 100 and 300 entries, and the sum of the shares of all entries at each moment.

--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/KnownLimitTest.java
@@ -41,6 +41,28 @@
         assertEquals(limit.requestsPerSecond(), Optional.empty());
     }
 
+    // Guards against a limit that is ignored because the answer that states it belongs to a request that took longer.
+    @Test(groups = "known-red")
+    public void should_believe_the_limit_when_a_long_answer_states_it_after_a_short_one_has_stated_none() {
+        limit.apply(new LimitStatement.Unlimited(), 3 * SECOND, 4 * SECOND);
+
+        limit.apply(new LimitStatement.Limited(5), 1 * SECOND, 5 * SECOND);
+
+        assertEquals(limit.requestsPerSecond(), Optional.of(5.0));
+    }
+
+    // Guards against a limit that seems to have ended because a request was sent before its answer could state it.
+    @Test(groups = "known-red")
+    public void should_hold_on_until_an_answer_to_a_request_that_was_sent_afterwards_states_none() {
+        limit.apply(new LimitStatement.Limited(5), 1 * SECOND, 5 * SECOND);
+
+        limit.apply(new LimitStatement.Unlimited(), 3 * SECOND, 6 * SECOND);
+        assertEquals(limit.requestsPerSecond(), Optional.of(5.0));
+
+        limit.apply(new LimitStatement.Unlimited(), 7 * SECOND, 8 * SECOND);
+        assertEquals(limit.requestsPerSecond(), Optional.empty());
+    }
+
     @Test
     public void should_hold_on_when_a_statement_is_missing_or_unreadable() {
         limit.apply(new LimitStatement.Limited(5), 1 * SECOND, 2 * SECOND);
@@ -65,6 +87,19 @@
         assertEquals(limit.requestsPerSecond(), Optional.of(2.0));
     }
 
+    // Guards against statements that are ignored without a trace in the log.
+    @Test
+    public void should_say_once_after_each_change_that_an_outdated_statement_is_ignored() {
+        limit.apply(new LimitStatement.Limited(5), 3 * SECOND, 4 * SECOND);
+
+        assertEquals(
+                limit.applyReported(reported(Optional.empty(), Duration.ofSeconds(4)), 5 * SECOND),
+                new LimitUpdate.Outdated(Optional.empty(), Optional.of(5.0)));
+        assertEquals(
+                limit.applyReported(reported(Optional.empty(), Duration.ofSeconds(5)), 6 * SECOND),
+                new LimitUpdate.Unchanged());
+    }
+
     // Guards against a limit that entries keep alive by reporting it to each other after its server has ended it.
     @Test
     public void should_not_take_the_echo_of_a_statement_for_a_newer_one() {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitScenario.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitScenario.java
@@ -12,12 +12,9 @@
  * @param limitFrom when the limit begins
  * @param limitUntil when it ends
  * @param until end of the simulation
- * @param callersPerSecond callers at all entries together
- * @param skew how unevenly callers are spread over the entries: 1 is evenly, a high number is all at the first
- * @param lostReports part of the reports among entries that get lost, and as many of the others are late
- * @param killed entries that are killed and start again two seconds later
- * @param suspended entries that are suspended for two seconds
- * @param faultAt when entries are killed and suspended
+ * @param load the callers, and how long their answers take
+ * @param hearing which reports among entries arrive
+ * @param faults which entries end and are suspended
  */
 record LimitScenario(
         int entries,
@@ -27,12 +24,9 @@
         long limitFrom,
         long limitUntil,
         long until,
-        double callersPerSecond,
-        double skew,
-        double lostReports,
-        Set<Integer> killed,
-        Set<Integer> suspended,
-        long faultAt) {
+        LimitLoad load,
+        Hearing hearing,
+        EntryFaults faults) {
     private static final long SECOND = LimitSimulation.SECOND;
 
     /** Returns a scenario in which one of six servers states a limit from the fifth to the thirtieth second. */
@@ -45,80 +39,29 @@
                 5 * SECOND,
                 30 * SECOND,
                 42 * SECOND,
-                90,
-                1,
-                0,
-                Set.of(),
-                Set.of(),
-                15 * SECOND);
+                LimitLoad.evenly(90),
+                Hearing.ALL,
+                EntryFaults.NONE);
     }
 
-    LimitScenario withLostReports(double part) {
+    LimitScenario withHearing(Hearing newHearing) {
         return new LimitScenario(
-                entries,
-                servers,
-                limited,
-                limit,
-                limitFrom,
-                limitUntil,
-                until,
-                callersPerSecond,
-                skew,
-                part,
-                killed,
-                suspended,
-                faultAt);
+                entries, servers, limited, limit, limitFrom, limitUntil, until, load, newHearing, faults);
     }
 
-    LimitScenario withCallers(double perSecond, double newSkew) {
+    LimitScenario withLoad(LimitLoad newLoad) {
         return new LimitScenario(
-                entries,
-                servers,
-                limited,
-                limit,
-                limitFrom,
-                limitUntil,
-                until,
-                perSecond,
-                newSkew,
-                lostReports,
-                killed,
-                suspended,
-                faultAt);
+                entries, servers, limited, limit, limitFrom, limitUntil, until, newLoad, hearing, faults);
     }
 
     LimitScenario withLimited(Set<String> newLimited) {
         return new LimitScenario(
-                entries,
-                servers,
-                newLimited,
-                limit,
-                limitFrom,
-                limitUntil,
-                until,
-                callersPerSecond,
-                skew,
-                lostReports,
-                killed,
-                suspended,
-                faultAt);
+                entries, servers, newLimited, limit, limitFrom, limitUntil, until, load, hearing, faults);
     }
 
-    LimitScenario withFaults(Set<Integer> newKilled, Set<Integer> newSuspended) {
+    LimitScenario withFaults(EntryFaults newFaults) {
         return new LimitScenario(
-                entries,
-                servers,
-                limited,
-                limit,
-                limitFrom,
-                limitUntil,
-                until,
-                callersPerSecond,
-                skew,
-                lostReports,
-                newKilled,
-                newSuspended,
-                faultAt);
+                entries, servers, limited, limit, limitFrom, limitUntil, until, load, hearing, newFaults);
     }
 
     /** Returns how many requests a server may get in four seconds from the entries that it has told. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulation.java
@@ -38,9 +38,19 @@
     private static final String SERVICE = "plain";
     private static final Duration OBJECTIVE = Duration.ofMillis(150);
     private static final long NETWORK = MILLISECOND;
-    private static final long WORK = 25 * MILLISECOND;
     private static final int MAX_CALLER_ATTEMPTS = 2;
 
+    /** How long an entry is suspended, or away between its end and its next start. */
+    private static final long FAULT_SPAN = 2 * SECOND;
+
+    /** Time between the restarts of two entries that are restarted in turn. */
+    private static final long TURN = 300 * MILLISECOND;
+
+    private static final long SHARE_SAMPLE_INTERVAL = SECOND;
+
+    /** Mean time between two spans in which an entry hears nothing. */
+    private static final long DEAF_INTERVAL = 8 * SECOND;
+
     /** Number of entries that an entry assumes while it hears of no other. */
     private static final int ASSUMED_ENTRIES = 16;
 
@@ -50,6 +60,7 @@
     private final List<BackendServer> servers = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
+    private final Map<String, Double> mostShared = new HashMap<>();
     private int asked;
     private int served;
 
@@ -60,26 +71,61 @@
             servers.add(server(index, 1));
         }
         for (int index = 0; index < scenario.entries(); index++) {
-            entries.add(new Entry("entry-" + (char) ('A' + index)));
+            entries.add(new Entry(index));
         }
     }
 
     /** Plays the scenario. */
     LimitSimulation run() {
         entries.forEach(Entry::start);
+        if (scenario.hearing().deafSpan() > 0) {
+            entries.forEach(Entry::scheduleDeafSpan);
+        }
         scheduleArrival();
-        scenario.suspended().forEach(entry -> {
-            time.at(scenario.faultAt(), () -> entries.get(entry).suspended = true);
-            time.at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).suspended = false);
-        });
-        scenario.killed().forEach(entry -> {
-            time.at(scenario.faultAt(), () -> entries.get(entry).alive = false);
-            time.at(scenario.faultAt() + 2 * SECOND, () -> entries.get(entry).start());
-        });
+        sampleShares();
+        scheduleFaults(scenario.faults());
         time.runUntil(scenario.until());
         return this;
     }
 
+    private void sampleShares() {
+        if (time.now() >= scenario.limitFrom() && time.now() < scenario.limitUntil()) {
+            scenario.limited().forEach(server -> mostShared.merge(server, sharedPerSecond(server), Math::max));
+        }
+        time.at(time.now() + SHARE_SAMPLE_INTERVAL, this::sampleShares);
+    }
+
+    private double sharedPerSecond(String server) {
+        return entries.stream()
+                .filter(entry -> entry.alive)
+                .flatMap(entry -> entry.limits.summary(server, time.now()).stream())
+                .mapToDouble(LimitSummary::share)
+                .sum();
+    }
+
+    /** Returns the highest sum of the shares that all entries had of a server's limit, in requests per second. */
+    double mostShared(String server) {
+        return mostShared.getOrDefault(server, 0.0);
+    }
+
+    private void scheduleFaults(EntryFaults faults) {
+        faults.suspended().forEach(entry -> {
+            time.at(faults.at(), () -> entries.get(entry).suspended = true);
+            time.at(faults.at() + FAULT_SPAN, () -> entries.get(entry).suspended = false);
+        });
+        faults.killed().forEach(entry -> scheduleRestart(entry, faults.at()));
+        if (faults.restartsInTurn()) {
+            for (int entry = 0; entry < entries.size(); entry++) {
+                scheduleRestart(entry, faults.at() + entry * TURN);
+            }
+        }
+    }
+
+    private void scheduleRestart(int entry, long at) {
+        time.at(at, () -> entries.get(entry).alive = false);
+        time.at(at + FAULT_SPAN, () -> entries.get(entry).start());
+    }
+
     /** Returns the most requests that a server got within four seconds from entries that it had told of its limit. */
     int mostInFourSeconds(String server) {
         List<Long> counted = arrivals.stream()
@@ -132,7 +178,7 @@
     }
 
     private void scheduleArrival() {
-        double seconds = -Math.log(1 - random.nextDouble()) / scenario.callersPerSecond();
+        double seconds = -Math.log(1 - random.nextDouble()) / scenario.load().callersPerSecond();
         time.at(time.now() + (long) (seconds * SECOND), () -> {
             asked++;
             callAt(pickEntry(), 1);
@@ -141,7 +187,7 @@
     }
 
     private Entry pickEntry() {
-        double position = Math.pow(random.nextDouble(), scenario.skew());
+        double position = Math.pow(random.nextDouble(), scenario.load().skew());
         return entries.get((int) (position * entries.size()));
     }
 
@@ -173,6 +219,11 @@
         }
     }
 
+    private long answerDuration() {
+        List<Duration> durations = scenario.load().answerDurations();
+        return durations.get(random.nextInt(durations.size())).toNanos();
+    }
+
     private LimitStatement statement(String server, long at) {
         boolean limited =
                 scenario.limited().contains(server) && at >= scenario.limitFrom() && at < scenario.limitUntil();
@@ -183,6 +234,7 @@
 
     /** An entry; its state is new with each start. */
     private final class Entry {
+        private final int index;
         private final String name;
         private final Map<String, Long> toldAt = new HashMap<>();
         private PeerLoads peers;
@@ -190,11 +242,13 @@
         private PlacementPolicy policy;
         private boolean alive;
         private boolean suspended;
+        private long deafUntil;
         private long incarnation;
         private long reports;
 
-        Entry(String name) {
-            this.name = name;
+        Entry(int index) {
+            this.index = index;
+            this.name = "entry-" + index;
         }
 
         void start() {
@@ -246,19 +300,32 @@
         }
 
         private void deliver(PeerReport report, Entry receiver) {
-            if (random.nextDouble() < scenario.lostReports()) {
+            if (random.nextDouble() < scenario.hearing().lost()
+                    || scenario.hearing().separated(index, receiver.index, time.now())) {
                 return;
             }
-            boolean late = random.nextDouble() < scenario.lostReports();
+            boolean late = random.nextDouble() < scenario.hearing().lost();
             long delay = NETWORK + (late ? random.nextLong(300 * MILLISECOND) : 0);
             time.at(time.now() + delay, () -> {
-                if (receiver.alive && !receiver.suspended) {
+                if (receiver.hears()) {
                     receiver.peers.receive(report, time.now());
                     report.limits().forEach(limit -> receiver.limits.reported(name, limit, time.now()));
                 }
             });
         }
 
+        private boolean hears() {
+            return alive && !suspended && time.now() >= deafUntil;
+        }
+
+        private void scheduleDeafSpan() {
+            long pause = (long) (-Math.log(1 - random.nextDouble()) * DEAF_INTERVAL);
+            time.at(time.now() + pause, () -> {
+                deafUntil = time.now() + scenario.hearing().deafSpan();
+                scheduleDeafSpan();
+            });
+        }
+
         private void send(Placement.SingleServer placement) {
             BackendServer server = placement.server();
             AssignedWork work =
@@ -268,8 +335,9 @@
             boolean counts = told != Long.MAX_VALUE && told + SECOND / 2 <= arrivesAt;
             arrivals.add(new Arrival(server.id(), arrivesAt, counts));
             long sendingIncarnation = incarnation;
-            LimitStatement statement = statement(server.id(), arrivesAt + WORK);
-            time.at(arrivesAt + WORK + NETWORK, () -> {
+            long answersAt = arrivesAt + answerDuration();
+            LimitStatement statement = statement(server.id(), answersAt);
+            time.at(answersAt + NETWORK, () -> {
                 if (alive && !suspended && incarnation == sendingIncarnation) {
                     answered(work, statement);
                 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulationTest.java
@@ -2,14 +2,22 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class LimitSimulationTest {
-    private static final int SEEDS = 5;
+    private static final int SEEDS = Integer.getInteger("aspenmoor.seeds", 5);
+
+    /** Seeds of each of many scenarios. */
+    private static final int SEEDS_PER_SEPARATION = Integer.getInteger("aspenmoor.seeds", 2);
+
     private static final String LIMITED = LimitSimulation.serverId(0);
 
     private static final Set<String> ALL =
@@ -26,7 +34,7 @@
         for (int seed = 1; seed <= SEEDS; seed++) {
             for (double lost : new double[] {0, 0.3}) {
                 LimitScenario scenario =
-                        LimitScenario.oneLimitedServer(entries, limit).withLostReports(lost);
+                        LimitScenario.oneLimitedServer(entries, limit).withHearing(Hearing.lossy(lost));
                 assertLimitKept(new LimitSimulation(scenario, seed).run(), scenario, LIMITED, seed);
             }
         }
@@ -37,8 +45,8 @@
     public void should_keep_the_limit_when_entries_are_killed_and_suspended(int entries, double limit) {
         for (int seed = 1; seed <= SEEDS; seed++) {
             LimitScenario scenario = LimitScenario.oneLimitedServer(entries, limit)
-                    .withLostReports(0.1)
-                    .withFaults(Set.of(0), Set.of(1));
+                    .withHearing(Hearing.lossy(0.1))
+                    .withFaults(EntryFaults.of(Set.of(0), Set.of(1)));
             assertLimitKept(new LimitSimulation(scenario, seed).run(), scenario, LIMITED, seed);
         }
     }
@@ -48,7 +56,7 @@
     public void should_use_at_least_half_of_the_limits_when_all_servers_have_one(int entries, double skew) {
         for (int seed = 1; seed <= SEEDS; seed++) {
             LimitScenario scenario =
-                    LimitScenario.oneLimitedServer(entries, 5).withLimited(ALL).withCallers(60, skew);
+                    LimitScenario.oneLimitedServer(entries, 5).withLimited(ALL).withLoad(LimitLoad.skewed(60, skew));
             LimitSimulation simulation = new LimitSimulation(scenario, seed).run();
             for (String server : ALL) {
                 double used = simulation.perSecond(server, 10 * LimitSimulation.SECOND, 30 * LimitSimulation.SECOND);
@@ -83,6 +91,122 @@
         assertTrue(most < 2 * evenly, "got " + most + " a second after the end");
     }
 
+    // Guards against shares that are divided by the number of entries that are heard: entries that hear few others, or
+    // none, then send a server several times what it takes.
+    @Test(dataProvider = "separations", groups = "known-red")
+    public void should_keep_the_limit_when_entries_do_not_hear_each_other(
+            int entries, double limit, Hearing hearing, Set<String> limited) {
+        for (int seed = 1; seed <= SEEDS_PER_SEPARATION; seed++) {
+            LimitScenario scenario = LimitScenario.oneLimitedServer(entries, limit)
+                    .withLimited(limited)
+                    .withLoad(LimitLoad.evenly(150))
+                    .withHearing(hearing);
+            LimitSimulation simulation = assertAllLimitsKept(scenario, seed);
+            assertSharesWithinLimit(simulation, scenario, seed);
+        }
+    }
+
+    @DataProvider
+    public Iterator<Object[]> separations() {
+        return separations(List.of(8, 42), List.of(0.5, 2.0, 5.0));
+    }
+
+    // Guards against the same in fleets so large that reports are seconds apart.
+    @Test(dataProvider = "largeFleets", groups = "known-red")
+    public void should_keep_the_limit_when_hundreds_of_entries_do_not_hear_each_other(
+            int entries, double limit, Hearing hearing, Set<String> limited) {
+        should_keep_the_limit_when_entries_do_not_hear_each_other(entries, limit, hearing, limited);
+    }
+
+    @DataProvider
+    public Iterator<Object[]> largeFleets() {
+        return separations(List.of(100, 300), List.of(2.0, 30.0));
+    }
+
+    private static Iterator<Object[]> separations(List<Integer> fleetSizes, List<Double> limits) {
+        List<Hearing> hearings = List.of(
+                Hearing.noneUntil(16 * LimitSimulation.SECOND),
+                Hearing.noneUntil(42 * LimitSimulation.SECOND),
+                Hearing.groups(2, 12 * LimitSimulation.SECOND),
+                Hearing.groups(4, 12 * LimitSimulation.SECOND),
+                Hearing.lossy(0.9),
+                Hearing.withDeafSpans(3 * LimitSimulation.SECOND));
+        return fleetSizes.stream()
+                .flatMap(entries -> limits.stream()
+                        .flatMap(limit -> hearings.stream()
+                                .flatMap(hearing -> Stream.of(Set.of(LIMITED), ALL)
+                                        .map(limited -> new Object[] {entries, limit, hearing, limited}))))
+                .iterator();
+    }
+
+    // Guards against requests of long duration that reach a server after it has stated a limit.
+    @Test(dataProvider = "fleets")
+    public void should_keep_the_limit_when_answers_take_seconds(int entries, double limit) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            LimitLoad load = LimitLoad.evenly(150)
+                    .withAnswers(Duration.ofMillis(25), Duration.ofSeconds(3), Duration.ofSeconds(5));
+            assertAllLimitsKept(
+                    LimitScenario.oneLimitedServer(entries, limit)
+                            .withLimited(ALL)
+                            .withLoad(load),
+                    seed);
+        }
+    }
+
+    // Guards against an entry that starts with the shares it had before, while the others have divided them.
+    @Test(dataProvider = "fleets")
+    public void should_keep_the_limit_during_a_rolling_restart(int entries, double limit) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            assertAllLimitsKept(
+                    LimitScenario.oneLimitedServer(entries, limit)
+                            .withLimited(ALL)
+                            .withLoad(LimitLoad.evenly(150))
+                            .withFaults(EntryFaults.rollingRestart()),
+                    seed);
+        }
+    }
+
+    // Guards against entries that leave much of a limit unused while callers are refused.
+    @Test(dataProvider = "contended", groups = "known-red")
+    public void should_use_most_of_the_limits_when_all_servers_have_one_and_all_entries_hear_each_other(
+            int entries, double limit) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            LimitSimulation simulation = new LimitSimulation(
+                            LimitScenario.oneLimitedServer(entries, limit)
+                                    .withLimited(ALL)
+                                    .withLoad(LimitLoad.evenly(150)),
+                            seed)
+                    .run();
+            double used = ALL.stream()
+                            .mapToDouble(server -> simulation.perSecond(
+                                    server, 10 * LimitSimulation.SECOND, 30 * LimitSimulation.SECOND))
+                            .sum()
+                    / ALL.size();
+            assertTrue(used >= 0.85 * limit, "seed " + seed + ": servers got " + used + " of " + limit + " a second");
+        }
+    }
+
+    @DataProvider
+    public Object[][] contended() {
+        return new Object[][] {{8, 0.5}, {8, 2.0}, {8, 5.0}, {42, 0.5}, {42, 2.0}, {42, 5.0}, {100, 2.0}, {100, 5.0}};
+    }
+
+    private static LimitSimulation assertAllLimitsKept(LimitScenario scenario, int seed) {
+        LimitSimulation simulation = new LimitSimulation(scenario, seed).run();
+        scenario.limited().forEach(server -> assertLimitKept(simulation, scenario, server, seed));
+        return simulation;
+    }
+
+    private static void assertSharesWithinLimit(LimitSimulation simulation, LimitScenario scenario, int seed) {
+        for (String server : scenario.limited()) {
+            double shared = simulation.mostShared(server);
+            assertTrue(
+                    shared <= scenario.limit(),
+                    "seed " + seed + ", " + scenario.entries() + " entries: the shares of " + server + " sum to "
+                            + shared + ", the limit is " + scenario.limit());
+        }
+    }
+
     private static void assertLimitKept(LimitSimulation simulation, LimitScenario scenario, String server, int seed) {
         int most = simulation.mostInFourSeconds(server);
         assertTrue(
