Let a limit hold where it may have been stated last

A server could get requests as if it had stated no limit: of two answers, the statement in that to the request that was sent last counted. With answers of different duration, a limit in the answer to a long request was ignored because a shorter one had been sent later and answered before, and a limit was taken for ended by an answer to a request that was sent before the limit was known.

A limit in an answer now always holds, and ends with the answer to a request that was sent after the limit was received. Reports of other entries count as before, but end no limit that was received later.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/KnownLimit.java
@@ -7,8 +7,9 @@
  * The limit that one incarnation of a server has stated, as far as this entry knows. Confined to one thread; times are
  * nanoseconds of the monotonic clock.
  *
- * <p>Answers overtake each other, and other entries report what they have heard. The statement in the answer to the
- * request that was sent last counts, so that an older answer that arrives later does not restore a limit that has ended.
+ * <p>Answers overtake each other, and other entries report what they have heard. A server writes a statement at some time
+ * between the arrival of the request and that of its answer. Of two statements of which either may be the later one, the
+ * limit holds: one that is overlooked is exceeded, and one that has ended is given up with the next answer.
  */
 public final class KnownLimit {
     /**
@@ -19,6 +20,7 @@
 
     private Optional<Double> requestsPerSecond = Optional.empty();
     private long statedToRequestSentAt = Long.MIN_VALUE;
+    private long limitReceivedAt = Long.MIN_VALUE;
     private long endReportedSince = Long.MIN_VALUE;
     private boolean outdatedSeen;
     private boolean unreadableSeen;
@@ -32,9 +34,11 @@
     public LimitUpdate apply(LimitStatement statement, long requestSentAt, long now) {
         return switch (statement) {
             case LimitStatement.Missing missing -> new LimitUpdate.Unchanged();
-            case LimitStatement.Unlimited unlimited -> replace(Optional.empty(), requestSentAt, now);
-            case LimitStatement.Limited limited ->
-                replace(Optional.of(limited.requestsPerSecond()), requestSentAt, now);
+            case LimitStatement.Unlimited unlimited -> replaceIfNewer(Optional.empty(), requestSentAt, now);
+            case LimitStatement.Limited limited -> {
+                limitReceivedAt = now;
+                yield replace(Optional.of(limited.requestsPerSecond()), requestSentAt, now);
+            }
             case LimitStatement.Unreadable unreadable -> recordUnreadable(unreadable);
         };
     }
@@ -47,8 +51,8 @@
         if (reported.requestsPerSecond().equals(requestsPerSecond)) {
             return new LimitUpdate.Unchanged();
         }
-        LimitUpdate update =
-                replace(reported.requestsPerSecond(), now - reported.age().toNanos(), now);
+        LimitUpdate update = replaceIfNewer(
+                reported.requestsPerSecond(), now - reported.age().toNanos(), now);
         if (requestsPerSecond.isEmpty()) {
             endReportedSince = now;
         }
@@ -63,11 +67,13 @@
                 : Optional.empty();
     }
 
+    private LimitUpdate replaceIfNewer(Optional<Double> stated, long requestSentAt, long now) {
+        boolean newer = requestSentAt > statedToRequestSentAt && requestSentAt >= limitReceivedAt;
+        return newer ? replace(stated, requestSentAt, now) : ignore(stated);
+    }
+
     private LimitUpdate replace(Optional<Double> stated, long requestSentAt, long now) {
-        if (requestSentAt <= statedToRequestSentAt) {
-            return ignore(stated);
-        }
-        statedToRequestSentAt = requestSentAt;
+        statedToRequestSentAt = Math.max(statedToRequestSentAt, requestSentAt);
         if (stated.equals(requestsPerSecond)) {
             return new LimitUpdate.Unchanged();
         }
