--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/limit/LimitedServer.java
@@ -18,8 +18,11 @@
  * Confined to one thread; times are nanoseconds of the monotonic clock.
  */
 final class LimitedServer {
-    /** A loan is renewed with each report; it lasts until several reports in succession are lost. */
-    private static final int LOAN_RETENTIONS = 2;
+    /**
+     * How long a loan lasts, as a multiple of how long a report counts. It is renewed with each report, and a few of these
+     * may be lost in succession.
+     */
+    private static final int RETENTIONS_PER_LOAN = 2;
 
     private static final LimitSlots NO_SLOTS = new LimitSlots(0, 0, 0);
 
@@ -167,6 +170,6 @@
     }
 
     private Duration loanDuration() {
-        return ReportInterval.retention(entries.count() - 1).multipliedBy(LOAN_RETENTIONS);
+        return ReportInterval.retention(entries.count() - 1).multipliedBy(RETENTIONS_PER_LOAN);
     }
 }
