--- a/review/platform/PipelinedCase.java
+++ b/review/platform/PipelinedCase.java
@@ -55,6 +55,9 @@
                 }
                 record.line("of " + ROUNDS * CLIENTS + " filings, an engine ran " + changed
                         + " with another body than the client's, and " + unanswered + " were not answered");
+                if (unanswered > ROUNDS * CLIENTS / 2) {
+                    throw new IOException("most filings were not answered");
+                }
                 record.line("the rounds took " + (System.nanoTime() - startedAt) / 1_000_000 + " ms");
                 return changed > 0;
             }
--- a/review/platform/ResetCase.java
+++ b/review/platform/ResetCase.java
@@ -24,6 +24,9 @@
     /** The server is killed after about half of its answer. */
     private static final int KILL_AFTER_MILLIS = 800;
 
+    /** Three heartbeat intervals, after which the store removes the registration of a silent server. */
+    private static final int SILENCE_MILLIS = 3600;
+
     private Record record;
     private boolean trouble;
 
@@ -48,8 +51,8 @@
     /** Returns whether a client got a success with a part of the server's body. */
     private boolean trial(StoreStandin store, EntryProcess entry, int trial) throws IOException, InterruptedException {
         int port = EntryProcess.freePorts(1)[0];
-        Process server = startServer(port);
         String id = "i-" + trial;
+        Process server = startServer(id, port);
         String requestId = "filing-" + trial;
         store.put("servers", id, EngineStandin.registration(Deployment.SERVICE, port, "ready", trial));
         Thread.sleep(1500);
@@ -69,7 +72,8 @@
             }
             return readAnswer(in, requestId);
         } finally {
-            store.put("servers", id, EngineStandin.registration(Deployment.SERVICE, port, "draining", trial + 100));
+            Thread.sleep(SILENCE_MILLIS);
+            store.remove("servers", id);
             server.destroyForcibly().waitFor();
         }
     }
@@ -84,6 +88,9 @@
         try {
             byte[] body = HttpRead.body(in, head);
             boolean success = head.status() / 100 == 2;
+            if (!success && !trouble) {
+                throw new IllegalStateException("without the disruption the client got " + head.firstLine());
+            }
             boolean broken = success && body.length != whole;
             record.line("client: gets " + head.firstLine() + ", Content-Length " + head.header("Content-Length")
                     + ", complete with " + body.length + " bytes"
@@ -95,7 +102,7 @@
         }
     }
 
-    private static Process startServer(int port) throws IOException, InterruptedException {
+    private Process startServer(String id, int port) throws IOException, InterruptedException {
         Process process = new ProcessBuilder(
                         System.getProperty("java.home") + "/bin/java",
                         "-Xmx64m",
@@ -104,8 +111,9 @@
                         "ResetCase$Server",
                         Integer.toString(port))
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.INHERIT)
                 .start();
+        Thread.ofPlatform().daemon().start(() -> process.inputReader().lines().forEach(
+                line -> record.line("server " + id + ": " + line)));
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         for (int attempt = 0; attempt < 100 && process.isAlive(); attempt++) {
             try (Socket probe = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -146,13 +154,16 @@
                     return;
                 }
                 String id = head.header("Request-Id");
+                System.out.println("runs " + id + ", has read its head, and answers");
                 out.write(EngineStandin.bytes("HTTP/1.1 200 OK\r\nRequest-Id: " + id
                         + "\r\nResponse-Stamp: 3e1b.07.5a2.600.0." + id + "\r\nConnection: close\r\n\r\n"));
                 for (int part = 0; part < ANSWER_PARTS; part++) {
                     out.write(new byte[PART_BYTES]);
                     TimeUnit.MILLISECONDS.sleep(PART_INTERVAL_MILLIS);
                 }
+                System.out.println("has sent its whole answer to " + id);
                 HttpRead.body(in, head);
+                System.out.println("has read the whole body of " + id);
             } catch (IOException | InterruptedException ended) {
                 // The entry has closed the connection.
             }
--- a/review/platform/StoreStandin.java
+++ b/review/platform/StoreStandin.java
@@ -18,6 +18,7 @@
 /** The platform's store in memory, without faults: objects by kind and name, conditional writes and watches. */
 final class StoreStandin implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int HEARTBEAT_MILLIS = 1200;
     private static final String ROOT = "/aspenmoor/objects/";
 
     private final HttpServer server;
@@ -35,6 +36,7 @@
         server.createContext("/", this::handle);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.start();
+        Thread.ofPlatform().daemon().start(this::beat);
     }
 
     int port() {
@@ -46,6 +48,29 @@
         store(kind, name, MAPPER.readTree(spec));
     }
 
+    /** Removes an object, as the store does when an engine has been silent for three heartbeats. */
+    synchronized void remove(String kind, String name) {
+        delete(kind, name, null);
+    }
+
+    /** Writes the heartbeats of the registered engines. */
+    private void beat() {
+        try {
+            while (true) {
+                Thread.sleep(HEARTBEAT_MILLIS);
+                synchronized (this) {
+                    for (ObjectNode engine : List.copyOf(kind("servers").values())) {
+                        ObjectNode spec = engine.path("spec").deepCopy();
+                        spec.put("seq", spec.path("seq").asLong() + 1);
+                        store("servers", engine.path("metadata").path("name").asText(), spec);
+                    }
+                }
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void close() {
         synchronized (this) {
