An answer without a length that is cut off by a reset is not complete

Streams without a length ended as complete in the same way.

Cause: the HTTP decoder ends such an answer when its channel becomes inactive, and the entry took every such end for the end of the server's output unless an exception had been reported. Three hypotheses: a reset that a write detects, a reset that a read takes for the end of the output because a write has consumed the error, a close by the entry itself. No log line could tell these apart, as a failed write was reported as a close by the server; the reasons of failed exchanges now do.

Fix: half-closure is allowed on connections to servers, so the end of the server's output arrives as an event of its own while the channel is open, and the decoder ends the answer then. What the decoder ends after the channel was closed is not complete, whatever closed it. A failed write ends the exchange with its cause.

Same cause elsewhere: an answer was complete, too, when the entry's own event loop ended, or when the reset arrived while reading was paused for a slow caller.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
@@ -42,7 +43,6 @@
     private boolean answerComplete;
     private boolean requestWritten;
     private boolean reusable = true;
-    private boolean connectionFailed;
     private Duration idleTimeout = DEFAULT_IDLE_TIMEOUT;
     private long idleSinceNanos;
     private long sentAtNanos;
@@ -66,7 +66,7 @@
         channel.writeAndFlush(exchange.request()).addListener(writeResult -> {
             requestWritten = writeResult.isSuccess();
             if (!writeResult.isSuccess()) {
-                channel.close();
+                fail("the request could not be written: " + writeResult.cause());
                 return;
             }
             finishExchangeIfComplete();
@@ -120,14 +120,21 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        connectionFailed = true;
         fail("the connection failed: " + cause.getMessage());
     }
 
+    /** Closes the connection once the server has ended its output; the decoder has ended the answer before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail("the server closed the connection");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.removeClosed(this);
-        fail("the server closed the connection");
+        fail("the connection was closed");
     }
 
     private void handle(HttpObject part) {
@@ -190,13 +197,21 @@
         if (content.content().isReadable()) {
             currentExchange.listener().dataReceived(content.content());
         }
-        // When a connection is reset, the decoder also ends an answer that has no content length; it is not complete.
-        if (last && currentExchange != null && !connectionFailed) {
+        if (last && currentExchange != null && !endedByClosedChannel()) {
             answerComplete = true;
             finishExchangeIfComplete();
         }
     }
 
+    /**
+     * Returns whether the decoder has ended an answer without a content length only because the channel was closed. Such
+     * an answer is complete if the server has ended its output, which is read while the channel is still open. Any other
+     * close cuts it off: a reset that is detected by a write, for example, closes the channel without an exception.
+     */
+    private boolean endedByClosedChannel() {
+        return !channel.isOpen();
+    }
+
     /**
      * Ends the exchange once its answer is complete, and returns the connection to the pool if it can be reused. A
      * server may answer before it has read the complete request. Such a connection is closed, because the server
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
@@ -135,6 +135,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Without it, the end of the server's output cannot be told from any other close.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ManualBackend.java
@@ -0,0 +1,123 @@
+package org.aspenmoor.internal.gateway.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+
+/** A backend server whose test accepts each connection itself, and reads, writes and ends it step by step. */
+public final class ManualBackend implements AutoCloseable {
+    /** Far smaller than long requests, so that most of their bytes stay with the sender. */
+    private static final int RECEIVE_BUFFER_BYTES = 4096;
+
+    private static final int READ_BYTES = 65_536;
+    private static final int TIMEOUT_MILLISECONDS = 60_000;
+    private static final String HEAD_END = "\r\n\r\n";
+
+    private final ServerSocket listener;
+
+    public ManualBackend() throws IOException {
+        listener = new ServerSocket();
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        listener.setSoTimeout(TIMEOUT_MILLISECONDS);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Waits for the next connection and returns it. */
+    public Connection accept() throws IOException {
+        Socket socket = listener.accept();
+        socket.setSoTimeout(TIMEOUT_MILLISECONDS);
+        return new Connection(socket);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    /** A connection to the server. */
+    public static final class Connection implements AutoCloseable {
+        private final Socket socket;
+
+        private Connection(Socket socket) {
+            this.socket = socket;
+        }
+
+        /** Reads a request's head and nothing of its body, and returns it. */
+        public String readHead() throws IOException {
+            InputStream input = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf(HEAD_END) < 0) {
+                int next = input.read();
+                if (next < 0) {
+                    throw new IOException("The connection ended within a head: " + head);
+                }
+                head.append((char) next);
+            }
+            return head.toString();
+        }
+
+        /** Reads everything until the other side ends the connection; returns the number of bytes. */
+        public long readToEnd() throws IOException {
+            byte[] buffer = new byte[READ_BYTES];
+            long total = 0;
+            for (int count = read(buffer); count >= 0; count = read(buffer)) {
+                total += count;
+            }
+            return total;
+        }
+
+        public void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Writes a text again and again until the other side has closed or reset the connection. */
+        public void writeUntilClosed(String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            try {
+                while (true) {
+                    socket.getOutputStream().write(bytes);
+                }
+            } catch (IOException closed) {
+                // This is what the caller waits for.
+            }
+        }
+
+        /** Ends this server's direction of the connection; the other one stays open. */
+        public void endOutput() throws IOException {
+            socket.shutdownOutput();
+        }
+
+        /** Resets the connection, as the operating system does for a process that is killed with unread data. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        @Override
+        public void close() {
+            try {
+                socket.close();
+            } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+            }
+        }
+
+        private int read(byte[] buffer) throws IOException {
+            try {
+                return socket.getInputStream().read(buffer);
+            } catch (SocketException reset) {
+                return -1;
+            }
+        }
+    }
+}
