An answer that is too long to be buffered fails instead of losing its end

Cause: AnswerAttempt buffers such an answer, left out what exceeded its limit and sent the rest with a length that fits. It is the class of the answers that a reset cuts off: what has not arrived whole must not look complete.

Fix: each listener of an exchange states the longest body that it accepts, and the connection fails the exchange beyond it. The caller gets a 502, or the answer of another server where the request may be repeated. Calls of the entry itself (role reports and orders, cache lists, prefills) fail in the same way; they used a truncated body before.

PlainRequestTest.should_answer_bad_gateway_when_answer_is_longer_than_entry_buffers failed before (200 OK), passes now.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/AnswerCollector.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/AnswerCollector.java
@@ -9,7 +9,7 @@
 
 /** Collects the complete answer to an HTTP request that the entry sends on its own behalf. */
 public final class AnswerCollector implements ExchangeListener {
-    private static final int MAX_BODY_CHARACTERS = 1_000_000;
+    private static final int MAX_BODY_BYTES = 1_000_000;
 
     private final CompletableFuture<Answer> future = new CompletableFuture<>();
     private final StringBuilder body = new StringBuilder();
@@ -25,11 +25,14 @@
         status = head.status().code();
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return MAX_BODY_BYTES;
+    }
+
     @Override
     public void dataReceived(ByteBuf part) {
-        if (body.length() < MAX_BODY_CHARACTERS) {
-            body.append(part.toString(StandardCharsets.UTF_8));
-        }
+        body.append(part.toString(StandardCharsets.UTF_8));
     }
 
     @Override
@@ -51,7 +54,7 @@
      * A complete answer.
      *
      * @param status the HTTP status code
-     * @param body the body, decoded as UTF-8; parts that arrive after the size limit is reached are discarded
+     * @param body the body, decoded as UTF-8
      */
     public record Answer(int status, String body) {}
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -41,6 +41,7 @@
     private boolean skippingAnswer;
     private boolean headReceived;
     private boolean answerComplete;
+    private long bodyBytes;
     private boolean requestWritten;
     private boolean reusable = true;
     private Duration idleTimeout = DEFAULT_IDLE_TIMEOUT;
@@ -60,6 +61,7 @@
         skippingAnswer = false;
         headReceived = false;
         answerComplete = false;
+        bodyBytes = 0;
         requestWritten = false;
         sentAtNanos = pool.nowNanos();
         exchange.attach(this);
@@ -194,6 +196,12 @@
         if (!headReceived) {
             return;
         }
+        bodyBytes += content.content().readableBytes();
+        long maxBodyBytes = currentExchange.listener().maxBodyBytes();
+        if (bodyBytes > maxBodyBytes) {
+            fail("the body of the answer is longer than " + maxBodyBytes + " bytes");
+            return;
+        }
         if (content.content().isReadable()) {
             currentExchange.listener().dataReceived(content.content());
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
@@ -9,6 +9,9 @@
     /** Called when the head of the answer has been received. */
     void headReceived(HttpResponse head, AnswerMetadata metadata);
 
+    /** Returns the length in bytes beyond which the body of the answer is not accepted; the exchange then fails. */
+    long maxBodyBytes();
+
     /** Called when a part of the body has been received; the buffer is valid only during the call unless retained. */
     void dataReceived(ByteBuf part);
 
@@ -18,6 +21,6 @@
     /** Called when no connection was available; nothing was sent. */
     void neverSent(String reason);
 
-    /** Called when the connection broke or the received data was not a valid answer. */
+    /** Called when the connection broke or the received data was not an acceptable answer. */
     void failed(String reason);
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -23,7 +23,7 @@
  * caller if its connection breaks. Events of a stream are forwarded as they arrive.
  */
 final class AnswerAttempt implements ExchangeListener, WatchedAttempt {
-    /** Data beyond this size of a buffered answer is dropped; answers of plain services have some kilobytes. */
+    /** The length of an answer that is buffered; answers of plain services have some kilobytes. */
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
     private final ServedRequest request;
@@ -60,6 +60,11 @@
         }
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return isStream() ? Long.MAX_VALUE : MAX_BUFFERED_BYTES;
+    }
+
     @Override
     public void dataReceived(ByteBuf part) {
         if (isStream()) {
@@ -67,7 +72,7 @@
             forwardEvents();
             return;
         }
-        if (finished || buffered.readableBytes() + part.readableBytes() > MAX_BUFFERED_BYTES) {
+        if (finished) {
             return;
         }
         if (!buffers.collect(part.readableBytes())) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/IgnoringExchangeListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/IgnoringExchangeListener.java
@@ -7,11 +7,18 @@
 
 /** Ignores the outcome of a release call: a cache handle that is not released expires by itself some seconds later. */
 final class IgnoringExchangeListener implements ExchangeListener {
+    private static final int MAX_BODY_BYTES = 65_536;
+
     @Override
     public void headReceived(HttpResponse head, AnswerMetadata metadata) {
         // Nothing depends on it.
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return MAX_BODY_BYTES;
+    }
+
     @Override
     public void dataReceived(ByteBuf part) {
         // Nothing depends on it.
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -16,8 +16,8 @@
 
 /** The first stage of a generation: one engine does the prefill and holds the cache for another engine. */
 final class PrefillAttempt implements ExchangeListener, WatchedAttempt {
-    /** From this length on, further data is ignored; an answer that contains a handle is far shorter. */
-    private static final int MAX_BODY_CHARACTERS = 8192;
+    /** An answer that contains a handle is far shorter. */
+    private static final int MAX_BODY_BYTES = 65_536;
 
     private final ServedRequest request;
     private final BackendProtocol protocol;
@@ -42,11 +42,14 @@
         status = head.status();
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return MAX_BODY_BYTES;
+    }
+
     @Override
     public void dataReceived(ByteBuf part) {
-        if (body.length() < MAX_BODY_CHARACTERS) {
-            body.append(part.toString(StandardCharsets.UTF_8));
-        }
+        body.append(part.toString(StandardCharsets.UTF_8));
     }
 
     @Override
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/RecordingExchangeListener.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/RecordingExchangeListener.java
@@ -13,6 +13,7 @@
     static final String COMPLETED = "completed";
 
     private static final long TIMEOUT_SECONDS = 60;
+    private static final int MAX_BODY_BYTES = 1_000_000;
 
     private final LinkedBlockingQueue<String> parts = new LinkedBlockingQueue<>();
     private final CompletableFuture<String> end = new CompletableFuture<>();
@@ -37,6 +38,11 @@
         // The tests wait for parts of the body.
     }
 
+    @Override
+    public long maxBodyBytes() {
+        return MAX_BODY_BYTES;
+    }
+
     @Override
     public void dataReceived(ByteBuf part) {
         parts.add(part.toString(StandardCharsets.UTF_8));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
@@ -11,6 +11,7 @@
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Script;
+import org.aspenmoor.internal.gateway.standin.TestAnswers;
 import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
@@ -224,6 +225,19 @@
         }
     }
 
+    // Guards against an answer of which a part is missing and that looks complete, as its length fits what is left.
+    @Test
+    public void should_answer_bad_gateway_when_answer_is_longer_than_entry_buffers() throws Exception {
+        backend("one", request -> TestAnswers.ok(request, "x".repeat(9_000_000)));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(bookingRequest("r1"));
+
+            assertEquals(caller.readAnswer().line(), "HTTP/1.1 502 Bad Gateway");
+        }
+        gateway.awaitLogged("the body of the answer is longer than 8388608 bytes");
+    }
+
     @Test
     public void should_forward_answer_without_length_when_connection_ends() throws Exception {
         backend(
