Close connections to servers that send bytes without end

A faulty server may send bytes that are no answer until the entry closes the connection. What callers saw: a request that waits until its deadline, though nothing can come any more. Interim answers and answers to other requests were skipped without end. Bytes on an unused connection stayed in the decoder, as the beginning of the next answer.

Fix: a connection counts the bytes received since the last part that was used, and fails the exchange beyond 1 MiB. Bytes on a connection without a request close it before they are decoded.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnection.java
@@ -33,6 +33,12 @@
     /** Subtracted from the announced idle timeout, so that the server does not close the connection during a send. */
     private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofMillis(700);
 
+    /**
+     * How many bytes in succession may be no part of the answer: a head that is not complete yet, interim answers, or an
+     * answer to an earlier request.
+     */
+    private static final int MAX_UNUSED_BYTES = 1024 * 1024;
+
     private final DuplexChannel channel;
     private final BackendProtocol protocol;
     private final ServerConnectionPool pool;
@@ -42,6 +48,7 @@
     private boolean headReceived;
     private boolean answerComplete;
     private long bodyBytes;
+    private long unusedBytes;
     private boolean requestWritten;
     private boolean reusable = true;
     private Duration idleTimeout = DEFAULT_IDLE_TIMEOUT;
@@ -62,6 +69,7 @@
         headReceived = false;
         answerComplete = false;
         bodyBytes = 0;
+        unusedBytes = 0;
         requestWritten = false;
         sentAtNanos = pool.nowNanos();
         exchange.attach(this);
@@ -108,6 +116,23 @@
         return channel.isActive() && reusable && nowNanos - idleSinceNanos < idleTimeout.toNanos();
     }
 
+    /**
+     * Returns whether received bytes are to be decoded; if they cannot be part of an answer, closes the connection. A
+     * faulty server may send bytes without end of which the decoder makes nothing, or nothing that is used.
+     */
+    boolean accepts(int byteCount) {
+        if (currentExchange == null) {
+            fail("the server sent bytes on a connection without a request");
+            return false;
+        }
+        unusedBytes += byteCount;
+        if (unusedBytes > MAX_UNUSED_BYTES) {
+            fail("the server sent more than " + MAX_UNUSED_BYTES + " bytes that are no part of the answer");
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -177,6 +202,7 @@
             return;
         }
         headReceived = true;
+        unusedBytes = 0;
         reusable &= HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         metadata.idleTimeout().ifPresent(timeout -> idleTimeout = timeout.minus(IDLE_TIMEOUT_MARGIN));
@@ -203,6 +229,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            unusedBytes = 0;
             currentExchange.listener().dataReceived(content.content());
         }
         if (last && currentExchange != null && !endedByClosedChannel()) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
@@ -142,6 +142,7 @@
                     protected void initChannel(SocketChannel channel) {
                         created[0] = new BackendConnection(channel, protocol, ServerConnectionPool.this, longRoundTask);
                         channel.pipeline()
+                                .addLast(new ReceivedBytesHandler(created[0]))
                                 .addLast(
                                         new HttpClientCodec(MAX_INITIAL_LINE_LENGTH, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                 .addLast(created[0]);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -28,6 +28,7 @@
 import org.aspenmoor.internal.time.SystemTimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class AnswerEndTest {
@@ -37,6 +38,11 @@
     /** Larger than the buffers of a loopback connection, so that part of the request stays unsent. */
     private static final int LONG_BODY_BYTES = 64 * 1024 * 1024;
 
+    /** More than the buffers of a loopback connection hold, so that a server that writes them notices a close. */
+    private static final long ENDLESS_BYTES = 64L * 1024 * 1024;
+
+    private static final int LINE_BYTES = 4096;
+
     private static final String HEAD_WITHOUT_LENGTH =
             HttpText.head("HTTP/1.1 200 OK", "Test-Id: " + ID, "Test-Signed: by one");
 
@@ -183,6 +189,73 @@
         }
     }
 
+    @DataProvider
+    public Object[][] endlessBytes() {
+        String otherAnswer = HttpText.head("HTTP/1.1 200 OK", "Test-Id: other", "Content-Length: 5") + "other";
+        String chunkedHead =
+                HttpText.head("HTTP/1.1 200 OK", "Test-Id: " + ID, "Test-Signed: by one", "Transfer-Encoding: chunked");
+        return new Object[][] {
+            {"a status line", "HTTP/1.1 200 ", "O".repeat(LINE_BYTES)},
+            {"a header", "HTTP/1.1 200 OK\r\nX: ", "x".repeat(LINE_BYTES)},
+            {"headers", "HTTP/1.1 200 OK\r\n", "X: x\r\n".repeat(LINE_BYTES)},
+            {"empty lines before the head", "", "\r\n".repeat(LINE_BYTES)},
+            {"informational heads", "", "HTTP/1.1 102 Processing\r\n\r\n".repeat(LINE_BYTES)},
+            {"answers to another request", "", otherAnswer.repeat(LINE_BYTES)},
+            {"a body without length", HEAD_WITHOUT_LENGTH, "x".repeat(LINE_BYTES)},
+            {"chunks", chunkedHead, HttpText.chunk("x").repeat(LINE_BYTES)},
+            {"a chunk's length", chunkedHead, "0".repeat(LINE_BYTES)},
+            {"trailers", chunkedHead + "0\r\n", "X: x\r\n".repeat(LINE_BYTES)},
+        };
+    }
+
+    // Guards against a connection that receives bytes without end, for as long as the server sends them.
+    @Test(dataProvider = "endlessBytes")
+    public void should_close_connection_when_bytes_have_no_end(String what, String beginning, String repeated)
+            throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        send(0, listener);
+        try (ManualBackend.Connection connection = backend.accept()) {
+            connection.readHead();
+            connection.write(beginning);
+
+            assertTrue(connection.isClosedWhileWriting(repeated, ENDLESS_BYTES), what);
+
+            assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
+        }
+    }
+
+    // Guards against bytes on an unused connection that the decoder takes for the beginning of the next answer.
+    @Test
+    public void should_close_unused_connection_when_server_sends_bytes() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        send(0, listener);
+        try (ManualBackend.Connection connection = backend.accept()) {
+            connection.readHead();
+            connection.write(completeAnswer());
+            assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
+
+            connection.write("HTTP/1.1 2");
+
+            assertEquals(connection.readToEnd(), 0);
+        }
+    }
+
+    // Guards against losing an answer because a late answer to an earlier request arrives before it.
+    @Test
+    public void should_complete_answer_when_it_follows_long_answer_to_another_request() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        send(0, listener);
+        try (ManualBackend.Connection connection = backend.accept()) {
+            connection.readHead();
+            connection.write(HttpText.head("HTTP/1.1 200 OK", "Test-Id: other", "Content-Length: 500000")
+                    + "x".repeat(500_000)
+                    + completeAnswer());
+
+            assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
+            assertEquals(listener.body(), "ok");
+        }
+    }
+
     private Exchange send(int bodyBytes, ExchangeListener listener) throws Exception {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.POST, "/book/a", Unpooled.wrappedBuffer(new byte[bodyBytes]));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ManualBackend.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ManualBackend.java
@@ -80,15 +80,21 @@
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
 
-        /** Writes a text again and again until the other side has closed or reset the connection. */
-        public void writeUntilClosed(String text) {
+        /**
+         * Writes a text again and again until the other side closes the connection.
+         *
+         * @param maxBytes after how many bytes to give up; far more than the buffers of a connection hold
+         * @return whether the connection was closed
+         */
+        public boolean isClosedWhileWriting(String text, long maxBytes) {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
             try {
-                while (true) {
+                for (long written = 0; written < maxBytes; written += bytes.length) {
                     socket.getOutputStream().write(bytes);
                 }
+                return false;
             } catch (IOException closed) {
-                // This is what the caller waits for.
+                return true;
             }
         }
 
