End streams whose event has no end, and count partial events as buffered

What happened: an entry kept every byte of a stream until the end of an event. A faulty engine that sends an event without end made it hold what arrives within the request's deadline, uncounted; at the speed of a link this exceeds the memory of a small host. The buffer also never discarded the events already forwarded while a partial one remained.

Fix: an event of more than 1 MiB ends the attempt, partial events count toward the bytes that the entry may buffer, and forwarded bytes are discarded.

StreamTest.should_answer_bad_gateway_when_event_has_no_end failed before (504 at the route's timeout, 502 now).

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -26,6 +26,9 @@
     /** The length of an answer that is buffered; answers of plain services have some kilobytes. */
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
+    /** The length of an event of a stream; events have some tokens each. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
     private final ServedRequest request;
     private final BackendServer server;
     private final AssignedWork work;
@@ -70,17 +73,12 @@
         if (isStream()) {
             events.add(part);
             forwardEvents();
+            collectPartialEvent();
             return;
         }
-        if (finished) {
-            return;
+        if (!finished && collect(part.readableBytes())) {
+            buffered.writeBytes(part, part.readerIndex(), part.readableBytes());
         }
-        if (!buffers.collect(part.readableBytes())) {
-            request.abandon(this, "the limit on bytes held for callers and servers has been reached");
-            return;
-        }
-        collectedBytes += part.readableBytes();
-        buffered.writeBytes(part, part.readerIndex(), part.readableBytes());
     }
 
     @Override
@@ -165,6 +163,30 @@
         }
     }
 
+    /** Accounts for the event that is incomplete so far; a faulty server may send one without end. */
+    private void collectPartialEvent() {
+        if (finished) {
+            return;
+        }
+        if (events.partialEventBytes() > MAX_EVENT_BYTES) {
+            request.abandon(this, "an event of the stream is longer than " + MAX_EVENT_BYTES + " bytes");
+            return;
+        }
+        buffers.release(collectedBytes);
+        collectedBytes = 0;
+        collect(events.partialEventBytes());
+    }
+
+    /** Accounts for bytes that are collected; returns false if the attempt has ended because there is no room. */
+    private boolean collect(int byteCount) {
+        if (!buffers.collect(byteCount)) {
+            request.abandon(this, "the limit on bytes held for callers and servers has been reached");
+            return false;
+        }
+        collectedBytes += byteCount;
+        return true;
+    }
+
     /** Returns the time since the answer began; zero if it has not begun. */
     private Duration sinceAnswerBegan() {
         return begun ? Duration.ofNanos(request.now() - begunAt) : Duration.ZERO;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/EventSplitter.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/EventSplitter.java
@@ -20,6 +20,8 @@
 
     /** Adds bytes of the stream. */
     void add(ByteBuf bytes) {
+        searchedTo = Math.max(0, searchedTo - pending.readerIndex());
+        pending.discardReadBytes();
         pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
     }
 
@@ -43,6 +45,11 @@
         return pending.isReadable();
     }
 
+    /** Returns the number of bytes of the incomplete event that are buffered. */
+    int partialEventBytes() {
+        return pending.readableBytes();
+    }
+
     /** Returns the value of the event's {@code id} field. */
     static Optional<String> eventId(ByteBuf event) {
         String text = event.toString(StandardCharsets.UTF_8);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamTest.java
@@ -94,6 +94,19 @@
         }
     }
 
+    // Guards against an entry that runs out of memory because a faulty engine sends an event without end.
+    @Test
+    public void should_answer_bad_gateway_when_event_has_no_end() throws Exception {
+        backend("one", EngineRole.WHOLE, request -> Reply.of(HEAD_WITHOUT_LENGTH + "data: " + "x".repeat(4_000_000)));
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/once/"));
+
+            assertEquals(caller.readAnswer().line(), "HTTP/1.1 502 Bad Gateway");
+        }
+        gateway.awaitLogged("an event of the stream is longer than 1048576 bytes");
+    }
+
     // An engine crashes in the middle of a draft. The caller must be able to see that the draft is incomplete;
     // otherwise it would be stored without its end.
     @Test
