Calls to servers end by a time limit

What happened: a call of the entry itself (role report and order, cache list, release of a cache) had no end of its own. A server that never answers, or answers without end in small parts, kept the connection for as long as it liked.

Fix: each call has a time limit, beyond which its connection is reset as for a caller that leaves, and a call whose time has passed before the event loop gets to it is not sent.

BackendConnectionsTest (three tests). The call had no time limit before, so they cannot be compiled against the code before; without the timer the first one waits until its own timeout.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/CacheListQueries.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/CacheListQueries.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.gateway;
 
+import java.time.Duration;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
@@ -9,6 +10,9 @@
 
 /** Asks engines for the contents of their caches. Confined to the event loop. */
 final class CacheListQueries {
+    /** A list that arrives later is of little use, since the first answers have told as much by then. */
+    private static final Duration TIME_LIMIT = Duration.ofSeconds(5);
+
     private final CacheListing cacheListing;
     private final BackendConnections connections;
     private final BackendProtocol protocol;
@@ -39,6 +43,6 @@
             }
             cacheListing.received(engine, protocol.readCacheList(cacheList.body()));
         });
-        connections.call(engine, protocol.createCacheListRequest(engine.id()), collector);
+        connections.call(engine, protocol.createCacheListRequest(engine.id()), TIME_LIMIT, collector);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -324,6 +324,7 @@
                         connections,
                         backendProtocol,
                         eventLoop,
+                        time,
                         log)
                 .start();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
@@ -63,16 +65,24 @@
     /**
      * Sends a call that is not an attempt of a request, and takes ownership of its buffer. A call to a server that wants
      * none is not sent.
+     *
+     * @param timeLimit how long the answer may take; then the connection is reset, so that the call does not arrive later.
+     *     If no time is left, the call is not sent
      */
-    public void call(BackendServer server, FullHttpRequest call, ExchangeListener listener) {
-        Optional<String> refusal = observer.callRefusal(server);
+    public void call(BackendServer server, FullHttpRequest call, Duration timeLimit, ExchangeListener listener) {
+        Optional<String> refusal =
+                timeLimit.isPositive() ? observer.callRefusal(server) : Optional.of("no time is left for the call");
         if (refusal.isPresent()) {
             call.release();
             eventLoop.execute(() -> listener.neverSent(refusal.get()));
             return;
         }
         observer.callSent(server);
-        send(server, "", call, listener);
+        Exchange exchange = send(server, "", call, listener);
+        eventLoop.schedule(
+                () -> exchange.expire("no complete answer within " + timeLimit.toMillis() + " ms"),
+                timeLimit.toNanos(),
+                TimeUnit.NANOSECONDS);
     }
 
     /**
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/Exchange.java
@@ -39,6 +39,15 @@
         connection.abort();
     }
 
+    /** Ends the exchange in the same way, and notifies the listener, unless the exchange has ended. */
+    void expire(String reason) {
+        if (ended) {
+            return;
+        }
+        cancel();
+        listener.failed(reason);
+    }
+
     /** Pauses or resumes reading the answer, which applies the backpressure of a slow caller to the server. */
     public void setReading(boolean enabled) {
         if (connection != null && !ended) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefilledPrompt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefilledPrompt.java
@@ -12,6 +12,9 @@
  * @param source the address and handle of the cache
  */
 record PrefilledPrompt(BackendServer engine, CacheSource source) {
+    /** The cache expires by itself some seconds later. */
+    private static final Duration RELEASE_TIME_LIMIT = Duration.ofSeconds(5);
+
     private static final Duration MAX_SPREAD = Duration.ofSeconds(1);
 
     /**
@@ -38,6 +41,7 @@
                 .with("request", requestId)
                 .with("server", engine.id())
                 .write();
-        context.connections().call(engine, context.protocol().release(source), new IgnoringExchangeListener());
+        context.connections()
+                .call(engine, context.protocol().release(source), RELEASE_TIME_LIMIT, new IgnoringExchangeListener());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/roles/RoleCoordinator.java
@@ -25,6 +25,7 @@
 import org.aspenmoor.internal.serving.roles.PlannedRoleChange;
 import org.aspenmoor.internal.serving.roles.RoleRatioPolicy;
 import org.aspenmoor.internal.store.StoreException;
+import org.aspenmoor.internal.time.TimeSource;
 
 /** Checks whether the engines have the roles that the traffic needs and orders role changes. Runs on its own thread. */
 public final class RoleCoordinator {
@@ -62,6 +63,7 @@
     private final BackendConnections connections;
     private final BackendProtocol protocol;
     private final EventLoop eventLoop;
+    private final TimeSource time;
     private final DecisionLog log;
     private final RoleRatioPolicy ratioPolicy = new RoleRatioPolicy();
     private final Map<String, LoadBasedRolePolicy> loadPolicies = new HashMap<>();
@@ -76,6 +78,7 @@
             BackendConnections connections,
             BackendProtocol protocol,
             EventLoop eventLoop,
+            TimeSource time,
             DecisionLog log) {
         this.holder = holder;
         this.snapshots = snapshots;
@@ -84,6 +87,7 @@
         this.connections = connections;
         this.protocol = protocol;
         this.eventLoop = eventLoop;
+        this.time = time;
         this.log = log;
     }
 
@@ -241,10 +245,15 @@
         }
     }
 
+    /** Calls an engine; a call that cannot be answered in time is not sent later, when the lease may have passed on. */
     private AnswerCollector.Answer call(BackendServer server, FullHttpRequest request)
             throws InterruptedException, ExecutionException, TimeoutException {
         AnswerCollector response = new AnswerCollector();
-        eventLoop.execute(() -> connections.call(server, request, response));
+        long startNanos = time.monotonicNanos();
+        eventLoop.execute(() -> {
+            Duration elapsed = Duration.ofNanos(time.monotonicNanos() - startNanos);
+            connections.call(server, request, CALL_TIMEOUT.minus(elapsed), response);
+        });
         return response.future().get(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -3,38 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.time.Duration;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import org.aspenmoor.internal.engine.EngineRole;
-import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
-import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ManualBackend;
-import org.aspenmoor.internal.gateway.standin.TestProtocols;
-import org.aspenmoor.internal.serving.BackendServer;
-import org.aspenmoor.internal.serving.BackendState;
-import org.aspenmoor.internal.serving.SoftwareVersion;
-import org.aspenmoor.internal.time.SystemTimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class AnswerEndTest {
-    private static final long TIMEOUT_SECONDS = 60;
-    private static final String ID = "r1";
-
     /** Larger than the buffers of a loopback connection, so that part of the request stays unsent. */
     private static final int LONG_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -43,29 +20,16 @@
 
     private static final int LINE_BYTES = 4096;
 
-    private static final String HEAD_WITHOUT_LENGTH =
-            HttpText.head("HTTP/1.1 200 OK", "Test-Id: " + ID, "Test-Signed: by one");
-
-    private EventLoopGroup group;
-    private EventLoop eventLoop;
-    private ManualBackend backend;
-    private BackendConnections connections;
+    private BackendFixture fixture;
 
     @BeforeMethod
     public void start() throws IOException {
-        group = new NioEventLoopGroup(1);
-        eventLoop = group.next();
-        backend = new ManualBackend();
-        SystemTimeSource time = new SystemTimeSource();
-        LongRoundTask longRoundTask = new LongRoundTask(eventLoop, time, Duration.ofSeconds(1), () -> {});
-        connections = new BackendConnections(
-                new TestProtocols(), eventLoop, time, service -> 2, new IndifferentObserver(), longRoundTask);
+        fixture = new BackendFixture();
     }
 
     @AfterMethod
     public void stop() throws IOException {
-        backend.close();
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        fixture.close();
     }
 
     // Guards against an answer that a reset has cut off and that looks complete, as the reset is noticed by a write.
@@ -73,10 +37,10 @@
     public void should_fail_answer_without_length_when_connection_is_reset_before_request_is_written()
             throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(LONG_BODY_BYTES, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(LONG_BODY_BYTES, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(HEAD_WITHOUT_LENGTH + "half of it");
+            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
             listener.awaitPart();
 
             connection.reset();
@@ -90,10 +54,10 @@
     public void should_fail_answer_without_length_when_connection_is_reset_after_request_was_written()
             throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(HEAD_WITHOUT_LENGTH + "half of it");
+            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
             listener.awaitPart();
 
             connection.reset();
@@ -106,15 +70,15 @@
     @Test
     public void should_fail_answer_without_length_when_connection_is_reset_while_reading_is_paused() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        Exchange exchange = send(LONG_BODY_BYTES, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        Exchange exchange = fixture.send(LONG_BODY_BYTES, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(HEAD_WITHOUT_LENGTH + "half of it");
+            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
             listener.awaitPart();
-            onEventLoop(() -> exchange.setReading(false));
+            fixture.onEventLoop(() -> exchange.setReading(false));
 
             connection.reset();
-            onEventLoop(() -> exchange.setReading(true));
+            fixture.onEventLoop(() -> exchange.setReading(true));
 
             assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
         }
@@ -124,13 +88,13 @@
     @Test
     public void should_not_complete_answer_without_length_when_event_loop_ends() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(HEAD_WITHOUT_LENGTH + "half of it");
+            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
             listener.awaitPart();
 
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            fixture.endEventLoop();
 
             assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
         }
@@ -140,10 +104,10 @@
     @Test
     public void should_complete_answer_without_length_when_server_ends_it_before_reading_request() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(LONG_BODY_BYTES, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(LONG_BODY_BYTES, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(HEAD_WITHOUT_LENGTH + "all of it");
+            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "all of it");
             connection.endOutput();
 
             assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
@@ -155,8 +119,8 @@
     @Test
     public void should_close_connection_when_server_ends_its_output_without_answer() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
 
             connection.endOutput();
@@ -170,20 +134,20 @@
     @Test
     public void should_not_reuse_connection_when_server_has_ended_its_output() throws Exception {
         RecordingExchangeListener first = new RecordingExchangeListener();
-        send(0, first);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, first);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(completeAnswer());
+            connection.write(BackendFixture.COMPLETE_ANSWER);
             connection.endOutput();
             assertEquals(first.awaitEnd(), RecordingExchangeListener.COMPLETED);
             assertEquals(connection.readToEnd(), 0);
         }
 
         RecordingExchangeListener second = new RecordingExchangeListener();
-        send(0, second);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, second);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(completeAnswer());
+            connection.write(BackendFixture.COMPLETE_ANSWER);
 
             assertEquals(second.awaitEnd(), RecordingExchangeListener.COMPLETED);
         }
@@ -192,8 +156,11 @@
     @DataProvider
     public Object[][] endlessBytes() {
         String otherAnswer = HttpText.head("HTTP/1.1 200 OK", "Test-Id: other", "Content-Length: 5") + "other";
-        String chunkedHead =
-                HttpText.head("HTTP/1.1 200 OK", "Test-Id: " + ID, "Test-Signed: by one", "Transfer-Encoding: chunked");
+        String chunkedHead = HttpText.head(
+                "HTTP/1.1 200 OK",
+                "Test-Id: " + BackendFixture.REQUEST_ID,
+                "Test-Signed: by one",
+                "Transfer-Encoding: chunked");
         return new Object[][] {
             {"a status line", "HTTP/1.1 200 ", "O".repeat(LINE_BYTES)},
             {"a header", "HTTP/1.1 200 OK\r\nX: ", "x".repeat(LINE_BYTES)},
@@ -201,7 +168,7 @@
             {"empty lines before the head", "", "\r\n".repeat(LINE_BYTES)},
             {"informational heads", "", "HTTP/1.1 102 Processing\r\n\r\n".repeat(LINE_BYTES)},
             {"answers to another request", "", otherAnswer.repeat(LINE_BYTES)},
-            {"a body without length", HEAD_WITHOUT_LENGTH, "x".repeat(LINE_BYTES)},
+            {"a body without length", BackendFixture.HEAD_WITHOUT_LENGTH, "x".repeat(LINE_BYTES)},
             {"chunks", chunkedHead, HttpText.chunk("x").repeat(LINE_BYTES)},
             {"a chunk's length", chunkedHead, "0".repeat(LINE_BYTES)},
             {"trailers", chunkedHead + "0\r\n", "X: x\r\n".repeat(LINE_BYTES)},
@@ -213,8 +180,8 @@
     public void should_close_connection_when_bytes_have_no_end(String what, String beginning, String repeated)
             throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
             connection.write(beginning);
 
@@ -228,10 +195,10 @@
     @Test
     public void should_close_unused_connection_when_server_sends_bytes() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
-            connection.write(completeAnswer());
+            connection.write(BackendFixture.COMPLETE_ANSWER);
             assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
 
             connection.write("HTTP/1.1 2");
@@ -244,60 +211,15 @@
     @Test
     public void should_complete_answer_when_it_follows_long_answer_to_another_request() throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
-        send(0, listener);
-        try (ManualBackend.Connection connection = backend.accept()) {
+        fixture.send(0, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
             connection.write(HttpText.head("HTTP/1.1 200 OK", "Test-Id: other", "Content-Length: 500000")
                     + "x".repeat(500_000)
-                    + completeAnswer());
+                    + BackendFixture.COMPLETE_ANSWER);
 
             assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
             assertEquals(listener.body(), "ok");
         }
     }
-
-    private Exchange send(int bodyBytes, ExchangeListener listener) throws Exception {
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.POST, "/book/a", Unpooled.wrappedBuffer(new byte[bodyBytes]));
-        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
-        BackendServer server = new BackendServer(
-                "one",
-                1,
-                "service",
-                new SoftwareVersion("one"),
-                "127.0.0.1",
-                backend.port(),
-                "here",
-                4,
-                BackendState.READY,
-                EngineRole.WHOLE);
-        return eventLoop
-                .submit(() -> connections.send(server, ID, request, listener))
-                .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    }
-
-    private void onEventLoop(Runnable task) throws Exception {
-        eventLoop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    }
-
-    private static String completeAnswer() {
-        return HttpText.head("HTTP/1.1 200 OK", "Test-Id: " + ID, "Test-Signed: by one", "Content-Length: 2") + "ok";
-    }
-
-    private static final class IndifferentObserver implements ServerObserver {
-        @Override
-        public Optional<String> callRefusal(BackendServer server) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void callSent(BackendServer server) {
-            // No test depends on it.
-        }
-
-        @Override
-        public void answerReceived(BackendServer server, AnswerMetadata metadata, long sentAt) {
-            // No test depends on it.
-        }
-    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
@@ -15,6 +15,7 @@
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
+import org.aspenmoor.internal.gateway.standin.ManualBackend;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
@@ -60,7 +61,9 @@
         FullHttpRequest report = new TestProtocols().createReportRequest(SERVER.id());
         AnswerCollector collector = new AnswerCollector();
 
-        eventLoop.submit(() -> connections.call(SERVER, report, collector)).get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+        eventLoop
+                .submit(() -> connections.call(SERVER, report, Duration.ofSeconds(MAX_WAIT_SECONDS), collector))
+                .get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
 
         ExecutionException failure = expectThrows(
                 ExecutionException.class, () -> collector.future().get(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
@@ -70,6 +73,55 @@
         assertEquals(report.refCnt(), 0);
     }
 
+    // Guards against an order that reaches an engine after its sender has given up, when another entry may give orders.
+    @Test
+    public void should_reset_connection_when_call_is_not_answered_in_time() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        try (BackendFixture fixture = new BackendFixture()) {
+            fixture.call(Duration.ofMillis(50), listener);
+            try (ManualBackend.Connection connection = fixture.backend().accept()) {
+                connection.readHead();
+
+                assertEquals(listener.awaitEnd(), "failed: no complete answer within 50 ms");
+                assertEquals(connection.readToEnd(), 0);
+            }
+        }
+    }
+
+    // Guards against the same where the event loop gets to the call only after the sender has given up.
+    @Test
+    public void should_not_send_call_when_no_time_is_left() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        try (BackendFixture fixture = new BackendFixture()) {
+            fixture.call(Duration.ZERO, listener);
+
+            assertEquals(listener.awaitEnd(), "never sent: no time is left for the call");
+            assertEquals(fixture.openedTotal(), 0);
+        }
+    }
+
+    // Guards against a time limit that resets a connection which the answer has left to the next request.
+    @Test
+    public void should_ignore_time_limit_when_exchange_has_ended() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        try (BackendFixture fixture = new BackendFixture()) {
+            Exchange exchange = fixture.send(0, listener);
+            try (ManualBackend.Connection connection = fixture.backend().accept()) {
+                connection.readHead();
+                connection.write(BackendFixture.COMPLETE_ANSWER);
+                assertEquals(listener.awaitEnd(), RecordingExchangeListener.COMPLETED);
+                RecordingExchangeListener next = new RecordingExchangeListener();
+                fixture.send(0, next);
+                connection.readHead();
+
+                fixture.onEventLoop(() -> exchange.expire("no complete answer in time"));
+
+                connection.write(BackendFixture.COMPLETE_ANSWER);
+                assertEquals(next.awaitEnd(), RecordingExchangeListener.COMPLETED);
+            }
+        }
+    }
+
     private static final class RefusingObserver implements ServerObserver {
         private int callsSent;
 
