Handle the messages of a caller's connection in the order in which they were read

Cause: when an answer ended, the messages queued behind it were handled in a later task. A message that was read before that task ran was handled at once, ahead of the queue: a part of a body was dropped, since its head was still queued, and a further head overtook the queued one.

Fix: a message is handled at once only if nothing is queued; else it joins the queue, which one task empties in order. Reading resumes when the queue has been emptied, not when the answer ends.

A caller that is dropped to make room for its own bytes no longer fails with an error.

Related paths: a caller that closes or half-closes behind queued parts counts as gone, as before, and the queue is released.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -24,8 +24,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.serving.ConnectionLimits;
 import org.aspenmoor.internal.time.TimeSource;
@@ -34,20 +32,15 @@
  * A connection of a caller: reads complete requests, one after the other, and writes their answers.
  *
  * <p>The connection continues reading while a request is served, because otherwise it would not detect that the caller
- * has disconnected. Parts of later requests are queued up to a limit.
+ * has disconnected. Parts of later requests are queued up to a limit, and handled in the order in which they were read.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerWriter, BufferedCaller {
-    /**
-     * Number of queued HTTP objects of later requests beyond which reading is paused until the current request ends.
-     */
-    private static final int MAX_QUEUED_MESSAGES = 64;
-
     private final Channel channel;
     private final RequestService service;
     private final TimeSource time;
     private final LongRoundTask longRoundTask;
     private final SentBytesHandler sentBytes;
-    private final Deque<Object> queuedMessages = new ArrayDeque<>();
+    private final PipelinedMessages pipelined;
     private HttpRequest head;
     private CompositeByteBuf body;
     private int reservedBytes;
@@ -70,6 +63,7 @@
         this.time = time;
         this.longRoundTask = longRoundTask;
         this.sentBytes = sentBytes;
+        this.pipelined = new PipelinedMessages(service);
         this.lastActivityNanos = time.monotonicNanos();
     }
 
@@ -121,14 +115,17 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (serving) {
-            queuedMessages.addLast(message);
-            if (queuedMessages.size() > MAX_QUEUED_MESSAGES) {
-                channel.config().setAutoRead(false);
-            }
+        if (!serving && pipelined.isEmpty()) {
+            handle(message);
             return;
         }
-        handle(message);
+        pipelined.add(message);
+        if (closing) {
+            // Making room for the message has dropped this caller.
+            pipelined.discard();
+        } else if (pipelined.isFull()) {
+            channel.config().setAutoRead(false);
+        }
     }
 
     @Override
@@ -153,9 +150,7 @@
         ActiveRequest abandonedRequest = activeRequest;
         activeRequest = null;
         discardRequest();
-        while (!queuedMessages.isEmpty()) {
-            ReferenceCountUtil.release(queuedMessages.pollFirst());
-        }
+        pipelined.discard();
         if (abandonedRequest != null) {
             abandonedRequest.callerDisconnected();
         }
@@ -287,6 +282,11 @@
             channel.writeAndFlush(refusal).addListener(ChannelFutureListener.CLOSE);
             return;
         }
+        if (closing) {
+            // Making room for the bytes has dropped this caller.
+            service.releaseBodyBytes(byteCount);
+            return;
+        }
         reservedBytes += byteCount;
         body.addComponent(true, content.content().retain());
         if (content instanceof LastHttpContent) {
@@ -333,14 +333,14 @@
             writeFuture.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        channel.config().setAutoRead(true);
-        channel.eventLoop().execute(this::handleQueuedMessages);
+        channel.eventLoop().execute(this::handlePipelined);
     }
 
-    private void handleQueuedMessages() {
-        while (!serving && !closing && !queuedMessages.isEmpty()) {
-            handle(queuedMessages.pollFirst());
+    private void handlePipelined() {
+        while (!serving && !closing && !pipelined.isEmpty()) {
+            handle(pipelined.remove());
         }
+        channel.config().setAutoRead(!pipelined.isFull());
     }
 
     private void refuse(HttpResponseStatus status, String message) {
--- /dev/null
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
@@ -0,0 +1,223 @@
+package org.aspenmoor.internal.gateway.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
+import org.aspenmoor.internal.serving.ConnectionLimits;
+import org.aspenmoor.internal.time.ManualTimeSource;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class CallerConnectionTest {
+    private static final long MAX_BUFFERED_BYTES = 1_000_000;
+    private static final int LARGE_PART_BYTES = 16_384;
+    private static final int LARGE_PARTS = 200;
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private EmbeddedChannel channel;
+    private RecordingService service;
+    private HeldWrites writes;
+    private CallerConnection connection;
+
+    @BeforeMethod
+    public void connect() {
+        channel = new EmbeddedChannel();
+        service = new RecordingService();
+        writes = new HeldWrites();
+        AnswerBuffers buffers = new AnswerBuffers(MAX_BUFFERED_BYTES, time, channel.eventLoop(), (bytes, unread) -> {});
+        connection = new CallerConnection(
+                channel,
+                service,
+                time,
+                new LongRoundTask(channel.eventLoop(), time, Duration.ofSeconds(1), () -> {}),
+                new SentBytesHandler(buffers));
+        channel.pipeline().addLast(writes).addLast(connection);
+    }
+
+    @AfterMethod
+    public void disconnect() {
+        channel.close();
+        channel.runPendingTasks();
+    }
+
+    // Guards against a body that loses parts, as one that is read when the answer before it ends overtakes the others.
+    @Test
+    public void should_keep_order_of_body_when_a_part_is_read_as_the_answer_before_ends() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        receive(post("/second"), part("one "));
+        service.writers.poll().sendAnswer(answer());
+
+        channel.pipeline().fireChannelRead(part("two "));
+        receive(part("three "), lastPart("four"));
+
+        assertEquals(service.served, List.of("/first ", "/second one two three four"));
+    }
+
+    // Guards against an answer in the place of another, as a request that is read when an answer ends overtakes others.
+    @Test
+    public void should_keep_order_of_requests_when_one_is_read_as_an_answer_ends() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        receive(get("/second"), LastHttpContent.EMPTY_LAST_CONTENT);
+        service.writers.poll().sendAnswer(answer());
+
+        channel.pipeline().fireChannelRead(get("/third"));
+        receive(LastHttpContent.EMPTY_LAST_CONTENT);
+        service.writers.poll().sendAnswer(answer());
+        channel.runPendingTasks();
+
+        assertEquals(service.served, List.of("/first ", "/second ", "/third "));
+    }
+
+    // Guards against an entry that runs out of memory because callers send megabytes behind a request.
+    @Test
+    public void should_stop_reading_and_count_bytes_when_much_is_sent_behind_a_request() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        receive(post("/second"));
+        int received = 0;
+        for (int parts = 0; parts < LARGE_PARTS && channel.config().isAutoRead(); parts++) {
+            receive(part("x".repeat(LARGE_PART_BYTES)));
+            received += LARGE_PART_BYTES;
+        }
+
+        assertFalse(channel.config().isAutoRead());
+        assertTrue(received <= PipelinedMessages.MAX_BYTES + LARGE_PART_BYTES, received + " bytes");
+        assertEquals(service.reservedBytes, received);
+
+        service.writers.poll().sendAnswer(answer());
+        channel.runPendingTasks();
+        assertTrue(channel.config().isAutoRead());
+        assertEquals(service.reservedBytes, received);
+
+        receive(lastPart(""));
+        service.writers.poll().sendAnswer(answer());
+        assertEquals(service.served.getLast().length(), "/second ".length() + received);
+        assertEquals(service.reservedBytes, 0);
+    }
+
+    // Guards against memory that is counted for ever after a caller has left.
+    @Test
+    public void should_release_queued_bytes_when_caller_disconnects() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        receive(post("/second"), part("one "));
+        assertEquals(service.reservedBytes, "one ".length());
+
+        channel.close();
+        channel.runPendingTasks();
+
+        assertEquals(service.reservedBytes, 0);
+    }
+
+    private void receive(Object... messages) {
+        for (Object message : messages) {
+            channel.pipeline().fireChannelRead(message);
+        }
+        channel.runPendingTasks();
+    }
+
+    private static DefaultHttpRequest get(String path) {
+        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    }
+
+    private static DefaultHttpRequest post(String path) {
+        DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path);
+        HttpUtil.setTransferEncodingChunked(request, true);
+        return request;
+    }
+
+    private static DefaultHttpContent part(String text) {
+        return new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private static LastHttpContent lastPart(String text) {
+        return new DefaultLastHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private static FullHttpResponse answer() {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+    }
+
+    /** Records the requests, and leaves their answers to the test. */
+    private static final class RecordingService implements RequestService {
+        private final List<String> served = new ArrayList<>();
+        private final Deque<AnswerWriter> writers = new ArrayDeque<>();
+        private int reservedBytes;
+
+        @Override
+        public ActiveRequest serve(IncomingRequest request, AnswerWriter answerWriter) {
+            served.add(request.path() + " " + request.body().toString(StandardCharsets.UTF_8));
+            request.body().release();
+            writers.add(answerWriter);
+            return new ActiveRequest() {
+                @Override
+                public void callerDisconnected() {
+                    // The tests look at the connection.
+                }
+
+                @Override
+                public void writabilityChanged() {
+                    // The tests look at the connection.
+                }
+            };
+        }
+
+        @Override
+        public void discard(IncomingRequest request) {
+            request.body().release();
+        }
+
+        @Override
+        public ConnectionLimits connectionLimits() {
+            return ConnectionLimits.defaults();
+        }
+
+        @Override
+        public boolean stopping() {
+            return false;
+        }
+
+        @Override
+        public boolean reserveBodyBytes(int bytes) {
+            reservedBytes += bytes;
+            return true;
+        }
+
+        @Override
+        public void releaseBodyBytes(int bytes) {
+            reservedBytes -= bytes;
+        }
+    }
+
+    /** Takes what is written to the caller. */
+    private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            promise.setSuccess();
+        }
+    }
+}
