A connection is idle only when its last answer has been sent

The idle timeout cut such answers in the same way.

Cause: a connection without a request counted as idle once its answer had been handed to the channel, not when the operating system had taken it.

Fix: answers that are not sent keep a connection from being idle, for the stop and for the idle timeout. A caller that takes nothing for the idle timeout is dropped, also while its connection is about to be closed, which had no bound before. While the process stops, requests that were read behind the current one are answered before the connection is closed.

CallerConnectionTest: the four new tests failed before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.serving.ConnectionLimits;
 import org.aspenmoor.internal.time.TimeSource;
@@ -35,6 +36,8 @@
  * has disconnected. Parts of later requests are queued up to a limit, and handled in the order in which they were read.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerWriter, BufferedCaller {
+    private static final Duration REFUSAL_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final Channel channel;
     private final RequestService service;
     private final TimeSource time;
@@ -50,6 +53,8 @@
     private boolean serving;
     private boolean keepAlive = true;
     private boolean closing;
+    private int unsentAnswers;
+    private long sentBytesAtLastCheck;
     private ActiveRequest activeRequest;
 
     CallerConnection(
@@ -77,7 +82,14 @@
 
     /** Closes the connection if it has exceeded its header or idle timeout. */
     void enforceTimeouts(long nowNanos) {
-        if (serving || closing) {
+        if (serving) {
+            return;
+        }
+        if (unsentAnswers > 0) {
+            dropIfUnread(nowNanos);
+            return;
+        }
+        if (closing) {
             return;
         }
         ConnectionLimits limits = service.connectionLimits();
@@ -91,9 +103,9 @@
         }
     }
 
-    /** Closes the connection if no request is being received or served on it. */
+    /** Closes the connection if no request is being received or served on it, and each answer has been sent. */
     void closeIfIdle() {
-        if (!serving && !receiving) {
+        if (!serving && !receiving && unsentAnswers == 0 && pipelined.isEmpty()) {
             close();
         }
     }
@@ -177,7 +189,7 @@
 
     @Override
     public void sendAnswer(FullHttpResponse answer) {
-        boolean keepOpen = keepAlive && !service.stopping();
+        boolean keepOpen = keepAlive && !stopsAfterThisRequest();
         HttpUtil.setKeepAlive(answer, keepOpen);
         if (!keepOpen) {
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -187,7 +199,7 @@
 
     @Override
     public void beginAnswer(HttpResponse answerHead) {
-        keepAlive &= !service.stopping();
+        keepAlive &= !stopsAfterThisRequest();
         HttpUtil.setKeepAlive(answerHead, keepAlive);
         if (!keepAlive) {
             answerHead.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -225,6 +237,11 @@
         return channel.isWritable();
     }
 
+    /** Returns whether the process is stopping and nothing has been read behind this request. */
+    private boolean stopsAfterThisRequest() {
+        return service.stopping() && pipelined.isEmpty();
+    }
+
     private void handle(Object message) {
         try {
             if (message instanceof HttpRequest request) {
@@ -274,12 +291,8 @@
             return;
         }
         if (!service.reserveBodyBytes(byteCount)) {
-            discardRequest();
-            closing = true;
-            FullHttpResponse refusal = LocalAnswers.notRun(
-                    "the limit on request bodies held in memory has been reached", java.time.Duration.ofSeconds(1));
-            refusal.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            channel.writeAndFlush(refusal).addListener(ChannelFutureListener.CLOSE);
+            closeWith(LocalAnswers.notRun(
+                    "the limit on request bodies held in memory has been reached", REFUSAL_RETRY_DELAY));
             return;
         }
         if (closing) {
@@ -328,6 +341,7 @@
         service.releaseBodyBytes(reservedBytes);
         reservedBytes = 0;
         lastActivityNanos = time.monotonicNanos();
+        trackUnsent(writeFuture);
         if (!keepOpen) {
             closing = true;
             writeFuture.addListener(ChannelFutureListener.CLOSE);
@@ -344,11 +358,38 @@
     }
 
     private void refuse(HttpResponseStatus status, String message) {
+        closeWith(LocalAnswers.of(status, message));
+    }
+
+    /** Answers without serving the request, and closes the connection. */
+    private void closeWith(FullHttpResponse answer) {
         discardRequest();
         closing = true;
-        FullHttpResponse answer = LocalAnswers.of(status, message);
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        ChannelFuture writeFuture = channel.writeAndFlush(answer);
+        trackUnsent(writeFuture);
+        writeFuture.addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Keeps the connection from being idle until the operating system has taken the whole answer. */
+    private void trackUnsent(ChannelFuture writeFuture) {
+        unsentAnswers++;
+        writeFuture.addListener(sent -> {
+            unsentAnswers--;
+            lastActivityNanos = time.monotonicNanos();
+        });
+    }
+
+    /** Drops a caller that has read nothing of its answer for the idle timeout. */
+    private void dropIfUnread(long nowNanos) {
+        long sent = sentBytes();
+        if (sent != sentBytesAtLastCheck) {
+            sentBytesAtLastCheck = sent;
+            lastActivityNanos = nowNanos;
+        } else if (nowNanos - lastActivityNanos
+                > service.connectionLimits().idleTimeout().toNanos()) {
+            drop();
+        }
     }
 
     private void discardRequest() {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
@@ -35,6 +35,7 @@
 
 public class CallerConnectionTest {
     private static final long MAX_BUFFERED_BYTES = 1_000_000;
+    private static final Duration IDLE_TIMEOUT = ConnectionLimits.defaults().idleTimeout();
     private static final int LARGE_PART_BYTES = 16_384;
     private static final int LARGE_PARTS = 200;
 
@@ -50,13 +51,14 @@
         service = new RecordingService();
         writes = new HeldWrites();
         AnswerBuffers buffers = new AnswerBuffers(MAX_BUFFERED_BYTES, time, channel.eventLoop(), (bytes, unread) -> {});
+        SentBytesHandler sentBytes = new SentBytesHandler(buffers);
         connection = new CallerConnection(
                 channel,
                 service,
                 time,
                 new LongRoundTask(channel.eventLoop(), time, Duration.ofSeconds(1), () -> {}),
-                new SentBytesHandler(buffers));
-        channel.pipeline().addLast(writes).addLast(connection);
+                sentBytes);
+        channel.pipeline().addLast(writes).addLast(sentBytes).addLast(connection);
     }
 
     @AfterMethod
@@ -132,6 +134,69 @@
         assertEquals(service.reservedBytes, 0);
     }
 
+    // Guards against an answer that a graceful stop cuts off, as its caller is still reading it.
+    @Test
+    public void should_not_be_idle_while_answer_is_unsent() {
+        writes.hold = true;
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        service.writers.poll().sendAnswer(answer());
+
+        connection.closeIfIdle();
+        assertTrue(channel.isOpen());
+
+        writes.complete();
+        connection.closeIfIdle();
+        assertFalse(channel.isOpen());
+    }
+
+    // Guards against an answer that the idle timeout cuts off while its caller is still reading it.
+    @Test
+    public void should_keep_connection_when_caller_reads_for_longer_than_the_idle_timeout() {
+        writes.hold = true;
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        service.writers.poll().sendAnswer(answer());
+
+        for (int check = 0; check < 10; check++) {
+            time.advance(IDLE_TIMEOUT.dividedBy(2));
+            writes.hold = false;
+            channel.write(Unpooled.copiedBuffer("some", StandardCharsets.UTF_8));
+            connection.enforceTimeouts(time.monotonicNanos());
+        }
+
+        assertTrue(channel.isOpen());
+    }
+
+    // Guards against connections that stay open for ever because their callers read nothing.
+    @Test
+    public void should_drop_caller_that_reads_nothing_for_the_idle_timeout() {
+        writes.hold = true;
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        service.stopping = true;
+        service.writers.poll().sendAnswer(answer());
+
+        time.advance(IDLE_TIMEOUT.plusMillis(1));
+        connection.enforceTimeouts(time.monotonicNanos());
+
+        assertFalse(channel.isOpen());
+    }
+
+    // Guards against a request that is lost because a stop closes its connection after the answer before it.
+    @Test
+    public void should_answer_pipelined_request_before_a_stop_closes_the_connection() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        receive(get("/second"), LastHttpContent.EMPTY_LAST_CONTENT);
+        service.stopping = true;
+
+        service.writers.poll().sendAnswer(answer());
+        connection.closeIfIdle();
+        channel.runPendingTasks();
+
+        assertEquals(service.served, List.of("/first ", "/second "));
+        service.writers.poll().sendAnswer(answer());
+        channel.runPendingTasks();
+        assertFalse(channel.isOpen());
+    }
+
     private void receive(Object... messages) {
         for (Object message : messages) {
             channel.pipeline().fireChannelRead(message);
@@ -166,6 +231,7 @@
         private final List<String> served = new ArrayList<>();
         private final Deque<AnswerWriter> writers = new ArrayDeque<>();
         private int reservedBytes;
+        private boolean stopping;
 
         @Override
         public ActiveRequest serve(IncomingRequest request, AnswerWriter answerWriter) {
@@ -197,7 +263,7 @@
 
         @Override
         public boolean stopping() {
-            return false;
+            return stopping;
         }
 
         @Override
@@ -212,12 +278,22 @@
         }
     }
 
-    /** Takes what is written to the caller. */
+    /** Takes what is written to the caller; as long as it is held, the caller has not read it. */
     private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+        private final Deque<ChannelPromise> held = new ArrayDeque<>();
+        private boolean hold;
+
         @Override
         public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
             ReferenceCountUtil.release(message);
-            promise.setSuccess();
+            held.add(promise);
+            if (!hold) {
+                held.removeLast().setSuccess();
+            }
+        }
+
+        void complete() {
+            held.removeFirst().setSuccess();
         }
     }
 }
