Do not collect an answer whose own caller was dropped to make room for it

What happened: making room for a part of an answer can drop the caller that the answer is for, if answers to its earlier requests wait unread. The attempt had then ended, but the part was counted all the same, for ever, and written to a released buffer. Each time the entry lost up to a read's worth of the bytes that it may buffer.

After making room, an attempt that has ended gives the bytes back.

SlowCallerTest.should_count_no_bytes_when_the_only_caller_has_been_dropped failed before (16,384 bytes remained).

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/CacheListQueries.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/CacheListQueries.java
@@ -10,7 +10,7 @@
 
 /** Asks engines for the contents of their caches. Confined to the event loop. */
 final class CacheListQueries {
-    /** A list that arrives later is of little use, since the first answers have told as much by then. */
+    /** By then, the engine's answers to requests have shown most of what it has cached. */
     private static final Duration TIME_LIMIT = Duration.ofSeconds(5);
 
     private final CacheListing cacheListing;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -23,10 +23,10 @@
  * caller if its connection breaks. Events of a stream are forwarded as they arrive.
  */
 final class AnswerAttempt implements ExchangeListener, WatchedAttempt {
-    /** The length of an answer that is buffered; answers of plain services have some kilobytes. */
+    /** The longest answer that is buffered; answers of plain services have some kilobytes. */
     private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
-    /** The length of an event of a stream; events have some tokens each. */
+    /** The longest event of a stream; events have some tokens each. */
     private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
     private final ServedRequest request;
@@ -179,7 +179,13 @@
 
     /** Accounts for bytes that are collected; returns false if the attempt has ended because there is no room. */
     private boolean collect(int byteCount) {
-        if (!buffers.collect(byteCount)) {
+        boolean collected = buffers.collect(byteCount);
+        if (finished) {
+            // Making room has dropped the caller of this request.
+            buffers.release(collected ? byteCount : 0);
+            return false;
+        }
+        if (!collected) {
             request.abandon(this, "the limit on bytes held for callers and servers has been reached");
             return false;
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SlowCallerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SlowCallerTest.java
@@ -61,6 +61,23 @@
         assertTrue(gateway.metrics().contains("aspenmoor_callers_dropped_total"));
     }
 
+    // Guards against bytes that are counted for ever because making room for an answer has dropped its own caller.
+    @Test
+    public void should_count_no_bytes_when_the_only_caller_has_been_dropped() throws Exception {
+        try (TestCaller silent = gateway.caller()) {
+            int requests = 0;
+            while (!gateway.metrics().contains("aspenmoor_callers_dropped_total 1.0")) {
+                assertTrue(requests < SILENT_CALLERS, "not dropped after " + requests + " requests");
+                silent.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: own-" + requests));
+                requests++;
+                gateway.awaitLogged("\"event\":\"request-ended\"", requests);
+                gateway.advanceTime(Duration.ofSeconds(2));
+            }
+        }
+
+        gateway.awaitMetric("aspenmoor_buffered_bytes 0.0");
+    }
+
     private static boolean receivesCompleteAnswer(TestCaller caller) {
         try {
             return caller.readAnswer().body().equals(LARGE_BODY);
