Refuse request targets with bytes that are not ASCII

Such a target is not valid HTTP, and is refused with 400 now.

PlainRequestTest.should_answer_bad_request_when_path_has_bytes_beyond_ascii failed before (200 OK).

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -36,6 +36,8 @@
  * has disconnected. Parts of later requests are queued up to a limit, and handled in the order in which they were read.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerWriter, BufferedCaller {
+    private static final char MAX_PRINTABLE_ASCII = '~';
+
     private static final Duration REFUSAL_RETRY_DELAY = Duration.ofSeconds(1);
 
     private final Channel channel;
@@ -263,6 +265,10 @@
             refuse(HttpResponseStatus.BAD_REQUEST, "The request is not valid HTTP.");
             return;
         }
+        if (!isPrintableAscii(request.uri())) {
+            refuse(HttpResponseStatus.BAD_REQUEST, "The request's path has bytes that must be percent-encoded.");
+            return;
+        }
         if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
             refuse(HttpResponseStatus.BAD_REQUEST, "The request has more than one Host header.");
             return;
@@ -279,6 +285,11 @@
         }
     }
 
+    /** Returns whether a request target would reach a server unchanged; other bytes do not survive being encoded. */
+    private static boolean isPrintableAscii(String target) {
+        return target.chars().allMatch(character -> character > ' ' && character <= MAX_PRINTABLE_ASCII);
+    }
+
     private void handleContent(HttpContent content) {
         lastActivityNanos = time.monotonicNanos();
         if (content.decoderResult().isFailure()) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/PlainRequestTest.java
@@ -370,6 +370,19 @@
         }
     }
 
+    // Guards against a server that runs a request with another path than its caller sent.
+    @Test
+    public void should_answer_bad_request_when_path_has_bytes_beyond_ascii() throws Exception {
+        ScriptedBackend backend = backend("one", PlainRequestTest::answer);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send("GET /read/caf\u00e9 HTTP/1.1\r\nHost: house.example\r\nTest-Id: r1\r\n\r\n");
+
+            assertEquals(caller.readAnswer().line(), "HTTP/1.1 400 Bad Request");
+        }
+        assertEquals(backend.count("r1"), 0);
+    }
+
     // Request smuggling: a request with both a content length and chunked encoding can hide a second request from a
     // receiver that interprets it differently.
     @Test
