Do not end streams that hold nothing while the limit on buffered bytes is exceeded

Asking for zero bytes of an answer succeeds now, as it does for bodies.

AnswerBuffersTest.should_accept_zero_bytes_when_the_bound_is_exceeded failed before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/AnswerBuffers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/AnswerBuffers.java
@@ -51,7 +51,7 @@
 
     /** Accounts for a part of an answer that is collected before it is sent; returns false if there is no room for it. */
     public boolean collect(long bytes) {
-        if (exceededWith(bytes)) {
+        if (bytes > 0 && exceededWith(bytes)) {
             return false;
         }
         collectedBytes += bytes;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/AnswerBuffersTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/AnswerBuffersTest.java
@@ -53,6 +53,15 @@
         assertTrue(dropped.stream().allMatch(unread -> unread.compareTo(SlowReaders.MIN_UNREAD) >= 0));
     }
 
+    // Guards against streams that are ended although they hold nothing, as others have used up the bound.
+    @Test
+    public void should_accept_zero_bytes_when_the_bound_is_exceeded() {
+        assertTrue(buffers.addBody(MAX_BYTES));
+        callers(1, 0).getFirst().receivePart();
+
+        assertTrue(buffers.collect(0));
+    }
+
     // Guards against callers that are dropped although there is memory for what they have not read.
     @Test
     public void should_drop_nobody_when_the_bound_is_not_exceeded() {
