--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/HealthProbes.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/HealthProbes.java
@@ -1,15 +1,12 @@
 package org.aspenmoor.internal.gateway;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.backend.AnswerCollector;
 import org.aspenmoor.internal.gateway.backend.BackendConnections;
-import org.aspenmoor.internal.gateway.backend.Exchange;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.request.HealthProbe;
@@ -73,17 +70,14 @@
     private void send(HealthProbe probe) {
         BackendServer server = probe.server();
         AnswerCollector collector = new AnswerCollector();
-        Optional<Exchange> exchange =
-                connections.callForLoad(server, protocol.createHealthRequest(server.id(), probe.path()), collector);
-        if (exchange.isEmpty()) {
+        boolean accepted = connections.callForLoad(
+                server, protocol.createHealthRequest(server.id(), probe.path()), TIMEOUT, collector);
+        if (!accepted) {
             probing.failed(server);
             return;
         }
         sent.labelValues(server.service()).inc();
-        Future<?> timeout =
-                eventLoop.schedule(() -> timedOut(server, exchange.get()), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         collector.future().whenComplete((answer, failure) -> {
-            timeout.cancel(false);
             if (failure == null) {
                 probing.answered(server);
             } else {
@@ -92,11 +86,6 @@
         });
     }
 
-    private void timedOut(BackendServer server, Exchange exchange) {
-        exchange.cancel();
-        failed(server, "no answer within " + TIMEOUT.toMillis() + " ms");
-    }
-
     private void failed(BackendServer server, String reason) {
         probing.failed(server);
         failed.labelValues(server.service()).inc();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -78,26 +78,26 @@
             return;
         }
         observer.callSent(server);
-        Exchange exchange = send(server, "", call, listener);
-        eventLoop.schedule(
-                () -> exchange.expire("no complete answer within " + timeLimit.toMillis() + " ms"),
-                timeLimit.toNanos(),
-                TimeUnit.NANOSECONDS);
+        expireAfter(timeLimit, send(server, "", call, listener));
     }
 
     /**
-     * Asks a server for its load, and takes ownership of the call's buffer; empty if the server wants no calls. Of the
-     * answer, only the load and the announcement of a drain count. One connection is left to requests, and the call is no
-     * demand of this entry.
+     * Asks a server for its load, and takes ownership of the call's buffer. Of the answer, only the load and the
+     * announcement of a drain count. One connection is left to requests, and the call is no demand of this entry.
+     *
+     * @param timeLimit how long the answer may take; then the connection is reset
+     * @return whether the call is sent; it is not if the server wants no calls
      */
-    public Optional<Exchange> callForLoad(BackendServer server, FullHttpRequest call, ExchangeListener listener) {
+    public boolean callForLoad(
+            BackendServer server, FullHttpRequest call, Duration timeLimit, ExchangeListener listener) {
         if (observer.callRefusal(server).isPresent()) {
             call.release();
-            return Optional.empty();
+            return false;
         }
         Exchange exchange = new Exchange("", call, listener, true);
         poolFor(server).send(exchange, Math.max(1, maxOpenByService.applyAsInt(server.service()) - 1));
-        return Optional.of(exchange);
+        expireAfter(timeLimit, exchange);
+        return true;
     }
 
     /** Checks whether a server whose connection broke has terminated, and notifies the listener of the result. */
@@ -127,6 +127,13 @@
                         .sum();
     }
 
+    private void expireAfter(Duration timeLimit, Exchange exchange) {
+        eventLoop.schedule(
+                () -> exchange.expire("no complete answer within " + timeLimit.toMillis() + " ms"),
+                timeLimit.toNanos(),
+                TimeUnit.NANOSECONDS);
+    }
+
     private ServerConnectionPool poolFor(BackendServer server) {
         ServerConnectionPool existing = poolsByServer.get(server.id());
         if (existing != null && existing.connectsTo(server)) {
