Tests: one stand-in for servers that read nothing, one opening for answers that are cut off

UnreadBackend did what ManualBackend does; its only test uses the latter, with the same assertion (only a reset counts as one now, no other failure). The four tests of an answer that is cut off share their opening.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -39,9 +39,7 @@
         RecordingExchangeListener listener = new RecordingExchangeListener();
         fixture.send(LONG_BODY_BYTES, listener);
         try (ManualBackend.Connection connection = fixture.backend().accept()) {
-            connection.readHead();
-            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
-            listener.awaitPart();
+            writeHalf(connection, listener);
 
             connection.reset();
 
@@ -56,9 +54,7 @@
         RecordingExchangeListener listener = new RecordingExchangeListener();
         fixture.send(0, listener);
         try (ManualBackend.Connection connection = fixture.backend().accept()) {
-            connection.readHead();
-            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
-            listener.awaitPart();
+            writeHalf(connection, listener);
 
             connection.reset();
 
@@ -72,9 +68,7 @@
         RecordingExchangeListener listener = new RecordingExchangeListener();
         Exchange exchange = fixture.send(LONG_BODY_BYTES, listener);
         try (ManualBackend.Connection connection = fixture.backend().accept()) {
-            connection.readHead();
-            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
-            listener.awaitPart();
+            writeHalf(connection, listener);
             fixture.onEventLoop(() -> exchange.setReading(false));
 
             connection.reset();
@@ -90,9 +84,7 @@
         RecordingExchangeListener listener = new RecordingExchangeListener();
         fixture.send(0, listener);
         try (ManualBackend.Connection connection = fixture.backend().accept()) {
-            connection.readHead();
-            connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
-            listener.awaitPart();
+            writeHalf(connection, listener);
 
             fixture.endEventLoop();
 
@@ -222,4 +214,12 @@
             assertEquals(listener.body(), "ok");
         }
     }
+
+    /** Answers a request with half of an answer without a length, and waits until it has been received. */
+    private static void writeHalf(ManualBackend.Connection connection, RecordingExchangeListener listener)
+            throws Exception {
+        connection.readHead();
+        connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
+        listener.awaitPart();
+    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ManualBackend.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ManualBackend.java
@@ -47,6 +47,7 @@
     /** A connection to the server. */
     public static final class Connection implements AutoCloseable {
         private final Socket socket;
+        private final byte[] buffer = new byte[READ_BYTES];
 
         private Connection(Socket socket) {
             this.socket = socket;
@@ -66,16 +67,31 @@
             return head.toString();
         }
 
-        /** Reads everything until the other side ends the connection; returns the number of bytes. */
+        /** Reads everything until the other side ends or resets the connection; returns the number of bytes. */
         public long readToEnd() throws IOException {
-            byte[] buffer = new byte[READ_BYTES];
             long total = 0;
-            for (int count = read(buffer); count >= 0; count = read(buffer)) {
-                total += count;
+            try {
+                for (int count = read(); count >= 0; count = read()) {
+                    total += count;
+                }
+            } catch (SocketException reset) {
+                // The connection has ended as well.
             }
             return total;
         }
 
+        /** Reads everything; returns whether the connection was reset instead of ending after all bytes. */
+        public boolean readsUntilReset() throws IOException {
+            try {
+                while (read() >= 0) {
+                    // The bytes do not matter.
+                }
+                return false;
+            } catch (SocketException reset) {
+                return true;
+            }
+        }
+
         public void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
@@ -118,12 +134,8 @@
             }
         }
 
-        private int read(byte[] buffer) throws IOException {
-            try {
-                return socket.getInputStream().read(buffer);
-            } catch (SocketException reset) {
-                return -1;
-            }
+        private int read() throws IOException {
+            return socket.getInputStream().read(buffer);
         }
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.standin.HttpText;
+import org.aspenmoor.internal.gateway.standin.ManualBackend;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.DelayedPart;
@@ -18,7 +19,6 @@
 import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
-import org.aspenmoor.internal.gateway.standin.UnreadBackend;
 import org.aspenmoor.internal.serving.RetryRule;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -133,7 +133,7 @@
     // must not follow; otherwise the server starts to work on it long after the caller has left.
     @Test
     public void should_reset_server_connection_when_caller_left_before_request_was_delivered() throws Exception {
-        try (UnreadBackend backend = new UnreadBackend()) {
+        try (ManualBackend backend = new ManualBackend()) {
             gateway.server("narrow", REGISTRY, backend.port());
             gateway.publish();
             TestCaller leaving = gateway.caller();
@@ -143,11 +143,12 @@
                             "Test-Id: left",
                             "Content-Length: " + LARGE_BODY_BYTES)
                     + "x".repeat(LARGE_BODY_BYTES));
-            backend.awaitConnection();
-            leaving.close();
-            gateway.awaitLogged("CALLER_LEFT");
+            try (ManualBackend.Connection connection = backend.accept()) {
+                leaving.close();
+                gateway.awaitLogged("CALLER_LEFT");
 
-            assertTrue(backend.readsUntilReset());
+                assertTrue(connection.readsUntilReset());
+            }
         }
     }
 
