--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -270,7 +270,7 @@
 
     private static ResumeDecision continueAt(StreamOrigin origin, List<String> services) {
         return services.contains(origin.service())
-                ? new ResumeDecision.Continue(origin)
+                ? new ResumeDecision.Continue(origin, OriginBasis.REMEMBERED)
                 : new ResumeDecision.Refuse("the stream has begun at service " + origin.service()
                         + ", which does not serve this route any more");
     }
@@ -282,7 +282,7 @@
         }
         // Without the store and the other entries, another version may serve by now that this entry has not heard of.
         return othersHeard || listCurrent
-                ? new ResumeDecision.Continue(only.get())
+                ? new ResumeDecision.Continue(only.get(), OriginBasis.ONLY_VERSION)
                 : new ResumeDecision.Refuse("it is not known which software version has begun the stream, since neither"
                         + " the store nor another entry can be reached");
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
@@ -102,7 +102,7 @@
 
         resolve(STREAM);
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW, OriginBasis.REMEMBERED)));
         assertEquals(network.asked(), List.of());
     }
 
@@ -113,7 +113,7 @@
 
         reply("c", new OriginKnowledge.Known(FROM_OLD));
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.REMEMBERED)));
     }
 
     // Guards against an entry that has just started and takes the first reply for the last one.
@@ -126,7 +126,7 @@
         reply("a", new OriginKnowledge.Unknown());
         assertEquals(decisions, List.of());
         reply("b", new OriginKnowledge.Known(FROM_NEW));
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW, OriginBasis.REMEMBERED)));
     }
 
     // Guards against a stream that goes on as another one because a reply to the process before a restart comes late.
@@ -169,7 +169,7 @@
 
         resolve(STREAM);
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.ONLY_VERSION)));
         assertEquals(network.asked(), List.of());
     }
 
@@ -197,7 +197,7 @@
         resolve(STREAM);
         network.pass(StreamOriginTracker.MAX_WAIT);
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.ONLY_VERSION)));
     }
 
     // Guards against an entry that is cut off and takes the version that it knows for the only one.
@@ -218,7 +218,7 @@
         resolve(STREAM);
         network.pass(Duration.ofMillis(1));
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.ONLY_VERSION)));
     }
 
     // Guards against a suspended process that goes on by what it knew before.
@@ -296,7 +296,7 @@
 
         resolve(STREAM);
 
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.REMEMBERED)));
     }
 
     // Guards against a process that runs out of memory under a flood of streams.
@@ -307,7 +307,7 @@
 
         assertEquals(tracker.rememberedStreams(), 20_000);
         resolve(StreamKey.of("", "r49999"));
-        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD)));
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.REMEMBERED)));
     }
 
     // Guards against knowledge that is lost while all entries are restarted in turn.
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ResumedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ResumedRequest.java
@@ -82,6 +82,7 @@
                 logLine(context.state().log().routine("stream-resumed"))
                         .with("service", resumed.origin().service())
                         .with("softwareVersion", resumed.origin().version().name())
+                        .with("basis", resumed.basis().name())
                         .write();
             }
             case ResumeDecision.Refuse refused -> {
