--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
@@ -25,7 +25,17 @@
                 .toList();
         boolean onlyTriedCanAnswer = request.version() instanceof VersionRequirement.Exactly
                 && untried.stream().noneMatch(SendFilter::canAnswer);
-        return onlyTriedCanAnswer ? triedToo(request, now) : untried;
+        return onlyTriedCanAnswer ? triedToo(request, now) : ofStatedVersions(untried, request);
+    }
+
+    private static List<ServerEstimate> ofStatedVersions(List<ServerEstimate> servers, PlacementRequest request) {
+        if (!(request.version() instanceof VersionRequirement.PreferablyShared shared)) {
+            return servers;
+        }
+        List<ServerEstimate> stated = servers.stream()
+                .filter(estimate -> shared.stated().contains(estimate.server().softwareVersion()))
+                .toList();
+        return stated.stream().anyMatch(SendFilter::canAnswer) ? stated : servers;
     }
 
     /**
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/ServingConfiguration.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.aspenmoor.internal.organisation.KeyRegistry;
 
 /** One version of the operator's configuration of routes and services; immutable. */
@@ -19,6 +21,7 @@
     private final KeyRegistry keys;
     private final int routeCount;
     private final Duration longestTimeout;
+    private final Set<String> resumableServices;
 
     public ServingConfiguration(
             long version, List<Route> routes, List<ServiceTraits> services, ConnectionLimits limits, KeyRegistry keys) {
@@ -35,6 +38,10 @@
                 .map(Route::timeout)
                 .max(Comparator.naturalOrder())
                 .orElse(Duration.ZERO);
+        this.resumableServices = routes.stream()
+                .filter(route -> route.streamed() && route.retryRule() == RetryRule.RESUMABLE)
+                .flatMap(route -> route.services().stream())
+                .collect(Collectors.toUnmodifiableSet());
         Comparator<Route> longestFirst = Comparator.comparingInt(
                         (Route route) -> route.pathPrefix().length())
                 .reversed();
@@ -68,6 +75,11 @@
         return longestTimeout;
     }
 
+    /** Returns the services whose streams callers may take up again. */
+    public Set<String> resumableServices() {
+        return resumableServices;
+    }
+
     /** Returns the declared properties of a service. */
     public Optional<ServiceTraits> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/VersionRequirement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/VersionRequirement.java
@@ -1,5 +1,7 @@
 package org.aspenmoor.internal.serving;
 
+import java.util.Set;
+
 /** Which software versions may serve a request. */
 public sealed interface VersionRequirement {
     /** Any version may serve it. */
@@ -8,8 +10,11 @@
     /**
      * A new stream that may be taken up again: any version may begin it, preferably one that several servers run, since
      * no other version may write the rest if its server fails.
+     *
+     * @param stated the versions that this entry has stated in the store; streams begin at others only if no server of
+     *     these can answer, since nobody would know of the others if all entries were killed
      */
-    record PreferablyShared() implements VersionRequirement {}
+    record PreferablyShared(Set<SoftwareVersion> stated) implements VersionRequirement {}
 
     /**
      * The rest of a stream: only the version that has written its beginning may go on. Servers do not check this; the
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
@@ -14,7 +14,7 @@
     private final Set<String> expected;
     private final Consumer<ResumeDecision> listener;
     private OriginKnowledge knowledge = new OriginKnowledge.Unknown();
-    private boolean replied;
+    private boolean informed;
     private boolean ended;
 
     /**
@@ -62,7 +62,7 @@
 
     /** Adds a reply; the first one that knows the stream counts. */
     void add(OriginReply reply) {
-        replied = true;
+        informed |= reply.informed();
         unheard.remove(reply.entry());
         expected.remove(reply.entry());
         if (knowledge instanceof OriginKnowledge.Unknown) {
@@ -79,8 +79,9 @@
         return knowledge;
     }
 
-    boolean replied() {
-        return replied;
+    /** Returns whether an entry has replied that has known all versions. */
+    boolean informed() {
+        return informed;
     }
 
     void end(ResumeDecision decision) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
@@ -2,9 +2,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
-/** What a tracker needs of its process to talk to the other entries. Messages may get lost and come late. */
+/**
+ * What a tracker needs of its process to talk to the other entries, and to the store. Messages may get lost and come late.
+ */
 public interface OriginNetwork {
+    /** Returns the name of this entry. */
+    String ownEntry();
+
     /** Returns the other entries from which reports are received. */
     List<String> activeEntries();
 
@@ -20,6 +26,12 @@
     /** Sends the known software versions to all other entries now, instead of with the next report. */
     void announceVersions();
 
+    /** Writes to the store what streams this entry may begin; {@link StreamOriginTracker#stated} follows. */
+    void state(Set<StreamOrigin> origins);
+
+    /** Reads from the store what the entries state; {@link StreamOriginTracker#listed} follows. */
+    void listStatements();
+
     /** Runs an action after a delay, on the thread of the tracker. */
     void schedule(Duration delay, Runnable action);
 }
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginStatement.java
@@ -0,0 +1,16 @@
+package org.aspenmoor.internal.serving.origin;
+
+import java.time.Duration;
+import java.util.Set;
+
+/**
+ * What an entry states in its registration of the streams that it may have begun.
+ *
+ * @param origins all origins that these streams may have
+ * @param age time since the registration was renewed, by a clock that may have jumped
+ */
+public record OriginStatement(Set<StreamOrigin> origins, Duration age) {
+    public OriginStatement {
+        origins = Set.copyOf(origins);
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/ServiceVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/ServiceVersions.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.aspenmoor.internal.serving.SoftwareVersion;
 
 /**
@@ -37,6 +38,11 @@
         return lastKnownAt.getOrDefault(service, Map.of()).size() > 1;
     }
 
+    /** Returns the services of which versions are known. */
+    Set<String> services() {
+        return lastKnownAt.keySet();
+    }
+
     /** Returns the services of which several versions are known. */
     List<String> servicesWithSeveral() {
         return lastKnownAt.keySet().stream().filter(this::several).sorted().toList();
--- /dev/null
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
@@ -0,0 +1,78 @@
+package org.aspenmoor.internal.serving.origin;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.aspenmoor.internal.serving.entries.KnownEntries;
+
+/**
+ * The origins that entries state in their registrations. An entry states an origin before it begins streams there, and as
+ * long as callers may take them up. The statements outlive the entries: if all are killed, those that start read which
+ * versions have served, although the servers of some of them may have left.
+ */
+final class StatedOrigins {
+    private final String ownEntry;
+    private Optional<Long> requestedAt = Optional.empty();
+    private Set<StreamOrigin> listed = Set.of();
+    private Set<StreamOrigin> ofEarlierProcess = Set.of();
+    private Set<StreamOrigin> byThisEntry = Set.of();
+
+    StatedOrigins(String ownEntry) {
+        this.ownEntry = ownEntry;
+    }
+
+    /**
+     * Applies what has been read from the store.
+     *
+     * @param window for how long callers may take up streams
+     */
+    void listed(OriginListing listing, Duration window) {
+        Map<String, OriginStatement> statements = listing.statements();
+        byThisEntry =
+                statements.containsKey(ownEntry) ? statements.get(ownEntry).origins() : Set.of();
+        if (requestedAt.isEmpty()) {
+            ofEarlierProcess = byThisEntry;
+        }
+        requestedAt = Optional.of(listing.requestedAt());
+        // A live entry renews its registration within the lease, so nobody takes up a stream of an older one.
+        listed = statements.values().stream()
+                .filter(statement -> statement.age().compareTo(window.plus(KnownEntries.LEASE)) < 0)
+                .flatMap(statement -> statement.origins().stream())
+                .collect(Collectors.toSet());
+    }
+
+    /** Records that the store has accepted what this entry states. */
+    void accepted(Set<StreamOrigin> origins) {
+        byThisEntry = Set.copyOf(origins);
+    }
+
+    /** Returns whether the registrations have been read since this process started. */
+    boolean known() {
+        return requestedAt.isPresent();
+    }
+
+    /** Returns whether the registrations have been requested at the given time or later. */
+    boolean requestedSince(long time) {
+        return requestedAt.filter(requested -> requested >= time).isPresent();
+    }
+
+    /** Returns what the process before this one has stated. */
+    Set<StreamOrigin> ofEarlierProcess() {
+        return ofEarlierProcess;
+    }
+
+    /** Returns what this entry states, as far as the store has accepted it. */
+    Set<StreamOrigin> byThisEntry() {
+        return byThisEntry;
+    }
+
+    /** Returns the origins that streams may have which callers still take up. */
+    Set<StreamOrigin> all() {
+        Set<StreamOrigin> origins = new HashSet<>(listed);
+        origins.addAll(byThisEntry);
+        return origins;
+    }
+}
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.time.TimeSource;
 
 /**
@@ -18,7 +20,8 @@
  * <p>While a service has a single version, nothing is told or asked. As soon as another one is known, entries tell a few
  * others, chosen by a hash of the stream, of each stream when its first event arrives, and of those that began before. An
  * entry that does not know a stream asks them. If nobody knows it and several versions serve, it does not go on: a wrong
- * guess would join the events of two versions, and nobody would notice before the caller.
+ * guess would join the events of two versions, and nobody would notice before the caller. Which versions serve, entries
+ * also state in the store, because all who know may be killed at once.
  */
 public final class StreamOriginTracker {
     /** Shortest time for which callers are expected to take up a stream again. */
@@ -33,9 +36,6 @@
     /** Time after which no reply is waited for; a caller who has to begin anew should learn it soon. */
     static final Duration MAX_WAIT = Duration.ofMillis(300);
 
-    /** Longest time between two looks at the server list; after a longer one, the process has been suspended. */
-    private static final Duration MAX_OBSERVATION_GAP = Duration.ofMillis(500);
-
     /** Maximum number of streams in one message, which is about a kilobyte. */
     private static final int MAX_STREAMS_PER_MESSAGE = 24;
 
@@ -46,34 +46,30 @@
     private final TimeSource time;
     private final OriginHolders holders;
     private final StreamOrigins streams = new StreamOrigins();
-    private final ServiceVersions versions = new ServiceVersions();
+    private final KnownVersions versions;
     private final Map<Long, OriginInquiry> inquiries = new HashMap<>();
-    private Duration window = MIN_WINDOW;
-    private boolean listCurrent;
-    private long observedSince;
-    private long lastObservedAt;
+    private Set<StreamOrigin> stating = Set.of();
     private long lastNumber;
 
     public StreamOriginTracker(OriginNetwork network, TimeSource time) {
         this.network = network;
         this.time = time;
         this.holders = new OriginHolders(network);
-        this.observedSince = time.monotonicNanos();
-        this.lastObservedAt = observedSince;
+        this.versions = new KnownVersions(network.ownEntry(), time.monotonicNanos());
         // A suspended entry may reply seconds later, when this entry has restarted: the reply must not count as the one
         // to a question about another stream.
         this.lastNumber = time.wallClockTime().toEpochMilli() << NUMBERS_PER_MILLISECOND_BITS;
     }
 
     /**
-     * Sets for how long callers may take up streams, given the longest time that a request may take. It is never
-     * shortened, since there may be streams of before.
+     * Applies the configuration in force.
+     *
+     * @param longestTimeout the longest time that a request may take, which is how long callers may come back
+     * @param resumableServices the services whose streams callers may take up
      */
-    public void requestsMayTake(Duration longestTimeout) {
-        Duration newWindow = longestTimeout.multipliedBy(REQUESTS_PER_WINDOW);
-        if (newWindow.compareTo(window) > 0) {
-            window = newWindow;
-        }
+    public void configured(Duration longestTimeout, Set<String> resumableServices) {
+        versions.extendWindow(longestTimeout.multipliedBy(REQUESTS_PER_WINDOW));
+        versions.resumableServices(resumableServices);
     }
 
     /**
@@ -83,25 +79,55 @@
      */
     public void serversObserved(Collection<BackendServer> servers, boolean current) {
         long now = time.monotonicNanos();
-        boolean missedChanges = !current || !listCurrent || now - lastObservedAt > MAX_OBSERVATION_GAP.toNanos();
-        if (missedChanges) {
-            observedSince = now;
+        if (versions.observed(servers, current, now)) {
+            network.listStatements();
         }
-        listCurrent = current;
-        lastObservedAt = now;
         servers.forEach(this::serverObserved);
-        versions.expire(window, now);
         streams.expire(now);
+        state();
     }
 
     /** Records a server that is registered, whatever its state. */
     public void serverObserved(BackendServer server) {
+        versions.registered(server, time.monotonicNanos());
         boolean first = versionKnown(new VersionSighting(server.service(), server.softwareVersion(), Duration.ZERO));
         if (first) {
             network.announceVersions();
+            state();
+        }
+    }
+
+    /** Writes to the store what streams this entry may begin, if that has changed. */
+    private void state() {
+        Set<StreamOrigin> toState = versions.toState(time.monotonicNanos());
+        if (versions.mayState() && !toState.equals(stating)) {
+            stating = toState;
+            network.state(toState);
         }
     }
 
+    /** Records what the store has accepted as this entry's statement. */
+    public void stated(Set<StreamOrigin> origins) {
+        versions.accepted(origins);
+    }
+
+    /** Applies what the entries have stated in the store. */
+    public void listed(OriginListing listing) {
+        versions.listed(listing, time.monotonicNanos()).forEach(this::tellOfService);
+        state();
+        List.copyOf(inquiries.values()).forEach(this::concludeIfDecidable);
+    }
+
+    /** Returns what this entry has stated in the store. */
+    public Set<StreamOrigin> statedOrigins() {
+        return versions.stated();
+    }
+
+    /** Returns the versions of a service at which this entry has stated that it begins streams. */
+    public Set<SoftwareVersion> statedVersions(String service) {
+        return versions.stated(service);
+    }
+
     /** Records the software versions that another entry knows. */
     public void versionsReported(List<VersionSighting> sightings) {
         sightings.forEach(this::versionKnown);
@@ -109,25 +135,22 @@
 
     /** Records a version; returns whether it is a further one of its service, so that streams have to be told apart. */
     private boolean versionKnown(VersionSighting sighting) {
-        long now = time.monotonicNanos();
-        long knownAt = now - sighting.age().toNanos();
-        boolean first = sighting.age().compareTo(window) <= 0
-                && versions.known(sighting.service(), sighting.version(), knownAt)
-                && versions.several(sighting.service());
+        boolean first = versions.sighted(sighting, time.monotonicNanos());
         if (first) {
-            tell(streams.known(now).stream()
-                    .filter(known -> known.origin().service().equals(sighting.service()))
-                    .toList());
+            tellOfService(sighting.service());
         }
         return first;
     }
 
+    private void tellOfService(String service) {
+        tell(streams.known(time.monotonicNanos()).stream()
+                .filter(known -> known.origin().service().equals(service))
+                .toList());
+    }
+
     /** Returns the software versions to be reported to the other entries: those of services that have several. */
     public List<VersionSighting> versionsToReport() {
-        long now = time.monotonicNanos();
-        return versions.servicesWithSeveral().stream()
-                .flatMap(service -> versions.of(service, now).stream())
-                .toList();
+        return versions.toReport(time.monotonicNanos());
     }
 
     /**
@@ -152,7 +175,7 @@
 
     private void remember(KnownStream known) {
         long now = time.monotonicNanos();
-        streams.record(known, now + window.toNanos());
+        streams.record(known, now + versions.window().toNanos());
         versionKnown(
                 new VersionSighting(known.origin().service(), known.origin().version(), Duration.ZERO));
     }
@@ -186,7 +209,8 @@
                 entryName,
                 question.number(),
                 streams.find(question.stream(), now),
-                versions.of(question.service(), now));
+                versions.of(question.service(), now),
+                versions.informed());
     }
 
     /**
@@ -201,7 +225,7 @@
         long now = time.monotonicNanos();
         OriginKnowledge knowledge = streams.find(stream, now);
         boolean mustAsk = knowledge instanceof OriginKnowledge.Unknown
-                && !(noneMissed(now) && onlyVersion(services).isPresent());
+                && !(versions.observedThroughout(now) && onlyVersion(services).isPresent());
         if (!mustAsk) {
             listener.accept(decide(knowledge, services, false));
             return Optional.empty();
@@ -219,7 +243,10 @@
         inquiries.put(question.number(), inquiry);
         asked.forEach(entry -> network.ask(entry, question));
         network.schedule(REPEAT_AFTER, () -> askAgain(inquiry));
-        network.schedule(asked.isEmpty() ? Duration.ZERO : MAX_WAIT, () -> conclude(inquiry));
+        network.schedule(MAX_WAIT, () -> conclude(inquiry));
+        if (asked.isEmpty()) {
+            network.schedule(Duration.ZERO, () -> concludeIfDecidable(inquiry));
+        }
         return inquiry;
     }
 
@@ -237,7 +264,16 @@
             return;
         }
         inquiry.add(reply);
-        if (inquiry.complete()) {
+        concludeIfDecidable(inquiry);
+    }
+
+    /** Concludes an inquiry unless further replies, or the statements in the store, may still allow the stream to go on. */
+    private void concludeIfDecidable(OriginInquiry inquiry) {
+        boolean statementsAwaited = inquiry.knowledge() instanceof OriginKnowledge.Unknown
+                && onlyVersion(inquiry.services()).isPresent()
+                && !confirmed(inquiry)
+                && !versions.complete(time.monotonicNanos());
+        if (inquiry.complete() && !statementsAwaited) {
             conclude(inquiry);
         }
     }
@@ -250,21 +286,27 @@
         if (inquiry.knowledge() instanceof OriginKnowledge.Known known) {
             remember(new KnownStream(inquiry.question().stream(), known.origin()));
         }
-        boolean alone = network.registeredEntries().isEmpty();
-        inquiry.end(decide(inquiry.knowledge(), inquiry.services(), inquiry.replied() || alone));
+        inquiry.end(decide(inquiry.knowledge(), inquiry.services(), confirmed(inquiry)));
+    }
+
+    /** Returns whether an entry that has known all versions has told of those that it knows. */
+    private boolean confirmed(OriginInquiry inquiry) {
+        boolean informedAlone =
+                versions.informed() && network.registeredEntries().isEmpty();
+        return inquiry.informed() || informedAlone;
     }
 
     /**
      * Decides by what is known now.
      *
-     * @param othersHeard whether the other entries, if there are any, have told the versions that they know
+     * @param confirmed whether an entry that has known all versions has told of those that it knows
      */
-    private ResumeDecision decide(OriginKnowledge knowledge, List<String> services, boolean othersHeard) {
+    private ResumeDecision decide(OriginKnowledge knowledge, List<String> services, boolean confirmed) {
         return switch (knowledge) {
             case OriginKnowledge.Known known -> continueAt(known.origin(), services);
             case OriginKnowledge.Contradictory contradictory ->
                 new ResumeDecision.Refuse("two streams with the stated request id have begun at different versions");
-            case OriginKnowledge.Unknown unknown -> decideUnknown(services, othersHeard);
+            case OriginKnowledge.Unknown unknown -> decideUnknown(services, confirmed);
         };
     }
 
@@ -275,16 +317,17 @@
                         + ", which does not serve this route any more");
     }
 
-    private ResumeDecision decideUnknown(List<String> services, boolean othersHeard) {
+    private ResumeDecision decideUnknown(List<String> services, boolean confirmed) {
         Optional<StreamOrigin> only = onlyVersion(services);
         if (only.isEmpty()) {
             return new ResumeDecision.Refuse("it is not known which software version has begun the stream");
         }
-        // Without the store and the other entries, another version may serve by now that this entry has not heard of.
-        return othersHeard || listCurrent
+        // A process that has just started sees the version of the servers that are left, and so do others like it; the
+        // stream may be of one that has left.
+        return confirmed || versions.complete(time.monotonicNanos())
                 ? new ResumeDecision.Continue(only.get(), OriginBasis.ONLY_VERSION)
-                : new ResumeDecision.Refuse("it is not known which software version has begun the stream, since neither"
-                        + " the store nor another entry can be reached");
+                : new ResumeDecision.Refuse("it is not known which software versions have served before, since neither"
+                        + " the store nor an entry that knows them has been reached");
     }
 
     /** Returns the only origin that a stream may have; empty if there are several, or none is known. */
@@ -297,13 +340,6 @@
         return origins.size() == 1 ? Optional.of(origins.getFirst()) : Optional.empty();
     }
 
-    /** Returns whether this entry has seen all versions that may have begun streams which callers still take up. */
-    private boolean noneMissed(long now) {
-        return listCurrent
-                && now - lastObservedAt <= MAX_OBSERVATION_GAP.toNanos()
-                && now - observedSince >= window.toNanos();
-    }
-
     /** Returns the number of streams whose origin is remembered. */
     public int rememberedStreams() {
         return streams.size();
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
@@ -4,6 +4,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.aspenmoor.internal.engine.EngineRole;
+import org.aspenmoor.internal.serving.BackendServer;
+import org.aspenmoor.internal.serving.BackendState;
+import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.time.TimeSource;
 
 /** Records what is sent, and has a manual clock. */
@@ -14,6 +20,8 @@
     private List<String> entries = List.of();
     private List<String> active = List.of();
     private int announcements;
+    private int listingRequests;
+    private final List<Set<StreamOrigin>> stated = new ArrayList<>();
     private Instant wallClockTime = Instant.EPOCH;
     private long now = Duration.ofHours(1).toNanos();
 
@@ -38,6 +46,32 @@
         return announcements;
     }
 
+    int listingRequests() {
+        return listingRequests;
+    }
+
+    /** Returns what was to be written to the store. */
+    List<Set<StreamOrigin>> stated() {
+        return stated;
+    }
+
+    /** Returns one ready server of each version. */
+    static List<BackendServer> servers(String service, SoftwareVersion... versions) {
+        return Stream.of(versions)
+                .map(version -> new BackendServer(
+                        version.name(),
+                        1,
+                        service,
+                        version,
+                        "127.0.0.1",
+                        1,
+                        "here",
+                        8,
+                        BackendState.READY,
+                        EngineRole.DECODE))
+                .toList();
+    }
+
     /** Lets time pass and runs the actions that are due by then. */
     void pass(Duration duration) {
         now += duration.toNanos();
@@ -47,6 +81,21 @@
         due.forEach(each -> each.action().run());
     }
 
+    @Override
+    public String ownEntry() {
+        return "own";
+    }
+
+    @Override
+    public void state(Set<StreamOrigin> origins) {
+        stated.add(origins);
+    }
+
+    @Override
+    public void listStatements() {
+        listingRequests++;
+    }
+
     @Override
     public List<String> activeEntries() {
         return active;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.aspenmoor.internal.time.TimeSource;
 
@@ -13,6 +14,10 @@
     private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
     private static final long SECOND = ResumeScenario.SECOND;
     private static final long CHECK_INTERVAL = 100 * MILLISECOND;
+    private static final Duration LISTING_INTERVAL = Duration.ofSeconds(10);
+
+    /** Time after which a call to the store that has failed is made again. */
+    static final Duration STORE_RETRY = Duration.ofSeconds(2);
 
     /** Reports of an entry to the others a second, with many entries; with few, each check sends one. */
     private static final double REPORTS_PER_SECOND_AND_ENTRY = 300;
@@ -41,7 +46,9 @@
         incarnation++;
         known = new LinkedHashMap<>();
         tracker = new StreamOriginTracker(this, this);
+        tracker.configured(Duration.ZERO, Set.of(ResumeEngine.SERVICE));
         check(incarnation);
+        listRegularly();
     }
 
     /** Ends the process; a new one starts after the given time. */
@@ -73,6 +80,14 @@
         });
     }
 
+    String name() {
+        return name;
+    }
+
+    boolean isCut() {
+        return cut;
+    }
+
     StreamOriginTracker tracker() {
         return tracker;
     }
@@ -121,6 +136,11 @@
         simulation.time().at(now() + CHECK_INTERVAL, () -> check(checkedIncarnation));
     }
 
+    private void listRegularly() {
+        boolean reached = simulation.store().list(this);
+        schedule(reached ? LISTING_INTERVAL : STORE_RETRY, this::listRegularly);
+    }
+
     private void reportIfDue() {
         if (now() >= nextReportAt) {
             double interval = simulation.entries().size() / REPORTS_PER_SECOND_AND_ENTRY;
@@ -146,6 +166,21 @@
         return simulation.entries().stream().filter(other -> other != this).toList();
     }
 
+    @Override
+    public String ownEntry() {
+        return name;
+    }
+
+    @Override
+    public void state(Set<StreamOrigin> origins) {
+        simulation.store().state(this, origins);
+    }
+
+    @Override
+    public void listStatements() {
+        simulation.store().list(this);
+    }
+
     @Override
     public void tell(String entry, List<KnownStream> told) {
         simulation.messageSent();
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
@@ -27,6 +27,7 @@
     private final Map<String, ResumeEntry> entries = new LinkedHashMap<>();
     private final List<ResumeEngine> engines = new ArrayList<>();
     private final List<ResumeCaller> callers = new ArrayList<>();
+    private final ResumeStore store = new ResumeStore(this);
     private boolean storeAway;
     private int messages;
 
@@ -123,6 +124,15 @@
         return time;
     }
 
+    /** Runs an action after a delay, whatever happens to processes. */
+    void after(long delay, Runnable action) {
+        time.at(time.now() + delay, action);
+    }
+
+    ResumeStore store() {
+        return store;
+    }
+
     List<ResumeEntry> entries() {
         return List.copyOf(entries.values());
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -32,8 +32,9 @@
 import org.aspenmoor.internal.gateway.membership.FreshnessMonitor;
 import org.aspenmoor.internal.gateway.membership.RegistrationDecoder;
 import org.aspenmoor.internal.gateway.membership.ServerRegistrationListener;
-import org.aspenmoor.internal.gateway.peers.ListedEntries;
+import org.aspenmoor.internal.gateway.peers.OriginStatements;
 import org.aspenmoor.internal.gateway.peers.PeerDirectory;
+import org.aspenmoor.internal.gateway.peers.PeerDirectoryUpdates;
 import org.aspenmoor.internal.gateway.peers.PeerExchange;
 import org.aspenmoor.internal.gateway.peers.PeerListener;
 import org.aspenmoor.internal.gateway.peers.PeerOriginNetwork;
@@ -62,7 +63,6 @@
 import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.RoleChange;
-import org.aspenmoor.internal.serving.ServingConfiguration;
 import org.aspenmoor.internal.serving.freshness.ObservedCollection;
 import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.origin.KnownStream;
@@ -117,6 +117,7 @@
     private final AdministrationPages administrationPages;
     private final PeerExchange peers;
     private final PeerReporter reporter;
+    private final OriginStatements originStatements = new OriginStatements();
     private final StreamOriginTracker origins;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<WatchedCollection> watchedCollections = new ArrayList<>();
@@ -160,7 +161,9 @@
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.origins = new StreamOriginTracker(
-                new PeerOriginNetwork(peers, state::activeEntries, this::sendReport, eventLoop), time);
+                new PeerOriginNetwork(
+                        settings.process(), peers, originStatements, state::activeEntries, this::sendReport, eventLoop),
+                time);
         CallerDropLog dropLog = new CallerDropLog(log, registry);
         this.buffers = new AnswerBuffers(settings.maxBufferedBytes(), time, eventLoop, dropLog);
         dropLog.registerBytes(registry, buffers::bytes);
@@ -235,8 +238,10 @@
                         store,
                         settings.process(),
                         peers.address(),
+                        originStatements,
                         time,
-                        listed -> eventLoop.execute(() -> entriesListed(listed)),
+                        random,
+                        new PeerDirectoryUpdates(peers, state, origins, eventLoop),
                         log)
                 .start();
         eventLoop.execute(reporter::start);
@@ -246,11 +251,6 @@
                 this::runPeriodicChecks, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void entriesListed(ListedEntries listed) {
-        peers.replacePeers(listed.addresses());
-        state.entriesListed(listed.listing());
-    }
-
     /** Returns the address on which callers are served. */
     public InetSocketAddress callersAddress() {
         return callersAddress;
@@ -382,7 +382,7 @@
         eventLoopMonitor.taskRun(nowNanos);
         storeFreshness.eventLoopRan(CHECK_INTERVAL, nowNanos);
         state.expirePeers(nowNanos);
-        state.configuration().map(ServingConfiguration::longestTimeout).ifPresent(origins::requestsMayTake);
+        state.configuration().ifPresent(known -> origins.configured(known.longestTimeout(), known.resumableServices()));
         origins.serversObserved(state.servers(), state.reachesStore());
         fatalRequests.expire();
         state.samplePromptLoads(waitQueues::anyWaiting);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/StateDump.java
@@ -64,6 +64,10 @@
         dump.put("connectionsOpened", connections.openedTotal());
         dump.put("quarantinedRequests", fatalRequests.quarantinedCount());
         dump.put("rememberedStreams", origins.rememberedStreams());
+        ArrayNode stated = dump.putArray("statedVersions");
+        origins.statedOrigins()
+                .forEach(origin ->
+                        stated.add(origin.service() + " " + origin.version().name()));
         dump.put(
                 "organisations",
                 state.configuration()
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/EntryRegistrationCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/EntryRegistrationCodec.java
@@ -3,9 +3,15 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
+import org.aspenmoor.internal.serving.SoftwareVersion;
+import org.aspenmoor.internal.serving.origin.StreamOrigin;
 import org.aspenmoor.internal.store.StoredObject;
 
 /** Reads and writes the registration of an entry in the store. */
@@ -14,16 +20,25 @@
     private static final String HOST = "host";
     private static final String PORT = "port";
     private static final String RENEWED_AT = "renewedAt";
+    private static final String ORIGINS = "origins";
+    private static final String SERVICE = "service";
+    private static final String VERSION = "version";
     private static final int MAX_PORT = 65_535;
 
     private EntryRegistrationCodec() {}
 
     static String serialise(EntryRegistration registration) {
-        return MAPPER.createObjectNode()
+        ObjectNode root = MAPPER.createObjectNode()
                 .put(HOST, registration.address().getAddress().getHostAddress())
                 .put(PORT, registration.address().getPort())
-                .put(RENEWED_AT, registration.renewedAt().toEpochMilli())
-                .toString();
+                .put(RENEWED_AT, registration.renewedAt().toEpochMilli());
+        ArrayNode origins = root.putArray(ORIGINS);
+        registration
+                .origins()
+                .forEach(origin -> origins.addObject()
+                        .put(SERVICE, origin.service())
+                        .put(VERSION, origin.version().name()));
+        return root.toString();
     }
 
     /** Parses a registration; empty if it contains no valid address. */
@@ -36,10 +51,21 @@
             return usable
                     ? Optional.of(new EntryRegistration(
                             new InetSocketAddress(host, port),
-                            Instant.ofEpochMilli(root.path(RENEWED_AT).asLong(0))))
+                            Instant.ofEpochMilli(root.path(RENEWED_AT).asLong(0)),
+                            parseOrigins(root.path(ORIGINS))))
                     : Optional.empty();
         } catch (JsonProcessingException malformed) {
             return Optional.empty();
         }
     }
+
+    private static Set<StreamOrigin> parseOrigins(JsonNode origins) {
+        Set<StreamOrigin> parsed = new HashSet<>();
+        for (JsonNode origin : origins) {
+            parsed.add(new StreamOrigin(
+                    origin.path(SERVICE).asText(),
+                    new SoftwareVersion(origin.path(VERSION).asText())));
+        }
+        return parsed;
+    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginCodec.java
@@ -37,8 +37,10 @@
 
     /** Returns the reply to a question; the key of the stream is that of the question. */
     static byte[] serialiseReply(OriginReply reply, StreamKey stream) {
-        PeerLoad.Reply.Builder message =
-                PeerLoad.Reply.newBuilder().setEntry(reply.entry()).setNumber(reply.number());
+        PeerLoad.Reply.Builder message = PeerLoad.Reply.newBuilder()
+                .setEntry(reply.entry())
+                .setNumber(reply.number())
+                .setInformed(reply.informed());
         switch (reply.origin()) {
             case OriginKnowledge.Unknown unknown -> {}
             case OriginKnowledge.Known known -> message.setStream(serialise(new KnownStream(stream, known.origin())));
@@ -97,7 +99,11 @@
         }
         PeerLoad.Reply reply = message.getReply();
         return Optional.of(new OriginReply(
-                reply.getEntry(), reply.getNumber(), parseKnowledge(reply), parseVersions(reply.getVersionsList())));
+                reply.getEntry(),
+                reply.getNumber(),
+                parseKnowledge(reply),
+                parseVersions(reply.getVersionsList()),
+                reply.getInformed()));
     }
 
     private static OriginKnowledge parseKnowledge(PeerLoad.Reply reply) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -6,13 +6,17 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.log.DependencyLog;
 import org.aspenmoor.internal.serving.entries.EntryListing;
 import org.aspenmoor.internal.serving.entries.KnownEntries;
+import org.aspenmoor.internal.serving.origin.OriginListing;
+import org.aspenmoor.internal.serving.origin.OriginStatement;
+import org.aspenmoor.internal.serving.origin.StreamOrigin;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -35,12 +39,19 @@
      */
     private static final Duration RETRY_DELAY = Duration.ofSeconds(2);
 
+    /** All entries see a new software version at the same moment, and the store limits the rate of writes. */
+    private static final Duration MAX_STATEMENT_DELAY_PER_ENTRY = Duration.ofMillis(5);
+
     private final ObjectStore store;
     private final ObjectKey key;
     private final InetSocketAddress address;
+    private final OriginStatements statements;
     private final TimeSource time;
-    private final Consumer<ListedEntries> listener;
+    private final RandomGenerator random;
+    private final PeerDirectoryListener listener;
     private final DependencyLog dependency;
+    private Optional<StoredObject> ownObject = Optional.empty();
+    private int registeredEntries;
     private Optional<Long> renewedAt = Optional.empty();
     private Optional<Long> joinedAt = Optional.empty();
 
@@ -48,13 +59,17 @@
             ObjectStore store,
             String entry,
             InetSocketAddress address,
+            OriginStatements statements,
             TimeSource time,
-            Consumer<ListedEntries> listener,
+            RandomGenerator random,
+            PeerDirectoryListener listener,
             DecisionLog log) {
         this.store = store;
         this.key = new ObjectKey(ObjectKind.ENTRY_REGISTRATION, ObjectKey.PLATFORM_NAMESPACE, entry);
         this.address = address;
+        this.statements = statements;
         this.time = time;
+        this.random = random;
         this.listener = listener;
         this.dependency = new DependencyLog(log, "entries");
     }
@@ -66,27 +81,60 @@
 
     private void run() {
         try {
+            Duration delay = refresh();
             while (true) {
-                TimeUnit.NANOSECONDS.sleep(refresh().toNanos());
+                boolean statementChanged = statements.await(delay) && !statements.takeListingRequest();
+                delay = statementChanged ? stateAfterRandomDelay() : refresh();
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private Duration stateAfterRandomDelay() throws InterruptedException {
+        long maxDelay =
+                MAX_STATEMENT_DELAY_PER_ENTRY.multipliedBy(registeredEntries).toNanos();
+        TimeUnit.NANOSECONDS.sleep((long) (random.nextDouble() * maxDelay));
+        return state();
+    }
+
+    /** Writes what this entry states, and returns the delay before the next step. */
+    Duration state() {
+        Optional<EntryRegistration> own = ownObject.flatMap(EntryRegistrationCodec::parse);
+        if (own.isEmpty() || statements.origins().isEmpty()) {
+            return refresh();
+        }
+        EntryRegistration registration = registration(statements.origins().get());
+        if (registration.origins().equals(own.get().origins())) {
+            listener.originsStated(registration.origins());
+            return KnownEntries.LISTING_INTERVAL;
+        }
+        long startedAt = time.monotonicNanos();
+        try {
+            ownObject = Optional.of(store.update(ownObject.get(), EntryRegistrationCodec.serialise(registration)));
+        } catch (StoreException failure) {
+            // The listing shows whether the write was applied; if it was not, the registration is written again.
+            return refresh();
+        }
+        renewedAt = Optional.of(startedAt);
+        listener.originsStated(registration.origins());
+        return KnownEntries.LISTING_INTERVAL;
+    }
+
     /** Lists the entries, renews this one's registration if it is due, and returns the delay before the next step. */
     Duration refresh() {
         try {
-            Map<String, StoredObject> registered = list();
-            Optional<StoredObject> stored = Optional.ofNullable(registered.get(key.name()));
-            Optional<EntryRegistration> own = stored.flatMap(EntryRegistrationCodec::parse);
+            Listing listing = list();
+            Optional<EntryRegistration> own = listing.find(key).flatMap(EntryRegistrationCodec::parse);
             if (renewalDue(own)) {
-                registered = renew(stored, counted(own));
+                listing = renew(listing.find(key), own);
             } else if (renewedAt.isEmpty()) {
                 renewedAt = own.map(this::renewalOfEarlierProcess);
             }
+            ownObject = listing.find(key);
+            registeredEntries = listing.objects().size();
             dependency.restored();
-            listener.accept(listed(registered));
+            listener.entriesListed(listed(listing));
             return KnownEntries.LISTING_INTERVAL;
         } catch (StoreException failure) {
             dependency.lost(failure.problem());
@@ -94,14 +142,21 @@
         }
     }
 
-    private Map<String, StoredObject> list() throws StoreException {
-        return store.list(ObjectKind.ENTRY_REGISTRATION).objects().stream()
-                .collect(Collectors.toMap(object -> object.key().name(), object -> object));
+    private Listing list() throws StoreException {
+        long requestedAt = time.monotonicNanos();
+        return new Listing(
+                requestedAt,
+                store.list(ObjectKind.ENTRY_REGISTRATION).objects().stream()
+                        .collect(Collectors.toMap(object -> object.key().name(), object -> object)));
     }
 
     private boolean renewalDue(Optional<EntryRegistration> own) {
         return own.filter(known -> known.address().equals(address))
                 .filter(known -> known.renewedWithin(KnownEntries.RENEWAL_INTERVAL, time.wallClockTime()))
+                .filter(known -> statements
+                        .origins()
+                        .filter(origins -> !origins.equals(known.origins()))
+                        .isEmpty())
                 .isEmpty();
     }
 
@@ -115,18 +170,28 @@
      * Renews this entry's registration, and returns all registrations as they are afterwards.
      *
      * @param stored the registration as it was
-     * @param counted whether the other entries count this one already
+     * @param own what it said; empty if it could not be read
      */
-    private Map<String, StoredObject> renew(Optional<StoredObject> stored, boolean counted) throws StoreException {
+    private Listing renew(Optional<StoredObject> stored, Optional<EntryRegistration> own) throws StoreException {
         long startedAt = time.monotonicNanos();
-        write(stored, EntryRegistrationCodec.serialise(new EntryRegistration(address, time.wallClockTime())));
+        boolean counted = counted(own);
+        // Until this process knows what to state, callers may take up streams that the process before has begun.
+        Set<StreamOrigin> origins = statements
+                .origins()
+                .or(() -> own.map(EntryRegistration::origins))
+                .orElse(Set.of());
+        write(stored, EntryRegistrationCodec.serialise(registration(origins)));
         renewedAt = Optional.of(startedAt);
         // Of two entries that register at the same moment, at least one finds the other, and reports to it.
-        Map<String, StoredObject> registered = list();
+        Listing listing = list();
         if (!counted) {
-            joinedAt = registered.size() > 1 ? Optional.of(time.monotonicNanos()) : Optional.empty();
+            joinedAt = listing.objects().size() > 1 ? Optional.of(time.monotonicNanos()) : Optional.empty();
         }
-        return registered;
+        return listing;
+    }
+
+    private EntryRegistration registration(Set<StreamOrigin> origins) {
+        return new EntryRegistration(address, time.wallClockTime(), origins);
     }
 
     /** Returns whether the others still count this entry because of its registration as it was, or of its latest renewal. */
@@ -149,13 +214,36 @@
         store.update(stored.get(), value);
     }
 
-    private ListedEntries listed(Map<String, StoredObject> registered) {
+    private ListedEntries listed(Listing listing) {
         Map<String, InetSocketAddress> addresses = new HashMap<>();
-        registered.forEach((entry, object) -> EntryRegistrationCodec.parse(object)
-                .ifPresent(registration -> addresses.put(entry, registration.address())));
-        Map<String, String> versions = registered.entrySet().stream()
+        Map<String, OriginStatement> origins = new HashMap<>();
+        listing.objects()
+                .forEach((entry, object) -> EntryRegistrationCodec.parse(object).ifPresent(registration -> {
+                    addresses.put(entry, registration.address());
+                    origins.put(entry, new OriginStatement(registration.origins(), age(registration)));
+                }));
+        Map<String, String> versions = listing.objects().entrySet().stream()
                 .collect(Collectors.toMap(
                         Map.Entry::getKey, each -> each.getValue().version()));
-        return new ListedEntries(addresses, new EntryListing(versions, renewedAt.orElseThrow(), joinedAt));
+        return new ListedEntries(
+                addresses,
+                new EntryListing(versions, renewedAt.orElseThrow(), joinedAt),
+                new OriginListing(origins, listing.requestedAt()));
+    }
+
+    private Duration age(EntryRegistration registration) {
+        return Duration.between(registration.renewedAt(), time.wallClockTime());
+    }
+
+    /**
+     * The registrations in the store.
+     *
+     * @param requestedAt when they were requested, in nanoseconds of the monotonic clock
+     * @param objects the stored objects by entry name
+     */
+    private record Listing(long requestedAt, Map<String, StoredObject> objects) {
+        Optional<StoredObject> find(ObjectKey key) {
+            return Optional.ofNullable(objects.get(key.name()));
+        }
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
@@ -3,15 +3,22 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.OriginNetwork;
 import org.aspenmoor.internal.serving.origin.OriginQuestion;
+import org.aspenmoor.internal.serving.origin.StreamOrigin;
 
-/** Sends what is told and asked about streams as datagrams to the other entries. Confined to the event loop. */
+/**
+ * Sends what is told and asked about streams as datagrams to the other entries, and has written what this entry states in
+ * the store. Confined to the event loop.
+ */
 public final class PeerOriginNetwork implements OriginNetwork {
+    private final String ownEntry;
     private final PeerExchange exchange;
+    private final OriginStatements statements;
     private final Supplier<List<String>> activeEntries;
     private final Runnable reportNow;
     private final EventLoop eventLoop;
@@ -19,17 +26,31 @@
     /**
      * Creates an instance.
      *
+     * @param ownEntry the name of this entry
+     * @param statements takes what this entry is to state in the store
      * @param activeEntries supplies the names of the other entries from which reports are received
      * @param reportNow sends a report, which contains the known software versions, to all other entries
      */
     public PeerOriginNetwork(
-            PeerExchange exchange, Supplier<List<String>> activeEntries, Runnable reportNow, EventLoop eventLoop) {
+            String ownEntry,
+            PeerExchange exchange,
+            OriginStatements statements,
+            Supplier<List<String>> activeEntries,
+            Runnable reportNow,
+            EventLoop eventLoop) {
+        this.ownEntry = ownEntry;
         this.exchange = exchange;
+        this.statements = statements;
         this.activeEntries = activeEntries;
         this.reportNow = reportNow;
         this.eventLoop = eventLoop;
     }
 
+    @Override
+    public String ownEntry() {
+        return ownEntry;
+    }
+
     @Override
     public List<String> activeEntries() {
         return activeEntries.get();
@@ -55,6 +76,16 @@
         reportNow.run();
     }
 
+    @Override
+    public void state(Set<StreamOrigin> origins) {
+        statements.state(origins);
+    }
+
+    @Override
+    public void listStatements() {
+        statements.list();
+    }
+
     @Override
     public void schedule(Duration delay, Runnable action) {
         eventLoop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -145,7 +145,7 @@
                 writer);
         if (!route.get().streamed() || caller.resumption().isEmpty()) {
             String service = route.get().serviceFor(context.state().random().nextDouble());
-            return serve.apply(new Destination(service, versionOfNewAnswer(route.get())));
+            return serve.apply(new Destination(service, versionOfNewAnswer(route.get(), service)));
         }
         ResumedRequest resumed = new ResumedRequest(
                 context,
@@ -159,9 +159,9 @@
         return resumed;
     }
 
-    private static VersionRequirement versionOfNewAnswer(Route route) {
+    private VersionRequirement versionOfNewAnswer(Route route, String service) {
         return route.retryRule() == RetryRule.RESUMABLE
-                ? new VersionRequirement.PreferablyShared()
+                ? new VersionRequirement.PreferablyShared(context.origins().statedVersions(service))
                 : new VersionRequirement.Any();
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -204,6 +204,24 @@
         assertEquals(rest.startsWith("id: 2\n"), true, rest);
     }
 
+    // Guards against an entry that has started after all were killed, and takes the version that is left for the only
+    // one.
+    @Test
+    public void should_refuse_when_all_entries_were_killed_and_the_version_of_the_stream_has_left() throws Exception {
+        engine("old-1", OLD, EngineRole.WHOLE, whole(OLD));
+        gateway.publish();
+        gateway.awaitState("\"statedVersions\" : [ \"" + SERVICE + " " + OLD + "\" ]");
+        begin("r1");
+        ScriptedBackend left = engine("new-1", NEW, EngineRole.WHOLE, whole(NEW));
+        gateway.restartServer("old-1", SERVICE, left.port(), 2);
+        gateway.gateway().close();
+        TestGateway started = gateway.startAnother("entry-2");
+
+        ReceivedRequest answer = started.call(resumed("again", "r1", 1));
+
+        assertEquals(answer.line(), "HTTP/1.1 503 Service Unavailable");
+    }
+
     // Guards against a caller who comes back while the only version that may write the rest has gone for good.
     @Test
     public void should_refuse_at_once_when_the_version_of_the_stream_has_gone() throws Exception {
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -12971,6 +12971,16 @@
      */
     org.aspenmoor.internal.wire.v1.PeerLoad.VersionOrBuilder getVersionsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * The sender has known all versions at some time since it started.
+     * </pre>
+     *
+     * <code>bool informed = 6;</code>
+     * @return The informed.
+     */
+    boolean getInformed();
   }
   /**
    * Protobuf type {@code aspenmoor.wire.v1.PeerLoad.Reply}
@@ -13193,6 +13203,21 @@
       return versions_.get(index);
     }
 
+    public static final int INFORMED_FIELD_NUMBER = 6;
+    private boolean informed_ = false;
+    /**
+     * <pre>
+     * The sender has known all versions at some time since it started.
+     * </pre>
+     *
+     * <code>bool informed = 6;</code>
+     * @return The informed.
+     */
+    @java.lang.Override
+    public boolean getInformed() {
+      return informed_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -13222,6 +13247,9 @@
       for (int i = 0; i < versions_.size(); i++) {
         output.writeMessage(5, versions_.get(i));
       }
+      if (informed_ != false) {
+        output.writeBool(6, informed_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -13250,6 +13278,10 @@
             }
             size += 1 * count;
           }
+      if (informed_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, informed_);
+      }
       return size;
     }
     @java.lang.Override
@@ -13287,6 +13319,8 @@
           != other.getContradictory()) return false;
       if (!getVersionsList()
           .equals(other.getVersionsList())) return false;
+      if (getInformed()
+          != other.getInformed()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -13314,6 +13348,9 @@
         hash = (37 * hash) + VERSIONS_FIELD_NUMBER;
         hash = (53 * hash) + getVersionsList().hashCode();
       }
+      hash = (37 * hash) + INFORMED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getInformed());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13467,6 +13504,7 @@
           versionsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000010);
+        informed_ = false;
         return this;
       }
 
@@ -13529,6 +13567,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.contradictory_ = contradictory_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.informed_ = informed_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -13584,6 +13625,9 @@
             }
           }
         }
+        if (other.getInformed() != false) {
+          setInformed(other.getInformed());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13643,6 +13687,11 @@
                 }
                 break;
               } // case 42
+              case 48: {
+                informed_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -14301,6 +14350,50 @@
         return versionsBuilder_;
       }
 
+      private boolean informed_ ;
+      /**
+       * <pre>
+       * The sender has known all versions at some time since it started.
+       * </pre>
+       *
+       * <code>bool informed = 6;</code>
+       * @return The informed.
+       */
+      @java.lang.Override
+      public boolean getInformed() {
+        return informed_;
+      }
+      /**
+       * <pre>
+       * The sender has known all versions at some time since it started.
+       * </pre>
+       *
+       * <code>bool informed = 6;</code>
+       * @param value The informed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInformed(boolean value) {
+
+        informed_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The sender has known all versions at some time since it started.
+       * </pre>
+       *
+       * <code>bool informed = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInformed() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        informed_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:aspenmoor.wire.v1.PeerLoad.Reply)
     }
 
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -155,7 +155,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\373\034\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\215\035\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -219,37 +219,38 @@
       "onds\030\003 \001(\r\0327\n\006Stream\022\013\n\003key\030\001 \001(\014\022\017\n\007ser" +
       "vice\030\002 \001(\t\022\017\n\007version\030\003 \001(\t\032G\n\010Question\022" +
       "\r\n\005entry\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022\013\n\003key\030\003 " +
-      "\001(\014\022\017\n\007service\030\004 \001(\t\032\250\001\n\005Reply\022\r\n\005entry\030" +
+      "\001(\014\022\017\n\007service\030\004 \001(\t\032\272\001\n\005Reply\022\r\n\005entry\030" +
       "\001 \001(\t\022\016\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\"." +
       "aspenmoor.wire.v1.PeerLoad.Stream\022\025\n\rcon" +
       "tradictory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.asp" +
-      "enmoor.wire.v1.PeerLoad.Version\032\225\002\n\013Serv" +
-      "erSpeed\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 " +
-      "\001(\006\022\032\n\rstated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027state" +
-      "d_age_milliseconds\030\004 \001(\r\022\033\n\016learned_fact" +
-      "or\030\005 \001(\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002\022\033" +
-      "\n\016lasting_factor\030\007 \001(\002H\002\210\001\001\022\032\n\022lasting_s" +
-      "tatements\030\010 \001(\rB\020\n\016_stated_factorB\021\n\017_le" +
-      "arned_factorB\021\n\017_lasting_factor\032\376\001\n\rServ" +
-      "iceDemand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisati" +
-      "ons\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad.S" +
-      "erviceDemand.Organisation\022\034\n\024completed_p" +
-      "er_second\030\003 \001(\002\022\036\n\026turned_away_per_secon" +
-      "d\030\004 \001(\002\032O\n\014Organisation\022\024\n\014organisation\030" +
-      "\001 \001(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_seco" +
-      "nd\030\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030\001 " +
-      "\001(\r\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(\006\022" +
-      "\030\n\020age_milliseconds\030\004 \001(\r\032\313\001\n\013LoadChange" +
-      "s\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010seque" +
-      "nce\030\003 \001(\004\022?\n\007changes\030\004 \003(\0132..aspenmoor.w" +
-      "ire.v1.PeerLoad.LoadChanges.Change\032K\n\006Ch" +
-      "ange\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered_micro" +
-      "seconds\030\002 \001(\021\022\020\n\010requests\030\003 \001(\021\032\224\001\n\013Star" +
-      "tDelays\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r\022\017" +
-      "\n\007answers\030\003 \001(\r\022\023\n\013work_weight\030\004 \001(\002\022\023\n\013" +
-      "work_factor\030\005 \001(\002\022\024\n\014fixed_weight\030\006 \001(\002\022" +
-      "\025\n\rfixed_seconds\030\007 \001(\002B\"\n\036org.aspenmoor." +
-      "internal.wire.v1P\001b\006proto3"
+      "enmoor.wire.v1.PeerLoad.Version\022\020\n\010infor" +
+      "med\030\006 \001(\010\032\225\002\n\013ServerSpeed\022\016\n\006server\030\001 \001(" +
+      "\t\022\022\n\nstarted_at\030\002 \001(\006\022\032\n\rstated_factor\030\003" +
+      " \001(\002H\000\210\001\001\022\037\n\027stated_age_milliseconds\030\004 \001" +
+      "(\r\022\033\n\016learned_factor\030\005 \001(\002H\001\210\001\001\022\027\n\017learn" +
+      "ed_answers\030\006 \001(\002\022\033\n\016lasting_factor\030\007 \001(\002" +
+      "H\002\210\001\001\022\032\n\022lasting_statements\030\010 \001(\rB\020\n\016_st" +
+      "ated_factorB\021\n\017_learned_factorB\021\n\017_lasti" +
+      "ng_factor\032\376\001\n\rServiceDemand\022\017\n\007service\030\001" +
+      " \001(\t\022M\n\rorganisations\030\002 \003(\01326.aspenmoor." +
+      "wire.v1.PeerLoad.ServiceDemand.Organisat" +
+      "ion\022\034\n\024completed_per_second\030\003 \001(\002\022\036\n\026tur" +
+      "ned_away_per_second\030\004 \001(\002\032O\n\014Organisatio" +
+      "n\022\024\n\014organisation\030\001 \001(\006\022\020\n\010priority\030\002 \001(" +
+      "\r\022\027\n\017work_per_second\030\003 \001(\002\032_\n\013Observatio" +
+      "n\022\022\n\ncollection\030\001 \001(\r\022\022\n\ngeneration\030\002 \001(" +
+      "\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020age_milliseconds\030\004 " +
+      "\001(\r\032\313\001\n\013LoadChanges\022\r\n\005entry\030\001 \001(\t\022\r\n\005st" +
+      "art\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022?\n\007changes\030\004" +
+      " \003(\0132..aspenmoor.wire.v1.PeerLoad.LoadCh" +
+      "anges.Change\032K\n\006Change\022\016\n\006server\030\001 \001(\t\022\037" +
+      "\n\027unanswered_microseconds\030\002 \001(\021\022\020\n\010reque" +
+      "sts\030\003 \001(\021\032\224\001\n\013StartDelays\022\017\n\007service\030\001 \001" +
+      "(\t\022\014\n\004role\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\023\n\013wor" +
+      "k_weight\030\004 \001(\002\022\023\n\013work_factor\030\005 \001(\002\022\024\n\014f" +
+      "ixed_weight\030\006 \001(\002\022\025\n\rfixed_seconds\030\007 \001(\002" +
+      "B\"\n\036org.aspenmoor.internal.wire.v1P\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -356,7 +357,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_Reply_descriptor,
-        new java.lang.String[] { "Entry", "Number", "Stream", "Contradictory", "Versions", });
+        new java.lang.String[] { "Entry", "Number", "Stream", "Contradictory", "Versions", "Informed", });
     internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(15);
     internal_static_aspenmoor_wire_v1_PeerLoad_ServerSpeed_fieldAccessorTable = new
