--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -153,6 +153,11 @@
         return of(service, lastObservedAt).size() > 1;
     }
 
+    /** Returns whether several versions may have begun streams of a service whose streams may be taken up. */
+    boolean severalResumable() {
+        return resumableServices.stream().anyMatch(this::several);
+    }
+
     private Set<String> servicesWithSeveral() {
         Set<String> services = new TreeSet<>(heard.services());
         stated.all().forEach(origin -> services.add(origin.service()));
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
@@ -8,7 +8,7 @@
 import org.aspenmoor.internal.dissemination.RendezvousHash;
 
 /**
- * Chooses the entries that are told and asked about a stream: the same ones in every entry, as far as all know the same
+ * Chooses the entries that are told and asked about a stream, and the one that writes it to the store: the same ones in every entry, as far as all know the same
  * entries.
  */
 final class OriginHolders {
@@ -18,6 +18,13 @@
     /** Number of entries asked about a stream; entries that have started or stopped meanwhile shift those told. */
     static final int ASKED = 8;
 
+    private static final int MIN_RECORDERS = 2;
+
+    /** Each of them writes to the store several times a second, which limits the rate of writes of all entries. */
+    static final int MAX_RECORDERS = 8;
+
+    private static final int ENTRIES_PER_RECORDER = 8;
+
     private final OriginNetwork network;
 
     OriginHolders(OriginNetwork network) {
@@ -34,6 +41,15 @@
         return first(ASKED, stream);
     }
 
+    /** Returns the entry that writes a stream to the store: one of a few, so that each writes many streams at once. */
+    String toRecord(StreamKey stream) {
+        List<String> candidates = new ArrayList<>(network.activeEntries());
+        candidates.add(network.ownEntry());
+        int recorders = Math.clamp(candidates.size() / ENTRIES_PER_RECORDER, MIN_RECORDERS, MAX_RECORDERS);
+        long recorder = Math.floorMod(stream.low(), (long) recorders);
+        return RendezvousHash.rank("stream-recorder-" + recorder, candidates).getFirst();
+    }
+
     /** Returns the entries ranked highest for a stream; entries that are not heard come after those that are. */
     private List<String> first(int count, StreamKey stream) {
         String subject = HexFormat.of().formatHex(stream.bytes());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginInquiry.java
@@ -65,8 +65,13 @@
         informed |= reply.informed();
         unheard.remove(reply.entry());
         expected.remove(reply.entry());
+        add(reply.origin());
+    }
+
+    /** Adds what has been read from the store. */
+    void add(OriginKnowledge recorded) {
         if (knowledge instanceof OriginKnowledge.Unknown) {
-            knowledge = reply.origin();
+            knowledge = recorded;
         }
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
@@ -17,8 +17,12 @@
     /** Returns all other entries whose addresses are known, whether they are active or not. */
     List<String> registeredEntries();
 
-    /** Tells an entry the origins of streams. */
-    void tell(String entry, List<KnownStream> streams);
+    /**
+     * Tells an entry the origins of streams.
+     *
+     * @param record whether that entry is to write them to the store
+     */
+    void tell(String entry, List<KnownStream> streams, boolean record);
 
     /** Asks an entry for the origin of a stream. */
     void ask(String entry, OriginQuestion question);
@@ -32,6 +36,12 @@
     /** Reads from the store what the entries state; {@link StreamOriginTracker#listed} follows. */
     void listStatements();
 
+    /** Replaces this entry's record of streams in the store. */
+    void record(List<KnownStream> streams);
+
+    /** Reads the records of all entries from the store; {@link StreamOriginTracker#recordsLoaded} follows. */
+    void loadRecords();
+
     /** Runs an action after a delay, on the thread of the tracker. */
     void schedule(Duration delay, Runnable action);
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.time.TimeSource;
@@ -36,6 +37,15 @@
     /** Time after which no reply is waited for; a caller who has to begin anew should learn it soon. */
     static final Duration MAX_WAIT = Duration.ofMillis(300);
 
+    /**
+     * Maximum number of remembered streams, a few megabytes. Only servers' answers add streams, so callers cannot fill it
+     * faster than the servers answer.
+     */
+    private static final int MAX_STREAMS = 20_000;
+
+    /** Records older than callers may take up streams are ignored; clocks may have jumped by so much. */
+    private static final Duration MAX_CLOCK_JUMP = Duration.ofMinutes(1);
+
     /** Maximum number of streams in one message, which is about a kilobyte. */
     private static final int MAX_STREAMS_PER_MESSAGE = 24;
 
@@ -45,16 +55,21 @@
     private final OriginNetwork network;
     private final TimeSource time;
     private final OriginHolders holders;
-    private final StreamOrigins streams = new StreamOrigins();
+    private final StreamOrigins streams = new StreamOrigins(MAX_STREAMS);
+    private final StreamOrigins recorded = new StreamOrigins(MAX_STREAMS);
+    private final StreamRecorder recorder;
     private final KnownVersions versions;
     private final Map<Long, OriginInquiry> inquiries = new HashMap<>();
     private Set<StreamOrigin> stating = Set.of();
+    private boolean recordsRequested;
+    private boolean recordsLoaded;
     private long lastNumber;
 
     public StreamOriginTracker(OriginNetwork network, TimeSource time) {
         this.network = network;
         this.time = time;
         this.holders = new OriginHolders(network);
+        this.recorder = new StreamRecorder(network, time);
         this.versions = new KnownVersions(network.ownEntry(), time.monotonicNanos());
         // A suspended entry may reply seconds later, when this entry has restarted: the reply must not count as the one
         // to a question about another stream.
@@ -84,7 +99,35 @@
         }
         servers.forEach(this::serverObserved);
         streams.expire(now);
+        recorded.expire(now);
+        recorder.expire();
         state();
+        loadRecordsIfNeeded();
+    }
+
+    /** Has the records read as soon as there may be streams of several versions that began before this entry started. */
+    private void loadRecordsIfNeeded() {
+        if (!recordsRequested && versions.severalResumable()) {
+            recordsRequested = true;
+            network.loadRecords();
+        }
+    }
+
+    /** Applies the records that entries have written to the store, by the names of the entries. */
+    public void recordsLoaded(Map<String, StreamRecord> records) {
+        recordsLoaded = true;
+        Duration maxAge = versions.window().plus(MAX_CLOCK_JUMP);
+        long until = time.monotonicNanos() + versions.window().toNanos();
+        records.values().stream()
+                .filter(record -> record.age().compareTo(maxAge) < 0)
+                .flatMap(record -> record.streams().stream())
+                .forEach(known -> recorded.record(known, until));
+        StreamRecord own = records.get(network.ownEntry());
+        recorder.loaded(own == null ? List.of() : own.streams(), versions.window());
+        for (OriginInquiry inquiry : List.copyOf(inquiries.values())) {
+            inquiry.add(find(inquiry.question().stream()));
+            concludeIfDecidable(inquiry);
+        }
     }
 
     /** Records a server that is registered, whatever its state. */
@@ -115,6 +158,7 @@
     public void listed(OriginListing listing) {
         versions.listed(listing, time.monotonicNanos()).forEach(this::tellOfService);
         state();
+        loadRecordsIfNeeded();
         List.copyOf(inquiries.values()).forEach(this::concludeIfDecidable);
     }
 
@@ -143,7 +187,7 @@
     }
 
     private void tellOfService(String service) {
-        tell(streams.known(time.monotonicNanos()).stream()
+        tellAndRecord(streams.known(time.monotonicNanos()).stream()
                 .filter(known -> known.origin().service().equals(service))
                 .toList());
     }
@@ -164,13 +208,20 @@
                 keys.stream().map(key -> new KnownStream(key, origin)).toList();
         known.forEach(this::remember);
         if (onlyVersion(services).isEmpty()) {
-            tell(known);
+            tellAndRecord(known);
         }
     }
 
-    /** Records streams of which another entry has told. */
-    public void told(List<KnownStream> known) {
+    /**
+     * Remembers streams of which another entry has told.
+     *
+     * @param record whether this entry is to write them to the store
+     */
+    public void told(List<KnownStream> known, boolean record) {
         known.forEach(this::remember);
+        if (record) {
+            recorder.add(known, versions.window());
+        }
     }
 
     private void remember(KnownStream known) {
@@ -187,19 +238,39 @@
                 .toList());
     }
 
+    private void tellAndRecord(List<KnownStream> known) {
+        tell(known);
+        groupByEntry(known, stream -> List.of(holders.toRecord(stream))).forEach(this::record);
+    }
+
+    private void record(String entry, List<KnownStream> known) {
+        if (entry.equals(network.ownEntry())) {
+            recorder.add(known, versions.window());
+        } else {
+            send(entry, known, true);
+        }
+    }
+
     private void tell(List<KnownStream> known) {
+        groupByEntry(known, holders::toTell).forEach((entry, streamsOfEntry) -> send(entry, streamsOfEntry, false));
+    }
+
+    private static Map<String, List<KnownStream>> groupByEntry(
+            List<KnownStream> known, Function<StreamKey, List<String>> entries) {
         Map<String, List<KnownStream>> byEntry = new LinkedHashMap<>();
         for (KnownStream stream : known) {
-            for (String entry : holders.toTell(stream.stream())) {
+            for (String entry : entries.apply(stream.stream())) {
                 byEntry.computeIfAbsent(entry, unseen -> new ArrayList<>()).add(stream);
             }
         }
-        byEntry.forEach((entry, streamsOfEntry) -> {
-            for (int start = 0; start < streamsOfEntry.size(); start += MAX_STREAMS_PER_MESSAGE) {
-                int end = Math.min(streamsOfEntry.size(), start + MAX_STREAMS_PER_MESSAGE);
-                network.tell(entry, streamsOfEntry.subList(start, end));
-            }
-        });
+        return byEntry;
+    }
+
+    private void send(String entry, List<KnownStream> known, boolean record) {
+        for (int start = 0; start < known.size(); start += MAX_STREAMS_PER_MESSAGE) {
+            int end = Math.min(known.size(), start + MAX_STREAMS_PER_MESSAGE);
+            network.tell(entry, known.subList(start, end), record);
+        }
     }
 
     /** Returns this entry's reply to a question of another one. */
@@ -208,7 +279,7 @@
         return new OriginReply(
                 entryName,
                 question.number(),
-                streams.find(question.stream(), now),
+                find(question.stream()),
                 versions.of(question.service(), now),
                 versions.informed());
     }
@@ -223,7 +294,7 @@
      */
     public Optional<OriginInquiry> resolve(StreamKey stream, List<String> services, Consumer<ResumeDecision> listener) {
         long now = time.monotonicNanos();
-        OriginKnowledge knowledge = streams.find(stream, now);
+        OriginKnowledge knowledge = find(stream);
         boolean mustAsk = knowledge instanceof OriginKnowledge.Unknown
                 && !(versions.observedThroughout(now) && onlyVersion(services).isPresent());
         if (!mustAsk) {
@@ -233,6 +304,13 @@
         return Optional.of(ask(stream, services, listener));
     }
 
+    /** Returns what is remembered here or else was recorded in the store. */
+    private OriginKnowledge find(StreamKey stream) {
+        long now = time.monotonicNanos();
+        OriginKnowledge remembered = streams.find(stream, now);
+        return remembered instanceof OriginKnowledge.Unknown ? recorded.find(stream, now) : remembered;
+    }
+
     private OriginInquiry ask(StreamKey stream, List<String> services, Consumer<ResumeDecision> listener) {
         OriginQuestion question = new OriginQuestion(++lastNumber, stream, services.getFirst());
         List<String> asked = holders.toAsk(stream);
@@ -267,17 +345,22 @@
         concludeIfDecidable(inquiry);
     }
 
-    /** Concludes an inquiry unless further replies, or the statements in the store, may still allow the stream to go on. */
+    /** Concludes an inquiry unless further replies, or the store, may still allow the stream to go on. */
     private void concludeIfDecidable(OriginInquiry inquiry) {
-        boolean statementsAwaited = inquiry.knowledge() instanceof OriginKnowledge.Unknown
-                && onlyVersion(inquiry.services()).isPresent()
-                && !confirmed(inquiry)
-                && !versions.complete(time.monotonicNanos());
-        if (inquiry.complete() && !statementsAwaited) {
+        if (inquiry.complete() && !storeAwaited(inquiry)) {
             conclude(inquiry);
         }
     }
 
+    private boolean storeAwaited(OriginInquiry inquiry) {
+        if (!(inquiry.knowledge() instanceof OriginKnowledge.Unknown)) {
+            return false;
+        }
+        return onlyVersion(inquiry.services()).isPresent()
+                ? !confirmed(inquiry) && !versions.complete(time.monotonicNanos())
+                : !recordsLoaded;
+    }
+
     private void conclude(OriginInquiry inquiry) {
         inquiries.remove(inquiry.question().number());
         if (inquiry.ended()) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOrigins.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOrigins.java
@@ -6,15 +6,19 @@
 import java.util.List;
 import java.util.Map;
 
-/** The streams whose origin this entry remembers, for as long as their callers may take them up again. */
+/** Streams whose origin is remembered, for as long as their callers may take them up again. */
 final class StreamOrigins {
+    private final int maxStreams;
+    private final Map<StreamKey, Remembered> streams = new LinkedHashMap<>();
+
     /**
-     * Maximum number of remembered streams, a few megabytes; the ones recorded longest ago yield first. Only servers'
-     * answers add streams, so callers cannot fill it faster than the servers answer.
+     * Creates an empty instance.
+     *
+     * @param maxStreams maximum number of streams; the ones recorded longest ago yield first
      */
-    private static final int MAX_STREAMS = 20_000;
-
-    private final Map<StreamKey, Remembered> streams = new LinkedHashMap<>();
+    StreamOrigins(int maxStreams) {
+        this.maxStreams = maxStreams;
+    }
 
     /** Records the origin of a stream until the given time. */
     void record(KnownStream known, long until) {
@@ -23,7 +27,7 @@
         OriginKnowledge knowledge =
                 contradicts ? new OriginKnowledge.Contradictory() : new OriginKnowledge.Known(known.origin());
         streams.put(known.stream(), new Remembered(knowledge, until));
-        if (streams.size() > MAX_STREAMS) {
+        if (streams.size() > maxStreams) {
             streams.remove(streams.keySet().iterator().next());
         }
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/store/ObjectKind.java
@@ -25,7 +25,9 @@
     /** The order lease: its holder may give orders to engines, under the recorded fencing number. */
     ORDER_RIGHT("orderrights"),
     /** The servers that terminated while they ran one request; named after the digest of the request. */
-    FATAL_REQUEST("fatalrequests");
+    FATAL_REQUEST("fatalrequests"),
+    /** What began streams while several software versions serve; named after the entry that writes it. */
+    STREAM_RECORD("streamrecords");
 
     private final String resource;
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
@@ -15,6 +15,9 @@
 /** Records what is sent, and has a manual clock. */
 final class ManualOriginNetwork implements OriginNetwork, TimeSource {
     private final List<Told> told = new ArrayList<>();
+    private final List<Told> toRecord = new ArrayList<>();
+    private final List<List<KnownStream>> recorded = new ArrayList<>();
+    private int loads;
     private final List<String> asked = new ArrayList<>();
     private final List<Scheduled> scheduled = new ArrayList<>();
     private List<String> entries = List.of();
@@ -38,6 +41,20 @@
         return told;
     }
 
+    /** Returns what others are to write to the store. */
+    List<Told> toRecord() {
+        return toRecord;
+    }
+
+    /** Returns the records that this entry has written to the store. */
+    List<List<KnownStream>> recorded() {
+        return recorded;
+    }
+
+    int loads() {
+        return loads;
+    }
+
     List<String> asked() {
         return asked;
     }
@@ -107,8 +124,8 @@
     }
 
     @Override
-    public void tell(String entry, List<KnownStream> streams) {
-        told.add(new Told(entry, streams));
+    public void tell(String entry, List<KnownStream> streams, boolean record) {
+        (record ? toRecord : told).add(new Told(entry, streams));
     }
 
     @Override
@@ -121,6 +138,16 @@
         announcements++;
     }
 
+    @Override
+    public void record(List<KnownStream> streams) {
+        recorded.add(streams);
+    }
+
+    @Override
+    public void loadRecords() {
+        loads++;
+    }
+
     @Override
     public void schedule(Duration delay, Runnable action) {
         scheduled.add(new Scheduled(now + delay.toNanos(), action));
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -30,6 +30,7 @@
     public void createTracker() {
         network = new ManualOriginNetwork();
         tracker = new StreamOriginTracker(network, network);
+        tracker.recordsLoaded(Map.of());
         decisions = new ArrayList<>();
         network.setEntries(ENTRIES, ENTRIES);
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
@@ -176,15 +176,25 @@
         simulation.store().state(this, origins);
     }
 
+    @Override
+    public void record(List<KnownStream> streams) {
+        simulation.store().record(this, streams);
+    }
+
+    @Override
+    public void loadRecords() {
+        simulation.store().loadRecords(this);
+    }
+
     @Override
     public void listStatements() {
         simulation.store().list(this);
     }
 
     @Override
-    public void tell(String entry, List<KnownStream> told) {
+    public void tell(String entry, List<KnownStream> told, boolean record) {
         simulation.messageSent();
-        send(entry, receiver -> receiver.tracker.told(told));
+        send(entry, receiver -> receiver.tracker.told(told, record));
     }
 
     @Override
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
@@ -215,7 +215,7 @@
     }
 
     // Guards against callers whose streams are all refused after a loss of all entries.
-    @Test(dataProvider = "allFleets", groups = "known-red")
+    @Test(dataProvider = "allFleets")
     public void should_continue_streams_when_all_entries_are_killed_while_two_versions_serve(int entries) {
         checkInterrupted(
                 killed(entries, "one", "one", "one", "two", "two", "two")
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
@@ -2,15 +2,19 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /** The store of the simulation; calls take some milliseconds, and fail while it is away. */
 final class ResumeStore {
     private static final long CALL = Duration.ofMillis(4).toNanos();
+    private static final Duration RECORD_RETRY = Duration.ofMillis(500);
 
     private final ResumeSimulation simulation;
     private final Map<String, Set<StreamOrigin>> statements = new HashMap<>();
+    private final Map<String, List<KnownStream>> records = new HashMap<>();
+    private int recordWrites;
 
     ResumeStore(ResumeSimulation simulation) {
         this.simulation = simulation;
@@ -41,6 +45,31 @@
         return true;
     }
 
+    /** Writes the record of an entry; while the store is away nothing is written. */
+    void record(ResumeEntry entry, List<KnownStream> streams) {
+        if (!reachedBy(entry)) {
+            return;
+        }
+        recordWrites++;
+        simulation.after(CALL, () -> records.put(entry.name(), streams));
+    }
+
+    void loadRecords(ResumeEntry entry) {
+        if (!reachedBy(entry)) {
+            entry.schedule(RECORD_RETRY, () -> loadRecords(entry));
+            return;
+        }
+        entry.schedule(Duration.ofNanos(CALL), () -> {
+            Map<String, StreamRecord> read = new HashMap<>();
+            records.forEach((name, streams) -> read.put(name, new StreamRecord(streams, Duration.ZERO)));
+            entry.schedule(Duration.ofNanos(CALL), () -> entry.tracker().recordsLoaded(read));
+        });
+    }
+
+    int recordWrites() {
+        return recordWrites;
+    }
+
     private boolean reachedBy(ResumeEntry entry) {
         return !simulation.storeAway() && !entry.isCut();
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.aspenmoor.internal.serving.SoftwareVersion;
@@ -31,6 +32,7 @@
     public void createTracker() {
         network = new ManualOriginNetwork();
         tracker = new StreamOriginTracker(network, network);
+        tracker.recordsLoaded(Map.of());
         decisions = new ArrayList<>();
         network.setEntries(ENTRIES, ENTRIES);
     }
@@ -215,7 +217,7 @@
     public void should_refuse_when_two_streams_with_the_same_id_began_at_different_versions() {
         observe(true, OLD, NEW);
         began(STREAM, FROM_OLD);
-        tracker.told(List.of(new KnownStream(STREAM, FROM_NEW)));
+        tracker.told(List.of(new KnownStream(STREAM, FROM_NEW)), false);
 
         resolve(STREAM);
 
@@ -292,7 +294,7 @@
     @Test
     public void should_tell_others_what_is_remembered_when_this_entry_stops() {
         observe(true, OLD, NEW);
-        tracker.told(List.of(new KnownStream(STREAM, FROM_OLD)));
+        tracker.told(List.of(new KnownStream(STREAM, FROM_OLD)), false);
 
         tracker.handOver();
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -38,6 +37,8 @@
 import org.aspenmoor.internal.gateway.peers.PeerExchange;
 import org.aspenmoor.internal.gateway.peers.PeerListener;
 import org.aspenmoor.internal.gateway.peers.PeerOriginNetwork;
+import org.aspenmoor.internal.gateway.peers.StreamRecordRequests;
+import org.aspenmoor.internal.gateway.peers.StreamRecordStore;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
 import org.aspenmoor.internal.gateway.protocol.CallerProtocol;
 import org.aspenmoor.internal.gateway.protocol.DutyProtocol;
@@ -52,7 +53,6 @@
 import org.aspenmoor.internal.gateway.request.SpeedProbing;
 import org.aspenmoor.internal.gateway.request.WaitQueues;
 import org.aspenmoor.internal.gateway.roles.FleetSnapshot;
-import org.aspenmoor.internal.gateway.roles.OrderListener;
 import org.aspenmoor.internal.gateway.roles.RoleCoordinator;
 import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
@@ -62,7 +62,6 @@
 import org.aspenmoor.internal.gateway.usage.UsageWorker;
 import org.aspenmoor.internal.serving.LoadChanges;
 import org.aspenmoor.internal.serving.PeerReport;
-import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.freshness.ObservedCollection;
 import org.aspenmoor.internal.serving.freshness.StoreFreshness;
 import org.aspenmoor.internal.serving.origin.KnownStream;
@@ -118,6 +117,7 @@
     private final PeerExchange peers;
     private final PeerReporter reporter;
     private final OriginStatements originStatements = new OriginStatements();
+    private final StreamRecordRequests streamRecords = new StreamRecordRequests();
     private final StreamOriginTracker origins;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<WatchedCollection> watchedCollections = new ArrayList<>();
@@ -160,10 +160,7 @@
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
-        this.origins = new StreamOriginTracker(
-                new PeerOriginNetwork(
-                        settings.process(), peers, originStatements, state::activeEntries, this::sendReport, eventLoop),
-                time);
+        this.origins = createOriginTracker();
         CallerDropLog dropLog = new CallerDropLog(log, registry);
         this.buffers = new AnswerBuffers(settings.maxBufferedBytes(), time, eventLoop, dropLog);
         dropLog.registerBytes(registry, buffers::bytes);
@@ -223,27 +220,14 @@
                 store, fatalRequests, state::fatalRequestsLoaded, eventLoop, time, random, log);
         watch(store, storeSettings, ObjectKind.FATAL_REQUEST, fatalRequestSynchroniser);
         fatalRequestSynchroniser.start();
-        GaugeWithCallback.builder()
-                .name("aspenmoor_store_generation")
-                .help("Generation of the store's history; rises where the store came back from an older copy.")
-                .callback(callback -> callback.call((double) store.generation()))
-                .register(registry);
+        FreshnessMonitor.registerGeneration(registry, store::generation);
         readinessAddress = new OperatorHttpServer(Map.of(settings.readinessPath(), this::readinessAnswer))
                 .start(group, settings.readiness());
         administrationAddress = new OperatorHttpServer(
                         Map.of("/metrics", administrationPages::metrics, "/state", administrationPages::state))
                 .start(group, settings.administration());
         peers.open(settings.peers());
-        new PeerDirectory(
-                        store,
-                        settings.process(),
-                        peers.address(),
-                        originStatements,
-                        time,
-                        random,
-                        new PeerDirectoryUpdates(peers, state, origins, eventLoop),
-                        log)
-                .start();
+        startPeerWorkers(store);
         eventLoop.execute(reporter::start);
         usage.ifPresent(tracker -> startUsageDuty(store, tracker));
         startRoleManagement(store);
@@ -299,27 +283,50 @@
         collection.start();
     }
 
+    private StreamOriginTracker createOriginTracker() {
+        PeerOriginNetwork network = new PeerOriginNetwork(
+                settings.process(),
+                peers,
+                originStatements,
+                streamRecords,
+                state::activeEntries,
+                this::sendReport,
+                eventLoop);
+        return new StreamOriginTracker(network, time);
+    }
+
+    /** Starts what registers this entry, finds the others, and keeps what all have to know of streams in the store. */
+    private void startPeerWorkers(ObjectStore store) {
+        new PeerDirectory(
+                        store,
+                        settings.process(),
+                        peers.address(),
+                        originStatements,
+                        time,
+                        random,
+                        new PeerDirectoryUpdates(peers, state, origins, eventLoop),
+                        log)
+                .start();
+        new StreamRecordStore(
+                        store,
+                        settings.process(),
+                        streamRecords,
+                        time,
+                        records -> eventLoop.execute(() -> origins.recordsLoaded(records)),
+                        log)
+                .start();
+    }
+
     private void startRoleManagement(ObjectStore store) {
         ObjectKey key = new ObjectKey(ObjectKind.ORDER_RIGHT, ObjectKey.PLATFORM_NAMESPACE, "engines");
         DutyLease orderLease = new DutyLease(store, key, settings.process(), settings.pauseBetweenHolders(), time);
         Supplier<FleetSnapshot> fleetSnapshot =
                 () -> CompletableFuture.supplyAsync(() -> state.fleetSnapshot(settings.process()), eventLoop)
                         .join();
-        OrderListener orderListener = new OrderListener() {
-            @Override
-            public void leaseAcquired(long fencingNumber) {
-                eventLoop.execute(() -> state.orderLeaseAcquired(fencingNumber));
-            }
-
-            @Override
-            public void orderAccepted(RoleChange change) {
-                eventLoop.execute(() -> state.roleChangeOrdered(change));
-            }
-        };
         new RoleCoordinator(
                         settings.process(),
                         fleetSnapshot,
-                        orderListener,
+                        new RoleOrderUpdates(state, eventLoop),
                         orderLease,
                         connections,
                         backendProtocol,
@@ -425,8 +432,8 @@
         }
 
         @Override
-        public void streamsTold(List<KnownStream> streams) {
-            origins.told(streams);
+        public void streamsTold(List<KnownStream> streams, boolean record) {
+            origins.told(streams, record);
         }
 
         @Override
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/FreshnessMonitor.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/FreshnessMonitor.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.serving.freshness.FreshnessStatus;
 import org.aspenmoor.internal.serving.freshness.ObservedCollection;
@@ -102,6 +103,15 @@
                 .register(registry);
     }
 
+    /** Registers the metric that shows a store which was restored. */
+    public static void registerGeneration(PrometheusRegistry registry, LongSupplier generation) {
+        GaugeWithCallback.builder()
+                .name("aspenmoor_store_generation")
+                .help("Generation of the store's history; rises where the store came back from an older copy.")
+                .callback(callback -> callback.call((double) generation.getAsLong()))
+                .register(registry);
+    }
+
     private static String label(FreshnessStatus status) {
         return status.collection().name().toLowerCase(Locale.ROOT);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginCodec.java
@@ -18,8 +18,13 @@
 final class OriginCodec {
     private OriginCodec() {}
 
-    static byte[] serialiseStreams(List<KnownStream> streams) {
-        PeerLoad.Builder message = PeerLoad.newBuilder();
+    /**
+     * Serialises streams of which an entry is told.
+     *
+     * @param record whether that entry is to write them to the store
+     */
+    static byte[] serialiseStreams(List<KnownStream> streams, boolean record) {
+        PeerLoad.Builder message = PeerLoad.newBuilder().setRecordStreams(record);
         streams.forEach(known -> message.addStreams(serialise(known)));
         return message.build().toByteArray();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -143,8 +143,8 @@
     }
 
     /** Tells another entry which software versions began streams. */
-    void sendStreams(String receiver, List<KnownStream> streams) {
-        write(receiver, OriginCodec.serialiseStreams(streams));
+    void sendStreams(String receiver, List<KnownStream> streams, boolean record) {
+        write(receiver, OriginCodec.serialiseStreams(streams, record));
         channel.flush();
     }
 
@@ -207,7 +207,7 @@
         private boolean receiveOriginMessage(PeerLoad message, InetSocketAddress sender) {
             List<KnownStream> streams = OriginCodec.parseStreams(message);
             if (!streams.isEmpty()) {
-                listener.streamsTold(streams);
+                listener.streamsTold(streams, message.getRecordStreams());
             }
             Optional<OriginQuestion> question = OriginCodec.parseQuestion(message);
             question.ifPresent(asked -> {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerListener.java
@@ -19,8 +19,12 @@
     /** Counts of another entry have arrived. */
     void usageReceived(EntryUsage usage);
 
-    /** Another entry has told which software versions began streams. */
-    void streamsTold(List<KnownStream> streams);
+    /**
+     * Another entry has told which software versions began streams.
+     *
+     * @param record whether this entry is to write them to the store
+     */
+    void streamsTold(List<KnownStream> streams, boolean record);
 
     /** Another entry asks which software version began a stream; returns the reply. */
     OriginReply originAsked(OriginQuestion question);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
@@ -19,6 +19,7 @@
     private final String ownEntry;
     private final PeerExchange exchange;
     private final OriginStatements statements;
+    private final StreamRecordRequests records;
     private final Supplier<List<String>> activeEntries;
     private final Runnable reportNow;
     private final EventLoop eventLoop;
@@ -28,6 +29,7 @@
      *
      * @param ownEntry the name of this entry
      * @param statements takes what this entry is to state in the store
+     * @param records takes the streams that this entry is to write to the store
      * @param activeEntries supplies the names of the other entries from which reports are received
      * @param reportNow sends a report, which contains the known software versions, to all other entries
      */
@@ -35,12 +37,14 @@
             String ownEntry,
             PeerExchange exchange,
             OriginStatements statements,
+            StreamRecordRequests records,
             Supplier<List<String>> activeEntries,
             Runnable reportNow,
             EventLoop eventLoop) {
         this.ownEntry = ownEntry;
         this.exchange = exchange;
         this.statements = statements;
+        this.records = records;
         this.activeEntries = activeEntries;
         this.reportNow = reportNow;
         this.eventLoop = eventLoop;
@@ -62,8 +66,8 @@
     }
 
     @Override
-    public void tell(String entry, List<KnownStream> streams) {
-        exchange.sendStreams(entry, streams);
+    public void tell(String entry, List<KnownStream> streams, boolean record) {
+        exchange.sendStreams(entry, streams, record);
     }
 
     @Override
@@ -86,6 +90,16 @@
         statements.list();
     }
 
+    @Override
+    public void record(List<KnownStream> streams) {
+        records.write(streams);
+    }
+
+    @Override
+    public void loadRecords() {
+        records.load();
+    }
+
     @Override
     public void schedule(Duration delay, Runnable action) {
         eventLoop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/OriginCodecTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/OriginCodecTest.java
@@ -33,7 +33,7 @@
     public void should_restore_streams_when_parsing_their_serialised_form() throws Exception {
         List<KnownStream> streams = List.of(new KnownStream(STREAM, ORIGIN));
 
-        PeerLoad message = PeerLoad.parseFrom(OriginCodec.serialiseStreams(streams));
+        PeerLoad message = PeerLoad.parseFrom(OriginCodec.serialiseStreams(streams, true));
 
         assertEquals(OriginCodec.parseStreams(message), streams);
         assertEquals(PeerReportCodec.parse(message), Optional.empty(), "it must not be taken for a report");
@@ -72,7 +72,7 @@
     public void should_fit_into_one_packet_when_as_many_streams_are_told_as_possible() {
         List<KnownStream> streams = Collections.nCopies(24, new KnownStream(STREAM, ORIGIN));
 
-        assertTrue(OriginCodec.serialiseStreams(streams).length < MAX_DATAGRAM_BYTES);
+        assertTrue(OriginCodec.serialiseStreams(streams, true).length < MAX_DATAGRAM_BYTES);
     }
 
     // Guards against a damaged datagram that names a stream by something that is no key.
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -276,7 +276,7 @@
         }
 
         @Override
-        public void streamsTold(List<KnownStream> streams) {
+        public void streamsTold(List<KnownStream> streams, boolean record) {
             throw new AssertionError("nobody tells of streams");
         }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.EOFException;
 import java.io.IOException;
 import java.util.List;
@@ -19,6 +21,9 @@
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
+import org.aspenmoor.internal.serving.origin.StreamKey;
+import org.aspenmoor.internal.store.ObjectKind;
+import org.aspenmoor.internal.store.StoredObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -222,6 +227,29 @@
         assertEquals(answer.line(), "HTTP/1.1 503 Service Unavailable");
     }
 
+    // Guards against callers whose streams are refused because all entries that knew them were killed.
+    @Test
+    public void should_continue_at_the_version_that_began_when_all_entries_were_killed() throws Exception {
+        farEngine("old-1", OLD, whole(OLD));
+        farEngine("old-2", OLD, whole(OLD));
+        engine("new-1", NEW, EngineRole.WHOLE, rejectsNewStreams(NEW));
+        gateway.publish();
+        for (int stream = 0; stream < STREAMS; stream++) {
+            begin("r" + stream);
+        }
+        while (recordedStreams() < STREAMS) {
+            Thread.onSpinWait();
+        }
+        gateway.gateway().close();
+        TestGateway started = gateway.startAnother("entry-2");
+
+        for (int stream = 0; stream < STREAMS; stream++) {
+            String rest = takeUpTwice(started, "r" + stream);
+            assertOneVersion(rest + "data: " + OLD);
+            assertEquals(rest.contains("id: " + EVENTS), true, rest);
+        }
+    }
+
     // Guards against a caller who comes back while the only version that may write the rest has gone for good.
     @Test
     public void should_refuse_at_once_when_the_version_of_the_stream_has_gone() throws Exception {
@@ -239,6 +267,18 @@
         assertEquals(answer.body().contains("which has begun the stream, is available"), true, answer.body());
     }
 
+    /** Returns the number of streams whose origin is in the store. */
+    private int recordedStreams() throws Exception {
+        int streams = 0;
+        for (StoredObject object :
+                gateway.store().list(ObjectKind.STREAM_RECORD).objects()) {
+            for (JsonNode origin : new ObjectMapper().readTree(object.value()).path("origins")) {
+                streams += origin.path("keys").binaryValue().length / StreamKey.BYTES;
+            }
+        }
+        return streams;
+    }
+
     /** Begins a stream at the first entry and returns its first event, after which its caller leaves. */
     private String begin(String id) throws IOException {
         return eventText(answer(request(id)), 0);
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
@@ -106,6 +106,7 @@
             case ENTRY_REGISTRATION -> "EntryRegistration";
             case ORDER_RIGHT -> "OrderRight";
             case FATAL_REQUEST -> "FatalRequest";
+            case STREAM_RECORD -> "StreamRecord";
         };
     }
 }
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -21552,6 +21552,21 @@
     return streams_.get(index);
   }
 
+  public static final int RECORD_STREAMS_FIELD_NUMBER = 26;
+  private boolean recordStreams_ = false;
+  /**
+   * <pre>
+   * The receiver is to write the streams to the store.
+   * </pre>
+   *
+   * <code>bool record_streams = 26;</code>
+   * @return The recordStreams.
+   */
+  @java.lang.Override
+  public boolean getRecordStreams() {
+    return recordStreams_;
+  }
+
   public static final int QUESTION_FIELD_NUMBER = 19;
   private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
   /**
@@ -21883,6 +21898,9 @@
     for (int i = 0; i < startDelays_.size(); i++) {
       output.writeMessage(25, startDelays_.get(i));
     }
+    if (recordStreams_ != false) {
+      output.writeBool(26, recordStreams_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -22056,6 +22074,10 @@
           }
           size += 2 * count;
         }
+    if (recordStreams_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(26, recordStreams_);
+    }
     return size;
   }
   @java.lang.Override
@@ -22122,6 +22144,8 @@
         .equals(other.getVersionsList())) return false;
     if (!getStreamsList()
         .equals(other.getStreamsList())) return false;
+    if (getRecordStreams()
+        != other.getRecordStreams()) return false;
     if (hasQuestion() != other.hasQuestion()) return false;
     if (hasQuestion()) {
       if (!getQuestion()
@@ -22221,6 +22245,9 @@
       hash = (37 * hash) + STREAMS_FIELD_NUMBER;
       hash = (53 * hash) + getStreamsList().hashCode();
     }
+    hash = (37 * hash) + RECORD_STREAMS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRecordStreams());
     if (hasQuestion()) {
       hash = (37 * hash) + QUESTION_FIELD_NUMBER;
       hash = (53 * hash) + getQuestion().hashCode();
@@ -22494,6 +22521,7 @@
         streamsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00020000);
+      recordStreams_ = false;
       question_ = null;
       if (questionBuilder_ != null) {
         questionBuilder_.dispose();
@@ -22510,21 +22538,21 @@
         serverSpeeds_ = null;
         serverSpeedsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00100000);
+      bitField0_ = (bitField0_ & ~0x00200000);
       if (serviceDemandsBuilder_ == null) {
         serviceDemands_ = java.util.Collections.emptyList();
       } else {
         serviceDemands_ = null;
         serviceDemandsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00200000);
+      bitField0_ = (bitField0_ & ~0x00400000);
       if (observationsBuilder_ == null) {
         observations_ = java.util.Collections.emptyList();
       } else {
         observations_ = null;
         observationsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00400000);
+      bitField0_ = (bitField0_ & ~0x00800000);
       loadChanges_ = null;
       if (loadChangesBuilder_ != null) {
         loadChangesBuilder_.dispose();
@@ -22536,7 +22564,7 @@
         startDelays_ = null;
         startDelaysBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x01000000);
+      bitField0_ = (bitField0_ & ~0x02000000);
       return this;
     }
 
@@ -22661,36 +22689,36 @@
         result.streams_ = streamsBuilder_.build();
       }
       if (serverSpeedsBuilder_ == null) {
-        if (((bitField0_ & 0x00100000) != 0)) {
+        if (((bitField0_ & 0x00200000) != 0)) {
           serverSpeeds_ = java.util.Collections.unmodifiableList(serverSpeeds_);
-          bitField0_ = (bitField0_ & ~0x00100000);
+          bitField0_ = (bitField0_ & ~0x00200000);
         }
         result.serverSpeeds_ = serverSpeeds_;
       } else {
         result.serverSpeeds_ = serverSpeedsBuilder_.build();
       }
       if (serviceDemandsBuilder_ == null) {
-        if (((bitField0_ & 0x00200000) != 0)) {
+        if (((bitField0_ & 0x00400000) != 0)) {
           serviceDemands_ = java.util.Collections.unmodifiableList(serviceDemands_);
-          bitField0_ = (bitField0_ & ~0x00200000);
+          bitField0_ = (bitField0_ & ~0x00400000);
         }
         result.serviceDemands_ = serviceDemands_;
       } else {
         result.serviceDemands_ = serviceDemandsBuilder_.build();
       }
       if (observationsBuilder_ == null) {
-        if (((bitField0_ & 0x00400000) != 0)) {
+        if (((bitField0_ & 0x00800000) != 0)) {
           observations_ = java.util.Collections.unmodifiableList(observations_);
-          bitField0_ = (bitField0_ & ~0x00400000);
+          bitField0_ = (bitField0_ & ~0x00800000);
         }
         result.observations_ = observations_;
       } else {
         result.observations_ = observationsBuilder_.build();
       }
       if (startDelaysBuilder_ == null) {
-        if (((bitField0_ & 0x01000000) != 0)) {
+        if (((bitField0_ & 0x02000000) != 0)) {
           startDelays_ = java.util.Collections.unmodifiableList(startDelays_);
-          bitField0_ = (bitField0_ & ~0x01000000);
+          bitField0_ = (bitField0_ & ~0x02000000);
         }
         result.startDelays_ = startDelays_;
       } else {
@@ -22732,18 +22760,21 @@
         result.orderFencingNumber_ = orderFencingNumber_;
       }
       if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.recordStreams_ = recordStreams_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
         result.question_ = questionBuilder_ == null
             ? question_
             : questionBuilder_.build();
         to_bitField0_ |= 0x00000004;
       }
-      if (((from_bitField0_ & 0x00080000) != 0)) {
+      if (((from_bitField0_ & 0x00100000) != 0)) {
         result.reply_ = replyBuilder_ == null
             ? reply_
             : replyBuilder_.build();
         to_bitField0_ |= 0x00000008;
       }
-      if (((from_bitField0_ & 0x00800000) != 0)) {
+      if (((from_bitField0_ & 0x01000000) != 0)) {
         result.loadChanges_ = loadChangesBuilder_ == null
             ? loadChanges_
             : loadChangesBuilder_.build();
@@ -23050,6 +23081,9 @@
           }
         }
       }
+      if (other.getRecordStreams() != false) {
+        setRecordStreams(other.getRecordStreams());
+      }
       if (other.hasQuestion()) {
         mergeQuestion(other.getQuestion());
       }
@@ -23060,7 +23094,7 @@
         if (!other.serverSpeeds_.isEmpty()) {
           if (serverSpeeds_.isEmpty()) {
             serverSpeeds_ = other.serverSpeeds_;
-            bitField0_ = (bitField0_ & ~0x00100000);
+            bitField0_ = (bitField0_ & ~0x00200000);
           } else {
             ensureServerSpeedsIsMutable();
             serverSpeeds_.addAll(other.serverSpeeds_);
@@ -23073,7 +23107,7 @@
             serverSpeedsBuilder_.dispose();
             serverSpeedsBuilder_ = null;
             serverSpeeds_ = other.serverSpeeds_;
-            bitField0_ = (bitField0_ & ~0x00100000);
+            bitField0_ = (bitField0_ & ~0x00200000);
             serverSpeedsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetServerSpeedsFieldBuilder() : null;
@@ -23086,7 +23120,7 @@
         if (!other.serviceDemands_.isEmpty()) {
           if (serviceDemands_.isEmpty()) {
             serviceDemands_ = other.serviceDemands_;
-            bitField0_ = (bitField0_ & ~0x00200000);
+            bitField0_ = (bitField0_ & ~0x00400000);
           } else {
             ensureServiceDemandsIsMutable();
             serviceDemands_.addAll(other.serviceDemands_);
@@ -23099,7 +23133,7 @@
             serviceDemandsBuilder_.dispose();
             serviceDemandsBuilder_ = null;
             serviceDemands_ = other.serviceDemands_;
-            bitField0_ = (bitField0_ & ~0x00200000);
+            bitField0_ = (bitField0_ & ~0x00400000);
             serviceDemandsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetServiceDemandsFieldBuilder() : null;
@@ -23112,7 +23146,7 @@
         if (!other.observations_.isEmpty()) {
           if (observations_.isEmpty()) {
             observations_ = other.observations_;
-            bitField0_ = (bitField0_ & ~0x00400000);
+            bitField0_ = (bitField0_ & ~0x00800000);
           } else {
             ensureObservationsIsMutable();
             observations_.addAll(other.observations_);
@@ -23125,7 +23159,7 @@
             observationsBuilder_.dispose();
             observationsBuilder_ = null;
             observations_ = other.observations_;
-            bitField0_ = (bitField0_ & ~0x00400000);
+            bitField0_ = (bitField0_ & ~0x00800000);
             observationsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetObservationsFieldBuilder() : null;
@@ -23141,7 +23175,7 @@
         if (!other.startDelays_.isEmpty()) {
           if (startDelays_.isEmpty()) {
             startDelays_ = other.startDelays_;
-            bitField0_ = (bitField0_ & ~0x01000000);
+            bitField0_ = (bitField0_ & ~0x02000000);
           } else {
             ensureStartDelaysIsMutable();
             startDelays_.addAll(other.startDelays_);
@@ -23154,7 +23188,7 @@
             startDelaysBuilder_.dispose();
             startDelaysBuilder_ = null;
             startDelays_ = other.startDelays_;
-            bitField0_ = (bitField0_ & ~0x01000000);
+            bitField0_ = (bitField0_ & ~0x02000000);
             startDelaysBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetStartDelaysFieldBuilder() : null;
@@ -23365,14 +23399,14 @@
               input.readMessage(
                   internalGetQuestionFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00040000;
+              bitField0_ |= 0x00080000;
               break;
             } // case 154
             case 162: {
               input.readMessage(
                   internalGetReplyFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00080000;
+              bitField0_ |= 0x00100000;
               break;
             } // case 162
             case 170: {
@@ -23418,7 +23452,7 @@
               input.readMessage(
                   internalGetLoadChangesFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00800000;
+              bitField0_ |= 0x01000000;
               break;
             } // case 194
             case 202: {
@@ -23434,6 +23468,11 @@
               }
               break;
             } // case 202
+            case 208: {
+              recordStreams_ = input.readBool();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 208
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -26477,6 +26516,50 @@
       return streamsBuilder_;
     }
 
+    private boolean recordStreams_ ;
+    /**
+     * <pre>
+     * The receiver is to write the streams to the store.
+     * </pre>
+     *
+     * <code>bool record_streams = 26;</code>
+     * @return The recordStreams.
+     */
+    @java.lang.Override
+    public boolean getRecordStreams() {
+      return recordStreams_;
+    }
+    /**
+     * <pre>
+     * The receiver is to write the streams to the store.
+     * </pre>
+     *
+     * <code>bool record_streams = 26;</code>
+     * @param value The recordStreams to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecordStreams(boolean value) {
+
+      recordStreams_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The receiver is to write the streams to the store.
+     * </pre>
+     *
+     * <code>bool record_streams = 26;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRecordStreams() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      recordStreams_ = false;
+      onChanged();
+      return this;
+    }
+
     private org.aspenmoor.internal.wire.v1.PeerLoad.Question question_;
     private com.google.protobuf.SingleFieldBuilder<
         org.aspenmoor.internal.wire.v1.PeerLoad.Question, org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.QuestionOrBuilder> questionBuilder_;
@@ -26485,7 +26568,7 @@
      * @return Whether the question field is set.
      */
     public boolean hasQuestion() {
-      return ((bitField0_ & 0x00040000) != 0);
+      return ((bitField0_ & 0x00080000) != 0);
     }
     /**
      * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
@@ -26508,7 +26591,7 @@
       } else {
         questionBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00040000;
+      bitField0_ |= 0x00080000;
       onChanged();
       return this;
     }
@@ -26522,7 +26605,7 @@
       } else {
         questionBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00040000;
+      bitField0_ |= 0x00080000;
       onChanged();
       return this;
     }
@@ -26531,7 +26614,7 @@
      */
     public Builder mergeQuestion(org.aspenmoor.internal.wire.v1.PeerLoad.Question value) {
       if (questionBuilder_ == null) {
-        if (((bitField0_ & 0x00040000) != 0) &&
+        if (((bitField0_ & 0x00080000) != 0) &&
           question_ != null &&
           question_ != org.aspenmoor.internal.wire.v1.PeerLoad.Question.getDefaultInstance()) {
           getQuestionBuilder().mergeFrom(value);
@@ -26542,7 +26625,7 @@
         questionBuilder_.mergeFrom(value);
       }
       if (question_ != null) {
-        bitField0_ |= 0x00040000;
+        bitField0_ |= 0x00080000;
         onChanged();
       }
       return this;
@@ -26551,7 +26634,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
     public Builder clearQuestion() {
-      bitField0_ = (bitField0_ & ~0x00040000);
+      bitField0_ = (bitField0_ & ~0x00080000);
       question_ = null;
       if (questionBuilder_ != null) {
         questionBuilder_.dispose();
@@ -26564,7 +26647,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
      */
     public org.aspenmoor.internal.wire.v1.PeerLoad.Question.Builder getQuestionBuilder() {
-      bitField0_ |= 0x00040000;
+      bitField0_ |= 0x00080000;
       onChanged();
       return internalGetQuestionFieldBuilder().getBuilder();
     }
@@ -26604,7 +26687,7 @@
      * @return Whether the reply field is set.
      */
     public boolean hasReply() {
-      return ((bitField0_ & 0x00080000) != 0);
+      return ((bitField0_ & 0x00100000) != 0);
     }
     /**
      * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
@@ -26627,7 +26710,7 @@
       } else {
         replyBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00080000;
+      bitField0_ |= 0x00100000;
       onChanged();
       return this;
     }
@@ -26641,7 +26724,7 @@
       } else {
         replyBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00080000;
+      bitField0_ |= 0x00100000;
       onChanged();
       return this;
     }
@@ -26650,7 +26733,7 @@
      */
     public Builder mergeReply(org.aspenmoor.internal.wire.v1.PeerLoad.Reply value) {
       if (replyBuilder_ == null) {
-        if (((bitField0_ & 0x00080000) != 0) &&
+        if (((bitField0_ & 0x00100000) != 0) &&
           reply_ != null &&
           reply_ != org.aspenmoor.internal.wire.v1.PeerLoad.Reply.getDefaultInstance()) {
           getReplyBuilder().mergeFrom(value);
@@ -26661,7 +26744,7 @@
         replyBuilder_.mergeFrom(value);
       }
       if (reply_ != null) {
-        bitField0_ |= 0x00080000;
+        bitField0_ |= 0x00100000;
         onChanged();
       }
       return this;
@@ -26670,7 +26753,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
     public Builder clearReply() {
-      bitField0_ = (bitField0_ & ~0x00080000);
+      bitField0_ = (bitField0_ & ~0x00100000);
       reply_ = null;
       if (replyBuilder_ != null) {
         replyBuilder_.dispose();
@@ -26683,7 +26766,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.Reply reply = 20;</code>
      */
     public org.aspenmoor.internal.wire.v1.PeerLoad.Reply.Builder getReplyBuilder() {
-      bitField0_ |= 0x00080000;
+      bitField0_ |= 0x00100000;
       onChanged();
       return internalGetReplyFieldBuilder().getBuilder();
     }
@@ -26718,9 +26801,9 @@
     private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed> serverSpeeds_ =
       java.util.Collections.emptyList();
     private void ensureServerSpeedsIsMutable() {
-      if (!((bitField0_ & 0x00100000) != 0)) {
+      if (!((bitField0_ & 0x00200000) != 0)) {
         serverSpeeds_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed>(serverSpeeds_);
-        bitField0_ |= 0x00100000;
+        bitField0_ |= 0x00200000;
        }
     }
 
@@ -26864,7 +26947,7 @@
     public Builder clearServerSpeeds() {
       if (serverSpeedsBuilder_ == null) {
         serverSpeeds_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00100000);
+        bitField0_ = (bitField0_ & ~0x00200000);
         onChanged();
       } else {
         serverSpeedsBuilder_.clear();
@@ -26941,7 +27024,7 @@
         serverSpeedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeed.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServerSpeedOrBuilder>(
                 serverSpeeds_,
-                ((bitField0_ & 0x00100000) != 0),
+                ((bitField0_ & 0x00200000) != 0),
                 getParentForChildren(),
                 isClean());
         serverSpeeds_ = null;
@@ -26952,9 +27035,9 @@
     private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand> serviceDemands_ =
       java.util.Collections.emptyList();
     private void ensureServiceDemandsIsMutable() {
-      if (!((bitField0_ & 0x00200000) != 0)) {
+      if (!((bitField0_ & 0x00400000) != 0)) {
         serviceDemands_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand>(serviceDemands_);
-        bitField0_ |= 0x00200000;
+        bitField0_ |= 0x00400000;
        }
     }
 
@@ -27098,7 +27181,7 @@
     public Builder clearServiceDemands() {
       if (serviceDemandsBuilder_ == null) {
         serviceDemands_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00200000);
+        bitField0_ = (bitField0_ & ~0x00400000);
         onChanged();
       } else {
         serviceDemandsBuilder_.clear();
@@ -27175,7 +27258,7 @@
         serviceDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemand.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ServiceDemandOrBuilder>(
                 serviceDemands_,
-                ((bitField0_ & 0x00200000) != 0),
+                ((bitField0_ & 0x00400000) != 0),
                 getParentForChildren(),
                 isClean());
         serviceDemands_ = null;
@@ -27186,9 +27269,9 @@
     private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.Observation> observations_ =
       java.util.Collections.emptyList();
     private void ensureObservationsIsMutable() {
-      if (!((bitField0_ & 0x00400000) != 0)) {
+      if (!((bitField0_ & 0x00800000) != 0)) {
         observations_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.Observation>(observations_);
-        bitField0_ |= 0x00400000;
+        bitField0_ |= 0x00800000;
        }
     }
 
@@ -27332,7 +27415,7 @@
     public Builder clearObservations() {
       if (observationsBuilder_ == null) {
         observations_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00400000);
+        bitField0_ = (bitField0_ & ~0x00800000);
         onChanged();
       } else {
         observationsBuilder_.clear();
@@ -27409,7 +27492,7 @@
         observationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.aspenmoor.internal.wire.v1.PeerLoad.Observation, org.aspenmoor.internal.wire.v1.PeerLoad.Observation.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.ObservationOrBuilder>(
                 observations_,
-                ((bitField0_ & 0x00400000) != 0),
+                ((bitField0_ & 0x00800000) != 0),
                 getParentForChildren(),
                 isClean());
         observations_ = null;
@@ -27425,7 +27508,7 @@
      * @return Whether the loadChanges field is set.
      */
     public boolean hasLoadChanges() {
-      return ((bitField0_ & 0x00800000) != 0);
+      return ((bitField0_ & 0x01000000) != 0);
     }
     /**
      * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
@@ -27448,7 +27531,7 @@
       } else {
         loadChangesBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00800000;
+      bitField0_ |= 0x01000000;
       onChanged();
       return this;
     }
@@ -27462,7 +27545,7 @@
       } else {
         loadChangesBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00800000;
+      bitField0_ |= 0x01000000;
       onChanged();
       return this;
     }
@@ -27471,7 +27554,7 @@
      */
     public Builder mergeLoadChanges(org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges value) {
       if (loadChangesBuilder_ == null) {
-        if (((bitField0_ & 0x00800000) != 0) &&
+        if (((bitField0_ & 0x01000000) != 0) &&
           loadChanges_ != null &&
           loadChanges_ != org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.getDefaultInstance()) {
           getLoadChangesBuilder().mergeFrom(value);
@@ -27482,7 +27565,7 @@
         loadChangesBuilder_.mergeFrom(value);
       }
       if (loadChanges_ != null) {
-        bitField0_ |= 0x00800000;
+        bitField0_ |= 0x01000000;
         onChanged();
       }
       return this;
@@ -27491,7 +27574,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
      */
     public Builder clearLoadChanges() {
-      bitField0_ = (bitField0_ & ~0x00800000);
+      bitField0_ = (bitField0_ & ~0x01000000);
       loadChanges_ = null;
       if (loadChangesBuilder_ != null) {
         loadChangesBuilder_.dispose();
@@ -27504,7 +27587,7 @@
      * <code>.aspenmoor.wire.v1.PeerLoad.LoadChanges load_changes = 24;</code>
      */
     public org.aspenmoor.internal.wire.v1.PeerLoad.LoadChanges.Builder getLoadChangesBuilder() {
-      bitField0_ |= 0x00800000;
+      bitField0_ |= 0x01000000;
       onChanged();
       return internalGetLoadChangesFieldBuilder().getBuilder();
     }
@@ -27539,9 +27622,9 @@
     private java.util.List<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays> startDelays_ =
       java.util.Collections.emptyList();
     private void ensureStartDelaysIsMutable() {
-      if (!((bitField0_ & 0x01000000) != 0)) {
+      if (!((bitField0_ & 0x02000000) != 0)) {
         startDelays_ = new java.util.ArrayList<org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays>(startDelays_);
-        bitField0_ |= 0x01000000;
+        bitField0_ |= 0x02000000;
        }
     }
 
@@ -27685,7 +27768,7 @@
     public Builder clearStartDelays() {
       if (startDelaysBuilder_ == null) {
         startDelays_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x01000000);
+        bitField0_ = (bitField0_ & ~0x02000000);
         onChanged();
       } else {
         startDelaysBuilder_.clear();
@@ -27762,7 +27845,7 @@
         startDelaysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelays.Builder, org.aspenmoor.internal.wire.v1.PeerLoad.StartDelaysOrBuilder>(
                 startDelays_,
-                ((bitField0_ & 0x01000000) != 0),
+                ((bitField0_ & 0x02000000) != 0),
                 getParentForChildren(),
                 isClean());
         startDelays_ = null;
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoadOrBuilder.java
@@ -385,6 +385,16 @@
   org.aspenmoor.internal.wire.v1.PeerLoad.StreamOrBuilder getStreamsOrBuilder(
       int index);
 
+  /**
+   * <pre>
+   * The receiver is to write the streams to the store.
+   * </pre>
+   *
+   * <code>bool record_streams = 26;</code>
+   * @return The recordStreams.
+   */
+  boolean getRecordStreams();
+
   /**
    * <code>.aspenmoor.wire.v1.PeerLoad.Question question = 19;</code>
    * @return Whether the question field is set.
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/Peers.java
@@ -155,7 +155,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\215\035\n\010Pee" +
+      "\n\013peers.proto\022\021aspenmoor.wire.v1\"\245\035\n\010Pee" +
       "rLoad\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010s" +
       "equence\030\003 \001(\004\0221\n\006shares\030\004 \003(\0132!.aspenmoo" +
       "r.wire.v1.PeerLoad.Share\0223\n\007prompts\030\006 \003(" +
@@ -174,83 +174,83 @@
       "g\030\020 \003(\0132$.aspenmoor.wire.v1.PeerLoad.Dra" +
       "ining\0225\n\010versions\030\021 \003(\0132#.aspenmoor.wire" +
       ".v1.PeerLoad.Version\0223\n\007streams\030\022 \003(\0132\"." +
-      "aspenmoor.wire.v1.PeerLoad.Stream\0226\n\010que" +
-      "stion\030\023 \001(\0132$.aspenmoor.wire.v1.PeerLoad" +
-      ".Question\0220\n\005reply\030\024 \001(\0132!.aspenmoor.wir" +
-      "e.v1.PeerLoad.Reply\022>\n\rserver_speeds\030\025 \003" +
-      "(\0132\'.aspenmoor.wire.v1.PeerLoad.ServerSp" +
-      "eed\022B\n\017service_demands\030\026 \003(\0132).aspenmoor" +
-      ".wire.v1.PeerLoad.ServiceDemand\022=\n\014obser" +
-      "vations\030\027 \003(\0132\'.aspenmoor.wire.v1.PeerLo" +
-      "ad.Observation\022=\n\014load_changes\030\030 \001(\0132\'.a" +
-      "spenmoor.wire.v1.PeerLoad.LoadChanges\022=\n" +
-      "\014start_delays\030\031 \003(\0132\'.aspenmoor.wire.v1." +
-      "PeerLoad.StartDelays\032\212\001\n\005Share\022\016\n\006server" +
-      "\030\001 \001(\t\022\037\n\027unanswered_microseconds\030\002 \001(\r\022" +
-      "\020\n\010requests\030\003 \001(\r\022\023\n\013pace_events\030\004 \001(\002\022\024" +
-      "\n\014pace_seconds\030\005 \001(\002\022\023\n\013held_tokens\030\006 \001(" +
-      "\004\0327\n\006Prompt\022\016\n\006server\030\001 \001(\t\022\r\n\005parts\030\002 \003" +
-      "(\t\022\016\n\006tokens\030\003 \003(\r\032M\n\005Speed\022\017\n\007service\030\001" +
-      " \001(\t\022\014\n\004role\030\002 \001(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfi" +
-      "xed_seconds\030\004 \001(\002\032&\n\006Change\022\016\n\006server\030\001 " +
-      "\001(\t\022\014\n\004role\030\002 \001(\r\032.\n\013EventLength\022\017\n\007serv" +
-      "ice\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\002\032e\n\003End\022\017\n\007requ" +
-      "est\030\001 \001(\014\022\016\n\006server\030\002 \001(\t\022\022\n\nstarted_at\030" +
-      "\003 \001(\006\022\030\n\020age_milliseconds\030\004 \001(\r\022\017\n\007excus" +
-      "ed\030\005 \001(\010\032o\n\004Duty\022\020\n\010eligible\030\001 \001(\010\022\026\n\016co" +
-      "llects_usage\030\002 \001(\010\022\034\n\024settled_usage_wind" +
-      "ow\030\003 \001(\022\022\037\n\027wall_clock_milliseconds\030\004 \001(" +
-      "\006\032\263\001\n\005Usage\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(" +
-      "\006\0229\n\007windows\030\003 \003(\0132(.aspenmoor.wire.v1.P" +
-      "eerLoad.Usage.Window\032Q\n\006Window\022\016\n\006number" +
-      "\030\001 \001(\022\022\020\n\010complete\030\002 \001(\010\022\025\n\rorganisation" +
-      "s\030\003 \003(\t\022\016\n\006counts\030\004 \003(\004\032`\n\010SlotLoan\022\014\n\004s" +
-      "lot\030\001 \001(\r\022\020\n\010borrower\030\002 \001(\t\022\025\n\rclaim_sen" +
-      "t_at\030\003 \001(\020\022\035\n\025duration_milliseconds\030\004 \001(" +
-      "\r\032\367\001\n\005Limit\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_a" +
-      "t\030\002 \001(\006\022 \n\023requests_per_second\030\003 \001(\001H\000\210\001" +
-      "\001\022\030\n\020age_milliseconds\030\004 \001(\r\022\016\n\006demand\030\005 " +
-      "\001(\002\022\024\n\014demand_class\030\006 \001(\021\022\025\n\rclaim_sent_" +
-      "at\030\010 \001(\020\0223\n\005loans\030\t \003(\0132$.aspenmoor.wire" +
-      ".v1.PeerLoad.SlotLoanB\026\n\024_requests_per_s" +
-      "econdJ\004\010\007\020\010\032.\n\010Draining\022\016\n\006server\030\001 \001(\t\022" +
-      "\022\n\nstarted_at\030\002 \001(\006\032E\n\007Version\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\030\n\020age_millisec" +
-      "onds\030\003 \001(\r\0327\n\006Stream\022\013\n\003key\030\001 \001(\014\022\017\n\007ser" +
-      "vice\030\002 \001(\t\022\017\n\007version\030\003 \001(\t\032G\n\010Question\022" +
-      "\r\n\005entry\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022\013\n\003key\030\003 " +
-      "\001(\014\022\017\n\007service\030\004 \001(\t\032\272\001\n\005Reply\022\r\n\005entry\030" +
-      "\001 \001(\t\022\016\n\006number\030\002 \001(\004\0222\n\006stream\030\003 \001(\0132\"." +
-      "aspenmoor.wire.v1.PeerLoad.Stream\022\025\n\rcon" +
-      "tradictory\030\004 \001(\010\0225\n\010versions\030\005 \003(\0132#.asp" +
-      "enmoor.wire.v1.PeerLoad.Version\022\020\n\010infor" +
-      "med\030\006 \001(\010\032\225\002\n\013ServerSpeed\022\016\n\006server\030\001 \001(" +
-      "\t\022\022\n\nstarted_at\030\002 \001(\006\022\032\n\rstated_factor\030\003" +
-      " \001(\002H\000\210\001\001\022\037\n\027stated_age_milliseconds\030\004 \001" +
-      "(\r\022\033\n\016learned_factor\030\005 \001(\002H\001\210\001\001\022\027\n\017learn" +
-      "ed_answers\030\006 \001(\002\022\033\n\016lasting_factor\030\007 \001(\002" +
-      "H\002\210\001\001\022\032\n\022lasting_statements\030\010 \001(\rB\020\n\016_st" +
-      "ated_factorB\021\n\017_learned_factorB\021\n\017_lasti" +
-      "ng_factor\032\376\001\n\rServiceDemand\022\017\n\007service\030\001" +
-      " \001(\t\022M\n\rorganisations\030\002 \003(\01326.aspenmoor." +
-      "wire.v1.PeerLoad.ServiceDemand.Organisat" +
-      "ion\022\034\n\024completed_per_second\030\003 \001(\002\022\036\n\026tur" +
-      "ned_away_per_second\030\004 \001(\002\032O\n\014Organisatio" +
-      "n\022\024\n\014organisation\030\001 \001(\006\022\020\n\010priority\030\002 \001(" +
-      "\r\022\027\n\017work_per_second\030\003 \001(\002\032_\n\013Observatio" +
-      "n\022\022\n\ncollection\030\001 \001(\r\022\022\n\ngeneration\030\002 \001(" +
-      "\003\022\016\n\006digest\030\003 \001(\006\022\030\n\020age_milliseconds\030\004 " +
-      "\001(\r\032\313\001\n\013LoadChanges\022\r\n\005entry\030\001 \001(\t\022\r\n\005st" +
-      "art\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022?\n\007changes\030\004" +
-      " \003(\0132..aspenmoor.wire.v1.PeerLoad.LoadCh" +
-      "anges.Change\032K\n\006Change\022\016\n\006server\030\001 \001(\t\022\037" +
-      "\n\027unanswered_microseconds\030\002 \001(\021\022\020\n\010reque" +
-      "sts\030\003 \001(\021\032\224\001\n\013StartDelays\022\017\n\007service\030\001 \001" +
-      "(\t\022\014\n\004role\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\023\n\013wor" +
-      "k_weight\030\004 \001(\002\022\023\n\013work_factor\030\005 \001(\002\022\024\n\014f" +
-      "ixed_weight\030\006 \001(\002\022\025\n\rfixed_seconds\030\007 \001(\002" +
-      "B\"\n\036org.aspenmoor.internal.wire.v1P\001b\006pr" +
-      "oto3"
+      "aspenmoor.wire.v1.PeerLoad.Stream\022\026\n\016rec" +
+      "ord_streams\030\032 \001(\010\0226\n\010question\030\023 \001(\0132$.as" +
+      "penmoor.wire.v1.PeerLoad.Question\0220\n\005rep" +
+      "ly\030\024 \001(\0132!.aspenmoor.wire.v1.PeerLoad.Re" +
+      "ply\022>\n\rserver_speeds\030\025 \003(\0132\'.aspenmoor.w" +
+      "ire.v1.PeerLoad.ServerSpeed\022B\n\017service_d" +
+      "emands\030\026 \003(\0132).aspenmoor.wire.v1.PeerLoa" +
+      "d.ServiceDemand\022=\n\014observations\030\027 \003(\0132\'." +
+      "aspenmoor.wire.v1.PeerLoad.Observation\022=" +
+      "\n\014load_changes\030\030 \001(\0132\'.aspenmoor.wire.v1" +
+      ".PeerLoad.LoadChanges\022=\n\014start_delays\030\031 " +
+      "\003(\0132\'.aspenmoor.wire.v1.PeerLoad.StartDe" +
+      "lays\032\212\001\n\005Share\022\016\n\006server\030\001 \001(\t\022\037\n\027unansw" +
+      "ered_microseconds\030\002 \001(\r\022\020\n\010requests\030\003 \001(" +
+      "\r\022\023\n\013pace_events\030\004 \001(\002\022\024\n\014pace_seconds\030\005" +
+      " \001(\002\022\023\n\013held_tokens\030\006 \001(\004\0327\n\006Prompt\022\016\n\006s" +
+      "erver\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\016\n\006tokens\030\003 \003" +
+      "(\r\032M\n\005Speed\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001" +
+      "(\r\022\016\n\006factor\030\003 \001(\002\022\025\n\rfixed_seconds\030\004 \001(" +
+      "\002\032&\n\006Change\022\016\n\006server\030\001 \001(\t\022\014\n\004role\030\002 \001(" +
+      "\r\032.\n\013EventLength\022\017\n\007service\030\001 \001(\t\022\016\n\006tok" +
+      "ens\030\002 \001(\002\032e\n\003End\022\017\n\007request\030\001 \001(\014\022\016\n\006ser" +
+      "ver\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\006\022\030\n\020age_mil" +
+      "liseconds\030\004 \001(\r\022\017\n\007excused\030\005 \001(\010\032o\n\004Duty" +
+      "\022\020\n\010eligible\030\001 \001(\010\022\026\n\016collects_usage\030\002 \001" +
+      "(\010\022\034\n\024settled_usage_window\030\003 \001(\022\022\037\n\027wall" +
+      "_clock_milliseconds\030\004 \001(\006\032\263\001\n\005Usage\022\r\n\005e" +
+      "ntry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\0229\n\007windows\030\003 \003" +
+      "(\0132(.aspenmoor.wire.v1.PeerLoad.Usage.Wi" +
+      "ndow\032Q\n\006Window\022\016\n\006number\030\001 \001(\022\022\020\n\010comple" +
+      "te\030\002 \001(\010\022\025\n\rorganisations\030\003 \003(\t\022\016\n\006count" +
+      "s\030\004 \003(\004\032`\n\010SlotLoan\022\014\n\004slot\030\001 \001(\r\022\020\n\010bor" +
+      "rower\030\002 \001(\t\022\025\n\rclaim_sent_at\030\003 \001(\020\022\035\n\025du" +
+      "ration_milliseconds\030\004 \001(\r\032\367\001\n\005Limit\022\016\n\006s" +
+      "erver\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\006\022 \n\023reque" +
+      "sts_per_second\030\003 \001(\001H\000\210\001\001\022\030\n\020age_millise" +
+      "conds\030\004 \001(\r\022\016\n\006demand\030\005 \001(\002\022\024\n\014demand_cl" +
+      "ass\030\006 \001(\021\022\025\n\rclaim_sent_at\030\010 \001(\020\0223\n\005loan" +
+      "s\030\t \003(\0132$.aspenmoor.wire.v1.PeerLoad.Slo" +
+      "tLoanB\026\n\024_requests_per_secondJ\004\010\007\020\010\032.\n\010D" +
+      "raining\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030\002 " +
+      "\001(\006\032E\n\007Version\022\017\n\007service\030\001 \001(\t\022\017\n\007versi" +
+      "on\030\002 \001(\t\022\030\n\020age_milliseconds\030\003 \001(\r\0327\n\006St" +
+      "ream\022\013\n\003key\030\001 \001(\014\022\017\n\007service\030\002 \001(\t\022\017\n\007ve" +
+      "rsion\030\003 \001(\t\032G\n\010Question\022\r\n\005entry\030\001 \001(\t\022\016" +
+      "\n\006number\030\002 \001(\004\022\013\n\003key\030\003 \001(\014\022\017\n\007service\030\004" +
+      " \001(\t\032\272\001\n\005Reply\022\r\n\005entry\030\001 \001(\t\022\016\n\006number\030" +
+      "\002 \001(\004\0222\n\006stream\030\003 \001(\0132\".aspenmoor.wire.v" +
+      "1.PeerLoad.Stream\022\025\n\rcontradictory\030\004 \001(\010" +
+      "\0225\n\010versions\030\005 \003(\0132#.aspenmoor.wire.v1.P" +
+      "eerLoad.Version\022\020\n\010informed\030\006 \001(\010\032\225\002\n\013Se" +
+      "rverSpeed\022\016\n\006server\030\001 \001(\t\022\022\n\nstarted_at\030" +
+      "\002 \001(\006\022\032\n\rstated_factor\030\003 \001(\002H\000\210\001\001\022\037\n\027sta" +
+      "ted_age_milliseconds\030\004 \001(\r\022\033\n\016learned_fa" +
+      "ctor\030\005 \001(\002H\001\210\001\001\022\027\n\017learned_answers\030\006 \001(\002" +
+      "\022\033\n\016lasting_factor\030\007 \001(\002H\002\210\001\001\022\032\n\022lasting" +
+      "_statements\030\010 \001(\rB\020\n\016_stated_factorB\021\n\017_" +
+      "learned_factorB\021\n\017_lasting_factor\032\376\001\n\rSe" +
+      "rviceDemand\022\017\n\007service\030\001 \001(\t\022M\n\rorganisa" +
+      "tions\030\002 \003(\01326.aspenmoor.wire.v1.PeerLoad" +
+      ".ServiceDemand.Organisation\022\034\n\024completed" +
+      "_per_second\030\003 \001(\002\022\036\n\026turned_away_per_sec" +
+      "ond\030\004 \001(\002\032O\n\014Organisation\022\024\n\014organisatio" +
+      "n\030\001 \001(\006\022\020\n\010priority\030\002 \001(\r\022\027\n\017work_per_se" +
+      "cond\030\003 \001(\002\032_\n\013Observation\022\022\n\ncollection\030" +
+      "\001 \001(\r\022\022\n\ngeneration\030\002 \001(\003\022\016\n\006digest\030\003 \001(" +
+      "\006\022\030\n\020age_milliseconds\030\004 \001(\r\032\313\001\n\013LoadChan" +
+      "ges\022\r\n\005entry\030\001 \001(\t\022\r\n\005start\030\002 \001(\006\022\020\n\010seq" +
+      "uence\030\003 \001(\004\022?\n\007changes\030\004 \003(\0132..aspenmoor" +
+      ".wire.v1.PeerLoad.LoadChanges.Change\032K\n\006" +
+      "Change\022\016\n\006server\030\001 \001(\t\022\037\n\027unanswered_mic" +
+      "roseconds\030\002 \001(\021\022\020\n\010requests\030\003 \001(\021\032\224\001\n\013St" +
+      "artDelays\022\017\n\007service\030\001 \001(\t\022\014\n\004role\030\002 \001(\r" +
+      "\022\017\n\007answers\030\003 \001(\r\022\023\n\013work_weight\030\004 \001(\002\022\023" +
+      "\n\013work_factor\030\005 \001(\002\022\024\n\014fixed_weight\030\006 \001(" +
+      "\002\022\025\n\rfixed_seconds\030\007 \001(\002B\"\n\036org.aspenmoo" +
+      "r.internal.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -261,7 +261,7 @@
     internal_static_aspenmoor_wire_v1_PeerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_aspenmoor_wire_v1_PeerLoad_descriptor,
-        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "Question", "Reply", "ServerSpeeds", "ServiceDemands", "Observations", "LoadChanges", "StartDelays", });
+        new java.lang.String[] { "Entry", "Start", "Sequence", "Shares", "Prompts", "Leaving", "Speeds", "Changes", "Lengths", "Ends", "Duty", "Usage", "StoreUnreachable", "OrderFencingNumber", "Limits", "Draining", "Versions", "Streams", "RecordStreams", "Question", "Reply", "ServerSpeeds", "ServiceDemands", "Observations", "LoadChanges", "StartDelays", });
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_descriptor =
       internal_static_aspenmoor_wire_v1_PeerLoad_descriptor.getNestedType(0);
     internal_static_aspenmoor_wire_v1_PeerLoad_Share_fieldAccessorTable = new
