Count statements of versions also where the store was away for longer than registrations are valid

What callers would see: after minutes without the store in which two versions served, and a loss of all entries, streams of a version that has left go on at the other one.

Cause: statements older than the lease of a registration were ignored, but entries that cannot reach the store serve on and cannot renew theirs. Found on reading the code.

Change: an entry that has not seen the servers for the whole window counts statements of up to an hour; one that has drops those that are not renewed, so that an entry which was removed for good costs nothing for long.

Evidence: OriginStatementTest.should_refuse_when_another_version_was_stated_before_a_long_outage_of_the_store fails without it by the filter (age below window and lease only); ResumeSimulationTest passes.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -140,7 +140,7 @@
         Set<StreamOrigin> known = sightings.stream()
                 .map(sighting -> new StreamOrigin(service, sighting.version()))
                 .collect(Collectors.toSet());
-        for (StreamOrigin origin : stated.all()) {
+        for (StreamOrigin origin : stated.all(observedThroughout(now))) {
             if (origin.service().equals(service) && !known.contains(origin)) {
                 sightings.add(new VersionSighting(service, origin.version(), Duration.ZERO));
             }
@@ -160,7 +160,7 @@
 
     private Set<String> servicesWithSeveral() {
         Set<String> services = new TreeSet<>(heard.services());
-        stated.all().forEach(origin -> services.add(origin.service()));
+        stated.all(observedThroughout(lastObservedAt)).forEach(origin -> services.add(origin.service()));
         services.removeIf(service -> !several(service));
         return services;
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
@@ -14,9 +14,13 @@
  * versions have served, although the servers of some of them may have left.
  */
 final class StatedOrigins {
+    /** Longer than outages of the store, in which entries go on and cannot renew their registrations. */
+    private static final Duration RETENTION = Duration.ofHours(1);
+
     private final String ownEntry;
     private Optional<Long> requestedAt = Optional.empty();
-    private Set<StreamOrigin> listed = Set.of();
+    private Set<StreamOrigin> retained = Set.of();
+    private Set<StreamOrigin> renewed = Set.of();
     private Set<StreamOrigin> ofEarlierProcess = Set.of();
     private Set<StreamOrigin> byThisEntry = Set.of();
 
@@ -37,9 +41,13 @@
             ofEarlierProcess = byThisEntry;
         }
         requestedAt = Optional.of(listing.requestedAt());
-        // A live entry renews its registration within the lease, so nobody takes up a stream of an older one.
-        listed = statements.values().stream()
-                .filter(statement -> statement.age().compareTo(window.plus(KnownEntries.LEASE)) < 0)
+        retained = origins(statements, RETENTION);
+        renewed = origins(statements, window.plus(KnownEntries.LEASE));
+    }
+
+    private static Set<StreamOrigin> origins(Map<String, OriginStatement> statements, Duration maxAge) {
+        return statements.values().stream()
+                .filter(statement -> statement.age().compareTo(maxAge) < 0)
                 .flatMap(statement -> statement.origins().stream())
                 .collect(Collectors.toSet());
     }
@@ -69,9 +77,14 @@
         return byThisEntry;
     }
 
-    /** Returns the origins that streams may have which callers still take up. */
-    Set<StreamOrigin> all() {
-        Set<StreamOrigin> origins = new HashSet<>(listed);
+    /**
+     * Returns the origins that streams may have which callers still take up.
+     *
+     * @param observed whether this entry has seen the servers without a gap for as long as that; then registrations that
+     *     are no longer renewed are those of entries that have gone
+     */
+    Set<StreamOrigin> all(boolean observed) {
+        Set<StreamOrigin> origins = new HashSet<>(observed ? renewed : retained);
         origins.addAll(byThisEntry);
         return origins;
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -100,6 +100,27 @@
         assertEquals(network.listingRequests(), 2);
     }
 
+    // Guards against entries that served on while the store was away, and whose statements have become old by that.
+    @Test
+    public void should_refuse_when_another_version_was_stated_before_a_long_outage_of_the_store() {
+        observe(true, NEW);
+        listedOf("a", Duration.ofMinutes(10), FROM_OLD);
+        resolve(STREAM);
+        replies(false);
+
+        assertRefused();
+    }
+
+    // Guards against streams that are refused for an hour because an entry was removed for good.
+    @Test
+    public void should_ignore_a_statement_that_is_not_renewed_when_the_servers_were_seen_for_long() {
+        observeFor(StreamOriginTracker.MIN_WINDOW, NEW);
+        listedOf("a", Duration.ofMinutes(10), FROM_OLD);
+        resolve(STREAM);
+
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_NEW, OriginBasis.ONLY_VERSION)));
+    }
+
     // Guards against an entry that overwrites what the process before it has stated, before it has read it.
     @Test
     public void should_state_nothing_until_the_statements_have_been_read() {
@@ -184,8 +205,12 @@
 
     /** Lets this entry read what it has stated itself. */
     private void listed(StreamOrigin... origins) {
-        OriginStatement statement = new OriginStatement(Set.of(origins), Duration.ZERO);
-        tracker.listed(new OriginListing(Map.of("own", statement), network.monotonicNanos()));
+        listedOf("own", Duration.ZERO, origins);
+    }
+
+    private void listedOf(String entry, Duration age, StreamOrigin... origins) {
+        OriginStatement statement = new OriginStatement(Set.of(origins), age);
+        tracker.listed(new OriginListing(Map.of(entry, statement), network.monotonicNanos()));
     }
 
     private void assertRefused() {
