Answer with the empty rest when a stream is taken up after its last event

What callers saw: a caller that had every event of its stream, but not the end, took the stream up with the id of its last event. The request ran at three engines and was answered 502, "the stream was empty", at each try; the second and third run draw on the retry budget of the service.

Cause: an attempt at a stream without any event counts as lost. That holds for a new stream, but the rest of a stream that is taken up after its last event has none, so an empty answer is the engine's whole answer.

Fix: an attempt knows what it has to get (ExpectedAnswer). If the caller states its last event on a route whose streams can be resumed, a signed success with a request id and a complete body without events is forwarded as it is: head, signature and a body of length 0. It is an answer only if its end is stated (a length or chunks). Without a length, the answer of an engine that crashes before its first event looks the same, so it stays a lost attempt, as do a broken connection, an end within an event, an empty new stream, and routes that cannot be resumed. Nothing is learned from an empty rest about the speed of engines or the length of answers, and no version is recorded for it, because no event was sent. The stream's version is still decided before the request is sent.

Within one answer nothing changes: a stream that an entry continues after its last event already ended as complete when the continuation was empty.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.backend.ExchangeListener;
@@ -32,7 +33,7 @@
     private final ServedRequest request;
     private final BackendServer server;
     private final AssignedWork work;
-    private final boolean streamed;
+    private final ExpectedAnswer expected;
     private final AnswerBuffers buffers;
     private final ByteBuf buffered = Unpooled.buffer();
     private final EventSplitter events = new EventSplitter();
@@ -45,11 +46,15 @@
     private boolean finished;
 
     AnswerAttempt(
-            ServedRequest request, BackendServer server, AssignedWork work, boolean streamed, AnswerBuffers buffers) {
+            ServedRequest request,
+            BackendServer server,
+            AssignedWork work,
+            ExpectedAnswer expected,
+            AnswerBuffers buffers) {
         this.request = request;
         this.server = server;
         this.work = work;
-        this.streamed = streamed;
+        this.expected = expected;
         this.buffers = buffers;
     }
 
@@ -88,6 +93,8 @@
         }
         if (isStream() && events.hasPartialEvent()) {
             endAttempt(new AttemptEnd.Lost(), "the stream ended in the middle of an event");
+        } else if (isEmptyRest()) {
+            request.answerComplete(work, head, takeBuffered());
         } else if (isStream()) {
             request.streamComplete(work, begun);
             release();
@@ -145,7 +152,20 @@
     }
 
     private boolean isStream() {
-        return streamed && succeeded() && metadata.signed();
+        return expected != ExpectedAnswer.BUFFERED && succeeded() && metadata.signed();
+    }
+
+    /**
+     * Returns whether the answer states that no event is left. Without a length it does not, because the answer of an
+     * engine that crashes before its first event looks the same.
+     */
+    private boolean isEmptyRest() {
+        boolean delimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        return isStream()
+                && expected == ExpectedAnswer.REST_OF_STREAM
+                && !begun
+                && delimited
+                && metadata.requestId().isPresent();
     }
 
     private boolean succeeded() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptSender.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.gateway.protocol.CallerHeaders;
+import org.aspenmoor.internal.gateway.protocol.Resumption;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.Placement;
@@ -79,7 +80,7 @@
         trace.sentTo(server);
         AssignedWork work = currentAttempt.begin(server, kind, promptSeconds);
         assignPrompt(server, now);
-        AnswerAttempt attempt = new AnswerAttempt(request, server, work, route.streamed(), context.buffers());
+        AnswerAttempt attempt = new AnswerAttempt(request, server, work, expectedAnswer(), context.buffers());
         request.attemptStarting(attempt);
         FullHttpRequest message = messages.answerRequest(server, cacheSource, cacheHolder, stream.lastEventId(), now);
         if (route.retryRule() == RetryRule.AT_MOST_ONCE || route.maxBackends() == 1) {
@@ -90,6 +91,16 @@
         currentAttempt.setExchange(work, context.connections().send(server, caller.requestId(), message, attempt));
     }
 
+    /** Returns what the next attempt has to get; only the rest of a stream that the caller takes up may be empty. */
+    private ExpectedAnswer expectedAnswer() {
+        if (!route.streamed()) {
+            return ExpectedAnswer.BUFFERED;
+        }
+        boolean takenUp = route.retryRule() == RetryRule.RESUMABLE
+                && caller.resumption().flatMap(Resumption::lastEventId).isPresent();
+        return takenUp && !stream.begun() ? ExpectedAnswer.REST_OF_STREAM : ExpectedAnswer.STREAM;
+    }
+
     private void assignPrompt(BackendServer server, long now) {
         caller.prompt()
                 .ifPresent(prompt ->
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -139,6 +139,30 @@
         }
     }
 
+    // Guards against the end of a stream that an engine of another version states, and against a stream whose version
+    // is
+    // forgotten because its caller has asked for its end.
+    @Test
+    public void should_ask_the_version_that_began_when_only_the_end_of_a_stream_is_missing() throws Exception {
+        farEngine("old-1", OLD, whole(OLD));
+        farEngine("old-2", OLD, whole(OLD));
+        ScriptedBackend other = engine("new-1", NEW, EngineRole.WHOLE, rejectsNewStreams(NEW));
+        gateway.publish();
+        try (TestGateway entry = gateway.startAnother("entry-2")) {
+            for (int stream = 0; stream < STREAMS; stream++) {
+                String id = "r" + stream;
+                String first = begin(id);
+                long runs = posts(other);
+
+                ReceivedRequest end = entry.call(resumed(id + "-end", id, EVENTS));
+
+                assertEquals(end.line() + end.body(), "HTTP/1.1 200 OK");
+                assertEquals(posts(other), runs);
+                assertOneVersion(first + takeUpTwice(entry, id));
+            }
+        }
+    }
+
     // Guards against streams that began while a single version served, when nobody had to remember it.
     @Test
     public void should_continue_at_the_version_that_began_when_another_version_appears_in_between() throws Exception {
@@ -324,7 +348,13 @@
     }
 
     private static boolean hasRequest(ScriptedBackend engine) {
-        return engine.received().stream().anyMatch(request -> request.line().startsWith("POST"));
+        return posts(engine) > 0;
+    }
+
+    private static long posts(ScriptedBackend engine) {
+        return engine.received().stream()
+                .filter(request -> request.line().startsWith("POST"))
+                .count();
     }
 
     private static Script whole(String version) {
