Move the server list out of ServingState

ServingState had 426 lines and five subjects. What the store's server list tells, how it is logged, and whether the list is current are now in RegisteredServers; ServingState keeps its methods and passes them on (383 lines). storeReached is called listCurrent there, which is what it states.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -22,7 +22,6 @@
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendDirectory;
 import org.aspenmoor.internal.serving.BackendServer;
-import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.GenerationTraits;
 import org.aspenmoor.internal.serving.PeerLoads;
 import org.aspenmoor.internal.serving.PlacementPolicy;
@@ -51,8 +50,8 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
-    private final BackendDirectory directory = new BackendDirectory();
     private final PlacementPolicy placementPolicy;
+    private final RegisteredServers registeredServers;
     private final PeerLoads peers;
     private final KnownEntries entries;
     private final ServerLimits limits;
@@ -63,8 +62,6 @@
     private final Map<String, RoleChange> orderedRoleChanges = new HashMap<>();
     private final RetryBudgets retryBudgets;
     private Optional<ServingConfiguration> configuration = Optional.empty();
-    private boolean serverListKnown;
-    private boolean storeReached;
     private long lastOrderFencingNumber;
     private boolean fatalRequestsLoaded;
     private long lastRequestAt;
@@ -92,6 +89,8 @@
         this.limits = new ServerLimits(entries, random);
         this.placementPolicy = new PlacementPolicy(placementSettings, peers, limits, random);
         this.shares = new OrganisationShares(new FairShareAdmission(random), log);
+        BackendDirectory directory = new BackendDirectory();
+        this.registeredServers = new RegisteredServers(directory, placementPolicy, this::cacheTokens, log);
         this.cacheListing = new CacheListing(directory, placementPolicy, this::cacheTokens, time, log);
         this.statements = new ServerStatements(
                 directory,
@@ -124,66 +123,35 @@
                 .with("keysOfSeveralOrganisations", newer.keys().sharedKeyCount())
                 .write();
         configuration = Optional.of(newer);
-        directory.servers().forEach(server -> placementPolicy.serverChanged(server, cacheTokens(server)));
+        registeredServers.servicesChanged();
         return true;
     }
 
     /** Applies the registration of a server. */
     public void serverRegistered(BackendServer registration) {
-        Optional<BackendServer> previous = directory.find(registration.id());
-        BackendServer server = directory.registrationChanged(registration);
-        if (server.state() != registration.state()) {
-            log.notable("server-not-believed")
-                    .with("server", registration.id())
-                    .with("told", registration.state().name())
-                    .with("reason", "this server process has already announced that it is leaving")
-                    .write();
-        }
-        placementPolicy.serverChanged(server, cacheTokens(server));
-        if (previous.isEmpty() || !previous.get().equals(server)) {
-            log.notable("server-known")
-                    .with("server", server.id())
-                    .with("service", server.service())
-                    .with("softwareVersion", server.softwareVersion().name())
-                    .with("address", server.host() + ":" + server.port())
-                    .with("dataCentre", server.dataCentre())
-                    .with("state", server.state().name())
-                    .with("role", server.role().name())
-                    .with("startedAt", server.startedAt())
-                    .write();
-        }
+        registeredServers.registered(registration);
     }
 
     /** Records that a registration is missing; returns true if the server was removed, false if it is only suspect. */
     public boolean registrationMissing(String id, long now) {
-        boolean removed = directory.registrationRemoved(id, now);
-        log.notable(removed ? "server-gone" : "server-doubtful")
-                .with("server", id)
-                .write();
-        if (removed) {
-            placementPolicy.serverRemoved(id);
-        }
-        return removed;
+        return registeredServers.registrationMissing(id, now);
     }
 
     /**
      * Records that the store was restored from an older copy, in which registrations of live servers may be missing.
      */
     public void storeRolledBack(long now) {
-        directory.storeRolledBack(now);
+        registeredServers.storeRolledBack(now);
     }
 
     /** Records that the server list may miss changes from now on. */
     public void serverListInterrupted(long now) {
-        directory.watchInterrupted(now);
-        storeReached = false;
+        registeredServers.listInterrupted(now);
     }
 
     /** Records that the server list is complete. */
     public void serverListSynchronised(long now) {
-        directory.watchSynchronised(now);
-        serverListKnown = true;
-        storeReached = true;
+        registeredServers.listSynchronised(now);
     }
 
     /** Records that the fatal requests listed in the store have been loaded. */
@@ -193,15 +161,7 @@
 
     /** Removes servers whose time limit for registering again has passed; returns their ids. */
     public Iterable<String> expireServers(long now) {
-        Iterable<String> removed = directory.expire(now);
-        for (String id : removed) {
-            placementPolicy.serverRemoved(id);
-            log.notable("server-gone")
-                    .with("server", id)
-                    .with("reason", "the server did not register again after a store outage")
-                    .write();
-        }
-        return removed;
+        return registeredServers.expire(now);
     }
 
     /** Records that an engine has accepted an order of this entry to change its role. */
@@ -277,12 +237,12 @@
 
     /** Returns whether requests can be served. */
     public boolean ready() {
-        return configuration.isPresent() && serverListKnown && fatalRequestsLoaded;
+        return configuration.isPresent() && registeredServers.listKnown() && fatalRequestsLoaded;
     }
 
     /** Returns whether the watch of the server list works, so that calls to the store probably work too. */
     public boolean reachesStore() {
-        return storeReached;
+        return registeredServers.listCurrent();
     }
 
     /** Records that this entry has got the lease for orders to engines. */
@@ -292,7 +252,7 @@
 
     /** Returns what decides whether this entry gives orders to engines, given its name. */
     public OrderStanding orderStanding(String entryName) {
-        return new OrderStanding(entryName, storeReached, lastOrderFencingNumber);
+        return new OrderStanding(entryName, reachesStore(), lastOrderFencingNumber);
     }
 
     /** Returns what the other active entries state about duties, by entry name. */
@@ -312,7 +272,7 @@
 
     /** Returns the registered backend servers. */
     public Collection<BackendServer> servers() {
-        return directory.servers();
+        return registeredServers.all();
     }
 
     /** Returns the estimated state and load of each backend server. */
@@ -322,7 +282,7 @@
 
     /** Returns whether a server has announced that it is draining while its registration says otherwise. */
     public boolean drainsUnregistered(BackendServer server) {
-        return directory.drainsUnregistered(server);
+        return registeredServers.drainsUnregistered(server);
     }
 
     /**
@@ -330,7 +290,7 @@
      * reported to the other entries.
      */
     public List<ServerIncarnation> unregisteredDrains() {
-        return directory.unregisteredDrains();
+        return registeredServers.unregisteredDrains();
     }
 
     /** Returns the configuration in force. */
@@ -359,7 +319,7 @@
 
     private Set<String> modelServices() {
         Set<String> services = new TreeSet<>();
-        for (BackendServer server : directory.servers()) {
+        for (BackendServer server : registeredServers.all()) {
             if (cacheTokens(server) > 0) {
                 services.add(server.service());
             }
@@ -393,10 +353,7 @@
 
     /** Returns whether this incarnation of the server is registered as ready. */
     boolean acceptsWork(BackendServer server) {
-        return directory
-                .find(server.id())
-                .filter(known -> known.sameIncarnation(server) && known.state() == BackendState.READY)
-                .isPresent();
+        return registeredServers.acceptsWork(server);
     }
 
     TimeSource time() {
