--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -1,8 +1,6 @@
 package org.aspenmoor.internal.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -46,10 +44,7 @@
     private final LongRoundTask longRoundTask;
     private final SentBytesHandler sentBytes;
     private final PipelinedMessages pipelined;
-    private HttpRequest head;
-    private CompositeByteBuf body;
-    private int reservedBytes;
-    private long headReceivedAtNanos;
+    private final RequestBuffer requestBuffer;
     private long lastActivityNanos;
     private boolean receiving;
     private boolean serving;
@@ -71,6 +66,7 @@
         this.longRoundTask = longRoundTask;
         this.sentBytes = sentBytes;
         this.pipelined = new PipelinedMessages(service);
+        this.requestBuffer = new RequestBuffer(service);
         this.lastActivityNanos = time.monotonicNanos();
     }
 
@@ -96,7 +92,7 @@
         }
         ConnectionLimits limits = service.connectionLimits();
         long idleNanos = nowNanos - lastActivityNanos;
-        if (receiving && idleNanos > limits.headerTimeout().toNanos() && head == null) {
+        if (receiving && idleNanos > limits.headerTimeout().toNanos() && !requestBuffer.begun()) {
             refuse(
                     HttpResponseStatus.REQUEST_TIMEOUT,
                     "The request's head was not received within the header timeout.");
@@ -163,7 +159,7 @@
         closing = true;
         ActiveRequest abandonedRequest = activeRequest;
         activeRequest = null;
-        discardRequest();
+        requestBuffer.discard();
         pipelined.discard();
         if (abandonedRequest != null) {
             abandonedRequest.callerDisconnected();
@@ -249,7 +245,7 @@
             if (message instanceof HttpRequest request) {
                 handleHead(request);
             }
-            if (message instanceof HttpContent content && head != null) {
+            if (message instanceof HttpContent content && requestBuffer.begun()) {
                 handleContent(content);
             }
         } finally {
@@ -259,7 +255,6 @@
 
     private void handleHead(HttpRequest request) {
         lastActivityNanos = time.monotonicNanos();
-        headReceivedAtNanos = lastActivityNanos;
         receiving = true;
         if (request.decoderResult().isFailure()) {
             refuse(HttpResponseStatus.BAD_REQUEST, "The request is not valid HTTP.");
@@ -277,8 +272,7 @@
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "The request's body is too large.");
             return;
         }
-        head = request;
-        body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+        requestBuffer.begin(request, lastActivityNanos);
         keepAlive = HttpUtil.isKeepAlive(request);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -297,22 +291,21 @@
             return;
         }
         int byteCount = content.content().readableBytes();
-        if (body.readableBytes() + byteCount > service.connectionLimits().maxBodyBytes()) {
+        if (requestBuffer.bodyBytes() + byteCount > service.connectionLimits().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "The request's body is too large.");
             return;
         }
-        if (!service.reserveBodyBytes(byteCount)) {
+        if (!requestBuffer.reserve(byteCount)) {
             closeWith(LocalAnswers.notRun(
                     "the limit on request bodies held in memory has been reached", REFUSAL_RETRY_DELAY));
             return;
         }
         if (closing) {
             // Making room for the bytes has dropped this caller.
-            service.releaseBodyBytes(byteCount);
+            requestBuffer.discard();
             return;
         }
-        reservedBytes += byteCount;
-        body.addComponent(true, content.content().retain());
+        requestBuffer.add(content.content());
         if (content instanceof LastHttpContent) {
             scheduleServing();
         }
@@ -324,9 +317,7 @@
      * the close is read, a server would work on them although nobody waits for the answer.
      */
     private void scheduleServing() {
-        IncomingRequest request = new IncomingRequest(head, body, headReceivedAtNanos);
-        head = null;
-        body = null;
+        IncomingRequest request = requestBuffer.complete();
         receiving = false;
         serving = true;
         channel.eventLoop().execute(() -> serve(request));
@@ -335,8 +326,7 @@
     private void serve(IncomingRequest request) {
         longRoundTask.stepStarting();
         if (!channel.isActive()) {
-            service.releaseBodyBytes(reservedBytes);
-            reservedBytes = 0;
+            requestBuffer.releaseReserved();
             service.discard(request);
             return;
         }
@@ -349,8 +339,7 @@
     private void finish(ChannelFuture writeFuture, boolean keepOpen) {
         activeRequest = null;
         serving = false;
-        service.releaseBodyBytes(reservedBytes);
-        reservedBytes = 0;
+        requestBuffer.releaseReserved();
         lastActivityNanos = time.monotonicNanos();
         trackUnsent(writeFuture);
         if (!keepOpen) {
@@ -374,7 +363,7 @@
 
     /** Answers without serving the request, and closes the connection. */
     private void closeWith(FullHttpResponse answer) {
-        discardRequest();
+        requestBuffer.discard();
         closing = true;
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         ChannelFuture writeFuture = channel.writeAndFlush(answer);
@@ -403,16 +392,6 @@
         }
     }
 
-    private void discardRequest() {
-        head = null;
-        if (body != null) {
-            body.release();
-            body = null;
-        }
-        service.releaseBodyBytes(reservedBytes);
-        reservedBytes = 0;
-    }
-
     private void close() {
         closing = true;
         channel.close();
