Log unreadable statements of servers in one place

DrainLog, BackoffLog and LoadLog each kept which incarnations have been logged, and wrote the same line. UnreadableStatementLog does it for them; the events keep their names. LimitLog keeps its own, because a limit that holds is logged with it.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/BackoffLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/BackoffLog.java
@@ -7,10 +7,11 @@
 /** Logs the pauses that servers ask this entry for. */
 final class BackoffLog {
     private final DecisionLog log;
-    private final OncePerIncarnation unreadable = new OncePerIncarnation();
+    private final UnreadableStatementLog unreadableLog;
 
     BackoffLog(DecisionLog log) {
         this.log = log;
+        this.unreadableLog = new UnreadableStatementLog(log, "server-backoff-unreadable");
     }
 
     /** Logs that a pause begins. */
@@ -22,14 +23,8 @@
                 .write();
     }
 
-    /** Logs a statement that is not understood; once for each incarnation, since each of its answers may have it. */
+    /** Logs a statement that is not understood. */
     void unreadable(BackendServer server, BackoffStatement.Unreadable statement) {
-        if (!unreadable.first(server)) {
-            return;
-        }
-        log.notable("server-backoff-unreadable")
-                .with("server", server.id())
-                .with("stated", statement.text())
-                .write();
+        unreadableLog.write(server, statement.text());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/DrainLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/DrainLog.java
@@ -8,10 +8,11 @@
 /** Logs what becomes known of servers that announce in their answers that they are draining. */
 final class DrainLog {
     private final DecisionLog log;
-    private final OncePerIncarnation unreadable = new OncePerIncarnation();
+    private final UnreadableStatementLog unreadableLog;
 
     DrainLog(DecisionLog log) {
         this.log = log;
+        this.unreadableLog = new UnreadableStatementLog(log, "server-drain-unreadable");
     }
 
     /**
@@ -27,14 +28,8 @@
                 .write();
     }
 
-    /** Logs a statement that is not understood; once for each incarnation, since each of its answers may have it. */
+    /** Logs a statement that is not understood. */
     void unreadable(BackendServer server, DrainStatement.Unreadable statement) {
-        if (!unreadable.first(server)) {
-            return;
-        }
-        log.notable("server-drain-unreadable")
-                .with("server", server.id())
-                .with("stated", statement.text())
-                .write();
+        unreadableLog.write(server, statement.text());
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LoadLog.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/LoadLog.java
@@ -7,10 +7,11 @@
 final class LoadLog {
     private final DecisionLog log;
     private final OncePerIncarnation stating = new OncePerIncarnation();
-    private final OncePerIncarnation unreadable = new OncePerIncarnation();
+    private final UnreadableStatementLog unreadableLog;
 
     LoadLog(DecisionLog log) {
         this.log = log;
+        this.unreadableLog = new UnreadableStatementLog(log, "server-load-unreadable");
     }
 
     /** Logs the first slowdown that an incarnation states. */
@@ -25,14 +26,8 @@
                 .write();
     }
 
-    /** Logs a statement with a figure that is discarded; once for each incarnation, since each answer may have it. */
+    /** Logs a statement with a figure that is discarded. */
     void unreadable(BackendServer server, String text) {
-        if (!unreadable.first(server)) {
-            return;
-        }
-        log.notable("server-load-unreadable")
-                .with("server", server.id())
-                .with("stated", text)
-                .write();
+        unreadableLog.write(server, text);
     }
 }
