Read the outcome of a write in one place

OutcomeResolvingWriter judged an object that it had read in two methods, line for line. Both call readOutcome now. No change of behaviour.

--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/OutcomeResolvingWriter.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/OutcomeResolvingWriter.java
@@ -80,14 +80,8 @@
         StoreException cause = responseLost;
         for (int retry = 0; retry < MAX_RETRIES; retry++) {
             try {
-                Optional<StoredObject> current = store.read(key);
-                if (current.filter(isOwnWrite).isPresent()) {
-                    return new WriteOutcome.Applied(current.get());
-                }
-                if (!current.map(StoredObject::version).equals(condition)) {
-                    return new WriteOutcome.Superseded(current);
-                }
-                return new WriteOutcome.Applied(write.send());
+                Optional<WriteOutcome> outcome = readOutcome(key, condition, isOwnWrite);
+                return outcome.isPresent() ? outcome.get() : new WriteOutcome.Applied(write.send());
             } catch (StoreConflictException conflict) {
                 cause = conflict;
             } catch (StoreOutcomeUnknownException responseLostAgain) {
@@ -102,19 +96,25 @@
     private WriteOutcome readOnceMore(
             ObjectKey key, Optional<String> condition, Predicate<StoredObject> isOwnWrite, StoreException cause) {
         try {
-            Optional<StoredObject> current = store.read(key);
-            if (current.filter(isOwnWrite).isPresent()) {
-                return new WriteOutcome.Applied(current.get());
-            }
-            if (!current.map(StoredObject::version).equals(condition)) {
-                return new WriteOutcome.Superseded(current);
-            }
-            return new WriteOutcome.Unknown(cause);
+            return readOutcome(key, condition, isOwnWrite).orElseGet(() -> new WriteOutcome.Unknown(cause));
         } catch (StoreException unreadable) {
             return new WriteOutcome.Unknown(unreadable);
         }
     }
 
+    /** Reads the object and returns the outcome of the write; empty if the object is unchanged, which proves nothing. */
+    private Optional<WriteOutcome> readOutcome(
+            ObjectKey key, Optional<String> condition, Predicate<StoredObject> isOwnWrite) throws StoreException {
+        Optional<StoredObject> current = store.read(key);
+        if (current.filter(isOwnWrite).isPresent()) {
+            return Optional.of(new WriteOutcome.Applied(current.get()));
+        }
+        if (!current.map(StoredObject::version).equals(condition)) {
+            return Optional.of(new WriteOutcome.Superseded(current));
+        }
+        return Optional.empty();
+    }
+
     private static Predicate<StoredObject> sameValue(ObjectKey key, String value) throws StoreMalformedException {
         JsonNode expected = ObjectCodec.tree(key.toString(), value);
         return object -> {
