--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerExchange.java
@@ -93,6 +93,10 @@
 
     /** Sends the next report of this entry to all other entries. */
     public void sendReport(ReportSource source) {
+        if (channel == null) {
+            // The servers may be known before the port is open; until then no other entry is.
+            return;
+        }
         sequence++;
         byte[] datagram = PeerReportCodec.serialise(source.createReport(entry, startedAtMillis, sequence));
         for (InetSocketAddress peer : peers.values()) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -126,6 +127,26 @@
         assertEquals(PeerReportCodec.parse(PeerLoad.getDefaultInstance()), Optional.empty());
     }
 
+    // Guards against an entry that fails, and forgets what it was about to do, because it has seen two software versions
+    // before its port is open.
+    @Test
+    public void should_create_no_report_when_the_port_is_not_open_yet() {
+        PeerExchange exchange = new PeerExchange(
+                "entry-1",
+                new SystemTimeSource(),
+                group.next(),
+                log,
+                new QueueingListener(new LinkedBlockingQueue<>(), new LinkedBlockingQueue<>()));
+        List<Long> reported = new ArrayList<>();
+
+        exchange.sendReport((entry, incarnation, sequence) -> {
+            reported.add(sequence);
+            return fullReport(entry, incarnation, sequence);
+        });
+
+        assertEquals(reported, List.of());
+    }
+
     // An entry that has just started is not yet known to the others. It sends them a report, and they reply to its
     // sender address.
     @Test
