Wait for the stand-in to have received a call before counting the calls

HttpObjectStoreTest.should_throw_outcome_unknown_when_call_times_out failed once under load: the call times out after 200 ms, and the stand-in had not recorded it yet. The test waits for the first call now and still asks that there is only one.

--- a/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/HttpObjectStoreTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/HttpObjectStoreTest.java
@@ -149,6 +149,9 @@
         HttpObjectStore store = store(server.address(), TestObjects.shortCallTimeout());
 
         assertThrows(StoreOutcomeUnknownException.class, () -> store.create(TestObjects.PLAN, "{}"));
+        while (server.calls().isEmpty()) {
+            Thread.onSpinWait();
+        }
         assertEquals(server.calls().size(), 1);
     }
 
