A process that has just started does not use the whole retry budget again

Callers and engines saw: after all entries are killed at once, each service can get the retries of the window before and a full budget on top; with several kills within a window, one full budget for each (BUDGET). A new process counts no retries and takes that for none made. What the process before it made within the same window counts for the shared bound all the same. A reload with changed settings forgot the counts too. Why it works: running entries use 0.6 of the bound; a new process uses what that leaves, 0.4, in its first window. The slack does not depend on requests, so it becomes available with the time since the start, and a tenth at once, so that the first requests after a start can be retried. The parts of processes that follow each other then sum to about one window's slack. Price: an entry that is restarted alone has fewer retries in its first window.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RetryAllowance.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RetryAllowance.java
@@ -11,6 +11,11 @@
  * Each may make a number of retries that is a fraction of the requests it receives itself, plus an equal part of the
  * fixed slack. If the assumed number of entries is too high, fewer retries are made than allowed; if it is too low, the
  * fixed part is exceeded by at most that factor, for which {@link #SAFETY_FACTOR} leaves a margin.
+ *
+ * <p>A process that has just started does not know how many retries an earlier one has made within the same window. If
+ * it had the whole allowance, all entries together would exceed the bound after each restart of all. In its first
+ * window it therefore uses only the part that the earlier process left, and most of its slack becomes available over
+ * time, because processes may be restarted several times within a window.
  */
 public final class RetryAllowance {
     /**
@@ -19,13 +24,21 @@
      */
     static final double SAFETY_FACTOR = 0.6;
 
+    /** Fraction of the bound that is used in the first window after the start. */
+    static final double INITIAL_FACTOR = 1 - SAFETY_FACTOR;
+
+    /** Fraction of the slack that is available at the start, so that a failure of the first requests can be retried. */
+    private static final double SLACK_AT_START = 0.1;
+
     private static final double OPTIONAL_FRACTION = 0.5;
     private static final int BUCKETS = 10;
 
     private final TimeSource time;
     private final double ratio;
     private final double slack;
+    private final long windowNanoseconds;
     private final long bucketNanoseconds;
+    private final long startedAt;
     private final int[] requests = new int[BUCKETS];
     private final int[] retries = new int[BUCKETS];
     private long currentBucket;
@@ -37,12 +50,15 @@
      * @param ratio retries per request, over all entries
      * @param slack additional retries per window, over all entries
      * @param window how long requests and retries count
+     * @param startedAt since when retries are counted, in nanoseconds of the monotonic clock
      */
-    public RetryAllowance(TimeSource time, double ratio, double slack, Duration window) {
+    public RetryAllowance(TimeSource time, double ratio, double slack, Duration window, long startedAt) {
         this.time = time;
         this.ratio = ratio;
         this.slack = slack;
-        this.bucketNanoseconds = window.toNanos() / BUCKETS;
+        this.windowNanoseconds = window.toNanos();
+        this.bucketNanoseconds = windowNanoseconds / BUCKETS;
+        this.startedAt = startedAt;
         this.currentBucket = time.monotonicNanos() / bucketNanoseconds;
     }
 
@@ -73,14 +89,23 @@
 
     private boolean tryTake(int entries, double fraction) {
         advance();
-        double maxRetries = fraction * SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
-        if (sum(retries) + 1 > maxRetries) {
+        if (sum(retries) + 1 > fraction * maxRetries(slack / Math.max(1, entries))) {
             return false;
         }
         retries[index(currentBucket)]++;
         return true;
     }
 
+    private double maxRetries(double ownSlack) {
+        double perRequests = ratio * sum(requests);
+        long age = time.monotonicNanos() - startedAt;
+        if (age >= windowNanoseconds) {
+            return SAFETY_FACTOR * (perRequests + ownSlack);
+        }
+        double availableFraction = SLACK_AT_START + (1 - SLACK_AT_START) * age / windowNanoseconds;
+        return INITIAL_FACTOR * (perRequests + ownSlack * availableFraction);
+    }
+
     private void advance() {
         long now = time.monotonicNanos() / bucketNanoseconds;
         long steps = Math.min(BUCKETS, now - currentBucket);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryBudgets.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryBudgets.java
@@ -13,9 +13,10 @@
     private final IntSupplier entries;
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
     private RetrySettings settings;
+    private long countedSince;
 
     /**
-     * Creates full budgets.
+     * Creates the budgets of a process that has just started.
      *
      * @param entries returns how many entries share the budgets
      */
@@ -23,6 +24,7 @@
         this.time = time;
         this.settings = settings;
         this.entries = entries;
+        this.countedSince = time.monotonicNanos();
     }
 
     /** Applies changed settings. */
@@ -30,6 +32,7 @@
         if (!newSettings.equals(settings)) {
             settings = newSettings;
             allowances.clear();
+            countedSince = time.monotonicNanos();
         }
     }
 
@@ -55,6 +58,7 @@
 
     private RetryAllowance allowance(String service) {
         return allowances.computeIfAbsent(
-                service, name -> new RetryAllowance(time, settings.ratio(), settings.slack(), settings.window()));
+                service,
+                name -> new RetryAllowance(time, settings.ratio(), settings.slack(), settings.window(), countedSince));
     }
 }
