Retries count for nine to ten seconds of a window of ten: a failing test

Retries made at the end of one of ten buckets are granted again less than a window later, so a burst of retries can come twice within a sliding window. The test fails: expected [false] but found [true] (the retries of 0.999 s are granted again at 10.998 s). Tried and not taken: an eleventh bucket, for retries alone and for requests and retries.

--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RetryAllowanceTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RetryAllowanceTest.java
@@ -40,6 +40,18 @@
         assertTrue(allowance.tryTakeRetry(1));
     }
 
+    // Guards against retries that are granted twice within one window, at the end of one bucket and the start of
+    // another.
+    @Test(groups = "known-red")
+    public void should_count_a_retry_for_the_whole_window() {
+        RetryAllowance allowance = allowance(0, 10);
+        time.advance(Duration.ofMillis(999));
+        granted(allowance, 1);
+        time.advance(Duration.ofMillis(9999));
+
+        assertFalse(allowance.tryTakeRetry(1));
+    }
+
     // All engines of a service fail at once and every request would be retried. Eight entries, each with a different
     // fraction of the callers, must together stay below their shared bound in every window. Otherwise engines that
     // recover would be overloaded again.
