Entries that all start at once try a suspect of fatal requests in turns

Callers and engines saw: all entries are killed while a request, or a part of prompts, that ends engines is in quarantine. If its period ends about when they start, or before, the first arrival at each entry is sent, one engine each (BUDGET). Turns were ranked among the entries heard. Right after a common start nobody has heard another one, so each is the first of one. Turns were also counted from the end of the period, so those that passed while no entry ran had passed for all of them. Why it works: all registered entries have a turn, heard or not. Registrations outlive the processes and are read at the start; until then an entry waits for five seconds. Turns count from the later of the end of the period and the start of the entry. Price: a registered entry that is gone for good has a turn for up to three minutes, and an entry that was restarted waits for its turn again; by the turns a second for 2 to 3 entries, five for 32 to 63.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/entries/KnownEntries.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/entries/KnownEntries.java
@@ -94,6 +94,11 @@
         return Collections.unmodifiableSet(others.keySet());
     }
 
+    /** Returns the names of the other entries that count; empty until the registrations have been read. */
+    public Optional<Set<String>> othersIfListed() {
+        return listing.map(known -> others());
+    }
+
     /** Returns how many entries count, this one included. */
     public int count() {
         return others.size() + 1;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Quarantine.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/Quarantine.java
@@ -73,7 +73,7 @@
      * Creates an instance that knows no terminations.
      *
      * @param trialTurns when this entry may try a suspect after a quarantine period
-     * @param startedAtNanos since when answers are recorded, in nanoseconds of the monotonic clock
+     * @param startedAtNanos when this entry started, in nanoseconds of the monotonic clock
      */
     public Quarantine(TrialTurns trialTurns, long startedAtNanos) {
         this.trialTurns = trialTurns;
@@ -175,8 +175,11 @@
         if (terminations < MIN_TERMINATIONS) {
             return new QuarantineDecision.Suspected(terminations);
         }
-        long turnAt = suspect.lastCountedAt()
-                + quarantinePeriod(terminations).plus(trialTurns.delay(digest)).toNanos();
+        long periodEndsAt =
+                suspect.lastCountedAt() + quarantinePeriod(terminations).toNanos();
+        // If turns counted from a period that ended before the start of all entries, all would have their turn at once.
+        long turnAt = Math.max(periodEndsAt, startedAtNanos)
+                + trialTurns.delay(digest).toNanos();
         long remainingNanos = Math.max(turnAt, suspect.otherTrialEndsAt(requestId)) - nowNanos;
         return remainingNanos > 0
                 ? new QuarantineDecision.Quarantined(terminations, Duration.ofNanos(remainingNanos))
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TrialTurns.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/quarantine/TrialTurns.java
@@ -5,6 +5,6 @@
 /** Determines how long after a quarantine period this entry may try a suspect again. */
 @FunctionalInterface
 public interface TrialTurns {
-    /** Returns the time from the end of the quarantine period until this entry's turn. */
+    /** Returns the time from the end of the quarantine period, or the later start of this entry, until its turn. */
     Duration delay(SuspectDigest suspect);
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/PromptPartSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/PromptPartSimulation.java
@@ -5,9 +5,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Simulates a fleet in steps of ten milliseconds: entries with one quarantine each, few engines for answers that restart
@@ -304,18 +306,18 @@
         Entry(String name, int startedAt) {
             this.name = name;
             this.startedAt = startedAt;
-            this.quarantine =
-                    new Quarantine(new RankedTrialTurns(name, this::heard), TimeUnit.MILLISECONDS.toNanos(startedAt));
+            this.quarantine = new Quarantine(
+                    new RankedTrialTurns(name, () -> Optional.of(heard())), TimeUnit.MILLISECONDS.toNanos(startedAt));
             stored.values().forEach(known -> hear(known.agedUntil(nowMillis)));
         }
 
         /** An entry that has just started hears every second one of the others. */
-        private List<String> heard() {
+        private Set<String> heard() {
             boolean connected = nowMillis - startedAt >= PARTIALLY_CONNECTED_MILLIS;
             return entries.stream()
                     .map(entry -> entry.name)
                     .filter(other -> connected || Math.floorMod(other.hashCode() + name.hashCode(), 2) == 0)
-                    .toList();
+                    .collect(Collectors.toSet());
         }
 
         void hear(List<ServerTermination> reported) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/RankedTrialTurnsTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/quarantine/RankedTrialTurnsTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 
 import java.time.Duration;
-import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.testng.annotations.Test;
 
@@ -25,17 +27,18 @@
     }
 
     @Test
-    public void should_let_entry_try_at_once_when_it_hears_no_other() {
-        assertEquals(new RankedTrialTurns("alone", List::of).delay(SUSPECT), Duration.ZERO);
+    public void should_let_entry_try_at_once_when_no_other_is_registered() {
+        assertEquals(new RankedTrialTurns("alone", () -> Optional.of(Set.of())).delay(SUSPECT), Duration.ZERO);
     }
 
     private static long entriesWithDelay(int entryCount, Duration delay) {
-        List<String> names = IntStream.range(0, entryCount)
+        Set<String> names = IntStream.range(0, entryCount)
                 .mapToObj(number -> "entry-" + number)
-                .toList();
+                .collect(Collectors.toSet());
         return names.stream()
-                .filter(name ->
-                        new RankedTrialTurns(name, () -> names).delay(SUSPECT).equals(delay))
+                .filter(name -> new RankedTrialTurns(name, () -> Optional.of(names))
+                        .delay(SUSPECT)
+                        .equals(delay))
                 .count();
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -157,7 +157,7 @@
         this.cacheListQueries = new CacheListQueries(state.cacheListing(), connections, backendProtocol, log);
         this.waitQueues = new WaitQueues(time, eventLoop);
         this.fatalRequests =
-                new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::activeEntries));
+                new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::registeredEntries));
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
         this.peers = new PeerExchange(settings.process(), time, eventLoop, log, new PeerMessages());
         this.origins = createOriginTracker();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -270,6 +270,11 @@
         return peers.activeEntries();
     }
 
+    /** Returns the names of the other entries that are registered or heard; empty until the registrations are read. */
+    public Optional<Set<String>> registeredEntries() {
+        return entries.othersIfListed();
+    }
+
     /** Returns the registered backend servers. */
     public Collection<BackendServer> servers() {
         return registeredServers.all();
