Takeover delay of a duty lease counts from the answer of the first read

A read of a slow store takes up to a second. Cause: acquire() took the time of its request for the time at which it saw the record. The holder may renew the lease while that read is under way, and may act for its whole validity from then on. observe() took the later time. Why it works: the delay runs from the answer that first showed the record to the request of the read that shows it unchanged, so the record was unchanged for at least that long whenever the store handled either read.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/duty/DutyLease.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/duty/DutyLease.java
@@ -94,7 +94,9 @@
      * then, the duty of a terminated holder would be left undone for the takeover delay.
      */
     public void observe() throws StoreException {
-        mayAcquire(versionOf(store.read(key)), time.monotonicNanos());
+        Optional<StoredObject> record = store.read(key);
+        long now = time.monotonicNanos();
+        mayAcquire(versionOf(record), now, now);
     }
 
     /**
@@ -118,7 +120,7 @@
         Optional<StoredObject> record = store.read(key);
         long generation = store.generation();
         long fencingNumber = nextFencingNumber(record, generation);
-        if (!mayAcquire(versionOf(record), requestedAtNanos)) {
+        if (!mayAcquire(versionOf(record), requestedAtNanos, time.monotonicNanos())) {
             return Optional.empty();
         }
         String content = nextContent.apply(record.isPresent() ? contentOf(record.get()) : "");
@@ -175,17 +177,20 @@
         return record.map(StoredObject::version).orElse(MISSING_VERSION_PREFIX + store.generation());
     }
 
-    /** Returns whether the lease may be acquired; remembers when the record was first seen with this version. */
-    private boolean mayAcquire(String version, long nowNanos) {
+    /**
+     * Returns whether the lease may be acquired; remembers when the record was first seen with this version. The store
+     * may have handled a read at any time between its request and its answer.
+     */
+    private boolean mayAcquire(String version, long requestedAtNanos, long answeredAtNanos) {
         if (version.equals(ownVersion)) {
             return true;
         }
         if (!version.equals(seenVersion)) {
             seenVersion = version;
-            seenAtNanos = nowNanos;
+            seenAtNanos = answeredAtNanos;
             return false;
         }
-        return nowNanos - seenAtNanos >= takeoverDelay.toNanos();
+        return requestedAtNanos - seenAtNanos >= takeoverDelay.toNanos();
     }
 
     private String serialise(long fencingNumber, String content) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/duty/DutyLeaseTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/duty/DutyLeaseTest.java
@@ -98,6 +98,23 @@
         assertEquals(other.acquire(), Optional.of(2L));
     }
 
+    // Guards against orders of two holders that are too close, because the record changed while it was first read.
+    @Test
+    public void should_count_the_takeover_delay_from_the_answer_when_a_read_takes_long() throws StoreException {
+        Duration readDuration = Duration.ofMillis(900);
+        DutyLease first = grantedLease("one");
+        SlowReadStore slowStore = new SlowReadStore(store);
+        DutyLease other = new DutyLease(slowStore, KEY, "two", MIN_PAUSE_BETWEEN_HOLDERS, time);
+        slowStore.beforeNextRead(() -> {
+            time.advance(readDuration);
+            first.acquire();
+        });
+        assertEquals(other.acquire(), Optional.empty());
+        time.advance(TAKEOVER_DELAY.minus(readDuration));
+
+        assertEquals(other.acquire(), Optional.empty());
+    }
+
     // The holder's host is suspended just before an order, and its monotonic clock stops meanwhile. After it
     // resumes, another process may hold the lease; only the wall clock shows this.
     @Test
