Guard: limits of servers are kept when all entries are killed at once

An entry uses none of its own slots until loans of the process before have ended; a limit is named in each answer.

--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/limit/LimitSimulationTest.java
@@ -54,6 +54,18 @@
         }
     }
 
+    // Guards against entries that have all just started and take a limit that they have not heard of for none.
+    @Test(dataProvider = "fleets")
+    public void should_keep_the_limit_when_all_entries_are_killed_at_once(int entries, double limit) {
+        Set<Integer> all = IntStream.range(0, entries).boxed().collect(Collectors.toSet());
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            LimitScenario scenario = LimitScenario.oneLimitedServer(entries, limit)
+                    .withLimited(ALL)
+                    .withFaults(EntryFaults.of(all, Set.of()));
+            assertLimitKept(new LimitSimulation(scenario, seed).run(), scenario, LIMITED, seed);
+        }
+    }
+
     // Guards against entries that leave their share unused while others have callers who could use it.
     @Test(dataProvider = "loads")
     public void should_use_at_least_half_of_the_limits_when_all_servers_have_one(int entries, double skew) {
