--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/StatementSimulationTest.java
@@ -136,6 +136,37 @@
         }
     }
 
+    // Guards against entries that have all just started and believe the registration of a server that is draining.
+    @Test(dataProvider = "fleets")
+    public void should_send_a_draining_server_nothing_again_when_all_entries_have_been_killed_at_once(int entries) {
+        Set<Integer> all = IntStream.range(0, entries).boxed().collect(Collectors.toSet());
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            StatementScenario scenario = StatementScenario.quiet(entries, USUAL_LOAD)
+                    .withDraining(ONE)
+                    .withFaults(0.3, all, Set.of());
+            SimulatedServer server =
+                    new StatementSimulation(scenario, seed).run().server(0);
+
+            // The entries start after two seconds; another three later they have to know what they were told.
+            long toldAgain = StatementScenario.FAULT_AT + 5 * StatementSimulation.SECOND;
+            assertEquals(server.arrivals(toldAgain, StatementScenario.END), 0, "seed " + seed);
+            assertTrue(
+                    server.arrivals(StatementScenario.FAULT_AT, toldAgain) > 0, "the entries knew without an answer");
+        }
+    }
+
+    // Guards against entries that have all just started and together send a server that wants pauses too much.
+    @Test(dataProvider = "fleets")
+    public void should_keep_the_pauses_when_all_entries_have_been_killed_at_once(int entries) {
+        Set<Integer> all = IntStream.range(0, entries).boxed().collect(Collectors.toSet());
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            StatementScenario scenario = StatementScenario.quiet(entries, USUAL_LOAD)
+                    .withShedding(ONE, PAUSE)
+                    .withFaults(0.3, all, Set.of());
+            assertPausesKept(new StatementSimulation(scenario, seed).run(), seed);
+        }
+    }
+
     private static StatementScenario withFaults(StatementScenario scenario) {
         return scenario.withFaults(0.3, Set.of(0), Set.of(1));
     }
