--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -179,7 +179,7 @@
         ShareMetrics.register(registry, state.shares()::summaries);
         this.dispatcher = new RequestDispatcher(context, callerProtocol, settings.maxBodyBytes());
         this.callers = new CallerServer(dispatcher, time, longRoundTask, buffers);
-        this.gracefulStop = new GracefulStop(callers, dispatcher, settings.gracePeriod(), this::finishStop);
+        this.gracefulStop = new GracefulStop(callers, dispatcher, log, settings.gracePeriod(), this::finishStop);
         this.reporter = new PeerReporter(
                 peers, state, fatalRequests, origins, usage, healthProbes, gracefulStop::begun, eventLoop, time);
         LoadSharingMetrics.register(
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.aspenmoor.internal.gateway.caller.CallerServer;
+import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
 
 /**
@@ -21,15 +22,23 @@
 
     private final CallerServer callers;
     private final RequestDispatcher dispatcher;
+    private final DecisionLog log;
     private final Runnable onFinished;
     private Duration gracePeriod;
     private boolean begun;
     private boolean listenerClosed;
+    private boolean finished;
     private long begunAtNanos;
 
-    GracefulStop(CallerServer callers, RequestDispatcher dispatcher, Duration gracePeriod, Runnable onFinished) {
+    GracefulStop(
+            CallerServer callers,
+            RequestDispatcher dispatcher,
+            DecisionLog log,
+            Duration gracePeriod,
+            Runnable onFinished) {
         this.callers = callers;
         this.dispatcher = dispatcher;
+        this.log = log;
         this.gracePeriod = gracePeriod;
         this.onFinished = onFinished;
     }
@@ -66,7 +75,23 @@
         callers.closeIdle();
         if (callers.openConnections() == 0
                 || elapsedNanos > gracePeriod.minus(EXIT_MARGIN).toNanos()) {
-            onFinished.run();
+            finish();
         }
     }
+
+    private void finish() {
+        if (!finished) {
+            finished = true;
+            logUnfinished();
+        }
+        onFinished.run();
+    }
+
+    /** Logs what the end of the process cuts; a request that is still being served leaves no other line. */
+    private void logUnfinished() {
+        log.notable("stop-finished")
+                .with("servedRequests", callers.servedRequests())
+                .with("openConnections", callers.openConnections())
+                .write();
+    }
 }
