Give up an open attempt only for one that is allowed and placed

With one engine of the version, the same engine was asked a second time.

Cause: the entry cancelled an attempt that had stalled, and only then asked for a retry permit and for a server. If either was refused, nothing was left of the answer but its end, though the engine would have come back. A move to another engine took its retry first and looked for a server last.

Fix: AttemptReplacement looks for the next server (never the silent one), takes the permit, and only then gives up the open attempt. Otherwise the attempt is kept and checked again at a tenth of the caller's idle timeout; the request meanwhile waits in the queue if the engines are full. attempt-kept says why. A caller that leaves ends the attempt as before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
@@ -96,7 +96,12 @@
 
     /** Returns whether another engine may continue the answer of the open attempt. */
     public boolean mayResumeElsewhere() {
-        return attemptOpen && rule == RetryRule.RESUMABLE && possibleRuns + 1 < maxBackends && attempts < MAX_ATTEMPTS;
+        return rule == RetryRule.RESUMABLE && mayReplaceOpenAttempt();
+    }
+
+    /** Returns whether another attempt may follow if the open one is given up now. */
+    public boolean mayReplaceOpenAttempt() {
+        return attemptOpen && mayFollow(possibleRuns + 1);
     }
 
     /** Returns how many attempts have been started. */
@@ -119,7 +124,11 @@
     private NextStep stepAfterPossibleRun(NextStep fallback) {
         arrivals++;
         possibleRuns++;
-        boolean retryAllowed = rule != RetryRule.AT_MOST_ONCE && possibleRuns < maxBackends && attempts < MAX_ATTEMPTS;
-        return retryAllowed ? NextStep.REPEAT : fallback;
+        return mayFollow(possibleRuns) ? NextStep.REPEAT : fallback;
+    }
+
+    /** Returns whether another attempt may follow attempts of which so many have possibly run. */
+    private boolean mayFollow(int runs) {
+        return rule != RetryRule.AT_MOST_ONCE && runs < maxBackends && attempts < MAX_ATTEMPTS;
     }
 }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AvailableServers.java
@@ -38,6 +38,13 @@
         return stated.stream().anyMatch(SendFilter::canAnswer) ? stated : servers;
     }
 
+    /** Returns the servers that take work and may serve a request that is open at another server. */
+    List<ServerEstimate> othersForRequest(PlacementRequest request, AssignedWork open, long now) {
+        return forRequest(request, now).stream()
+                .filter(estimate -> !estimate.server().id().equals(open.server()))
+                .toList();
+    }
+
     /**
      * Returns the request as it is to be placed. A request for which only some servers of its service will do does not
      * wait at this entry: while those are full, it would keep back the others in the queue, whose servers have room.
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/PlacementPolicy.java
@@ -39,6 +39,7 @@
     private final ServerLimits limits;
     private final SendFilter sendFilter;
     private final AvailableServers availableServers;
+    private final PlacementChoice choice;
     private final PromptAssignments promptAssignments;
     private final AnswerMoves answerMoves;
     private final ServerBackoffs backoffs;
@@ -52,6 +53,7 @@
         this.limits = limits;
         this.sendFilter = new SendFilter(limits);
         this.availableServers = new AvailableServers(estimates);
+        this.choice = new PlacementChoice(estimates, sendFilter);
         this.random = random;
         this.answerMoves = new AnswerMoves(estimates, peerLoads, sendFilter, requiredDecodeRate, random);
         this.backoffs = new ServerBackoffs(estimates, random);
@@ -93,38 +95,16 @@
     /** Chooses where a request runs. */
     public Placement choose(PlacementRequest asked, long now) {
         PlacementRequest request = availableServers.withoutQueueingIfSelective(asked);
-        List<ServerEstimate> available = availableServers.forRequest(request, now);
-        List<ServerEstimate> usable = sendFilter.permitted(available, now);
-        if (usable.isEmpty()) {
-            return waitOrRefuse(request, available, now);
-        }
-        Placement best = request.prompt().isPresent()
-                ? ranking.chooseEngines(request, request.prompt().get(), usable, now)
-                : ranking.choosePlainServer(usable, now);
-        if (best instanceof Placement.Refused && usable.size() < available.size()) {
-            return waitOrRefuse(request, available, now);
-        }
-        boolean speedUnknown = request.prompt().isPresent() && !speedKnown(best);
-        return speedUnknown ? best : QueueLimit.applyTo(best, request);
-    }
-
-    /** A prompt waits at this entry for an engine that takes requests again one by one; all else is refused. */
-    private Placement waitOrRefuse(PlacementRequest request, List<ServerEstimate> available, long now) {
-        boolean queues = request.mayQueue() && request.prompt().isPresent() && sendFilter.anyReturning(available, now);
-        return queues
-                ? ranking.queue(request.prompt().get(), available, now)
-                : sendFilter.refuse(request, available, now);
-    }
-
-    private boolean speedKnown(Placement placement) {
-        return switch (placement) {
-            case Placement.SingleServer single ->
-                estimates.get(single.server().id()).speedKnown();
-            case Placement.Disaggregated disaggregated ->
-                estimates.get(disaggregated.prefill().id()).speedKnown();
-            case Placement.Queued queued -> true;
-            case Placement.Refused refused -> true;
-        };
+        return choice.choose(request, availableServers.forRequest(request, now), ranking, now);
+    }
+
+    /**
+     * Chooses where a request continues that is still open at a server. Asking the same server again would only end the
+     * answer that it may still give.
+     */
+    public Placement chooseOther(PlacementRequest asked, AssignedWork open, long now) {
+        PlacementRequest request = availableServers.withoutQueueingIfSelective(asked);
+        return choice.choose(request, availableServers.othersForRequest(request, open, now), ranking, now);
     }
 
     /**
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -126,6 +126,11 @@
         return work;
     }
 
+    @Override
+    public String stallReason() {
+        return begun ? "the answer stalled" : "no answer began within the stall limit";
+    }
+
     /** Returns the software version of the server. */
     SoftwareVersion softwareVersion() {
         return server.softwareVersion();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CurrentAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/CurrentAttempt.java
@@ -39,6 +39,16 @@
         }
     }
 
+    /** Returns whether an attempt is open. */
+    boolean isOpen() {
+        return work != null;
+    }
+
+    /** Returns whether the given attempt is the open one. */
+    boolean isOpen(AssignedWork someWork) {
+        return someWork.equals(work);
+    }
+
     /** Ends an attempt and dispatches waiting requests, since its server can accept another one. */
     void end(AssignedWork endedWork) {
         context.state().placement().attemptEnded(endedWork);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -12,6 +12,7 @@
 import org.aspenmoor.internal.gateway.protocol.CacheSource;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
+import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.Placement;
 
 /** The first stage of a generation: one engine does the prefill and holds the cache for another engine. */
@@ -78,9 +79,14 @@
         return work;
     }
 
-    /** Ends the attempt after the exchange was cancelled because the engine stalled. */
-    void stalled() {
-        request.prefillFailed(placement, work, new AttemptEnd.Lost(), "no answer arrived within the stall limit");
+    @Override
+    public String stallReason() {
+        return "no answer arrived within the stall limit";
+    }
+
+    /** Returns the engine that computes the prompt. */
+    BackendServer engine() {
+        return placement.prefill();
     }
 
     @Override
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
@@ -33,6 +33,7 @@
      *     clock
      */
     void enqueue(Placement.Queued placement, long latestUsefulStart) {
+        context.waitQueues().remove(request);
         trace.queued(now());
         share.noRoom();
         context.waitQueues()
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTrace.java
@@ -160,6 +160,16 @@
                 .write();
     }
 
+    /** Logs that an attempt which should be replaced is kept, because none can replace it. */
+    void logAttemptKept(DecisionLog log, String stall, String obstacle) {
+        log.notable("attempt-kept")
+                .with("request", caller.requestId())
+                .with("server", server)
+                .with("reason", stall)
+                .with("obstacle", obstacle)
+                .write();
+    }
+
     /** Logs the complete trace, with the current load of the last server. */
     void logEnded(ServingState state, RequestOutcome outcome, int attempts) {
         LogLine logLine = outcome == RequestOutcome.ANSWERED
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -30,7 +30,16 @@
      * an attempt that did not count, such as the first prompt that an engine computes, is still there for the next one.
      */
     boolean tryAcquire() {
-        if (grantedRetries >= attempts.requiredRetries()) {
+        return tryAcquire(attempts.requiredRetries());
+    }
+
+    /** Returns whether an attempt is allowed that replaces the open one; to be called before that is given up. */
+    boolean tryAcquireReplacement() {
+        return tryAcquire(attempts.requiredRetries() + 1);
+    }
+
+    private boolean tryAcquire(int requiredRetries) {
+        if (grantedRetries >= requiredRetries) {
             return true;
         }
         if (!share.mayRetry()) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
@@ -25,6 +25,11 @@
         this.trace = trace;
     }
 
+    /** Returns whether the request may be sent to another server after one that may have ended because of it. */
+    boolean mayRetry() {
+        return fatalCheck.mayRetry();
+    }
+
     /** Returns why the request must not be sent, and records the reason; empty if it may be sent. */
     Optional<SendRefusal> refusal() {
         if (!writer.callerConnected()) {
@@ -37,9 +42,4 @@
         Optional<SendRefusal> quarantined = fatalCheck.checkQuarantine().map(SendRefusal.Quarantined::new);
         return quarantined.or(() -> share.refusal().map(SendRefusal.ShareExceeded::new));
     }
-
-    /** Returns whether the caller's key is still valid. */
-    boolean keyValid() {
-        return !(authorisation.renew() instanceof Authorisation.Denied);
-    }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -43,6 +43,8 @@
     private final FatalRequestCheck fatalCheck;
     private final SendCheck sendCheck;
     private final AnswerRelocation relocation;
+    private final AttemptRecorder recorder;
+    private final AttemptReplacement replacement;
     private final RequestShare share;
     private final FinalAnswer finalAnswer;
     private final PendingHandoff pendingHandoff;
@@ -86,7 +88,10 @@
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller, service, request.incoming(), trace);
         this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, share, trace);
-        this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, sendCheck, trace);
+        this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, trace);
+        this.recorder = new AttemptRecorder(context, service, attempts, share, triedServers, trace);
+        this.replacement = new AttemptReplacement(
+                context, this, attempts, currentAttempt, permit, sendCheck, pendingHandoff, recorder, trace);
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
@@ -100,11 +105,18 @@
 
     /** Continues when the request leaves the wait queue because an engine may have capacity. */
     void continueFromQueue() {
+        if (currentAttempt.isOpen()) {
+            stallDetector.checkNow();
+            return;
+        }
         assignServer(placements.create(false, now()));
     }
 
-    /** Refuses the request, which has not run, because it cannot leave the wait queue before its deadline. */
+    /** Ends the wait for an engine with capacity, which would take too long; an attempt that is open is kept. */
     void refuseFromQueue(Duration retryDelay) {
+        if (currentAttempt.isOpen()) {
+            return;
+        }
         trace.setReason("no engine has capacity before the deadline");
         conclude(attempts.stepWithoutRetry(), retryDelay);
     }
@@ -137,7 +149,12 @@
         if (refusedBeforeSend()) {
             return;
         }
-        switch (context.state().placement().choose(placementRequest, now())) {
+        follow(context.state().placement().choose(placementRequest, now()));
+    }
+
+    /** Performs what the placement says. */
+    void follow(Placement placement) {
+        switch (placement) {
             case Placement.SingleServer single -> {
                 trace.placementChosen("whole", single.answerStartSeconds());
                 WorkKind kind = request.caller().prompt().isPresent() ? WorkKind.WHOLE : WorkKind.PLAIN;
@@ -193,19 +210,10 @@
     }
 
     private void stalled(WatchedAttempt watched) {
-        if (finished) {
+        if (finished || !currentAttempt.isOpen(watched.work())) {
             return;
         }
-        switch (watched) {
-            case AnswerAttempt answer
-            when attempts.attempts() < request.route().maxBackends() ->
-                abandon(answer, answer.begun() ? "the answer stalled" : "no answer began within the stall limit");
-            case AnswerAttempt last -> trace.setReason("the server is unresponsive, and no further attempt is allowed");
-            case PrefillAttempt prefill -> {
-                currentAttempt.cancel();
-                prefill.stalled();
-            }
-        }
+        replacement.replaceStalled(watched, placements.create(false, now()));
     }
 
     /** Cancels an attempt whose answer can no longer be used. */
@@ -261,11 +269,7 @@
         if (finished) {
             return;
         }
-        attempts.promptFailed(end);
-        context.metrics().attemptEnded(service, "prefill-failed");
-        trace.setReason("prefill at " + placement.prefill().id() + ": " + reason);
-        trace.logPrefillFailed(context.state().log(), placement.prefill(), reason);
-        triedServers.prefillFailed(placement.prefill());
+        recorder.prefillFailed(placement.prefill(), end, reason);
         if (!permit.tryAcquire()) {
             conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
             return;
@@ -294,19 +298,9 @@
         if (!writer.writable()) {
             currentAttempt.setReading(false);
         }
-        relocation.reasonToMove(answerAttempt.work()).ifPresent(this::continueElsewhere);
-    }
-
-    /** Continues the answer after its last event at another engine. */
-    private void continueElsewhere(String reason) {
-        answerAttempt.release();
-        currentAttempt.cancel();
-        currentAttempt.end(answerAttempt.work());
-        attempts.attemptEnded(new AttemptEnd.Lost());
-        permit.recordGranted();
-        context.metrics().attemptEnded(service, "moved");
-        trace.setReason(reason);
-        assignServer();
+        relocation
+                .moveFrom(answerAttempt.work())
+                .ifPresent(move -> replacement.move(answerAttempt, move, placements.create(false, now())));
     }
 
     void streamComplete(AssignedWork work, boolean begun) {
@@ -365,11 +359,7 @@
         if (finished) {
             return;
         }
-        trace.setReason(reason);
-        context.metrics().attemptEnded(service, end.getClass().getSimpleName());
-        share.attemptEnded(end);
-        NextStep next = attempts.attemptEnded(end);
-        trace.logAttemptEnded(context.state().log(), end, next);
+        NextStep next = recorder.attemptEnded(end, reason);
         if (next == NextStep.REPEAT && deadlines.deadline() > now() && fatalCheck.mayRetry() && permit.tryAcquire()) {
             retryElsewhere(end);
         } else {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallDetector.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallDetector.java
@@ -29,14 +29,22 @@
      */
     private static final int MAX_GAP_PERCENT = 40;
 
+    /**
+     * Interval at which a stalled attempt that is kept is checked again, in percent of the gap after which callers
+     * disconnect: a retry or a server may become available, or the server may respond.
+     */
+    private static final int RECHECK_PERCENT = 10;
+
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     private final ServingContext context;
     private final Duration objective;
     private final Duration maxEventGap;
+    private final Duration recheckInterval;
     private final BooleanSupplier reading;
     private final Consumer<WatchedAttempt> stallListener;
     private Future<?> timer;
+    private Runnable pendingCheck = () -> {};
     private long lastUnreadAt = Long.MIN_VALUE;
 
     /**
@@ -52,6 +60,8 @@
         this.objective = route.objective();
         this.maxEventGap =
                 route.callerIdleTimeout().multipliedBy(MAX_GAP_PERCENT).dividedBy(100);
+        this.recheckInterval =
+                route.callerIdleTimeout().multipliedBy(RECHECK_PERCENT).dividedBy(100);
         this.stallListener = stallListener;
     }
 
@@ -66,8 +76,20 @@
     }
 
     private void watch(WatchedAttempt attempt, Duration limit) {
+        check(attempt, limit, limit);
+    }
+
+    private void check(WatchedAttempt attempt, Duration limit, Duration delay) {
         cancel();
-        timer = context.eventLoop().schedule(() -> check(attempt, limit), limit.toNanos(), TimeUnit.NANOSECONDS);
+        pendingCheck = () -> check(attempt, limit);
+        timer = context.eventLoop().schedule(pendingCheck, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Checks the watched attempt now, because a server may have room for its request. */
+    void checkNow() {
+        Runnable check = pendingCheck;
+        cancel();
+        check.run();
     }
 
     /**
@@ -84,6 +106,7 @@
         if (timer != null) {
             timer.cancel(false);
         }
+        pendingCheck = () -> {};
     }
 
     private void check(WatchedAttempt attempt, Duration limit) {
@@ -99,6 +122,12 @@
             watch(attempt, limit);
             return;
         }
+        reportStall(attempt, limit);
+    }
+
+    /** Reports a stall; if the attempt is kept, it is reported again until its server responds. */
+    private void reportStall(WatchedAttempt attempt, Duration limit) {
+        check(attempt, limit, recheckInterval);
         stallListener.accept(attempt);
     }
 
@@ -117,7 +146,7 @@
             return;
         }
         if (context.state().placement().nothingReceivedSince(answer.work(), windowStart)) {
-            stallListener.accept(answer);
+            reportStall(answer, maxEventGap);
             return;
         }
         watch(answer, maxEventGap);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/WatchedAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/WatchedAttempt.java
@@ -8,4 +8,7 @@
     boolean begun();
 
     AssignedWork work();
+
+    /** Returns why the attempt is replaced if its server has stalled. */
+    String stallReason();
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestCaller.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestCaller.java
@@ -28,6 +28,16 @@
         return reader.readMessage();
     }
 
+    /** Reads the head of an answer; its body follows. */
+    public ReceivedRequest readHead() throws IOException {
+        return new ReceivedRequest(reader.readLine(), reader.readHeaders(), "");
+    }
+
+    /** Reads the body of the answer with the given head. */
+    public String readBody(ReceivedRequest head) throws IOException {
+        return reader.readBody(head.headers());
+    }
+
     public String readLine() throws IOException {
         return reader.readLine();
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -3,9 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,16 +24,12 @@
 import org.aspenmoor.internal.gateway.peers.ReportSender;
 import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
-import org.aspenmoor.internal.gateway.settings.RetrySettings;
-import org.aspenmoor.internal.gateway.settings.StoreBounds;
 import org.aspenmoor.internal.organisation.KeyRegistry;
 import org.aspenmoor.internal.organisation.OrganisationKeys;
-import org.aspenmoor.internal.routing.EngineSpeed;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.BackendState;
 import org.aspenmoor.internal.serving.ConnectionLimits;
 import org.aspenmoor.internal.serving.GenerationTraits;
-import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.RetryRule;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.serving.Route;
@@ -56,7 +50,6 @@
     public static final String HOST = "house.example";
     public static final String LOCAL_DATA_CENTRE = "here";
 
-    private static final long MAX_BUFFERED_BYTES = 24L * 1024 * 1024;
     private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(15);
     /** Only limits how long a failing test takes; no assertion depends on it. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(60);
@@ -110,7 +103,7 @@
             Map<String, BackendServer> servers,
             Optional<DutySettings> duties)
             throws AspenmoorException {
-        this(process, store, configurations, servers, duties, anyFreePort(), UnaryOperator.identity());
+        this(process, store, configurations, servers, duties, TestSettings.anyFreePort(), UnaryOperator.identity());
     }
 
     private TestGateway(
@@ -125,26 +118,7 @@
         this.store = store;
         this.configurations = configurations;
         this.servers = servers;
-        InetSocketAddress anyFreePort = anyFreePort();
-        PlacementSettings placement = new PlacementSettings(LOCAL_DATA_CENTRE, EngineSpeed.defaults(), 0.5, 0);
-        GatewaySettings settings = new GatewaySettings(
-                process,
-                callers,
-                anyFreePort,
-                "/ready",
-                anyFreePort,
-                anyFreePort,
-                URI.create("http://127.0.0.1/"),
-                Duration.ofSeconds(1),
-                Duration.ofMillis(100),
-                StoreBounds.NONE,
-                Duration.ofSeconds(8),
-                8 * 1024 * 1024,
-                MAX_BUFFERED_BYTES,
-                placement,
-                Duration.ofSeconds(3),
-                duties,
-                new RetrySettings(1, 1500, Duration.ofSeconds(10), 1));
+        GatewaySettings settings = TestSettings.create(process, callers, duties, TestSettings.AMPLE_RETRIES);
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         StoreSettings storeSettings = StoreSettings.defaults();
@@ -153,8 +127,10 @@
         gateway.start(observer.apply(store), storeSettings, new Decoder());
     }
 
-    private static InetSocketAddress anyFreePort() {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    /** Leaves no retries in the budgets of all services from now on. */
+    public void useUpRetries() {
+        gateway.reload(TestSettings.create(
+                "entry-under-test", TestSettings.anyFreePort(), Optional.empty(), TestSettings.NO_RETRIES));
     }
 
     /** Starts another entry for the same backend servers, and returns when it is ready; it is closed with this one. */
