Do not end a stream because its caller is believed to have left

Cause: the time left for the rest of a stream was the last event plus the caller idle timeout of the route. A caller that waits a little longer, or counts from when it got the event, saw the entry close. A rest that waited for an engine with capacity was ended in the same way.

Evidence: SilentServerTest.should_continue_at_another_engine_when_the_assumed_patience_of_the_caller_is_over failed before: EOF, and the log "CUT", "the answer would start in 0.02 s but only -1.01 s are left", 5.06 s after the arrival with 15 s allowed.

Fix: once an answer has begun, its rest is of use until the deadline; how long a caller waits only decides the order in the wait queue and when a silent engine is replaced. A rest that would wait too long there goes to an engine at once.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequestDeadlines.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/RequestDeadlines.java
@@ -74,4 +74,14 @@
         long lastSentAt = lastEventAt.orElse(arrivedAt);
         return Math.min(deadline, lastSentAt + route.callerIdleTimeout().toNanos());
     }
+
+    /**
+     * Returns until when a further part of the answer may still be of use. How long a caller waits between events is only
+     * assumed, and one that leaves is seen at its connection, so an answer that has begun is due until its deadline.
+     *
+     * @param lastEventAt when the caller last received an event
+     */
+    public long usefulUntil(OptionalLong lastEventAt) {
+        return lastEventAt.isPresent() ? deadline : callerWaitsUntil(lastEventAt);
+    }
 }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RequestDeadlinesTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/RequestDeadlinesTest.java
@@ -59,6 +59,16 @@
         assertEquals(deadlines.callerWaitsUntil(OptionalLong.of(lateEventAt)), deadlines.deadline());
     }
 
+    // Guards against a stream that ends while its caller still waits, because it was believed to wait less.
+    @Test
+    public void should_find_the_rest_of_an_answer_useful_until_the_deadline() {
+        RequestDeadlines deadlines = deadlines(Optional.empty());
+
+        assertEquals(deadlines.usefulUntil(OptionalLong.empty()), after(Duration.ofSeconds(2)));
+        long lastEventAt = after(Duration.ofSeconds(3));
+        assertEquals(deadlines.usefulUntil(OptionalLong.of(lastEventAt)), deadlines.deadline());
+    }
+
     private static RequestDeadlines deadlines(Optional<Duration> waitLimit) {
         return new RequestDeadlines(ARRIVED_AT, waitLimit, ROUTE);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PlacementRequestFactory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PlacementRequestFactory.java
@@ -15,6 +15,7 @@
     private final RequestTrace trace;
     private final CallerStream stream;
     private final TriedServers triedServers;
+    private boolean mayQueue = true;
 
     PlacementRequestFactory(
             String service,
@@ -33,8 +34,13 @@
         this.triedServers = triedServers;
     }
 
+    /** Has the request placed at once from now on, or not at all. */
+    void endQueueing() {
+        mayQueue = false;
+    }
+
     PlacementRequest create(boolean othersQueued, long now) {
-        Duration remaining = Duration.ofNanos(deadlines.callerWaitsUntil(trace.lastEventTime()) - now);
+        Duration remaining = Duration.ofNanos(deadlines.usefulUntil(trace.lastEventTime()) - now);
         return new PlacementRequest(
                 service,
                 caller.prompt(),
@@ -43,7 +49,7 @@
                 stream.begun(),
                 triedServers.ids(),
                 triedServers.mayPrefill(),
-                caller.prompt().isPresent(),
+                mayQueue && caller.prompt().isPresent(),
                 othersQueued,
                 stream.versionRequirement());
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -112,8 +112,16 @@
         assignServer(placements.create(false, now()));
     }
 
-    /** Ends the wait for an engine with capacity, which would take too long; an attempt that is open is kept. */
+    /**
+     * Ends the wait for an engine with capacity, which would take too long. A request that has not run is refused, and a
+     * stream that has begun is not interrupted in favour of other requests.
+     */
     void refuseFromQueue(Duration retryDelay) {
+        if (stream.begun()) {
+            placements.endQueueing();
+            continueFromQueue();
+            return;
+        }
         if (currentAttempt.isOpen()) {
             return;
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -128,6 +129,43 @@
         silent.awaitClose();
     }
 
+    // Guards against a stream that the entry ends by itself once it believes that the caller has left.
+    @Test
+    public void should_wait_for_a_silent_engine_when_the_assumed_patience_of_the_caller_is_over() throws Exception {
+        backend("one", pausesAfterFirstEvent());
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/quiet/"));
+            gateway.awaitLogged(STALLED);
+            gateway.advanceTime(IDLE_TIMEOUT.multipliedBy(2));
+            serverReturns.countDown();
+
+            assertEquals(caller.readAnswer().body(), events(EVENTS));
+        }
+    }
+
+    // Guards against a stream that is not continued, though another engine is free, because the caller is believed to
+    // have left.
+    @Test
+    public void should_continue_at_another_engine_when_the_assumed_patience_of_the_caller_is_over() throws Exception {
+        Script breaksUnlessResumed = request -> request.header(TestProtocols.LAST_EVENT)
+                .map(after -> Reply.of(rest(after)))
+                .orElseGet(() ->
+                        new Reply(HEAD + eventChunk(1), Optional.of(new DelayedPart(serverReturns, "")), true, false));
+        ScriptedBackend first = backend("one", breaksUnlessResumed);
+        ScriptedBackend second = backend("two", breaksUnlessResumed);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/long/"));
+            ReceivedRequest head = readHeadOfStream(caller);
+            gateway.advanceTime(Duration.ofSeconds(5));
+            serverReturns.countDown();
+
+            assertEquals(caller.readBody(head), events(EVENTS));
+        }
+        assertEquals(first.count("r1") + second.count("r1"), 2);
+    }
+
     // Guards against an engine that goes on working for a caller that has left during the silence.
     @Test
     public void should_end_the_attempt_at_a_silent_engine_when_the_caller_leaves() throws Exception {
