Close a connection as its stream ends once a stop closes idle connections

What callers saw: a stream that closed without its end as an entry ended 7.5 s after its SIGTERM, for a request that was sent more than 3 s after it.

Cause: the head of a stream that began before the SIGTERM does not announce a close, so its connection stayed open when the stream ended, until the next check, up to 100 ms later. A caller that reuses connections at once had its next request accepted there, with too little of the grace period left.

Evidence: CallerConnectionTest.should_close_as_a_stream_ends_when_a_stop_closes_idle_connections failed before: the second request was served ("expected [1] but found [2]").

Fix: once the stop closes idle connections, a connection closes with the end of its stream, unless a request has been read behind it. Such a request is answered, as before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -50,6 +50,7 @@
     private boolean serving;
     private boolean keepAlive = true;
     private boolean closing;
+    private boolean closesWhenIdle;
     private int unsentAnswers;
     private long sentBytesAtLastCheck;
     private ActiveRequest activeRequest;
@@ -101,8 +102,9 @@
         }
     }
 
-    /** Closes the connection if no request is being received or served on it, and each answer has been sent. */
-    void closeIfIdle() {
+    /** Closes the connection as soon as no request is being received or served on it, and each answer has been sent. */
+    void closeWhenIdle() {
+        closesWhenIdle = true;
         if (!serving && !receiving && unsentAnswers == 0 && pipelined.isEmpty()) {
             close();
         }
@@ -213,7 +215,9 @@
 
     @Override
     public void endAnswer() {
-        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+        // The head of a stream that began before a stop does not announce the close.
+        boolean keepOpen = keepAlive && !(closesWhenIdle && pipelined.isEmpty());
+        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepOpen);
     }
 
     @Override
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -87,9 +87,9 @@
         }
     }
 
-    /** Closes the connections on which no request is being received or served. */
+    /** Closes the connections on which no request is being received or served, and the others as soon as that is so. */
     public void closeIdle() {
-        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+        new ArrayList<>(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
     /** Returns the number of open connections. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
@@ -141,11 +142,11 @@
         receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
         service.writers.poll().sendAnswer(answer());
 
-        connection.closeIfIdle();
+        connection.closeWhenIdle();
         assertTrue(channel.isOpen());
 
         writes.complete();
-        connection.closeIfIdle();
+        connection.closeWhenIdle();
         assertFalse(channel.isOpen());
     }
 
@@ -188,7 +189,44 @@
         service.stopping = true;
 
         service.writers.poll().sendAnswer(answer());
-        connection.closeIfIdle();
+        connection.closeWhenIdle();
+        channel.runPendingTasks();
+
+        assertEquals(service.served, List.of("/first ", "/second "));
+        service.writers.poll().sendAnswer(answer());
+        channel.runPendingTasks();
+        assertFalse(channel.isOpen());
+    }
+
+    // Guards against a request that is accepted when the stop no longer leaves it time to be answered: the head of a
+    // stream
+    // that began before the stop does not announce that its connection will be closed.
+    @Test
+    public void should_close_as_a_stream_ends_when_a_stop_closes_idle_connections() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        AnswerWriter writer = service.writers.poll();
+        writer.beginAnswer(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        service.stopping = true;
+        connection.closeWhenIdle();
+
+        writer.endAnswer();
+        receive(get("/second"), LastHttpContent.EMPTY_LAST_CONTENT);
+
+        assertEquals(service.served, List.of("/first "));
+        assertFalse(channel.isOpen());
+    }
+
+    // Guards against a request that is lost because it was read while the stream before it had not ended.
+    @Test
+    public void should_answer_pipelined_request_when_a_stop_closes_idle_connections_and_a_stream_ends() {
+        receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
+        AnswerWriter writer = service.writers.poll();
+        writer.beginAnswer(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        service.stopping = true;
+        connection.closeWhenIdle();
+        receive(get("/second"), LastHttpContent.EMPTY_LAST_CONTENT);
+
+        writer.endAnswer();
         channel.runPendingTasks();
 
         assertEquals(service.served, List.of("/first ", "/second "));
