Wait for a server for the rest of a stream that the entry has taken from its engine

What callers saw: streams that closed without their end after the entry had given up a silent engine for another one, which rejected the rest while no retry was left, or whose prompt was computed when no engine could generate the answer any more.

Cause: giving up an attempt is a decision of the entry, but what followed was treated as if the engine had lost the answer: the first refusal of a placement or of a retry ended the stream.

Evidence: SilentServerTest.should_wait_for_a_retry_when_the_engine_after_a_silent_one_rejects_the_rest failed before: "EOF The connection was closed".

Fix: AttemptRecorder knows whether the entry owes the rest: since it gave up an attempt, until a server loses the answer. Then the entry tries again after a pause until a server takes the rest, the caller leaves or the deadline ends it. A stream that its engine has broken off ends at once as before, so that its caller can take it up again. Attempts and retry budget hold: each try that reaches a server needs a permit. The timers and what is recorded at the end of a request move out of ServedRequest.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptRecorder.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptRecorder.java
@@ -13,6 +13,7 @@
     private final RequestShare share;
     private final TriedServers triedServers;
     private final RequestTrace trace;
+    private boolean owesRest;
 
     AttemptRecorder(
             ServingContext context,
@@ -34,16 +35,56 @@
         trace.setReason(reason);
         context.metrics().attemptEnded(service, end.getClass().getSimpleName());
         share.attemptEnded(end);
+        owesRest &= !(end instanceof AttemptEnd.Lost);
         NextStep next = attempts.attemptEnded(end);
         trace.logAttemptEnded(context.state().log(), end, next);
         return next;
     }
 
+    /** Records that this entry gave an attempt up for another one. */
+    void attemptGivenUp(String reason) {
+        attemptEnded(new AttemptEnd.Lost(), reason);
+        owesRest = true;
+    }
+
+    /**
+     * Returns whether this entry has taken the answer from a server that might have completed it, and no server has lost
+     * it since.
+     */
+    boolean owesRest() {
+        return owesRest;
+    }
+
+    /** Records that a server responded with a failure; returns the next step. */
+    NextStep attemptFailed(int status) {
+        trace.setReason("the server failed with status " + status);
+        context.metrics().attemptEnded(service, "failed");
+        return attempts.attemptEnded(new AttemptEnd.Failed());
+    }
+
     /** Records that an attempt ended because its answer continues at another engine. */
     void answerMoved(String reason) {
         trace.setReason(reason);
         context.metrics().attemptEnded(service, "moved");
         attempts.attemptEnded(new AttemptEnd.Lost());
+        owesRest = true;
+    }
+
+    /** Records the outcome of the request. */
+    void requestEnded(RequestOutcome outcome) {
+        context.metrics().requestEnded(service, outcome);
+        if (trace.mixedVersions()) {
+            context.metrics().versionsMixed(service);
+        }
+        share.ended(outcome);
+        trace.logEnded(context.state(), outcome, attempts.attempts());
+    }
+
+    /** Records that an engine has computed the prompt. */
+    void prefillCompleted(BackendServer engine, long now) {
+        attempts.promptComputed();
+        trace.prefillCompleted(engine, now);
+        context.metrics().attemptEnded(service, "prefilled");
     }
 
     /** Records that an engine did not compute the prompt. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
@@ -114,7 +114,7 @@
         switch (stalled) {
             case AnswerAttempt answer -> {
                 answer.release();
-                recorder.attemptEnded(end, answer.stallReason());
+                recorder.attemptGivenUp(answer.stallReason());
                 pendingHandoff.release();
             }
             case PrefillAttempt prefill -> recorder.prefillFailed(prefill.engine(), end, prefill.stallReason());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/FatalRequestCheck.java
@@ -83,13 +83,14 @@
         });
     }
 
-    /** Records that the request was answered, which clears it and the parts of its prompt of suspicion. */
-    void answered() {
-        fatalRequests.requestAnswered(digest(), parts());
-    }
-
-    /** Ends the request's trials, unless it is not known yet whether they have terminated a server. */
-    void ended() {
+    /**
+     * Ends the request's trials, unless it is not known yet whether they have terminated a server. An answer clears the
+     * request and the parts of its prompt of suspicion.
+     */
+    void ended(RequestOutcome outcome) {
+        if (outcome == RequestOutcome.ANSWERED) {
+            fatalRequests.requestAnswered(digest(), parts());
+        }
         if (unconfirmedTerminations == 0) {
             trials.forEach(suspect -> fatalRequests.endTrial(suspect, requestId()));
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
@@ -55,6 +55,7 @@
 
     /** Records the first byte of the answer. */
     void answerBegan() {
+        trace.firstByteReceived(now());
         context.waitQueues().answerBegan(request.service(), dispatchedAt, now());
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RetryPermit.java
@@ -4,6 +4,8 @@
 
 /** Takes the retries of one request from the retry budget of its service, which all entries share. */
 final class RetryPermit {
+    private static final String USED_UP = "the retry budget of the service is used up; ";
+
     private final ServingContext context;
     private final String service;
     private final AttemptTracker attempts;
@@ -47,8 +49,8 @@
         }
         boolean granted = context.state().retryBudgets().tryTakeRetry(service);
         context.metrics().retryRequested(service, granted);
-        if (!granted) {
-            trace.setReason("the retry budget of the service is used up; " + trace.reason());
+        if (!granted && !trace.reason().startsWith(USED_UP)) {
+            trace.setReason(USED_UP + trace.reason());
         }
         grantedRetries += granted ? 1 : 0;
         return granted;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -2,10 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.aspenmoor.internal.gateway.caller.ActiveRequest;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
@@ -50,8 +48,8 @@
     private final PendingHandoff pendingHandoff;
     private final TriedServers triedServers = new TriedServers();
     private final PlacementRequestFactory placements;
+    private final RequestTimers timers;
     private AnswerAttempt answerAttempt;
-    private Future<?> deadlineTimer;
     private boolean finished;
 
     ServedRequest(ServingContext context, RoutedRequest request, AnswerWriter writer) {
@@ -92,14 +90,14 @@
         this.recorder = new AttemptRecorder(context, service, attempts, share, triedServers, trace);
         this.replacement = new AttemptReplacement(
                 context, this, attempts, currentAttempt, permit, sendCheck, pendingHandoff, recorder, trace);
+        this.timers = new RequestTimers(context.eventLoop());
         this.finalAnswer = new FinalAnswer(context.state(), writer, deadlines, trace);
     }
 
     void start() {
         context.state().requestArrived(service);
         answerProgress.expectWithin(request.route().timeout(), now());
-        long remaining = Math.max(0, deadlines.deadline() - now());
-        deadlineTimer = context.eventLoop().schedule(this::deadlineReached, remaining, TimeUnit.NANOSECONDS);
+        timers.atDeadline(deadlines.deadline() - now(), this::deadlineReached);
         assignServer();
     }
 
@@ -120,13 +118,10 @@
         if (stream.begun()) {
             placements.endQueueing();
             continueFromQueue();
-            return;
-        }
-        if (currentAttempt.isOpen()) {
-            return;
+        } else if (!currentAttempt.isOpen()) {
+            trace.setReason("no engine has capacity before the deadline");
+            conclude(attempts.stepWithoutRetry(), retryDelay);
         }
-        trace.setReason("no engine has capacity before the deadline");
-        conclude(attempts.stepWithoutRetry(), retryDelay);
     }
 
     String service() {
@@ -180,7 +175,7 @@
             case Placement.Refused refused -> {
                 share.noRoom();
                 trace.setReason(refused.reason());
-                conclude(attempts.stepWithoutRetry(), refused.retryAfter());
+                concludeUnlessOwed(refused.retryAfter());
             }
         }
     }
@@ -218,10 +213,9 @@
     }
 
     private void stalled(WatchedAttempt watched) {
-        if (finished || !currentAttempt.isOpen(watched.work())) {
-            return;
+        if (!finished && currentAttempt.isOpen(watched.work())) {
+            replacement.replaceStalled(watched, placements.create(false, now()));
         }
-        replacement.replaceStalled(watched, placements.create(false, now()));
     }
 
     /** Cancels an attempt whose answer can no longer be used. */
@@ -242,13 +236,11 @@
         if (finished) {
             return;
         }
-        attempts.promptComputed();
-        trace.prefillCompleted(placement.prefill(), now());
+        recorder.prefillCompleted(placement.prefill(), now());
         PrefilledPrompt prefilled = new PrefilledPrompt(placement.prefill(), source);
         pendingHandoff.begin(prefilled);
-        context.metrics().attemptEnded(service, "prefilled");
         if (!permit.tryAcquire()) {
-            conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
+            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         handOff(prefilled);
@@ -264,7 +256,7 @@
                 placement.chooseDecodeEngine(placementRequest, prefilled.engine(), now());
         if (decodeEngine.isEmpty()) {
             trace.setReason("no engine is available to generate the answer");
-            conclude(attempts.stepWithoutRetry(), placement.retryDelay(placementRequest, now()));
+            concludeUnlessOwed(placement.retryDelay(placementRequest, now()));
             return;
         }
         sender.send(decodeEngine.get(), WorkKind.HANDOFF, 0, Optional.of(prefilled.source()), Optional.empty());
@@ -279,7 +271,7 @@
         }
         recorder.prefillFailed(placement.prefill(), end, reason);
         if (!permit.tryAcquire()) {
-            conclude(attempts.stepWithoutRetry(), FinalAnswer.MIN_RETRY_DELAY);
+            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         assignServer();
@@ -291,7 +283,6 @@
         share.answerBegan(work);
         stallDetector.answerBegan(answerAttempt);
         if (!stream.begun()) {
-            trace.firstByteReceived(now());
             queue.answerBegan();
             context.metrics().answerBegan(service, (now() - request.incoming().receivedAtNanos()) / 1e9);
         }
@@ -340,9 +331,7 @@
         AttemptEnd end = new AttemptEnd.Failed();
         context.state().attemptEnded(work, end);
         currentAttempt.end(work);
-        NextStep next = attempts.attemptEnded(end);
-        trace.setReason("the server failed with status " + head.status().code());
-        context.metrics().attemptEnded(service, "failed");
+        NextStep next = recorder.attemptFailed(head.status().code());
         if (next == NextStep.REPEAT && !stream.begun() && deadlines.deadline() > now() && permit.tryAcquire()) {
             body.release();
             assignServer();
@@ -368,10 +357,12 @@
             return;
         }
         NextStep next = recorder.attemptEnded(end, reason);
-        if (next == NextStep.REPEAT && deadlines.deadline() > now() && fatalCheck.mayRetry() && permit.tryAcquire()) {
+        if (next != NextStep.REPEAT || deadlines.deadline() <= now() || !fatalCheck.mayRetry()) {
+            conclude(next == NextStep.REPEAT ? attempts.stepWithoutRetry() : next, FinalAnswer.MIN_RETRY_DELAY);
+        } else if (permit.tryAcquire()) {
             retryElsewhere(end);
         } else {
-            conclude(next == NextStep.REPEAT ? attempts.stepWithoutRetry() : next, FinalAnswer.MIN_RETRY_DELAY);
+            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
         }
     }
 
@@ -400,6 +391,24 @@
         conclude(attempts.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, FinalAnswer.MIN_RETRY_DELAY);
     }
 
+    /** Ends the request, unless this entry owes its caller the rest of a stream: then it tries again after a pause. */
+    private void concludeUnlessOwed(Duration retryDelay) {
+        if (stream.begun() && recorder.owesRest()) {
+            timers.retryLater(this::retryRest);
+            return;
+        }
+        conclude(attempts.stepWithoutRetry(), retryDelay);
+    }
+
+    private void retryRest() {
+        pendingHandoff.release();
+        if (permit.tryAcquire()) {
+            assignServer();
+        } else {
+            timers.retryLater(this::retryRest);
+        }
+    }
+
     private void conclude(NextStep step, Duration retryDelay) {
         if (finished) {
             return;
@@ -421,12 +430,9 @@
     /** Releases all resources of the request and logs its outcome; the answer, if any, is to be sent afterwards. */
     private void finish(RequestOutcome outcome) {
         finished = true;
-        if (outcome == RequestOutcome.ANSWERED) {
-            fatalCheck.answered();
-        }
-        fatalCheck.ended();
+        fatalCheck.ended(outcome);
         context.waitQueues().remove(this);
-        deadlineTimer.cancel(false);
+        timers.cancel();
         stallDetector.cancel();
         currentAttempt.abandon();
         if (answerAttempt != null) {
@@ -434,12 +440,7 @@
         }
         pendingHandoff.release();
         request.incoming().body().release();
-        context.metrics().requestEnded(service, outcome);
-        if (trace.mixedVersions()) {
-            context.metrics().versionsMixed(service);
-        }
-        share.ended(outcome);
-        trace.logEnded(context.state(), outcome, attempts.attempts());
+        recorder.requestEnded(outcome);
     }
 
     long now() {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -127,10 +127,13 @@
         gateway.start(observer.apply(store), storeSettings, new Decoder());
     }
 
-    /** Leaves no retries in the budgets of all services from now on. */
-    public void useUpRetries() {
+    /** Sets whether the budgets of all services leave any retries from now on. */
+    public void allowRetries(boolean allowed) {
         gateway.reload(TestSettings.create(
-                "entry-under-test", TestSettings.anyFreePort(), Optional.empty(), TestSettings.NO_RETRIES));
+                "entry-under-test",
+                TestSettings.anyFreePort(),
+                Optional.empty(),
+                allowed ? TestSettings.AMPLE_RETRIES : TestSettings.NO_RETRIES));
     }
 
     /** Starts another entry for the same backend servers, and returns when it is ready; it is closed with this one. */
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.aspenmoor.internal.engine.EngineRole;
@@ -39,6 +40,9 @@
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    private static final String REJECTION =
+            HttpText.head("HTTP/1.1 503 Service Unavailable", "Test-Id: r1", "Test-Not-Run: 1", "Content-Length: 0");
+
     private CountDownLatch serverReturns;
     private TestGateway gateway;
 
@@ -73,7 +77,7 @@
         ScriptedBackend first = backend("one", pausesAfterFirstEvent());
         ScriptedBackend second = backend("two", pausesAfterFirstEvent());
         gateway.publish();
-        gateway.useUpRetries();
+        gateway.allowRetries(false);
 
         assertWholeAfterStall();
         assertEquals(first.count("r1") + second.count("r1"), 1);
@@ -129,6 +133,33 @@
         silent.awaitClose();
     }
 
+    // Guards against a stream that ends because the engine to which the entry has moved it rejects the rest.
+    @Test
+    public void should_wait_for_a_retry_when_the_engine_after_a_silent_one_rejects_the_rest() throws Exception {
+        CountDownLatch rejectionDue = new CountDownLatch(1);
+        AtomicInteger resumed = new AtomicInteger();
+        Script rejectsFirstRest = request -> request.header(TestProtocols.LAST_EVENT)
+                .map(after -> resumed.incrementAndGet() > 1
+                        ? Reply.of(rest(after))
+                        : Reply.withDelayedPart("", new DelayedPart(rejectionDue, REJECTION)))
+                .orElseGet(this::firstEvent);
+        ScriptedBackend first = backend("one", rejectsFirstRest);
+        ScriptedBackend second = backend("two", rejectsFirstRest);
+        gateway.publish();
+        try (TestCaller caller = gateway.caller()) {
+            caller.send(streamRequest("/quiet/"));
+            while (first.count("r1") + second.count("r1") < 2) {
+                Thread.onSpinWait();
+            }
+            gateway.allowRetries(false);
+            rejectionDue.countDown();
+            gateway.awaitLogged("the server did not run the request: status 503");
+            gateway.allowRetries(true);
+
+            assertEquals(caller.readAnswer().body(), events(EVENTS));
+        }
+    }
+
     // Guards against a stream that the entry ends by itself once it believes that the caller has left.
     @Test
     public void should_wait_for_a_silent_engine_when_the_assumed_patience_of_the_caller_is_over() throws Exception {
@@ -225,8 +256,12 @@
     private Script pausesAfterFirstEvent() {
         return request -> request.header(TestProtocols.LAST_EVENT)
                 .map(after -> Reply.of(rest(after)))
-                .orElseGet(() -> Reply.withDelayedPart(
-                        HEAD + eventChunk(1), new DelayedPart(serverReturns, eventsFrom(2) + HttpText.LAST_CHUNK)));
+                .orElseGet(this::firstEvent);
+    }
+
+    private Reply firstEvent() {
+        return Reply.withDelayedPart(
+                HEAD + eventChunk(1), new DelayedPart(serverReturns, eventsFrom(2) + HttpText.LAST_CHUNK));
     }
 
     private static String rest(String lastEvent) {
