Refuse a request behind a stream with an answer once a stop closes idle connections

Fix: the connection stays open until the next check (100 ms), and a request that comes in between is answered 503 with "Connection: close": it has not run, and another entry serves it.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -51,6 +51,7 @@
     private boolean keepAlive = true;
     private boolean closing;
     private boolean closesWhenIdle;
+    private boolean refusesRequests;
     private int unsentAnswers;
     private long sentBytesAtLastCheck;
     private ActiveRequest activeRequest;
@@ -215,9 +216,9 @@
 
     @Override
     public void endAnswer() {
-        // The head of a stream that began before a stop does not announce the close.
-        boolean keepOpen = keepAlive && !(closesWhenIdle && pipelined.isEmpty());
-        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepOpen);
+        // The head of a stream that began before a stop does not announce the close, so the caller may send a request.
+        refusesRequests = closesWhenIdle && pipelined.isEmpty();
+        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
     }
 
     @Override
@@ -334,7 +335,7 @@
             service.discard(request);
             return;
         }
-        ActiveRequest startedRequest = service.serve(request, this);
+        ActiveRequest startedRequest = refusesRequests ? service.refuse(request, this) : service.serve(request, this);
         if (serving) {
             activeRequest = startedRequest;
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/RequestService.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/RequestService.java
@@ -7,6 +7,9 @@
     /** Starts serving a request; the answer may be sent before this method returns. */
     ActiveRequest serve(IncomingRequest request, AnswerWriter answerWriter);
 
+    /** Answers a request, which is not served, that the process is stopping. */
+    ActiveRequest refuse(IncomingRequest request, AnswerWriter answerWriter);
+
     /** Discards a request whose caller disconnected before serving started. */
     void discard(IncomingRequest request);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestDispatcher.java
@@ -190,6 +190,17 @@
         }
     }
 
+    @Override
+    public ActiveRequest refuse(IncomingRequest incoming, AnswerWriter writer) {
+        return refuse(
+                incoming,
+                callerProtocol.readHead(incoming.head()),
+                writer,
+                RequestOutcome.NOT_RUN,
+                LocalAnswers.notRun(
+                        "this process is stopping", context.state().withJitter(FinalAnswer.MIN_RETRY_DELAY)));
+    }
+
     @Override
     public void discard(IncomingRequest incoming) {
         endUnserved(incoming, callerProtocol.readHead(incoming.head()), RequestOutcome.CALLER_LEFT);
