Keep a silent engine when all connections to the chosen one are in use

Cause: the place that was found for the rest of a stream could not be used, since the connections to that server that this entry may open were all in use. The silent attempt was given up, and three more that were never sent used up the attempts.

Evidence: SilentServerTest.should_wait_for_silent_engines_when_all_connections_to_the_others_are_in_use failed before: "expected [2] but found [4]" requests at two engines that had one stream each.

Fix: a server without room for a connection does not replace an open attempt.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/BackendConnections.java
@@ -55,6 +55,11 @@
         this.probes = new ServerProbes(eventLoop, ServerProbes.SECOND_ATTEMPT_DELAY);
     }
 
+    /** Returns whether there is a connection over which a request can be sent now, or room for another one. */
+    public boolean hasRoom(BackendServer server) {
+        return poolFor(server).hasRoom(maxOpenByService.applyAsInt(server.service()));
+    }
+
     /** Sends a request and takes ownership of its buffer. */
     public Exchange send(BackendServer server, String requestId, FullHttpRequest request, ExchangeListener listener) {
         Exchange exchange = new Exchange(requestId, request, listener, false);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
@@ -58,6 +58,11 @@
         return server.sameIncarnation(other);
     }
 
+    /** Returns whether a request can be sent now, given how many connections may be open. */
+    boolean hasRoom(int maxOpen) {
+        return !idleConnections.isEmpty() || openCount < maxOpen;
+    }
+
     /** Sends a request over an idle connection, or over a new one if fewer than the given number are open. */
     void send(Exchange exchange, int maxOpen) {
         BackendConnection reused = takeIdle();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
@@ -4,6 +4,7 @@
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.AttemptTracker;
+import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.Placement;
 import org.aspenmoor.internal.serving.PlacementRequest;
 
@@ -83,12 +84,24 @@
             AssignedWork open, String reason, PlacementRequest placementRequest, BooleanSupplier retryPermit) {
         trace.setReason(reason);
         if (!sendCheck.mayRetry() || refusedBySendCheck()) {
-            return kept();
+            return kept(trace.reason());
         }
         long now = context.state().time().monotonicNanos();
         Placement placement = context.state().placement().chooseOther(placementRequest, open, now);
-        boolean placed = !(placement instanceof Placement.Queued) && !(placement instanceof Placement.Refused);
-        return placed && !retryPermit.getAsBoolean() ? kept() : placement;
+        return switch (placement) {
+            case Placement.SingleServer single -> permitted(single, single.server(), retryPermit);
+            case Placement.Disaggregated disaggregated ->
+                permitted(disaggregated, disaggregated.prefill(), retryPermit);
+            case Placement.Queued queued -> queued;
+            case Placement.Refused refused -> refused;
+        };
+    }
+
+    private Placement permitted(Placement placement, BackendServer server, BooleanSupplier retryPermit) {
+        if (!context.connections().hasRoom(server)) {
+            return kept("all connections to the chosen server are in use");
+        }
+        return retryPermit.getAsBoolean() ? placement : kept(trace.reason());
     }
 
     private boolean refusedBySendCheck() {
@@ -103,8 +116,8 @@
                 .orElse(false);
     }
 
-    private Placement kept() {
-        return new Placement.Refused(trace.reason(), FinalAnswer.MIN_RETRY_DELAY);
+    private static Placement kept(String obstacle) {
+        return new Placement.Refused(obstacle, FinalAnswer.MIN_RETRY_DELAY);
     }
 
     private void replaceStalled(WatchedAttempt stalled, Placement placement) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
@@ -30,6 +30,7 @@
 public class SilentServerTest {
     private static final String SERVICE = "model";
     private static final String REGISTRY = "registry";
+    private static final String SMALL = "small";
     private static final int EVENTS = 200;
 
     /** After a part of this time an entry looks for another server. */
@@ -52,6 +53,7 @@
         gateway = new TestGateway();
         gateway.route("/quiet/", RetryRule.RESUMABLE, true, 2, SERVICE, IDLE_TIMEOUT);
         gateway.route("/long/", RetryRule.RESUMABLE, true, 2, SERVICE, Duration.ofSeconds(4));
+        gateway.route("/small/", RetryRule.RESUMABLE, true, 2, SMALL, IDLE_TIMEOUT);
         gateway.route("/read/", RetryRule.REPEATABLE, false, 2, REGISTRY);
     }
 
@@ -96,6 +98,28 @@
         assertEquals(first.count("r1") + second.count("r1"), 1);
     }
 
+    // Guards against streams that end because their silent engines are given up for ones with no free connection.
+    @Test
+    public void should_wait_for_silent_engines_when_all_connections_to_the_others_are_in_use() throws Exception {
+        gateway.connectionLimit(SMALL, 1);
+        ScriptedBackend one = gateway.backend("one", SMALL, pausesAfterFirstEvent());
+        ScriptedBackend two = gateway.backend("two", SMALL, pausesAfterFirstEvent());
+        gateway.publish();
+        try (TestCaller first = gateway.caller();
+                TestCaller second = gateway.caller()) {
+            first.send(streamRequest("/small/"));
+            ReceivedRequest firstHead = readHeadOfStream(first);
+            second.send(streamRequest("/small/"));
+            ReceivedRequest secondHead = readHeadOfStream(second);
+            gateway.awaitLogged(STALLED, 2);
+            serverReturns.countDown();
+
+            assertEquals(first.readBody(firstHead), events(EVENTS));
+            assertEquals(second.readBody(secondHead), events(EVENTS));
+        }
+        assertEquals(one.count("r1") + two.count("r1"), 2);
+    }
+
     // Guards against an answer that fails because its server began late and the only other attempt had no server.
     @Test
     public void should_wait_for_a_silent_server_when_the_answer_has_not_begun_and_there_is_no_other() throws Exception {
