--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -1,29 +1,33 @@
 package org.aspenmoorusage.gateway;
 
+import static org.aspenmoorusage.gateway.VersionScripts.EVENTS;
+import static org.aspenmoorusage.gateway.VersionScripts.NEW;
+import static org.aspenmoorusage.gateway.VersionScripts.OLD;
+import static org.aspenmoorusage.gateway.VersionScripts.assertOneVersion;
+import static org.aspenmoorusage.gateway.VersionScripts.breaksOff;
+import static org.aspenmoorusage.gateway.VersionScripts.drainsAndBreaksOff;
+import static org.aspenmoorusage.gateway.VersionScripts.generation;
+import static org.aspenmoorusage.gateway.VersionScripts.pausesAfterFirstEvent;
+import static org.aspenmoorusage.gateway.VersionScripts.prefilled;
+import static org.aspenmoorusage.gateway.VersionScripts.rejectsNewStreams;
+import static org.aspenmoorusage.gateway.VersionScripts.request;
+import static org.aspenmoorusage.gateway.VersionScripts.resumed;
+import static org.aspenmoorusage.gateway.VersionScripts.takeUpTwice;
+import static org.aspenmoorusage.gateway.VersionScripts.whole;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.EOFException;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Function;
 import org.aspenmoor.internal.engine.EngineRole;
-import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
-import org.aspenmoor.internal.gateway.standin.ScriptedBackend.DelayedPart;
-import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Reply;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend.Script;
 import org.aspenmoor.internal.gateway.standin.TestCaller;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
-import org.aspenmoor.internal.gateway.standin.TestProtocols;
 import org.aspenmoor.internal.serving.RetryRule;
-import org.aspenmoor.internal.serving.origin.StreamKey;
-import org.aspenmoor.internal.store.ObjectKind;
-import org.aspenmoor.internal.store.StoredObject;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -31,9 +35,6 @@
 /** Streams of a service whose engines run two software versions; each event names the version that wrote it. */
 public class StreamVersionTest {
     private static final String SERVICE = "model";
-    private static final String OLD = "old";
-    private static final String NEW = "new";
-    private static final int EVENTS = 30;
 
     /** A blind choice among the engines would pass a test with a single stream every other time. */
     private static final int STREAMS = 12;
@@ -139,7 +140,8 @@
         }
     }
 
-    // Guards against the end of a stream that an engine of another version states, and against a stream whose version is
+    // Guards against the end of a stream that an engine of another version states, and against a stream whose version
+    // is
     // forgotten because its caller has asked for its end.
     @Test
     public void should_ask_the_version_that_began_when_only_the_end_of_a_stream_is_missing() throws Exception {
@@ -232,47 +234,6 @@
         assertEquals(rest.startsWith("id: 2\n"), true, rest);
     }
 
-    // Guards against an entry that has started after all were killed, and takes the version that is left for the only
-    // one.
-    @Test
-    public void should_refuse_when_all_entries_were_killed_and_the_version_of_the_stream_has_left() throws Exception {
-        engine("old-1", OLD, EngineRole.WHOLE, whole(OLD));
-        gateway.publish();
-        gateway.awaitState("\"statedVersions\" : [ \"" + SERVICE + " " + OLD + "\" ]");
-        begin("r1");
-        ScriptedBackend left = engine("new-1", NEW, EngineRole.WHOLE, whole(NEW));
-        gateway.restartServer("old-1", SERVICE, left.port(), 2);
-        gateway.gateway().close();
-        TestGateway started = gateway.startAnother("entry-2");
-
-        ReceivedRequest answer = started.call(resumed("again", "r1", 1));
-
-        assertEquals(answer.line(), "HTTP/1.1 503 Service Unavailable");
-    }
-
-    // Guards against callers whose streams are refused because all entries that knew them were killed.
-    @Test
-    public void should_continue_at_the_version_that_began_when_all_entries_were_killed() throws Exception {
-        farEngine("old-1", OLD, whole(OLD));
-        farEngine("old-2", OLD, whole(OLD));
-        engine("new-1", NEW, EngineRole.WHOLE, rejectsNewStreams(NEW));
-        gateway.publish();
-        for (int stream = 0; stream < STREAMS; stream++) {
-            begin("r" + stream);
-        }
-        while (recordedStreams() < STREAMS) {
-            Thread.onSpinWait();
-        }
-        gateway.gateway().close();
-        TestGateway started = gateway.startAnother("entry-2");
-
-        for (int stream = 0; stream < STREAMS; stream++) {
-            String rest = takeUpTwice(started, "r" + stream);
-            assertOneVersion(rest + "data: " + OLD);
-            assertEquals(rest.contains("id: " + EVENTS), true, rest);
-        }
-    }
-
     // Guards against a caller who comes back while the only version that may write the rest has gone for good.
     @Test
     public void should_refuse_at_once_when_the_version_of_the_stream_has_gone() throws Exception {
@@ -290,35 +251,11 @@
         assertEquals(answer.body().contains("which has begun the stream, is available"), true, answer.body());
     }
 
-    /** Returns the number of streams whose origin is in the store. */
-    private int recordedStreams() throws Exception {
-        int streams = 0;
-        for (StoredObject object :
-                gateway.store().list(ObjectKind.STREAM_RECORD).objects()) {
-            for (JsonNode origin : new ObjectMapper().readTree(object.value()).path("origins")) {
-                streams += origin.path("keys").binaryValue().length / StreamKey.BYTES;
-            }
-        }
-        return streams;
-    }
-
     /** Begins a stream at the first entry and returns its first event, after which its caller leaves. */
     private String begin(String id) throws IOException {
         return eventText(answer(request(id)), 0);
     }
 
-    /** Takes a stream up after its first and, once more, after its second event; returns all that follows. */
-    private static String takeUpTwice(TestGateway entry, String id) throws IOException {
-        return entry.call(resumed(id + "-second", id, 1)).body()
-                + entry.call(resumed(id + "-third", id, 2)).body();
-    }
-
-    private static void assertOneVersion(String body) {
-        long old = body.lines().filter(line -> line.equals("data: " + OLD)).count();
-        long all = body.lines().filter(line -> line.startsWith("data: ")).count();
-        assertEquals(old == 0 || old == all, true, "events of two versions: " + body);
-    }
-
     private static String eventText(String body, int index) {
         return body.split("\n\n", -1)[index] + "\n\n";
     }
@@ -355,98 +292,4 @@
                 .filter(request -> request.line().startsWith("POST"))
                 .count();
     }
-
-    private static Script whole(String version) {
-        return posted(
-                request -> Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK));
-    }
-
-    private static Script rejectsNewStreams(String version) {
-        return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
-                ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
-                : Reply.of(HttpText.head(
-                        "HTTP/1.1 503 Service Unavailable", TestProtocols.NOT_EXECUTED + ": 1", "Content-Length: 0")));
-    }
-
-    /** Breaks off after the first event of a stream, and writes the rest of one that is resumed. */
-    private static Script breaksOff(String version) {
-        return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
-                ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
-                : Reply.thenClose(head(request) + events(version, 1, 1)));
-    }
-
-    private static Script drainsAndBreaksOff(String version) {
-        return posted(request -> Reply.thenClose(HttpText.head(
-                        "HTTP/1.1 200 OK",
-                        TestProtocols.REQUEST_ID + ": r1",
-                        TestProtocols.SIGNED + ": by one",
-                        TestProtocols.DRAINING + ": 1",
-                        "Transfer-Encoding: chunked")
-                + events(version, 1, 1)));
-    }
-
-    private static Script pausesAfterFirstEvent(String version, CountDownLatch latch) {
-        return posted(request -> request.header(TestProtocols.LAST_EVENT).isPresent()
-                ? Reply.of(head(request) + events(version, first(request), EVENTS) + HttpText.LAST_CHUNK)
-                : Reply.withDelayedPart(
-                        head(request) + events(version, 1, 1),
-                        new DelayedPart(latch, events(version, 2, EVENTS) + HttpText.LAST_CHUNK)));
-    }
-
-    /** Replies to posts by the script, and to all else, such as a query of the cache, with an empty page. */
-    private static Script posted(Function<ReceivedRequest, Reply> script) {
-        return request -> request.line().startsWith("POST")
-                ? script.apply(request)
-                : Reply.of(HttpText.head("HTTP/1.1 200 OK", "Content-Length: 0"));
-    }
-
-    private static int first(ReceivedRequest request) {
-        return request.header(TestProtocols.LAST_EVENT)
-                .map(after -> Integer.parseInt(after) + 1)
-                .orElse(1);
-    }
-
-    private static Reply prefilled() {
-        return Reply.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
-    }
-
-    private static String head(ReceivedRequest request) {
-        return HttpText.head(
-                "HTTP/1.1 200 OK",
-                TestProtocols.REQUEST_ID + ": "
-                        + request.header(TestProtocols.REQUEST_ID).orElse(""),
-                TestProtocols.SIGNED + ": by one",
-                "Transfer-Encoding: chunked");
-    }
-
-    private static String events(String version, int first, int last) {
-        StringBuilder text = new StringBuilder();
-        for (int event = first; event <= last; event++) {
-            text.append(HttpText.chunk("id: " + event + "\ndata: " + version + "\n\n"));
-        }
-        return text.toString();
-    }
-
-    private static String request(String id) {
-        return HttpText.head("POST /resume/a HTTP/1.1", "Host: house.example", "Test-Id: " + id, "Content-Length: 0");
-    }
-
-    private static String resumed(String id, String first, int lastEvent) {
-        return HttpText.head(
-                "POST /resume/a HTTP/1.1",
-                "Host: house.example",
-                "Test-Id: " + id,
-                TestProtocols.RESUMES + ": " + first,
-                TestProtocols.LAST_EVENT + ": " + lastEvent,
-                "Content-Length: 0");
-    }
-
-    private static String generation(String id) {
-        return HttpText.head(
-                "POST /resume/a HTTP/1.1",
-                "Host: house.example",
-                "Test-Id: " + id,
-                "Test-Prompt: 20000",
-                "Content-Length: 0");
-    }
 }
