Simulation of entries that are cut off together: streams go on at another version; listings do not undo statements

Entries that reach each other, but neither the store nor the others, confirm to each other that there is no other version, although each of them knows that it does not see the servers. A version that appears meanwhile is not known to them, and its streams go on at the old one there. Each entry that was once informed says so until it sees the servers again. Not fixed here: with the store away for all, the same replies are what lets streams of a single version go on.

Two changes of the simulation were needed: entries may be separated as a group, and a listing that an entry requested before it wrote its statement no longer undoes the statement, as calls of PeerDirectory follow each other. Until now versions that started at 10 s, the moment of the second listing, were used by no entry for the next 10 s, so that the test found nothing.

--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
@@ -32,6 +32,7 @@
     private boolean alive;
     private boolean suspended;
     private boolean cut;
+    private boolean separated;
     private long incarnation;
     private long outOfTouchUntil;
     private long nextReportAt;
@@ -80,12 +81,25 @@
         });
     }
 
+    /** Leaves this entry in touch only with the others that are separated too. */
+    void separate(long duration) {
+        separated = true;
+        simulation.time().at(now() + duration, () -> {
+            separated = false;
+            outOfTouchUntil = now() + CONTACT;
+        });
+    }
+
     String name() {
         return name;
     }
 
-    boolean isCut() {
-        return cut;
+    boolean reachesStore() {
+        return !cut && !separated && !simulation.storeAway();
+    }
+
+    private boolean reaches(ResumeEntry other) {
+        return !cut && !other.cut && separated == other.separated;
     }
 
     StreamOriginTracker tracker() {
@@ -114,7 +128,7 @@
     }
 
     boolean inTouch() {
-        return !cut && now() >= outOfTouchUntil;
+        return !cut && !separated && now() >= outOfTouchUntil;
     }
 
     private void check(long checkedIncarnation) {
@@ -122,7 +136,7 @@
             return;
         }
         if (!suspended) {
-            boolean current = !simulation.storeAway() && !cut;
+            boolean current = reachesStore();
             if (current) {
                 known.clear();
                 simulation.engines().stream()
@@ -152,7 +166,7 @@
     @Override
     public List<String> activeEntries() {
         return others().stream()
-                .filter(other -> other.alive && !other.suspended && !other.cut && !cut)
+                .filter(other -> other.alive && !other.suspended && reaches(other))
                 .map(other -> other.name)
                 .toList();
     }
@@ -223,7 +237,7 @@
         simulation.messageDelay().ifPresent(delay -> {
             ResumeEntry receiver = simulation.entry(receiverName);
             simulation.time().at(now() + delay, () -> {
-                if (receiver.alive && !receiver.suspended && !receiver.cut && !cut) {
+                if (receiver.alive && !receiver.suspended && reaches(receiver)) {
                     action.accept(receiver);
                 }
             });
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeScenario.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeScenario.java
@@ -66,9 +66,15 @@
     /** An entry reaches neither the other entries nor the store for some seconds. */
     record EntryCut(double atSecond, int entry, double seconds) implements Fault {}
 
+    /** Some entries reach each other, but neither the other entries nor the store, for some seconds. */
+    record EntriesCut(double atSecond, int entries, double seconds) implements Fault {}
+
     /** No entry reaches the store for some seconds. */
     record StoreAway(double atSecond, double seconds) implements Fault {}
 
+    /** No entry can read or state software versions in the store for some seconds; it sees the servers. */
+    record StatementsAway(double atSecond, double seconds) implements Fault {}
+
     /** An engine crashes or leaves, and the streams that it writes break. */
     record EngineGone(double atSecond, int engine) implements Fault {}
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
@@ -29,6 +29,7 @@
     private final List<ResumeCaller> callers = new ArrayList<>();
     private final ResumeStore store = new ResumeStore(this);
     private boolean storeAway;
+    private boolean statementsAway;
     private int messages;
 
     ResumeSimulation(ResumeScenario scenario, long seed) {
@@ -99,10 +100,18 @@
             case ResumeScenario.EntrySuspended suspended ->
                 entry(suspended.entry()).suspend((long) (suspended.seconds() * SECOND));
             case ResumeScenario.EntryCut cut -> entry(cut.entry()).cut((long) (cut.seconds() * SECOND));
+            case ResumeScenario.EntriesCut cut ->
+                entries.values().stream()
+                        .limit(cut.entries())
+                        .forEach(entry -> entry.separate((long) (cut.seconds() * SECOND)));
             case ResumeScenario.StoreAway away -> {
                 storeAway = true;
                 time.at(time.now() + (long) (away.seconds() * SECOND), () -> storeAway = false);
             }
+            case ResumeScenario.StatementsAway away -> {
+                statementsAway = true;
+                time.at(time.now() + (long) (away.seconds() * SECOND), () -> statementsAway = false);
+            }
             case ResumeScenario.EngineGone gone -> engines.get(gone.engine()).leave();
             case ResumeScenario.EngineStarts started -> startEngine(started.version());
         }
@@ -153,6 +162,10 @@
         return storeAway;
     }
 
+    boolean statementsAway() {
+        return statementsAway;
+    }
+
     boolean callersReturnWhenRefused() {
         return scenario.callersReturnWhenRefused();
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EngineGone;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EngineStarts;
+import org.aspenmoor.internal.serving.origin.ResumeScenario.EntriesCut;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EntriesKilled;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EntryCut;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EntryKilled;
@@ -41,6 +42,11 @@
         return new Object[][] {{2}, {8}, {34}};
     }
 
+    @DataProvider
+    public Object[][] largerFleets() {
+        return new Object[][] {{8}, {34}};
+    }
+
     @DataProvider
     public Object[][] allFleets() {
         return new Object[][] {{2}, {8}, {34}, {300}};
@@ -121,6 +127,13 @@
                 HALF);
     }
 
+    // Guards against entries that are cut off together and confirm to each other what none of them can know.
+    @Test(dataProvider = "largerFleets", groups = "known-red")
+    public void should_continue_no_stream_at_another_version_when_entries_are_cut_off_together(int entries) {
+        checkOrder(killed(entries, "one", "one", "one")
+                .with(new EntriesCut(9, entries / 2, 6), new EngineStarts(10, "two"), new EngineStarts(10, "two")));
+    }
+
     // Guards against an entry that has started after a version has gone, and knows only the ones that are left.
     @Test(dataProvider = "fleets")
     public void should_continue_no_stream_at_another_version_when_its_version_goes_and_entries_start(int entries) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
@@ -22,7 +22,7 @@
 
     /** Writes what an entry states; a process that is killed meanwhile may still have written. */
     void state(ResumeEntry entry, Set<StreamOrigin> origins) {
-        if (!reachedBy(entry)) {
+        if (!takesStatements(entry)) {
             entry.schedule(ResumeEntry.STORE_RETRY, () -> state(entry, origins));
             return;
         }
@@ -32,22 +32,35 @@
 
     /** Reads what all entries state; returns whether the store was reached. */
     boolean list(ResumeEntry entry) {
-        if (!reachedBy(entry)) {
+        if (!takesStatements(entry)) {
             return false;
         }
         long requestedAt = simulation.time().now();
         entry.schedule(Duration.ofNanos(CALL), () -> {
             Map<String, OriginStatement> listed = new HashMap<>();
             statements.forEach((name, origins) -> listed.put(name, new OriginStatement(origins, Duration.ZERO)));
-            entry.schedule(
-                    Duration.ofNanos(CALL), () -> entry.tracker().listed(new OriginListing(listed, requestedAt)));
+            entry.schedule(Duration.ofNanos(CALL), () -> {
+                // An entry makes one call after the other, so no listing is older than what it has written itself.
+                addStatement(entry, listed);
+                entry.tracker().listed(new OriginListing(listed, requestedAt));
+            });
         });
         return true;
     }
 
+    private boolean takesStatements(ResumeEntry entry) {
+        return entry.reachesStore() && !simulation.statementsAway();
+    }
+
+    private void addStatement(ResumeEntry entry, Map<String, OriginStatement> listed) {
+        if (statements.containsKey(entry.name())) {
+            listed.put(entry.name(), new OriginStatement(statements.get(entry.name()), Duration.ZERO));
+        }
+    }
+
     /** Writes the record of an entry; while the store is away nothing is written. */
     void record(ResumeEntry entry, List<KnownStream> streams) {
-        if (!reachedBy(entry)) {
+        if (!entry.reachesStore()) {
             return;
         }
         recordWrites++;
@@ -55,7 +68,7 @@
     }
 
     void loadRecords(ResumeEntry entry) {
-        if (!reachedBy(entry)) {
+        if (!entry.reachesStore()) {
             entry.schedule(RECORD_RETRY, () -> loadRecords(entry));
             return;
         }
@@ -69,8 +82,4 @@
     int recordWrites() {
         return recordWrites;
     }
-
-    private boolean reachedBy(ResumeEntry entry) {
-        return !simulation.storeAway() && !entry.isCut();
-    }
 }
