An entry that was cut off does not confirm that there is no other version until it has read the statements again

Callers saw a stream go on at another version: an entry is cut off while a version serves, the others are killed after the version has left, and one that starts asks it before anybody can read the statements. It saw the servers again, and still said that it had known all versions, which was before the gap.

An entry that begins to see the servers again knows all versions once it has read the statements, as after a suspension.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -61,7 +61,7 @@
     boolean observed(Collection<BackendServer> servers, boolean current, long now) {
         boolean suspended = now - lastObservedAt > MAX_OBSERVATION_GAP.toNanos();
         boolean begins = current && (!listCurrent || suspended);
-        if (suspended) {
+        if (suspended || begins) {
             informed = false;
         }
         if (begins || !current) {
@@ -127,8 +127,8 @@
     }
 
     /**
-     * Returns whether this entry has known all versions at some time since it started or was suspended. A process that
-     * has not knows less than it seems: that it has heard of a single version says nothing.
+     * Returns whether this entry has known all versions at some time since it last began to see the servers without a
+     * gap. Otherwise it knows less than it seems: that it has heard of a single version says nothing.
      */
     boolean informed() {
         return informed;
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginReply.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginReply.java
@@ -10,8 +10,8 @@
  * @param origin what it knows
  * @param versions the software versions of the service that may have begun streams which callers still take up, as far as
  *     it knows
- * @param informed whether it has known all versions at some time since it started; otherwise that it does not know of
- *     another version means nothing
+ * @param informed whether it has known all versions at some time since it last began to see the servers without a gap;
+ *     otherwise that it does not know of another version means nothing
  */
 public record OriginReply(
         String entry, long number, OriginKnowledge origin, List<VersionSighting> versions, boolean informed) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
@@ -15,6 +15,7 @@
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EntryRestarted;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.EntrySuspended;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.Fault;
+import org.aspenmoor.internal.serving.origin.ResumeScenario.StatementsAway;
 import org.aspenmoor.internal.serving.origin.ResumeScenario.StoreAway;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -134,6 +135,21 @@
                 .with(new EntriesCut(9, entries / 2, 6), new EngineStarts(10, "two"), new EngineStarts(10, "two")));
     }
 
+    // Guards against an entry that has missed a version while it was cut off, and confirms to those that start, before
+    // any of them can read the statements, that there was none.
+    @Test(dataProvider = "largerFleets")
+    public void should_continue_no_stream_at_another_version_when_the_entry_left_alive_was_cut_off(int entries) {
+        checkOrder(killed(entries, "one", "one", "one")
+                .with(
+                        new EntryCut(9, 0, 5.3),
+                        new EngineStarts(10, "two"),
+                        new EngineStarts(10, "two"),
+                        new EngineGone(14, 3),
+                        new EngineGone(14, 4),
+                        new EntriesKilled(14.05, 1, SHORT_DOWNTIME),
+                        new StatementsAway(14.1, 5)));
+    }
+
     // Guards against an entry that has started after a version has gone, and knows only the ones that are left.
     @Test(dataProvider = "fleets")
     public void should_continue_no_stream_at_another_version_when_its_version_goes_and_entries_start(int entries) {
