A reply about one service confirms nothing of a route that is split between two

An entry that could not read the statements let a stream go on at one service of its route because another entry, which had known all versions, told of that service's single version. The question names the first service only, so that the versions of the other one, whose servers had left and which may have begun the stream, were not told.

OriginStatementTest.should_refuse_when_an_entry_has_told_of_the_versions_of_one_of_two_services_only got Continue before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -376,7 +376,9 @@
     private boolean confirmed(OriginInquiry inquiry) {
         boolean informedAlone =
                 versions.informed() && network.registeredEntries().isEmpty();
-        return inquiry.informed() || informedAlone;
+        // A reply tells of the versions of one service only; the stream may be of another one of the route.
+        boolean informedByOther = inquiry.informed() && inquiry.services().size() == 1;
+        return informedByOther || informedAlone;
     }
 
     /**
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -193,6 +193,17 @@
         assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.ONLY_VERSION)));
     }
 
+    // Guards against a stream of a service whose servers have left that goes on at the other service of its route.
+    @Test
+    public void should_refuse_when_an_entry_has_told_of_the_versions_of_one_of_two_services_only() {
+        observe(true, OLD);
+        tracker.resolve(STREAM, List.of(SERVICE, "drafting-trial"), decisions::add);
+        replies(true);
+        network.pass(StreamOriginTracker.MAX_WAIT);
+
+        assertRefused();
+    }
+
     private void resolve(StreamKey stream) {
         tracker.resolve(stream, List.of(SERVICE), decisions::add);
     }
