Read and write records of streams for routes that are split between services of one version each

After all entries were killed, streams of a route that is split between two services were refused, although entries collect their origins: records are read, and written after that, only once a service that may be resumed has several versions. Callers waited for 300 ms first, as the records were awaited that nobody had requested.

The records are requested as well as soon as a stream begins, or is taken up, that may have several origins; once a process, as before.

StreamRecordTest.should_record_streams_of_a_route_that_is_split_between_services_of_one_version_each and should_continue_a_recorded_stream_of_a_route_that_is_split_between_services_of_one_version_each saw no request before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -107,7 +107,13 @@
 
     /** Has the records read as soon as there may be streams of several versions that began before this entry started. */
     private void loadRecordsIfNeeded() {
-        if (!recordsRequested && versions.severalResumable()) {
+        if (versions.severalResumable()) {
+            loadRecords();
+        }
+    }
+
+    private void loadRecords() {
+        if (!recordsRequested) {
             recordsRequested = true;
             network.loadRecords();
         }
@@ -208,6 +214,7 @@
                 keys.stream().map(key -> new KnownStream(key, origin)).toList();
         known.forEach(this::remember);
         if (onlyVersion(services).isEmpty()) {
+            loadRecords();
             tellAndRecord(known);
         }
     }
@@ -312,6 +319,9 @@
     }
 
     private OriginInquiry ask(StreamKey stream, List<String> services, Consumer<ResumeDecision> listener) {
+        if (onlyVersion(services).isEmpty()) {
+            loadRecords();
+        }
         OriginQuestion question = new OriginQuestion(++lastNumber, stream, services.getFirst());
         List<String> asked = holders.toAsk(stream);
         List<String> active = network.activeEntries();
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
@@ -158,6 +158,34 @@
         assertEquals(network.recorded(), List.of(BEGAN));
     }
 
+    // Guards against streams of a route that is split between two services, of one version each, that nobody knows
+    // after all entries were killed.
+    @Test
+    public void should_record_streams_of_a_route_that_is_split_between_services_of_one_version_each() {
+        tracker.configured(Duration.ZERO, Set.of(SERVICE, "drafting-trial"));
+        observe(OLD);
+        tracker.serversObserved(ManualOriginNetwork.servers("drafting-trial", OLD), true);
+        tracker.streamBegan(List.of(STREAM), FROM_OLD, List.of(SERVICE, "drafting-trial"));
+        assertEquals(network.loads(), 1);
+
+        load("own", List.of(), Duration.ZERO);
+
+        assertEquals(network.recorded(), List.of(BEGAN));
+    }
+
+    @Test
+    public void should_continue_a_recorded_stream_of_a_route_that_is_split_between_services_of_one_version_each() {
+        tracker.configured(Duration.ZERO, Set.of(SERVICE, "drafting-trial"));
+        observe(OLD);
+        tracker.serversObserved(ManualOriginNetwork.servers("drafting-trial", OLD), true);
+        tracker.resolve(STREAM, List.of(SERVICE, "drafting-trial"), decisions::add);
+        assertEquals(network.loads(), 1);
+
+        load("a", BEGAN, Duration.ofSeconds(1));
+
+        assertEquals(decisions, List.of(new ResumeDecision.Continue(FROM_OLD, OriginBasis.REMEMBERED)));
+    }
+
     private void resolve() {
         tracker.resolve(STREAM, List.of(SERVICE), decisions::add);
     }
