A version counts as stated only until the statement that omits it is requested

A version that returns while the statement is written that it has left was used at once, since the last accepted statement had it, although the store had been without it for some milliseconds, or seconds if the answer of the store is lost. If all entries were killed in that time, nobody would have known of the version.

OriginStatementTest.should_begin_no_stream_at_a_version_that_returns_until_it_is_stated_again got both versions before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -105,6 +105,10 @@
         stated.accepted(origins);
     }
 
+    void requested(Set<StreamOrigin> origins) {
+        stated.requested(origins);
+    }
+
     /**
      * Returns whether this entry knows all versions now: it has seen the servers without a gap for as long as callers may
      * take up streams, or since before it has read what the other entries state.
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
@@ -57,6 +57,11 @@
         byThisEntry = Set.copyOf(origins);
     }
 
+    /** Records that these origins are to be stated from now on; the store may be without the others at any moment. */
+    void requested(Set<StreamOrigin> origins) {
+        byThisEntry = byThisEntry.stream().filter(origins::contains).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns whether the registrations have been read since this process started. */
     boolean known() {
         return requestedAt.isPresent();
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -151,6 +151,7 @@
         Set<StreamOrigin> toState = versions.toState(time.monotonicNanos());
         if (versions.mayState() && !toState.equals(stating)) {
             stating = toState;
+            versions.requested(toState);
             network.state(toState);
         }
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -204,6 +204,21 @@
         assertRefused();
     }
 
+    // Guards against a version that returns while the statement is written that it has left: the store may be without
+    // it for a moment.
+    @Test
+    public void should_begin_no_stream_at_a_version_that_returns_until_it_is_stated_again() {
+        tracker.configured(Duration.ZERO, Set.of(SERVICE));
+        listed();
+        observe(true, OLD, NEW);
+        tracker.stated(Set.of(FROM_OLD, FROM_NEW));
+        observeFor(StreamOriginTracker.MIN_WINDOW.plusSeconds(1), OLD);
+
+        observe(true, OLD, NEW);
+
+        assertEquals(tracker.statedVersions(SERVICE), Set.of(OLD));
+    }
+
     private void resolve(StreamKey stream) {
         tracker.resolve(stream, List.of(SERVICE), decisions::add);
     }
