Writing a statement does not delay the next listing of the entries

After a statement was written, the next listing followed 10 s later, whenever the last one had been. Entries take it for granted that each of them lists all within 10 s, and an entry that has joined uses its part of the bounds after that; while versions change, which is when entries are replaced, others counted it up to 10 s later, and with a change every few seconds not at all unless its reports arrived.

PeerDirectoryTest.should_not_delay_the_next_listing_when_a_statement_is_written got 10 s instead of 1 s before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -52,6 +52,7 @@
     private final DependencyLog dependency;
     private Optional<StoredObject> ownObject = Optional.empty();
     private int registeredEntries;
+    private long listedAt;
     private Optional<Long> renewedAt = Optional.empty();
     private Optional<Long> joinedAt = Optional.empty();
 
@@ -107,7 +108,7 @@
         EntryRegistration registration = registration(statements.origins().get());
         if (registration.origins().equals(own.get().origins())) {
             listener.originsStated(registration.origins());
-            return KnownEntries.LISTING_INTERVAL;
+            return untilNextListing();
         }
         long startedAt = time.monotonicNanos();
         try {
@@ -118,7 +119,12 @@
         }
         renewedAt = Optional.of(startedAt);
         listener.originsStated(registration.origins());
-        return KnownEntries.LISTING_INTERVAL;
+        return untilNextListing();
+    }
+
+    private Duration untilNextListing() {
+        long remaining = KnownEntries.LISTING_INTERVAL.toNanos() - (time.monotonicNanos() - listedAt);
+        return Duration.ofNanos(Math.max(0, remaining));
     }
 
     /** Lists the entries, renews this one's registration if it is due, and returns the delay before the next step. */
@@ -133,6 +139,7 @@
             }
             ownObject = listing.find(key);
             registeredEntries = listing.objects().size();
+            listedAt = listing.requestedAt();
             dependency.restored();
             listener.entriesListed(listed(listing));
             return KnownEntries.LISTING_INTERVAL;
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
@@ -176,6 +176,18 @@
         assertEquals(versionOfFirst(1), versionOfFirst(0));
     }
 
+    // Guards against entries that are discovered late because versions change: bounds are divided by those known.
+    @Test
+    public void should_not_delay_the_next_listing_when_a_statement_is_written() throws Exception {
+        PeerDirectory directory = directory("one", FIRST);
+        directory.refresh();
+        Duration passed = Duration.ofSeconds(9);
+        time.advance(passed);
+        statements.state(ORIGINS);
+
+        assertEquals(directory.state(), KnownEntries.LISTING_INTERVAL.minus(passed));
+    }
+
     private Set<StreamOrigin> listedOrigins(String entry) {
         return listed.getLast().origins().statements().get(entry).origins();
     }
