Pass on the listing of the entries when the registration cannot be written

While the store rejected the writes of an entry and served its reads, the entry learnt neither of others nor of their statements as soon as its own statement was to be changed. Without the listing an entry that has seen the servers with a gap refuses streams of a single version that it does not know.

PeerDirectoryTest.should_list_the_others_when_the_statement_is_rejected got no listing before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -133,7 +133,7 @@
             Listing listing = list();
             Optional<EntryRegistration> own = listing.find(key).flatMap(EntryRegistrationCodec::parse);
             if (renewalDue(own)) {
-                listing = renew(listing.find(key), own);
+                listing = renewOrPass(listing, own);
             } else if (renewedAt.isEmpty()) {
                 renewedAt = own.map(this::renewalOfEarlierProcess);
             }
@@ -149,6 +149,18 @@
         }
     }
 
+    /** Renews this entry's registration; if that fails, what has been read is of use all the same. */
+    private Listing renewOrPass(Listing read, Optional<EntryRegistration> own) throws StoreException {
+        try {
+            return renew(read.find(key), own);
+        } catch (StoreException failure) {
+            if (renewedAt.isPresent()) {
+                listener.entriesListed(listed(read));
+            }
+            throw failure;
+        }
+    }
+
     private Listing list() throws StoreException {
         long requestedAt = time.monotonicNanos();
         return new Listing(
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -16,6 +17,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.standin.ObservedStore;
 import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.serving.entries.KnownEntries;
 import org.aspenmoor.internal.serving.origin.StreamOrigin;
@@ -34,6 +36,7 @@
             new StreamOrigin("model", new SoftwareVersion("new")));
 
     private InMemoryObjectStore store;
+    private ObservedStore observed;
     private ManualTimeSource time;
     private OriginStatements statements;
     private List<ListedEntries> listed;
@@ -42,6 +45,7 @@
     @BeforeMethod
     public void createStore() {
         store = new InMemoryObjectStore();
+        observed = new ObservedStore(store, () -> {});
         time = new ManualTimeSource();
         statements = new OriginStatements();
         listed = new ArrayList<>();
@@ -188,6 +192,24 @@
         assertEquals(directory.state(), KnownEntries.LISTING_INTERVAL.minus(passed));
     }
 
+    // Guards against an entry that knows neither the others nor their statements while the store rejects its writes.
+    @Test
+    public void should_list_the_others_when_the_statement_is_rejected() throws Exception {
+        PeerDirectory directory = directory("one", FIRST);
+        directory.refresh();
+        directory("two", SECOND).refresh();
+        statements.state(ORIGINS);
+        observed.rejectWrites();
+        listed.clear();
+
+        Duration delay = directory.refresh();
+
+        assertEquals(
+                listed.stream().map(ListedEntries::addresses).toList(), List.of(Map.of("one", FIRST, "two", SECOND)));
+        assertEquals(stated, List.of());
+        assertTrue(delay.compareTo(KnownEntries.LISTING_INTERVAL) < 0, "next call after " + delay);
+    }
+
     private Set<StreamOrigin> listedOrigins(String entry) {
         return listed.getLast().origins().statements().get(entry).origins();
     }
@@ -210,7 +232,7 @@
             }
         };
         return new PeerDirectory(
-                store,
+                observed,
                 entry,
                 address,
                 statements,
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ObservedStore.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ObservedStore.java
@@ -7,20 +7,33 @@
 import org.aspenmoor.internal.store.ObjectStore;
 import org.aspenmoor.internal.store.StoreException;
 import org.aspenmoor.internal.store.StoreListing;
+import org.aspenmoor.internal.store.StoreUnavailableException;
 import org.aspenmoor.internal.store.StoreWatch;
 import org.aspenmoor.internal.store.StoreWatchListener;
 import org.aspenmoor.internal.store.StoredObject;
 
-/** Runs an action before each listing of a store. */
+/** Runs an action before each listing of a store, and may reject writes. */
 public final class ObservedStore implements ObjectStore {
     private final ObjectStore store;
     private final Runnable beforeListing;
+    private volatile boolean rejecting;
 
     public ObservedStore(ObjectStore store, Runnable beforeListing) {
         this.store = store;
         this.beforeListing = beforeListing;
     }
 
+    /** Has all writes fail from now on, while reads succeed. */
+    public void rejectWrites() {
+        rejecting = true;
+    }
+
+    private void failIfRejecting() throws StoreException {
+        if (rejecting) {
+            throw new StoreUnavailableException("The store takes no writes.", "test", "Write again later.");
+        }
+    }
+
     @Override
     public Optional<StoredObject> read(ObjectKey key) throws StoreException {
         return store.read(key);
@@ -39,16 +52,19 @@
 
     @Override
     public StoredObject create(ObjectKey key, String value) throws StoreException {
+        failIfRejecting();
         return store.create(key, value);
     }
 
     @Override
     public StoredObject update(StoredObject read, String value) throws StoreException {
+        failIfRejecting();
         return store.update(read, value);
     }
 
     @Override
     public void delete(StoredObject read) throws StoreException {
+        failIfRejecting();
         store.delete(read);
     }
 
