Do not keep the statement of an earlier process that ended hours ago

The registration is kept as it is for an hour, since the configuration, which says how long callers come back, may not be known at that moment.

PeerDirectoryTest.should_not_keep_the_origins_of_an_earlier_process_when_it_ended_long_ago got both versions before.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -42,6 +42,9 @@
     /** All entries see a new software version at the same moment, and the store limits the rate of writes. */
     private static final Duration MAX_STATEMENT_DELAY_PER_ENTRY = Duration.ofMillis(5);
 
+    /** Longer than any caller takes up a stream; the configuration, which says how long, may not be known yet. */
+    private static final Duration MAX_STATEMENT_AGE = Duration.ofHours(1);
+
     private final ObjectStore store;
     private final ObjectKey key;
     private final InetSocketAddress address;
@@ -197,7 +200,8 @@
         // Until this process knows what to state, callers may take up streams that the process before has begun.
         Set<StreamOrigin> origins = statements
                 .origins()
-                .or(() -> own.map(EntryRegistration::origins))
+                .or(() -> own.filter(known -> known.renewedWithin(MAX_STATEMENT_AGE, time.wallClockTime()))
+                        .map(EntryRegistration::origins))
                 .orElse(Set.of());
         write(stored, EntryRegistrationCodec.serialise(registration(origins)));
         renewedAt = Optional.of(startedAt);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
@@ -210,6 +210,19 @@
         assertTrue(delay.compareTo(KnownEntries.LISTING_INTERVAL) < 0, "next call after " + delay);
     }
 
+    // Guards against streams that are refused because of a version that left long before the entry was started again.
+    @Test
+    public void should_not_keep_the_origins_of_an_earlier_process_when_it_ended_long_ago() throws Exception {
+        statements.state(ORIGINS);
+        directory("one", FIRST).refresh();
+        statements = new OriginStatements();
+        time.advance(Duration.ofDays(1));
+
+        directory("one", FIRST).refresh();
+
+        assertEquals(listedOrigins("one"), Set.of());
+    }
+
     private Set<StreamOrigin> listedOrigins(String entry) {
         return listed.getLast().origins().statements().get(entry).origins();
     }
