An entry that was suspended confirms nothing before it looks at the servers again

An entry that has been suspended first reads the questions that have arrived meanwhile, and looks at the servers up to 100 ms later. It replied that it had known all versions, which was before it was suspended; if those that ask have just started and cannot read the statements, streams of a version that served in between go on at another one.

OriginStatementTest.should_not_confirm_that_there_is_no_other_version_when_this_entry_was_suspended got a reply that confirms before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -59,7 +59,7 @@
      * @return whether an uninterrupted observation begins
      */
     boolean observed(Collection<BackendServer> servers, boolean current, long now) {
-        boolean suspended = now - lastObservedAt > MAX_OBSERVATION_GAP.toNanos();
+        boolean suspended = suspended(now);
         boolean begins = current && (!listCurrent || suspended);
         if (suspended || begins) {
             informed = false;
@@ -123,7 +123,11 @@
     }
 
     private boolean observing(long now) {
-        return listCurrent && now - lastObservedAt <= MAX_OBSERVATION_GAP.toNanos();
+        return listCurrent && !suspended(now);
+    }
+
+    private boolean suspended(long now) {
+        return now - lastObservedAt > MAX_OBSERVATION_GAP.toNanos();
     }
 
     private boolean observedForWindow(long now) {
@@ -132,10 +136,11 @@
 
     /**
      * Returns whether this entry has known all versions at some time since it last began to see the servers without a
-     * gap. Otherwise it knows less than it seems: that it has heard of a single version says nothing.
+     * gap. Otherwise it knows less than it seems: that it has heard of a single version says nothing. A process that has
+     * been suspended may be asked before it looks at the servers again.
      */
-    boolean informed() {
-        return informed;
+    boolean informed(long now) {
+        return informed && !suspended(now);
     }
 
     /** Returns the versions of a service, with the time since they were known. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -289,7 +289,7 @@
                 question.number(),
                 find(question.stream()),
                 versions.of(question.service(), now),
-                versions.informed());
+                versions.informed(now));
     }
 
     /**
@@ -385,8 +385,8 @@
 
     /** Returns whether an entry that has known all versions has told of those that it knows. */
     private boolean confirmed(OriginInquiry inquiry) {
-        boolean informedAlone =
-                versions.informed() && network.registeredEntries().isEmpty();
+        boolean informedAlone = versions.informed(time.monotonicNanos())
+                && network.registeredEntries().isEmpty();
         // A reply tells of the versions of one service only; the stream may be of another one of the route.
         boolean informedByOther = inquiry.informed() && inquiry.services().size() == 1;
         return informedByOther || informedAlone;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.serving.origin;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -219,6 +220,19 @@
         assertEquals(tracker.statedVersions(SERVICE), Set.of(OLD));
     }
 
+    // Guards against an entry that answers what was asked while it was suspended, before it looks at the servers again.
+    @Test
+    public void should_not_confirm_that_there_is_no_other_version_when_this_entry_was_suspended() {
+        observe(true, OLD);
+        listed(FROM_OLD);
+        OriginQuestion question = new OriginQuestion(1, STREAM, SERVICE);
+        assertTrue(tracker.answer("own", question).informed());
+
+        network.pass(Duration.ofSeconds(6));
+
+        assertFalse(tracker.answer("own", question).informed());
+    }
+
     private void resolve(StreamKey stream) {
         tracker.resolve(stream, List.of(SERVICE), decisions::add);
     }
