An interrupted watch of the servers ends the observation on which decisions about streams rest at once

The listener tells the tracker of the interruption now. No test of its own; what follows is tested (OriginStatementTest, statements are listed again when the servers are seen again).

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
@@ -100,7 +100,11 @@
     @Override
     public void interrupted(StoreException cause) {
         dependency.lost(cause.problem());
-        eventLoop.execute(() -> state.serverListInterrupted(time.monotonicNanos()));
+        eventLoop.execute(() -> {
+            state.serverListInterrupted(time.monotonicNanos());
+            // The list may be complete again before the next periodic check, which then would not notice the gap.
+            origins.serversObserved(state.servers(), false);
+        });
     }
 
     /**
