--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -72,7 +72,7 @@
         servers.forEach(server -> registered(server, now));
         registered.expire(window, now);
         heard.expire(window, now);
-        informed |= complete(now);
+        informed |= knowsAll(now);
         return begins;
     }
 
@@ -95,7 +95,7 @@
     Set<String> listed(OriginListing listing, long now) {
         Set<String> before = servicesWithSeveral();
         stated.listed(listing, window);
-        informed |= complete(now);
+        informed |= knowsAll(now);
         Set<String> after = servicesWithSeveral();
         after.removeAll(before);
         return after;
@@ -113,13 +113,13 @@
      * Returns whether this entry knows all versions now: it has seen the servers without a gap for as long as callers may
      * take up streams, or since before it has read what the other entries state.
      */
-    boolean complete(long now) {
-        return observing(now) && (observedForWindow(now) || stated.requestedSince(observedSince));
+    boolean knowsAll(long now) {
+        return observedForWindow(now) || (observing(now) && stated.requestedSince(observedSince));
     }
 
     /** Returns whether this entry has seen the servers without a gap for as long as callers may take up streams. */
-    boolean observedThroughout(long now) {
-        return observing(now) && observedForWindow(now);
+    boolean observedForWindow(long now) {
+        return observing(now) && now - observedSince >= window.toNanos();
     }
 
     private boolean observing(long now) {
@@ -130,10 +130,6 @@
         return now - lastObservedAt > MAX_OBSERVATION_GAP.toNanos();
     }
 
-    private boolean observedForWindow(long now) {
-        return now - observedSince >= window.toNanos();
-    }
-
     /**
      * Returns whether this entry has known all versions at some time since it last began to see the servers without a
      * gap. Otherwise it knows less than it seems: that it has heard of a single version says nothing. A process that has
@@ -149,7 +145,7 @@
         Set<StreamOrigin> known = sightings.stream()
                 .map(sighting -> new StreamOrigin(service, sighting.version()))
                 .collect(Collectors.toSet());
-        for (StreamOrigin origin : stated.all(observedThroughout(now))) {
+        for (StreamOrigin origin : stated.all(observedForWindow(now))) {
             if (origin.service().equals(service) && !known.contains(origin)) {
                 sightings.add(new VersionSighting(service, origin.version(), Duration.ZERO));
             }
@@ -169,7 +165,7 @@
 
     private Set<String> servicesWithSeveral() {
         Set<String> services = new TreeSet<>(heard.services());
-        stated.all(observedThroughout(lastObservedAt)).forEach(origin -> services.add(origin.service()));
+        stated.all(observedForWindow(lastObservedAt)).forEach(origin -> services.add(origin.service()));
         services.removeIf(service -> !several(service));
         return services;
     }
@@ -182,7 +178,7 @@
     }
 
     /** Returns whether this entry may state what streams it begins: it first reads what it stated before it restarted. */
-    boolean mayState() {
+    boolean mayWriteStatement() {
         return stated.known();
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
@@ -8,8 +8,8 @@
 import org.aspenmoor.internal.dissemination.RendezvousHash;
 
 /**
- * Chooses the entries that are told and asked about a stream, and the one that writes it to the store: the same ones in every entry, as far as all know the same
- * entries.
+ * Chooses the entries that are told and asked about a stream, and the one that writes it to the store: the same ones in
+ * every entry, as far as all know the same entries.
  */
 final class OriginHolders {
     /** Number of entries told about a stream, so that it is known if some of them stop and a message gets lost. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginNetwork.java
@@ -30,10 +30,10 @@
     /** Sends the known software versions to all other entries now, instead of with the next report. */
     void announceVersions();
 
-    /** Writes to the store what streams this entry may begin; {@link StreamOriginTracker#stated} follows. */
-    void state(Set<StreamOrigin> origins);
+    /** Writes to the store what streams this entry may begin; {@link StreamOriginTracker#statementAccepted} follows. */
+    void writeStatement(Set<StreamOrigin> origins);
 
-    /** Reads from the store what the entries state; {@link StreamOriginTracker#listed} follows. */
+    /** Reads from the store what the entries state; {@link StreamOriginTracker#statementsListed} follows. */
     void listStatements();
 
     /** Replaces this entry's record of streams in the store. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginStatement.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginStatement.java
@@ -10,6 +10,9 @@
  * @param age time since the registration was renewed, by a clock that may have jumped
  */
 public record OriginStatement(Set<StreamOrigin> origins, Duration age) {
+    /** Longer than outages of the store, in which entries go on and cannot renew their registrations. */
+    public static final Duration RETENTION = Duration.ofHours(1);
+
     public OriginStatement {
         origins = Set.copyOf(origins);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
@@ -14,9 +14,6 @@
  * versions have served, although the servers of some of them may have left.
  */
 final class StatedOrigins {
-    /** Longer than outages of the store, in which entries go on and cannot renew their registrations. */
-    private static final Duration RETENTION = Duration.ofHours(1);
-
     private final String ownEntry;
     private Optional<Long> requestedAt = Optional.empty();
     private Set<StreamOrigin> retained = Set.of();
@@ -41,7 +38,7 @@
             ofEarlierProcess = byThisEntry;
         }
         requestedAt = Optional.of(listing.requestedAt());
-        retained = origins(statements, RETENTION);
+        retained = origins(statements, OriginStatement.RETENTION);
         renewed = origins(statements, window.plus(KnownEntries.LEASE));
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -1,16 +1,13 @@
 package org.aspenmoor.internal.serving.origin;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.aspenmoor.internal.serving.BackendServer;
 import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.time.TimeSource;
@@ -46,9 +43,6 @@
     /** Records older than callers may take up streams are ignored; clocks may have jumped by so much. */
     private static final Duration MAX_CLOCK_JUMP = Duration.ofMinutes(1);
 
-    /** Maximum number of streams in one message, which is about a kilobyte. */
-    private static final int MAX_STREAMS_PER_MESSAGE = 24;
-
     /** Distance between the first question numbers of processes that start a millisecond apart, as a power of two. */
     private static final int NUMBERS_PER_MILLISECOND_BITS = 16;
 
@@ -58,6 +52,7 @@
     private final StreamOrigins streams = new StreamOrigins(MAX_STREAMS);
     private final StreamOrigins recorded = new StreamOrigins(MAX_STREAMS);
     private final StreamRecorder recorder;
+    private final StreamAnnouncer announcer;
     private final KnownVersions versions;
     private final Map<Long, OriginInquiry> inquiries = new HashMap<>();
     private Set<StreamOrigin> stating = Set.of();
@@ -70,6 +65,7 @@
         this.time = time;
         this.holders = new OriginHolders(network);
         this.recorder = new StreamRecorder(network, time);
+        this.announcer = new StreamAnnouncer(network, holders, recorder);
         this.versions = new KnownVersions(network.ownEntry(), time.monotonicNanos());
         // A suspended entry may reply seconds later, when this entry has restarted: the reply must not count as the one
         // to a question about another stream.
@@ -101,7 +97,7 @@
         streams.expire(now);
         recorded.expire(now);
         recorder.expire();
-        state();
+        writeStatementIfChanged();
         loadRecordsIfNeeded();
     }
 
@@ -142,29 +138,29 @@
         boolean first = versionKnown(new VersionSighting(server.service(), server.softwareVersion(), Duration.ZERO));
         if (first) {
             network.announceVersions();
-            state();
+            writeStatementIfChanged();
         }
     }
 
     /** Writes to the store what streams this entry may begin, if that has changed. */
-    private void state() {
+    private void writeStatementIfChanged() {
         Set<StreamOrigin> toState = versions.toState(time.monotonicNanos());
-        if (versions.mayState() && !toState.equals(stating)) {
+        if (versions.mayWriteStatement() && !toState.equals(stating)) {
             stating = toState;
             versions.requested(toState);
-            network.state(toState);
+            network.writeStatement(toState);
         }
     }
 
     /** Records what the store has accepted as this entry's statement. */
-    public void stated(Set<StreamOrigin> origins) {
+    public void statementAccepted(Set<StreamOrigin> origins) {
         versions.accepted(origins);
     }
 
     /** Applies what the entries have stated in the store. */
-    public void listed(OriginListing listing) {
+    public void statementsListed(OriginListing listing) {
         versions.listed(listing, time.monotonicNanos()).forEach(this::tellOfService);
-        state();
+        writeStatementIfChanged();
         loadRecordsIfNeeded();
         List.copyOf(inquiries.values()).forEach(this::concludeIfDecidable);
     }
@@ -194,9 +190,10 @@
     }
 
     private void tellOfService(String service) {
-        tellAndRecord(streams.known(time.monotonicNanos()).stream()
+        List<KnownStream> began = streams.known(time.monotonicNanos()).stream()
                 .filter(known -> known.origin().service().equals(service))
-                .toList());
+                .toList();
+        announcer.tellAndRecord(began, versions.window());
     }
 
     /** Returns the software versions to be reported to the other entries: those of services that have several. */
@@ -216,7 +213,7 @@
         known.forEach(this::remember);
         if (onlyVersion(services).isEmpty()) {
             loadRecords();
-            tellAndRecord(known);
+            announcer.tellAndRecord(known, versions.window());
         }
     }
 
@@ -241,46 +238,11 @@
 
     /** Tells other entries all that is remembered of services with several versions, since this entry stops. */
     public void handOver() {
-        tell(streams.known(time.monotonicNanos()).stream()
+        announcer.tell(streams.known(time.monotonicNanos()).stream()
                 .filter(known -> versions.several(known.origin().service()))
                 .toList());
     }
 
-    private void tellAndRecord(List<KnownStream> known) {
-        tell(known);
-        groupByEntry(known, stream -> List.of(holders.toRecord(stream))).forEach(this::record);
-    }
-
-    private void record(String entry, List<KnownStream> known) {
-        if (entry.equals(network.ownEntry())) {
-            recorder.add(known, versions.window());
-        } else {
-            send(entry, known, true);
-        }
-    }
-
-    private void tell(List<KnownStream> known) {
-        groupByEntry(known, holders::toTell).forEach((entry, streamsOfEntry) -> send(entry, streamsOfEntry, false));
-    }
-
-    private static Map<String, List<KnownStream>> groupByEntry(
-            List<KnownStream> known, Function<StreamKey, List<String>> entries) {
-        Map<String, List<KnownStream>> byEntry = new LinkedHashMap<>();
-        for (KnownStream stream : known) {
-            for (String entry : entries.apply(stream.stream())) {
-                byEntry.computeIfAbsent(entry, unseen -> new ArrayList<>()).add(stream);
-            }
-        }
-        return byEntry;
-    }
-
-    private void send(String entry, List<KnownStream> known, boolean record) {
-        for (int start = 0; start < known.size(); start += MAX_STREAMS_PER_MESSAGE) {
-            int end = Math.min(known.size(), start + MAX_STREAMS_PER_MESSAGE);
-            network.tell(entry, known.subList(start, end), record);
-        }
-    }
-
     /** Returns this entry's reply to a question of another one. */
     public OriginReply answer(String entryName, OriginQuestion question) {
         long now = time.monotonicNanos();
@@ -304,7 +266,7 @@
         long now = time.monotonicNanos();
         OriginKnowledge knowledge = find(stream);
         boolean mustAsk = knowledge instanceof OriginKnowledge.Unknown
-                && !(versions.observedThroughout(now) && onlyVersion(services).isPresent());
+                && !(versions.observedForWindow(now) && onlyVersion(services).isPresent());
         if (!mustAsk) {
             listener.accept(decide(knowledge, services, false));
             return Optional.empty();
@@ -368,7 +330,7 @@
             return false;
         }
         return onlyVersion(inquiry.services()).isPresent()
-                ? !confirmed(inquiry) && !versions.complete(time.monotonicNanos())
+                ? !confirmed(inquiry) && !versions.knowsAll(time.monotonicNanos())
                 : !recordsLoaded;
     }
 
@@ -420,7 +382,7 @@
         }
         // A process that has just started sees the version of the servers that are left, and so do others like it; the
         // stream may be of one that has left.
-        return confirmed || versions.complete(time.monotonicNanos())
+        return confirmed || versions.knowsAll(time.monotonicNanos())
                 ? new ResumeDecision.Continue(only.get(), OriginBasis.ONLY_VERSION)
                 : new ResumeDecision.Refuse("it is not known which software versions have served before, since neither"
                         + " the store nor an entry that knows them has been reached");
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ManualOriginNetwork.java
@@ -104,7 +104,7 @@
     }
 
     @Override
-    public void state(Set<StreamOrigin> origins) {
+    public void writeStatement(Set<StreamOrigin> origins) {
         stated.add(origins);
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -157,7 +157,7 @@
     public void should_begin_streams_at_a_version_when_the_store_has_accepted_its_statement() {
         assertEquals(tracker.statedVersions(SERVICE), Set.of());
 
-        tracker.stated(Set.of(FROM_OLD));
+        tracker.statementAccepted(Set.of(FROM_OLD));
 
         assertEquals(tracker.statedVersions(SERVICE), Set.of(OLD));
     }
@@ -212,7 +212,7 @@
         tracker.configured(Duration.ZERO, Set.of(SERVICE));
         listed();
         observe(true, OLD, NEW);
-        tracker.stated(Set.of(FROM_OLD, FROM_NEW));
+        tracker.statementAccepted(Set.of(FROM_OLD, FROM_NEW));
         observeFor(StreamOriginTracker.MIN_WINDOW.plusSeconds(1), OLD);
 
         observe(true, OLD, NEW);
@@ -250,7 +250,7 @@
 
     private void listedOf(String entry, Duration age, StreamOrigin... origins) {
         OriginStatement statement = new OriginStatement(Set.of(origins), age);
-        tracker.listed(new OriginListing(Map.of(entry, statement), network.monotonicNanos()));
+        tracker.statementsListed(new OriginListing(Map.of(entry, statement), network.monotonicNanos()));
     }
 
     private void assertRefused() {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
@@ -186,7 +186,7 @@
     }
 
     @Override
-    public void state(Set<StreamOrigin> origins) {
+    public void writeStatement(Set<StreamOrigin> origins) {
         simulation.store().state(this, origins);
     }
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeStore.java
@@ -27,7 +27,7 @@
             return;
         }
         simulation.after(CALL, () -> statements.put(entry.name(), origins));
-        entry.schedule(Duration.ofNanos(2 * CALL), () -> entry.tracker().stated(origins));
+        entry.schedule(Duration.ofNanos(2 * CALL), () -> entry.tracker().statementAccepted(origins));
     }
 
     /** Reads what all entries state; returns whether the store was reached. */
@@ -42,7 +42,7 @@
             entry.schedule(Duration.ofNanos(CALL), () -> {
                 // An entry makes one call after the other, so no listing is older than what it has written itself.
                 addStatement(entry, listed);
-                entry.tracker().listed(new OriginListing(listed, requestedAt));
+                entry.tracker().statementsListed(new OriginListing(listed, requestedAt));
             });
         });
         return true;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginStatements.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/OriginStatements.java
@@ -15,7 +15,7 @@
     private volatile Optional<Set<StreamOrigin>> origins = Optional.empty();
 
     /** Has the registration state these origins, now and whenever it is renewed. */
-    public void state(Set<StreamOrigin> newOrigins) {
+    public void write(Set<StreamOrigin> newOrigins) {
         origins = Optional.of(Set.copyOf(newOrigins));
         requests.release();
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -42,9 +42,6 @@
     /** All entries see a new software version at the same moment, and the store limits the rate of writes. */
     private static final Duration MAX_STATEMENT_DELAY_PER_ENTRY = Duration.ofMillis(5);
 
-    /** Longer than any caller takes up a stream; the configuration, which says how long, may not be known yet. */
-    private static final Duration MAX_STATEMENT_AGE = Duration.ofHours(1);
-
     private final ObjectStore store;
     private final ObjectKey key;
     private final InetSocketAddress address;
@@ -88,22 +85,22 @@
             Duration delay = refresh();
             while (true) {
                 boolean statementChanged = statements.await(delay) && !statements.takeListingRequest();
-                delay = statementChanged ? stateAfterRandomDelay() : refresh();
+                delay = statementChanged ? writeStatementAfterRandomDelay() : refresh();
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private Duration stateAfterRandomDelay() throws InterruptedException {
+    private Duration writeStatementAfterRandomDelay() throws InterruptedException {
         long maxDelay =
                 MAX_STATEMENT_DELAY_PER_ENTRY.multipliedBy(registeredEntries).toNanos();
         TimeUnit.NANOSECONDS.sleep((long) (random.nextDouble() * maxDelay));
-        return state();
+        return writeStatement();
     }
 
     /** Writes what this entry states, and returns the delay before the next step. */
-    Duration state() {
+    Duration writeStatement() {
         Optional<EntryRegistration> own = ownObject.flatMap(EntryRegistrationCodec::parse);
         if (own.isEmpty() || statements.origins().isEmpty()) {
             return refresh();
@@ -200,7 +197,7 @@
         // Until this process knows what to state, callers may take up streams that the process before has begun.
         Set<StreamOrigin> origins = statements
                 .origins()
-                .or(() -> own.filter(known -> known.renewedWithin(MAX_STATEMENT_AGE, time.wallClockTime()))
+                .or(() -> own.filter(known -> known.renewedWithin(OriginStatement.RETENTION, time.wallClockTime()))
                         .map(EntryRegistration::origins))
                 .orElse(Set.of());
         write(stored, EntryRegistrationCodec.serialise(registration(origins)));
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryUpdates.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryUpdates.java
@@ -26,12 +26,12 @@
         eventLoop.execute(() -> {
             peers.replacePeers(listed.addresses());
             state.entriesListed(listed.listing());
-            origins.listed(listed.origins());
+            origins.statementsListed(listed.origins());
         });
     }
 
     @Override
     public void originsStated(Set<StreamOrigin> stated) {
-        eventLoop.execute(() -> origins.stated(stated));
+        eventLoop.execute(() -> origins.statementAccepted(stated));
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerOriginNetwork.java
@@ -81,8 +81,8 @@
     }
 
     @Override
-    public void state(Set<StreamOrigin> origins) {
-        statements.state(origins);
+    public void writeStatement(Set<StreamOrigin> origins) {
+        statements.write(origins);
     }
 
     @Override
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerDirectoryTest.java
@@ -131,8 +131,8 @@
     public void should_state_origins_in_the_registration_when_told_to() throws Exception {
         PeerDirectory directory = directory("one", FIRST);
         directory.refresh();
-        statements.state(ORIGINS);
-        directory.state();
+        statements.write(ORIGINS);
+        directory.writeStatement();
         directory("two", SECOND).refresh();
 
         assertEquals(stated, List.of(ORIGINS));
@@ -142,14 +142,14 @@
     // Guards against a process that overwrites what the one before it has stated, before it knows what to state.
     @Test
     public void should_keep_the_origins_of_the_earlier_process_until_told_what_to_state() throws Exception {
-        statements.state(ORIGINS);
+        statements.write(ORIGINS);
         directory("one", FIRST).refresh();
         statements = new OriginStatements();
 
         directory("one", SECOND).refresh();
         assertEquals(listedOrigins("one"), ORIGINS);
 
-        statements.state(Set.of());
+        statements.write(Set.of());
         directory("one", SECOND).refresh();
         assertEquals(listedOrigins("one"), Set.of());
     }
@@ -159,8 +159,8 @@
     public void should_state_origins_again_when_the_store_has_lost_the_registration() throws Exception {
         PeerDirectory directory = directory("one", FIRST);
         directory.refresh();
-        statements.state(ORIGINS);
-        directory.state();
+        statements.write(ORIGINS);
+        directory.writeStatement();
         store.restoreFrom(List.of());
 
         directory.refresh();
@@ -170,10 +170,10 @@
 
     @Test
     public void should_not_write_when_the_registration_states_the_origins_already() throws Exception {
-        statements.state(ORIGINS);
+        statements.write(ORIGINS);
         PeerDirectory directory = directory("one", FIRST);
         directory.refresh();
-        directory.state();
+        directory.writeStatement();
         directory.refresh();
 
         assertEquals(stated, List.of(ORIGINS));
@@ -187,9 +187,9 @@
         directory.refresh();
         Duration passed = Duration.ofSeconds(9);
         time.advance(passed);
-        statements.state(ORIGINS);
+        statements.write(ORIGINS);
 
-        assertEquals(directory.state(), KnownEntries.LISTING_INTERVAL.minus(passed));
+        assertEquals(directory.writeStatement(), KnownEntries.LISTING_INTERVAL.minus(passed));
     }
 
     // Guards against an entry that knows neither the others nor their statements while the store rejects its writes.
@@ -198,7 +198,7 @@
         PeerDirectory directory = directory("one", FIRST);
         directory.refresh();
         directory("two", SECOND).refresh();
-        statements.state(ORIGINS);
+        statements.write(ORIGINS);
         observed.rejectWrites();
         listed.clear();
 
@@ -213,7 +213,7 @@
     // Guards against streams that are refused because of a version that left long before the entry was started again.
     @Test
     public void should_not_keep_the_origins_of_an_earlier_process_when_it_ended_long_ago() throws Exception {
-        statements.state(ORIGINS);
+        statements.write(ORIGINS);
         directory("one", FIRST).refresh();
         statements = new OriginStatements();
         time.advance(Duration.ofDays(1));
