Take a request out of the wait queue when its silent engine responds

Found on reading the diff: since a silent attempt is kept while its request waits in the queue, a request whose engine responded stayed in the queue until it was polled, and new requests of the service were queued behind it.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/QueueTracker.java
@@ -12,6 +12,7 @@
     private final RequestShare share;
     private final RequestTrace trace;
     private long dispatchedAt;
+    private boolean queued;
 
     QueueTracker(
             ServingContext context,
@@ -33,7 +34,8 @@
      *     clock
      */
     void enqueue(Placement.Queued placement, long latestUsefulStart) {
-        context.waitQueues().remove(request);
+        leave();
+        queued = true;
         trace.queued(now());
         share.noRoom();
         context.waitQueues()
@@ -46,6 +48,14 @@
                         share.withinAllowance()));
     }
 
+    /** Removes the request from the queue, because its open attempt goes on. */
+    void leave() {
+        if (queued) {
+            queued = false;
+            context.waitQueues().remove(request);
+        }
+    }
+
     /** Records that the request is sent to an engine. */
     void dispatched() {
         dispatchedAt = now();
@@ -55,6 +65,7 @@
 
     /** Records the first byte of the answer. */
     void answerBegan() {
+        leave();
         trace.firstByteReceived(now());
         context.waitQueues().answerBegan(request.service(), dispatchedAt, now());
     }
