A statement that is written after a failed listing does not delay the next listing

Found on reading the diff: a listing that was requested and failed was due again 2 s later, but a statement written meanwhile put it off to 10 s after the last one that succeeded. The time of the next listing is kept instead. No test of its own for this case.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -52,7 +52,7 @@
     private final DependencyLog dependency;
     private Optional<StoredObject> ownObject = Optional.empty();
     private int registeredEntries;
-    private long listedAt;
+    private long nextListingAt;
     private Optional<Long> renewedAt = Optional.empty();
     private Optional<Long> joinedAt = Optional.empty();
 
@@ -123,8 +123,7 @@
     }
 
     private Duration untilNextListing() {
-        long remaining = KnownEntries.LISTING_INTERVAL.toNanos() - (time.monotonicNanos() - listedAt);
-        return Duration.ofNanos(Math.max(0, remaining));
+        return Duration.ofNanos(Math.max(0, nextListingAt - time.monotonicNanos()));
     }
 
     /** Lists the entries, renews this one's registration if it is due, and returns the delay before the next step. */
@@ -133,27 +132,29 @@
             Listing listing = list();
             Optional<EntryRegistration> own = listing.find(key).flatMap(EntryRegistrationCodec::parse);
             if (renewalDue(own)) {
-                listing = renewOrPass(listing, own);
+                listing = renewOrReportListing(listing, own);
             } else if (renewedAt.isEmpty()) {
                 renewedAt = own.map(this::renewalOfEarlierProcess);
             }
             ownObject = listing.find(key);
             registeredEntries = listing.objects().size();
-            listedAt = listing.requestedAt();
+            nextListingAt = listing.requestedAt() + KnownEntries.LISTING_INTERVAL.toNanos();
             dependency.restored();
             listener.entriesListed(listed(listing));
             return KnownEntries.LISTING_INTERVAL;
         } catch (StoreException failure) {
             dependency.lost(failure.problem());
+            nextListingAt = time.monotonicNanos() + RETRY_DELAY.toNanos();
             return RETRY_DELAY;
         }
     }
 
-    /** Renews this entry's registration; if that fails, what has been read is of use all the same. */
-    private Listing renewOrPass(Listing read, Optional<EntryRegistration> own) throws StoreException {
+    /** Renews this entry's registration; if that fails, reports the listing that was read and throws the failure. */
+    private Listing renewOrReportListing(Listing read, Optional<EntryRegistration> own) throws StoreException {
         try {
             return renew(read.find(key), own);
         } catch (StoreException failure) {
+            // Without a renewal of this process, the others may not count it, which a listing would have to say.
             if (renewedAt.isPresent()) {
                 listener.entriesListed(listed(read));
             }
