Records of streams: read them when asked to write, and do not renew an old one

Two faults found on reading the diff. An entry that is asked to write streams of a route which is split between services of one version each never read the records, so it never wrote. A process continued its own record however old it was, and gave its streams a new time. Tests for both in StreamRecordTest, which were written with the change and not run without it.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -120,11 +120,12 @@
         recordsLoaded = true;
         Duration maxAge = versions.window().plus(MAX_CLOCK_JUMP);
         long until = time.monotonicNanos() + versions.window().toNanos();
-        records.values().stream()
-                .filter(record -> record.age().compareTo(maxAge) < 0)
+        Map<String, StreamRecord> usable = new HashMap<>(records);
+        usable.values().removeIf(record -> record.age().compareTo(maxAge) >= 0);
+        usable.values().stream()
                 .flatMap(record -> record.streams().stream())
                 .forEach(known -> recorded.record(known, until));
-        StreamRecord own = records.get(network.ownEntry());
+        StreamRecord own = usable.get(network.ownEntry());
         recorder.loaded(own == null ? List.of() : own.streams(), versions.window());
         for (OriginInquiry inquiry : List.copyOf(inquiries.values())) {
             inquiry.add(find(inquiry.question().stream()));
@@ -225,6 +226,7 @@
     public void told(List<KnownStream> known, boolean record) {
         known.forEach(this::remember);
         if (record) {
+            loadRecords();
             recorder.add(known, versions.window());
         }
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
@@ -102,6 +102,30 @@
                 network.recorded().getFirst().stream().map(KnownStream::stream).toList(), List.of(other, STREAM));
     }
 
+    // Guards against old streams that are written again as new ones by each process that starts.
+    @Test
+    public void should_not_continue_its_record_when_it_is_older_than_callers_may_take_up_streams() {
+        observe(OLD, NEW);
+        load("own", BEGAN, StreamOriginTracker.MIN_WINDOW.plusMinutes(2));
+        StreamKey other = StreamKey.of("", "9c41");
+
+        tracker.streamBegan(List.of(other), FROM_OLD, List.of(SERVICE));
+
+        assertEquals(
+                network.recorded().getFirst().stream().map(KnownStream::stream).toList(), List.of(other));
+    }
+
+    // Guards against streams that are never written because the entry that is to write them has not read its own
+    // record.
+    @Test
+    public void should_read_the_records_when_another_entry_asks_it_to_write_streams() {
+        observe(OLD);
+
+        tracker.told(BEGAN, true);
+
+        assertEquals(network.loads(), 1);
+    }
+
     // Guards against a store whose rate of calls is used up by records.
     @Test
     public void should_write_streams_that_begin_in_quick_succession_together() {
