--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -41,7 +41,7 @@
         return window;
     }
 
-    /** Sets for how long callers may take up streams; it is never shortened, since there may be streams of before. */
+    /** Sets for how long callers may take up streams; it is never shortened, since streams may have begun under the longer one. */
     void extendWindow(Duration newWindow) {
         if (newWindow.compareTo(window) > 0) {
             window = newWindow;
@@ -132,8 +132,8 @@
 
     /**
      * Returns whether this entry has known all versions at some time since it last began to see the servers without a
-     * gap. Otherwise it knows less than it seems: that it has heard of a single version says nothing. A process that has
-     * been suspended may be asked before it looks at the servers again.
+     * gap; false after a suspension, until it looks at the servers again. Otherwise that it has heard of a single version
+     * says nothing.
      */
     boolean informed(long now) {
         return informed && !suspended(now);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/OriginHolders.java
@@ -18,6 +18,7 @@
     /** Number of entries asked about a stream; entries that have started or stopped meanwhile shift those told. */
     static final int ASKED = 8;
 
+    /** Two, so that half of the records are still written until the others notice that one has stopped. */
     private static final int MIN_RECORDERS = 2;
 
     /** Each of them writes to the store several times a second, which limits the rate of writes of all entries. */
@@ -42,7 +43,7 @@
     }
 
     /** Returns the entry that writes a stream to the store: one of a few, so that each writes many streams at once. */
-    String toRecord(StreamKey stream) {
+    String recorderOf(StreamKey stream) {
         List<String> candidates = new ArrayList<>(network.activeEntries());
         candidates.add(network.ownEntry());
         int recorders = Math.clamp(candidates.size() / ENTRIES_PER_RECORDER, MIN_RECORDERS, MAX_RECORDERS);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamAnnouncer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamAnnouncer.java
@@ -39,7 +39,7 @@
      */
     void tellAndRecord(List<KnownStream> known, Duration window) {
         tell(known);
-        groupByEntry(known, stream -> List.of(holders.toRecord(stream)))
+        groupByEntry(known, stream -> List.of(holders.recorderOf(stream)))
                 .forEach((entry, streams) -> record(entry, streams, window));
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamRecorder.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamRecorder.java
@@ -20,7 +20,7 @@
     private final StreamOrigins streams = new StreamOrigins(MAX_STREAMS);
     private boolean loaded;
     private boolean changed;
-    private boolean written;
+    private boolean waitingForInterval;
 
     StreamRecorder(OriginNetwork network, TimeSource time) {
         this.network = network;
@@ -58,17 +58,17 @@
     }
 
     private void writeUnlessTooSoon() {
-        if (!loaded || !changed || written) {
+        if (!loaded || !changed || waitingForInterval) {
             return;
         }
         changed = false;
-        written = true;
+        waitingForInterval = true;
         network.record(streams.known(time.monotonicNanos()));
         network.schedule(INTERVAL, this::intervalPassed);
     }
 
     private void intervalPassed() {
-        written = false;
+        waitingForInterval = false;
         writeUnlessTooSoon();
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/GracefulStop.java
@@ -80,10 +80,11 @@
     }
 
     private void finish() {
-        if (!finished) {
-            finished = true;
-            logUnfinished();
+        if (finished) {
+            return;
         }
+        finished = true;
+        logUnfinished();
         onFinished.run();
     }
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptRecorder.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptRecorder.java
@@ -13,7 +13,7 @@
     private final RequestShare share;
     private final TriedServers triedServers;
     private final RequestTrace trace;
-    private boolean owesRest;
+    private boolean mustContinueStream;
 
     AttemptRecorder(
             ServingContext context,
@@ -35,7 +35,9 @@
         trace.setReason(reason);
         context.metrics().attemptEnded(service, end.getClass().getSimpleName());
         share.attemptEnded(end);
-        owesRest &= !(end instanceof AttemptEnd.Lost);
+        if (end instanceof AttemptEnd.Lost) {
+            mustContinueStream = false;
+        }
         NextStep next = attempts.attemptEnded(end);
         trace.logAttemptEnded(context.state().log(), end, next);
         return next;
@@ -44,15 +46,16 @@
     /** Records that this entry gave an attempt up for another one. */
     void attemptGivenUp(String reason) {
         attemptEnded(new AttemptEnd.Lost(), reason);
-        owesRest = true;
+        // Afterwards, because a lost attempt resets it.
+        mustContinueStream = true;
     }
 
     /**
      * Returns whether this entry has taken the answer from a server that might have completed it, and no server has lost
      * it since.
      */
-    boolean owesRest() {
-        return owesRest;
+    boolean mustContinueStream() {
+        return mustContinueStream;
     }
 
     /** Records that a server responded with a failure; returns the next step. */
@@ -67,7 +70,7 @@
         trace.setReason(reason);
         context.metrics().attemptEnded(service, "moved");
         attempts.attemptEnded(new AttemptEnd.Lost());
-        owesRest = true;
+        mustContinueStream = true;
     }
 
     /** Records the outcome of the request. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -175,7 +175,7 @@
             case Placement.Refused refused -> {
                 share.noRoom();
                 trace.setReason(refused.reason());
-                concludeUnlessOwed(refused.retryAfter());
+                retryRestOrConclude(refused.retryAfter());
             }
         }
     }
@@ -240,7 +240,7 @@
         PrefilledPrompt prefilled = new PrefilledPrompt(placement.prefill(), source);
         pendingHandoff.begin(prefilled);
         if (!permit.tryAcquire()) {
-            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
+            retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         handOff(prefilled);
@@ -256,7 +256,7 @@
                 placement.chooseDecodeEngine(placementRequest, prefilled.engine(), now());
         if (decodeEngine.isEmpty()) {
             trace.setReason("no engine is available to generate the answer");
-            concludeUnlessOwed(placement.retryDelay(placementRequest, now()));
+            retryRestOrConclude(placement.retryDelay(placementRequest, now()));
             return;
         }
         sender.send(decodeEngine.get(), WorkKind.HANDOFF, 0, Optional.of(prefilled.source()), Optional.empty());
@@ -271,7 +271,7 @@
         }
         recorder.prefillFailed(placement.prefill(), end, reason);
         if (!permit.tryAcquire()) {
-            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
+            retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
             return;
         }
         assignServer();
@@ -292,6 +292,7 @@
         if (!stream.begun()) {
             streamStart.firstEventReceived(answerAttempt.softwareVersion());
         }
+        queue.leave();
         stream.forward(head, event, answerAttempt.softwareVersion());
         answerProgress.eventReceived(answerAttempt.work(), answerAttempt.softwareVersion(), deadlines.allowed(), now());
         if (!writer.writable()) {
@@ -362,7 +363,7 @@
         } else if (permit.tryAcquire()) {
             retryElsewhere(end);
         } else {
-            concludeUnlessOwed(FinalAnswer.MIN_RETRY_DELAY);
+            retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
         }
     }
 
@@ -391,9 +392,9 @@
         conclude(attempts.mayHaveRun() ? NextStep.REPORT_UNKNOWN : NextStep.REFUSE, FinalAnswer.MIN_RETRY_DELAY);
     }
 
-    /** Ends the request, unless this entry owes its caller the rest of a stream: then it tries again after a pause. */
-    private void concludeUnlessOwed(Duration retryDelay) {
-        if (stream.begun() && recorder.owesRest()) {
+    /** Tries again after a pause if this entry has itself ended the attempt at a stream; otherwise ends the request. */
+    private void retryRestOrConclude(Duration retryDelay) {
+        if (stream.begun() && recorder.mustContinueStream()) {
             timers.retryLater(this::retryRest);
             return;
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/caller/CallerConnectionTest.java
@@ -198,9 +198,8 @@
         assertFalse(channel.isOpen());
     }
 
-    // Guards against a request that is accepted when the stop no longer leaves it time to be answered: the head of a
-    // stream
-    // that began before the stop does not announce that its connection will be closed.
+    // Guards against a request that is accepted too late in a stop to be answered: the head of a stream that began
+    // before the stop does not announce that its connection will be closed.
     @Test
     public void should_refuse_a_request_behind_a_stream_when_a_stop_closes_idle_connections() {
         receive(get("/first"), LastHttpContent.EMPTY_LAST_CONTENT);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -127,9 +127,7 @@
         assertEquals(PeerReportCodec.parse(PeerLoad.getDefaultInstance()), Optional.empty());
     }
 
-    // Guards against an entry that fails, and forgets what it was about to do, because it has seen two software
-    // versions
-    // before its port is open.
+    // Guards against an entry that fails because it has seen two software versions before its port is open.
     @Test
     public void should_create_no_report_when_the_port_is_not_open_yet() {
         PeerExchange exchange = new PeerExchange(
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StreamVersionTest.java
@@ -141,8 +141,7 @@
     }
 
     // Guards against the end of a stream that an engine of another version states, and against a stream whose version
-    // is
-    // forgotten because its caller has asked for its end.
+    // is forgotten because its caller has asked for its end.
     @Test
     public void should_ask_the_version_that_began_when_only_the_end_of_a_stream_is_missing() throws Exception {
         farEngine("old-1", OLD, whole(OLD));
--- a/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
+++ b/aspenmoor-wire/src/main/java/org/aspenmoor/internal/wire/v1/PeerLoad.java
@@ -12974,7 +12974,7 @@
 
     /**
      * <pre>
-     * The sender has known all versions at some time since it started.
+     * The sender has known all versions at some time since it last began to see the servers without a gap.
      * </pre>
      *
      * <code>bool informed = 6;</code>
@@ -13207,7 +13207,7 @@
     private boolean informed_ = false;
     /**
      * <pre>
-     * The sender has known all versions at some time since it started.
+     * The sender has known all versions at some time since it last began to see the servers without a gap.
      * </pre>
      *
      * <code>bool informed = 6;</code>
@@ -14353,7 +14353,7 @@
       private boolean informed_ ;
       /**
        * <pre>
-       * The sender has known all versions at some time since it started.
+       * The sender has known all versions at some time since it last began to see the servers without a gap.
        * </pre>
        *
        * <code>bool informed = 6;</code>
@@ -14365,7 +14365,7 @@
       }
       /**
        * <pre>
-       * The sender has known all versions at some time since it started.
+       * The sender has known all versions at some time since it last began to see the servers without a gap.
        * </pre>
        *
        * <code>bool informed = 6;</code>
@@ -14381,7 +14381,7 @@
       }
       /**
        * <pre>
-       * The sender has known all versions at some time since it started.
+       * The sender has known all versions at some time since it last began to see the servers without a gap.
        * </pre>
        *
        * <code>bool informed = 6;</code>
