Record each server once a look at the list, and derive whether the records of streams have been read

Each look at the server list recorded the version of each server twice, in KnownVersions and again in the tracker, and the tracker kept a flag that the recorder has too. The versions expire after the look again, as before.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -41,7 +40,10 @@
         return window;
     }
 
-    /** Sets for how long callers may take up streams; it is never shortened, since streams may have begun under the longer one. */
+    /**
+     * Sets for how long callers may take up streams; it is never shortened, since streams may have begun under the longer
+     * one.
+     */
     void extendWindow(Duration newWindow) {
         if (newWindow.compareTo(window) > 0) {
             window = newWindow;
@@ -53,12 +55,12 @@
     }
 
     /**
-     * Records the servers that are known.
+     * Records a look at the server list.
      *
      * @param current whether the list has all changes, as far as this entry can tell
      * @return whether an uninterrupted observation begins
      */
-    boolean observed(Collection<BackendServer> servers, boolean current, long now) {
+    boolean observed(boolean current, long now) {
         boolean suspended = suspended(now);
         boolean begins = current && (!listCurrent || suspended);
         if (suspended || begins) {
@@ -69,13 +71,16 @@
         }
         listCurrent = current;
         lastObservedAt = now;
-        servers.forEach(server -> registered(server, now));
-        registered.expire(window, now);
-        heard.expire(window, now);
         informed |= knowsAll(now);
         return begins;
     }
 
+    /** Forgets the versions that no caller's stream has any more. */
+    void expire(long now) {
+        registered.expire(window, now);
+        heard.expire(window, now);
+    }
+
     /** Records a server that is registered. */
     void registered(BackendServer server, long now) {
         registered.known(server.service(), server.softwareVersion(), now);
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -57,7 +57,6 @@
     private final Map<Long, OriginInquiry> inquiries = new HashMap<>();
     private Set<StreamOrigin> stating = Set.of();
     private boolean recordsRequested;
-    private boolean recordsLoaded;
     private long lastNumber;
 
     public StreamOriginTracker(OriginNetwork network, TimeSource time) {
@@ -90,10 +89,11 @@
      */
     public void serversObserved(Collection<BackendServer> servers, boolean current) {
         long now = time.monotonicNanos();
-        if (versions.observed(servers, current, now)) {
+        if (versions.observed(current, now)) {
             network.listStatements();
         }
         servers.forEach(this::serverObserved);
+        versions.expire(now);
         streams.expire(now);
         recorded.expire(now);
         recorder.expire();
@@ -117,7 +117,6 @@
 
     /** Applies the records that entries have written to the store, by the names of the entries. */
     public void recordsLoaded(Map<String, StreamRecord> records) {
-        recordsLoaded = true;
         Duration maxAge = versions.window().plus(MAX_CLOCK_JUMP);
         long until = time.monotonicNanos() + versions.window().toNanos();
         Map<String, StreamRecord> usable = new HashMap<>(records);
@@ -333,7 +332,7 @@
         }
         return onlyVersion(inquiry.services()).isPresent()
                 ? !confirmed(inquiry) && !versions.knowsAll(time.monotonicNanos())
-                : !recordsLoaded;
+                : !recorder.isLoaded();
     }
 
     private void conclude(OriginInquiry inquiry) {
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamRecorder.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamRecorder.java
@@ -47,6 +47,11 @@
         writeUnlessTooSoon();
     }
 
+    /** Returns whether the records in the store have been read. */
+    boolean isLoaded() {
+        return loaded;
+    }
+
     /** Removes the streams that no caller takes up any more; the record is not written again before it is empty. */
     void expire() {
         int before = streams.size();
