Read and write the origin of a stream in stored objects in one place

The codecs of registrations and of records of streams had the same fields and the same reading; StreamOriginJson serves both. The age of a registration was computed in two ways in PeerDirectory. Stored objects stay as they are.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/EntryRegistrationCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/EntryRegistrationCodec.java
@@ -10,7 +10,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.serving.origin.StreamOrigin;
 import org.aspenmoor.internal.store.StoredObject;
 
@@ -21,8 +20,6 @@
     private static final String PORT = "port";
     private static final String RENEWED_AT = "renewedAt";
     private static final String ORIGINS = "origins";
-    private static final String SERVICE = "service";
-    private static final String VERSION = "version";
     private static final int MAX_PORT = 65_535;
 
     private EntryRegistrationCodec() {}
@@ -33,11 +30,7 @@
                 .put(PORT, registration.address().getPort())
                 .put(RENEWED_AT, registration.renewedAt().toEpochMilli());
         ArrayNode origins = root.putArray(ORIGINS);
-        registration
-                .origins()
-                .forEach(origin -> origins.addObject()
-                        .put(SERVICE, origin.service())
-                        .put(VERSION, origin.version().name()));
+        registration.origins().forEach(origin -> StreamOriginJson.write(origins.addObject(), origin));
         return root.toString();
     }
 
@@ -61,11 +54,7 @@
 
     private static Set<StreamOrigin> parseOrigins(JsonNode origins) {
         Set<StreamOrigin> parsed = new HashSet<>();
-        for (JsonNode origin : origins) {
-            parsed.add(new StreamOrigin(
-                    origin.path(SERVICE).asText(),
-                    new SoftwareVersion(origin.path(VERSION).asText())));
-        }
+        origins.forEach(origin -> parsed.add(StreamOriginJson.read(origin)));
         return parsed;
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/PeerDirectory.java
@@ -182,8 +182,7 @@
 
     /** Returns when an earlier process of this entry has renewed the registration, by the monotonic clock. */
     private long renewalOfEarlierProcess(EntryRegistration registration) {
-        Duration age = Duration.between(registration.renewedAt(), time.wallClockTime());
-        return time.monotonicNanos() - Math.max(0, age.toNanos());
+        return time.monotonicNanos() - Math.max(0, age(registration).toNanos());
     }
 
     /**
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/StreamRecordCodec.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/peers/StreamRecordCodec.java
@@ -14,20 +14,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.aspenmoor.internal.serving.SoftwareVersion;
 import org.aspenmoor.internal.serving.origin.KnownStream;
 import org.aspenmoor.internal.serving.origin.StreamKey;
 import org.aspenmoor.internal.serving.origin.StreamOrigin;
 import org.aspenmoor.internal.serving.origin.StreamRecord;
 import org.aspenmoor.internal.store.StoredObject;
 
-/** Converts an entry's record of streams to a stored object and back. The keys of the streams of one origin stand together. */
+/**
+ * Converts an entry's record of streams to a stored object and back. The keys of the streams of one origin stand together.
+ */
 final class StreamRecordCodec {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String WRITTEN_AT = "writtenAt";
     private static final String ORIGINS = "origins";
-    private static final String SERVICE = "service";
-    private static final String VERSION = "version";
     private static final String KEYS = "keys";
 
     private StreamRecordCodec() {}
@@ -38,10 +37,8 @@
                 .writeBytes(known.stream().bytes()));
         ObjectNode root = MAPPER.createObjectNode().put(WRITTEN_AT, writtenAt.toEpochMilli());
         ArrayNode origins = root.putArray(ORIGINS);
-        keys.forEach((origin, bytes) -> origins.addObject()
-                .put(SERVICE, origin.service())
-                .put(VERSION, origin.version().name())
-                .put(KEYS, bytes.toByteArray()));
+        keys.forEach((origin, bytes) ->
+                StreamOriginJson.write(origins.addObject(), origin).put(KEYS, bytes.toByteArray()));
         return root.toString();
     }
 
@@ -61,9 +58,7 @@
     }
 
     private static List<KnownStream> parseStreams(JsonNode node) throws IOException {
-        StreamOrigin origin = new StreamOrigin(
-                node.path(SERVICE).asText(),
-                new SoftwareVersion(node.path(VERSION).asText()));
+        StreamOrigin origin = StreamOriginJson.read(node);
         byte[] keys = node.path(KEYS).binaryValue();
         if (keys == null) {
             return List.of();
