Tests of the gateway: reports of other entries from one place

TestReports of the stand-ins builds them; the assertions stay. OrderDutyTest, IdleFleetTest and PeerExchangeTest pass.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/PeerExchangeTest.java
@@ -25,6 +25,7 @@
 import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
+import org.aspenmoor.internal.gateway.standin.TestReports;
 import org.aspenmoor.internal.serving.AssignedPrompt;
 import org.aspenmoor.internal.serving.EntryLoad;
 import org.aspenmoor.internal.serving.EventIntervals;
@@ -166,9 +167,7 @@
         assertEquals(received.loads(), SHARES);
         assertEquals(received.prompts(), PROMPTS);
 
-        group.next()
-                .submit(() -> oldEntry.sendReport(PeerExchangeTest::lastReport))
-                .sync();
+        group.next().submit(() -> oldEntry.sendReport(TestReports::last)).sync();
         assertTrue(receivedByNew.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS).stopping());
     }
 
@@ -192,48 +191,12 @@
                 false);
     }
 
-    private static PeerReport lastReport(String entry, long incarnation, long sequence) {
-        return new PeerReport(
-                entry,
-                incarnation,
-                sequence,
-                Map.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                STANDING,
-                PeerMeasurements.NONE,
-                true);
-    }
-
     @Test
     public void should_continue_when_a_datagram_is_not_a_report() throws Exception {
         BlockingQueue<PeerReport> received = new LinkedBlockingQueue<>();
         PeerExchange exchange = exchange("one", received);
         byte[] garbage = "no report".getBytes(StandardCharsets.UTF_8);
-        byte[] report = PeerReportCodec.serialise(new PeerReport(
-                "two",
-                1,
-                1,
-                SHARES,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding("two", true, 0),
-                PeerMeasurements.NONE,
-                false));
+        byte[] report = PeerReportCodec.serialise(TestReports.of("two", SHARES));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(garbage, garbage.length, exchange.address()));
             socket.send(new DatagramPacket(report, report.length, exchange.address()));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/peers/ReportSender.java
@@ -4,12 +4,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import org.aspenmoor.internal.duty.OrderStanding;
-import org.aspenmoor.internal.serving.PeerMeasurements;
-import org.aspenmoor.internal.serving.PeerReport;
+import org.aspenmoor.internal.gateway.standin.TestReports;
 import org.aspenmoor.internal.serving.RoleChange;
 import org.aspenmoor.internal.store.StoredObject;
 
@@ -21,23 +16,7 @@
     public static void sendRoleChange(StoredObject registration, RoleChange change) throws IOException {
         InetSocketAddress address =
                 EntryRegistrationCodec.parse(registration).orElseThrow().address();
-        byte[] report = PeerReportCodec.serialise(new PeerReport(
-                "another-entry",
-                1,
-                1,
-                Map.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(change),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding("another-entry", true, 0),
-                PeerMeasurements.NONE,
-                false));
+        byte[] report = PeerReportCodec.serialise(TestReports.of("another-entry", change));
         try (DatagramSocket socket = new DatagramSocket()) {
             socket.send(new DatagramPacket(report, report.length, address));
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/request/IdleFleetTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/request/IdleFleetTest.java
@@ -11,12 +11,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import org.aspenmoor.internal.duty.OrderStanding;
 import org.aspenmoor.internal.gateway.log.DecisionLog;
 import org.aspenmoor.internal.gateway.settings.RetrySettings;
+import org.aspenmoor.internal.gateway.standin.TestReports;
 import org.aspenmoor.internal.routing.EngineSpeed;
-import org.aspenmoor.internal.serving.PeerMeasurements;
-import org.aspenmoor.internal.serving.PeerReport;
 import org.aspenmoor.internal.serving.PlacementSettings;
 import org.aspenmoor.internal.serving.entries.EntryListing;
 import org.aspenmoor.internal.serving.freshness.CollectionFreshness;
@@ -75,7 +73,7 @@
     @Test
     public void should_count_as_idle_when_another_entry_is_heard_and_has_no_requests() {
         register(OWN, OTHER);
-        state.peerSharing().peerReported(report(), time.monotonicNanos());
+        state.peerSharing().peerReported(TestReports.of(OTHER, Map.of()), time.monotonicNanos());
 
         assertTrue(state.fleetSnapshot(OWN).idle());
     }
@@ -90,24 +88,4 @@
         return new CollectionFreshness(
                 OWN, collection, new RegularPolling(Duration.ofSeconds(1), Duration.ZERO), Optional.empty());
     }
-
-    private static PeerReport report() {
-        return new PeerReport(
-                OTHER,
-                1,
-                1,
-                Map.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                Optional.empty(),
-                new OrderStanding(OTHER, true, 0),
-                PeerMeasurements.NONE,
-                false);
-    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/roles/OrderDutyTest.java
@@ -2,13 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.aspenmoor.internal.duty.OrderStanding;
+import org.aspenmoor.internal.gateway.standin.TestReports;
 import org.aspenmoor.internal.serving.PeerLoads;
-import org.aspenmoor.internal.serving.PeerMeasurements;
-import org.aspenmoor.internal.serving.PeerReport;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -57,24 +53,6 @@
 
     private void hear(OrderStanding standing) {
         reports++;
-        peers.receive(
-                new PeerReport(
-                        standing.entry(),
-                        1,
-                        reports,
-                        Map.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        Optional.empty(),
-                        standing,
-                        PeerMeasurements.NONE,
-                        false),
-                0);
+        peers.receive(TestReports.of(standing, reports), 0);
     }
 }
