Say what the closing of idle connections and the check of a stall do

closeWhenIdle and closeIdle do nothing later by themselves, but are called repeatedly during a stop; one of two methods named check schedules one. A check with a side effect in a lambda is a plain condition.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerConnection.java
@@ -103,7 +103,10 @@
         }
     }
 
-    /** Closes the connection as soon as no request is being received or served on it, and each answer has been sent. */
+    /**
+     * Closes the connection if no request is being received or served on it, and each answer has been sent; to be called
+     * repeatedly until it is closed.
+     */
     void closeWhenIdle() {
         closesWhenIdle = true;
         if (!serving && !receiving && unsentAnswers == 0 && pipelined.isEmpty()) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/caller/CallerServer.java
@@ -87,7 +87,9 @@
         }
     }
 
-    /** Closes the connections on which no request is being received or served, and the others as soon as that is so. */
+    /**
+     * Closes the connections on which no request is being received or served; to be called repeatedly until none is left.
+     */
     public void closeIdle() {
         new ArrayList<>(connections).forEach(CallerConnection::closeWhenIdle);
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AttemptReplacement.java
@@ -1,5 +1,6 @@
 package org.aspenmoor.internal.gateway.request;
 
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.aspenmoor.internal.serving.AssignedWork;
 import org.aspenmoor.internal.serving.AttemptEnd;
@@ -105,15 +106,11 @@
     }
 
     private boolean refusedBySendCheck() {
-        return sendCheck
-                .refusal()
-                .map(refusal -> {
-                    if (refusal instanceof SendRefusal.CallerDisconnected) {
-                        request.callerDisconnected();
-                    }
-                    return true;
-                })
-                .orElse(false);
+        Optional<SendRefusal> refusal = sendCheck.refusal();
+        if (refusal.isPresent() && refusal.get() instanceof SendRefusal.CallerDisconnected) {
+            request.callerDisconnected();
+        }
+        return refusal.isPresent();
     }
 
     private static Placement kept(String obstacle) {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTimers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/RequestTimers.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** The timers of one request: its deadline, and further tries to place the rest of its stream. Confined to the event loop. */
+/**
+ * The timers of one request: its deadline, and further tries to place the rest of its stream. Confined to the event loop.
+ */
 final class RequestTimers {
     /** Pause before another try to place the rest of a stream, a fraction of the time for which callers wait. */
     private static final long RETRY_PAUSE_MILLISECONDS = 100;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallDetector.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/StallDetector.java
@@ -76,10 +76,10 @@
     }
 
     private void watch(WatchedAttempt attempt, Duration limit) {
-        check(attempt, limit, limit);
+        scheduleCheck(attempt, limit, limit);
     }
 
-    private void check(WatchedAttempt attempt, Duration limit, Duration delay) {
+    private void scheduleCheck(WatchedAttempt attempt, Duration limit, Duration delay) {
         cancel();
         pendingCheck = () -> check(attempt, limit);
         timer = context.eventLoop().schedule(pendingCheck, delay.toNanos(), TimeUnit.NANOSECONDS);
@@ -127,7 +127,7 @@
 
     /** Reports a stall; if the attempt is kept, it is reported again until its server responds. */
     private void reportStall(WatchedAttempt attempt, Duration limit) {
-        check(attempt, limit, recheckInterval);
+        scheduleCheck(attempt, limit, recheckInterval);
         stallListener.accept(attempt);
     }
 
