--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/GatewaySettings.java
@@ -60,10 +60,10 @@
                 && store.equals(other.store);
     }
 
-    /** Returns a copy of these settings with another address of the store. */
-    public GatewaySettings withStore(URI otherStore) {
+    /** Returns a copy of these settings for another process and with another address of the store. */
+    public GatewaySettings withProcessAndStore(String otherProcess, URI otherStore) {
         return new GatewaySettings(
-                process,
+                otherProcess,
                 callers,
                 readiness,
                 readinessPath,
