Ask for the age of the list of servers before each send, and again when a connection is open

Cause: an entry acts on the list of servers without asking how old it is at the moment of sending. In the record, the entry has 0.189 of a core: it read the request 1.08 s after its caller had sent it, chose the engine 2.4 s after the store's acceptance, and sent 0.67 s later. A request whose connection was being opened was sent whatever had become known meanwhile.

Change: the age of the list counts from when the call was sent that confirmed what the event loop has applied, by this entry or another one. Requests are sent only while a fifth of the bound, and the present lateness of the event loop, are left for their way. Others wait for the next confirmation, for a second at most, and are refused otherwise. While the store is unavailable, entries go on by the list they have; a poll that fails at an entry that was late itself does not count as that. When a connection has been opened for a request, the server, the list, the key and the deadline are asked once more. Where the settings state a bound, polls for changes of the servers wait at the store for a fifth of it at most. Without a bound nothing changes.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
@@ -5,6 +5,9 @@
     /** No connection was established, so no byte of the request left this process. */
     record NeverSent() implements AttemptEnd {}
 
+    /** Nothing was sent: while the connection was opened, it turned out that the request must not be sent there now. */
+    record Withheld() implements AttemptEnd {}
+
     /** The backend server responded that it did not run the request and will not run it. */
     record NotExecuted() implements AttemptEnd {}
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptTracker.java
@@ -47,6 +47,7 @@
         attemptOpen = false;
         return switch (end) {
             case AttemptEnd.NeverSent neverSent -> stepAfterNoRun();
+            case AttemptEnd.Withheld withheld -> stepAfterNoRun();
             case AttemptEnd.NotExecuted notExecuted -> stepAfterRejection();
             case AttemptEnd.TurnedAway turnedAway -> stepAfterRejection();
             case AttemptEnd.Misdirected misdirected -> stepAfterRejection();
@@ -60,7 +61,7 @@
      * was never sent, it counts as an arrival, so that the next attempt is a retry, because it has loaded an engine.
      */
     public void promptFailed(AttemptEnd end) {
-        if (!(end instanceof AttemptEnd.NeverSent)) {
+        if (!(end instanceof AttemptEnd.NeverSent || end instanceof AttemptEnd.Withheld)) {
             arrivals++;
         }
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendServer.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/BackendServer.java
@@ -28,7 +28,7 @@
         BackendState state,
         EngineRole role) {
     /** Returns a copy of this incarnation that accepts no new work. */
-    BackendServer asDraining() {
+    public BackendServer asDraining() {
         return new BackendServer(
                 id, startedAt, service, softwareVersion, host, port, dataCentre, slots, BackendState.DRAINING, role);
     }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
@@ -37,11 +37,13 @@
 
     private final ObservedCollection collection;
     private final RegularPolling regular;
+    private final Optional<Duration> bound;
     private final Optional<FreshnessBounds> bounds;
     private final PeerObservations peers;
     private final double intervalFactor;
     private final Map<PollReason, Long> polls = new EnumMap<>(PollReason.class);
     private Optional<Observation> applied = Optional.empty();
+    private Optional<Long> appliedConfirmedAt = Optional.empty();
     private Optional<Long> answeredCallSentAt = Optional.empty();
     private Optional<Long> lastOtherStatePoll = Optional.empty();
     private PollReason lastReason = PollReason.REGULAR;
@@ -61,6 +63,7 @@
             String entry, ObservedCollection collection, RegularPolling regular, Optional<FreshnessBounds> bounds) {
         this.collection = collection;
         this.regular = regular;
+        this.bound = bounds.map(FreshnessBounds::bound);
         this.bounds = bounds.filter(FreshnessBounds::sufficient);
         this.peers = new PeerObservations(entry, collection);
         double position = (StableHash.of(entry, collection.name()) >>> 11) * 0x1.0p-53;
@@ -119,6 +122,8 @@
     public synchronized boolean applied(CollectionState state, long sentAt) {
         boolean changed = applied.isPresent() && !applied.get().state().equals(state);
         applied = Optional.of(new Observation(state, sentAt));
+        appliedConfirmedAt =
+                peers.lastSeen(state).filter(seen -> seen - sentAt > 0).or(() -> Optional.of(sentAt));
         return shared() && changed && peers.lastSeen(state).isEmpty();
     }
 
@@ -128,6 +133,9 @@
             return false;
         }
         boolean otherState = !observation.state().equals(applied.get().state());
+        if (!otherState && observation.observedAt() - appliedConfirmedAt.orElseThrow() > 0) {
+            appliedConfirmedAt = Optional.of(observation.observedAt());
+        }
         boolean younger = observation.observedAt() - answeredCallSentAt.get() > 0;
         return otherState && younger && otherStateSeen(confirmedAt().orElseThrow());
     }
@@ -157,6 +165,16 @@
                         Duration.ofNanos(now - own.sentAt())));
     }
 
+    /** Returns when the applied state was last confirmed, by this entry or another one; empty before the first poll. */
+    synchronized Optional<Long> appliedConfirmedAt() {
+        return appliedConfirmedAt;
+    }
+
+    /** Returns the time within which a change must be in force; empty if the settings state none. */
+    Optional<Duration> bound() {
+        return bound;
+    }
+
     /** Returns how up to date the collection is. */
     public synchronized FreshnessStatus status(long now) {
         peers.expire(now);
@@ -174,7 +192,11 @@
     }
 
     private NextPoll regularPoll(long now) {
-        long delay = watchStarted ? 0 : Math.max(0, pauseUntil - now);
+        if (watchStarted) {
+            // The list is not relied on until a poll has confirmed it.
+            return new NextPoll(Duration.ZERO, NO_WAIT, PollReason.REGULAR);
+        }
+        long delay = Math.max(0, pauseUntil - now);
         return new NextPoll(Duration.ofNanos(delay), regular.storeWait(), PollReason.REGULAR);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
@@ -16,12 +16,14 @@
     private static final Duration ROUNDING = Duration.ofMillis(1);
 
     private final Map<ObservedCollection, CollectionFreshness> collections;
+    private final ListReliability serverList;
     private Optional<Long> nextRoundDue = Optional.empty();
     private long lastRoundLateness;
 
     /** Creates the state for both collections. */
     public StoreFreshness(CollectionFreshness configuration, CollectionFreshness servers) {
         this.collections = Map.of(ObservedCollection.CONFIGURATION, configuration, ObservedCollection.SERVERS, servers);
+        this.serverList = new ListReliability(servers.bound());
     }
 
     /** Returns the freshness of one collection. */
@@ -55,6 +57,27 @@
     public void eventLoopRan(Duration interval, long now) {
         lastRoundLateness = lateness(now);
         nextRoundDue = Optional.of(now + interval.toNanos());
+        serverList.eventLoopRan(Duration.ofNanos(lastRoundLateness), now);
+    }
+
+    /** Records that the list of servers cannot be confirmed at present. */
+    public void serverListInterrupted(long now) {
+        serverList.eventLoopRan(Duration.ofNanos(longestDelay(now)), now);
+        serverList.interrupted(now);
+    }
+
+    /** Records that the list of servers has been read again. */
+    public void serverListRestored() {
+        serverList.restored();
+    }
+
+    /**
+     * Returns whether the list of servers is young enough to send a request by it now, so that it reaches no server that
+     * has left longer ago than the settings allow.
+     */
+    public boolean serverListReliable(long now) {
+        Optional<Long> confirmedAt = of(ObservedCollection.SERVERS).appliedConfirmedAt();
+        return serverList.reliable(confirmedAt, Duration.ofNanos(longestDelay(now)), now);
     }
 
     /** Applies the report of another entry. */
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -47,6 +47,7 @@
 import org.aspenmoor.internal.gateway.request.GatewayMetrics;
 import org.aspenmoor.internal.gateway.request.LoadSharingMetrics;
 import org.aspenmoor.internal.gateway.request.RequestDispatcher;
+import org.aspenmoor.internal.gateway.request.ServerListWait;
 import org.aspenmoor.internal.gateway.request.ServingContext;
 import org.aspenmoor.internal.gateway.request.ServingState;
 import org.aspenmoor.internal.gateway.request.ShareMetrics;
@@ -156,6 +157,7 @@
                 new SpeedProbing(settings.process(), state), connections, backendProtocol, eventLoop, log, registry);
         this.cacheListQueries = new CacheListQueries(state.cacheListing(), connections, backendProtocol, log);
         this.waitQueues = new WaitQueues(time, eventLoop);
+        ServerListWait serverListWait = new ServerListWait(state, eventLoop, time, log);
         this.fatalRequests =
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::registeredEntries));
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
@@ -172,6 +174,7 @@
                 new GatewayMetrics(
                         registry, connections::openedTotal, state::serverSummaries, fatalRequests::quarantinedCount),
                 waitQueues,
+                serverListWait,
                 usage,
                 origins,
                 fatalRequests,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 
-/** Receives the events of an {@link Exchange}; exactly one call of the last three methods ends it. */
+/** Receives the events of an {@link Exchange}; exactly one call of {@code completed}, {@code withheld}, {@code neverSent}
+ * and {@code failed} ends it. */
 public interface ExchangeListener {
     /** Called when the head of the answer has been received. */
     void headReceived(HttpResponse head, AnswerMetadata metadata);
@@ -18,6 +20,19 @@
     /** Called when the answer is complete. */
     void completed();
 
+    /**
+     * Returns why the request must not be sent any more; empty if it may be. Asked when a connection has been opened for
+     * it, since what allowed it may have changed meanwhile.
+     */
+    default Optional<String> refusalAfterConnect() {
+        return Optional.empty();
+    }
+
+    /** Called when the listener has refused to have the request sent; nothing was sent. */
+    default void withheld(String reason) {
+        neverSent(reason);
+    }
+
     /** Called when no connection was available; nothing was sent. */
     void neverSent(String reason);
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ServerConnectionPool.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.aspenmoor.internal.gateway.eventloop.LongRoundTask;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 import org.aspenmoor.internal.gateway.protocol.BackendProtocol;
@@ -161,7 +162,7 @@
                 return;
             }
             if (connectResult.isSuccess()) {
-                created[0].send(exchange);
+                sendUnlessRefused(exchange, created[0]);
                 return;
             }
             reportNeverSent(
@@ -170,6 +171,18 @@
         });
     }
 
+    private static void sendUnlessRefused(Exchange exchange, BackendConnection connection) {
+        Optional<String> refusal = exchange.listener().refusalAfterConnect();
+        if (refusal.isEmpty()) {
+            connection.send(exchange);
+            return;
+        }
+        connection.close();
+        exchange.markEnded();
+        exchange.request().release();
+        exchange.listener().withheld(refusal.get());
+    }
+
     private static void reportNeverSent(Exchange exchange, String reason) {
         if (exchange.ended()) {
             return;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/StoreFreshnessFactory.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/StoreFreshnessFactory.java
@@ -11,6 +11,12 @@
 
 /** Creates the {@link StoreFreshness} of an entry from its settings. */
 public final class StoreFreshnessFactory {
+    /**
+     * Part of the bound for which a poll for changes of the servers waits at most, so that the list is confirmed often
+     * enough where servers do not change.
+     */
+    private static final int SERVER_WAIT_PART = 5;
+
     private StoreFreshnessFactory() {}
 
     /**
@@ -32,6 +38,18 @@
                         new RegularPolling(wait, Duration.ZERO),
                         configurationBounds),
                 new CollectionFreshness(
-                        settings.process(), ObservedCollection.SERVERS, new RegularPolling(wait, pause), serverBounds));
+                        settings.process(),
+                        ObservedCollection.SERVERS,
+                        new RegularPolling(serverWait(settings), pause),
+                        serverBounds));
+    }
+
+    private static Duration serverWait(GatewaySettings settings) {
+        Duration wait = settings.watchPollWait();
+        return settings.storeBounds()
+                .servers()
+                .map(bound -> bound.dividedBy(SERVER_WAIT_PART))
+                .filter(longest -> longest.compareTo(wait) < 0)
+                .orElse(wait);
     }
 }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/AnswerAttempt.java
@@ -103,6 +103,16 @@
         }
     }
 
+    @Override
+    public Optional<String> refusalAfterConnect() {
+        return request.refusalAfterConnect(server);
+    }
+
+    @Override
+    public void withheld(String reason) {
+        endAttempt(new AttemptEnd.Withheld(), reason);
+    }
+
     @Override
     public void neverSent(String reason) {
         endAttempt(new AttemptEnd.NeverSent(), reason);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/PrefillAttempt.java
@@ -89,6 +89,16 @@
         return placement.prefill();
     }
 
+    @Override
+    public Optional<String> refusalAfterConnect() {
+        return request.refusalAfterConnect(engine());
+    }
+
+    @Override
+    public void withheld(String reason) {
+        request.prefillFailed(placement, work, new AttemptEnd.Withheld(), reason);
+    }
+
     @Override
     public void neverSent(String reason) {
         request.prefillFailed(placement, work, new AttemptEnd.NeverSent(), reason);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
@@ -3,9 +3,11 @@
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.caller.AnswerWriter;
 import org.aspenmoor.internal.organisation.Authorisation;
+import org.aspenmoor.internal.serving.BackendServer;
 
 /** Checks immediately before each send whether a request may still be sent to a server. */
 final class SendCheck {
+    private final ServingState state;
     private final AnswerWriter writer;
     private final RequestAuthorisation authorisation;
     private final FatalRequestCheck fatalCheck;
@@ -13,11 +15,13 @@
     private final RequestTrace trace;
 
     SendCheck(
+            ServingState state,
             AnswerWriter writer,
             RequestAuthorisation authorisation,
             FatalRequestCheck fatalCheck,
             RequestShare share,
             RequestTrace trace) {
+        this.state = state;
         this.writer = writer;
         this.authorisation = authorisation;
         this.fatalCheck = fatalCheck;
@@ -30,6 +34,19 @@
         return fatalCheck.mayRetry();
     }
 
+    /** Returns why the request must not be sent to a server to which a connection was opened for it; empty if it may be. */
+    Optional<String> refusalAfterConnect(BackendServer server) {
+        if (!state.acceptsWork(server)) {
+            return Optional.of("the server has left while the connection was opened");
+        }
+        if (!state.serverListReliable()) {
+            return Optional.of("the list of servers has become too old while the connection was opened");
+        }
+        return authorisation.renew() instanceof Authorisation.Denied denied
+                ? Optional.of(denied.reason().text())
+                : Optional.empty();
+    }
+
     /** Returns why the request must not be sent, and records the reason; empty if it may be sent. */
     Optional<SendRefusal> refusal() {
         if (!writer.callerConnected()) {
@@ -39,6 +56,10 @@
             trace.setReason(denied.reason().text());
             return Optional.of(new SendRefusal.KeyRemoved(denied.reason()));
         }
+        if (!state.serverListReliable()) {
+            trace.setReason("the list of servers is too old to send by it");
+            return Optional.of(new SendRefusal.ServerListOutdated());
+        }
         Optional<SendRefusal> quarantined = fatalCheck.checkQuarantine().map(SendRefusal.Quarantined::new);
         return quarantined.or(() -> share.refusal().map(SendRefusal.ShareExceeded::new));
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendRefusal.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendRefusal.java
@@ -11,6 +11,9 @@
     /** The caller's key has been removed from the configuration. */
     record KeyRemoved(Authorisation.Reason reason) implements SendRefusal {}
 
+    /** The list of servers is too old to send by it; the request may be sent once the list is confirmed. */
+    record ServerListOutdated() implements SendRefusal {}
+
     /** The request's organisation demands more than its share; it may be retried after the delay. */
     record ShareExceeded(Duration retryDelay) implements SendRefusal {}
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -85,7 +85,7 @@
                 trace);
         this.pendingHandoff = new PendingHandoff(context, caller.requestId());
         this.fatalCheck = new FatalRequestCheck(context, caller, service, request.incoming(), trace);
-        this.sendCheck = new SendCheck(writer, authorisation, fatalCheck, share, trace);
+        this.sendCheck = new SendCheck(context.state(), writer, authorisation, fatalCheck, share, trace);
         this.relocation = new AnswerRelocation(context, service, caller, deadlines, attempts, trace);
         this.recorder = new AttemptRecorder(context, service, attempts, share, triedServers, trace);
         this.replacement = new AttemptReplacement(
@@ -149,7 +149,7 @@
     }
 
     private void assignServer(PlacementRequest placementRequest) {
-        if (refusedBeforeSend()) {
+        if (finished || refusedBeforeSend(this::assignServer)) {
             return;
         }
         follow(context.state().placement().choose(placementRequest, now()));
@@ -180,16 +180,29 @@
         }
     }
 
-    /** Refuses the request if it must not be sent any more; returns whether it was refused. */
-    private boolean refusedBeforeSend() {
+    /**
+     * Refuses the request if it must not be sent any more, or has it wait; returns whether it does not go on now.
+     *
+     * @param goOn continues the request once it may be sent
+     */
+    private boolean refusedBeforeSend(Runnable goOn) {
         Optional<SendRefusal> refusal = sendCheck.refusal();
-        refusal.ifPresent(this::refuse);
+        refusal.ifPresent(reason -> refuse(reason, goOn));
         return refusal.isPresent();
     }
 
-    private void refuse(SendRefusal refusal) {
+    /** Returns why the request must not be sent to a server to which a connection was opened for it. */
+    Optional<String> refusalAfterConnect(BackendServer server) {
+        return deadlines.deadline() <= now()
+                ? Optional.of("the deadline has passed while the connection was opened")
+                : sendCheck.refusalAfterConnect(server);
+    }
+
+    private void refuse(SendRefusal refusal, Runnable goOn) {
         switch (refusal) {
             case SendRefusal.CallerDisconnected disconnected -> callerDisconnected();
+            case SendRefusal.ServerListOutdated outdated ->
+                context.serverListWait().await(goOn, () -> retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY));
             case SendRefusal.Quarantined quarantined -> conclude(attempts.stepWithoutRetry(), quarantined.retryDelay());
             case SendRefusal.ShareExceeded exceeded -> conclude(attempts.stepWithoutRetry(), exceeded.retryDelay());
             case SendRefusal.KeyRemoved removed
@@ -247,7 +260,7 @@
     }
 
     private void handOff(PrefilledPrompt prefilled) {
-        if (refusedBeforeSend()) {
+        if (finished || refusedBeforeSend(() -> handOff(prefilled))) {
             return;
         }
         PlacementPolicy placement = context.state().placement();
@@ -348,6 +361,9 @@
     }
 
     void attemptEnded(AssignedWork work, AttemptEnd end, String reason) {
+        if (end instanceof AttemptEnd.Withheld) {
+            triedServers.withdraw(work.server());
+        }
         context.state().attemptEnded(work, end);
         currentAttempt.end(work);
         handleAttemptEnd(end, reason);
@@ -372,6 +388,7 @@
         // If it rejected the request, the cache may have expired, so another engine does the prefill again.
         boolean cacheUntouched = end instanceof AttemptEnd.Misdirected
                 || end instanceof AttemptEnd.NeverSent
+                || end instanceof AttemptEnd.Withheld
                 || end instanceof AttemptEnd.TurnedAway;
         if (cacheUntouched && pendingHandoff.prompt().isPresent()) {
             handOff(pendingHandoff.prompt().get());
@@ -394,6 +411,9 @@
 
     /** Tries again after a pause if this entry has itself ended the attempt at a stream; otherwise ends the request. */
     private void retryRestOrConclude(Duration retryDelay) {
+        if (finished) {
+            return;
+        }
         if (stream.begun() && recorder.mustContinueStream()) {
             timers.retryLater(this::retryRest);
             return;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingContext.java
@@ -18,6 +18,7 @@
  * @param eventLoop the thread on which all requests are handled
  * @param metrics the request metrics
  * @param waitQueues the requests that wait for capacity at an engine
+ * @param serverListWait the requests that wait until the list of servers is young enough
  * @param usage counts the requests of organisations; empty if usage is not reported
  * @param origins which software versions began streams
  * @param fatalRequests the requests that terminate the servers that run them
@@ -30,6 +31,7 @@
         EventLoop eventLoop,
         GatewayMetrics metrics,
         WaitQueues waitQueues,
+        ServerListWait serverListWait,
         Optional<UsageTracker> usage,
         StreamOriginTracker origins,
         FatalRequestTracker fatalRequests,
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -50,6 +50,7 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final DecisionLog log;
+    private final StoreFreshness storeFreshness;
     private final PlacementPolicy placementPolicy;
     private final RegisteredServers registeredServers;
     private final PeerLoads peers;
@@ -84,6 +85,7 @@
         this.retryBudgets = new RetryBudgets(time, retrySettings, this::entryCount);
         this.lastRequestAt = time.monotonicNanos() - IDLE_AFTER.toNanos();
         this.log = log;
+        this.storeFreshness = storeFreshness;
         this.peers = new PeerLoads();
         this.entries = new KnownEntries(entry);
         this.limits = new ServerLimits(entries, random);
@@ -146,11 +148,13 @@
 
     /** Records that the server list may miss changes from now on. */
     public void serverListInterrupted(long now) {
+        storeFreshness.serverListInterrupted(now);
         registeredServers.listInterrupted(now);
     }
 
     /** Records that the server list is complete. */
     public void serverListSynchronised(long now) {
+        storeFreshness.serverListRestored();
         registeredServers.listSynchronised(now);
     }
 
@@ -353,6 +357,7 @@
     void attemptEnded(AssignedWork work, AttemptEnd end) {
         long now = time.monotonicNanos();
         switch (end) {
+            case AttemptEnd.Withheld withheld -> {}
             case AttemptEnd.NeverSent neverSent -> placementPolicy.serverUnreachable(work, now);
             case AttemptEnd.Misdirected misdirected -> placementPolicy.serverUnreachable(work, now);
             case AttemptEnd.NotExecuted notExecuted -> placementPolicy.attemptRejected(work, now);
@@ -362,6 +367,11 @@
         }
     }
 
+    /** Returns whether the list of servers is young enough to send a request by it now. */
+    boolean serverListReliable() {
+        return storeFreshness.serverListReliable(time.monotonicNanos());
+    }
+
     /** Returns whether this incarnation of the server is registered as ready. */
     boolean acceptsWork(BackendServer server) {
         return registeredServers.acceptsWork(server);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/TriedServers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/TriedServers.java
@@ -25,6 +25,11 @@
         failedPrefills++;
     }
 
+    /** Records that nothing was sent to a server after all, for a reason that is not the server's. */
+    void withdraw(String serverId) {
+        ids.remove(serverId);
+    }
+
     Set<String> ids() {
         return ids;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/BackendConnectionsTest.java
@@ -73,6 +73,20 @@
         assertEquals(report.refCnt(), 0);
     }
 
+    // Guards against a request that is sent to a server which leaves while the connection to it is opened.
+    @Test
+    public void should_not_send_a_request_that_is_refused_once_its_connection_is_open() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        listener.refuseAfterConnect("the server has left");
+        try (BackendFixture fixture = new BackendFixture()) {
+            fixture.send(0, listener);
+            try (ManualBackend.Connection connection = fixture.backend().accept()) {
+                assertEquals(listener.awaitEnd(), "withheld: the server has left");
+                assertEquals(connection.readToEnd(), 0);
+            }
+        }
+    }
+
     // Guards against an order that reaches an engine after its sender has given up, when another entry may give orders.
     @Test
     public void should_reset_connection_when_call_is_not_answered_in_time() throws Exception {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/RecordingExchangeListener.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/RecordingExchangeListener.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 
     private final LinkedBlockingQueue<String> parts = new LinkedBlockingQueue<>();
     private final CompletableFuture<String> end = new CompletableFuture<>();
+    private volatile Optional<String> refusal = Optional.empty();
 
     /** Waits until a part of the body has been received and returns it. */
     String awaitPart() throws InterruptedException {
@@ -48,6 +50,21 @@
         parts.add(part.toString(StandardCharsets.UTF_8));
     }
 
+    /** Refuses to have the request sent once a connection has been opened for it. */
+    void refuseAfterConnect(String reason) {
+        refusal = Optional.of(reason);
+    }
+
+    @Override
+    public Optional<String> refusalAfterConnect() {
+        return refusal;
+    }
+
+    @Override
+    public void withheld(String reason) {
+        end.complete("withheld: " + reason);
+    }
+
     @Override
     public void completed() {
         end.complete(COMPLETED);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ObservedStore.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ObservedStore.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.ObjectStore;
@@ -12,11 +13,13 @@
 import org.aspenmoor.internal.store.StoreWatchListener;
 import org.aspenmoor.internal.store.StoredObject;
 
-/** Runs an action before each listing of a store, and may reject writes. */
+/** Runs an action before each listing of a store, may reject writes, and confirms or interrupts the watch of the servers. */
 public final class ObservedStore implements ObjectStore {
     private final ObjectStore store;
     private final Runnable beforeListing;
+    private final CompletableFuture<StoreWatchListener> serverWatch = new CompletableFuture<>();
     private volatile boolean rejecting;
+    private volatile boolean listingsFail;
 
     public ObservedStore(ObjectStore store, Runnable beforeListing) {
         this.store = store;
@@ -28,6 +31,21 @@
         rejecting = true;
     }
 
+    /** Confirms, as a poll does that was sent at this time, that the servers are as the watch has shown them. */
+    public void confirmServers(long sentAt) {
+        serverWatch.join().confirmed(0, sentAt);
+    }
+
+    /** Ends the watch of the servers, and has all listings fail from now on. */
+    public void interruptServers() {
+        listingsFail = true;
+        serverWatch.join().ended(unavailable());
+    }
+
+    private static StoreUnavailableException unavailable() {
+        return new StoreUnavailableException("The store does not answer.", "test", "Call again later.");
+    }
+
     private void failIfRejecting() throws StoreException {
         if (rejecting) {
             throw new StoreUnavailableException("The store takes no writes.", "test", "Write again later.");
@@ -42,6 +60,9 @@
     @Override
     public StoreListing list(ObjectKind kind) throws StoreException {
         beforeListing.run();
+        if (listingsFail) {
+            throw unavailable();
+        }
         return store.list(kind);
     }
 
@@ -70,6 +91,9 @@
 
     @Override
     public StoreWatch watch(ObjectKind kind, String fromVersion, StoreWatchListener listener) throws StoreException {
+        if (kind == ObjectKind.BACKEND_SERVER) {
+            serverWatch.complete(listener);
+        }
         return store.watch(kind, fromVersion, listener);
     }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -24,6 +24,7 @@
 import org.aspenmoor.internal.gateway.peers.ReportSender;
 import org.aspenmoor.internal.gateway.settings.DutySettings;
 import org.aspenmoor.internal.gateway.settings.GatewaySettings;
+import org.aspenmoor.internal.gateway.settings.StoreBounds;
 import org.aspenmoor.internal.organisation.KeyRegistry;
 import org.aspenmoor.internal.organisation.OrganisationKeys;
 import org.aspenmoor.internal.serving.BackendServer;
@@ -93,7 +94,21 @@
                 new ConcurrentHashMap<>(),
                 Optional.empty(),
                 callers,
-                observer);
+                observer,
+                StoreBounds.NONE);
+    }
+
+    /** Starts a gateway whose calls to the store are observed, and for which time bounds hold. */
+    public TestGateway(StoreBounds bounds, UnaryOperator<ObjectStore> observer) throws AspenmoorException {
+        this(
+                "entry-under-test",
+                new InMemoryObjectStore(),
+                new ConcurrentHashMap<>(),
+                new ConcurrentHashMap<>(),
+                Optional.empty(),
+                TestSettings.anyFreePort(),
+                observer,
+                bounds);
     }
 
     private TestGateway(
@@ -103,7 +118,15 @@
             Map<String, BackendServer> servers,
             Optional<DutySettings> duties)
             throws AspenmoorException {
-        this(process, store, configurations, servers, duties, TestSettings.anyFreePort(), UnaryOperator.identity());
+        this(
+                process,
+                store,
+                configurations,
+                servers,
+                duties,
+                TestSettings.anyFreePort(),
+                UnaryOperator.identity(),
+                StoreBounds.NONE);
     }
 
     private TestGateway(
@@ -113,12 +136,13 @@
             Map<String, BackendServer> servers,
             Optional<DutySettings> duties,
             InetSocketAddress callers,
-            UnaryOperator<ObjectStore> observer)
+            UnaryOperator<ObjectStore> observer,
+            StoreBounds bounds)
             throws AspenmoorException {
         this.store = store;
         this.configurations = configurations;
         this.servers = servers;
-        GatewaySettings settings = TestSettings.create(process, callers, duties, TestSettings.AMPLE_RETRIES);
+        GatewaySettings settings = TestSettings.create(process, callers, duties, TestSettings.AMPLE_RETRIES, bounds);
         DecisionLog log = new DecisionLog(time, process, new PrintStream(logged, true, StandardCharsets.UTF_8));
         log.start();
         StoreSettings storeSettings = StoreSettings.defaults();
@@ -371,6 +395,24 @@
         }
     }
 
+    /** Stops the gateway's monotonic clock, so that no wait of a request ends by itself. */
+    public void freezeTime() {
+        time.freeze();
+    }
+
+    /** Returns the time of the gateway's monotonic clock, in nanoseconds. */
+    public long now() {
+        return time.monotonicNanos();
+    }
+
+    /** Replaces the registration of a plain server by one that says that it is draining; returns once it is known. */
+    public void drainServer(String id) throws StoreException, IOException {
+        servers.computeIfPresent(id, (key, server) -> server.asDraining());
+        ObjectKey key = new ObjectKey(ObjectKind.BACKEND_SERVER, ObjectKey.PLATFORM_NAMESPACE, id);
+        store.update(store.read(key).orElseThrow(), "{\"state\":\"draining\"}");
+        awaitLogged("\"state\":\"DRAINING\"");
+    }
+
     /** Moves the gateway's monotonic clock forward; timers of the event loop are not affected. */
     public void advanceTime(Duration duration) {
         time.advance(duration);
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestSettings.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestSettings.java
@@ -25,6 +25,15 @@
 
     static GatewaySettings create(
             String process, InetSocketAddress callers, Optional<DutySettings> duties, RetrySettings retries) {
+        return create(process, callers, duties, retries, StoreBounds.NONE);
+    }
+
+    static GatewaySettings create(
+            String process,
+            InetSocketAddress callers,
+            Optional<DutySettings> duties,
+            RetrySettings retries,
+            StoreBounds bounds) {
         PlacementSettings placement =
                 new PlacementSettings(TestGateway.LOCAL_DATA_CENTRE, EngineSpeed.defaults(), 0.5, 0);
         return new GatewaySettings(
@@ -37,7 +46,7 @@
                 URI.create("http://127.0.0.1/"),
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
-                StoreBounds.NONE,
+                bounds,
                 Duration.ofSeconds(8),
                 8 * 1024 * 1024,
                 MAX_BUFFERED_BYTES,
