Read the objects of the store's responses one by one

Cause: a response was parsed as a whole. A field nested more than 1,000 deep, a number of more than 1,000 digits or a NaN in one object made the parser refuse all of them; so did an object without a name. The watch ended, and the listing that followed had the same object.

Change: the objects of a listing, and of the changes that a poll returns, are separated by a scan for quotes and brackets that neither recurses nor keeps state for each level (JsonSlice). Only the metadata is parsed; the content is passed on as it is, and whoever decodes it finds out whether it can be read, as server-unreadable already did. An object whose metadata cannot be read is left out with a line in the log. A response is parsed once less than before.

--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HttpStoreWatch.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/HttpStoreWatch.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Flow;
 import org.aspenmoor.internal.store.ObjectKind;
@@ -14,6 +15,7 @@
 import org.aspenmoor.internal.store.StoreUnavailableException;
 import org.aspenmoor.internal.store.StoreWatch;
 import org.aspenmoor.internal.store.StoreWatchListener;
+import org.aspenmoor.internal.store.StoredObject;
 
 /** An open watch on the HTTP API, with its own thread. */
 final class HttpStoreWatch implements StoreWatch {
@@ -102,24 +104,36 @@
         if (line.isBlank() || closed) {
             return;
         }
-        JsonNode event = ObjectCodec.tree(uri.toString(), line);
-        String type = event.path("type").asText();
-        JsonNode object = event.path("object");
+        Map<String, JsonSlice> event = JsonSlice.of(uri.toString(), line).members();
+        String type = Optional.ofNullable(event.get("type"))
+                .flatMap(JsonSlice::parse)
+                .map(JsonNode::asText)
+                .orElse("");
         switch (type) {
-            case "ADDED", "MODIFIED" -> listener.changed(ObjectCodec.read(kind, uri.toString(), object));
-            case "DELETED" -> listener.deleted(ObjectCodec.read(kind, uri.toString(), object));
+            case "ADDED", "MODIFIED" -> object(event).ifPresent(listener::changed);
+            case "DELETED" -> object(event).ifPresent(listener::deleted);
             case "BOOKMARK" -> {
                 // Only shows that the connection still works.
             }
-            case "ERROR" ->
-                throw ended("The store ended the watch with status "
-                        + object.path("code").asInt() + ".");
+            case "ERROR" -> throw ended("The store ended the watch with status " + status(event) + ".");
             default ->
                 throw new StoreMalformedException(
                         "The watch sent an event of unknown type '" + type + "'.", uri.toString(), LIST_AGAIN);
         }
     }
 
+    private Optional<StoredObject> object(Map<String, JsonSlice> event) {
+        return Optional.ofNullable(event.get("object"))
+                .flatMap(object -> ObjectCodec.readIfPossible(kind, uri.toString(), object));
+    }
+
+    private static int status(Map<String, JsonSlice> event) {
+        return Optional.ofNullable(event.get("object"))
+                .flatMap(JsonSlice::parse)
+                .map(status -> status.path("code").asInt())
+                .orElse(0);
+    }
+
     private StoreUnavailableException ended(String problem) {
         return new StoreUnavailableException(problem, uri.toString(), LIST_AGAIN);
     }
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/ObjectCodec.java
@@ -6,11 +6,14 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.aspenmoor.internal.store.ObjectKey;
 import org.aspenmoor.internal.store.ObjectKind;
 import org.aspenmoor.internal.store.StoreListing;
 import org.aspenmoor.internal.store.StoreMalformedException;
 import org.aspenmoor.internal.store.StoredObject;
+import org.jboss.logging.Logger;
 
 /** Converts stored objects to and from the JSON of the object API. */
 final class ObjectCodec {
@@ -18,6 +21,7 @@
 
     private static final String REMEDY = "Check the object in the store; another program may have written it.";
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Logger LOG = Logger.getLogger(ObjectCodec.class);
 
     private ObjectCodec() {}
 
@@ -51,11 +55,13 @@
     }
 
     static StoredObject read(ObjectKind kind, String place, String text) throws StoreMalformedException {
-        return read(kind, place, tree(place, text));
+        return read(kind, place, JsonSlice.of(place, text));
     }
 
-    static StoredObject read(ObjectKind kind, String place, JsonNode node) throws StoreMalformedException {
-        JsonNode metadata = node.path("metadata");
+    /** Reads an object. Its value is not parsed: whoever uses it has to find out whether it can be read. */
+    static StoredObject read(ObjectKind kind, String place, JsonSlice object) throws StoreMalformedException {
+        Map<String, JsonSlice> members = object.members();
+        JsonNode metadata = metadata(members);
         String name = metadata.path("name").asText();
         String namespace = metadata.path("namespace").asText();
         String version = metadata.path("resourceVersion").asText();
@@ -63,26 +69,42 @@
             throw new StoreMalformedException(
                     "An object in the store has no name, namespace or version in its metadata.", place, REMEDY);
         }
-        if (!node.path("spec").isObject()) {
+        String value = members.containsKey("spec") ? members.get("spec").text() : "";
+        if (!value.startsWith("{")) {
             throw new StoreMalformedException("An object in the store has no spec.", place, REMEDY);
         }
-        ObjectKey key = new ObjectKey(kind, namespace, name);
-        return new StoredObject(key, version, node.path("spec").toString());
+        return new StoredObject(new ObjectKey(kind, namespace, name), version, value);
     }
 
     static StoreListing readListing(ObjectKind kind, String place, String text) throws StoreMalformedException {
-        JsonNode root = tree(place, text);
-        String version = root.path("metadata").path("resourceVersion").asText();
-        if (version.isEmpty() || !root.path("items").isArray()) {
+        Map<String, JsonSlice> members = JsonSlice.of(place, text).members();
+        String version = metadata(members).path("resourceVersion").asText();
+        if (version.isEmpty() || !members.containsKey("items")) {
             throw new StoreMalformedException("The list from the store has no items or no version.", place, REMEDY);
         }
         List<StoredObject> objects = new ArrayList<>();
-        for (JsonNode item : root.path("items")) {
-            objects.add(read(kind, place, item));
+        for (JsonSlice item : members.get("items").elements()) {
+            readIfPossible(kind, place, item).ifPresent(objects::add);
         }
         return new StoreListing(objects, version);
     }
 
+    /** Reads one of several objects; empty if it cannot be read, since the others are used without it. */
+    static Optional<StoredObject> readIfPossible(ObjectKind kind, String place, JsonSlice object) {
+        try {
+            return Optional.of(read(kind, place, object));
+        } catch (StoreMalformedException malformed) {
+            LOG.warnf("store: an object of kind %s is left out: %s", kind.resource(), malformed.problem());
+            return Optional.empty();
+        }
+    }
+
+    private static JsonNode metadata(Map<String, JsonSlice> members) {
+        return Optional.ofNullable(members.get("metadata"))
+                .flatMap(JsonSlice::parse)
+                .orElseGet(MAPPER::createObjectNode);
+    }
+
     static JsonNode tree(String place, String text) throws StoreMalformedException {
         try {
             return MAPPER.readTree(text);
