Begin streams at a new version only once every entry that relies on its list knows it

Cause: an entry that has seen a single version for the whole window lets an unknown stream go on without asking anybody. It notices that it is cut off only when its poll of the store fails, about two seconds later, and takes its list for current until then. Nobody asks how old the list is when the decision is made.

Change: an entry counts its list as current only while it would also send by it (the age of its confirmation), and begins streams that may be taken up at a new version only when it has stated that version for as long as another entry may rely on an older list. Without a bound in the settings nothing changes, nor for services with a single version.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/KnownVersions.java
@@ -106,8 +106,8 @@
         return after;
     }
 
-    void accepted(Set<StreamOrigin> origins) {
-        stated.accepted(origins);
+    void accepted(Set<StreamOrigin> origins, long now) {
+        stated.accepted(origins, now);
     }
 
     void requested(Set<StreamOrigin> origins) {
@@ -209,9 +209,12 @@
         return stated.byThisEntry();
     }
 
-    /** Returns the versions of a service that this entry states, as far as the store has accepted it. */
-    Set<SoftwareVersion> stated(String service) {
-        return stated.byThisEntry().stream()
+    /**
+     * Returns the versions of a service that this entry states, as far as the store has accepted it for so long; if there
+     * is none of any service, those that it has accepted at all.
+     */
+    Set<SoftwareVersion> stated(String service, Duration time, long now) {
+        return stated.byThisEntryFor(time, now).stream()
                 .filter(origin -> origin.service().equals(service))
                 .map(StreamOrigin::version)
                 .collect(Collectors.toUnmodifiableSet());
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StatedOrigins.java
@@ -1,6 +1,7 @@
 package org.aspenmoor.internal.serving.origin;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +16,7 @@
  */
 final class StatedOrigins {
     private final String ownEntry;
+    private final Map<StreamOrigin, Long> acceptedAt = new HashMap<>();
     private Optional<Long> requestedAt = Optional.empty();
     private Set<StreamOrigin> retained = Set.of();
     private Set<StreamOrigin> renewed = Set.of();
@@ -50,8 +52,21 @@
     }
 
     /** Records that the store has accepted what this entry states. */
-    void accepted(Set<StreamOrigin> origins) {
+    void accepted(Set<StreamOrigin> origins, long now) {
         byThisEntry = Set.copyOf(origins);
+        acceptedAt.keySet().retainAll(origins);
+        origins.forEach(origin -> acceptedAt.putIfAbsent(origin, now));
+    }
+
+    /**
+     * Returns the origins that the store has accepted as stated by this entry at least so long ago; all that it has
+     * accepted if there is none, as after a start.
+     */
+    Set<StreamOrigin> byThisEntryFor(Duration time, long now) {
+        Set<StreamOrigin> settled = byThisEntry.stream()
+                .filter(origin -> now - acceptedAt.getOrDefault(origin, now) >= time.toNanos())
+                .collect(Collectors.toUnmodifiableSet());
+        return settled.isEmpty() ? byThisEntry : settled;
     }
 
     /** Records that these origins are to be stated from now on; the store may be without the others at any moment. */
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/origin/StreamOriginTracker.java
@@ -49,6 +49,7 @@
 
     private final OriginNetwork network;
     private final TimeSource time;
+    private final Duration listBound;
     private final OriginHolders holders;
     private final StreamOrigins streams = new StreamOrigins(MAX_STREAMS);
     private final StreamOrigins recorded = new StreamOrigins(MAX_STREAMS);
@@ -60,9 +61,15 @@
     private boolean recordsRequested;
     private long lastNumber;
 
-    public StreamOriginTracker(OriginNetwork network, TimeSource time) {
+    /**
+     * Creates a tracker that knows no streams.
+     *
+     * @param listBound how old a list of servers may be that an entry relies on; zero if that is not bounded
+     */
+    public StreamOriginTracker(OriginNetwork network, TimeSource time, Duration listBound) {
         this.network = network;
         this.time = time;
+        this.listBound = listBound;
         this.holders = new OriginHolders(network);
         this.recorder = new StreamRecorder(network, time);
         this.announcer = new StreamAnnouncer(network, holders, recorder);
@@ -155,7 +162,7 @@
 
     /** Records what the store has accepted as this entry's statement. */
     public void statementAccepted(Set<StreamOrigin> origins) {
-        versions.accepted(origins);
+        versions.accepted(origins, time.monotonicNanos());
     }
 
     /** Applies what the entries have stated in the store. */
@@ -171,9 +178,12 @@
         return versions.stated();
     }
 
-    /** Returns the versions of a service at which this entry has stated that it begins streams. */
+    /**
+     * Returns the versions of a service at which this entry begins streams: those that it has stated for as long as
+     * another entry may rely on a list of servers without them.
+     */
     public Set<SoftwareVersion> statedVersions(String service) {
-        return versions.stated(service);
+        return versions.stated(service, listBound, time.monotonicNanos());
     }
 
     /** Records the software versions that another entry knows. */
@@ -361,8 +371,8 @@
 
     /** Returns whether an entry that has known all versions has told of those that it knows. */
     private boolean confirmed(OriginInquiry inquiry) {
-        boolean informedAlone = informed(time.monotonicNanos())
-                && network.registeredEntries().isEmpty();
+        boolean informedAlone =
+                informed(time.monotonicNanos()) && network.registeredEntries().isEmpty();
         // A reply tells of the versions of one service only; the stream may be of another one of the route.
         boolean informedByOther = inquiry.informed() && inquiry.services().size() == 1;
         return informedByOther || informedAlone;
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/OriginStatementTest.java
@@ -30,7 +30,7 @@
     @BeforeMethod
     public void createTracker() {
         network = new ManualOriginNetwork();
-        tracker = new StreamOriginTracker(network, network);
+        tracker = new StreamOriginTracker(network, network, Duration.ZERO);
         tracker.recordsLoaded(Map.of());
         decisions = new ArrayList<>();
         network.setEntries(ENTRIES, ENTRIES);
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeEntry.java
@@ -33,6 +33,7 @@
     private boolean suspended;
     private boolean cut;
     private boolean separated;
+    private long listCurrentUntil;
     private long incarnation;
     private long outOfTouchUntil;
     private long nextReportAt;
@@ -46,7 +47,7 @@
         alive = true;
         incarnation++;
         known = new LinkedHashMap<>();
-        tracker = new StreamOriginTracker(this, this);
+        tracker = new StreamOriginTracker(this, this, simulation.listBound());
         tracker.configured(Duration.ZERO, Set.of(ResumeEngine.SERVICE));
         check(incarnation);
         listRegularly();
@@ -75,6 +76,7 @@
 
     void cut(long duration) {
         cut = true;
+        listCurrentUntil = now() + simulation.listBound().toNanos();
         simulation.time().at(now() + duration, () -> {
             cut = false;
             outOfTouchUntil = now() + CONTACT;
@@ -144,7 +146,8 @@
                         .forEach(engine -> known.put(engine.id(), engine));
             }
             tracker.serversObserved(
-                    known.values().stream().map(ResumeEngine::registration).toList(), current);
+                    known.values().stream().map(ResumeEngine::registration).toList(),
+                    current || (cut && now() < listCurrentUntil));
             reportIfDue();
         }
         simulation.time().at(now() + CHECK_INTERVAL, () -> check(checkedIncarnation));
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeScenario.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeScenario.java
@@ -10,23 +10,34 @@
  * @param versions the software version of each engine that serves at the start
  * @param lostMessages part of the messages among entries that get lost, and as many of the others are late
  * @param callersReturnWhenRefused whether callers whose streams may not go on come back for as long as they wait
+ * @param listBound for how long an entry that is cut off takes its list of servers for current, and how long entries wait
+ *     before they begin streams at a new version
  * @param faults what happens, in any order
  */
 record ResumeScenario(
-        int entries, List<String> versions, double lostMessages, boolean callersReturnWhenRefused, List<Fault> faults) {
+        int entries,
+        List<String> versions,
+        double lostMessages,
+        boolean callersReturnWhenRefused,
+        Duration listBound,
+        List<Fault> faults) {
     static final long SECOND = Duration.ofSeconds(1).toNanos();
     static final long END = 40 * SECOND;
 
     static ResumeScenario of(int entries, String... versions) {
-        return new ResumeScenario(entries, List.of(versions), 0, false, List.of());
+        return new ResumeScenario(entries, List.of(versions), 0, false, Duration.ZERO, List.of());
     }
 
     ResumeScenario losing(double part) {
-        return new ResumeScenario(entries, versions, part, callersReturnWhenRefused, faults);
+        return new ResumeScenario(entries, versions, part, callersReturnWhenRefused, listBound, faults);
     }
 
     ResumeScenario withCallersThatReturnWhenRefused() {
-        return new ResumeScenario(entries, versions, lostMessages, true, faults);
+        return new ResumeScenario(entries, versions, lostMessages, true, listBound, faults);
+    }
+
+    ResumeScenario relyingOnListsFor(Duration bound) {
+        return new ResumeScenario(entries, versions, lostMessages, callersReturnWhenRefused, bound, faults);
     }
 
     ResumeScenario with(Fault... newFaults) {
@@ -34,7 +45,7 @@
     }
 
     ResumeScenario with(List<Fault> newFaults) {
-        return new ResumeScenario(entries, versions, lostMessages, callersReturnWhenRefused, newFaults);
+        return new ResumeScenario(entries, versions, lostMessages, callersReturnWhenRefused, listBound, newFaults);
     }
 
     /** Something that happens at a time, in seconds. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulation.java
@@ -158,6 +158,10 @@
         return engines;
     }
 
+    Duration listBound() {
+        return scenario.listBound();
+    }
+
     boolean storeAway() {
         return storeAway;
     }
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/ResumeSimulationTest.java
@@ -128,6 +128,15 @@
                 HALF);
     }
 
+    // Guards against an entry that was cut off just before a version appeared, and has not noticed yet.
+    @Test(dataProvider = "fleets")
+    public void should_continue_no_stream_at_another_version_when_an_entry_does_not_notice_that_it_is_cut_off(
+            int entries) {
+        checkOrder(ResumeScenario.of(entries, "one", "one", "one")
+                .relyingOnListsFor(Duration.ofSeconds(3))
+                .with(new EntryCut(34, 0, 4), new EngineStarts(34.2, "two"), new EngineStarts(34.2, "two")));
+    }
+
     // Guards against entries that are cut off together and confirm to each other what none of them can know.
     @Test(dataProvider = "largerFleets")
     public void should_continue_no_stream_at_another_version_when_entries_are_cut_off_together(int entries) {
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamOriginTrackerTest.java
@@ -31,7 +31,7 @@
     @BeforeMethod
     public void createTracker() {
         network = new ManualOriginNetwork();
-        tracker = new StreamOriginTracker(network, network);
+        tracker = new StreamOriginTracker(network, network, Duration.ZERO);
         tracker.recordsLoaded(Map.of());
         decisions = new ArrayList<>();
         network.setEntries(ENTRIES, ENTRIES);
@@ -85,7 +85,7 @@
     public void should_ask_the_entries_that_are_told_by_others() {
         observe(true, OLD, NEW);
         began(STREAM, FROM_OLD);
-        StreamOriginTracker asking = new StreamOriginTracker(network, network);
+        StreamOriginTracker asking = new StreamOriginTracker(network, network, Duration.ZERO);
 
         asking.resolve(STREAM, SERVICES, decisions::add);
 
@@ -133,7 +133,7 @@
     @Test
     public void should_ignore_a_reply_to_a_question_of_the_process_before() {
         network.setWallClockTime(Instant.ofEpochMilli(1_000));
-        tracker = new StreamOriginTracker(network, network);
+        tracker = new StreamOriginTracker(network, network, Duration.ZERO);
         observe(true, OLD, NEW);
         resolve(STREAM);
 
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/origin/StreamRecordTest.java
@@ -29,7 +29,7 @@
     @BeforeMethod
     public void createTracker() {
         network = new ManualOriginNetwork();
-        tracker = new StreamOriginTracker(network, network);
+        tracker = new StreamOriginTracker(network, network, Duration.ZERO);
         tracker.configured(Duration.ZERO, Set.of(SERVICE));
         decisions = new ArrayList<>();
         network.setEntries(List.of(), List.of());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -295,7 +295,8 @@
                 state::activeEntries,
                 this::sendReport,
                 eventLoop);
-        return new StreamOriginTracker(network, time);
+        return new StreamOriginTracker(
+                network, time, settings.storeBounds().servers().orElse(Duration.ZERO));
     }
 
     /** Starts what registers this entry, finds the others, and keeps what all have to know of streams in the store. */
@@ -393,7 +394,7 @@
         storeFreshness.eventLoopRan(CHECK_INTERVAL, nowNanos);
         state.expirePeers(nowNanos);
         state.configuration().ifPresent(known -> origins.configured(known.longestTimeout(), known.resumableServices()));
-        origins.serversObserved(state.servers(), state.reachesStore());
+        origins.serversObserved(state.servers(), state.reachesStore() && state.serverListReliable());
         fatalRequests.expire();
         state.samplePromptLoads(waitQueues::anyWaiting);
         cacheListQueries.sendDue();
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -368,7 +368,7 @@
     }
 
     /** Returns whether the list of servers is young enough to send a request by it now. */
-    boolean serverListReliable() {
+    public boolean serverListReliable() {
         return storeFreshness.serverListReliable(time.monotonicNanos());
     }
 
