Tests: an answer whose head is cut off is never complete

It does not happen here: a connection that ends after any number of characters of the head, with interim answers before it or on a kept connection, fails the attempt. The tests pass on the code as it was; nothing else changes.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -32,6 +32,54 @@
         fixture.close();
     }
 
+    @DataProvider
+    public Object[][] headBeginnings() {
+        return new Object[][] {{""}, {"HTTP/1.1 100 Continue\r\n\r\n"}, {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}};
+    }
+
+    // Guards against an answer whose head is cut off anywhere and that callers get as a complete one without a body.
+    @Test(dataProvider = "headBeginnings")
+    public void should_fail_answer_when_connection_ends_within_its_head(String before) throws Exception {
+        String head = before
+                + HttpText.head(
+                        "HTTP/1.1 200 OK",
+                        "Test-Id: " + BackendFixture.REQUEST_ID,
+                        "Test-Signed: by one",
+                        "Content-Length: 0");
+        for (int length = 0; length < head.length(); length++) {
+            RecordingExchangeListener listener = new RecordingExchangeListener();
+            fixture.send(0, listener);
+            try (ManualBackend.Connection connection = fixture.backend().accept()) {
+                connection.readHead();
+                connection.write(head.substring(0, length));
+                connection.endOutput();
+
+                String end = listener.awaitEnd();
+                assertTrue(end.startsWith("failed: "), length + " characters of the head: " + end);
+            }
+        }
+    }
+
+    // Guards against the same on a connection over which a complete answer has come before.
+    @Test
+    public void should_fail_answer_when_a_kept_connection_ends_within_its_head() throws Exception {
+        RecordingExchangeListener first = new RecordingExchangeListener();
+        fixture.send(0, first);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
+            connection.readHead();
+            connection.write(BackendFixture.COMPLETE_ANSWER);
+            assertEquals(first.awaitEnd(), RecordingExchangeListener.COMPLETED);
+            RecordingExchangeListener second = new RecordingExchangeListener();
+            fixture.send(0, second);
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: by one\r\nContent-Length: 0\r\n");
+            connection.endOutput();
+
+            assertTrue(second.awaitEnd().startsWith("failed: "), second.awaitEnd());
+        }
+        assertEquals(fixture.openedTotal(), 1);
+    }
+
     // Guards against an answer that a reset has cut off and that looks complete, as the reset is noticed by a write.
     @Test
     public void should_fail_answer_without_length_when_connection_is_reset_before_request_is_written()
