Go on without an object whose processing fails twice

Cause: an error of ours while one object of a collection is processed had the collection listed again, and the listing failed at the same object, so that nothing after it was ever processed.

Change: the first failure has the objects listed again, as before; if the same version fails again, it is left out with an error in the log.

Evidence: WatchedCollectionTest.should_go_on_with_the_other_objects_when_processing_one_always_fails; the test of a single failure is unchanged.

--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
@@ -34,6 +34,7 @@
     private final CollectionListener listener;
     private final Backoff backoff;
     private final Map<ObjectKey, StoredObject> known = new HashMap<>();
+    private final Map<ObjectKey, String> failedVersions = new HashMap<>();
     private final Thread thread;
     private volatile boolean closed;
 
@@ -139,14 +140,28 @@
         if (before != null && before.version().equals(object.version())) {
             return;
         }
-        listener.changed(object);
+        try {
+            listener.changed(object);
+        } catch (RuntimeException unexpected) {
+            leaveOutIfFailedBefore(object, unexpected);
+        }
         known.put(object.key(), object);
     }
 
+    /** Has the objects listed again after the first failure; an object that fails each time must not hold up the others. */
+    private void leaveOutIfFailedBefore(StoredObject object, RuntimeException failure) {
+        String versionBefore = failedVersions.put(object.key(), object.version());
+        if (!object.version().equals(versionBefore)) {
+            throw failure;
+        }
+        LOG.errorf(failure, "store: processing %s failed again, going on without it", object.key());
+    }
+
     private void applyDeletion(StoredObject object) {
         if (known.containsKey(object.key())) {
             listener.deleted(object);
             known.remove(object.key());
+            failedVersions.remove(object.key());
         }
     }
 
--- a/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/WatchedCollectionTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/WatchedCollectionTest.java
@@ -4,6 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -123,9 +127,36 @@
         assertEquals(listener.next(), "synchronised");
     }
 
+    // Guards against one object that cannot be processed and takes all others of its kind away.
+    @Test
+    public void should_go_on_with_the_other_objects_when_processing_one_always_fails() throws Exception {
+        store.put(TestObjects.PLAN, "{}");
+        store.put(OTHER, "{}");
+        listener.failAlways(TestObjects.PLAN);
+
+        collection.start();
+
+        List<String> lines = listener.linesUntil("synchronised");
+        assertEquals(Collections.frequency(lines, "failed"), 2);
+        assertTrue(lines.contains("changed " + OTHER.name() + " 2"), lines.toString());
+    }
+
     private static final class RecordingListener implements CollectionListener {
         private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
         private volatile boolean failing;
+        private volatile Optional<ObjectKey> failingAlways = Optional.empty();
+
+        void failAlways(ObjectKey key) {
+            failingAlways = Optional.of(key);
+        }
+
+        List<String> linesUntil(String last) throws InterruptedException {
+            List<String> before = new ArrayList<>();
+            for (String line = next(); !last.equals(line); line = next()) {
+                before.add(line);
+            }
+            return before;
+        }
 
         void failOnce() {
             failing = true;
@@ -133,7 +164,7 @@
 
         @Override
         public void changed(StoredObject object) {
-            if (failing) {
+            if (failing || failingAlways.equals(Optional.of(object.key()))) {
                 failing = false;
                 lines.add("failed");
                 throw new IllegalStateException("simulated bug");
