--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -34,7 +34,9 @@
 
     @DataProvider
     public Object[][] headBeginnings() {
-        return new Object[][] {{""}, {"HTTP/1.1 100 Continue\r\n\r\n"}, {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}};
+        return new Object[][] {
+            {""}, {"HTTP/1.1 100 Continue\r\n\r\n"}, {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}
+        };
     }
 
     // Guards against an answer whose head is cut off anywhere and that callers get as a complete one without a body.
