--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/ExchangeListener.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 import org.aspenmoor.internal.gateway.protocol.AnswerMetadata;
 
-/** Receives the events of an {@link Exchange}; exactly one call of {@code completed}, {@code withheld}, {@code neverSent}
- * and {@code failed} ends it. */
+/**
+ * Receives the events of an {@link Exchange}; exactly one call of {@link #completed}, {@link #withheld}, {@link #neverSent}
+ * or {@link #failed} ends it.
+ */
 public interface ExchangeListener {
     /** Called when the head of the answer has been received. */
     void headReceived(HttpResponse head, AnswerMetadata metadata);
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerListWait.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServerListWait.java
@@ -11,7 +11,7 @@
 
 /** The requests that wait until the list of servers is young enough to send by it. Confined to the event loop. */
 public final class ServerListWait {
-    /** Longer than a poll of the store and its retry take; another entry may know more, so the caller is sent there. */
+    /** By then a poll of the store has been answered or has failed; the caller may find an entry that knows more. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
     private static final long CHECK_INTERVAL_MILLISECONDS = 10;
