A listing confirms the list of servers, instead of a poll without a wait after it

Cause: so that requests would not wait after an outage of the store, the first poll of each watch did not wait at the store.

Change: the poll waits as before. The listing before it counts as a confirmation of its own, from when it was requested.

Evidence: FreshnessSimulationTest passes; ListReliabilityTest has the case.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/CollectionFreshness.java
@@ -192,11 +192,7 @@
     }
 
     private NextPoll regularPoll(long now) {
-        if (watchStarted) {
-            // The list is not relied on until a poll has confirmed it.
-            return new NextPoll(Duration.ZERO, NO_WAIT, PollReason.REGULAR);
-        }
-        long delay = Math.max(0, pauseUntil - now);
+        long delay = watchStarted ? 0 : Math.max(0, pauseUntil - now);
         return new NextPoll(Duration.ofNanos(delay), regular.storeWait(), PollReason.REGULAR);
     }
 
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/ListReliability.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/ListReliability.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Decides whether the list of servers is young enough to send requests by it. Confined to the event loop; {@code now} is
@@ -20,6 +21,7 @@
     private final Optional<Duration> bound;
     private Optional<Long> lateAt = Optional.empty();
     private Optional<Long> interruptedAt = Optional.empty();
+    private Optional<Long> listedAt = Optional.empty();
 
     /**
      * Creates an instance.
@@ -44,19 +46,26 @@
         }
     }
 
-    /** Records that the list has been read again. */
-    void restored() {
+    /**
+     * Records that the whole list has been read, which confirms it too.
+     *
+     * @param requestedAt when the listing was requested
+     */
+    void listed(long requestedAt) {
         interruptedAt = Optional.empty();
+        listedAt = Optional.of(requestedAt);
     }
 
     /**
      * Returns whether requests may be sent by the list now. While the store is unavailable, nobody can do better. A poll
      * that failed at an entry which was late itself says nothing of the store, so the entry waits for the next one.
      *
-     * @param confirmedAt when the applied list was last confirmed; empty before the first poll after the first listing
+     * @param polledAt when the poll was sent that confirmed the applied list last; empty before the first poll
      * @param lateness how late the event loop runs at present
      */
-    boolean reliable(Optional<Long> confirmedAt, Duration lateness, long now) {
+    boolean reliable(Optional<Long> polledAt, Duration lateness, long now) {
+        Optional<Long> confirmedAt =
+                Stream.concat(polledAt.stream(), listedAt.stream()).max((one, other) -> Long.signum(one - other));
         if (bound.isEmpty() || confirmedAt.isEmpty()) {
             return true;
         }
--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/freshness/StoreFreshness.java
@@ -66,9 +66,9 @@
         serverList.interrupted(now);
     }
 
-    /** Records that the list of servers has been read again. */
-    public void serverListRestored() {
-        serverList.restored();
+    /** Records that the whole list of servers has been read, and when it was requested. */
+    public void serversListed(long requestedAt) {
+        serverList.listed(requestedAt);
     }
 
     /**
@@ -76,8 +76,8 @@
      * has left longer ago than the settings allow.
      */
     public boolean serverListReliable(long now) {
-        Optional<Long> confirmedAt = of(ObservedCollection.SERVERS).appliedConfirmedAt();
-        return serverList.reliable(confirmedAt, Duration.ofNanos(longestDelay(now)), now);
+        Optional<Long> polledAt = of(ObservedCollection.SERVERS).appliedConfirmedAt();
+        return serverList.reliable(polledAt, Duration.ofNanos(longestDelay(now)), now);
     }
 
     /** Applies the report of another entry. */
--- a/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/ListReliabilityTest.java
+++ b/aspenmoor-core/src/test/java/org/aspenmoor/internal/serving/freshness/ListReliabilityTest.java
@@ -49,6 +49,16 @@
         assertTrue(reliability.reliable(confirmedAt(0), Duration.ZERO, millis(4000)));
     }
 
+    // Guards against requests that wait after an outage of the store although the list has just been read.
+    @Test
+    public void should_rely_on_a_list_that_was_read_after_the_last_poll() {
+        reliability.interrupted(millis(1000));
+        reliability.listed(millis(60_000));
+
+        assertTrue(reliability.reliable(confirmedAt(0), Duration.ZERO, millis(62_400)));
+        assertFalse(reliability.reliable(confirmedAt(0), Duration.ZERO, millis(62_401)));
+    }
+
     @Test
     public void should_rely_on_any_list_when_no_bound_is_set() {
         ListReliability unbounded = new ListReliability(Optional.empty());
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/membership/ServerRegistrationListener.java
@@ -29,6 +29,7 @@
     private final CollectionObserver observer;
     private long lastGeneration;
     private boolean synchronisedBefore;
+    private long listingRequestedAt;
 
     /**
      * Creates a listener.
@@ -84,12 +85,18 @@
         serverRemoved(object);
     }
 
+    @Override
+    public void listing() {
+        listingRequestedAt = time.monotonicNanos();
+    }
+
     @Override
     public void synchronised() {
         dependency.restored();
         detectStoreRestore();
         synchronisedBefore = true;
-        eventLoop.execute(() -> state.serverListSynchronised(time.monotonicNanos()));
+        long requestedAt = listingRequestedAt;
+        eventLoop.execute(() -> state.serverListSynchronised(requestedAt, time.monotonicNanos()));
     }
 
     @Override
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServingState.java
@@ -152,9 +152,13 @@
         registeredServers.listInterrupted(now);
     }
 
-    /** Records that the server list is complete. */
-    public void serverListSynchronised(long now) {
-        storeFreshness.serverListRestored();
+    /**
+     * Records that the server list is complete.
+     *
+     * @param requestedAt when the listing was requested
+     */
+    public void serverListSynchronised(long requestedAt, long now) {
+        storeFreshness.serversListed(requestedAt);
         registeredServers.listSynchronised(now);
     }
 
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionListener.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/CollectionListener.java
@@ -5,6 +5,9 @@
 
 /** Receives the changes of a {@link WatchedCollection}, always on the thread of the collection. */
 public interface CollectionListener {
+    /** All objects are about to be listed; their changes follow, and then {@link #synchronised}. */
+    default void listing() {}
+
     /** An object was created or replaced. */
     void changed(StoredObject object);
 
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/WatchedCollection.java
@@ -93,6 +93,7 @@
     }
 
     private void listAndWatch() throws StoreException, InterruptedException {
+        listener.listing();
         StoreListing listing = store.list(kind);
         applyListing(listing);
         listener.synchronised();
