Keep the files of the gateway within the length that the linter allows

Change: what an end of an attempt says of a prompt's cache stands with the ends; going on if a retry is permitted is one method instead of three copies; the deadline is asked with the rest of what is asked after a connect; TestGateway has one constructor for an observed store, and its clock is used directly. Behaviour is the same.

--- a/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
+++ b/aspenmoor-core/src/main/java/org/aspenmoor/internal/serving/AttemptEnd.java
@@ -2,6 +2,17 @@
 
 /** How an attempt at a backend server ended without an answer for the caller. */
 public sealed interface AttemptEnd {
+    /**
+     * Returns whether an answer's prompt cache at another engine is certainly untouched, because the answering engine was
+     * not reached or turned the request away. If it rejected the request, the cache may have expired.
+     */
+    default boolean promptCacheUntouched() {
+        return this instanceof NeverSent
+                || this instanceof Withheld
+                || this instanceof Misdirected
+                || this instanceof TurnedAway;
+    }
+
     /** No connection was established, so no byte of the request left this process. */
     record NeverSent() implements AttemptEnd {}
 
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/Gateway.java
@@ -157,7 +157,6 @@
                 new SpeedProbing(settings.process(), state), connections, backendProtocol, eventLoop, log, registry);
         this.cacheListQueries = new CacheListQueries(state.cacheListing(), connections, backendProtocol, log);
         this.waitQueues = new WaitQueues(time, eventLoop);
-        ServerListWait serverListWait = new ServerListWait(state, eventLoop, time, log);
         this.fatalRequests =
                 new FatalRequestTracker(time, log, new RankedTrialTurns(settings.process(), state::registeredEntries));
         this.usage = settings.duties().filter(DutySettings::usage).map(this::createUsageTracker);
@@ -174,7 +173,7 @@
                 new GatewayMetrics(
                         registry, connections::openedTotal, state::serverSummaries, fatalRequests::quarantinedCount),
                 waitQueues,
-                serverListWait,
+                new ServerListWait(state, eventLoop, time, log),
                 usage,
                 origins,
                 fatalRequests,
@@ -295,8 +294,7 @@
                 state::activeEntries,
                 this::sendReport,
                 eventLoop);
-        return new StreamOriginTracker(
-                network, time, settings.storeBounds().servers().orElse(Duration.ZERO));
+        return new StreamOriginTracker(network, time, settings.storeBounds().serversOrZero());
     }
 
     /** Starts what registers this entry, finds the others, and keeps what all have to know of streams in the store. */
@@ -409,8 +407,7 @@
     }
 
     private FullHttpResponse readinessAnswer() {
-        boolean ready = state.ready() && !gracefulStop.begun();
-        return ready
+        return state.ready() && !gracefulStop.begun()
                 ? LocalAnswers.of(HttpResponseStatus.OK, "ready")
                 : LocalAnswers.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
     }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/SendCheck.java
@@ -35,7 +35,10 @@
     }
 
     /** Returns why the request must not be sent to a server to which a connection was opened for it; empty if it may be. */
-    Optional<String> refusalAfterConnect(BackendServer server) {
+    Optional<String> refusalAfterConnect(BackendServer server, long nanosecondsLeft) {
+        if (nanosecondsLeft <= 0) {
+            return Optional.of("the deadline has passed while the connection was opened");
+        }
         if (!state.acceptsWork(server)) {
             return Optional.of("the server has left while the connection was opened");
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/ServedRequest.java
@@ -180,22 +180,15 @@
         }
     }
 
-    /**
-     * Refuses the request if it must not be sent any more, or has it wait; returns whether it does not go on now.
-     *
-     * @param goOn continues the request once it may be sent
-     */
+    /** Refuses the request, or has it wait, if it must not be sent now; returns whether it does not go on yet. */
     private boolean refusedBeforeSend(Runnable goOn) {
         Optional<SendRefusal> refusal = sendCheck.refusal();
         refusal.ifPresent(reason -> refuse(reason, goOn));
         return refusal.isPresent();
     }
 
-    /** Returns why the request must not be sent to a server to which a connection was opened for it. */
     Optional<String> refusalAfterConnect(BackendServer server) {
-        return deadlines.deadline() <= now()
-                ? Optional.of("the deadline has passed while the connection was opened")
-                : sendCheck.refusalAfterConnect(server);
+        return sendCheck.refusalAfterConnect(server, deadlines.deadline() - now());
     }
 
     private void refuse(SendRefusal refusal, Runnable goOn) {
@@ -252,11 +245,7 @@
         recorder.prefillCompleted(placement.prefill(), now());
         PrefilledPrompt prefilled = new PrefilledPrompt(placement.prefill(), source);
         pendingHandoff.begin(prefilled);
-        if (!permit.tryAcquire()) {
-            retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
-            return;
-        }
-        handOff(prefilled);
+        goOnIfPermitted(() -> handOff(prefilled));
     }
 
     private void handOff(PrefilledPrompt prefilled) {
@@ -283,11 +272,7 @@
             return;
         }
         recorder.prefillFailed(placement.prefill(), end, reason);
-        if (!permit.tryAcquire()) {
-            retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
-            return;
-        }
-        assignServer();
+        goOnIfPermitted(this::assignServer);
     }
 
     void answerBegan(AssignedWork work) {
@@ -361,9 +346,7 @@
     }
 
     void attemptEnded(AssignedWork work, AttemptEnd end, String reason) {
-        if (end instanceof AttemptEnd.Withheld) {
-            triedServers.withdraw(work.server());
-        }
+        triedServers.attemptEnded(work, end);
         context.state().attemptEnded(work, end);
         currentAttempt.end(work);
         handleAttemptEnd(end, reason);
@@ -376,21 +359,21 @@
         NextStep next = recorder.attemptEnded(end, reason);
         if (next != NextStep.REPEAT || deadlines.deadline() <= now() || !fatalCheck.mayRetry()) {
             conclude(next == NextStep.REPEAT ? attempts.stepWithoutRetry() : next, FinalAnswer.MIN_RETRY_DELAY);
-        } else if (permit.tryAcquire()) {
-            retryElsewhere(end);
+        } else {
+            goOnIfPermitted(() -> retryElsewhere(end));
+        }
+    }
+
+    private void goOnIfPermitted(Runnable attempt) {
+        if (permit.tryAcquire()) {
+            attempt.run();
         } else {
             retryRestOrConclude(FinalAnswer.MIN_RETRY_DELAY);
         }
     }
 
     private void retryElsewhere(AttemptEnd end) {
-        // If the decode engine was not reached or turned the request away, another one can transfer the prefill cache.
-        // If it rejected the request, the cache may have expired, so another engine does the prefill again.
-        boolean cacheUntouched = end instanceof AttemptEnd.Misdirected
-                || end instanceof AttemptEnd.NeverSent
-                || end instanceof AttemptEnd.Withheld
-                || end instanceof AttemptEnd.TurnedAway;
-        if (cacheUntouched && pendingHandoff.prompt().isPresent()) {
+        if (end.promptCacheUntouched() && pendingHandoff.prompt().isPresent()) {
             handOff(pendingHandoff.prompt().get());
             return;
         }
@@ -411,10 +394,7 @@
 
     /** Tries again after a pause if this entry has itself ended the attempt at a stream; otherwise ends the request. */
     private void retryRestOrConclude(Duration retryDelay) {
-        if (finished) {
-            return;
-        }
-        if (stream.begun() && recorder.mustContinueStream()) {
+        if (!finished && stream.begun() && recorder.mustContinueStream()) {
             timers.retryLater(this::retryRest);
             return;
         }
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/TriedServers.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/request/TriedServers.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.aspenmoor.internal.serving.AssignedWork;
+import org.aspenmoor.internal.serving.AttemptEnd;
 import org.aspenmoor.internal.serving.BackendServer;
 
 /** The servers that one request was sent to, which its next placement avoids. */
@@ -25,9 +27,11 @@
         failedPrefills++;
     }
 
-    /** Records that nothing was sent to a server after all, for a reason that is not the server's. */
-    void withdraw(String serverId) {
-        ids.remove(serverId);
+    /** Records how an attempt ended; a server to which nothing was sent, for a reason of this entry, may be tried again. */
+    void attemptEnded(AssignedWork work, AttemptEnd end) {
+        if (end instanceof AttemptEnd.Withheld) {
+            ids.remove(work.server());
+        }
     }
 
     Set<String> ids() {
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/StoreBounds.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/settings/StoreBounds.java
@@ -13,4 +13,9 @@
 public record StoreBounds(Optional<Duration> configuration, Optional<Duration> servers) {
     /** No bounds are stated. */
     public static final StoreBounds NONE = new StoreBounds(Optional.empty(), Optional.empty());
+
+    /** Returns the bound for a server that leaves; zero if the settings state none. */
+    public Duration serversOrZero() {
+        return servers.orElse(Duration.ZERO);
+    }
 }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ShiftableTimeSource.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/ShiftableTimeSource.java
@@ -8,17 +8,17 @@
 import org.aspenmoor.internal.time.TimeSource;
 
 /** The clocks of the operating system, of which the monotonic one can be moved forward and stopped. */
-final class ShiftableTimeSource implements TimeSource {
+public final class ShiftableTimeSource implements TimeSource {
     private final TimeSource system = new SystemTimeSource();
     private final AtomicLong shiftNanos = new AtomicLong();
     private volatile Optional<Long> frozenAt = Optional.empty();
 
     /** Stops the monotonic clock, which moves by {@link #advance} only from now on. */
-    void freeze() {
+    public void freeze() {
         frozenAt = Optional.of(system.monotonicNanos());
     }
 
-    void advance(Duration duration) {
+    public void advance(Duration duration) {
         shiftNanos.addAndGet(duration.toNanos());
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/standin/TestGateway.java
@@ -85,8 +85,9 @@
                 duties);
     }
 
-    /** Starts a gateway that listens for callers at a given address and whose calls to the store are observed. */
-    public TestGateway(InetSocketAddress callers, UnaryOperator<ObjectStore> observer) throws AspenmoorException {
+    /** Starts a gateway at a given address for callers, whose calls to the store are observed. */
+    public TestGateway(InetSocketAddress callers, StoreBounds bounds, UnaryOperator<ObjectStore> observer)
+            throws AspenmoorException {
         this(
                 "entry-under-test",
                 new InMemoryObjectStore(),
@@ -95,19 +96,6 @@
                 Optional.empty(),
                 callers,
                 observer,
-                StoreBounds.NONE);
-    }
-
-    /** Starts a gateway whose calls to the store are observed, and for which time bounds hold. */
-    public TestGateway(StoreBounds bounds, UnaryOperator<ObjectStore> observer) throws AspenmoorException {
-        this(
-                "entry-under-test",
-                new InMemoryObjectStore(),
-                new ConcurrentHashMap<>(),
-                new ConcurrentHashMap<>(),
-                Optional.empty(),
-                TestSettings.anyFreePort(),
-                observer,
                 bounds);
     }
 
@@ -395,14 +383,9 @@
         }
     }
 
-    /** Stops the gateway's monotonic clock, so that no wait of a request ends by itself. */
-    public void freezeTime() {
-        time.freeze();
-    }
-
-    /** Returns the time of the gateway's monotonic clock, in nanoseconds. */
-    public long now() {
-        return time.monotonicNanos();
+    /** Returns the gateway's clocks; moving them does not affect the timers of the event loop. */
+    public ShiftableTimeSource time() {
+        return time;
     }
 
     /** Replaces the registration of a plain server by one that says that it is draining; returns once it is known. */
@@ -413,11 +396,6 @@
         awaitLogged("\"state\":\"DRAINING\"");
     }
 
-    /** Moves the gateway's monotonic clock forward; timers of the event loop are not affected. */
-    public void advanceTime(Duration duration) {
-        time.advance(duration);
-    }
-
     public TestProtocols protocols() {
         return protocols;
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/CallerLeavesTest.java
@@ -176,7 +176,7 @@
             gateway.protocols().release();
             gateway.protocols().awaitBlocked();
             leaving.close();
-            gateway.advanceTime(Duration.ofSeconds(1));
+            gateway.time().advance(Duration.ofSeconds(1));
             gateway.protocols().release();
             gateway.protocols().awaitBlocked();
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/FatalPromptPartTest.java
@@ -64,7 +64,7 @@
                     FatalPromptPartTest::crashIfFatal));
         }
         gateway.publish();
-        gateway.advanceTime(TIME_SINCE_START);
+        gateway.time().advance(TIME_SINCE_START);
     }
 
     @AfterMethod
@@ -192,7 +192,7 @@
 
     private TestGateway startEntry(String process) throws Exception {
         TestGateway entry = gateway.startAnother(process);
-        entry.advanceTime(TIME_SINCE_START);
+        entry.time().advance(TIME_SINCE_START);
         return entry;
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/GracefulStopTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/GracefulStopTest.java
@@ -40,7 +40,7 @@
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: r1"));
             backend.awaitRequest("r1");
             stop();
-            gateway.advanceTime(GRACE_PERIOD);
+            gateway.time().advance(GRACE_PERIOD);
 
             gateway.awaitLogged("\"event\":\"stop-finished\",\"servedRequests\":1,\"openConnections\":1");
         }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/OrganisationShareTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/OrganisationShareTest.java
@@ -96,7 +96,7 @@
 
     private ReceivedRequest read(TestCaller caller, String path, String key) throws Exception {
         sent++;
-        gateway.advanceTime(INTERVAL);
+        gateway.time().advance(INTERVAL);
         caller.send(HttpText.head(
                 "GET " + path + " HTTP/1.1",
                 "Host: house.example",
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerListAgeTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/ServerListAgeTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -35,7 +37,10 @@
 
     @BeforeMethod
     public void setUp() throws Exception {
-        gateway = new TestGateway(new StoreBounds(Optional.empty(), Optional.of(BOUND)), this::observe);
+        gateway = new TestGateway(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new StoreBounds(Optional.empty(), Optional.of(BOUND)),
+                this::observe);
         gateway.route("/read/", RetryRule.REPEATABLE, false, 2, "registry");
         gateway.route("/draft/", RetryRule.AT_MOST_ONCE, true, 1, "model");
     }
@@ -56,13 +61,13 @@
         ScriptedBackend leaving = gateway.backend("leaving", "registry", ServerListAgeTest::plainAnswer);
         publish();
         assertTrue(gateway.get("/read/a", "r1").line().contains(" 200 "));
-        gateway.advanceTime(TOO_LONG);
+        gateway.time().advance(TOO_LONG);
 
         try (TestCaller caller = gateway.caller()) {
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: " + TestGateway.HOST, requestId("r2")));
             gateway.awaitLogged("server-list-outdated");
             gateway.drainServer("leaving");
-            store.confirmServers(gateway.now());
+            store.confirmServers(gateway.time().monotonicNanos());
 
             assertTrue(caller.readAnswer().line().contains(" 503 "));
         }
@@ -92,11 +97,11 @@
                     TestProtocols.PROMPT + ": " + PROMPT_TOKENS,
                     "Content-Length: 0"));
             Latches.await(prompted);
-            gateway.advanceTime(TOO_LONG);
+            gateway.time().advance(TOO_LONG);
             mayCompute.countDown();
             gateway.awaitLogged("server-list-outdated");
             gateway.drainServer("leaving");
-            store.confirmServers(gateway.now());
+            store.confirmServers(gateway.time().monotonicNanos());
 
             assertTrue(caller.readAnswer().line().contains(" 503 "));
         }
@@ -111,12 +116,12 @@
     public void should_answer_a_request_when_the_list_is_confirmed_while_it_waits() throws Exception {
         gateway.backend("staying", "registry", ServerListAgeTest::plainAnswer);
         publish();
-        gateway.advanceTime(TOO_LONG);
+        gateway.time().advance(TOO_LONG);
 
         try (TestCaller caller = gateway.caller()) {
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: " + TestGateway.HOST, requestId("r1")));
             gateway.awaitLogged("server-list-outdated");
-            store.confirmServers(gateway.now());
+            store.confirmServers(gateway.time().monotonicNanos());
 
             assertTrue(caller.readAnswer().line().contains(" 200 "));
         }
@@ -127,12 +132,12 @@
     public void should_refuse_a_request_when_the_list_is_not_confirmed_in_time() throws Exception {
         ScriptedBackend server = gateway.backend("one", "registry", ServerListAgeTest::plainAnswer);
         publish();
-        gateway.advanceTime(TOO_LONG);
+        gateway.time().advance(TOO_LONG);
 
         try (TestCaller caller = gateway.caller()) {
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: " + TestGateway.HOST, requestId("r1")));
             gateway.awaitLogged("server-list-outdated");
-            gateway.advanceTime(Duration.ofSeconds(1));
+            gateway.time().advance(Duration.ofSeconds(1));
 
             ReceivedRequest refusal = caller.readAnswer();
             assertTrue(refusal.line().contains(" 503 "));
@@ -148,7 +153,7 @@
         publish();
         store.interruptServers();
         gateway.awaitLogged("store-lost");
-        gateway.advanceTime(BOUND);
+        gateway.time().advance(BOUND);
 
         assertTrue(gateway.get("/read/a", "r1").line().contains(" 200 "));
     }
@@ -156,8 +161,8 @@
     /** Publishes the configuration and has the list of servers confirmed. */
     private void publish() throws Exception {
         gateway.publish();
-        gateway.freezeTime();
-        store.confirmServers(gateway.now());
+        gateway.time().freeze();
+        store.confirmServers(gateway.time().monotonicNanos());
     }
 
     private static String requestId(String id) {
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SilentServerTest.java
@@ -192,7 +192,7 @@
         try (TestCaller caller = gateway.caller()) {
             caller.send(streamRequest("/quiet/"));
             gateway.awaitLogged(STALLED);
-            gateway.advanceTime(IDLE_TIMEOUT.multipliedBy(2));
+            gateway.time().advance(IDLE_TIMEOUT.multipliedBy(2));
             serverReturns.countDown();
 
             assertEquals(caller.readAnswer().body(), events(EVENTS));
@@ -213,7 +213,7 @@
         try (TestCaller caller = gateway.caller()) {
             caller.send(streamRequest("/long/"));
             ReceivedRequest head = readHeadOfStream(caller);
-            gateway.advanceTime(Duration.ofSeconds(5));
+            gateway.time().advance(Duration.ofSeconds(5));
             serverReturns.countDown();
 
             assertEquals(caller.readBody(head), events(EVENTS));
@@ -246,7 +246,7 @@
             caller.send(streamRequest("/long/"));
             ReceivedRequest head = readHeadOfStream(caller);
             gateway.reportRoleChange(first.count("r1") > 0 ? "one" : "two", EngineRole.PREFILL);
-            gateway.advanceTime(ROUTE_TIMEOUT);
+            gateway.time().advance(ROUTE_TIMEOUT);
             serverReturns.countDown();
 
             assertEquals(caller.readBody(head), events(EVENTS));
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SlowCallerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/SlowCallerTest.java
@@ -50,7 +50,7 @@
             silent.add(caller);
             caller.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: silent-" + index));
             gateway.awaitLogged("\"event\":\"request-ended\"", index + 1);
-            gateway.advanceTime(Duration.ofSeconds(2));
+            gateway.time().advance(Duration.ofSeconds(2));
         }
 
         gateway.awaitLogged("\"event\":\"caller-dropped\"");
@@ -74,7 +74,7 @@
                 silent.send(HttpText.head("GET /read/a HTTP/1.1", "Host: house.example", "Test-Id: own-" + requests));
                 requests++;
                 gateway.awaitLogged("\"event\":\"request-ended\"", requests);
-                gateway.advanceTime(Duration.ofSeconds(2));
+                gateway.time().advance(Duration.ofSeconds(2));
             }
         }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StartTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/StartTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
+import org.aspenmoor.internal.gateway.settings.StoreBounds;
 import org.aspenmoor.internal.gateway.standin.ObservedStore;
 import org.aspenmoor.internal.gateway.standin.TestGateway;
 import org.testng.annotations.Test;
@@ -20,6 +21,7 @@
         CompletableFuture<Boolean> acceptedAtFirstListing = new CompletableFuture<>();
         TestGateway gateway = new TestGateway(
                 callers,
+                StoreBounds.NONE,
                 store -> new ObservedStore(store, () -> acceptedAtFirstListing.complete(acceptsConnections(callers))));
         try {
             assertTrue(acceptedAtFirstListing.get(), "a connection was refused while the configuration was not read");
