Refuse answers whose status code is not three digits from 100 to 599

What callers saw: a server answered with the status 000, and the caller got it as an answer (MIXED). The same with 001, 042, 099, one, two or four digits and 600 to 999; 0200 and +200 became a success that the server had not answered.

Cause: the decoder of answers reads the status code as an integer and accepts each one from 0, and nothing behind it asks for more. What was received is gone by then: 0200 cannot be told from 200 in the decoded head. All connections whose answers Netty decodes were concerned: callers' requests, both stages of a staged one, and calls to servers; calls to the store (a refused write counted as applied, or one that may have taken effect as refused); usage reports.

Why it works: StrictResponseDecoder judges the word of the status line as it was received, before it becomes a number, and is the one decoder of all these connections. A refused head is invalid like any other: an unsafe request gets 502, others another attempt, the connection is closed, and the line irregular-answer says what was received. It costs a comparison of three bytes a head.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/AnswerDecoder.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/backend/AnswerDecoder.java
@@ -3,12 +3,12 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import org.aspenmoor.internal.gateway.partial.MessageMeter;
+import org.aspenmoor.internal.http.StrictResponseDecoder;
 
 /** Decodes the answers on a connection to a backend server. */
-final class AnswerDecoder extends HttpResponseDecoder {
+final class AnswerDecoder extends StrictResponseDecoder {
     private static final int MAX_INITIAL_LINE_LENGTH = 8192;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 16_384;
--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/DutyClient.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/DutyClient.java
@@ -10,8 +10,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.IOException;
@@ -22,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.aspenmoor.internal.gateway.protocol.DutyProtocol;
+import org.aspenmoor.internal.http.StrictResponseDecoder;
 import org.aspenmoor.internal.usage.UsageReceiver;
 import org.aspenmoor.internal.usage.UsageReport;
 
@@ -89,7 +91,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new StrictResponseDecoder(new HttpDecoderConfig()))
                                 .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                                 .addLast(new ResponseHandler(status));
                     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/DutyClientTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/DutyClientTest.java
@@ -23,6 +23,7 @@
 import org.aspenmoor.internal.usage.UsageReport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class DutyClientTest {
@@ -111,6 +112,19 @@
         }
     }
 
+    @DataProvider
+    public Object[][] malformedSuccesses() {
+        return new Object[][] {{"HTTP/1.1 0200 OK"}, {"HTTP/1.1 +200 OK"}};
+    }
+
+    // Guards against a report that counts as accepted though the receiver has not answered with a success.
+    @Test(dataProvider = "malformedSuccesses")
+    public void should_report_failure_when_the_head_of_a_success_is_malformed(String head) throws Exception {
+        try (ScriptedBackend receiver = receiver(head)) {
+            assertTrue(client(receiver.port()).send(REPORT, 12, TIMEOUT) instanceof UsageReceiver.Result.Failed);
+        }
+    }
+
     private static ScriptedBackend receiver(String statusLine) throws IOException {
         return new ScriptedBackend(request -> Reply.of(HttpText.head(statusLine, "Content-Length: 0")));
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
@@ -1,6 +1,7 @@
 package org.aspenmoorusage.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -150,6 +151,44 @@
         }
     }
 
+    @DataProvider
+    public Object[][] malformedLines() {
+        return new Object[][] {
+            {"HTTP/1.1 200 OK", "HTTP/1.1 000 None"},
+            {"HTTP/1.1 200 OK", "HTTP/1.1 0200 OK"},
+            {"HTTP/1.1 200 OK", "HTTP/1.1 2000 OK"},
+            {"HTTP/1.1 200 OK", "HTTP/1.1 999 Own"},
+        };
+    }
+
+    // Guards against callers who get a head that the server has not sent, since a malformed one has been repaired.
+    @Test(dataProvider = "malformedLines")
+    public void should_answer_bad_gateway_when_a_line_in_the_answer_to_a_booking_is_malformed(
+            String line, String malformed) throws Exception {
+        ScriptedBackend backend = gateway.backend("one", SERVICE, request -> okWith(line, malformed, request));
+        gateway.publish();
+
+        assertEquals(book("r1"), BAD_GATEWAY);
+
+        assertEquals(backend.count("r1"), 1);
+        String logged = gateway.awaitLogged("irregular-answer");
+        assertTrue(logged.contains("\"server\":\"one\",\"request\":\"r1\",\"kind\":\"INVALID\""), logged);
+    }
+
+    // Guards against callers of repeatable requests who get a failure because of one server's malformed answers.
+    @Test(dataProvider = "malformedLines")
+    public void should_send_a_repeatable_request_to_another_server_when_a_line_is_malformed(
+            String line, String malformed) throws Exception {
+        ScriptedBackend one = gateway.backend("one", SERVICE, request -> okWith(line, malformed, request));
+        gateway.backend("two", SERVICE, request -> TestAnswers.ok(request, "intact"));
+        gateway.publish();
+
+        for (int request = 0; request < REQUESTS; request++) {
+            assertEquals(gateway.get("/read/a", "r" + request).body(), "intact");
+        }
+        assertFalse(one.received().isEmpty());
+    }
+
     private String book(String requestId) throws IOException {
         return gateway.call(HttpText.head(
                         "POST /book/a HTTP/1.1",
@@ -180,6 +219,11 @@
         return Reply.of(head.substring(0, length) + answer);
     }
 
+    /** Returns an intact answer except for one line of its head. */
+    private static Reply okWith(String line, String malformed, ReceivedRequest request) {
+        return Reply.of(head("200 OK", id(request)).replace(line, malformed) + BODY);
+    }
+
     private static String id(ReceivedRequest request) {
         return request.header(TestProtocols.REQUEST_ID).orElse("");
     }
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/SingleCallConnection.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/store/client/SingleCallConnection.java
@@ -10,13 +10,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.aspenmoor.internal.http.StrictResponseDecoder;
 
 /**
  * A connection for one call.
@@ -55,7 +57,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new StrictResponseDecoder(new HttpDecoderConfig()))
                                 .addLast(new StoreHeadHandler())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(new StoreAnswerHandler(answer));
--- a/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
@@ -42,6 +42,12 @@
             {OK + "Content-Length\r\n\r\n{}"},
             {OK + "content-length:2\r\nContent-Length: 2\r\n\r\n{}"},
             {"HTTP/1.1 200 OK\nContent-Length: 2\n\n{}"},
+            {"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\n{}"},
+            {"HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\n{}"},
+            {"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}"},
+            {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"},
+            {"HTTP/1.1 0409 Conflict\r\nContent-Length: 2\r\n\r\n{}"},
+            {"HTTP/1.1 600 Own\r\nContent-Length: 2\r\n\r\n{}"},
             {OK + ENDLESS_HEADER.repeat(100)},
             {OK + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n" + "x".repeat(40_000_000)},
         };
