--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/MalformedHeadTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/MalformedHeadTest.java
@@ -99,6 +99,66 @@
         assertEquals(listener.body(), BODY);
     }
 
+    @DataProvider
+    public Object[][] malformedNames() {
+        return new Object[][] {
+            {"X Odd: v"},
+            {"X\tOdd: v"},
+            {"X-Odd : v"},
+            {"X-Odd\t: v"},
+            {"X-Odd \t : v"},
+            {"Content Length: 9"},
+            {"Content-Length : 9"},
+            {"Content-Length\t: 9"},
+            {"Content-Length : 40"},
+            {"Transfer-Encoding : chunked"},
+            {"Connection : close"},
+            {"Test-Id : r1"},
+            {"Test Signed: by one"},
+            {"Test-Not-Run : 1"},
+            {"X\u0000: v"},
+            {"X\u0001: v"},
+            {"X\u000b: v"},
+            {"X\u000c: v"},
+            {"X\u001f: v"},
+            {"X\u007f: v"},
+            {"X\u00a0: v"},
+            {"X;: v"},
+            {"X\": v"},
+            {"X(: v"},
+            {": v"},
+            {"X-Odd"},
+            {"X-Odd: \u0001"}
+        };
+    }
+
+    // Guards against callers who get a header that the server has not sent, or a body cut to a length that is none,
+    // because a name that contains a blank has been cut at the blank.
+    @Test(dataProvider = "malformedNames")
+    public void should_fail_answer_when_the_name_of_a_header_is_malformed(String line) throws Exception {
+        assertRefused(answer("HTTP/1.1 200 OK\r\n" + line));
+    }
+
+    // Guards against the same where no other line tells the length, so that the malformed one would.
+    @Test(dataProvider = "malformedNames")
+    public void should_fail_answer_without_length_when_the_name_of_a_header_is_malformed(String line) throws Exception {
+        String head = BackendFixture.HEAD_WITHOUT_LENGTH;
+
+        assertRefused(head.substring(0, head.length() - 2) + line + "\r\n\r\n" + BODY);
+    }
+
+    // Guards against a trailer that is read as another one than the server has sent.
+    @Test
+    public void should_fail_answer_when_the_name_of_a_trailer_is_malformed() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        fixture.send(0, listener);
+        String head = BackendFixture.HEAD_WITHOUT_LENGTH.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
+
+        answerOnce(head + HttpText.chunk("all") + "0\r\nX Odd: v\r\n\r\n", listener);
+
+        assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
+    }
+
     private void assertRefused(String answer) throws Exception {
         RecordingExchangeListener listener = new RecordingExchangeListener();
         fixture.send(0, listener);
@@ -110,11 +170,12 @@
         assertEquals(fixture.irregularities(), List.of(AnswerIrregularity.INVALID));
     }
 
-    /** Answers the next request with the given bytes, and waits for the end of the exchange. */
+    /** Answers the next request with the given bytes and nothing more, and waits for the end of the exchange. */
     private void answerOnce(String answer, RecordingExchangeListener listener) throws Exception {
         try (ManualBackend.Connection connection = fixture.backend().accept()) {
             connection.readHead();
             connection.write(answer);
+            connection.endOutput();
             listener.awaitEnd();
         }
     }
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.aspenmoor.internal.engine.EngineRole;
 import org.aspenmoor.internal.gateway.standin.HttpText;
 import org.aspenmoor.internal.gateway.standin.ReceivedRequest;
 import org.aspenmoor.internal.gateway.standin.ScriptedBackend;
@@ -30,6 +31,7 @@
     private static final String BAD_GATEWAY = "HTTP/1.1 502 Bad Gateway";
     private static final String EVENT = HttpText.chunk("id: 1\ndata: a\n\n") + HttpText.LAST_CHUNK;
     private static final int PROMPT_TOKENS = 100;
+    private static final int LONG_PROMPT_TOKENS = 4000;
     private static final int PATIENCE_MILLISECONDS = 10_000;
     private static final int REQUESTS = 10;
 
@@ -158,6 +160,10 @@
             {"HTTP/1.1 200 OK", "HTTP/1.1 0200 OK"},
             {"HTTP/1.1 200 OK", "HTTP/1.1 2000 OK"},
             {"HTTP/1.1 200 OK", "HTTP/1.1 999 Own"},
+            {"Server: standin", "Server Name: standin"},
+            {"Server: standin", "Server : standin"},
+            {"Content-Length: ", "Content-Length : "},
+            {"Content-Length: 4", "Content-Length : 2"},
         };
     }
 
@@ -189,6 +195,25 @@
         assertFalse(one.received().isEmpty());
     }
 
+    // Guards against a stream that goes on from a cache handle that no server has stated in an intact answer.
+    @Test(dataProvider = "malformedLines")
+    public void should_not_use_a_cache_handle_when_a_line_in_the_answer_that_has_it_is_malformed(
+            String line, String malformed) throws Exception {
+        ScriptedBackend prefill = engine("prefill", EngineRole.PREFILL, request -> okWith(line, malformed, request));
+        ScriptedBackend decode = engine("decode", EngineRole.DECODE, TestAnswers::oneEvent);
+        gateway.publish();
+
+        gateway.generate("/draft/a", "r1", LONG_PROMPT_TOKENS);
+
+        assertEquals(prefill.count("r1"), 1);
+        assertTrue(decode.received().stream()
+                .allMatch(request -> request.header(TestProtocols.CACHE_SOURCE).isEmpty()));
+    }
+
+    private ScriptedBackend engine(String id, EngineRole role, ScriptedBackend.Script script) throws Exception {
+        return gateway.backend(id, MODEL, role, TestGateway.LOCAL_DATA_CENTRE, script);
+    }
+
     private String book(String requestId) throws IOException {
         return gateway.call(HttpText.head(
                         "POST /book/a HTTP/1.1",
--- a/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
@@ -48,6 +48,10 @@
             {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"},
             {"HTTP/1.1 0409 Conflict\r\nContent-Length: 2\r\n\r\n{}"},
             {"HTTP/1.1 600 Own\r\nContent-Length: 2\r\n\r\n{}"},
+            {OK + "Content-Length : 2\r\n\r\n{}{}"},
+            {OK + "Content-Length\t: 2\r\n\r\n{}{}"},
+            {OK + "Retry After: 1\r\nContent-Length: 2\r\n\r\n{}"},
+            {OK + "X-Header : 1\r\nContent-Length: 2\r\n\r\n{}"},
             {OK + ENDLESS_HEADER.repeat(100)},
             {OK + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n" + "x".repeat(40_000_000)},
         };
