Refuse answers in which a line of the head begins with a blank

What callers saw: a line " X-Odd: v" was joined to the value of the header before it, which so changed (Content-Type: text/plain X-Odd: v); where the line held the length, the body had none.

Cause: the decoder takes each line of a head that begins with a blank for the rest of a folded value. RFC 9112 allows to join such a line or to refuse it; it cannot be told from a header whose malformed name begins with a blank, and no current server folds values. A check of the decoded head cannot see it, and the decoder reports nothing, not even by the size of the head.

Why it works: StrictResponseDecoder looks at the bytes that the decoder consumes as a head, once each, and refuses the head as the decoder does: what follows is discarded. Trailers are left out; no trailer is used or passed on.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/MalformedHeadTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/MalformedHeadTest.java
@@ -128,7 +128,10 @@
             {"X(: v"},
             {": v"},
             {"X-Odd"},
-            {"X-Odd: \u0001"}
+            {"X-Odd: \u0001"},
+            {" X-Odd: v"},
+            {"\tX-Odd: v"},
+            {"X-Odd: v\r\n goes on"}
         };
     }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoorusage/gateway/IrregularAnswerTest.java
@@ -164,6 +164,8 @@
             {"Server: standin", "Server : standin"},
             {"Content-Length: ", "Content-Length : "},
             {"Content-Length: 4", "Content-Length : 2"},
+            {"Server: standin", "Server: standin\r\n X-Odd: v"},
+            {"Content-Length: 4", " Content-Length: 4"},
         };
     }
 
--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/http/StrictResponseDecoder.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/http/StrictResponseDecoder.java
@@ -1,14 +1,24 @@
 package org.aspenmoor.internal.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * Decodes HTTP/1 responses, and refuses malformed heads that {@link HttpResponseDecoder} repairs. What has been repaired
  * cannot be told from an intact head: the status code {@code 0200}, for example, is read as 200, and a name that contains
  * a blank ends before it. A refused head has a decoder result that is a failure.
+ *
+ * <p>A line that begins with a blank may be the rest of the value before it, an obsolete form that no current server
+ * sends, or a header with a malformed name. The decoder joins it to the value; since neither can be ruled out, such a
+ * head is refused, too.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int STATUS_CODE_DIGITS = 3;
@@ -16,11 +26,36 @@
     private static final char MAX_FIRST_DIGIT = '5';
     private static final char NAME_END = ':';
 
+    private final FoldedLineFinder foldedLines = new FoldedLineFinder();
+    private boolean readingHead = true;
+    private boolean headRefused;
+
     /** Creates a decoder. */
     public StrictResponseDecoder(HttpDecoderConfig config) {
         super(config);
     }
 
+    /** Decodes one part of a message; discards what follows a head with a folded line. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+        if (headRefused) {
+            input.skipBytes(input.readableBytes());
+            return;
+        }
+        int start = input.readerIndex();
+        int decodedBefore = output.size();
+        super.decode(context, input, output);
+        if (!readingHead) {
+            readingHead = output.size() > decodedBefore && output.getLast() instanceof LastHttpContent;
+            return;
+        }
+        // One step never consumes bytes of a head together with those of its body.
+        input.forEachByte(start, input.readerIndex() - start, foldedLines);
+        if (output.size() > decodedBefore) {
+            headDecoded(output.subList(decodedBefore, output.size()));
+        }
+    }
+
     /** Returns the status code as it was received. */
     @Override
     protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
@@ -41,6 +76,20 @@
         return super.splitHeaderName(line, start, length);
     }
 
+    /** Ends a head; if it has no body, the end of the message is the second of the decoded parts. */
+    private void headDecoded(List<Object> parts) {
+        if (foldedLines.found()) {
+            headRefused = true;
+            ((HttpResponse) parts.getFirst())
+                    .setDecoderResult(DecoderResult.failure(
+                            new IllegalArgumentException("a line of the head begins with a blank")));
+            parts.subList(1, parts.size()).clear();
+            return;
+        }
+        readingHead = parts.getLast() instanceof LastHttpContent;
+        foldedLines.reset();
+    }
+
     private static boolean isStatusCode(byte[] line, int start, int length) {
         return length == STATUS_CODE_DIGITS
                 && line[start] >= MIN_FIRST_DIGIT
--- a/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
+++ b/aspenmoor-store/src/test/java/org/aspenmoor/internal/store/client/StoreResponseTest.java
@@ -52,6 +52,7 @@
             {OK + "Content-Length\t: 2\r\n\r\n{}{}"},
             {OK + "Retry After: 1\r\nContent-Length: 2\r\n\r\n{}"},
             {OK + "X-Header : 1\r\nContent-Length: 2\r\n\r\n{}"},
+            {OK + "X-Header: 1\r\n X-Header: 2\r\nContent-Length: 2\r\n\r\n{}"},
             {OK + ENDLESS_HEADER.repeat(100)},
             {OK + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n" + "x".repeat(40_000_000)},
         };
