Count a usage report as accepted only if the head of the answer is valid

What users would see: a usage report counts as accepted, though the receiver's answer is malformed behind its status line, and is not sent again.

Cause: DutyClient completes with the status of what the decoder passes on. A head that fails behind its status line is passed on with that status and a decoder result that says so, which was not asked.

Why it works: what the decoder has refused fails the call, as in the connections to servers and to the store.

--- a/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/DutyClient.java
+++ b/aspenmoor-gateway/src/main/java/org/aspenmoor/internal/gateway/usage/DutyClient.java
@@ -109,6 +109,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            // A head that is malformed behind its status line still has the status.
+            if (response.decoderResult().isFailure()) {
+                status.completeExceptionally(response.decoderResult().cause());
+                return;
+            }
             status.complete(response.status());
         }
 
--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/DutyClientTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/usage/DutyClientTest.java
@@ -114,7 +114,15 @@
 
     @DataProvider
     public Object[][] malformedSuccesses() {
-        return new Object[][] {{"HTTP/1.1 0200 OK"}, {"HTTP/1.1 +200 OK"}};
+        return new Object[][] {
+            {"HTTP/1.1 0200 OK"},
+            {"HTTP/1.1 +200 OK"},
+            {"HTTP/1.1 200 OK\r\nno colon"},
+            {"HTTP/1.1 200 OK\r\nX Odd: v"},
+            {"HTTP/1.1 200 OK\r\n folded: v"},
+            {"HTTP/1.1 200 OK\r\nX\u0001: v"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 1"},
+        };
     }
 
     // Guards against a report that counts as accepted though the receiver has not answered with a success.
