Refuse answers with a status code above 599 in the daemon's agent, too

What callers would see: a backend server beside an agent answers with 600 to 999, and the caller gets that number.

Cause: the agent calls with the JDK's client, which refuses numbers below 100 and no others; HttpBackendCall passed on what it got. Calls that generate and orders ask for one status and were sound.

Evidence: without the change 10 of 38 cases of MalformedHeadTest of the agent fail: 600 and 999, and eight in which the client itself repairs the head: 2020 and 202Accepted are read as 202, a folded line is joined, a line without a colon is left out, for calls and for orders. With it 600 and 999 pass, and the eight stay red: what was received is hidden behind the client, so it would have to be replaced. Names with blanks or control bytes and status codes below 100 were refused already.

The entries of the platform don't use this client.

--- a/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
+++ b/aspenmoor-daemon/src/main/java/org/aspenmoor/internal/agent/HttpBackendCall.java
@@ -19,6 +19,7 @@
 /** One call over HTTP. Reads the answer only as fast as the event loop requests it. */
 final class HttpBackendCall implements BackendCall, Flow.Subscriber<List<ByteBuffer>> {
     private static final int OK = 200;
+    private static final int MAX_STATUS_CODE = 599;
     private static final Set<String> HOP_BY_HOP =
             Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", ":status");
 
@@ -114,14 +115,23 @@
 
     private void handleResponse(HttpResponse<Flow.Publisher<List<ByteBuffer>>> response) {
         if (isGeneration && response.statusCode() != OK) {
-            end(new CallEnd.Failed("the engine answered with status " + response.statusCode()));
-            response.body().subscribe(new DiscardingSubscriber());
+            refuse(response, "the engine answered with status " + response.statusCode());
+            return;
+        }
+        // The JDK's client refuses only numbers below 100.
+        if (response.statusCode() > MAX_STATUS_CODE) {
+            refuse(response, "the status code is not a number from 100 to 599: " + response.statusCode());
             return;
         }
         eventLoop.put(new AgentMessage.AnswerStarted(key, response.statusCode(), headersOf(response)));
         response.body().subscribe(this);
     }
 
+    private void refuse(HttpResponse<Flow.Publisher<List<ByteBuffer>>> response, String problem) {
+        end(new CallEnd.Failed(problem));
+        response.body().subscribe(new DiscardingSubscriber());
+    }
+
     private void sendFailed(Throwable failure) {
         Throwable cause = failure.getCause() == null ? failure : failure.getCause();
         String detail = cause.getClass().getSimpleName() + " " + cause.getMessage();
