Tests of an early answer without a length whose connection is reset while the request is being written

Nothing but tests changes.

What keeps the part from ending the body: once a write has failed with the reset, Netty closes the channel before it reads again, so that the plain end that a read would then return is never seen. Two lines each suffice. The listener of the write in BackendConnection.send and in SingleCallConnection.send fails the exchange or the call at once; and what the decoder ends when the channel has been closed is not complete (endedByClosedChannel, and the check of isOpen in StoreAnswerHandler). Neither depends on whether reading is paused. DutyClient reads the status only.

--- a/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
+++ b/aspenmoor-gateway/src/test/java/org/aspenmoor/internal/gateway/backend/AnswerEndTest.java
@@ -19,6 +19,7 @@
     private static final long ENDLESS_BYTES = 64L * 1024 * 1024;
 
     private static final int LINE_BYTES = 4096;
+    private static final int RESETS_AT_ONCE = 20;
 
     private BackendFixture fixture;
 
@@ -128,6 +129,41 @@
         }
     }
 
+    // Guards against the same where a part of the answer has arrived and is read only after the reset: once a write has
+    // reported the reset, reads return that part and then a plain end.
+    @Test
+    public void should_fail_answer_without_length_when_an_unread_part_precedes_the_reset() throws Exception {
+        RecordingExchangeListener listener = new RecordingExchangeListener();
+        Exchange exchange = fixture.send(LONG_BODY_BYTES, listener);
+        try (ManualBackend.Connection connection = fixture.backend().accept()) {
+            writeHalf(connection, listener);
+            fixture.onEventLoop(() -> exchange.setReading(false));
+            connection.write(" and some more");
+
+            connection.reset();
+            fixture.onEventLoop(() -> exchange.setReading(true));
+
+            assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
+        }
+    }
+
+    // Guards against the same where head, part and reset arrive together.
+    @Test
+    public void should_fail_answer_without_length_when_the_reset_follows_at_once() throws Exception {
+        for (int attempt = 0; attempt < RESETS_AT_ONCE; attempt++) {
+            RecordingExchangeListener listener = new RecordingExchangeListener();
+            fixture.send(LONG_BODY_BYTES, listener);
+            try (ManualBackend.Connection connection = fixture.backend().accept()) {
+                connection.readHead();
+                connection.write(BackendFixture.HEAD_WITHOUT_LENGTH + "half of it");
+
+                connection.reset();
+
+                assertTrue(listener.awaitEnd().startsWith("failed: "), listener.awaitEnd());
+            }
+        }
+    }
+
     // Guards against an answer that looks complete because this entry itself closes its connections.
     @Test
     public void should_not_complete_answer_without_length_when_event_loop_ends() throws Exception {
