--- a/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/MalformedHeadTest.java
+++ b/aspenmoor-daemon/src/test/java/org/aspenmoor/internal/agent/MalformedHeadTest.java
@@ -3,19 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
-import com.google.protobuf.ByteString;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import org.aspenmoor.RequestId;
-import org.aspenmoor.internal.duty.Worker;
-import org.aspenmoor.internal.engine.EngineOrder;
 import org.aspenmoor.internal.engine.EngineUnreachableException;
-import org.aspenmoor.internal.engine.FencedOrder;
-import org.aspenmoor.internal.wire.v1.Dispatch;
-import org.aspenmoor.internal.wire.v1.PlainCall;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -23,25 +12,16 @@
 
 /** Answers of backend servers whose head is malformed. */
 public class MalformedHeadTest {
-    private static final int NO_STATUS = 0;
-    private static final FencedOrder ORDER = new FencedOrder("order", 1, new EngineOrder.LoadModel("model", "1"));
-
-    private final BlockingQueue<AgentMessage> messages = new LinkedBlockingQueue<>();
-    private Worker<AgentMessage> eventLoop;
-    private ExecutorService threads;
+    private BackendCallFixture fixture;
 
     @BeforeMethod
     public void start() {
-        messages.clear();
-        eventLoop = new Worker<>("agent-events", 64, messages::add);
-        eventLoop.start();
-        threads = Executors.newFixedThreadPool(2);
+        fixture = new BackendCallFixture();
     }
 
     @AfterMethod
     public void stop() {
-        threads.close();
-        eventLoop.close();
+        fixture.close();
     }
 
     @DataProvider
@@ -80,9 +60,9 @@
     @Test(dataProvider = "malformedHeads")
     public void should_report_no_answer_when_the_head_is_malformed(String head) throws Exception {
         try (StutteringBackend backend = new StutteringBackend(List.of(answer(head)), new byte[0])) {
-            HttpBackendCaller caller = new HttpBackendCaller(new BackendClients(threads), backend.address(), eventLoop);
+            HttpBackendCaller caller = fixture.callerOf(backend.address());
 
-            assertEquals(statusOfCall(caller), NO_STATUS);
+            assertEquals(fixture.statusOfCall(caller, 1), BackendCallFixture.NO_STATUS);
         }
     }
 
@@ -97,9 +77,9 @@
     public void should_report_unreachable_when_the_head_of_the_answer_to_an_order_is_malformed(String head)
             throws Exception {
         try (StutteringBackend backend = new StutteringBackend(List.of(answer(head)), new byte[0])) {
-            HttpEngineControl control = new HttpEngineControl(new BackendClients(threads), backend.address());
+            HttpEngineControl control = fixture.controlOf(backend.address());
 
-            assertThrows(EngineUnreachableException.class, () -> control.order(ORDER));
+            assertThrows(EngineUnreachableException.class, () -> BackendCallFixture.order(control));
         }
     }
 
@@ -110,29 +90,6 @@
         should_report_unreachable_when_the_head_of_the_answer_to_an_order_is_malformed(head);
     }
 
-    /** Makes a call and returns the status of its answer; {@link #NO_STATUS} if there was none. */
-    private int statusOfCall(HttpBackendCaller caller) throws InterruptedException {
-        PlainCall plain = PlainCall.newBuilder()
-                .setMethod("POST")
-                .setPath("/bookings")
-                .setBody(ByteString.copyFromUtf8("{}"))
-                .build();
-        AttemptKey key = new AttemptKey(new RequestId(1, 2), 1);
-        BackendCall call =
-                caller.start(key, Dispatch.newBuilder().setPlainCall(plain).build());
-        int status = NO_STATUS;
-        while (true) {
-            switch (messages.take()) {
-                case AgentMessage.AnswerStarted started -> status = started.status();
-                case AgentMessage.PiecesArrived pieces -> call.requestMore();
-                case AgentMessage.AnswerEnded ended -> {
-                    return status;
-                }
-                default -> throw new IllegalStateException("unexpected message");
-            }
-        }
-    }
-
     private static String answer(String head) {
         return head + "\r\nContent-Length: 2\r\n\r\n{}";
     }
