--- a/aspenmoor-store/src/main/java/org/aspenmoor/internal/http/StrictResponseDecoder.java
+++ b/aspenmoor-store/src/main/java/org/aspenmoor/internal/http/StrictResponseDecoder.java
@@ -56,7 +56,7 @@
         }
     }
 
-    /** Returns the status code as it was received. */
+    /** Returns the status code as it was received, before it becomes a number. */
     @Override
     protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
         if (!isStatusCode(line, start, length)) {
