--- a/review/standins-2/platform/Caller.java
+++ b/review/standins-2/platform/Caller.java
@@ -10,6 +10,11 @@
 
 /** Sends one request on a new connection and notes how it ends. */
 final class Caller {
+    /** How a success with a wrong body begins to be described; the end of that body follows. */
+    static final String OTHER_BODY = "answered with another body, which ends ";
+
+    private static final int SHOWN_CHARACTERS = 50;
+
     /** How a request ended: the status, or 0 if there was no answer. */
     record Outcome(String id, int status, String how, double sentAt, double endedAt) {
         double seconds() {
@@ -40,7 +45,7 @@
             Http answer = Http.read(new BufferedInputStream(socket.getInputStream()));
             outcome = answer == null
                     ? new Outcome(id, 0, "closed without an answer", sentAt, record.seconds())
-                    : new Outcome(id, answer.status(), "answered", sentAt, record.seconds());
+                    : new Outcome(id, answer.status(), how(answer, path, id), sentAt, record.seconds());
         } catch (SocketTimeoutException late) {
             outcome = new Outcome(id, 0, "no answer", sentAt, record.seconds());
         } catch (IOException failed) {
@@ -51,6 +56,15 @@
         return outcome;
     }
 
+    /** Says whether a success of a plain server has the body that the server gives to this request. */
+    private static String how(Http answer, String path, String id) {
+        boolean plain = path.startsWith(Deployment.SAFE) || path.startsWith(Deployment.UNSAFE);
+        String body = new String(answer.body(), StandardCharsets.ISO_8859_1);
+        return plain && answer.status() == 200 && !body.equals(EngineStandin.body(id))
+                ? OTHER_BODY + body.substring(Math.max(0, body.length() - SHOWN_CHARACTERS)).strip().replace("\r\n", "|")
+                : "answered";
+    }
+
     private static String prompt(String path, String id) {
         return path.startsWith(Deployment.DRAFT) || path.startsWith(Deployment.CLASSIFY)
                 ? "Model: m\r\nToken-Count: 17020,12\r\nPrompt-Prefix: " + Integer.toHexString(id.hashCode() % 173)
