--- a/review/standins-2/platform/EntryProcess.java
+++ b/review/standins-2/platform/EntryProcess.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -19,6 +21,10 @@
 final class EntryProcess implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 30_000;
+    private static final int MAX_PORT_TRIES = 100;
+
     private final String name;
     private final Path repository;
     private final Path folder;
@@ -136,10 +142,17 @@
         return settings;
     }
 
+    /** Returns a free port below those that the operating system gives to outgoing connections, which would take it. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < MAX_PORT_TRIES; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                // Another one is tried.
+            }
         }
+        throw new IOException("no free port was found");
     }
 
     @Override
--- a/review/standins-2/platform/OddEntryCase.java
+++ b/review/standins-2/platform/OddEntryCase.java
@@ -5,7 +5,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 
-/** Another writer puts an entry among the servers whose id ends with a line feed, and removes it three seconds later. */
+/**
+ * Another writer puts an entry among the servers, with a field missing, one of another type and an id that ends with a line
+ * feed, and removes it three seconds later.
+ */
 final class OddEntryCase {
     private static final String ID_WITH_LINE_END = "i-7f3a91c2\n";
     private static final long PRESENT_MILLIS = 3000;
@@ -50,10 +53,9 @@
                 .put("address", "127.0.0.1:" + unusedPort())
                 .put("zone", "lima-a")
                 .put("version", "1")
-                .put("slots", 128)
+                .put("slots", "many")
                 .put("state", "ready")
                 .put("stage", "decode")
-                .put("cold_left_ms", 0)
                 .put("seq", 0);
     }
 
